Add workspace, design page, shared value types and peer links

The library module coord holds the value types, the narrow interfaces to the store and the platform, and the CBOR messages between entry processes.

--- /dev/null
+++ b/bench/main.go
@@ -0,0 +1,4 @@
+// Command bench is described in README.md.
+package main
+
+func main() {}
--- /dev/null
+++ b/coord/config/doc.go
@@ -0,0 +1,2 @@
+// Package config holds the versioned configuration of customers: its document, acceptance and monotonic application.
+package config
--- /dev/null
+++ b/coord/config/document.go
@@ -0,0 +1,47 @@
+package config
+
+import (
+	"lovagefork.example/coord/fleet"
+	"lovagefork.example/coord/store"
+)
+
+// Document is the generated configuration of one customer.
+type Document struct {
+	Customer fleet.CustomerID `json:"customer" cbor:"customer"`
+	ChangeID string           `json:"change_id" cbor:"change_id"`
+	Services []Service        `json:"services" cbor:"services"`
+	Batch    []BatchKind      `json:"batch" cbor:"batch"`
+	Quota    Quota            `json:"quota" cbor:"quota"`
+}
+
+// Service is one long-running service whose replicas answer requests.
+type Service struct {
+	Name          string          `json:"name" cbor:"name"`
+	Class         fleet.Class     `json:"class" cbor:"class"`
+	Replicas      int             `json:"replicas" cbor:"replicas"`
+	Resources     fleet.Resources `json:"resources" cbor:"resources"`
+	DeadlineMS    int64           `json:"deadline_ms" cbor:"deadline_ms"`
+	NonIdempotent bool            `json:"non_idempotent" cbor:"non_idempotent"`
+}
+
+// BatchKind is one kind of batch work with its default class and size.
+type BatchKind struct {
+	Name        string          `json:"name" cbor:"name"`
+	Class       fleet.Class     `json:"class" cbor:"class"`
+	Resources   fleet.Resources `json:"resources" cbor:"resources"`
+	MaxAttempts int             `json:"max_attempts" cbor:"max_attempts"`
+}
+
+// Quota limits what a customer may hold and ask for at a time; zero means no limit.
+type Quota struct {
+	Resources         fleet.Resources `json:"resources" cbor:"resources"`
+	RunningTasks      int             `json:"running_tasks" cbor:"running_tasks"`
+	RequestsPerSecond float64         `json:"requests_per_second" cbor:"requests_per_second"`
+	Weight            int             `json:"weight" cbor:"weight"`
+}
+
+// Versioned is a document with the store revision of its last write, which orders its versions.
+type Versioned struct {
+	Document Document       `json:"document" cbor:"document"`
+	Revision store.Revision `json:"revision" cbor:"revision"`
+}
--- /dev/null
+++ b/coord/wire/codec.go
@@ -0,0 +1,84 @@
+package wire
+
+import (
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Envelope carries one message; a call has a nonzero ID, and its answer has the same ID and Answer set.
+type Envelope struct {
+	ID      uint64
+	Answer  bool
+	Message Message
+}
+
+type frame struct {
+	Kind   string          `cbor:"kind"`
+	ID     uint64          `cbor:"id"`
+	Answer bool            `cbor:"answer"`
+	Body   cbor.RawMessage `cbor:"body"`
+}
+
+// DecodeError reports bytes that are no message of this package.
+type DecodeError struct {
+	Kind  string
+	Cause error
+}
+
+// Error names the kind of message, if known, and the cause.
+func (e *DecodeError) Error() string {
+	return fmt.Sprintf("decode message %q: %v", e.Kind, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *DecodeError) Unwrap() error { return e.Cause }
+
+var decoders = map[string]func([]byte) (Message, error){
+	Hello{}.kind():         decodeAs[Hello],
+	Ack{}.kind():           decodeAs[Ack],
+	Failure{}.kind():       decodeAs[Failure],
+	Borrow{}.kind():        decodeAs[Borrow],
+	Loan{}.kind():          decodeAs[Loan],
+	Return{}.kind():        decodeAs[Return],
+	Forward{}.kind():       decodeAs[Forward],
+	ForwardAnswer{}.kind(): decodeAs[ForwardAnswer],
+	Endpoints{}.kind():     decodeAs[Endpoints],
+	ConfigDoc{}.kind():     decodeAs[ConfigDoc],
+	ConfigState{}.kind():   decodeAs[ConfigState],
+	JobCall{}.kind():       decodeAs[JobCall],
+	JobAnswer{}.kind():     decodeAs[JobAnswer],
+	Load{}.kind():          decodeAs[Load],
+}
+
+func decodeAs[T Message](data []byte) (Message, error) {
+	var m T
+	err := cbor.Unmarshal(data, &m)
+	return m, err
+}
+
+// Encode returns the CBOR form of an envelope.
+func Encode(e Envelope) ([]byte, error) {
+	body, err := cbor.Marshal(e.Message)
+	if err != nil {
+		return nil, err
+	}
+	return cbor.Marshal(frame{Kind: e.Message.kind(), ID: e.ID, Answer: e.Answer, Body: body})
+}
+
+// Decode parses the CBOR form of an envelope, or returns a [*DecodeError].
+func Decode(data []byte) (Envelope, error) {
+	var f frame
+	if err := cbor.Unmarshal(data, &f); err != nil {
+		return Envelope{}, &DecodeError{Cause: err}
+	}
+	decode, known := decoders[f.Kind]
+	if !known {
+		return Envelope{}, &DecodeError{Kind: f.Kind, Cause: fmt.Errorf("unknown kind")}
+	}
+	m, err := decode(f.Body)
+	if err != nil {
+		return Envelope{}, &DecodeError{Kind: f.Kind, Cause: err}
+	}
+	return Envelope{ID: f.ID, Answer: f.Answer, Message: m}, nil
+}
--- /dev/null
+++ b/coord/wire/codec_test.go
@@ -0,0 +1,41 @@
+package wire_test
+
+import (
+	"errors"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"lovagefork.example/coord/fleet"
+	"lovagefork.example/coord/wire"
+)
+
+// A message that changes in transit would hand a caller the answer of another request.
+func TestEncodeDecode(t *testing.T) {
+	for _, m := range []wire.Message{
+		wire.Hello{EntryHost: "e1", Boot: "b", Zone: "a"},
+		wire.Forward{Service: "c/s", Class: fleet.Deferrable, Request: "r", Method: "PUT", Body: []byte("x")},
+		wire.ForwardAnswer{Outcome: "ran", Status: 200, Body: []byte("y")},
+		wire.Loan{ID: "l", Parts: []wire.LoanPart{{Worker: "w", Slots: 2}}, TTLMS: 5000},
+	} {
+		sent := wire.Envelope{ID: 7, Answer: true, Message: m}
+		data, err := wire.Encode(sent)
+		assert.NilError(t, err)
+		got, err := wire.Decode(data)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, got, sent)
+	}
+}
+
+// A corrupt frame must be reported as such and never stop the process.
+func FuzzDecode(f *testing.F) {
+	data, err := wire.Encode(wire.Envelope{ID: 1, Message: wire.Return{ID: "l"}})
+	assert.NilError(f, err)
+	f.Add(data)
+	f.Add([]byte{0xa1, 0x64})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		_, err := wire.Decode(data)
+		var decodeErr *wire.DecodeError
+		assert.Assert(t, err == nil || errors.As(err, &decodeErr))
+	})
+}
--- /dev/null
+++ b/coord/wire/doc.go
@@ -0,0 +1,2 @@
+// Package wire defines the messages between entry processes and their CBOR encoding.
+package wire
--- /dev/null
+++ b/coord/wire/messages.go
@@ -0,0 +1,127 @@
+package wire
+
+import (
+	"lovagefork.example/coord/config"
+	"lovagefork.example/coord/fleet"
+)
+
+// Message is any message between two entry processes.
+type Message interface{ kind() string }
+
+// Hello is the first message on a link, in both directions.
+type Hello struct {
+	EntryHost fleet.EntryHostID      `cbor:"entry_host"`
+	Boot      fleet.BootID           `cbor:"boot_id"`
+	Zone      fleet.AvailabilityZone `cbor:"availability_zone"`
+}
+
+// Ack answers a call that returns nothing.
+type Ack struct{}
+
+// Failure answers a call that the receiver could not carry out; NotRun is set if it had no effect.
+type Failure struct {
+	Status int    `cbor:"status"`
+	Reason string `cbor:"reason"`
+	NotRun bool   `cbor:"not_run"`
+}
+
+// Borrow asks for idle slots on the workers of some availability zones for a class of requests.
+type Borrow struct {
+	Service fleet.ServiceID `cbor:"service"`
+	Class   fleet.Class     `cbor:"class"`
+	Slots   int             `cbor:"slots"`
+}
+
+// Loan answers [Borrow] with slots that the borrower may use for TTLMS milliseconds from before it asked.
+type Loan struct {
+	ID    string     `cbor:"loan_id"`
+	Parts []LoanPart `cbor:"parts"`
+	TTLMS int64      `cbor:"ttl_ms"`
+}
+
+// LoanPart is the part of a loan on one worker.
+type LoanPart struct {
+	Worker      fleet.WorkerID `cbor:"worker"`
+	Slots       int            `cbor:"slots"`
+	Connections int            `cbor:"connections"`
+}
+
+// Return ends a loan early.
+type Return struct {
+	ID string `cbor:"loan_id"`
+}
+
+// Forward passes a caller's request to another entry process, to be sent on from there.
+type Forward struct {
+	Service     fleet.ServiceID     `cbor:"service"`
+	Customer    fleet.CustomerID    `cbor:"customer"`
+	Class       fleet.Class         `cbor:"class"`
+	Request     fleet.RequestID     `cbor:"request_id"`
+	RemainingMS int64               `cbor:"remaining_ms"`
+	Method      string              `cbor:"method"`
+	Path        string              `cbor:"path"`
+	Header      map[string][]string `cbor:"header"`
+	Body        []byte              `cbor:"body"`
+}
+
+// ForwardAnswer answers [Forward] with the whole answer of the backend server, or with the outcome without one.
+type ForwardAnswer struct {
+	Outcome string              `cbor:"outcome"`
+	Reason  string              `cbor:"reason"`
+	Status  int                 `cbor:"status"`
+	Header  map[string][]string `cbor:"header"`
+	Body    []byte              `cbor:"body"`
+}
+
+// Endpoints tells where the replicas of services run in one partition; a higher (Epoch, Sequence) replaces a lower one.
+type Endpoints struct {
+	Partition fleet.PartitionID                    `cbor:"partition"`
+	Epoch     fleet.Epoch                          `cbor:"epoch"`
+	Sequence  uint64                               `cbor:"sequence"`
+	Services  map[fleet.ServiceID][]fleet.WorkerID `cbor:"services"`
+}
+
+// ConfigDoc spreads versions of configuration documents.
+type ConfigDoc struct {
+	Documents []config.Versioned `cbor:"documents"`
+}
+
+// ConfigState tells the revision of each customer's document that is in force at the sender.
+type ConfigState struct {
+	Revisions map[fleet.CustomerID]int64 `cbor:"revisions"`
+}
+
+// JobCall passes an operation on a job to the owner of its home partition; Body is the JSON of the HTTP interface.
+type JobCall struct {
+	Op        string            `cbor:"op"`
+	Partition fleet.PartitionID `cbor:"partition"`
+	Job       fleet.JobID       `cbor:"job_id"`
+	Body      []byte            `cbor:"body"`
+}
+
+// JobAnswer answers [JobCall] with an HTTP status and the JSON of the HTTP interface.
+type JobAnswer struct {
+	Status int    `cbor:"status"`
+	Body   []byte `cbor:"body"`
+}
+
+// Load tells the sender's queue lengths by class and its idle slots by worker.
+type Load struct {
+	Queued    [3]int                 `cbor:"queued"`
+	FreeSlots map[fleet.WorkerID]int `cbor:"free_slots"`
+}
+
+func (Hello) kind() string         { return "hello" }
+func (Ack) kind() string           { return "ack" }
+func (Failure) kind() string       { return "failure" }
+func (Borrow) kind() string        { return "borrow" }
+func (Loan) kind() string          { return "loan" }
+func (Return) kind() string        { return "return" }
+func (Forward) kind() string       { return "forward" }
+func (ForwardAnswer) kind() string { return "forward_answer" }
+func (Endpoints) kind() string     { return "endpoints" }
+func (ConfigDoc) kind() string     { return "config_doc" }
+func (ConfigState) kind() string   { return "config_state" }
+func (JobCall) kind() string       { return "job_call" }
+func (JobAnswer) kind() string     { return "job_answer" }
+func (Load) kind() string          { return "load" }
--- /dev/null
+++ b/entryd/main.go
@@ -0,0 +1,4 @@
+// Command entryd is described in README.md.
+package main
+
+func main() {}
--- /dev/null
+++ b/entryd/peers/doc.go
@@ -0,0 +1,2 @@
+// Package peers keeps WebSocket links between the entry processes and carries calls and one-way messages over them.
+package peers
--- /dev/null
+++ b/fakebe/main.go
@@ -0,0 +1,4 @@
+// Command fakebe is described in README.md.
+package main
+
+func main() {}
--- /dev/null
+++ b/fakekv/main.go
@@ -0,0 +1,4 @@
+// Command fakekv is described in README.md.
+package main
+
+func main() {}
--- /dev/null
+++ b/fakewk/main.go
@@ -0,0 +1,4 @@
+// Command fakewk is described in README.md.
+package main
+
+func main() {}
--- /dev/null
+++ b/lovctl/main.go
@@ -0,0 +1,4 @@
+// Command lovctl is described in README.md.
+package main
+
+func main() {}
--- /dev/null
+++ b/lovload/main.go
@@ -0,0 +1,4 @@
+// Command lovload is described in README.md.
+package main
+
+func main() {}
