--- /dev/null
+++ b/entryd/keys/keys_test.go
@@ -0,0 +1,107 @@
+package keys_test
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"log/slog"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lovagefork.example/entryd/keys"
+)
+
+// writePair writes a self-signed certificate with its key into dir and returns both file names.
+func writePair(t *testing.T, dir, name string, serial int64) (string, string) {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	assert.NilError(t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(serial), Subject: pkix.Name{CommonName: name},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, IsCA: true, BasicConstraintsValid: true,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	assert.NilError(t, err)
+	keyDER, err := x509.MarshalECPrivateKey(key)
+	assert.NilError(t, err)
+	certFile, keyFile := filepath.Join(dir, name+".pem"), filepath.Join(dir, name+".key")
+	assert.NilError(t, os.WriteFile(certFile, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}), 0o600))
+	assert.NilError(t, os.WriteFile(keyFile, pem.EncodeToMemory(&pem.Block{Type: "EC PRIVATE KEY", Bytes: keyDER}), 0o600))
+	return certFile, keyFile
+}
+
+// A rotated certificate must be used without a restart, and a broken one must not end service.
+func TestCurrentAfterRotation(t *testing.T) {
+	dir := t.TempDir()
+	now := time.Now()
+	cert, key := writePair(t, dir, "p", 1)
+	p, err := keys.Load(cert, key, slog.New(slog.DiscardHandler), keys.WithClock(func() time.Time { return now }))
+	assert.NilError(t, err)
+	first := p.Current()
+
+	writePair(t, dir, "p", 2)
+	later := time.Now().Add(time.Minute)
+	assert.NilError(t, os.Chtimes(cert, later, later))
+	assert.Equal(t, p.Current(), first)
+	now = now.Add(11 * time.Second)
+	second := p.Current()
+	assert.Assert(t, second != first)
+
+	assert.NilError(t, os.WriteFile(key, []byte("broken"), 0o600))
+	now = now.Add(11 * time.Second)
+	assert.Equal(t, p.Current(), second)
+}
+
+// A peer without a certificate of the right authority must not get a link, because it could grant itself capacity.
+func TestMutualRefusesForeignPeer(t *testing.T) {
+	dir := t.TempDir()
+	log := slog.New(slog.DiscardHandler)
+	cert, key := writePair(t, dir, "own", 1)
+	own, err := keys.Load(cert, key, log)
+	assert.NilError(t, err)
+	trusted, err := keys.Mutual(own, cert)
+	assert.NilError(t, err)
+	foreignCert, foreignKey := writePair(t, dir, "foreign", 2)
+	foreign, err := keys.Load(foreignCert, foreignKey, log)
+	assert.NilError(t, err)
+	intruder, err := keys.Mutual(foreign, cert)
+	assert.NilError(t, err)
+
+	assert.NilError(t, handshake(t, trusted.Server, trusted.Client))
+	assert.Assert(t, handshake(t, trusted.Server, intruder.Client) != nil)
+}
+
+// handshake returns the server's verdict on a client.
+func handshake(t *testing.T, server, client *tls.Config) error {
+	t.Helper()
+	listener, err := tls.Listen("tcp", "127.0.0.1:0", server)
+	assert.NilError(t, err)
+	defer func() { _ = listener.Close() }()
+	verdict := make(chan error, 1)
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			verdict <- err
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		verdict <- conn.(*tls.Conn).Handshake()
+	}()
+	conn, err := tls.Dial("tcp", listener.Addr().String(), client)
+	if err == nil {
+		defer func() { _ = conn.Close() }()
+	}
+	return <-verdict
+}
--- /dev/null
+++ b/entryd/stats/doc.go
@@ -0,0 +1,2 @@
+// Package stats writes a go-metrics registry in the Prometheus text format.
+package stats
