Add stand-ins for store, workers and backend servers, and their client adapters

Cause: the entry daemon and its tests need a platform to run against. Change: fakekv speaks the etcd v3 JSON interface from memory, fakewk emulates worker agents and the host list, fakebe emulates backend servers; each has a control page for faults. coord/etcdkv and plat.HTTP are the adapters. A failure counts as not sent only if no connection was obtained; 4xx answers (and 507 of a worker) are refusals; everything else is unclear.

--- /dev/null
+++ b/fakebe/besrv/doc.go
@@ -0,0 +1,2 @@
+// Package besrv emulates the backend servers of workers over HTTP and can inject faults.
+package besrv
--- /dev/null
+++ b/fakebe/besrv/pool.go
@@ -0,0 +1,148 @@
+package besrv
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+)
+
+// maxKeys bounds the idempotency keys whose runs are counted.
+const maxKeys = 5_000_000
+
+// Pool is a set of backend servers, one for each worker.
+type Pool struct {
+	servers map[string]*server
+	order   []string
+
+	mu   sync.Mutex
+	rng  *rand.Rand
+	runs map[string]int64
+	max  int64
+	twos int64
+}
+
+// New returns a pool with one server for each worker name; seed drives the random faults.
+func New(workers []string, seed uint64) *Pool {
+	p := &Pool{
+		servers: make(map[string]*server),
+		order:   workers,
+		rng:     rand.New(rand.NewPCG(seed, 0)),
+		runs:    make(map[string]int64),
+	}
+	for _, name := range workers {
+		p.servers[name] = &server{name: name, pool: p, conns: make(map[net.Conn]struct{})}
+	}
+	return p
+}
+
+// Server returns the HTTP server of a worker, which counts its connections, or nil.
+func (p *Pool) Server(worker string) *http.Server {
+	s := p.servers[worker]
+	if s == nil {
+		return nil
+	}
+	return &http.Server{Handler: s, ConnState: s.connState}
+}
+
+func (p *Pool) chance(permille int) bool {
+	if permille <= 0 {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.rng.IntN(1000) < permille
+}
+
+// ran counts a run of a request by its key and returns the count; requests without a key are not counted.
+func (p *Pool) ran(key string) int64 {
+	if key == "" {
+		return 0
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if _, seen := p.runs[key]; !seen && len(p.runs) >= maxKeys {
+		return 0
+	}
+	p.runs[key]++
+	p.max = max(p.max, p.runs[key])
+	if p.runs[key] == 2 {
+		p.twos++
+	}
+	return p.runs[key]
+}
+
+// Report is the content of the control page.
+type Report struct {
+	Faults   map[string]Fault    `json:"faults"`
+	Counters map[string]Counters `json:"counters"`
+	// Keys counts distinct idempotency keys, Repeated those that ran more than once, MaxRuns the most runs of one key.
+	Keys     int   `json:"keys"`
+	Repeated int64 `json:"repeated"`
+	MaxRuns  int64 `json:"max_runs"`
+}
+
+// Control serves the control page: GET /control reports, GET /control/runs?key= returns the runs of one key, POST
+// /control takes {"servers": {"<worker>": {…}}}, where "*" names every server; it replaces the fault of each one named.
+func (p *Pool) Control() http.Handler {
+	m := http.NewServeMux()
+	m.HandleFunc("GET /control", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, p.report()) })
+	m.HandleFunc("GET /control/runs", func(w http.ResponseWriter, r *http.Request) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		writeJSON(w, map[string]int64{"runs": p.runs[r.URL.Query().Get("key")]})
+	})
+	m.HandleFunc("POST /control", func(w http.ResponseWriter, r *http.Request) {
+		if err := p.change(r); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		writeJSON(w, p.report())
+	})
+	return m
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func (p *Pool) report() Report {
+	r := Report{Faults: make(map[string]Fault), Counters: make(map[string]Counters)}
+	for name, s := range p.servers {
+		r.Faults[name], r.Counters[name] = s.report()
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r.Keys, r.Repeated, r.MaxRuns = len(p.runs), p.twos, p.max
+	return r
+}
+
+func (p *Pool) change(r *http.Request) error {
+	var req struct {
+		Servers map[string]Fault `json:"servers"`
+	}
+	dec := json.NewDecoder(r.Body)
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&req); err != nil {
+		return err
+	}
+	for name := range req.Servers {
+		if name != "*" && p.servers[name] == nil {
+			return fmt.Errorf("no server %q", name)
+		}
+	}
+	if all, ok := req.Servers["*"]; ok {
+		for _, s := range p.servers {
+			s.set(all)
+		}
+	}
+	for name, f := range req.Servers {
+		if name != "*" {
+			p.servers[name].set(f)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/fakekv/kvsrv/data.go
@@ -0,0 +1,360 @@
+package kvsrv
+
+import (
+	"bytes"
+	"cmp"
+	"fmt"
+	"net/http"
+	"slices"
+	"sort"
+	"sync"
+	"time"
+)
+
+// Limits of the store; the operations of a transaction and the request size are etcd's defaults.
+const (
+	maxTxnOps       = 128
+	maxValueBytes   = 1 << 20
+	keptEvents      = 200_000
+	expiryInterval  = 50 * time.Millisecond
+	maxLeaseSeconds = 9_000_000_000
+)
+
+// apiError is an error with its HTTP status and gRPC code.
+type apiError struct {
+	status int
+	code   int
+	text   string
+}
+
+func (e *apiError) Error() string { return e.text }
+
+func invalid(format string, args ...any) error {
+	return &apiError{http.StatusBadRequest, 3, "etcdserver: " + fmt.Sprintf(format, args...)}
+}
+
+var errNoLease = &apiError{http.StatusNotFound, 5, "etcdserver: requested lease not found"}
+
+type leaseState struct {
+	ttl      int64
+	deadline time.Time
+	keys     map[string]struct{}
+}
+
+// data is the content of the store. All methods but the locked ones need mu.
+type data struct {
+	mu       sync.Mutex
+	revision int64
+	items    map[string]keyValue
+	keys     []string
+	leases   map[int64]*leaseState
+	nextID   int64
+	events   []event
+	// compacted is the revision of the latest event that is no longer kept.
+	compacted int64
+	// changed is closed and replaced after each write.
+	changed chan struct{}
+}
+
+func newData() *data {
+	return &data{
+		revision: 1,
+		items:    make(map[string]keyValue),
+		leases:   make(map[int64]*leaseState),
+		nextID:   7_587_000_000_000_000,
+		changed:  make(chan struct{}),
+	}
+}
+
+// span returns the keys selected by key and rangeEnd as the etcd interface defines them.
+func (d *data) span(key, rangeEnd []byte) []string {
+	if len(rangeEnd) == 0 {
+		if _, ok := d.items[string(key)]; ok {
+			return []string{string(key)}
+		}
+		return nil
+	}
+	from := sort.SearchStrings(d.keys, string(key))
+	to := len(d.keys)
+	if !bytes.Equal(rangeEnd, []byte{0}) {
+		to = sort.SearchStrings(d.keys, string(rangeEnd))
+	}
+	return d.keys[from:max(from, to)]
+}
+
+func (d *data) get(req rangeRequest) *rangeResponse {
+	keys := d.span(req.Key, req.RangeEnd)
+	resp := &rangeResponse{Header: header{d.revision}, Count: int64(len(keys))}
+	if req.Limit > 0 && int64(len(keys)) > req.Limit {
+		keys, resp.More = keys[:req.Limit], true
+	}
+	for _, k := range keys {
+		resp.Kvs = append(resp.Kvs, d.items[k])
+	}
+	return resp
+}
+
+func (d *data) put(req putRequest, revision int64) {
+	key := string(req.Key)
+	old, exists := d.items[key]
+	kv := keyValue{
+		Key: req.Key, Value: req.Value, Lease: req.Lease, ModRevision: revision, CreateRevision: revision,
+		Version: old.Version + 1,
+	}
+	if exists {
+		kv.CreateRevision = old.CreateRevision
+		d.detach(old)
+	} else {
+		i, _ := slices.BinarySearch(d.keys, key)
+		d.keys = slices.Insert(d.keys, i, key)
+	}
+	d.items[key] = kv
+	if l := d.leases[req.Lease]; l != nil {
+		l.keys[key] = struct{}{}
+	}
+	d.record(event{Kv: kv})
+}
+
+func (d *data) remove(keys []string, revision int64) {
+	for _, key := range slices.Clone(keys) {
+		old := d.items[key]
+		d.detach(old)
+		delete(d.items, key)
+		if i, found := slices.BinarySearch(d.keys, key); found {
+			d.keys = slices.Delete(d.keys, i, i+1)
+		}
+		d.record(event{Type: "DELETE", Kv: keyValue{Key: old.Key, ModRevision: revision}})
+	}
+}
+
+func (d *data) detach(kv keyValue) {
+	if l := d.leases[kv.Lease]; l != nil {
+		delete(l.keys, string(kv.Key))
+	}
+}
+
+func (d *data) record(e event) {
+	d.events = append(d.events, e)
+	if len(d.events) > 2*keptEvents {
+		cut := len(d.events) - keptEvents
+		d.compacted = d.events[cut-1].Kv.ModRevision
+		d.events = slices.Clone(d.events[cut:])
+	}
+}
+
+func (d *data) wake() {
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+func (d *data) holds(c compare) (bool, error) {
+	kv, exists := d.items[string(c.Key)]
+	var order int
+	switch c.Target {
+	case "", "VERSION":
+		order = cmp.Compare(kv.Version, c.Version)
+	case "CREATE":
+		order = cmp.Compare(kv.CreateRevision, c.CreateRevision)
+	case "MOD":
+		order = cmp.Compare(kv.ModRevision, c.ModRevision)
+	case "VALUE":
+		if !exists {
+			return false, nil
+		}
+		order = bytes.Compare(kv.Value, c.Value)
+	default:
+		return false, invalid("unknown compare target %q", c.Target)
+	}
+	switch c.Result {
+	case "", "EQUAL":
+		return order == 0, nil
+	case "NOT_EQUAL":
+		return order != 0, nil
+	case "GREATER":
+		return order > 0, nil
+	case "LESS":
+		return order < 0, nil
+	}
+	return false, invalid("unknown compare result %q", c.Result)
+}
+
+func (d *data) check(ops []requestOp) error {
+	if len(ops) > maxTxnOps {
+		return invalid("too many operations in txn request")
+	}
+	seen := make(map[string]struct{})
+	for _, op := range ops {
+		if op.Put == nil {
+			continue
+		}
+		if len(op.Put.Key) == 0 {
+			return invalid("key is not provided")
+		}
+		if len(op.Put.Value) > maxValueBytes {
+			return invalid("request is too large")
+		}
+		if _, twice := seen[string(op.Put.Key)]; twice {
+			return invalid("duplicate key given in txn request")
+		}
+		seen[string(op.Put.Key)] = struct{}{}
+	}
+	return nil
+}
+
+// checkLeases reports a put of the chosen branch whose lease does not exist.
+func (d *data) checkLeases(ops []requestOp) error {
+	for _, op := range ops {
+		if op.Put != nil && op.Put.Lease != 0 && d.leases[op.Put.Lease] == nil {
+			return errNoLease
+		}
+	}
+	return nil
+}
+
+func (d *data) txn(req txnRequest) (*txnResponse, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(req.Compare) > maxTxnOps {
+		return nil, invalid("too many operations in txn request")
+	}
+	for _, ops := range [][]requestOp{req.Success, req.Failure} {
+		if err := d.check(ops); err != nil {
+			return nil, err
+		}
+	}
+	resp := &txnResponse{Succeeded: true}
+	for _, c := range req.Compare {
+		ok, err := d.holds(c)
+		if err != nil {
+			return nil, err
+		}
+		resp.Succeeded = resp.Succeeded && ok
+	}
+	ops := req.Success
+	if !resp.Succeeded {
+		ops = req.Failure
+	}
+	if err := d.checkLeases(ops); err != nil {
+		return nil, err
+	}
+	d.apply(ops, resp)
+	return resp, nil
+}
+
+// apply runs the operations at one new revision, which is used up only by a change.
+func (d *data) apply(ops []requestOp, resp *txnResponse) {
+	next, changed := d.revision+1, false
+	for _, op := range ops {
+		var r responseOp
+		switch {
+		case op.Range != nil:
+			r.Range = d.get(*op.Range)
+		case op.Put != nil:
+			d.put(*op.Put, next)
+			changed = true
+			r.Put = &putResponse{Header: header{next}}
+		case op.Delete != nil:
+			keys := d.span(op.Delete.Key, op.Delete.RangeEnd)
+			r.Delete = &deleteResponse{Header: header{next}, Deleted: int64(len(keys))}
+			changed = changed || len(keys) > 0
+			d.remove(keys, next)
+		}
+		resp.Responses = append(resp.Responses, r)
+	}
+	if changed {
+		d.revision = next
+		d.wake()
+	}
+	resp.Header = header{d.revision}
+}
+
+func (d *data) grant(req leaseRequest, now time.Time) (*leaseResponse, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if req.TTL <= 0 || req.TTL > maxLeaseSeconds {
+		return nil, invalid("lease TTL out of range")
+	}
+	if req.ID == 0 {
+		d.nextID++
+		req.ID = d.nextID
+	}
+	if d.leases[req.ID] != nil {
+		return nil, &apiError{http.StatusBadRequest, 9, "etcdserver: lease already exists"}
+	}
+	deadline := now.Add(time.Duration(req.TTL) * time.Second)
+	d.leases[req.ID] = &leaseState{ttl: req.TTL, deadline: deadline, keys: make(map[string]struct{})}
+	return &leaseResponse{Header: header{d.revision}, ID: req.ID, TTL: req.TTL}, nil
+}
+
+func (d *data) keepAlive(id int64, now time.Time) *leaseResponse {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	l := d.leases[id]
+	if l == nil {
+		return &leaseResponse{Header: header{d.revision}, ID: id}
+	}
+	l.deadline = now.Add(time.Duration(l.ttl) * time.Second)
+	return &leaseResponse{Header: header{d.revision}, ID: id, TTL: l.ttl}
+}
+
+func (d *data) revoke(id int64) (*leaseResponse, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.leases[id] == nil {
+		return nil, errNoLease
+	}
+	d.drop(id)
+	return &leaseResponse{Header: header{d.revision}}, nil
+}
+
+// drop ends a lease and removes its keys at one revision.
+func (d *data) drop(id int64) {
+	l := d.leases[id]
+	delete(d.leases, id)
+	if len(l.keys) == 0 {
+		return
+	}
+	keys := make([]string, 0, len(l.keys))
+	for k := range l.keys {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	d.revision++
+	d.remove(keys, d.revision)
+	d.wake()
+}
+
+func (d *data) expire(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for id, l := range d.leases {
+		if now.After(l.deadline) {
+			d.drop(id)
+		}
+	}
+}
+
+// since returns the events of the span from a revision on, and the channel that is closed at the next write.
+func (d *data) since(key, rangeEnd []byte, from int64) (events []event, revision int64, wait <-chan struct{}, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if from <= d.compacted {
+		return nil, d.compacted + 1, nil, errCompacted
+	}
+	i := sort.Search(len(d.events), func(i int) bool { return d.events[i].Kv.ModRevision >= from })
+	for _, e := range d.events[i:] {
+		if within(e.Kv.Key, key, rangeEnd) {
+			events = append(events, e)
+		}
+	}
+	return events, d.revision, d.changed, nil
+}
+
+var errCompacted = &apiError{http.StatusBadRequest, 11, "etcdserver: mvcc: required revision has been compacted"}
+
+func within(k, key, rangeEnd []byte) bool {
+	if len(rangeEnd) == 0 {
+		return bytes.Equal(k, key)
+	}
+	return bytes.Compare(k, key) >= 0 && (bytes.Equal(rangeEnd, []byte{0}) || bytes.Compare(k, rangeEnd) < 0)
+}
--- /dev/null
+++ b/fakekv/kvsrv/server_test.go
@@ -0,0 +1,204 @@
+package kvsrv_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"lovagefork.example/coord/etcdkv"
+	"lovagefork.example/coord/store"
+	"lovagefork.example/fakekv/kvsrv"
+)
+
+func start(t testing.TB) (client *etcdkv.Client, control func(body string)) {
+	srv := kvsrv.New()
+	go srv.Run(t.Context())
+	hs := httptest.NewServer(srv)
+	t.Cleanup(hs.Close)
+	// Watches outlive the tests, and Close waits for them.
+	t.Cleanup(hs.CloseClientConnections)
+	return etcdkv.New(hs.URL), func(body string) {
+		rec := httptest.NewRecorder()
+		srv.Control().ServeHTTP(rec, httptest.NewRequest(http.MethodPost, "/control", strings.NewReader(body)))
+		assert.Equal(t, rec.Code, http.StatusOK, rec.Body.String())
+	}
+}
+
+// A wrong compare, range bound or revision would let two owners write one ledger.
+func TestTransactionsMatchModel(t *testing.T) {
+	client, _ := start(t)
+	round := 0
+	rapid.Check(t, func(t *rapid.T) {
+		round++
+		base := fmt.Sprintf("m%d/", round)
+		model := map[string]store.Entry{}
+		key := rapid.SampledFrom([]string{"a", "a/", "a/x", "b", "b\xff", "c"})
+		for range rapid.IntRange(1, 12).Draw(t, "steps") {
+			k := base + key.Draw(t, "key")
+			value := []byte(rapid.StringN(0, 3, -1).Draw(t, "value"))
+			held, exists := model[k]
+			var condition store.Compare
+			want := false
+			switch rapid.IntRange(0, 2).Draw(t, "condition") {
+			case 0:
+				condition, want = store.Absent{Key: k}, !exists
+			case 1:
+				rev := held.ModRevision + store.Revision(rapid.IntRange(0, 1).Draw(t, "off"))
+				condition, want = store.Unchanged{Key: k, ModRevision: rev}, rev == held.ModRevision
+			case 2:
+				condition, want = store.Equal{Key: k, Value: value}, exists && string(value) == string(held.Value)
+			}
+			del := rapid.Bool().Draw(t, "delete")
+			op := store.Op(store.Put{Key: k, Value: value})
+			if del {
+				op = store.Delete{Key: k}
+			}
+			all := store.Get{Key: base, Prefix: true}
+			res, err := client.Txn(t.Context(), store.Txn{
+				If: []store.Compare{condition}, Then: []store.Op{op, all}, Else: []store.Op{all},
+			})
+			assert.NilError(t, err)
+			assert.Equal(t, res.Committed, want)
+			if want && del {
+				delete(model, k)
+			} else if want {
+				created := res.Revision
+				if exists {
+					created = held.CreateRevision
+				}
+				model[k] = store.Entry{Key: k, Value: value, CreateRevision: created, ModRevision: res.Revision}
+			}
+			assert.Equal(t, len(res.Reads[0]), len(model))
+			last := ""
+			for _, e := range res.Reads[0] {
+				assert.Assert(t, e.Key > last)
+				last = e.Key
+				assert.Equal(t, string(e.Value), string(model[e.Key].Value))
+				assert.Equal(t, e.ModRevision, model[e.Key].ModRevision)
+				assert.Equal(t, e.CreateRevision, model[e.Key].CreateRevision)
+			}
+		}
+	})
+}
+
+// A change that a watch skips or repeats would leave a process with an old configuration or apply one twice.
+func TestWatchDeliversEachChangeOnce(t *testing.T) {
+	client, control := start(t)
+	put := func(i int) {
+		_, err := client.Txn(t.Context(), store.Txn{Then: []store.Op{
+			store.Put{Key: fmt.Sprintf("w/%d", i), Value: []byte("v")}, store.Put{Key: fmt.Sprintf("x/%d", i)},
+		}})
+		assert.NilError(t, err)
+	}
+	var seen []string
+	after := store.Revision(0)
+	watch := func(until int) error {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		return client.Watch(ctx, "w/", after, func(rev store.Revision, changes []store.Change) {
+			after = rev
+			for _, c := range changes {
+				seen = append(seen, c.Entry.Key)
+			}
+			if len(seen) >= until {
+				cancel()
+			}
+		})
+	}
+	put(0)
+	put(1)
+	var unclear *store.UnclearError
+	assert.Assert(t, errors.As(watch(2), &unclear))
+	put(2)
+	assert.Assert(t, errors.As(watch(3), &unclear))
+	assert.DeepEqual(t, seen, []string{"w/0", "w/1", "w/2"})
+	broken := make(chan error)
+	go func() { broken <- watch(9) }()
+	control(`{"outage":"refuse"}`)
+	assert.Assert(t, errors.As(<-broken, &unclear))
+}
+
+// A lease that outlives its holder's renewals would keep a dead owner's partition; one that ends early loses it.
+func TestLeaseLapsesOnlyWithoutRenewal(t *testing.T) {
+	client, _ := start(t)
+	granted := time.Now()
+	kept, err := client.Grant(t.Context(), 500*time.Millisecond)
+	assert.NilError(t, err)
+	lapsing, err := client.Grant(t.Context(), time.Second)
+	assert.NilError(t, err)
+	_, err = client.Txn(t.Context(), store.Txn{Then: []store.Op{
+		store.Put{Key: "l/kept", Lease: kept}, store.Put{Key: "l/lapsing", Lease: lapsing},
+	}})
+	assert.NilError(t, err)
+	for {
+		renewed := time.Now()
+		left, err := client.KeepAlive(t.Context(), kept)
+		assert.NilError(t, err)
+		res, err := client.Range(t.Context(), store.Get{Key: "l/", Prefix: true})
+		assert.NilError(t, err)
+		if time.Since(renewed) < left {
+			assert.Equal(t, res.Entries[0].Key, "l/kept")
+		}
+		if len(res.Entries) == 1 {
+			assert.Assert(t, time.Since(granted) >= time.Second)
+			break
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	left, err := client.KeepAlive(t.Context(), lapsing)
+	assert.NilError(t, err)
+	assert.Equal(t, left, time.Duration(0))
+}
+
+// An unclear write that is reported as refused would be repeated; a refused one reported as unclear costs a read-back.
+func TestErrorsTellWhetherTheWriteMayHaveRun(t *testing.T) {
+	client, control := start(t)
+	write := func(c *etcdkv.Client, key string) error {
+		ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+		defer cancel()
+		_, err := c.Txn(ctx, store.Txn{Then: []store.Op{store.Put{Key: key}}})
+		return err
+	}
+	var notSent *store.NotSentError
+	var unclear *store.UnclearError
+	var rejected *store.RejectedError
+	assert.Assert(t, errors.As(write(etcdkv.New("http://127.0.0.1:1"), "k"), &notSent))
+	assert.Assert(t, errors.As(write(client, ""), &rejected))
+	for _, fault := range []string{`"outage":"refuse"`, `"outage":"break"`, `"outage":"hang"`, `"outage":"","lose_permille":1000`} {
+		control("{" + fault + "}")
+		assert.Assert(t, errors.As(write(client, "lost"), &unclear), fault)
+	}
+	control(`{"lose_permille":0,"writes_per_second":1}`)
+	assert.NilError(t, write(client, "k"))
+	assert.Assert(t, errors.As(write(client, "k"), &rejected))
+	res, err := client.Range(t.Context(), store.Get{Key: "lost"})
+	assert.NilError(t, err)
+	assert.Equal(t, len(res.Entries), 1)
+}
+
+// Stale reads that still return the newest value would leave every decision based on a lagging read untested.
+func TestStaleReadsLagButTransactionsDoNot(t *testing.T) {
+	client, control := start(t)
+	control(`{"stale_ms":3600000}`)
+	get := store.Get{Key: "s"}
+	read := func() int {
+		res, err := client.Range(t.Context(), get)
+		assert.NilError(t, err)
+		return len(res.Entries)
+	}
+	assert.Equal(t, read(), 0)
+	res, err := client.Txn(t.Context(), store.Txn{Then: []store.Op{store.Put{Key: "s"}, get}})
+	assert.NilError(t, err)
+	assert.Equal(t, len(res.Reads[0]), 1)
+	assert.Equal(t, read(), 0)
+	control(`{"stale_ms":0}`)
+	assert.Equal(t, read(), 1)
+}
--- /dev/null
+++ b/fakewk/agent/doc.go
@@ -0,0 +1,2 @@
+// Package agent emulates the platform's workers and its host list over HTTP and JSON and can inject faults.
+package agent
