Add place interface with first fit, spread and reservations

The batch lane needs the events, effects and Place signature. Reservations, urgent evictions and Fits work; reports, probation and the interference model are accepted and ignored so far.

--- /dev/null
+++ b/coord/place/host.go
@@ -0,0 +1,102 @@
+package place
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"lovagefork.example/coord/fleet"
+	"lovagefork.example/coord/plat"
+)
+
+// host is a worker and the reservations on it.
+type host struct {
+	worker fleet.Worker
+	// known is false while the worker is not on the host list.
+	known  bool
+	goneAt time.Time
+	tasks  map[plat.TaskRef]*held
+	// used is the sum of all reservations, including pending and evicting ones.
+	used fleet.Resources
+	// evicting and pending are the parts of used that will be freed, or that wait for it.
+	evicting fleet.Resources
+	pending  fleet.Resources
+	record   workerRecord
+}
+
+func (h *host) free() fleet.Resources { return h.worker.Capacity.Sub(h.used) }
+
+// available reports whether new tasks may be placed here at all.
+func (h *host) available() bool { return h.known && h.worker.State == fleet.HostLive }
+
+// resize changes what a reservation holds and keeps the sums of its worker.
+func (t *held) resize(size fleet.Resources) {
+	delta := size.Sub(t.size)
+	t.size = size
+	t.host.used = t.host.used.Add(delta)
+	if t.evicting {
+		t.host.evicting = t.host.evicting.Add(delta)
+	}
+	if t.pending {
+		t.host.pending = t.host.pending.Add(delta)
+	}
+}
+
+func (t *held) setEvicting() {
+	if !t.evicting {
+		t.evicting = true
+		t.host.evicting = t.host.evicting.Add(t.size)
+	}
+}
+
+func (t *held) setPending(pending bool) {
+	if t.pending == pending {
+		return
+	}
+	t.pending = pending
+	if pending {
+		t.host.pending = t.host.pending.Add(t.size)
+	} else {
+		t.host.pending = t.host.pending.Sub(t.size)
+	}
+}
+
+func (h *host) add(t *held) {
+	t.host = h
+	h.tasks[t.task.Ref] = t
+	h.used = h.used.Add(t.size)
+}
+
+func (h *host) remove(t *held) {
+	t.resize(fleet.Resources{})
+	delete(h.tasks, t.task.Ref)
+}
+
+// settle clears the pending mark of reservations that fit now, oldest first.
+func (h *host) settle() {
+	if h.pending.IsZero() {
+		return
+	}
+	for _, t := range h.sorted() {
+		started := h.used.Sub(h.pending)
+		if t.pending && started.Add(t.size).Fits(h.worker.Capacity) {
+			t.setPending(false)
+		}
+	}
+}
+
+// sorted returns the reservations, oldest first.
+func (h *host) sorted() []*held {
+	all := make([]*held, 0, len(h.tasks))
+	for _, t := range h.tasks {
+		all = append(all, t)
+	}
+	slices.SortFunc(all, func(a, b *held) int {
+		return cmp.Or(
+			a.reservedAt.Compare(b.reservedAt),
+			cmp.Compare(a.task.Ref.Task, b.task.Ref.Task),
+			cmp.Compare(a.task.Ref.Attempt, b.task.Ref.Attempt),
+		)
+	})
+	return all
+}
--- /dev/null
+++ b/coord/place/machine.go
@@ -0,0 +1,178 @@
+package place
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"lovagefork.example/coord/fleet"
+	"lovagefork.example/coord/plat"
+)
+
+// Machine places the tasks of one partition; it is not safe for concurrent use.
+type Machine struct {
+	policy Policy
+	hosts  map[fleet.WorkerID]*host
+	// order holds the hosts by ascending id, so that decisions repeat.
+	order []*host
+	// capacities counts the known workers of each size.
+	capacities map[fleet.Resources]int
+	tasks      map[plat.TaskRef]*held
+	model      *model
+}
+
+// Option changes a default of [New].
+type Option func(*Machine)
+
+// New returns a machine without workers.
+func New(policy Policy, opts ...Option) *Machine {
+	m := &Machine{
+		policy:     policy,
+		hosts:      map[fleet.WorkerID]*host{},
+		capacities: map[fleet.Resources]int{},
+		tasks:      map[plat.TaskRef]*held{},
+		model:      newModel(),
+	}
+	for _, o := range opts {
+		o(m)
+	}
+	return m
+}
+
+// Step applies an event and returns what must be done because of it.
+func (m *Machine) Step(now time.Time, ev Event) []Effect {
+	switch ev := ev.(type) {
+	case WorkerUpdated:
+		m.updateWorker(ev.Worker)
+	case WorkerRemoved:
+		m.removeWorker(now, ev.ID)
+	case Reserved:
+		m.restore(now, ev)
+	case Started:
+		m.started(now, ev)
+	case Ended:
+		m.ended(ev)
+	case Succeeded, Failed, Report, Tick:
+	default:
+		panic(fmt.Sprintf("place: unknown event %T", ev))
+	}
+	return nil
+}
+
+func (m *Machine) updateWorker(w fleet.Worker) {
+	h := m.host(w.ID)
+	m.countCapacity(h, -1)
+	h.worker, h.known = w, true
+	m.countCapacity(h, 1)
+	h.settle()
+}
+
+func (m *Machine) removeWorker(now time.Time, id fleet.WorkerID) {
+	h, ok := m.hosts[id]
+	if !ok || !h.known {
+		return
+	}
+	m.countCapacity(h, -1)
+	h.known, h.goneAt = false, now
+}
+
+func (m *Machine) countCapacity(h *host, n int) {
+	if !h.known {
+		return
+	}
+	m.capacities[h.worker.Capacity] += n
+	if m.capacities[h.worker.Capacity] == 0 {
+		delete(m.capacities, h.worker.Capacity)
+	}
+}
+
+// host returns the host with the id and adds an unknown one if there is none.
+func (m *Machine) host(id fleet.WorkerID) *host {
+	if h, ok := m.hosts[id]; ok {
+		return h
+	}
+	h := &host{worker: fleet.Worker{ID: id}, tasks: map[plat.TaskRef]*held{}}
+	m.hosts[id] = h
+	i, _ := slices.BinarySearchFunc(m.order, id, func(o *host, id fleet.WorkerID) int {
+		return cmp.Compare(o.worker.ID, id)
+	})
+	m.order = slices.Insert(m.order, i, h)
+	return h
+}
+
+func (m *Machine) restore(now time.Time, ev Reserved) {
+	task := ev.Task
+	if ev.Attempt != 0 {
+		task.Ref.Attempt = ev.Attempt
+	}
+	if _, ok := m.tasks[task.Ref]; ok {
+		return
+	}
+	h := m.host(ev.Worker)
+	t := m.newHeld(now, task)
+	t.decision = Decision{Worker: ev.Worker, Reason: "restored"}
+	m.reserve(h, t)
+	if h.known && !h.used.Fits(h.worker.Capacity) {
+		t.setPending(true)
+	}
+}
+
+func (m *Machine) newHeld(now time.Time, task Task) *held {
+	return &held{
+		task:       task,
+		kind:       m.model.kind(task.Kind),
+		size:       task.Resources,
+		reservedAt: now,
+		permille:   unthrottled,
+		slowdown:   1,
+	}
+}
+
+// unthrottled is the permille of a task without a limit.
+const unthrottled = 1000
+
+func (m *Machine) reserve(h *host, t *held) {
+	h.add(t)
+	m.tasks[t.task.Ref] = t
+}
+
+func (m *Machine) started(now time.Time, ev Started) {
+	if t, ok := m.find(ev.TaskRef, ev.Worker); ok && t.startedAt.IsZero() {
+		t.startedAt = now
+	}
+}
+
+func (m *Machine) ended(ev Ended) {
+	t, ok := m.find(ev.TaskRef, ev.Worker)
+	if !ok {
+		return
+	}
+	delete(m.tasks, ev.TaskRef)
+	t.host.remove(t)
+	t.host.settle()
+}
+
+// find returns the reservation of an attempt on a worker; events about other workers concern no reservation.
+func (m *Machine) find(ref plat.TaskRef, worker fleet.WorkerID) (*held, bool) {
+	t, ok := m.tasks[ref]
+	if !ok || t.host.worker.ID != worker {
+		return nil, false
+	}
+	return t, true
+}
+
+// Ready reports whether a reserved attempt may start now: the evictions that it waits for have ended.
+func (m *Machine) Ready(ref plat.TaskRef) bool {
+	t, ok := m.tasks[ref]
+	return ok && !t.pending
+}
+
+// Used returns what is reserved on a worker, including reservations that wait for evictions to end.
+func (m *Machine) Used(id fleet.WorkerID) fleet.Resources {
+	h, ok := m.hosts[id]
+	if !ok {
+		return fleet.Resources{}
+	}
+	return h.used
+}
--- /dev/null
+++ b/coord/place/place.go
@@ -0,0 +1,199 @@
+package place
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"lovagefork.example/coord/fleet"
+	"lovagefork.example/coord/plat"
+)
+
+// Fits returns nil if some known worker could hold the size when idle, else a [*TooLargeError] or [*NoWorkersError].
+func (m *Machine) Fits(need fleet.Resources) error {
+	if len(m.capacities) == 0 {
+		return &NoWorkersError{}
+	}
+	e := &TooLargeError{Need: need}
+	for capacity, n := range m.capacities {
+		if need.Fits(capacity) {
+			return nil
+		}
+		e.Largest = e.Largest.Max(capacity)
+		e.Workers += n
+	}
+	return e
+}
+
+// Place chooses a worker and reserves the task's size there, or returns a [*TooLargeError], [*NoWorkersError] or
+// [*NoRoomError].
+//
+// An urgent task that fits nowhere may be given a worker whose deferrable tasks must end first. Placing an attempt
+// again returns the decision that it already has.
+func (m *Machine) Place(now time.Time, task Task) (Decision, error) {
+	if t, ok := m.tasks[task.Ref]; ok {
+		return t.decision, nil
+	}
+	if err := m.Fits(task.Resources); err != nil {
+		return Decision{}, err
+	}
+	t := m.newHeld(now, task)
+	why := &NoRoomError{Task: task.Ref, Need: t.size, Workers: len(m.order)}
+	if h := m.choose(t, why); h != nil {
+		t.decision = Decision{Worker: h.worker.ID, Reason: m.reason(h, t)}
+		m.reserve(h, t)
+		return t.decision, nil
+	}
+	if task.Class == fleet.Urgent {
+		if h, victims := m.chooseVictims(t); h != nil {
+			return m.reserveEvicting(h, t, victims), nil
+		}
+	}
+	return Decision{}, why
+}
+
+func (m *Machine) reason(h *host, t *held) string {
+	return fmt.Sprintf("policy %s: %s free after it", m.policy.name(), h.free().Sub(t.size))
+}
+
+// choose returns the host of least cost that has room; hosts on probation come last.
+func (m *Machine) choose(t *held, why *NoRoomError) *host {
+	avoid := m.honoursAvoid(t)
+	var best *host
+	var bestCost float64
+	for _, h := range m.order {
+		if !admits(h, t, avoid, why) {
+			continue
+		}
+		if best != nil && h.record.probation && !best.record.probation {
+			continue
+		}
+		cost := m.policy.cost(m, h, t)
+		if best == nil || cost < bestCost || best.record.probation && !h.record.probation {
+			best, bestCost = h, cost
+		}
+	}
+	return best
+}
+
+// honoursAvoid reports whether some worker that the task has not failed on could hold it when idle.
+func (m *Machine) honoursAvoid(t *held) bool {
+	if t.task.Avoid.Len() == 0 {
+		return false
+	}
+	for _, h := range m.order {
+		if h.available() && !t.task.Avoid.Has(h.worker.ID) && t.task.Resources.Fits(h.worker.Capacity) {
+			return true
+		}
+	}
+	return false
+}
+
+// admits reports whether the host has room for the task, and counts the cause if not.
+func admits(h *host, t *held, avoid bool, why *NoRoomError) bool {
+	switch {
+	case !h.available():
+		why.Unavailable++
+		return false
+	case avoid && t.task.Avoid.Has(h.worker.ID):
+		why.Avoided++
+		return false
+	case h.record.probation && len(h.tasks) > 0:
+		why.Probation++
+		return false
+	}
+	free := h.free()
+	if t.size.Fits(free) {
+		return true
+	}
+	if t.size.MilliCPU > free.MilliCPU {
+		why.MilliCPU++
+	}
+	if t.size.MemoryBytes > free.MemoryBytes {
+		why.Memory++
+	}
+	if t.size.Accelerators > free.Accelerators {
+		why.Accelerators++
+	}
+	return false
+}
+
+// chooseVictims returns the host where the fewest deferrable tasks must end to make room, and those tasks.
+func (m *Machine) chooseVictims(t *held) (*host, []*held) {
+	avoid := m.honoursAvoid(t)
+	var best *host
+	var bestVictims []*held
+	for _, h := range m.order {
+		if !h.available() || h.record.probation || avoid && t.task.Avoid.Has(h.worker.ID) {
+			continue
+		}
+		victims, ok := victimsOn(h, t.size)
+		if ok && (best == nil || len(victims) < len(bestVictims)) {
+			best, bestVictims = h, victims
+		}
+	}
+	return best, bestVictims
+}
+
+// victimsOn returns the deferrable tasks that must be evicted beyond those already evicting; false if all are too few.
+func victimsOn(h *host, need fleet.Resources) ([]*held, bool) {
+	// Evictions under way count as free, but other pending reservations already claim part of them.
+	free := h.free().Add(h.evicting)
+	if need.Fits(free) {
+		return nil, true
+	}
+	// The youngest tasks lose the least work.
+	tasks := h.sorted()
+	slices.Reverse(tasks)
+	var victims []*held
+	for _, v := range tasks {
+		if v.task.Class != fleet.Deferrable || v.evicting || v.pending {
+			continue
+		}
+		victims = append(victims, v)
+		free = free.Add(v.size)
+		if need.Fits(free) {
+			return prune(victims, free, need), true
+		}
+	}
+	return nil, false
+}
+
+// prune drops victims whose resources are not needed, largest first.
+func prune(victims []*held, free, need fleet.Resources) []*held {
+	kept := slices.Clone(victims)
+	slices.SortStableFunc(kept, func(a, b *held) int { return cmp.Compare(b.size.MilliCPU, a.size.MilliCPU) })
+	return slices.DeleteFunc(kept, func(v *held) bool {
+		if need.Fits(free.Sub(v.size)) {
+			free = free.Sub(v.size)
+			return true
+		}
+		return false
+	})
+}
+
+// reserveEvicting reserves on a host whose evicting tasks must end first.
+func (m *Machine) reserveEvicting(h *host, t *held, victims []*held) Decision {
+	for _, v := range victims {
+		v.setEvicting()
+	}
+	m.reserve(h, t)
+	t.setPending(true)
+	t.decision = Decision{
+		Worker: h.worker.ID,
+		Reason: fmt.Sprintf("urgent: waits for evictions on %s", h.worker.ID),
+		Evict:  evictingOn(h),
+	}
+	return t.decision
+}
+
+func evictingOn(h *host) []plat.TaskRef {
+	var refs []plat.TaskRef
+	for _, t := range h.sorted() {
+		if t.evicting {
+			refs = append(refs, t.task.Ref)
+		}
+	}
+	return refs
+}
