serve, front: pass a request through admission to a backend server

Cause: there was no request path.

Not yet: loans between processes, forwarding, claims of non-idempotent requests.

Measured: go test -race ./entryd/front passes; one request with a body, an escaped path, a hop-by-hop header and a streamed answer.

--- /dev/null
+++ b/coord/grant/loans.go
@@ -0,0 +1,259 @@
+package grant
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"lovagefork.example/coord/fleet"
+	"lovagefork.example/coord/wire"
+)
+
+// Ask starts borrowing from a peer.
+type Ask struct {
+	Peer   fleet.EntryHostID
+	Borrow wire.Borrow
+}
+
+// LoanReceived is a peer's answer to [SendBorrow].
+type LoanReceived struct {
+	Ask  uint64
+	Loan wire.Loan
+}
+
+// LoanMissed tells that a [SendBorrow] got no usable answer.
+type LoanMissed struct{ Ask uint64 }
+
+// BorrowReceived is a peer's request for up to Slots idle slots on some workers; Keep of each worker stay with the lender.
+type BorrowReceived struct {
+	Call    uint64
+	From    fleet.EntryHostID
+	Workers []fleet.WorkerID
+	Slots   int
+	Keep    int
+}
+
+// ReturnReceived ends a loan of this process to the peer early.
+type ReturnReceived struct {
+	From fleet.EntryHostID
+	ID   string
+}
+
+func (Ask) event()            {}
+func (LoanReceived) event()   {}
+func (LoanMissed) event()     {}
+func (BorrowReceived) event() {}
+func (ReturnReceived) event() {}
+
+// SendBorrow asks a peer for a loan; the answer comes back as [LoanReceived] or [LoanMissed].
+type SendBorrow struct {
+	Ask    uint64
+	To     fleet.EntryHostID
+	Borrow wire.Borrow
+}
+
+// SendLoan answers [BorrowReceived]; a loan without parts means that nothing is idle.
+type SendLoan struct {
+	Call uint64
+	Loan wire.Loan
+}
+
+// SendReturn gives a loan back.
+type SendReturn struct {
+	To     fleet.EntryHostID
+	Return wire.Return
+}
+
+func (SendBorrow) effect() {}
+func (SendLoan) effect()   {}
+func (SendReturn) effect() {}
+
+// loanBook holds both sides of this process's loans.
+type loanBook struct {
+	nextAsk  uint64
+	nextLoan uint64
+	asks     map[uint64]ask
+	borrowed map[string]*loan
+	lent     map[string]lentLoan
+}
+
+type ask struct {
+	peer fleet.EntryHostID
+	at   time.Time
+}
+
+type loan struct {
+	id      string
+	lender  fleet.EntryHostID
+	ends    time.Time
+	lastUse time.Time
+	parts   []*loanPart
+}
+
+type loanPart struct {
+	loan   *loan
+	worker *worker
+	slots  int
+	used   int
+}
+
+type lentLoan struct {
+	to    fleet.EntryHostID
+	ends  time.Time
+	parts []wire.LoanPart
+}
+
+func newLoanBook() loanBook {
+	return loanBook{asks: make(map[uint64]ask), borrowed: make(map[string]*loan), lent: make(map[string]lentLoan)}
+}
+
+func (p *loanPart) covers(until time.Time) bool { return !until.After(p.loan.ends) }
+
+func (l *loan) used() int {
+	n := 0
+	for _, p := range l.parts {
+		n += p.used
+	}
+	return n
+}
+
+func (m *Machine) ask(now time.Time, ev Ask) []Effect {
+	m.nextAsk++
+	m.asks[m.nextAsk] = ask{peer: ev.Peer, at: now}
+	return []Effect{SendBorrow{Ask: m.nextAsk, To: ev.Peer, Borrow: ev.Borrow}}
+}
+
+// Asking reports whether a request for a loan to the peer is unanswered.
+func (m *Machine) Asking(peer fleet.EntryHostID) bool {
+	for _, a := range m.asks {
+		if a.peer == peer {
+			return true
+		}
+	}
+	return false
+}
+
+// borrow accepts a loan. Its time counts from before the question, so it never outlasts the lender's own count.
+func (m *Machine) borrow(now time.Time, ev LoanReceived) {
+	a, asked := m.asks[ev.Ask]
+	delete(m.asks, ev.Ask)
+	ttl := min(m.ttl, time.Duration(ev.Loan.TTLMS)*time.Millisecond)
+	ends := a.at.Add(ttl)
+	if !asked || len(ev.Loan.Parts) == 0 || !now.Before(ends) || m.loanBook.borrowed[ev.Loan.ID] != nil {
+		return
+	}
+	l := &loan{id: ev.Loan.ID, lender: a.peer, ends: ends, lastUse: now}
+	for _, p := range ev.Loan.Parts {
+		w := m.worker(p.Worker)
+		part := &loanPart{loan: l, worker: w, slots: min(p.Slots, p.Connections)}
+		l.parts = append(l.parts, part)
+		w.borrowed = append(w.borrowed, part)
+	}
+	m.loanBook.borrowed[l.id] = l
+}
+
+// expireBorrowed drops loans that have ended and gives back those that stayed unused.
+func (m *Machine) expireBorrowed(now time.Time) []Effect {
+	for id, a := range m.asks {
+		if !now.Before(a.at.Add(m.ttl)) {
+			delete(m.asks, id)
+		}
+	}
+	var effects []Effect
+	for _, id := range slices.Sorted(maps.Keys(m.loanBook.borrowed)) {
+		l := m.loanBook.borrowed[id]
+		ended := !now.Before(l.ends)
+		idle := l.used() == 0 && now.Sub(l.lastUse) >= returnAfter
+		if !ended && !idle {
+			continue
+		}
+		m.forget(l)
+		if !ended {
+			effects = append(effects, SendReturn{To: l.lender, Return: wire.Return{ID: id}})
+		}
+	}
+	return effects
+}
+
+func (m *Machine) forget(l *loan) {
+	delete(m.loanBook.borrowed, l.id)
+	for _, p := range l.parts {
+		p.worker.borrowed = slices.DeleteFunc(p.worker.borrowed, func(q *loanPart) bool { return q == p })
+	}
+}
+
+// lend takes one slot at a time from the worker with the most idle ones, so that a loan spreads over workers.
+func (m *Machine) lend(now time.Time, ev BorrowReceived) []Effect {
+	given := make(map[fleet.WorkerID]int)
+	for range ev.Slots {
+		best, most := fleet.WorkerID(""), 0
+		for _, id := range ev.Workers {
+			if n := m.lendable(now, id) - ev.Keep; n > most {
+				best, most = id, n
+			}
+		}
+		if most == 0 {
+			break
+		}
+		w := m.workers[best]
+		w.lentSlots++
+		w.lentConns++
+		given[best]++
+	}
+	if len(given) == 0 {
+		return []Effect{SendLoan{Call: ev.Call}}
+	}
+	m.nextLoan++
+	id := string(m.self) + "/" + string(m.boot) + "/" + strconv.FormatUint(m.nextLoan, 10)
+	parts := make([]wire.LoanPart, 0, len(given))
+	for worker, n := range given {
+		parts = append(parts, wire.LoanPart{Worker: worker, Slots: n, Connections: n})
+	}
+	slices.SortFunc(parts, func(a, b wire.LoanPart) int { return cmp.Compare(a.Worker, b.Worker) })
+	m.lent[id] = lentLoan{to: ev.From, ends: now.Add(m.ttl + m.margin), parts: parts}
+	return []Effect{SendLoan{Call: ev.Call, Loan: wire.Loan{ID: id, Parts: parts, TTLMS: m.ttl.Milliseconds()}}}
+}
+
+func (m *Machine) lendable(now time.Time, id fleet.WorkerID) int {
+	w := m.workers[id]
+	if w == nil {
+		return 0
+	}
+	return max(0, min(m.ownFree(now, w), w.share.Spare()-w.lentConns))
+}
+
+// Idle returns the number of own slots on each worker that could be lent now.
+func (m *Machine) Idle(now time.Time) map[fleet.WorkerID]int {
+	idle := make(map[fleet.WorkerID]int)
+	for id := range m.workers {
+		if n := m.lendable(now, id); n > 0 {
+			idle[id] = n
+		}
+	}
+	return idle
+}
+
+func (m *Machine) returned(ev ReturnReceived) {
+	if l, open := m.lent[ev.ID]; open && l.to == ev.From {
+		m.takeBack(ev.ID, l)
+	}
+}
+
+func (m *Machine) expireLent(now time.Time) {
+	for id, l := range m.lent {
+		if !now.Before(l.ends) {
+			m.takeBack(id, l)
+		}
+	}
+}
+
+func (m *Machine) takeBack(id string, l lentLoan) {
+	delete(m.lent, id)
+	for _, p := range l.parts {
+		w := m.workers[p.Worker]
+		w.lentSlots -= p.Slots
+		w.lentConns -= p.Connections
+	}
+}
--- /dev/null
+++ b/coord/grant/share.go
@@ -0,0 +1,73 @@
+package grant
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"lovagefork.example/coord/fleet"
+)
+
+// Member is one entry host of the roster with its availability zone.
+type Member struct {
+	Host fleet.EntryHostID
+	Zone fleet.AvailabilityZone
+}
+
+// Share is the part of a worker that one entry host may use without asking.
+type Share struct {
+	Slots       int
+	Connections int
+}
+
+// ShareOf returns the fixed share of an entry host on a worker.
+//
+// The entry hosts of the worker's availability zone divide it, or all entry hosts if that zone has none. The result
+// depends only on the roster and the worker, so processes with the same settings agree without messages.
+func ShareOf(roster []Member, self fleet.EntryHostID, w fleet.Worker) Share {
+	holders := holdersOf(roster, w.Zone)
+	index := slices.Index(holders, self)
+	if index < 0 {
+		return Share{}
+	}
+	// The remainder goes to different entry hosts for different workers.
+	first := int(xxhash.Sum64String(string(w.ID)) % uint64(len(holders)))
+	turn := (index - first + len(holders)) % len(holders)
+	connections := part(w.Connections, len(holders), turn)
+	return Share{Slots: min(part(w.Slots, len(holders), turn), connections), Connections: connections}
+}
+
+func holdersOf(roster []Member, zone fleet.AvailabilityZone) []fleet.EntryHostID {
+	var same, all []fleet.EntryHostID
+	for _, m := range roster {
+		all = append(all, m.Host)
+		if m.Zone == zone {
+			same = append(same, m.Host)
+		}
+	}
+	if len(same) > 0 {
+		all = same
+	}
+	slices.SortFunc(all, cmp.Compare)
+	return slices.Compact(all)
+}
+
+func part(total, parts, turn int) int {
+	n := max(total, 0) / parts
+	if turn < max(total, 0)%parts {
+		n++
+	}
+	return n
+}
+
+// KeepAlive reports whether idle connections may stay open beside a full set of requests in flight.
+func (s Share) KeepAlive() bool { return s.Connections >= 2*s.Slots }
+
+// Spare returns the connections that neither requests in flight nor idle connections of this share need.
+func (s Share) Spare() int {
+	if s.KeepAlive() {
+		return s.Connections - 2*s.Slots
+	}
+	return s.Connections - s.Slots
+}
--- /dev/null
+++ b/coord/route/doc.go
@@ -0,0 +1,2 @@
+// Package route selects the backend server of a request.
+package route
--- /dev/null
+++ b/coord/serve/backends.go
@@ -0,0 +1,62 @@
+package serve
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"lovagefork.example/coord/fleet"
+	"lovagefork.example/coord/sets"
+	"lovagefork.example/coord/wire"
+)
+
+// backends knows the workers and where the replicas of services run.
+type backends struct {
+	workers  map[fleet.WorkerID]fleet.Worker
+	live     []fleet.WorkerID
+	parts    map[fleet.PartitionID]wire.Endpoints
+	services map[fleet.ServiceID][]fleet.WorkerID
+}
+
+func newBackends() backends {
+	return backends{parts: make(map[fleet.PartitionID]wire.Endpoints)}
+}
+
+func (b *backends) observe(workers []fleet.Worker) {
+	b.workers = make(map[fleet.WorkerID]fleet.Worker, len(workers))
+	b.live = nil
+	for _, w := range workers {
+		b.workers[w.ID] = w
+		if w.State == fleet.HostLive {
+			b.live = append(b.live, w.ID)
+		}
+	}
+	slices.Sort(b.live)
+}
+
+// update takes the endpoints of a partition unless it already has a later version.
+func (b *backends) update(e wire.Endpoints) {
+	old, known := b.parts[e.Partition]
+	if known && cmp.Or(cmp.Compare(old.Epoch, e.Epoch), cmp.Compare(old.Sequence, e.Sequence)) >= 0 {
+		return
+	}
+	b.parts[e.Partition] = e
+	found := make(map[fleet.ServiceID]sets.Set[fleet.WorkerID])
+	for _, part := range b.parts {
+		for service, workers := range part.Services {
+			found[service] = sets.Of(slices.Concat(workers, sets.Sorted(found[service]))...)
+		}
+	}
+	b.services = make(map[fleet.ServiceID][]fleet.WorkerID, len(found))
+	for _, service := range slices.Sorted(maps.Keys(found)) {
+		b.services[service] = sets.Sorted(found[service])
+	}
+}
+
+// of returns the workers that run a service, or all live ones while that is not known.
+func (b *backends) of(service fleet.ServiceID) []fleet.WorkerID {
+	if workers := b.services[service]; len(workers) > 0 {
+		return workers
+	}
+	return b.live
+}
--- /dev/null
+++ b/entryd/front/front.go
@@ -0,0 +1,213 @@
+package front
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"log/slog"
+	mathrand "math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"lovagefork.example/coord/config"
+	"lovagefork.example/coord/fleet"
+	"lovagefork.example/coord/grant"
+	"lovagefork.example/coord/serve"
+	"lovagefork.example/coord/store"
+	"lovagefork.example/coord/wire"
+)
+
+// Peers carries messages to the other entry processes; [peers.Mesh] implements it.
+type Peers interface {
+	Call(ctx context.Context, to fleet.EntryHostID, m wire.Message) (wire.Message, error)
+	Send(to fleet.EntryHostID, m wire.Message) error
+	Broadcast(m wire.Message)
+	Up() []fleet.EntryHostID
+}
+
+// Deps are the parts of the process that a [Front] works with.
+type Deps struct {
+	Self   wire.Hello
+	Roster []grant.Member
+	Peers  Peers
+	Store  store.Client
+	Config config.View
+	Log    *slog.Logger
+}
+
+// Defaults of the limits.
+const (
+	defaultBodyBytes   = 8 << 20
+	defaultBufferBytes = 4 << 20
+	defaultTotalBytes  = 256 << 20
+	defaultDeadline    = 30 * time.Second
+	maxDeadline        = 10 * time.Minute
+	// defaultNotice is how long a draining process still takes requests, until the load balancer has seen it leave.
+	defaultNotice = 2 * time.Second
+	tickInterval  = 10 * time.Millisecond
+)
+
+// Front is the runtime of the request path in one entry process.
+type Front struct {
+	deps       Deps
+	now        func() time.Time
+	bodyLimit  int64
+	answerHold int64
+	bodies     *byteBudget
+	notice     time.Duration
+	machineOpt []serve.Option
+	transports *transports
+
+	mu       sync.Mutex
+	machine  *serve.Machine
+	nextID   uint64
+	calls    map[uint64]*call
+	attempts map[attemptKey]context.CancelFunc
+}
+
+type attemptKey struct {
+	id      uint64
+	attempt int
+}
+
+// Option changes a [Front] under construction.
+type Option func(*Front)
+
+// WithBodyLimits sets the largest request body, the largest answer that is checked before it is passed on, and the
+// memory for request bodies of the process, all in bytes.
+func WithBodyLimits(request, answer, total int64) Option {
+	return func(f *Front) { f.bodyLimit, f.answerHold, f.bodies = request, answer, newByteBudget(total) }
+}
+
+// WithDrainNotice sets how long a draining process still takes new requests.
+func WithDrainNotice(d time.Duration) Option { return func(f *Front) { f.notice = d } }
+
+// WithMachine passes options to the reducer.
+func WithMachine(opts ...serve.Option) Option {
+	return func(f *Front) { f.machineOpt = append(f.machineOpt, opts...) }
+}
+
+// New returns a front that serves after [Front.ObserveFleet] and while [Front.Run] runs.
+func New(deps Deps, opts ...Option) *Front {
+	f := &Front{
+		deps: deps, now: time.Now,
+		bodyLimit: defaultBodyBytes, answerHold: defaultBufferBytes, bodies: newByteBudget(defaultTotalBytes),
+		notice: defaultNotice, transports: newTransports(),
+		calls: make(map[uint64]*call), attempts: make(map[attemptKey]context.CancelFunc),
+	}
+	for _, opt := range opts {
+		opt(f)
+	}
+	f.machine = serve.New(serve.Config{
+		Self: grant.Member{Host: deps.Self.EntryHost, Zone: deps.Self.Zone}, Boot: deps.Self.Boot,
+		Roster: deps.Roster, Random: newRandom(),
+	}, f.now(), f.machineOpt...)
+	return f
+}
+
+func newRandom() *mathrand.Rand {
+	var seed [16]byte
+	_, _ = rand.Read(seed[:])
+	return mathrand.New(mathrand.NewPCG(binary.LittleEndian.Uint64(seed[:8]), binary.LittleEndian.Uint64(seed[8:])))
+}
+
+// Register adds the callers' routes.
+func (f *Front) Register(r *mux.Router) {
+	r.HandleFunc("/v1/services/{customer}/{service}/requests/{path:.*}", f.handle)
+}
+
+// Run advances deadlines and loans until ctx ends.
+func (f *Front) Run(ctx context.Context) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	defer f.transports.close()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			f.step(serve.Tick{})
+		}
+	}
+}
+
+// ObserveFleet takes the workers as the process knows them now.
+func (f *Front) ObserveFleet(workers []fleet.Worker) {
+	f.step(serve.FleetObserved{Workers: workers})
+	f.transports.keep(workers)
+}
+
+// ObserveEndpoints takes the places of replicas in one partition; an older version changes nothing.
+func (f *Front) ObserveEndpoints(e wire.Endpoints) { f.step(serve.EndpointsObserved{Endpoints: e}) }
+
+// HandlePeer answers the messages of other entry processes that concern requests, and returns nil for all others.
+func (f *Front) HandlePeer(context.Context, fleet.EntryHostID, wire.Message) wire.Message { return nil }
+
+// Drain takes requests until the load balancer has noticed, then rejects new ones and returns when none is in flight or
+// ctx ends.
+func (f *Front) Drain(ctx context.Context) error {
+	if err := sleep(ctx, f.notice); err != nil {
+		return err
+	}
+	f.step(serve.Drained{})
+	for f.active() > 0 {
+		if err := sleep(ctx, tickInterval); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Front) active() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.machine.Active() + len(f.calls)
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(d):
+		return nil
+	}
+}
+
+// step applies an event to the reducer and carries out its effects.
+func (f *Front) step(ev serve.Event) {
+	f.mu.Lock()
+	effects := f.machine.Step(f.now(), ev)
+	f.mu.Unlock()
+	for _, e := range effects {
+		f.carryOut(e)
+	}
+}
+
+func (f *Front) carryOut(e serve.Effect) {
+	switch e := e.(type) {
+	case serve.Send:
+		f.deps.Log.Info("route: request sent", "request", e.Request.ID, "service", e.Request.Service,
+			"class", e.Request.Class, "attempt", e.Attempt, "worker", e.Worker.ID, "reason", e.Reason)
+		f.send(e)
+	case serve.Cancel:
+		f.cancel(attemptKey{e.ID, e.Attempt})
+	case serve.Answer:
+		f.answer(e)
+	case serve.Ejected:
+		f.deps.Log.Warn("route: worker ejected", "worker", e.Worker, "for", e.For, "reason", e.Reason)
+	}
+}
+
+func (f *Front) answer(e serve.Answer) {
+	if e.Attempt == 0 {
+		f.deps.Log.Info("admit: request rejected", "request", e.ID, "outcome", e.Outcome, "reason", e.Reason)
+	}
+	f.mu.Lock()
+	c := f.calls[e.ID]
+	f.mu.Unlock()
+	if c != nil {
+		c.done <- e
+	}
+}
--- /dev/null
+++ b/entryd/front/front_test.go
@@ -0,0 +1,118 @@
+package front_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/gorilla/mux"
+	"gotest.tools/v3/assert"
+
+	"lovagefork.example/coord/config"
+	"lovagefork.example/coord/fleet"
+	"lovagefork.example/coord/grant"
+	"lovagefork.example/coord/serve"
+	"lovagefork.example/coord/wire"
+	"lovagefork.example/entryd/front"
+)
+
+// documents is a fixed configuration.
+type documents []config.Versioned
+
+func (d documents) All() []config.Versioned { return d }
+
+func (d documents) Customer(id fleet.CustomerID) (config.Versioned, bool) {
+	for _, v := range d {
+		if v.Document.Customer == id {
+			return v, true
+		}
+	}
+	return config.Versioned{}, false
+}
+
+var gehegewerk = documents{{Document: config.Document{
+	Customer: "gehegewerk",
+	Services: []config.Service{
+		{Name: "quotes", Class: fleet.Urgent, DeadlineMS: 2000},
+		{Name: "orders", Class: fleet.Standard, DeadlineMS: 2000, NonIdempotent: true},
+	},
+}}}
+
+// noPeers is a mesh without links.
+type noPeers struct{}
+
+func (noPeers) Call(context.Context, fleet.EntryHostID, wire.Message) (wire.Message, error) {
+	return nil, fmt.Errorf("no link")
+}
+func (noPeers) Send(fleet.EntryHostID, wire.Message) error { return fmt.Errorf("no link") }
+func (noPeers) Broadcast(wire.Message)                     {}
+func (noPeers) Up() []fleet.EntryHostID                    { return nil }
+
+// startFront runs a front over one worker whose backend server is the handler.
+func startFront(t *testing.T, backend http.Handler, opts ...front.Option) (*front.Front, *httptest.Server) {
+	t.Helper()
+	worker := httptest.NewServer(backend)
+	t.Cleanup(worker.Close)
+	deps := front.Deps{
+		Self:   wire.Hello{EntryHost: "e1", Boot: "b1", Zone: "a"},
+		Roster: []grant.Member{{Host: "e1", Zone: "a"}},
+		Peers:  noPeers{}, Config: gehegewerk, Log: slog.New(slog.DiscardHandler),
+	}
+	times := serve.WithGrant(grant.WithTimes(20*time.Millisecond, 5*time.Millisecond, 10*time.Millisecond))
+	f := front.New(deps, append(opts, front.WithMachine(times))...)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = f.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	f.ObserveFleet([]fleet.Worker{{
+		ID: "w1", Zone: "a", State: fleet.HostLive, Slots: 8, Connections: 64, BackendURL: worker.URL,
+	}})
+	router := mux.NewRouter()
+	f.Register(router)
+	server := httptest.NewServer(router)
+	t.Cleanup(server.Close)
+	return f, server
+}
+
+func ask(t *testing.T, method, url, body string, header ...string) (*http.Response, string, error) {
+	t.Helper()
+	r, err := http.NewRequest(method, url, strings.NewReader(body))
+	assert.NilError(t, err)
+	for i := 0; i < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	answer, err := http.DefaultClient.Do(r)
+	assert.NilError(t, err)
+	defer func() { _ = answer.Body.Close() }()
+	data, err := io.ReadAll(answer.Body)
+	return answer, string(data), err
+}
+
+// A request must reach the backend server unchanged but for the headers of the connection, and its answer likewise.
+func TestRequestAndAnswerPassWhole(t *testing.T) {
+	large := bytes.Repeat([]byte("0123456789"), 1000)
+	_, server := startFront(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		w.Header().Set("Echo", fmt.Sprintf("%s %s %s hop=%q service=%s", r.Method, r.URL, body,
+			r.Header.Get("X-Hop"), r.Header.Get("Lovagefork-Service")))
+		w.WriteHeader(http.StatusTeapot)
+		_, _ = w.Write(large)
+	}), front.WithBodyLimits(100, 1000, 1000))
+	url := server.URL + "/v1/services/gehegewerk/quotes/requests/a%2Fb?c=d"
+	answer, body, err := ask(t, "PUT", url, "x", "Connection", "X-Hop", "X-Hop", "secret")
+	assert.NilError(t, err)
+	assert.Equal(t, answer.StatusCode, http.StatusTeapot)
+	assert.Equal(t, answer.Header.Get("Lovagefork-Outcome"), "ran")
+	assert.Equal(t, answer.Header.Get("Echo"), `PUT /a%2Fb?c=d x hop="" service=gehegewerk/quotes`)
+	assert.Equal(t, body, string(large))
+	answer, _, _ = ask(t, "PUT", url, strings.Repeat("x", 101))
+	assert.Equal(t, answer.StatusCode, http.StatusRequestEntityTooLarge)
+	assert.Equal(t, answer.Header.Get("Lovagefork-Outcome"), "not_run")
+}
