Add questionnaire, config acceptance and propagation, and admin HTTP

Cause: the configuration path had only its value types.

Ruled out: history keys by the new revision, which is unknown before the transaction runs; the key carries the replaced revision instead, which also makes the lookup of a change by its base exact.

Change: coord/form decodes, validates, generates and compares answers. coord/config gets its reducer for acceptance, store sync and peer messages. entryd/admin runs it and serves HTTP. coord/wire: config_state gains sum, full and reply, so that equal processes exchange 8 bytes instead of a list.

Conclusion: a put at one process is in force at another by its store watch alone (TestChangeReachesOtherProcess, links cut, 1 s of virtual time).

--- a/coord/config/document.go
+++ b/coord/config/document.go
@@ -1,6 +1,8 @@
 package config
 
 import (
+	"encoding/json"
+
 	"lovagefork.example/coord/fleet"
 	"lovagefork.example/coord/store"
 )
@@ -41,7 +43,12 @@
 }
 
 // Versioned is a document with the store revision of its last write, which orders its versions.
+//
+// Answers is the questionnaire that the document was generated from, as JSON. Sequence counts the customer's changes
+// from 1.
 type Versioned struct {
-	Document Document       `json:"document" cbor:"document"`
-	Revision store.Revision `json:"revision" cbor:"revision"`
+	Document Document        `json:"document" cbor:"document"`
+	Revision store.Revision  `json:"revision" cbor:"revision"`
+	Sequence int64           `json:"sequence" cbor:"sequence"`
+	Answers  json.RawMessage `json:"answers" cbor:"answers"`
 }
--- /dev/null
+++ b/coord/form/answers.go
@@ -0,0 +1,54 @@
+package form
+
+import (
+	"lovagefork.example/coord/fleet"
+)
+
+// Answers is one customer's completed questionnaire.
+type Answers struct {
+	Customer fleet.CustomerID `json:"customer"`
+	// Urgent names the services and batch work that must be answered or started at once.
+	Urgent []string `json:"urgent"`
+	// MayWait names the services and batch work that may wait until capacity is idle.
+	MayWait []string `json:"may_wait"`
+	// NeverTwice names the services whose requests, and the batch work whose tasks, must never run a second time.
+	NeverTwice []string  `json:"never_twice"`
+	Services   []Service `json:"services"`
+	Batch      []Batch   `json:"batch"`
+	Quota      Quota     `json:"quota"`
+}
+
+// Service is one long-running service; DeadlineMS is the time in which a request must be answered.
+type Service struct {
+	Name       string `json:"name"`
+	Replicas   int    `json:"replicas"`
+	DeadlineMS int64  `json:"deadline_ms"`
+	Size       Size   `json:"size"`
+}
+
+// Batch is one kind of batch work; MaxAttempts is zero for the default.
+type Batch struct {
+	Name        string `json:"name"`
+	Size        Size   `json:"size"`
+	MaxAttempts int    `json:"max_attempts"`
+}
+
+// Size is what one replica or task holds, in thousandths of a core, MiB and whole accelerators.
+type Size struct {
+	MilliCPU     int64 `json:"milli_cpu"`
+	MemoryMiB    int64 `json:"memory_mib"`
+	Accelerators int64 `json:"accelerators"`
+}
+
+// Quota limits everything that the customer holds at a time; zero means no limit, and a zero weight means 1.
+type Quota struct {
+	Size
+	RunningTasks      int     `json:"running_tasks"`
+	RequestsPerSecond float64 `json:"requests_per_second"`
+	Weight            int     `json:"weight"`
+}
+
+// Resources converts the size to the units of the scheduler.
+func (s Size) Resources() fleet.Resources {
+	return fleet.Resources{MilliCPU: s.MilliCPU, MemoryBytes: s.MemoryMiB << 20, Accelerators: s.Accelerators}
+}
--- /dev/null
+++ b/coord/form/doc.go
@@ -0,0 +1,2 @@
+// Package form holds the questionnaire: its answers, their validation, and the configuration generated from them.
+package form
--- a/coord/wire/messages.go
+++ b/coord/wire/messages.go
@@ -3,6 +3,7 @@
 import (
 	"lovagefork.example/coord/config"
 	"lovagefork.example/coord/fleet"
+	"lovagefork.example/coord/store"
 )
 
 // Message is any message between two entry processes.
@@ -86,9 +87,15 @@
 	Documents []config.Versioned `cbor:"documents"`
 }
 
-// ConfigState tells the revision of each customer's document that is in force at the sender.
+// ConfigState summarises the documents in force at the sender; Sum is equal for equal revisions.
+//
+// Full is set if Revisions gives the revision of every customer; otherwise it is empty. Reply asks for the documents that
+// the receiver holds at a higher revision.
 type ConfigState struct {
-	Revisions map[fleet.CustomerID]int64 `cbor:"revisions"`
+	Sum       uint64                              `cbor:"sum"`
+	Full      bool                                `cbor:"full"`
+	Revisions map[fleet.CustomerID]store.Revision `cbor:"revisions,omitempty"`
+	Reply     bool                                `cbor:"reply"`
 }
 
 // JobCall passes an operation on a job to the owner of its home partition; Body is the JSON of the HTTP interface.
--- /dev/null
+++ b/entryd/admin/admin_test.go
@@ -0,0 +1,124 @@
+package admin_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/gorilla/mux"
+	"gotest.tools/v3/assert"
+
+	"lovagefork.example/coord/fleet"
+	"lovagefork.example/coord/store"
+	"lovagefork.example/entryd/admin"
+)
+
+// node is one entry process.
+type node struct {
+	admin  *admin.Admin
+	router *mux.Router
+	stop   context.CancelFunc
+	done   chan struct{}
+}
+
+// cluster is a store and the processes on it.
+type cluster struct {
+	kv   *kv
+	mesh *mesh
+}
+
+func newCluster() *cluster {
+	return &cluster{kv: newKV(), mesh: &mesh{nodes: make(map[fleet.EntryHostID]*node), cut: make(map[[2]fleet.EntryHostID]bool)}}
+}
+
+func (c *cluster) start(id fleet.EntryHostID) *node {
+	ctx, stop := context.WithCancel(context.Background())
+	n := &node{
+		admin:  admin.New(id, c.kv, port{mesh: c.mesh, self: id}, slog.New(slog.DiscardHandler)),
+		router: mux.NewRouter(), stop: stop, done: make(chan struct{}),
+	}
+	n.admin.Register(n.router)
+	c.mesh.mu.Lock()
+	others := make(map[fleet.EntryHostID]*node)
+	for peer, other := range c.mesh.nodes {
+		others[peer] = other
+	}
+	c.mesh.nodes[id] = n
+	c.mesh.mu.Unlock()
+	go func() { defer close(n.done); _ = n.admin.Run(ctx) }()
+	for peer, other := range others {
+		n.admin.OnPeerUp(peer)
+		other.admin.OnPeerUp(id)
+	}
+	return n
+}
+
+func (c *cluster) stop() {
+	for _, n := range c.mesh.nodes {
+		n.stop()
+		<-n.done
+	}
+}
+
+// call sends a request to a process; the answer is decoded into answer.
+func call(n *node, method, path string, body, answer any) int {
+	data, _ := json.Marshal(body)
+	w := httptest.NewRecorder()
+	n.router.ServeHTTP(w, httptest.NewRequest(method, path, bytes.NewReader(data)))
+	_ = json.Unmarshal(w.Body.Bytes(), answer)
+	return w.Code
+}
+
+func answersFile(t testing.TB) json.RawMessage {
+	data, err := os.ReadFile("testdata/gehegewerk.json")
+	assert.NilError(t, err)
+	return data
+}
+
+// Guards the whole path: an answers file put at one process must be in force at another through its watch.
+func TestChangeReachesOtherProcess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster()
+		defer c.stop()
+		one, two := c.start("e1"), c.start("e2")
+		c.mesh.setCut("e1", "e2", true)
+		time.Sleep(time.Second)
+		var answer admin.ChangeAnswer
+		request := admin.ChangeRequest{ChangeID: "c1", Answers: answersFile(t)}
+		assert.Equal(t, call(one, http.MethodPut, "/v1/config/gehegewerk", request, &answer), http.StatusOK)
+		time.Sleep(time.Second)
+		v, found := two.admin.View().Customer("gehegewerk")
+		assert.Assert(t, found)
+		assert.Equal(t, v.Revision, answer.Revision)
+		assert.DeepEqual(t, v.Document, answer.Document)
+		assert.Equal(t, v.Document.Services[0].Class, fleet.Urgent)
+		assert.Equal(t, v.Revision, store.Revision(1))
+	})
+}
+
+// A change that the store never saw must be reported as not run, and one whose answer was lost as accepted.
+func TestStoreFaults(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster()
+		defer c.stop()
+		n := c.start("e1")
+		time.Sleep(time.Second)
+		c.kv.set(func(k *kv) { k.down = true })
+		request := admin.ChangeRequest{ChangeID: "c1", Answers: answersFile(t)}
+		var failure admin.Failure
+		assert.Equal(t, call(n, http.MethodPut, "/v1/config/gehegewerk", request, &failure), http.StatusServiceUnavailable)
+		assert.Equal(t, failure.Outcome, admin.OutcomeNotRun)
+
+		c.kv.set(func(k *kv) { k.down, k.lose = false, true })
+		var answer admin.ChangeAnswer
+		assert.Equal(t, call(n, http.MethodPut, "/v1/config/gehegewerk", request, &answer), http.StatusOK)
+		assert.Equal(t, answer.Outcome, admin.OutcomeAccepted)
+	})
+}
--- /dev/null
+++ b/entryd/admin/fake_test.go
@@ -0,0 +1,237 @@
+package admin_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"lovagefork.example/coord/fleet"
+	"lovagefork.example/coord/store"
+	"lovagefork.example/coord/wire"
+)
+
+var errFake = errors.New("fault of the test")
+
+// kv is the platform's store; its fields of faults may be changed at any time.
+type kv struct {
+	mu      sync.Mutex
+	changed chan struct{}
+	log     [][]store.Change // one transaction each; the index plus 1 is the revision
+	txns    int
+	reads   int
+
+	down bool
+	// lose makes each transaction take effect without its answer.
+	lose bool
+	// late makes each transaction take effect only after its answer was given up.
+	late time.Duration
+	// stale is how many revisions a read lags behind.
+	stale int
+	// deaf makes watches deliver nothing.
+	deaf bool
+}
+
+func newKV() *kv { return &kv{changed: make(chan struct{})} }
+
+func (k *kv) set(f func(k *kv)) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	f(k)
+	close(k.changed)
+	k.changed = make(chan struct{})
+}
+
+func (k *kv) get(g store.Get, at int) ([]store.Entry, bool) {
+	live := make(map[string]store.Entry)
+	for _, c := range slices.Concat(k.log[:at]...) {
+		delete(live, c.Entry.Key)
+		if !c.Deleted {
+			live[c.Entry.Key] = c.Entry
+		}
+	}
+	var found []store.Entry
+	for key, e := range live {
+		if key == g.Key || g.Prefix && strings.HasPrefix(key, g.Key) && key > g.After {
+			found = append(found, e)
+		}
+	}
+	slices.SortFunc(found, func(a, b store.Entry) int { return strings.Compare(a.Key, b.Key) })
+	if g.Limit > 0 && len(found) > g.Limit {
+		return found[:g.Limit], true
+	}
+	return found, false
+}
+
+func (k *kv) Range(ctx context.Context, g store.Get) (store.RangeResult, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.reads++
+	if k.down {
+		return store.RangeResult{}, &store.NotSentError{Op: "range", Cause: errFake}
+	}
+	at := max(0, len(k.log)-k.stale)
+	entries, more := k.get(g, at)
+	return store.RangeResult{Entries: entries, Revision: store.Revision(at), More: more}, nil
+}
+
+func (k *kv) Txn(ctx context.Context, t store.Txn) (store.TxnResult, error) {
+	k.mu.Lock()
+	down, lose, late := k.down, k.lose, k.late
+	k.txns++
+	k.mu.Unlock()
+	switch {
+	case down:
+		return store.TxnResult{}, &store.NotSentError{Op: "txn", Cause: errFake}
+	case late > 0:
+		time.AfterFunc(late, func() { k.commit(t) })
+		return store.TxnResult{}, &store.UnclearError{Op: "txn", Cause: errFake}
+	case lose:
+		k.commit(t)
+		return store.TxnResult{}, &store.UnclearError{Op: "txn", Cause: errFake}
+	}
+	return k.commit(t), nil
+}
+
+func (k *kv) commit(t store.Txn) store.TxnResult {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	result := store.TxnResult{Committed: true}
+	ops := t.Then
+	for _, c := range t.If {
+		if !k.holds(c) {
+			result.Committed, ops = false, t.Else
+			break
+		}
+	}
+	revision := store.Revision(len(k.log) + 1)
+	var changes []store.Change
+	for _, op := range ops {
+		switch op := op.(type) {
+		case store.Put:
+			changes = append(changes, store.Change{Entry: store.Entry{Key: op.Key, Value: op.Value, ModRevision: revision}})
+		case store.Delete:
+			changes = append(changes, store.Change{Entry: store.Entry{Key: op.Key, ModRevision: revision}, Deleted: true})
+		}
+	}
+	if len(changes) > 0 {
+		k.log = append(k.log, changes)
+	}
+	for _, op := range ops {
+		if g, ok := op.(store.Get); ok {
+			entries, _ := k.get(g, len(k.log))
+			result.Reads = append(result.Reads, entries)
+		}
+	}
+	result.Revision = store.Revision(len(k.log))
+	close(k.changed)
+	k.changed = make(chan struct{})
+	return result
+}
+
+func (k *kv) holds(c store.Compare) bool {
+	switch c := c.(type) {
+	case store.Absent:
+		found, _ := k.get(store.Get{Key: c.Key}, len(k.log))
+		return len(found) == 0
+	case store.Unchanged:
+		found, _ := k.get(store.Get{Key: c.Key}, len(k.log))
+		return len(found) == 1 && found[0].ModRevision == c.ModRevision
+	case store.Equal:
+		found, _ := k.get(store.Get{Key: c.Key}, len(k.log))
+		return len(found) == 1 && bytes.Equal(found[0].Value, c.Value)
+	}
+	return false
+}
+
+func (k *kv) Watch(ctx context.Context, prefix string, after store.Revision, observe func(store.Revision, []store.Change)) error {
+	next := int(after)
+	for {
+		k.mu.Lock()
+		changed, down, end := k.changed, k.down, len(k.log)
+		var found []store.Change
+		if !k.deaf {
+			for _, c := range slices.Concat(k.log[min(next, end):end]...) {
+				if strings.HasPrefix(c.Entry.Key, prefix) {
+					found = append(found, c)
+				}
+			}
+			next = max(next, end)
+		}
+		k.mu.Unlock()
+		if down {
+			return &store.UnclearError{Op: "watch", Cause: errFake}
+		}
+		if len(found) > 0 {
+			observe(store.Revision(next), found)
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		}
+	}
+}
+
+func (k *kv) Grant(context.Context, time.Duration) (store.LeaseID, error) { return 0, errFake }
+
+func (k *kv) KeepAlive(context.Context, store.LeaseID) (time.Duration, error) { return 0, errFake }
+
+func (k *kv) Revoke(context.Context, store.LeaseID) error { return errFake }
+
+// mesh connects the processes of a test. Each link loses, repeats and delays messages as its plan says.
+type mesh struct {
+	mu    sync.Mutex
+	nodes map[fleet.EntryHostID]*node
+	cut   map[[2]fleet.EntryHostID]bool
+	plan  []delivery
+	sent  int
+}
+
+// delivery is what happens to one message: how many copies arrive, and after what delay.
+type delivery struct {
+	Copies int
+	Delay  time.Duration
+}
+
+type port struct {
+	mesh *mesh
+	self fleet.EntryHostID
+}
+
+// setCut breaks or repairs the link between two processes in both directions.
+func (m *mesh) setCut(a, b fleet.EntryHostID, cut bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.cut[[2]fleet.EntryHostID{a, b}] = cut
+	m.cut[[2]fleet.EntryHostID{b, a}] = cut
+}
+
+func (p port) Send(to fleet.EntryHostID, m wire.Message) error {
+	p.mesh.mu.Lock()
+	defer p.mesh.mu.Unlock()
+	target := p.mesh.nodes[to]
+	if target == nil || p.mesh.cut[[2]fleet.EntryHostID{p.self, to}] {
+		return errFake
+	}
+	d := delivery{Copies: 1, Delay: 4 * time.Millisecond}
+	if len(p.mesh.plan) > 0 {
+		d = p.mesh.plan[p.mesh.sent%len(p.mesh.plan)]
+	}
+	p.mesh.sent++
+	data, err := wire.Encode(wire.Envelope{Message: m})
+	if err != nil {
+		return err
+	}
+	for i := range d.Copies {
+		time.AfterFunc(d.Delay*time.Duration(i+1), func() {
+			if e, err := wire.Decode(data); err == nil {
+				target.admin.HandlePeer(context.Background(), p.self, e.Message)
+			}
+		})
+	}
+	return nil
+}
--- /dev/null
+++ b/entryd/admin/inspect.go
@@ -0,0 +1,164 @@
+package admin
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+
+	"lovagefork.example/coord/config"
+	"lovagefork.example/coord/fleet"
+	"lovagefork.example/coord/form"
+	"lovagefork.example/coord/store"
+)
+
+// Current is the body of the answer that shows a customer's configuration.
+type Current struct {
+	Customer fleet.CustomerID `json:"customer"`
+	Revision store.Revision   `json:"revision"`
+	Sequence int64            `json:"sequence"`
+	ChangeID string           `json:"change_id"`
+	Document config.Document  `json:"document"`
+	Answers  json.RawMessage  `json:"answers"`
+}
+
+// HistoryEntry is one accepted change with what it changed in the answers.
+type HistoryEntry struct {
+	config.Past
+	Differences []form.Difference `json:"differences"`
+}
+
+// History is the body of the answer that lists a customer's changes, the newest first.
+type History struct {
+	Customer fleet.CustomerID `json:"customer"`
+	History  []HistoryEntry   `json:"history"`
+}
+
+// PeerStatus is the last known state of a peer's configuration; HeardMS is -1 if it has sent none on this link.
+type PeerStatus struct {
+	EntryHost fleet.EntryHostID                   `json:"entry_host"`
+	Linked    bool                                `json:"linked"`
+	HeardMS   int64                               `json:"heard_ms"`
+	Revisions map[fleet.CustomerID]store.Revision `json:"revisions"`
+}
+
+// Status is the body of the answer that shows the revisions in force here and at each peer.
+type Status struct {
+	EntryHost fleet.EntryHostID                   `json:"entry_host"`
+	Loaded    bool                                `json:"loaded"`
+	Watching  bool                                `json:"watching"`
+	Revisions map[fleet.CustomerID]store.Revision `json:"revisions"`
+	Peers     []PeerStatus                        `json:"peers"`
+}
+
+// Preview is the body of the answer that shows what answers would change.
+type Preview struct {
+	Customer            fleet.CustomerID  `json:"customer"`
+	Revision            store.Revision    `json:"revision"`
+	Document            config.Document   `json:"document"`
+	Differences         []form.Difference `json:"differences"`
+	DocumentDifferences []form.Difference `json:"document_differences"`
+}
+
+// PreviewRequest is the body of a preview.
+type PreviewRequest struct {
+	Answers json.RawMessage `json:"answers"`
+}
+
+func (a *Admin) serveCurrent(w http.ResponseWriter, r *http.Request) {
+	v, found := a.View().Customer(customerOf(r))
+	if !found {
+		a.writeMissing(w, customerOf(r))
+		return
+	}
+	writeJSON(w, http.StatusOK, Current{
+		Customer: v.Document.Customer, Revision: v.Revision, Sequence: v.Sequence,
+		ChangeID: v.Document.ChangeID, Document: v.Document, Answers: v.Answers,
+	})
+}
+
+// writeMissing answers 404 only if the store has been read: before, the customer may exist without being known here.
+func (a *Admin) writeMissing(w http.ResponseWriter, id fleet.CustomerID) {
+	if !a.Loaded() {
+		writeUnavailable(w, "", OutcomeUnknown, "the configuration has not been read from the store yet")
+		return
+	}
+	writeJSON(w, http.StatusNotFound, Failure{Error: fmt.Sprintf("no configuration of customer %q", id), Field: "customer"})
+}
+
+func (a *Admin) serveHistory(w http.ResponseWriter, r *http.Request) {
+	id := customerOf(r)
+	result, err := a.read(r.Context(), store.Get{Key: config.HistoryKeys(id), Prefix: true, Limit: 2 * config.HistoryLimit})
+	if err != nil {
+		writeUnavailable(w, "", OutcomeNotRun, err.Error())
+		return
+	}
+	answer := History{Customer: id, History: []HistoryEntry{}}
+	var before form.Answers
+	for _, e := range result.Entries {
+		past, err := config.ParsePast(e)
+		if err != nil {
+			a.log.Error("config: stored value ignored", "error", err)
+			continue
+		}
+		after, _ := form.Decode(past.Answers)
+		answer.History = append(answer.History, HistoryEntry{Past: past, Differences: form.Diff(before, after)})
+		before = after
+	}
+	slices.Reverse(answer.History)
+	answer.History = answer.History[:min(len(answer.History), config.HistoryLimit)]
+	writeJSON(w, http.StatusOK, answer)
+}
+
+func (a *Admin) serveStatus(w http.ResponseWriter, r *http.Request) {
+	only := fleet.CustomerID(r.URL.Query().Get("customer"))
+	a.mu.Lock()
+	now := a.now()
+	status := Status{
+		EntryHost: a.self, Loaded: a.machine.Loaded(), Watching: a.machine.Watching(),
+		Revisions: pick(a.machine.Revisions(), only), Peers: []PeerStatus{},
+	}
+	for _, p := range a.machine.Peers() {
+		heard := int64(-1)
+		if !p.HeardAt.IsZero() {
+			heard = now.Sub(p.HeardAt).Milliseconds()
+		}
+		status.Peers = append(status.Peers, PeerStatus{
+			EntryHost: p.Peer, Linked: p.Up, HeardMS: heard, Revisions: pick(p.Revisions, only),
+		})
+	}
+	a.mu.Unlock()
+	writeJSON(w, http.StatusOK, status)
+}
+
+// pick returns the revisions of one customer, or of all if the customer is empty.
+func pick(revisions map[fleet.CustomerID]store.Revision, only fleet.CustomerID) map[fleet.CustomerID]store.Revision {
+	if only == "" {
+		return revisions
+	}
+	picked := make(map[fleet.CustomerID]store.Revision)
+	if revision, found := revisions[only]; found {
+		picked[only] = revision
+	}
+	return picked
+}
+
+func (a *Admin) servePreview(w http.ResponseWriter, r *http.Request) {
+	var request PreviewRequest
+	if !readBody(w, r, &request) {
+		return
+	}
+	answers, failure := checkAnswers(customerOf(r), request.Answers)
+	if failure != nil {
+		writeJSON(w, http.StatusUnprocessableEntity, failure)
+		return
+	}
+	held, _ := a.View().Customer(answers.Customer)
+	before, _ := form.Decode(held.Answers)
+	doc := answers.Generate()
+	doc.ChangeID = held.Document.ChangeID
+	writeJSON(w, http.StatusOK, Preview{
+		Customer: answers.Customer, Revision: held.Revision, Document: doc,
+		Differences: form.Diff(before, answers), DocumentDifferences: form.DiffDocuments(held.Document, doc),
+	})
+}
