--- /dev/null
+++ b/entryd/daemon/app.go
@@ -0,0 +1,111 @@
+package daemon
+
+import (
+	"crypto/rand"
+	"io"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"lovagefork.example/coord/etcdkv"
+	"lovagefork.example/coord/fleet"
+	"lovagefork.example/coord/grant"
+	"lovagefork.example/coord/plat"
+	"lovagefork.example/coord/store"
+	"lovagefork.example/coord/wire"
+	"lovagefork.example/entryd/admin"
+	"lovagefork.example/entryd/front"
+	"lovagefork.example/entryd/peers"
+	"lovagefork.example/entryd/setup"
+	"lovagefork.example/entryd/stats"
+)
+
+// stopReserve is the time for closing sockets after the drain itself.
+const stopReserve = 10 * time.Second
+
+// New returns the entry daemon as an fx application; logs go to the given writer.
+func New(s setup.Settings, logs io.Writer) *fx.App {
+	return fx.New(
+		fx.Supply(s),
+		fx.Provide(
+			func() *slog.Logger { return newLogger(s, logs) },
+			newHello,
+			newTLS,
+			newMesh,
+			newStore,
+			newPlatform,
+			newAdmin,
+			newFront,
+			newRouter,
+			metrics.NewRegistry,
+			func() *Health { return NewHealth(map[string]string{"start": "starting"}) },
+		),
+		fx.Invoke(connect, serve),
+		fx.StopTimeout(s.DrainNotice+s.DrainTimeout+stopReserve),
+		fx.WithLogger(func(log *slog.Logger) fxevent.Logger {
+			events := &fxevent.SlogLogger{Logger: log}
+			events.UseLogLevel(slog.LevelDebug)
+			return events
+		}),
+	)
+}
+
+func newLogger(s setup.Settings, w io.Writer) *slog.Logger {
+	opts := &slog.HandlerOptions{Level: s.LogLevel}
+	if s.LogFormat == "json" {
+		return slog.New(slog.NewJSONHandler(w, opts)).With("entry_host", s.EntryHost)
+	}
+	return slog.New(slog.NewTextHandler(w, opts)).With("entry_host", s.EntryHost)
+}
+
+func newHello(s setup.Settings) wire.Hello {
+	return wire.Hello{EntryHost: s.EntryHost, Boot: fleet.BootID(rand.Text()), Zone: s.Zone}
+}
+
+func newMesh(s setup.Settings, self wire.Hello, configs tlsConfigs, log *slog.Logger) *peers.Mesh {
+	var opts []peers.Option
+	if configs.peers.Client != nil {
+		client := &http.Client{Transport: &http.Transport{TLSClientConfig: configs.peers.Client.Clone()}}
+		opts = append(opts, peers.WithClient(client, "wss"))
+	}
+	return peers.New(self, s.Addresses(), log, opts...)
+}
+
+func newStore(s setup.Settings) store.Client {
+	return etcdkv.New(s.Store.String())
+}
+
+func newPlatform(s setup.Settings) (plat.Agent, plat.Hosts) {
+	client := plat.NewHTTP(s.Hosts.String())
+	return client, client
+}
+
+func newAdmin(self wire.Hello, client store.Client, mesh *peers.Mesh, log *slog.Logger) *admin.Admin {
+	return admin.New(self.EntryHost, client, mesh, log)
+}
+
+func newFront(
+	s setup.Settings, self wire.Hello, mesh *peers.Mesh, client store.Client, a *admin.Admin, log *slog.Logger,
+) *front.Front {
+	roster := make([]grant.Member, 0, len(s.Roster))
+	for _, m := range s.Roster {
+		roster = append(roster, grant.Member{Host: m.ID, Zone: m.Zone})
+	}
+	return front.New(front.Deps{
+		Self: self, Roster: roster, Peers: mesh, Store: client, Config: a.View(), Log: log,
+	}, front.WithDrainNotice(s.DrainNotice))
+}
+
+func newRouter(h *Health, r metrics.Registry, a *admin.Admin, f *front.Front) *mux.Router {
+	router := mux.NewRouter()
+	h.Register(router)
+	router.Handle("/metrics", stats.Handler(r)).Methods(http.MethodGet)
+	a.Register(router)
+	f.Register(router)
+	return router
+}
--- a/entryd/peers/peers.go
+++ b/entryd/peers/peers.go
@@ -58,16 +58,16 @@
 
 // Mesh holds one link to each other entry process of the roster.
 type Mesh struct {
-	self     wire.Hello
-	roster   map[fleet.EntryHostID]string
-	log      *slog.Logger
-	client   *http.Client
-	scheme   string
-	onChange func(peer fleet.EntryHostID, up bool)
+	self   wire.Hello
+	roster map[fleet.EntryHostID]string
+	log    *slog.Logger
+	client *http.Client
+	scheme string
 
-	mu       sync.Mutex
-	links    map[fleet.EntryHostID]*link
-	handlers []Handler
+	mu        sync.Mutex
+	links     map[fleet.EntryHostID]*link
+	handlers  []Handler
+	observers []func(peer fleet.EntryHostID, up bool)
 }
 
 // Option changes a [Mesh] under construction.
@@ -78,21 +78,15 @@
 	return func(m *Mesh) { m.client, m.scheme = c, scheme }
 }
 
-// WithOnChange sets a function that is called when a link comes up or goes down.
-func WithOnChange(f func(peer fleet.EntryHostID, up bool)) Option {
-	return func(m *Mesh) { m.onChange = f }
-}
-
 // New returns a mesh for the process self; roster gives the address "ip:port" of every entry host, its own included.
 func New(self wire.Hello, roster map[fleet.EntryHostID]string, log *slog.Logger, opts ...Option) *Mesh {
 	m := &Mesh{
-		self:     self,
-		roster:   roster,
-		log:      log,
-		client:   &http.Client{},
-		scheme:   "ws",
-		onChange: func(fleet.EntryHostID, bool) {},
-		links:    make(map[fleet.EntryHostID]*link),
+		self:   self,
+		roster: roster,
+		log:    log,
+		client: &http.Client{},
+		scheme: "ws",
+		links:  make(map[fleet.EntryHostID]*link),
 	}
 	for _, opt := range opts {
 		opt(m)
@@ -105,6 +99,17 @@
 	m.handlers = append(m.handlers, h)
 }
 
+// OnChange adds a function that is called when a link comes up or goes down. It is called before [Mesh.Run].
+func (m *Mesh) OnChange(f func(peer fleet.EntryHostID, up bool)) {
+	m.observers = append(m.observers, f)
+}
+
+func (m *Mesh) notify(peer fleet.EntryHostID, up bool) {
+	for _, f := range m.observers {
+		f(peer, up)
+	}
+}
+
 // Up lists the peers with a working link in ascending order.
 func (m *Mesh) Up() []fleet.EntryHostID {
 	m.mu.Lock()
@@ -261,7 +266,7 @@
 	if old != nil {
 		old.stop()
 	}
-	m.onChange(l.peer, true)
+	m.notify(l.peer, true)
 }
 
 func (m *Mesh) unregister(l *link) {
@@ -272,7 +277,7 @@
 	}
 	m.mu.Unlock()
 	if current {
-		m.onChange(l.peer, false)
+		m.notify(l.peer, false)
 	}
 }
 
