--- /dev/null
+++ b/coord/jobs/attempt.go
@@ -0,0 +1,275 @@
+package jobs
+
+import (
+	"errors"
+	"slices"
+	"time"
+
+	"lovagefork.example/coord/place"
+
+	"lovagefork.example/coord/ledger"
+	"lovagefork.example/coord/plat"
+)
+
+// claimed starts an attempt whose claim is durable.
+func (m *Machine) claimed(now time.Time, r ledger.Claimed) {
+	if !m.apply(r) {
+		return
+	}
+	t := m.tasks[r.Task]
+	reason := t.reservedFor
+	t.resetVolatile()
+	m.worker(t.worker).tasks[t.id] = t
+	m.pendingStart = append(m.pendingStart, t)
+	m.note("place: task placed", "task", t.id, "attempt", t.attempt, "worker", t.worker, "reason", reason)
+	if m.permit.Claim {
+		m.sendStarts(now)
+	}
+}
+
+// sendStarts sends the starts of durable claims; those that came due while the session had lapsed follow later.
+func (m *Machine) sendStarts(now time.Time) {
+	due := m.pendingStart
+	m.pendingStart = nil
+	for _, t := range due {
+		switch {
+		case t.pending:
+			// A report has closed the attempt already, and the record of that is under way.
+		case t.state == Claimed && !t.sent && !t.job.cancelled && !t.retired:
+			m.sendStart(now, t)
+		case t.state.live() && !t.sent:
+			m.end(now, t, ledger.NotStarted, nil, "cancelled before its start")
+		}
+	}
+}
+
+func (m *Machine) sendStart(now time.Time, t *task) {
+	w := m.worker(t.worker)
+	t.sent, t.startBusy, t.sentEpoch = true, true, m.workerEpoch(w)
+	spec := t.job.spec
+	m.emit(Start{Worker: w.info, Start: plat.Start{
+		TaskRef: t.ref(), Epoch: t.sentEpoch, LeaseMS: TaskTTL.Milliseconds(), Resources: spec.Resources,
+		RunMS: spec.EstimatedMS, Kind: spec.Kind, Checkpoint: t.checkpoint,
+	}})
+}
+
+func (m *Machine) startDone(now time.Time, ev StartDone) {
+	t := m.tasks[ev.Ref.Task]
+	if t == nil || t.ref() != ev.Ref || !t.state.live() || t.sentEpoch != ev.Epoch {
+		return
+	}
+	t.startBusy = false
+	w := m.worker(t.worker)
+	var refused *plat.RefusedError
+	var unreachable *plat.UnreachableError
+	switch {
+	case ev.Err == nil:
+		t.mayRunTo = now.Add(TaskTTL + TaskMargin)
+		m.confirm(now, t)
+	case errors.As(ev.Err, &refused):
+		m.startRefused(now, w, t, refused)
+	case errors.As(ev.Err, &unreachable) && !t.unclear:
+		m.notStarted(now, t, ev.Err.Error())
+	default:
+		t.unclear = true
+		t.mayRunTo = now.Add(TaskTTL + TaskMargin + unclearExtra)
+		m.note("jobs: start unclear", "task", t.id, "attempt", t.attempt, "worker", t.worker, "error", ev.Err)
+		m.raiseFence(now, w)
+	}
+}
+
+func (m *Machine) startRefused(now time.Time, w *worker, t *task, refused *plat.RefusedError) {
+	switch {
+	case refused.Reason == plat.ReasonStaleEpoch && t.sentEpoch < m.workerEpoch(w):
+		// Our own fence overtook the start, which proves that it did not run.
+		t.sent = false
+		m.pendingStart = append(m.pendingStart, t)
+	case refused.Reason == plat.ReasonStaleEpoch:
+		m.emit(Superseded{Worker: w.info.ID})
+	case t.unclear:
+		m.raiseFence(now, w)
+	default:
+		m.notStarted(now, t, refused.Error())
+	}
+}
+
+// notStarted closes an attempt whose start had no effect, or sends it again once records are allowed.
+func (m *Machine) notStarted(now time.Time, t *task, reason string) {
+	if m.permit.Claim {
+		m.end(now, t, ledger.NotStarted, nil, reason)
+		return
+	}
+	t.sent = false
+	m.pendingStart = append(m.pendingStart, t)
+}
+
+// raiseFence makes the worker refuse every command sent before, and asks what it runs.
+func (m *Machine) raiseFence(now time.Time, w *worker) {
+	w.fence++
+	w.statusAt = now
+	m.pollStatus(now, w)
+}
+
+// confirm notes that the worker runs the attempt.
+func (m *Machine) confirm(now time.Time, t *task) {
+	t.inherited, t.unclear = false, false
+	if t.confirmed.IsZero() {
+		t.confirmed = now
+		m.placer.Step(now, place.Started{TaskRef: t.ref(), Worker: t.worker})
+		m.note("jobs: task started", "task", t.id, "attempt", t.attempt, "worker", t.worker)
+	}
+	if t.state == Claimed {
+		t.state = Running
+		m.dirty = m.dirty || t.job.service != ""
+	}
+	switch {
+	case t.job.cancelled || t.retired:
+		m.stop(now, t, false)
+	case t.state == Evicting:
+		m.stop(now, t, true)
+	}
+}
+
+// stop asks the worker to end an attempt; a lost request or answer is repeated by the tick.
+func (m *Machine) stop(now time.Time, t *task, checkpoint bool) {
+	t.stopKeep = checkpoint
+	if t.stopAt.IsZero() {
+		t.stopAt = now
+	}
+	m.sendStop(now, t)
+}
+
+func (m *Machine) sendStop(now time.Time, t *task) {
+	w := m.worker(t.worker)
+	if !m.permit.Claim || t.pending || t.stopBusy || t.startBusy || !t.sent || now.Before(t.stopAt) {
+		return
+	}
+	t.stopBusy, t.stopAt = true, now.Add(stopEvery)
+	m.emit(Stop{Worker: w.info, Epoch: m.workerEpoch(w), Ref: t.ref(), Checkpoint: t.stopKeep})
+}
+
+func (m *Machine) stopDone(now time.Time, ev StopDone) {
+	t := m.tasks[ev.Ref.Task]
+	if t == nil || t.ref() != ev.Ref || !t.state.live() {
+		return
+	}
+	t.stopBusy = false
+	w := m.worker(ev.Worker)
+	var refused *plat.RefusedError
+	switch {
+	case ev.Err == nil:
+		m.reported(now, w, t, ev.Status)
+	case errors.As(ev.Err, &refused) && refused.Reason == plat.ReasonStaleEpoch:
+		if ev.Epoch >= m.workerEpoch(w) {
+			m.emit(Superseded{Worker: w.info.ID})
+		}
+	case errors.As(ev.Err, &refused) && refused.Reason == plat.ReasonUnknownTask:
+		m.raiseFence(now, w)
+	}
+}
+
+// reported takes a worker's word on an attempt that this owner knows.
+func (m *Machine) reported(now time.Time, w *worker, t *task, s plat.TaskStatus) {
+	if t.worker != w.info.ID {
+		return
+	}
+	switch s.State {
+	case plat.TaskRunning:
+		m.confirm(now, t)
+	case plat.TaskSucceeded:
+		m.end(now, t, ledger.Succeeded, nil, "")
+	case plat.TaskFailed:
+		m.end(now, t, ledger.Failed, s.Checkpoint, s.Reason)
+	case plat.TaskStopped:
+		m.end(now, t, ledger.Evicted, s.Checkpoint, s.Reason)
+	case plat.TaskExpired:
+		m.end(now, t, ledger.Lost, s.Checkpoint, "lease expired at the worker")
+	}
+}
+
+// end asks for the record that closes an attempt, which has provably ended.
+func (m *Machine) end(now time.Time, t *task, o ledger.Outcome, checkpoint []byte, reason string) {
+	if t.pending || !m.permit.Claim || !t.state.live() {
+		return
+	}
+	t.pending = true
+	m.emit(Append{Records: []ledger.Record{ledger.Ended{
+		Task: t.id, Attempt: t.attempt, Outcome: o, Checkpoint: checkpoint, Reason: reason, AtMS: now.UnixMilli(),
+	}}})
+}
+
+func (m *Machine) attemptEnded(now time.Time, r ledger.Ended) {
+	if !m.apply(r) {
+		return
+	}
+	t := m.tasks[r.Task]
+	if t == nil { // a retired replica, which apply has removed
+		m.replicaRemoved(now, r)
+		return
+	}
+	m.release(now, t, r)
+	m.note("jobs: attempt ended", "task", t.id, "attempt", r.Attempt, "worker", t.worker,
+		"outcome", r.Outcome, "state", t.state, "reason", r.Reason)
+	t.resetVolatile()
+	if t.state == Waiting {
+		t.notBefore = now.Add(nextDelay(t, r.Outcome))
+		m.enqueue(t)
+	}
+	m.finishJob(t.job)
+}
+
+func (m *Machine) release(now time.Time, t *task, r ledger.Ended) {
+	w := m.worker(t.worker)
+	delete(w.tasks, t.id)
+	w.acks = append(w.acks, plat.TaskRef{Task: r.Task, Attempt: r.Attempt})
+	ref := plat.TaskRef{Task: r.Task, Attempt: r.Attempt}
+	switch r.Outcome {
+	case ledger.Succeeded:
+		m.placer.Step(now, place.Succeeded{TaskRef: ref, Worker: t.worker})
+	case ledger.Failed:
+		m.placer.Step(now, place.Failed{TaskRef: ref, Worker: t.worker})
+	}
+	m.placer.Step(now, place.Ended{TaskRef: ref, Worker: t.worker})
+	m.hold(t, -1)
+	m.version++
+	m.dirty = m.dirty || t.job.service != ""
+}
+
+func nextDelay(t *task, o ledger.Outcome) time.Duration {
+	switch o {
+	case ledger.Failed:
+		return min(backoffMin<<min(t.failures-1, 10), backoffMax)
+	case ledger.NotStarted:
+		return notStartedDelay
+	}
+	return 0
+}
+
+func (m *Machine) finishJob(j *job) {
+	if j.ended == 0 || j.service != "" {
+		return
+	}
+	m.note("jobs: job ended", "job", j.spec.Job, "customer", j.spec.Customer, "state", j.state())
+}
+
+func (j *job) state() State {
+	if j.movedTo != "" {
+		return Moved
+	}
+	if j.ended == 0 {
+		if slices.ContainsFunc(j.tasks, func(t *task) bool { return t.state != Waiting }) {
+			return Running
+		}
+		return Waiting
+	}
+	state := Succeeded
+	for _, t := range j.tasks {
+		switch {
+		case t.state == Cancelled:
+			return Cancelled
+		case t.state == Failed:
+			state = Failed
+		}
+	}
+	return state
+}
--- /dev/null
+++ b/coord/jobs/service.go
@@ -0,0 +1,237 @@
+package jobs
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"lovagefork.example/coord/config"
+	"lovagefork.example/coord/fleet"
+	"lovagefork.example/coord/ledger"
+	"lovagefork.example/coord/wire"
+)
+
+// ReplicaPartition returns the home partition of a service replica. Neighbouring replicas get different availability
+// zones, so that the loss of one leaves the others.
+func ReplicaPartition(s fleet.ServiceID, index int, partitions []fleet.PartitionID) fleet.PartitionID {
+	var zones []fleet.AvailabilityZone
+	for _, p := range partitions {
+		if !slices.Contains(zones, p.Zone()) {
+			zones = append(zones, p.Zone())
+		}
+	}
+	if len(zones) == 0 {
+		return ""
+	}
+	first := xxhash.Sum64String(string(s))
+	zone := zones[(first+uint64(index))%uint64(len(zones))]
+	var inZone []fleet.PartitionID
+	for _, p := range partitions {
+		if p.Zone() == zone {
+			inZone = append(inZone, p)
+		}
+	}
+	return fleet.Rendezvous(string(s)+"/"+strconv.Itoa(index), inZone)
+}
+
+// Services returns the records of the replicas of a customer's services that belong to one partition.
+func Services(doc config.Versioned, p fleet.PartitionID, partitions []fleet.PartitionID) []ledger.Service {
+	var all []ledger.Service
+	for _, s := range doc.Document.Services {
+		id := fleet.NewServiceID(doc.Document.Customer, s.Name)
+		r := ledger.Service{Service: id, Class: fleet.Urgent, Resources: s.Resources, Revision: doc.Revision}
+		for i := range s.Replicas {
+			if ReplicaPartition(id, i, partitions) == p {
+				r.Replicas = append(r.Replicas, i)
+			}
+		}
+		if len(r.Replicas) > 0 {
+			all = append(all, r)
+		}
+	}
+	return all
+}
+
+func (m *Machine) configured(ev Configured) {
+	customer := ev.Document.Document.Customer
+	if old, known := m.configs[customer]; known && ev.Document.Revision <= old.Document.Revision {
+		return
+	}
+	m.configs[customer] = ev
+	m.quotas[customer] = ev.Document.Document.Quota
+	m.allow(customer)
+	m.configDirty = true
+	m.version++
+}
+
+// setUpServices records the differences between the configuration and the replicas that the ledger knows.
+func (m *Machine) setUpServices() {
+	if !m.configDirty {
+		return
+	}
+	m.configDirty = false
+	for _, customer := range slices.Sorted(maps.Keys(m.configs)) {
+		ev := m.configs[customer]
+		wanted := make(map[fleet.ServiceID]bool)
+		for _, s := range ev.Services {
+			wanted[s.Service] = true
+			m.setUp(s)
+		}
+		for _, j := range m.jobs {
+			if j.service == "" || j.spec.Customer != customer || wanted[j.service] {
+				continue
+			}
+			m.setUp(ledger.Service{Service: j.service, Resources: j.spec.Resources, Revision: ev.Document.Revision})
+		}
+	}
+}
+
+func (m *Machine) setUp(s ledger.Service) {
+	if m.settingUp[s.Service] {
+		m.configDirty = true
+		return
+	}
+	j := m.jobs[serviceJob(s.Service)]
+	if j == nil && len(s.Replicas) == 0 {
+		return
+	}
+	if j != nil && (s.Revision <= j.revision || (j.spec.Resources == s.Resources && slices.Equal(j.replicas(), s.Replicas))) {
+		return
+	}
+	m.settingUp[s.Service] = true
+	m.emit(Append{Records: []ledger.Record{s}})
+}
+
+// replicas lists the indices of the replicas that are to run, in ascending order.
+func (j *job) replicas() []int {
+	var indices []int
+	for _, t := range j.tasks {
+		if !t.retired {
+			indices = append(indices, t.index())
+		}
+	}
+	slices.Sort(indices)
+	return indices
+}
+
+func (t *task) index() int {
+	n, err := strconv.Atoi(string(t.id[len(t.job.spec.Job)+1:]))
+	if err != nil {
+		return -1
+	}
+	return n
+}
+
+func (m *Machine) applyService(r ledger.Service) bool {
+	id := serviceJob(r.Service)
+	j := m.jobs[id]
+	if j == nil {
+		j = &job{service: r.Service}
+		m.jobs[id] = j
+	} else if r.Revision <= j.revision {
+		return false
+	}
+	j.revision = r.Revision
+	j.spec = ledger.Spec{
+		Job: id, Customer: r.Service.Customer(), Class: r.Class, Kind: r.Service.Name(),
+		Tasks: len(r.Replicas), Resources: r.Resources,
+	}
+	for _, t := range slices.Clone(j.tasks) {
+		t.retired = !slices.Contains(r.Replicas, t.index())
+		if t.retired && t.state == Waiting {
+			m.removeTask(t)
+		}
+	}
+	for _, i := range r.Replicas {
+		if m.tasks[taskID(id, i)] == nil {
+			t := &task{id: taskID(id, i), job: j, state: Waiting}
+			j.tasks = append(j.tasks, t)
+			m.tasks[t.id] = t
+		}
+	}
+	return true
+}
+
+func (m *Machine) serviceSet(now time.Time, r ledger.Service) {
+	delete(m.settingUp, r.Service)
+	known := make(map[fleet.TaskID]bool)
+	if j := m.jobs[serviceJob(r.Service)]; j != nil {
+		for _, t := range j.tasks {
+			known[t.id] = true
+			if t.reserved != "" && !slices.Contains(r.Replicas, t.index()) {
+				m.unreserve(now, t)
+			}
+		}
+	}
+	if !m.apply(r) {
+		return
+	}
+	j := m.jobs[serviceJob(r.Service)]
+	m.dirty = true
+	m.note("jobs: service set", "service", r.Service, "replicas", r.Replicas, "revision", r.Revision)
+	for _, t := range j.tasks {
+		switch {
+		case t.state == Waiting && !known[t.id]:
+			m.enqueue(t)
+		case t.retired && t.state.live() && t.sent:
+			m.stop(now, t, false)
+		}
+	}
+}
+
+// replicaRemoved frees what a retired replica held, whose task the record has removed.
+func (m *Machine) replicaRemoved(now time.Time, r ledger.Ended) {
+	for _, w := range m.order {
+		if t := w.tasks[r.Task]; t != nil && t.attempt == r.Attempt {
+			m.release(now, t, r)
+			m.note("jobs: replica removed", "task", r.Task, "attempt", r.Attempt, "worker", w.info.ID)
+			return
+		}
+	}
+}
+
+// publish spreads the running replicas when they change, and repeatedly for processes that have just started.
+func (m *Machine) publish(now time.Time) {
+	if !m.permit.Renew || (!m.dirty && now.Before(m.nextPublish)) {
+		return
+	}
+	m.nextPublish = now.Add(publishEvery)
+	if m.dirty {
+		m.dirty = false
+		running := m.runningReplicas()
+		if !maps.EqualFunc(running, m.published, slices.Equal) {
+			m.published = running
+			m.sequence++
+		}
+	}
+	m.emit(Publish{Endpoints: wire.Endpoints{
+		Partition: m.partition, Epoch: m.epoch, Sequence: m.sequence, Services: m.published,
+	}})
+}
+
+// runningReplicas leaves out replicas that are about to stop, so that they get no new requests.
+func (m *Machine) runningReplicas() map[fleet.ServiceID][]fleet.WorkerID {
+	running := make(map[fleet.ServiceID][]fleet.WorkerID)
+	for _, j := range m.jobs {
+		if j.service == "" {
+			continue
+		}
+		workers := []fleet.WorkerID{}
+		for _, t := range j.tasks {
+			if t.state == Running && !t.retired {
+				workers = append(workers, t.worker)
+			}
+		}
+		slices.Sort(workers)
+		running[j.service] = workers
+	}
+	return running
+}
+
+// Home returns the partition that a job is submitted to.
+func Home(job fleet.JobID, partitions []fleet.PartitionID) fleet.PartitionID {
+	return fleet.Rendezvous(string(job), partitions)
+}
--- /dev/null
+++ b/coord/jobs/types.go
@@ -0,0 +1,235 @@
+package jobs
+
+import (
+	"time"
+
+	"lovagefork.example/coord/config"
+	"lovagefork.example/coord/fleet"
+	"lovagefork.example/coord/ledger"
+	"lovagefork.example/coord/plat"
+	"lovagefork.example/coord/store"
+	"lovagefork.example/coord/wire"
+)
+
+// Durations of task leases and of the calls to workers.
+const (
+	// TaskTTL is the lease of a task at its worker.
+	TaskTTL = time.Minute
+	// TaskMargin is added before an unrenewed task counts as stopped: clock drift of 10 %.
+	TaskMargin = TaskTTL / 10
+	// RenewEvery leaves three further attempts after a lost renewal.
+	RenewEvery = 15 * time.Second
+
+	// unclearExtra bounds how long after its timeout a command without an answer may still reach the worker.
+	unclearExtra = 5 * time.Second
+	// recoverExtra covers commands that the former owner sent just before it lost the partition.
+	recoverExtra  = 10 * time.Second
+	statusEvery   = time.Second
+	idleEvery     = 5 * time.Second
+	suspectEvery  = 2 * time.Second
+	stopEvery     = 2 * time.Second
+	publishEvery  = 5 * time.Second
+	unusableAfter = 5 * time.Second
+	backoffMin    = time.Second
+	backoffMax    = 30 * time.Second
+	// notStartedDelay keeps a task from being offered to the same full or unreachable worker in a tight loop.
+	notStartedDelay = 500 * time.Millisecond
+	// evictWait is how long an urgent task waits for the evictions on its worker before it is placed again.
+	evictWait = 20 * time.Second
+	// moveAfter is how long a job waits for room in its partition before it is passed on.
+	moveAfter = 5 * time.Second
+	// moveUrgentAfter leaves time for a start elsewhere within the two seconds of urgent work.
+	moveUrgentAfter = 750 * time.Millisecond
+	maxMoves        = 3
+	// retention is how long a finished job answers repeated submissions.
+	retention = 24 * time.Hour
+)
+
+// fenceBits is the part of an epoch that counts the fences of a worker under one owner; see [Machine] and worker.epoch.
+const fenceBits = 20
+
+// Permit tells what the ownership of the partition allows at the moment.
+type Permit struct {
+	// Claim allows records, starts, stops and acknowledgements.
+	Claim bool
+	// Renew allows to read status and to renew the leases of running tasks.
+	Renew bool
+}
+
+// Holding is what a customer's running tasks hold.
+type Holding struct {
+	Tasks     int
+	Resources fleet.Resources
+}
+
+// Event is an input of [Machine.Step].
+type Event interface{ event() }
+
+type (
+	// Tick tells that time has passed; send it every [ledger.TickEvery].
+	Tick struct{}
+	// Submit adds a job; it is answered by [Answer] with the same Call.
+	Submit struct {
+		Call uint64
+		Spec ledger.Spec
+	}
+	// Cancel ends a job.
+	Cancel struct {
+		Call uint64
+		Job  fleet.JobID
+	}
+	// Evict moves the running tasks of a job, or one task of it if Task is set, to other workers.
+	Evict struct {
+		Call uint64
+		Job  fleet.JobID
+		Task fleet.TaskID
+	}
+	// Inbox adds a job that another partition passed on under the given key.
+	Inbox struct {
+		Key string
+		Job ledger.Submitted
+	}
+	// Committed tells that records of this machine are durable.
+	Committed struct{ Records []ledger.Record }
+	// WorkerSeen adds a worker of the partition or replaces what is known of it.
+	WorkerSeen struct{ Worker fleet.Worker }
+	// WorkerGone tells that the host list has no such worker; its tasks stay until they provably ended.
+	WorkerGone struct{ ID fleet.WorkerID }
+	// Capacities gives the largest workers of every partition, by which a job that does not fit here is passed on.
+	Capacities struct {
+		Workers map[fleet.PartitionID][]fleet.Resources
+	}
+	// Configured gives a customer's quota and the replicas that this partition runs.
+	Configured struct {
+		Document config.Versioned
+		Services []ledger.Service
+	}
+	// Shares gives what each customer holds in other partitions, and the divisor of what is left of its quota.
+	Shares struct {
+		Others  map[fleet.CustomerID]Holding
+		Divisor int
+		Turn    bool
+	}
+	// StartDone answers [Start].
+	StartDone struct {
+		Ref    plat.TaskRef
+		Worker fleet.WorkerID
+		Epoch  fleet.Epoch
+		Err    error
+	}
+	// RenewDone answers [Renew].
+	RenewDone struct {
+		Worker  fleet.WorkerID
+		Epoch   fleet.Epoch
+		Tasks   []plat.TaskRef
+		Unknown []plat.TaskRef
+		Err     error
+	}
+	// StatusDone answers [Status].
+	StatusDone struct {
+		Worker fleet.WorkerID
+		Epoch  fleet.Epoch
+		SentAt time.Time
+		Status plat.Status
+		Err    error
+	}
+	// StopDone answers [Stop].
+	StopDone struct {
+		Ref    plat.TaskRef
+		Worker fleet.WorkerID
+		Epoch  fleet.Epoch
+		Status plat.TaskStatus
+		Err    error
+	}
+)
+
+func (Tick) event()       {}
+func (Submit) event()     {}
+func (Cancel) event()     {}
+func (Evict) event()      {}
+func (Inbox) event()      {}
+func (Committed) event()  {}
+func (WorkerSeen) event() {}
+func (WorkerGone) event() {}
+func (Capacities) event() {}
+func (Configured) event() {}
+func (Shares) event()     {}
+func (StartDone) event()  {}
+func (RenewDone) event()  {}
+func (StatusDone) event() {}
+func (StopDone) event()   {}
+
+// Effect is an output of [Machine.Step].
+type Effect interface{ effect() }
+
+type (
+	// Append asks to make records durable, together with store operations.
+	Append struct {
+		Records []ledger.Record
+		Ops     []store.Op
+	}
+	// Start asks to start a claimed attempt.
+	Start struct {
+		Worker fleet.Worker
+		Start  plat.Start
+	}
+	// Renew asks to renew task leases on a worker.
+	Renew struct {
+		Worker fleet.Worker
+		Epoch  fleet.Epoch
+		Tasks  []plat.TaskRef
+	}
+	// Status asks for a worker's report.
+	Status struct {
+		Worker fleet.Worker
+		Epoch  fleet.Epoch
+	}
+	// Stop asks to end an attempt.
+	Stop struct {
+		Worker     fleet.Worker
+		Epoch      fleet.Epoch
+		Ref        plat.TaskRef
+		Checkpoint bool
+	}
+	// Throttle asks to limit an attempt.
+	Throttle struct {
+		Worker   fleet.Worker
+		Epoch    fleet.Epoch
+		Ref      plat.TaskRef
+		Permille int
+	}
+	// Ack lets a worker forget terminal reports whose records are durable.
+	Ack struct {
+		Worker fleet.Worker
+		Epoch  fleet.Epoch
+		Tasks  []plat.TaskRef
+	}
+	// Publish spreads where service replicas run.
+	Publish struct{ Endpoints wire.Endpoints }
+	// Answer answers a call; Status is an HTTP status and Reason is set if it is an error.
+	Answer struct {
+		Call   uint64
+		Status int
+		Reason string
+		Job    fleet.JobID
+	}
+	// Superseded tells that a worker has accepted a higher epoch than this owner's.
+	Superseded struct{ Worker fleet.WorkerID }
+	// Note is a log line.
+	Note struct {
+		Text string
+		Args []any
+	}
+)
+
+func (Append) effect()     {}
+func (Start) effect()      {}
+func (Renew) effect()      {}
+func (Status) effect()     {}
+func (Stop) effect()       {}
+func (Throttle) effect()   {}
+func (Ack) effect()        {}
+func (Publish) effect()    {}
+func (Answer) effect()     {}
+func (Superseded) effect() {}
+func (Note) effect()       {}
--- /dev/null
+++ b/coord/ledger/records.go
@@ -0,0 +1,190 @@
+package ledger
+
+import (
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"lovagefork.example/coord/fleet"
+	"lovagefork.example/coord/store"
+)
+
+// Spec describes a batch job as its customer submitted it.
+type Spec struct {
+	Job         fleet.JobID      `json:"job_id" cbor:"job_id"`
+	Customer    fleet.CustomerID `json:"customer" cbor:"customer"`
+	Class       fleet.Class      `json:"class" cbor:"class"`
+	Kind        string           `json:"kind,omitempty" cbor:"kind"`
+	Tasks       int              `json:"tasks" cbor:"tasks"`
+	Resources   fleet.Resources  `json:"resources" cbor:"resources"`
+	EstimatedMS int64            `json:"estimated_run_ms" cbor:"estimated_run_ms"`
+	MaxAttempts int              `json:"max_attempts" cbor:"max_attempts"`
+}
+
+// Outcome is the end of an attempt.
+type Outcome string
+
+// The outcomes of attempts.
+const (
+	Succeeded  Outcome = "succeeded"
+	Failed     Outcome = "failed"
+	Evicted    Outcome = "evicted"
+	Lost       Outcome = "lost"
+	NotStarted Outcome = "not_started"
+)
+
+// Record is one durable change of a partition.
+type Record interface{ kind() string }
+
+type (
+	// Submitted adds a job; Moves counts the partitions that have passed it on.
+	Submitted struct {
+		Spec  Spec  `cbor:"spec"`
+		AtMS  int64 `cbor:"at_ms"`
+		Moves int   `cbor:"moves"`
+	}
+	// Claimed binds an attempt to a worker before it is started there.
+	Claimed struct {
+		Task    fleet.TaskID   `cbor:"task_id"`
+		Attempt fleet.Attempt  `cbor:"attempt"`
+		Worker  fleet.WorkerID `cbor:"worker"`
+	}
+	// Ended closes an attempt; the next one resumes from Checkpoint.
+	Ended struct {
+		Task       fleet.TaskID  `cbor:"task_id"`
+		Attempt    fleet.Attempt `cbor:"attempt"`
+		Outcome    Outcome       `cbor:"outcome"`
+		Checkpoint []byte        `cbor:"checkpoint,omitempty"`
+		Reason     string        `cbor:"reason,omitempty"`
+		AtMS       int64         `cbor:"at_ms"`
+	}
+	// Cancelled ends a job unless all its tasks have ended before.
+	Cancelled struct {
+		Job  fleet.JobID `cbor:"job_id"`
+		AtMS int64       `cbor:"at_ms"`
+	}
+	// Moved passes a job on to another partition.
+	Moved struct {
+		Job  fleet.JobID       `cbor:"job_id"`
+		To   fleet.PartitionID `cbor:"to"`
+		AtMS int64             `cbor:"at_ms"`
+	}
+	// Service sets the replicas of a service that this partition runs; a lower revision changes nothing.
+	Service struct {
+		Service   fleet.ServiceID `cbor:"service"`
+		Class     fleet.Class     `cbor:"class"`
+		Replicas  []int           `cbor:"replicas"`
+		Resources fleet.Resources `cbor:"resources"`
+		Revision  store.Revision  `cbor:"revision"`
+	}
+	// Task is the state of a task in a snapshot.
+	Task struct {
+		Task       fleet.TaskID     `cbor:"task_id"`
+		State      string           `cbor:"state"`
+		Attempt    fleet.Attempt    `cbor:"attempt"`
+		Worker     fleet.WorkerID   `cbor:"worker,omitempty"`
+		Failures   int              `cbor:"failures,omitempty"`
+		FailedOn   []fleet.WorkerID `cbor:"failed_on,omitempty"`
+		Checkpoint []byte           `cbor:"checkpoint,omitempty"`
+		Reason     string           `cbor:"reason,omitempty"`
+		EndedMS    int64            `cbor:"ended_ms,omitempty"`
+	}
+)
+
+func (Submitted) kind() string { return "submitted" }
+func (Claimed) kind() string   { return "claimed" }
+func (Ended) kind() string     { return "ended" }
+func (Cancelled) kind() string { return "cancelled" }
+func (Moved) kind() string     { return "moved" }
+func (Service) kind() string   { return "service" }
+func (Task) kind() string      { return "task" }
+
+// FormatError reports a stored value that is no list of records of this package.
+type FormatError struct {
+	Key   string
+	Cause error
+}
+
+// Error names the key and the cause.
+func (e *FormatError) Error() string { return fmt.Sprintf("ledger value %q: %v", e.Key, e.Cause) }
+
+// Unwrap returns the cause.
+func (e *FormatError) Unwrap() error { return e.Cause }
+
+type frame struct {
+	Kind string          `cbor:"k"`
+	Body cbor.RawMessage `cbor:"b"`
+}
+
+var decoders = map[string]func([]byte) (Record, error){
+	Submitted{}.kind(): decodeAs[Submitted],
+	Claimed{}.kind():   decodeAs[Claimed],
+	Ended{}.kind():     decodeAs[Ended],
+	Cancelled{}.kind(): decodeAs[Cancelled],
+	Moved{}.kind():     decodeAs[Moved],
+	Service{}.kind():   decodeAs[Service],
+	Task{}.kind():      decodeAs[Task],
+}
+
+func decodeAs[T Record](data []byte) (Record, error) {
+	var r T
+	err := cbor.Unmarshal(data, &r)
+	return r, err
+}
+
+func encodeFrame(r Record) (frame, error) {
+	body, err := cbor.Marshal(r)
+	return frame{Kind: r.kind(), Body: body}, err
+}
+
+// EncodeRecord returns the form of one record that [DecodeRecord] reads, for "inbox/" values.
+func EncodeRecord(r Record) ([]byte, error) {
+	f, err := encodeFrame(r)
+	if err != nil {
+		return nil, err
+	}
+	return cbor.Marshal(f)
+}
+
+// DecodeRecord reads one record; its error is a [*FormatError] with the given key.
+func DecodeRecord(key string, data []byte) (Record, error) {
+	var f frame
+	if err := cbor.Unmarshal(data, &f); err != nil {
+		return nil, &FormatError{Key: key, Cause: err}
+	}
+	return f.record(key)
+}
+
+func (f frame) record(key string) (Record, error) {
+	decode, known := decoders[f.Kind]
+	if !known {
+		return nil, &FormatError{Key: key, Cause: fmt.Errorf("unknown kind %q", f.Kind)}
+	}
+	r, err := decode(f.Body)
+	if err != nil {
+		return nil, &FormatError{Key: key, Cause: err}
+	}
+	return r, nil
+}
+
+// entry is the value of a log key. Batch tells a repeated write of this owner from another one's.
+type entry struct {
+	Epoch  fleet.Epoch `cbor:"epoch"`
+	Frames []frame     `cbor:"records"`
+}
+
+func decodeEntry(key string, data []byte) (entry, []Record, error) {
+	var e entry
+	if err := cbor.Unmarshal(data, &e); err != nil {
+		return e, nil, &FormatError{Key: key, Cause: err}
+	}
+	records := make([]Record, 0, len(e.Frames))
+	for _, f := range e.Frames {
+		r, err := f.record(key)
+		if err != nil {
+			return e, nil, err
+		}
+		records = append(records, r)
+	}
+	return e, records, nil
+}
--- a/coord/wire/codec.go
+++ b/coord/wire/codec.go
@@ -48,6 +48,7 @@
 	ConfigState{}.kind():   decodeAs[ConfigState],
 	JobCall{}.kind():       decodeAs[JobCall],
 	JobAnswer{}.kind():     decodeAs[JobAnswer],
+	Usage{}.kind():         decodeAs[Usage],
 	Load{}.kind():          decodeAs[Load],
 }
 
--- a/coord/wire/messages.go
+++ b/coord/wire/messages.go
@@ -112,6 +112,20 @@
 	Body   []byte `cbor:"body"`
 }
 
+// Usage tells what each customer's tasks hold in a partition; a higher (Epoch, Sequence) replaces a lower one.
+type Usage struct {
+	Partition fleet.PartitionID          `cbor:"partition"`
+	Epoch     fleet.Epoch                `cbor:"epoch"`
+	Sequence  uint64                     `cbor:"sequence"`
+	Customers map[fleet.CustomerID]Share `cbor:"customers"`
+}
+
+// Share is what a customer's tasks hold.
+type Share struct {
+	Tasks     int             `cbor:"tasks"`
+	Resources fleet.Resources `cbor:"resources"`
+}
+
 // Load tells the sender's queue lengths by class and its idle slots by worker.
 type Load struct {
 	Queued    [3]int                 `cbor:"queued"`
@@ -131,4 +145,5 @@
 func (ConfigState) kind() string   { return "config_state" }
 func (JobCall) kind() string       { return "job_call" }
 func (JobAnswer) kind() string     { return "job_answer" }
+func (Usage) kind() string         { return "usage" }
 func (Load) kind() string          { return "load" }
--- /dev/null
+++ b/entryd/batch/batch.go
@@ -0,0 +1,272 @@
+package batch
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"lovagefork.example/coord/config"
+	"lovagefork.example/coord/fleet"
+	"lovagefork.example/coord/jobs"
+	"lovagefork.example/coord/lease"
+	"lovagefork.example/coord/ledger"
+	"lovagefork.example/coord/place"
+	"lovagefork.example/coord/plat"
+	"lovagefork.example/coord/store"
+	"lovagefork.example/coord/wire"
+)
+
+// Timeouts of calls.
+const (
+	storeTimeout    = 2 * time.Second
+	readTimeout     = 5 * time.Second
+	agentTimeout    = 3 * time.Second
+	stopTimeout     = 10 * time.Second
+	callTimeout     = 5 * time.Second
+	watchRetry      = time.Second
+	recoverRetry    = 500 * time.Millisecond
+	shareEvery      = time.Second
+	releaseTimeout  = 2 * time.Second
+	drainPoll       = 20 * time.Millisecond
+	snapshotRetries = 5
+)
+
+// Links is the part of the peer mesh that the runtime uses.
+type Links interface {
+	Call(ctx context.Context, to fleet.EntryHostID, msg wire.Message) (wire.Message, error)
+	Broadcast(msg wire.Message)
+}
+
+// Deps is what the runtime works with.
+type Deps struct {
+	Self       wire.Hello
+	Partitions []fleet.PartitionID
+	PerZone    int
+	Store      store.Client
+	Agent      plat.Agent
+	Peers      Links
+	Log        *slog.Logger
+}
+
+// Runtime drives the reducers of lease, ledger and jobs; its methods are safe for concurrent use.
+type Runtime struct {
+	Deps
+	onEndpoints func(wire.Endpoints)
+	newPlacer   func() *place.Machine
+	horizon     time.Duration
+
+	mu         sync.Mutex
+	ctx        context.Context
+	lease      *lease.Machine
+	ledger     *ledger.Machine
+	parts      map[fleet.PartitionID]*part
+	recovering map[fleet.PartitionID]fleet.Epoch
+	workers    map[fleet.WorkerID]fleet.Worker
+	observed   bool
+	configs    map[fleet.CustomerID]config.Versioned
+	inboxes    map[string]inboxItem
+	usage      map[fleet.PartitionID]wire.Usage
+	nextShare  time.Time
+	nextCall   uint64
+	waiting    map[uint64]waiter
+	wg         sync.WaitGroup
+}
+
+// part is an owned partition.
+type part struct {
+	id         fleet.PartitionID
+	epoch      fleet.Epoch
+	ownerValue []byte
+	machine    *jobs.Machine
+	head       []byte
+	// closed is set when the ledger refuses commits; running tasks are renewed until the lease machine decides.
+	closed     bool
+	stepping   bool
+	compacting bool
+	renewals   int
+}
+
+type inboxItem struct {
+	partition fleet.PartitionID
+	job       ledger.Submitted
+}
+
+// Option changes a [Runtime] under construction.
+type Option func(*Runtime)
+
+// WithOnEndpoints sets a function that is called with the replicas of every partition, of this process and of peers.
+func WithOnEndpoints(f func(wire.Endpoints)) Option {
+	return func(r *Runtime) { r.onEndpoints = f }
+}
+
+// WithPolicy sets the placement policy; the default is [place.Interference].
+func WithPolicy(p place.Policy, opts ...place.Option) Option {
+	return func(r *Runtime) { r.newPlacer = func() *place.Machine { return place.New(p, opts...) } }
+}
+
+// WithOutageHorizon replaces [lease.OutageHorizon]; all processes must use the same value.
+func WithOutageHorizon(d time.Duration) Option {
+	return func(r *Runtime) { r.horizon = d }
+}
+
+// New returns a runtime that does nothing before [Runtime.Run].
+func New(deps Deps, opts ...Option) *Runtime {
+	r := &Runtime{
+		Deps:        deps,
+		onEndpoints: func(wire.Endpoints) {},
+		newPlacer:   func() *place.Machine { return place.New(place.Interference{}) },
+		horizon:     lease.OutageHorizon,
+		ledger:      ledger.New(),
+		parts:       make(map[fleet.PartitionID]*part),
+		recovering:  make(map[fleet.PartitionID]fleet.Epoch),
+		workers:     make(map[fleet.WorkerID]fleet.Worker),
+		configs:     make(map[fleet.CustomerID]config.Versioned),
+		inboxes:     make(map[string]inboxItem),
+		usage:       make(map[fleet.PartitionID]wire.Usage),
+		waiting:     make(map[uint64]waiter),
+	}
+	for _, opt := range opts {
+		opt(r)
+	}
+	self := lease.Member{EntryHost: deps.Self.EntryHost, Boot: deps.Self.Boot, Zone: deps.Self.Zone}
+	r.lease = lease.New(self, deps.Partitions, lease.WithOutageHorizon(r.horizon))
+	return r
+}
+
+// Run drives the runtime until ctx ends; the session is then left to lapse unless [Runtime.Drain] has ended it.
+func (r *Runtime) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer r.wg.Wait()
+	defer cancel()
+	r.mu.Lock()
+	r.ctx = ctx
+	r.mu.Unlock()
+	r.wg.Go(func() { r.watchLoop(ctx, lease.PartitionsPrefix, r.ownersChanged) })
+	r.wg.Go(func() { r.watchLoop(ctx, inboxRoot, r.inboxChanged) })
+	ticker := time.NewTicker(ledger.TickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			r.tick()
+		}
+	}
+}
+
+func (r *Runtime) tick() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	r.stepLease(now, lease.Tick{})
+	r.shareUsage(now)
+	for _, id := range r.Partitions {
+		if p := r.parts[id]; p != nil {
+			r.feedInbox(now, p)
+			r.stepJobs(now, p, jobs.Tick{})
+		}
+	}
+	r.stepLedger(now, ledger.Tick{})
+}
+
+// spawn runs a call outside the lock; it must be called under the lock while Run is active.
+func (r *Runtime) spawn(timeout time.Duration, call func(ctx context.Context)) {
+	if r.ctx == nil || r.ctx.Err() != nil {
+		return
+	}
+	ctx := r.ctx
+	r.wg.Go(func() {
+		ctx, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		call(ctx)
+	})
+}
+
+// ObserveFleet takes the live and leaving workers of the host list.
+func (r *Runtime) ObserveFleet(workers []fleet.Worker) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	old := r.workers
+	r.workers = make(map[fleet.WorkerID]fleet.Worker, len(workers))
+	r.observed = true
+	for _, w := range workers {
+		r.workers[w.ID] = w
+	}
+	capacities := r.capacities()
+	for _, p := range r.parts {
+		r.stepJobs(now, p, jobs.Capacities{Workers: capacities})
+		for id, w := range r.workers {
+			if old[id] != w && fleet.PartitionOf(w, r.PerZone) == p.id {
+				r.stepJobs(now, p, jobs.WorkerSeen{Worker: w})
+			}
+		}
+		for id, w := range old {
+			if _, listed := r.workers[id]; !listed && fleet.PartitionOf(w, r.PerZone) == p.id {
+				r.stepJobs(now, p, jobs.WorkerGone{ID: id})
+			}
+		}
+	}
+}
+
+// capacities lists the distinct sizes of the live workers of each partition.
+func (r *Runtime) capacities() map[fleet.PartitionID][]fleet.Resources {
+	seen := make(map[fleet.PartitionID]map[fleet.Resources]bool)
+	all := make(map[fleet.PartitionID][]fleet.Resources)
+	for _, w := range r.workers {
+		p := fleet.PartitionOf(w, r.PerZone)
+		if w.State != fleet.HostLive || seen[p][w.Capacity] {
+			continue
+		}
+		if seen[p] == nil {
+			seen[p] = make(map[fleet.Resources]bool)
+		}
+		seen[p][w.Capacity] = true
+		all[p] = append(all[p], w.Capacity)
+	}
+	return all
+}
+
+// ObserveConfig takes a version of a customer's document; an older one than the last changes nothing.
+func (r *Runtime) ObserveConfig(doc config.Versioned) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	customer := doc.Document.Customer
+	if old, known := r.configs[customer]; known && doc.Revision <= old.Revision {
+		return
+	}
+	r.configs[customer] = doc
+	now := time.Now()
+	for _, p := range r.parts {
+		r.stepJobs(now, p, r.configured(doc, p.id))
+	}
+}
+
+func (r *Runtime) configured(doc config.Versioned, p fleet.PartitionID) jobs.Configured {
+	return jobs.Configured{Document: doc, Services: jobs.Services(doc, p, r.Partitions)}
+}
+
+// Drain releases every partition and ends the session, so that other processes take over at once.
+func (r *Runtime) Drain(ctx context.Context) error {
+	r.mu.Lock()
+	r.stepLease(time.Now(), lease.Drain{})
+	r.mu.Unlock()
+	for {
+		r.mu.Lock()
+		left, id := len(r.parts)+len(r.recovering), r.lease.Lease()
+		r.mu.Unlock()
+		if left == 0 {
+			if id == 0 {
+				return nil
+			}
+			return r.Store.Revoke(ctx, id)
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(drainPoll):
+		}
+	}
+}
--- /dev/null
+++ b/entryd/batch/effects.go
@@ -0,0 +1,231 @@
+package batch
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"time"
+
+	"lovagefork.example/coord/fleet"
+	"lovagefork.example/coord/jobs"
+	"lovagefork.example/coord/lease"
+	"lovagefork.example/coord/ledger"
+	"lovagefork.example/coord/plat"
+	"lovagefork.example/coord/store"
+	"lovagefork.example/coord/wire"
+)
+
+var errNotOwner = errors.New("this process does not own the partition at the moment")
+
+func (r *Runtime) permit(now time.Time, p *part) jobs.Permit {
+	return jobs.Permit{
+		Claim: !p.closed && !p.stepping && r.lease.Holds(now, p.id, p.epoch),
+		Renew: !p.stepping && r.lease.MayRenew(now, p.id, p.epoch),
+	}
+}
+
+func (r *Runtime) stepJobs(now time.Time, p *part, ev jobs.Event) {
+	p.machine.Allow(r.permit(now, p))
+	for _, e := range p.machine.Step(now, ev) {
+		r.performJobs(now, p, e)
+	}
+}
+
+// jobsEvent hands the result of a call to the machine that asked for it, unless it has been replaced.
+func (r *Runtime) jobsEvent(p *part, ev jobs.Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.parts[p.id] == p {
+		r.stepJobs(time.Now(), p, ev)
+	}
+}
+
+// mayClaim is the check of ownership immediately before an effect.
+func (r *Runtime) mayClaim(p *part) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.parts[p.id] == p && r.permit(time.Now(), p).Claim
+}
+
+func (r *Runtime) mayRenew(p *part) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.parts[p.id] == p && r.permit(time.Now(), p).Renew
+}
+
+func (r *Runtime) performJobs(now time.Time, p *part, e jobs.Effect) {
+	switch e := e.(type) {
+	case jobs.Append:
+		r.stepLedger(now, ledger.Append{Partition: p.id, Records: e.Records, Ops: e.Ops})
+	case jobs.Answer:
+		r.deliver(e)
+	case jobs.Note:
+		r.Log.Info(e.Text, e.Args...)
+	case jobs.Publish:
+		r.publish(e.Endpoints)
+	case jobs.Superseded:
+		r.Log.Warn("lease: a worker accepts only a later owner", "partition", p.id, "epoch", p.epoch, "worker", e.Worker)
+		r.stepLease(now, lease.Stale{Partition: p.id, Epoch: p.epoch})
+	default:
+		r.command(p, e)
+	}
+}
+
+func (r *Runtime) publish(e wire.Endpoints) {
+	r.onEndpoints(e)
+	r.Peers.Broadcast(e)
+}
+
+// command sends one command to a worker and hands its result back.
+func (r *Runtime) command(p *part, e jobs.Effect) {
+	switch e := e.(type) {
+	case jobs.Start:
+		r.spawn(agentTimeout, func(ctx context.Context) {
+			err := error(&plat.UnreachableError{Worker: e.Worker.ID, Op: "start", Cause: errNotOwner})
+			if r.mayClaim(p) {
+				err = r.Agent.Start(ctx, e.Worker, e.Start)
+			}
+			r.jobsEvent(p, jobs.StartDone{Ref: e.Start.TaskRef, Worker: e.Worker.ID, Epoch: e.Start.Epoch, Err: err})
+		})
+	case jobs.Stop:
+		r.spawn(stopTimeout, func(ctx context.Context) {
+			err := error(&plat.UnreachableError{Worker: e.Worker.ID, Op: "stop", Cause: errNotOwner})
+			var status plat.TaskStatus
+			if r.mayClaim(p) {
+				status, err = r.Agent.Stop(ctx, e.Worker, e.Epoch, e.Ref, e.Checkpoint)
+			}
+			r.jobsEvent(p, jobs.StopDone{Ref: e.Ref, Worker: e.Worker.ID, Epoch: e.Epoch, Status: status, Err: err})
+		})
+	case jobs.Renew:
+		p.renewals++
+		r.spawn(agentTimeout, func(ctx context.Context) { r.renew(ctx, p, e) })
+	case jobs.Status:
+		r.spawn(agentTimeout, func(ctx context.Context) {
+			sent := time.Now()
+			err := error(&plat.UnreachableError{Worker: e.Worker.ID, Op: "status", Cause: errNotOwner})
+			var status plat.Status
+			if r.mayRenew(p) {
+				status, err = r.Agent.Status(ctx, e.Worker, e.Epoch)
+			}
+			r.jobsEvent(p, jobs.StatusDone{Worker: e.Worker.ID, Epoch: e.Epoch, SentAt: sent, Status: status, Err: err})
+		})
+	case jobs.Throttle:
+		r.spawn(agentTimeout, func(ctx context.Context) {
+			if r.mayClaim(p) {
+				r.warn("place: throttle failed", r.Agent.Throttle(ctx, e.Worker, e.Epoch, e.Ref, e.Permille))
+			}
+		})
+	case jobs.Ack:
+		r.spawn(agentTimeout, func(ctx context.Context) {
+			if r.mayClaim(p) {
+				r.warn("jobs: acknowledgement failed", r.Agent.Ack(ctx, e.Worker, e.Epoch, e.Tasks))
+			}
+		})
+	}
+}
+
+func (r *Runtime) renew(ctx context.Context, p *part, e jobs.Renew) {
+	err := error(&plat.UnreachableError{Worker: e.Worker.ID, Op: "renew", Cause: errNotOwner})
+	var unknown []plat.TaskRef
+	if r.mayRenew(p) {
+		unknown, err = r.Agent.Renew(ctx, e.Worker, e.Epoch, jobs.TaskTTL, e.Tasks)
+	}
+	r.mu.Lock()
+	p.renewals--
+	r.mu.Unlock()
+	r.jobsEvent(p, jobs.RenewDone{Worker: e.Worker.ID, Epoch: e.Epoch, Tasks: e.Tasks, Unknown: unknown, Err: err})
+}
+
+func (r *Runtime) stepLedger(now time.Time, ev ledger.Event) {
+	for _, e := range r.ledger.Step(now, ev) {
+		switch e := e.(type) {
+		case ledger.Commit:
+			r.spawn(storeTimeout, func(ctx context.Context) {
+				result, err := r.Store.Txn(ctx, e.Txn)
+				r.warn("jobs: commit unclear", err)
+				r.mu.Lock()
+				defer r.mu.Unlock()
+				r.stepLedger(time.Now(), ledger.Done{Result: result, Err: err})
+			})
+		case ledger.Committed:
+			r.committed(now, e)
+		case ledger.LostOwnership:
+			r.closeLedger(now, e.Partition, e.Epoch)
+		}
+	}
+}
+
+func (r *Runtime) committed(now time.Time, e ledger.Committed) {
+	p := r.parts[e.Partition]
+	if p == nil || p.epoch != e.Epoch {
+		return
+	}
+	r.stepJobs(now, p, jobs.Committed{Records: e.Records})
+	if e.Snapshot && !p.compacting {
+		r.compact(now, p, e.Sequence)
+	}
+}
+
+// closeLedger stops commits of a partition whose owner key is gone. Its running tasks are still renewed until the
+// lease machine finds another owner, because a process whose session lapsed may get the partition back.
+func (r *Runtime) closeLedger(now time.Time, id fleet.PartitionID, epoch fleet.Epoch) {
+	r.ledger.Step(now, ledger.Close{Partition: id})
+	if p := r.parts[id]; p != nil && p.epoch == epoch {
+		p.closed = true
+		r.Log.Warn("lease: store refused a commit", "partition", id, "epoch", epoch)
+		r.failCalls(id)
+		r.stepLease(now, lease.OwnersChanged{})
+	}
+}
+
+// compact writes a snapshot. A failed one is skipped: the log stays complete without it.
+func (r *Runtime) compact(now time.Time, p *part, seq uint64) {
+	c, err := ledger.Snapshot(p.id, lease.OwnerKey(p.id), p.ownerValue, p.head, seq, p.machine.Snapshot(now))
+	if err != nil {
+		r.Log.Error("jobs: snapshot failed", "partition", p.id, "error", err)
+		return
+	}
+	p.compacting = true
+	r.spawn(snapshotRetries*storeTimeout, func(ctx context.Context) {
+		head, err := r.writeSnapshot(ctx, c)
+		r.warn("jobs: snapshot of partition "+string(p.id)+" not written", err)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		p.compacting = false
+		if head != nil {
+			p.head = head
+		}
+		if err == nil {
+			r.Log.Info("jobs: snapshot written", "partition", p.id, "sequence", seq, "store_calls", len(c.Txns))
+		}
+	})
+}
+
+// writeSnapshot returns the head that the store holds as far as it is known, also with an error.
+func (r *Runtime) writeSnapshot(ctx context.Context, c ledger.Compaction) ([]byte, error) {
+	for _, txn := range c.Txns {
+		for {
+			result, err := r.Store.Txn(ctx, txn)
+			head := storedHead(result)
+			if err == nil && (result.Committed || bytes.Equal(head, c.Head)) {
+				break
+			}
+			if err == nil {
+				return head, errNotOwner
+			}
+			select {
+			case <-ctx.Done():
+				return nil, err
+			case <-time.After(recoverRetry):
+			}
+		}
+	}
+	return c.Head, nil
+}
+
+func storedHead(result store.TxnResult) []byte {
+	if len(result.Reads) == 0 || len(result.Reads[0]) == 0 {
+		return nil
+	}
+	return result.Reads[0][0].Value
+}
--- /dev/null
+++ b/entryd/batch/faults_test.go
@@ -0,0 +1,263 @@
+package batch_test
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"lovagefork.example/coord/fleet"
+	"lovagefork.example/coord/jobs"
+)
+
+var (
+	hosts     = []fleet.EntryHostID{"e1", "e2"}
+	hostZones = map[fleet.EntryHostID]fleet.AvailabilityZone{"e1": "a", "e2": "b"}
+	boxNames  = []fleet.WorkerID{"a0", "a1", "b0", "b1"}
+)
+
+// action is one fault or request at a time after the action before it.
+type action struct {
+	kind   string
+	after  time.Duration
+	length time.Duration
+	host   fleet.EntryHostID
+	box    fleet.WorkerID
+	job    int
+	count  int
+	flag   bool
+}
+
+type plan struct {
+	tasks   []int
+	runMS   []int64
+	classes []string
+	bad     []bool
+	actions []action
+}
+
+var kinds = []string{
+	"pause", "kill", "lose start", "late start", "lose store", "outage", "evict", "cancel", "evict and cancel",
+	"cut", "reboot", "resubmit", "drain",
+}
+
+func millis(t *rapid.T, name string, from, to int) time.Duration {
+	return time.Duration(rapid.IntRange(from, to).Draw(t, name)) * time.Millisecond
+}
+
+func drawPlan(t *rapid.T) plan {
+	var p plan
+	n := rapid.IntRange(2, 5).Draw(t, "jobs")
+	for range n {
+		p.tasks = append(p.tasks, rapid.IntRange(1, 5).Draw(t, "tasks"))
+		p.runMS = append(p.runMS, int64(rapid.IntRange(100, 60_000).Draw(t, "run_ms")))
+		p.classes = append(p.classes, rapid.SampledFrom([]string{"urgent", "standard", "deferrable"}).Draw(t, "class"))
+		p.bad = append(p.bad, rapid.IntRange(0, 5).Draw(t, "bad") == 0)
+	}
+	for range rapid.IntRange(1, 8).Draw(t, "actions") {
+		p.actions = append(p.actions, action{
+			kind:   rapid.SampledFrom(kinds).Draw(t, "kind"),
+			after:  millis(t, "after", 0, 8000),
+			length: millis(t, "length", 10, 40_000),
+			host:   rapid.SampledFrom(hosts).Draw(t, "host"),
+			box:    rapid.SampledFrom(boxNames).Draw(t, "worker"),
+			job:    rapid.IntRange(0, n-1).Draw(t, "job"),
+			count:  rapid.IntRange(1, 3).Draw(t, "count"),
+			flag:   rapid.Bool().Draw(t, "flag"),
+		})
+	}
+	return p
+}
+
+// trial runs a plan and collects what went wrong.
+type trial struct {
+	world     *world
+	plan      plan
+	accepted  map[int]bool
+	cancelled map[int]bool
+	problems  []string
+}
+
+func (r *trial) any() *proc {
+	r.world.mu.Lock()
+	defer r.world.mu.Unlock()
+	for _, h := range hosts {
+		if p := r.world.procs[h]; p != nil {
+			return p
+		}
+	}
+	return nil
+}
+
+func (r *trial) at(h fleet.EntryHostID) *proc {
+	r.world.mu.Lock()
+	defer r.world.mu.Unlock()
+	return r.world.procs[h]
+}
+
+func jobName(i int) string { return fmt.Sprintf("job%d", i) }
+
+func (r *trial) submit(i int) {
+	p := r.any()
+	if p == nil {
+		return
+	}
+	body := jobBody(jobName(i), r.plan.classes[i], r.plan.tasks[i], r.plan.runMS[i])
+	if r.plan.bad[i] {
+		body = `{"kind":"bad",` + body[1:]
+	}
+	if code, _ := p.do(http.MethodPost, "/v1/jobs", body); code == http.StatusCreated || code == http.StatusOK {
+		r.accepted[i] = true
+	}
+}
+
+func (r *trial) act(a action) {
+	time.Sleep(a.after)
+	p, fleet := r.at(a.host), r.world.fleet
+	switch a.kind {
+	case "pause":
+		if p != nil {
+			p.pause()
+			time.AfterFunc(a.length, p.resume)
+		}
+	case "kill":
+		r.world.kill(a.host)
+		time.AfterFunc(a.length, func() { r.revive(a.host) })
+	case "drain":
+		if p != nil {
+			go func() { _ = p.runtime.Drain(p.ctx) }()
+			time.AfterFunc(a.length, func() {
+				r.world.kill(a.host)
+				r.revive(a.host)
+			})
+		}
+	case "lose start", "late start":
+		fleet.mu.Lock()
+		fleet.loseNext = a.count
+		fleet.lateBy = 0
+		if a.kind == "late start" {
+			fleet.lateBy = a.length / 10
+		}
+		fleet.mu.Unlock()
+	case "lose store":
+		r.world.kv.mu.Lock()
+		r.world.kv.loseNext = a.count
+		r.world.kv.mu.Unlock()
+	case "outage":
+		r.world.kv.setDown(true, a.flag)
+		time.AfterFunc(a.length, func() { r.world.kv.setDown(false, a.flag) })
+	case "cut":
+		fleet.setCut(a.box, true)
+		time.AfterFunc(3*a.length, func() { fleet.setCut(a.box, false) })
+	case "reboot":
+		fleet.reboot(a.box)
+	case "resubmit":
+		go r.submit(a.job)
+	default:
+		r.change(a)
+	}
+}
+
+func (r *trial) change(a action) {
+	p := r.at(a.host)
+	if p == nil {
+		return
+	}
+	if a.kind != "cancel" {
+		go p.do(http.MethodPost, "/v1/jobs/"+jobName(a.job)+"/evict", "")
+	}
+	if a.kind != "evict" {
+		code, _ := p.do(http.MethodDelete, "/v1/jobs/"+jobName(a.job), "")
+		if code == http.StatusOK {
+			r.cancelled[a.job] = true
+		}
+	}
+}
+
+func (r *trial) revive(h fleet.EntryHostID) {
+	if r.at(h) == nil {
+		r.world.start(h, hostZones[h])
+	}
+}
+
+func (r *trial) final(i int) (jobs.View, bool) {
+	p := r.any()
+	if p == nil {
+		return jobs.View{}, false
+	}
+	code, v := p.do(http.MethodGet, "/v1/jobs/"+jobName(i)+"/explain", "")
+	return v, code == http.StatusOK && slices.Contains([]jobs.State{jobs.Succeeded, jobs.Failed, jobs.Cancelled}, v.State)
+}
+
+func (r *trial) run() {
+	w := r.world
+	for _, h := range hosts {
+		w.start(h, hostZones[h])
+	}
+	time.Sleep(4 * time.Second)
+	for i := range r.plan.tasks {
+		r.submit(i)
+	}
+	for _, a := range r.plan.actions {
+		r.act(a)
+	}
+	time.Sleep(130 * time.Second) // every fault has ended by then
+	deadline := time.Now().Add(testHorizon + 10*time.Minute)
+	for i := range r.plan.tasks {
+		if !r.accepted[i] {
+			continue
+		}
+		v, done := r.final(i)
+		for !done && time.Now().Before(deadline) {
+			time.Sleep(time.Second)
+			v, done = r.final(i)
+		}
+		r.check(i, v, done)
+	}
+	w.fleet.mu.Lock()
+	r.problems = append(r.problems, w.fleet.faults...)
+	w.fleet.mu.Unlock()
+}
+
+func (r *trial) check(i int, v jobs.View, done bool) {
+	want := jobs.Succeeded
+	switch {
+	case r.cancelled[i]:
+		want = jobs.Cancelled
+	case r.plan.bad[i]:
+		want = jobs.Failed
+	}
+	if !done || (v.State != want && v.State != jobs.Cancelled) || (r.cancelled[i] && v.State != want) {
+		r.problems = append(r.problems, fmt.Sprintf("job %d is %s, want %s: %+v", i, v.State, want, v))
+	}
+	for _, t := range v.Tasks {
+		if t.Failures > 5 {
+			r.problems = append(r.problems, fmt.Sprintf("task %s failed %d times", t.Task, t.Failures))
+		}
+	}
+}
+
+// Whatever fails, no task may run in two places at once, no attempt may run twice, evicted work must resume from its
+// checkpoint, and every accepted job must end once, as its callers were told.
+func TestFaultsInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		p := drawPlan(rt)
+		var problems []string
+		var logs string
+		synctest.Test(t, func(*testing.T) {
+			w := newWorld(2)
+			w.fleet.failing["bad"] = true
+			r := &trial{world: w, plan: p, accepted: map[int]bool{}, cancelled: map[int]bool{}}
+			r.run()
+			w.stop()
+			problems, logs = r.problems, w.logs.String()
+		})
+		if len(problems) > 0 {
+			rt.Fatalf("%q\n%s", problems, logs)
+		}
+	})
+}
--- /dev/null
+++ b/entryd/batch/fleet_test.go
@@ -0,0 +1,256 @@
+package batch_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"lovagefork.example/coord/fleet"
+	"lovagefork.example/coord/plat"
+)
+
+// run is one attempt at a worker.
+type run struct {
+	ref   plat.TaskRef
+	start plat.Start
+	from  time.Time
+	lease time.Time
+	done  time.Time
+	state plat.TaskState
+}
+
+type box struct {
+	info  fleet.Worker
+	epoch fleet.Epoch
+	runs  map[plat.TaskRef]*run
+	cut   bool
+}
+
+// machines are the workers, which check that no task runs twice at a time and that none is overloaded.
+type machines struct {
+	mu      sync.Mutex
+	boxes   map[fleet.WorkerID]*box
+	started map[plat.TaskRef]int
+	// saved is the checkpoint of the last stopped attempt of a task.
+	saved    map[fleet.TaskID]string
+	faults   []string
+	loseNext int
+	failing  map[string]bool
+	// lateBy delays the delivery of starts whose answer is lost.
+	lateBy time.Duration
+	starts int
+}
+
+func newMachines(workers []fleet.Worker) *machines {
+	m := &machines{
+		boxes: map[fleet.WorkerID]*box{}, started: map[plat.TaskRef]int{}, saved: map[fleet.TaskID]string{},
+		failing: map[string]bool{},
+	}
+	for _, w := range workers {
+		m.boxes[w.ID] = &box{info: w, runs: map[plat.TaskRef]*run{}}
+	}
+	return m
+}
+
+func (m *machines) fault(format string, args ...any) {
+	m.faults = append(m.faults, time.Now().Format("15:04:05.000 ")+fmt.Sprintf(format, args...))
+}
+
+// settle ends the attempts of a worker whose time has come.
+func (m *machines) settle(b *box) {
+	now := time.Now()
+	for _, r := range b.runs {
+		if r.state != plat.TaskRunning {
+			continue
+		}
+		switch {
+		case now.After(r.lease) && r.lease.Before(r.done):
+			r.state = plat.TaskExpired
+		case now.After(r.done) && m.failing[r.start.Kind]:
+			r.state = plat.TaskFailed
+		case now.After(r.done):
+			r.state = plat.TaskSucceeded
+		}
+	}
+}
+
+// at returns the reachable worker; the caller holds the lock.
+func (m *machines) at(w fleet.WorkerID, epoch fleet.Epoch, op string) (*box, error) {
+	b := m.boxes[w]
+	m.settle(b)
+	if b.cut {
+		return nil, &plat.UnreachableError{Worker: w, Op: op, Cause: errFake}
+	}
+	if epoch < b.epoch {
+		return nil, &plat.RefusedError{Worker: w, Op: op, Reason: plat.ReasonStaleEpoch}
+	}
+	b.epoch = epoch
+	return b, nil
+}
+
+func (m *machines) lost(w fleet.WorkerID, op string) error {
+	if m.loseNext == 0 {
+		return nil
+	}
+	m.loseNext--
+	return &plat.UnclearError{Worker: w, Op: op, Cause: errFake}
+}
+
+func (m *machines) Start(_ context.Context, w fleet.Worker, s plat.Start) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.lateBy > 0 && m.loseNext > 0 {
+		time.AfterFunc(m.lateBy, func() {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			_ = m.begin(w, s)
+		})
+		return m.lost(w.ID, "start")
+	}
+	if err := m.begin(w, s); err != nil {
+		return err
+	}
+	return m.lost(w.ID, "start")
+}
+
+func (m *machines) begin(w fleet.Worker, s plat.Start) error {
+	b, err := m.at(w.ID, s.Epoch, "start")
+	if err != nil {
+		return err
+	}
+	if b.runs[s.TaskRef] != nil {
+		return nil
+	}
+	var used fleet.Resources
+	for _, o := range m.boxes {
+		m.settle(o)
+		for _, r := range o.runs {
+			if r.state == plat.TaskRunning && r.ref.Task == s.Task {
+				m.fault("task %s attempt %d starts on %s while attempt %d runs on %s", s.Task, s.Attempt, w.ID, r.ref.Attempt, o.info.ID)
+			}
+			if r.state == plat.TaskRunning && o == b {
+				used = used.Add(r.start.Resources)
+			}
+		}
+	}
+	if !used.Add(s.Resources).Fits(b.info.Capacity) {
+		m.fault("worker %s is given more than it has", w.ID)
+	}
+	if m.started[s.TaskRef]++; m.started[s.TaskRef] > 1 {
+		m.fault("attempt %v started again", s.TaskRef)
+	}
+	if want := m.saved[s.Task]; want != "" && string(s.Checkpoint) != want {
+		m.fault("attempt %v resumes from %q, want %q", s.TaskRef, s.Checkpoint, want)
+	}
+	m.starts++
+	now := time.Now()
+	b.runs[s.TaskRef] = &run{
+		ref: s.TaskRef, start: s, from: now, state: plat.TaskRunning,
+		lease: now.Add(time.Duration(s.LeaseMS) * time.Millisecond), done: now.Add(time.Duration(s.RunMS) * time.Millisecond),
+	}
+	return nil
+}
+
+func (m *machines) Renew(_ context.Context, w fleet.Worker, epoch fleet.Epoch, lease time.Duration, tasks []plat.TaskRef) ([]plat.TaskRef, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	b, err := m.at(w.ID, epoch, "renew")
+	if err != nil {
+		return nil, err
+	}
+	var unknown []plat.TaskRef
+	for _, ref := range tasks {
+		if r := b.runs[ref]; r == nil {
+			unknown = append(unknown, ref)
+		} else if r.state == plat.TaskRunning {
+			r.lease = time.Now().Add(lease)
+		}
+	}
+	return unknown, m.lost(w.ID, "renew")
+}
+
+func (m *machines) Stop(_ context.Context, w fleet.Worker, epoch fleet.Epoch, task plat.TaskRef, checkpoint bool) (plat.TaskStatus, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	b, err := m.at(w.ID, epoch, "stop")
+	if err != nil {
+		return plat.TaskStatus{}, err
+	}
+	r := b.runs[task]
+	if r == nil {
+		return plat.TaskStatus{}, &plat.RefusedError{Worker: w.ID, Op: "stop", Reason: plat.ReasonUnknownTask}
+	}
+	if r.state == plat.TaskRunning {
+		r.state = plat.TaskStopped
+		if checkpoint {
+			r.start.Checkpoint = fmt.Appendf(nil, "after attempt %d", task.Attempt)
+			m.saved[task.Task] = string(r.start.Checkpoint)
+		}
+	}
+	return r.status(), m.lost(w.ID, "stop")
+}
+
+func (r *run) status() plat.TaskStatus {
+	return plat.TaskStatus{TaskRef: r.ref, State: r.state, Checkpoint: r.start.Checkpoint, SlowdownPermille: 1000}
+}
+
+func (m *machines) Throttle(context.Context, fleet.Worker, fleet.Epoch, plat.TaskRef, int) error {
+	return nil
+}
+
+func (m *machines) Status(_ context.Context, w fleet.Worker, epoch fleet.Epoch) (plat.Status, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	b, err := m.at(w.ID, epoch, "status")
+	if err != nil {
+		return plat.Status{}, err
+	}
+	s := plat.Status{Epoch: b.epoch}
+	for _, r := range b.runs {
+		s.Tasks = append(s.Tasks, r.status())
+		if r.state == plat.TaskRunning {
+			s.Usage.Resources = s.Usage.Add(r.start.Resources)
+		}
+	}
+	return s, nil
+}
+
+func (m *machines) Ack(_ context.Context, w fleet.Worker, epoch fleet.Epoch, tasks []plat.TaskRef) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	b, err := m.at(w.ID, epoch, "ack")
+	if err != nil {
+		return err
+	}
+	for _, ref := range tasks {
+		if r := b.runs[ref]; r != nil && r.state != plat.TaskRunning {
+			delete(b.runs, ref)
+		}
+	}
+	return nil
+}
+
+// reboot ends everything on a worker, which also forgets the epoch.
+func (m *machines) reboot(id fleet.WorkerID) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.forgetSaved(m.boxes[id])
+	clear(m.boxes[id].runs)
+}
+
+// forgetSaved drops the checkpoints that die with a worker, or that its owner may give up before it sees them.
+func (m *machines) forgetSaved(b *box) {
+	for ref, r := range b.runs {
+		if r.state == plat.TaskStopped {
+			delete(m.saved, ref.Task)
+		}
+	}
+}
+
+func (m *machines) setCut(id fleet.WorkerID, cut bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.boxes[id].cut = cut
+	m.forgetSaved(m.boxes[id])
+}
