lease: keep a partition claimable after a refused claim

Cause: two processes raced for a partition after an outage. The loser saw the new owner before the answer to its own claim, dropped the claim's record, and then ignored the answer. Its mark that a claim is under way stayed, so that it never claimed the partition again; when the winner stepped down, the partition had no owner.

Ruled out: the release itself (its transaction was committed) and the ranking of candidates (a restarted process claimed at once).

Change: an answer always ends the claim that is under way, and a release under way takes precedence over the record of an earlier claim.

TestRefusedClaimLeavesPartitionClaimable fails without the change ("assertion failed: ok is false").

--- a/coord/lease/lease.go
+++ b/coord/lease/lease.go
@@ -293,19 +293,18 @@
 	owner, owned := m.owners[p]
 	h, held := m.held[p]
 	c, attempted := m.attempted[p]
-	if owned && attempted && owner == c.owner && !m.claiming[p] && h.epoch < c.owner.Epoch {
-		return []Effect{m.gain(p, c)}
-	}
 	if last, releasing := m.releasing[p]; owned && releasing && last.Owner == owner {
 		return []Effect{m.release(p)}
 	}
+	if owned && attempted && owner == c.owner && !m.claiming[p] && h.epoch < c.owner.Epoch {
+		return []Effect{m.gain(p, c)}
+	}
 	delete(m.releasing, p)
 	tenure, err := decode[Tenure](m.tenures[p].Value)
 	if !held || err != nil || tenure.Epoch <= h.epoch || (attempted && c.owner == tenure.Owner) {
 		return nil
 	}
 	delete(m.held, p)
-	delete(m.attempted, p)
 	return []Effect{Lost{Partition: p, Epoch: h.epoch, Reason: "another owner has a higher epoch"}}
 }
 
@@ -314,7 +313,6 @@
 		return nil
 	}
 	delete(m.held, ev.Partition)
-	delete(m.attempted, ev.Partition)
 	return []Effect{Lost{Partition: ev.Partition, Epoch: ev.Epoch, Reason: "a higher epoch was seen"}}
 }
 
--- a/coord/lease/owner.go
+++ b/coord/lease/owner.go
@@ -100,10 +100,10 @@
 // conditions, so that at most one of the two requests takes effect.
 func (m *Machine) claimDone(now time.Time, ev ClaimDone) []Effect {
 	c := m.attempted[ev.Partition]
-	if !m.claiming[ev.Partition] || c.owner != ev.Owner {
+	delete(m.claiming, ev.Partition)
+	if c.owner != ev.Owner {
 		return nil
 	}
-	delete(m.claiming, ev.Partition)
 	delete(m.freeSince, ev.Partition)
 	var effects []Effect
 	if ev.Known && ev.Won {
@@ -162,7 +162,6 @@
 	owner := Owner{EntryHost: m.self.EntryHost, Boot: m.self.Boot, Epoch: epoch}
 	delete(m.held, p)
 	delete(m.owners, p)
-	delete(m.attempted, p)
 	m.releasing[p] = Tenure{Owner: owner, Released: settled}
 	return []Effect{m.release(p)}
 }
