--- a/coord/fleet/worker.go
+++ b/coord/fleet/worker.go
@@ -1,6 +1,6 @@
 package fleet
 
-// HostState is the platform's view of a worker.
+// HostState is the state of a worker; only [HostLive] takes new work.
 type HostState string
 
 // The states of the platform's host list.
@@ -9,6 +9,10 @@
 	HostLeaving HostState = "leaving"
 )
 
+// HostSuspect is the state that package member gives to a worker that is neither known to leave nor fit for new work:
+// this process cannot reach it, or the list dropped it.
+const HostSuspect HostState = "suspect"
+
 // Worker describes one worker as the host list gives it.
 type Worker struct {
 	ID          WorkerID         `json:"worker" cbor:"worker"`
