grant, once, serve, front: loans, forwarding and claims

Cause: a request ran only on a slot of this process's own share, and a non-idempotent request was not claimed.

Change: borrow, loan, return, forward and load over entryd/peers; claims of non-idempotent requests in grouped store transactions that read back the holders of their keys; drain. coord/wire: Forward gains non_idempotent, so that the receiver never sends such a request twice.

A lent slot takes its connection along, so the reserve of spare connections was ruled out: the lender's own requests need one less meanwhile.

--- a/coord/admit/admit.go
+++ b/coord/admit/admit.go
@@ -1,6 +1,8 @@
 package admit
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"lovagefork.example/coord/fleet"
@@ -152,6 +154,32 @@
 	return n
 }
 
+// Services lists the services with waiting requests in ascending order.
+func (m *Machine) Services() []fleet.ServiceID {
+	found := make(map[fleet.ServiceID]struct{})
+	for c := range m.classes {
+		for _, q := range m.classes[c].customers {
+			for service := range q.services {
+				found[service] = struct{}{}
+			}
+		}
+	}
+	return slices.Sorted(maps.Keys(found))
+}
+
+// Waiting returns the number of waiting requests of a service and the most urgent class among them.
+func (m *Machine) Waiting(service fleet.ServiceID) (n int, class fleet.Class) {
+	for c := len(m.classes) - 1; c >= 0; c-- {
+		for _, q := range m.classes[c].customers {
+			if flow := q.services[service]; flow != nil {
+				n += flow.Len()
+				class = fleet.Class(c)
+			}
+		}
+	}
+	return n, class
+}
+
 func (m *Machine) check(now time.Time, it Item) Effect {
 	if rejected, ok := m.refuse(now, it); ok {
 		return rejected
--- a/coord/grant/grant.go
+++ b/coord/grant/grant.go
@@ -79,12 +79,11 @@
 }
 
 type worker struct {
-	share     Share
-	known     bool
-	used      int
-	lentSlots int
-	lentConns int
-	borrowed  []*loanPart
+	share    Share
+	known    bool
+	used     int
+	lent     int
+	borrowed []*loanPart
 }
 
 // ticket is one slot in use; part is nil for a slot of the own share.
@@ -158,7 +157,7 @@
 		state.share = ShareOf(m.roster, m.self, w)
 	}
 	for id, w := range m.workers {
-		if !w.known && w.used == 0 && w.lentSlots == 0 && len(w.borrowed) == 0 {
+		if !w.known && w.used == 0 && w.lent == 0 && len(w.borrowed) == 0 {
 			delete(m.workers, id)
 		}
 	}
@@ -176,6 +175,9 @@
 // Open reports whether the start-up quarantine of the own share has passed.
 func (m *Machine) Open(now time.Time) bool { return !now.Before(m.openAt) }
 
+// TTL returns how long a borrower may use a loan.
+func (m *Machine) TTL() time.Duration { return m.ttl }
+
 // Share returns this process's fixed share of a worker.
 func (m *Machine) Share(id fleet.WorkerID) Share {
 	if w := m.workers[id]; w != nil {
@@ -202,7 +204,7 @@
 	if !m.Open(now) || !w.known {
 		return 0
 	}
-	return max(0, w.share.Slots-w.used-w.lentSlots)
+	return max(0, w.share.Slots-w.used-w.lent)
 }
 
 func (m *Machine) take(now time.Time, ev Take) Effect {
--- a/coord/grant/loans.go
+++ b/coord/grant/loans.go
@@ -184,7 +184,7 @@
 	}
 }
 
-// lend takes one slot at a time from the worker with the most idle ones, so that a loan spreads over workers.
+// lend gives slots together with one connection each, which the share then does not need itself. It takes one slot at a time from the worker with the most idle ones, so that a loan spreads over workers.
 func (m *Machine) lend(now time.Time, ev BorrowReceived) []Effect {
 	given := make(map[fleet.WorkerID]int)
 	for range ev.Slots {
@@ -197,9 +197,7 @@
 		if most == 0 {
 			break
 		}
-		w := m.workers[best]
-		w.lentSlots++
-		w.lentConns++
+		m.workers[best].lent++
 		given[best]++
 	}
 	if len(given) == 0 {
@@ -217,11 +215,10 @@
 }
 
 func (m *Machine) lendable(now time.Time, id fleet.WorkerID) int {
-	w := m.workers[id]
-	if w == nil {
-		return 0
+	if w := m.workers[id]; w != nil {
+		return m.ownFree(now, w)
 	}
-	return max(0, min(m.ownFree(now, w), w.share.Spare()-w.lentConns))
+	return 0
 }
 
 // Idle returns the number of own slots on each worker that could be lent now.
@@ -252,8 +249,6 @@
 func (m *Machine) takeBack(id string, l lentLoan) {
 	delete(m.lent, id)
 	for _, p := range l.parts {
-		w := m.workers[p.Worker]
-		w.lentSlots -= p.Slots
-		w.lentConns -= p.Connections
+		m.workers[p.Worker].lent -= p.Slots
 	}
 }
--- a/coord/grant/share.go
+++ b/coord/grant/share.go
@@ -61,13 +61,5 @@
 	return n
 }
 
-// KeepAlive reports whether idle connections may stay open beside a full set of requests in flight.
+// KeepAlive reports whether idle connections may stay open beside a single-use connection for every slot.
 func (s Share) KeepAlive() bool { return s.Connections >= 2*s.Slots }
-
-// Spare returns the connections that neither requests in flight nor idle connections of this share need.
-func (s Share) Spare() int {
-	if s.KeepAlive() {
-		return s.Connections - 2*s.Slots
-	}
-	return s.Connections - s.Slots
-}
--- /dev/null
+++ b/coord/once/record.go
@@ -0,0 +1,47 @@
+package once
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"lovagefork.example/coord/fleet"
+)
+
+// Record is the value of a claim; Outcome is empty while it is not known. Owner, Boot and Serial tell a claim apart
+// from every other one.
+type Record struct {
+	Owner   fleet.EntryHostID `json:"entry_host"`
+	Boot    fleet.BootID      `json:"boot_id"`
+	Serial  uint64            `json:"serial"`
+	Outcome string            `json:"outcome,omitempty"`
+	Status  int               `json:"status,omitempty"`
+}
+
+// RecordError reports a value that is no record.
+type RecordError struct{ Cause error }
+
+// Error returns the cause.
+func (e *RecordError) Error() string { return fmt.Sprintf("decode claim: %v", e.Cause) }
+
+// Unwrap returns the cause.
+func (e *RecordError) Unwrap() error { return e.Cause }
+
+// DecodeRecord parses the value of a claim, or returns a [*RecordError].
+func DecodeRecord(data []byte) (Record, error) {
+	var r Record
+	if err := json.Unmarshal(data, &r); err != nil {
+		return Record{}, &RecordError{Cause: err}
+	}
+	return r, nil
+}
+
+// encode returns the stored form; a record of strings and numbers always has one.
+func (r Record) encode() []byte {
+	data, _ := json.Marshal(r)
+	return data
+}
+
+// same reports whether both records belong to one claim.
+func (r Record) same(o Record) bool {
+	return r.Owner == o.Owner && r.Boot == o.Boot && r.Serial == o.Serial
+}
--- a/coord/serve/attempt.go
+++ b/coord/serve/attempt.go
@@ -56,21 +56,31 @@
 	return m.routes.Choose(now, candidates)
 }
 
+// run sends a request that was taken from its queue.
 func (m *Machine) run(now time.Time, r *request) []Effect {
-	choice, ok := m.choose(now, r)
+	effects, ok := m.try(now, r)
 	if !ok {
+		m.blocked[r.Service] = true
 		m.admits.Step(now, admit.Requeue{Item: m.item(r.Request)})
-		return nil
+	}
+	return effects
+}
+
+// try sends a request if a backend server has a free slot for it.
+func (m *Machine) try(now time.Time, r *request) ([]Effect, bool) {
+	choice, ok := m.choose(now, r)
+	if !ok {
+		return nil, false
 	}
 	taken, ok := m.grants.Step(now, grant.Take{Ticket: r.ID, Worker: choice.Worker, Until: r.Deadline})[0].(grant.Taken)
 	if !ok {
-		m.admits.Step(now, admit.Requeue{Item: m.item(r.Request)})
-		return nil
+		return nil, false
 	}
 	m.routes.Step(now, route.Started{Worker: choice.Worker})
 	r.phase, r.worker = sending, choice.Worker
 	r.attempt++
-	if r.attempt == 1 {
+	r.sends++
+	if r.sends == 1 {
 		m.retries.deposit()
 	}
 	share := m.grants.Share(choice.Worker)
@@ -85,7 +95,7 @@
 		KeepAlive:   taken.Loan == "" && share.KeepAlive() && !r.NonIdempotent,
 		Connections: share.Slots,
 		Reason:      reason,
-	}}
+	}}, true
 }
 
 func (m *Machine) attemptEnded(now time.Time, ev AttemptEnded) []Effect {
@@ -99,7 +109,7 @@
 	switch ev.Result {
 	case Answered:
 		m.costs.add(now, r.Service, ev.Latency)
-		effects = append(effects, m.finish(r, Answer{
+		effects = append(effects, m.finish(now, r, Answer{
 			ID: r.ID, Attempt: ev.Attempt, Outcome: Ran, Reason: "answered", Status: ev.Status,
 		})...)
 	case Broken:
@@ -137,7 +147,7 @@
 	safe := !r.NonIdempotent || !r.touched
 	timely := now.Add(m.costs.of(r.Service)).Before(r.Deadline)
 	switch {
-	case r.answered, r.Forwarded, !safe, r.attempt >= maxAttempts:
+	case r.answered, r.Forwarded, !safe, r.sends >= maxAttempts:
 	case !timely:
 		reason = string(admit.ReasonDeadline)
 	case !m.retries.withdraw():
@@ -147,7 +157,7 @@
 		m.admits.Step(now, admit.Requeue{Item: m.item(r.Request)})
 		return nil
 	}
-	return m.finish(r, m.failure(r, reason))
+	return m.finish(now, r, m.failure(r, reason))
 }
 
 func (m *Machine) failure(r *request, reason string) Answer {
@@ -169,15 +179,18 @@
 	return []Effect{Answer{ID: r.ID, Attempt: ev.Attempt, Outcome: Ran, Reason: "streamed", Status: ev.Status}}
 }
 
-func (m *Machine) callerGone(id uint64) []Effect {
+func (m *Machine) callerGone(now time.Time, id uint64) []Effect {
 	r := m.requests[id]
 	if r == nil {
 		return nil
 	}
 	r.answered = true
-	if r.phase == queued {
-		m.admits.Step(time.Time{}, admit.Withdraw{ID: id})
-		return m.finish(r, Answer{})
+	switch r.phase {
+	case queued:
+		m.admits.Step(now, admit.Withdraw{ID: id})
+		return m.finish(now, r, Answer{Outcome: r.untouched()})
+	case claiming:
+		return m.finish(now, r, Answer{Outcome: NotRun})
 	}
 	return []Effect{Cancel{ID: id, Attempt: r.attempt}}
 }
--- a/coord/serve/machine.go
+++ b/coord/serve/machine.go
@@ -8,6 +8,7 @@
 	"lovagefork.example/coord/admit"
 	"lovagefork.example/coord/fleet"
 	"lovagefork.example/coord/grant"
+	"lovagefork.example/coord/once"
 	"lovagefork.example/coord/route"
 )
 
@@ -17,6 +18,11 @@
 	grants   *grant.Machine
 	admits   *admit.Machine
 	routes   *route.Machine
+	claims   *once.Machine
+	overflow Overflow
+	peers    map[fleet.EntryHostID]*peer
+	asked    map[uint64]fleet.EntryHostID
+	loadSent time.Time
 	requests map[uint64]*request
 	backends backends
 	retries  retryBudget
@@ -25,13 +31,17 @@
 	drained  bool
 }
 
-// request is the state of one request; touched is set once a byte may have reached a backend server.
+// request is the state of one request: attempt numbers its tries, sends counts those that a peer did not refuse, and
+// touched is set once a byte may have reached a backend server.
 type request struct {
 	Request
 	phase    phase
 	attempt  int
+	sends    int
 	worker   fleet.WorkerID
+	peer     fleet.EntryHostID
 	touched  bool
+	claimed  bool
 	answered bool
 }
 
@@ -39,6 +49,7 @@
 
 const (
 	queued phase = iota
+	claiming
 	sending
 	forwarding
 )
@@ -58,6 +69,8 @@
 	admit []admit.Option
 	route []route.Option
 	grant []grant.Option
+
+	overflow Overflow
 }
 
 // WithAdmit passes options to the admission control.
@@ -75,9 +88,12 @@
 	return func(o *options) { o.grant = append(o.grant, opts...) }
 }
 
+// WithOverflow sets what happens to requests for which no slot is free here; the default is [BorrowFirst].
+func WithOverflow(p Overflow) Option { return func(o *options) { o.overflow = p } }
+
 // New returns a machine for a process that starts now.
 func New(c Config, now time.Time, opts ...Option) *Machine {
-	var o options
+	o := options{overflow: BorrowFirst{}}
 	for _, opt := range opts {
 		opt(&o)
 	}
@@ -86,6 +102,10 @@
 		grants:   grant.New(c.Self.Host, c.Boot, c.Roster, now, o.grant...),
 		admits:   admit.New(o.admit...),
 		routes:   route.New(c.Self.Zone, c.Random, o.route...),
+		claims:   once.New(c.Self.Host, c.Boot),
+		overflow: o.overflow,
+		peers:    make(map[fleet.EntryHostID]*peer),
+		asked:    make(map[uint64]fleet.EntryHostID),
 		requests: make(map[uint64]*request),
 		backends: newBackends(),
 		retries:  newRetryBudget(),
@@ -103,8 +123,16 @@
 		return m.attemptEnded(now, ev)
 	case StreamStarted:
 		return m.streamStarted(ev)
+	case ForwardEnded:
+		return m.forwardEnded(now, ev)
 	case CallerGone:
-		return m.callerGone(ev.ID)
+		return m.callerGone(now, ev.ID)
+	case StoreTxnEnded:
+		return m.claimed(now, m.claims.Step(now, ev.TxnEnded))
+	case StoreLeaseEnded:
+		return m.claimed(now, m.claims.Step(now, ev.LeaseEnded))
+	case Limited:
+		m.admits.Step(now, admit.Limits{Customers: ev.Customers})
 	case FleetObserved:
 		m.observe(now, ev.Workers)
 		return m.dispatch(now)
@@ -116,6 +144,8 @@
 		m.drained = true
 	case Tick:
 		return m.tick(now)
+	default:
+		return m.peerStep(now, ev)
 	}
 	return nil
 }
@@ -123,18 +153,50 @@
 // Active returns the number of requests that are not answered or still occupy a backend server.
 func (m *Machine) Active() int { return len(m.requests) }
 
-func (m *Machine) arrive(now time.Time, r Request) []Effect {
-	if m.drained {
+// Unrecorded returns the number of outcomes that the store does not have yet.
+func (m *Machine) Unrecorded() int { return m.claims.Unrecorded() }
+
+func (m *Machine) arrive(now time.Time, in Request) []Effect {
+	r := &request{Request: in}
+	switch {
+	case m.drained:
 		return []Effect{refusal(r.ID, "draining", http.StatusServiceUnavailable, time.Second)}
+	case r.Forwarded:
+		return m.arriveForwarded(now, r)
 	}
-	it := m.item(r)
-	for _, ev := range []admit.Event{admit.Check{Item: it}, admit.Push{Item: it}} {
-		if rejected, ok := m.admits.Step(now, ev)[0].(admit.Rejected); ok {
-			return []Effect{rejection(rejected, NotRun)}
-		}
+	if rejected, ok := m.admits.Step(now, admit.Check{Item: m.item(in)})[0].(admit.Rejected); ok {
+		return []Effect{rejection(rejected, NotRun)}
+	}
+	m.requests[r.ID] = r
+	if !r.NonIdempotent {
+		return m.enqueue(now, r)
+	}
+	r.phase = claiming
+	key := once.Key{Customer: r.Customer, Request: r.Key}
+	return m.claimed(now, m.claims.Step(now, once.Claim{ID: r.ID, Key: key, Deadline: r.Deadline}))
+}
+
+// arriveForwarded runs a peer's request at once or not at all: the peer keeps it in its own queue.
+func (m *Machine) arriveForwarded(now time.Time, r *request) []Effect {
+	effects, ok := m.try(now, r)
+	if !ok {
+		return []Effect{refusal(r.ID, "no_slot", http.StatusServiceUnavailable, 0)}
 	}
-	m.requests[r.ID] = &request{Request: r}
-	return m.dispatch(now)
+	m.requests[r.ID] = r
+	return effects
+}
+
+// enqueue puts an admitted request into its queue.
+func (m *Machine) enqueue(now time.Time, r *request) []Effect {
+	r.phase = queued
+	if rejected, ok := m.admits.Step(now, admit.Push{Item: m.item(r.Request)})[0].(admit.Rejected); ok {
+		return m.finish(now, r, rejection(rejected, NotRun))
+	}
+	effects := m.dispatch(now)
+	if r.phase == queued {
+		effects = append(effects, m.overflowOf(now, r.Service)...)
+	}
+	return effects
 }
 
 func (m *Machine) item(r Request) admit.Item {
@@ -176,24 +238,74 @@
 }
 
 func (m *Machine) tick(now time.Time) []Effect {
-	var effects []Effect
-	m.grants.Step(now, grant.Tick{})
+	effects := m.loanEffects(m.grants.Step(now, grant.Tick{}))
+	effects = append(effects, m.claimed(now, m.claims.Step(now, once.Tick{}))...)
 	m.costs.decay(now)
 	for _, e := range m.admits.Step(now, admit.Tick{}) {
 		rejected := e.(admit.Rejected)
 		r := m.requests[rejected.ID]
-		effects = append(effects, m.finish(r, rejection(rejected, r.untouched()))...)
+		effects = append(effects, m.finish(now, r, rejection(rejected, r.untouched()))...)
 	}
 	m.unblock()
-	return append(effects, m.dispatch(now)...)
+	effects = append(effects, m.dispatch(now)...)
+	for _, service := range m.admits.Services() {
+		effects = append(effects, m.overflowOf(now, service)...)
+	}
+	return append(effects, m.shareLoad(now)...)
 }
 
-// finish answers the caller and forgets the request.
-func (m *Machine) finish(r *request, answer Answer) []Effect {
+// finish answers the caller, records the outcome of a claimed request and forgets it.
+func (m *Machine) finish(now time.Time, r *request, answer Answer) []Effect {
 	delete(m.requests, r.ID)
+	if r.claimed || r.phase == claiming {
+		m.claims.Step(now, once.Finished{
+			ID: r.ID, NotRun: answer.Outcome == NotRun, Recorded: answer.Outcome == Ran, Status: answer.Status,
+		})
+	}
 	if r.answered {
 		return nil
 	}
 	r.answered = true
 	return []Effect{answer}
 }
+
+// claimed turns the effects of the claims into those of requests.
+func (m *Machine) claimed(now time.Time, in []once.Effect) []Effect {
+	var effects []Effect
+	for _, e := range in {
+		switch e := e.(type) {
+		case once.RunTxn:
+			effects = append(effects, StoreTxn{e})
+		case once.GrantLease:
+			effects = append(effects, StoreLease{e})
+		case once.Granted:
+			if r := m.requests[e.ID]; r != nil {
+				r.claimed = true
+				effects = append(effects, m.enqueue(now, r)...)
+			}
+		case once.Existing:
+			effects = append(effects, m.unclaimed(e.ID, duplicate(e))...)
+		case once.Unavailable:
+			answer := refusal(e.ID, "store_unavailable", http.StatusServiceUnavailable, time.Second)
+			effects = append(effects, m.unclaimed(e.ID, answer)...)
+		}
+	}
+	return effects
+}
+
+// unclaimed ends a request that holds no claim.
+func (m *Machine) unclaimed(id uint64, answer Answer) []Effect {
+	if m.requests[id] == nil {
+		return nil
+	}
+	delete(m.requests, id)
+	return []Effect{answer}
+}
+
+func duplicate(e once.Existing) Answer {
+	outcome := Unknown
+	if e.Record.Outcome == string(Ran) {
+		outcome = Ran
+	}
+	return Answer{ID: e.ID, Outcome: outcome, Reason: "duplicate_request", Status: http.StatusConflict}
+}
--- a/coord/serve/serve.go
+++ b/coord/serve/serve.go
@@ -3,7 +3,9 @@
 import (
 	"time"
 
+	"lovagefork.example/coord/admit"
 	"lovagefork.example/coord/fleet"
+	"lovagefork.example/coord/once"
 	"lovagefork.example/coord/wire"
 )
 
@@ -86,6 +88,45 @@
 // EndpointsObserved tells where the replicas of one partition's services run.
 type EndpointsObserved struct{ Endpoints wire.Endpoints }
 
+// LoadReceived is a peer's report of its idle slots.
+type LoadReceived struct {
+	From fleet.EntryHostID
+	Load wire.Load
+}
+
+// BorrowReceived is a peer's question for a loan, answered by [AnswerBorrow] with the same Call.
+type BorrowReceived struct {
+	Call   uint64
+	From   fleet.EntryHostID
+	Borrow wire.Borrow
+}
+
+// LoanReceived answers [SendBorrow].
+type LoanReceived struct {
+	Ask  uint64
+	Loan wire.Loan
+}
+
+// LoanMissed tells that [SendBorrow] got no answer.
+type LoanMissed struct{ Ask uint64 }
+
+// ReturnReceived ends a loan to a peer.
+type ReturnReceived struct {
+	From   fleet.EntryHostID
+	Return wire.Return
+}
+
+// StoreTxnEnded is the result of [StoreTxn].
+type StoreTxnEnded struct{ once.TxnEnded }
+
+// StoreLeaseEnded is the result of [StoreLease].
+type StoreLeaseEnded struct{ once.LeaseEnded }
+
+// Limited replaces the limits of customers.
+type Limited struct {
+	Customers map[fleet.CustomerID]admit.Limit
+}
+
 // Drained makes every later request be rejected.
 type Drained struct{}
 
@@ -99,6 +140,14 @@
 func (CallerGone) event()        {}
 func (FleetObserved) event()     {}
 func (EndpointsObserved) event() {}
+func (LoadReceived) event()      {}
+func (BorrowReceived) event()    {}
+func (LoanReceived) event()      {}
+func (LoanMissed) event()        {}
+func (ReturnReceived) event()    {}
+func (StoreTxnEnded) event()     {}
+func (StoreLeaseEnded) event()   {}
+func (Limited) event()           {}
 func (Drained) event()           {}
 func (Tick) event()              {}
 
@@ -149,8 +198,42 @@
 	Reason string
 }
 
-func (Send) effect()    {}
-func (Forward) effect() {}
-func (Cancel) effect()  {}
-func (Answer) effect()  {}
-func (Ejected) effect() {}
+// SendBorrow asks a peer for a loan.
+type SendBorrow struct {
+	Ask    uint64
+	To     fleet.EntryHostID
+	Borrow wire.Borrow
+}
+
+// AnswerBorrow answers a peer's question; a loan without parts means that nothing is idle.
+type AnswerBorrow struct {
+	Call uint64
+	Loan wire.Loan
+}
+
+// SendReturn gives a loan back.
+type SendReturn struct {
+	To     fleet.EntryHostID
+	Return wire.Return
+}
+
+// ShareLoad tells all peers what is idle here.
+type ShareLoad struct{ Load wire.Load }
+
+// StoreTxn asks for a store transaction.
+type StoreTxn struct{ once.RunTxn }
+
+// StoreLease asks for a store lease.
+type StoreLease struct{ once.GrantLease }
+
+func (Send) effect()         {}
+func (Forward) effect()      {}
+func (Cancel) effect()       {}
+func (Answer) effect()       {}
+func (Ejected) effect()      {}
+func (SendBorrow) effect()   {}
+func (AnswerBorrow) effect() {}
+func (SendReturn) effect()   {}
+func (ShareLoad) effect()    {}
+func (StoreTxn) effect()     {}
+func (StoreLease) effect()   {}
--- a/coord/wire/messages.go
+++ b/coord/wire/messages.go
@@ -51,17 +51,19 @@
 	ID string `cbor:"loan_id"`
 }
 
-// Forward passes a caller's request to another entry process, to be sent on from there.
+// Forward passes a caller's request to another entry process, to be sent on from there. The sender has already claimed
+// a non-idempotent request.
 type Forward struct {
-	Service     fleet.ServiceID     `cbor:"service"`
-	Customer    fleet.CustomerID    `cbor:"customer"`
-	Class       fleet.Class         `cbor:"class"`
-	Request     fleet.RequestID     `cbor:"request_id"`
-	RemainingMS int64               `cbor:"remaining_ms"`
-	Method      string              `cbor:"method"`
-	Path        string              `cbor:"path"`
-	Header      map[string][]string `cbor:"header"`
-	Body        []byte              `cbor:"body"`
+	Service       fleet.ServiceID     `cbor:"service"`
+	Customer      fleet.CustomerID    `cbor:"customer"`
+	Class         fleet.Class         `cbor:"class"`
+	Request       fleet.RequestID     `cbor:"request_id"`
+	NonIdempotent bool                `cbor:"non_idempotent"`
+	RemainingMS   int64               `cbor:"remaining_ms"`
+	Method        string              `cbor:"method"`
+	Path          string              `cbor:"path"`
+	Header        map[string][]string `cbor:"header"`
+	Body          []byte              `cbor:"body"`
 }
 
 // ForwardAnswer answers [Forward] with the whole answer of the backend server, or with the outcome without one.
--- a/entryd/front/attempt.go
+++ b/entryd/front/attempt.go
@@ -15,8 +15,14 @@
 	"lovagefork.example/coord/serve"
 )
 
-// errNoLength reports an answer that ends with its connection, where a truncated body looks like a whole one.
-var errNoLength = errors.New("answer has no length")
+var (
+	// errNoLength reports an answer that ends with its connection, where a truncated body looks like a whole one.
+	errNoLength = errors.New("answer has no length")
+	// errProtocol reports a switch of protocols that nobody asked for.
+	errProtocol = errors.New("answer switches protocols")
+	// errTooLong reports an answer that does not fit into a message to a peer.
+	errTooLong = errors.New("answer is too long to forward")
+)
 
 // send runs an attempt and reports its end to the reducer.
 func (f *Front) send(e serve.Send) {
@@ -82,15 +88,26 @@
 		return exchanged{notSent: notSent, err: err}
 	}
 	defer func() { _ = answer.Body.Close() }()
+	if answer.StatusCode < http.StatusOK {
+		return exchanged{status: answer.StatusCode, err: errProtocol}
+	}
 	if answer.ContentLength < 0 && len(answer.TransferEncoding) == 0 && request.Method != http.MethodHead {
 		return exchanged{status: answer.StatusCode, err: errNoLength}
 	}
 	kept := &backendAnswer{status: answer.StatusCode, header: answer.Header}
-	kept.body, err = io.ReadAll(io.LimitReader(answer.Body, f.answerHold+1))
-	if err == nil && int64(len(kept.body)) > f.answerHold {
-		err = f.stream(ctx, e, c, kept, answer.Body)
-	} else if err == nil {
+	hold := f.answerHold
+	if e.Request.Forwarded {
+		hold = maxForwardedAnswer
+	}
+	kept.body, err = io.ReadAll(io.LimitReader(answer.Body, hold+1))
+	switch {
+	case err != nil:
+	case int64(len(kept.body)) <= hold:
 		c.keep(e.Attempt, kept)
+	case e.Request.Forwarded:
+		err = errTooLong
+	default:
+		err = f.stream(ctx, e, c, kept, answer.Body)
 	}
 	return exchanged{status: answer.StatusCode, err: err}
 }
--- a/entryd/front/front.go
+++ b/entryd/front/front.go
@@ -11,6 +11,7 @@
 
 	"github.com/gorilla/mux"
 
+	"lovagefork.example/coord/admit"
 	"lovagefork.example/coord/config"
 	"lovagefork.example/coord/fleet"
 	"lovagefork.example/coord/grant"
@@ -46,7 +47,10 @@
 	maxDeadline        = 10 * time.Minute
 	// defaultNotice is how long a draining process still takes requests, until the load balancer has seen it leave.
 	defaultNotice = 2 * time.Second
-	tickInterval  = 10 * time.Millisecond
+	tickInterval  = 5 * time.Millisecond
+	limitInterval = time.Second
+	// recordPatience is how long a draining process waits for the store to take the outcomes of its claims.
+	recordPatience = 2 * time.Second
 )
 
 // Front is the runtime of the request path in one entry process.
@@ -65,6 +69,7 @@
 	nextID   uint64
 	calls    map[uint64]*call
 	attempts map[attemptKey]context.CancelFunc
+	loans    map[uint64]chan wire.Loan
 }
 
 type attemptKey struct {
@@ -96,6 +101,7 @@
 		bodyLimit: defaultBodyBytes, answerHold: defaultBufferBytes, bodies: newByteBudget(defaultTotalBytes),
 		notice: defaultNotice, transports: newTransports(),
 		calls: make(map[uint64]*call), attempts: make(map[attemptKey]context.CancelFunc),
+		loans: make(map[uint64]chan wire.Loan),
 	}
 	for _, opt := range opts {
 		opt(f)
@@ -122,17 +128,35 @@
 func (f *Front) Run(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	limits := time.NewTicker(limitInterval)
+	defer limits.Stop()
 	defer f.transports.close()
+	f.refreshLimits()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ticker.C:
 			f.step(serve.Tick{})
+		case <-limits.C:
+			f.refreshLimits()
 		}
 	}
 }
 
+// refreshLimits takes the quotas in force. Each live entry process admits an equal part of a customer's rate.
+func (f *Front) refreshLimits() {
+	processes := float64(1 + len(f.deps.Peers.Up()))
+	customers := make(map[fleet.CustomerID]admit.Limit)
+	for _, v := range f.deps.Config.All() {
+		quota := v.Document.Quota
+		customers[v.Document.Customer] = admit.Limit{
+			Weight: quota.Weight, Rate: quota.RequestsPerSecond / processes,
+		}
+	}
+	f.step(serve.Limited{Customers: customers})
+}
+
 // ObserveFleet takes the workers as the process knows them now.
 func (f *Front) ObserveFleet(workers []fleet.Worker) {
 	f.step(serve.FleetObserved{Workers: workers})
@@ -142,9 +166,6 @@
 // ObserveEndpoints takes the places of replicas in one partition; an older version changes nothing.
 func (f *Front) ObserveEndpoints(e wire.Endpoints) { f.step(serve.EndpointsObserved{Endpoints: e}) }
 
-// HandlePeer answers the messages of other entry processes that concern requests, and returns nil for all others.
-func (f *Front) HandlePeer(context.Context, fleet.EntryHostID, wire.Message) wire.Message { return nil }
-
 // Drain takes requests until the load balancer has noticed, then rejects new ones and returns when none is in flight or
 // ctx ends.
 func (f *Front) Drain(ctx context.Context) error {
@@ -157,9 +178,21 @@
 			return err
 		}
 	}
+	until := f.now().Add(recordPatience)
+	for f.unrecorded() > 0 && f.now().Before(until) {
+		if err := sleep(ctx, tickInterval); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
+func (f *Front) unrecorded() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.machine.Unrecorded()
+}
+
 func (f *Front) active() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -191,12 +224,28 @@
 		f.deps.Log.Info("route: request sent", "request", e.Request.ID, "service", e.Request.Service,
 			"class", e.Request.Class, "attempt", e.Attempt, "worker", e.Worker.ID, "reason", e.Reason)
 		f.send(e)
+	case serve.Forward:
+		f.deps.Log.Info("route: request forwarded", "request", e.Request.ID, "service", e.Request.Service,
+			"class", e.Request.Class, "attempt", e.Attempt, "peer", e.Peer, "reason", e.Reason)
+		f.forward(e)
 	case serve.Cancel:
 		f.cancel(attemptKey{e.ID, e.Attempt})
 	case serve.Answer:
 		f.answer(e)
 	case serve.Ejected:
 		f.deps.Log.Warn("route: worker ejected", "worker", e.Worker, "for", e.For, "reason", e.Reason)
+	case serve.SendBorrow:
+		f.sendBorrow(e)
+	case serve.AnswerBorrow:
+		f.answerBorrow(e)
+	case serve.SendReturn:
+		f.sendReturn(e)
+	case serve.ShareLoad:
+		f.deps.Peers.Broadcast(e.Load)
+	case serve.StoreTxn:
+		f.runTxn(e)
+	case serve.StoreLease:
+		f.grantLease(e)
 	}
 }
 
--- /dev/null
+++ b/entryd/front/peer.go
@@ -0,0 +1,185 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"lovagefork.example/coord/fleet"
+	"lovagefork.example/coord/serve"
+	"lovagefork.example/coord/wire"
+	"lovagefork.example/entryd/peers"
+)
+
+const (
+	// borrowTimeout is how long a loan is waited for; a later one would be of little use.
+	borrowTimeout = time.Second
+	// maxForwardedAnswer keeps an answer with its headers below the largest message between peers.
+	maxForwardedAnswer = 12 << 20
+)
+
+// HandlePeer answers the messages of other entry processes that concern requests, and returns nil for all others.
+func (f *Front) HandlePeer(ctx context.Context, from fleet.EntryHostID, m wire.Message) wire.Message {
+	switch m := m.(type) {
+	case wire.Load:
+		f.step(serve.LoadReceived{From: from, Load: m})
+	case wire.Return:
+		f.step(serve.ReturnReceived{From: from, Return: m})
+	case wire.Borrow:
+		return f.lend(ctx, from, m)
+	case wire.Forward:
+		return f.runForwarded(ctx, from, m)
+	}
+	return nil
+}
+
+func (f *Front) lend(ctx context.Context, from fleet.EntryHostID, m wire.Borrow) wire.Message {
+	loan := make(chan wire.Loan, 1)
+	f.mu.Lock()
+	f.nextID++
+	id := f.nextID
+	f.loans[id] = loan
+	f.mu.Unlock()
+	defer func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		delete(f.loans, id)
+	}()
+	f.step(serve.BorrowReceived{Call: id, From: from, Borrow: m})
+	select {
+	case l := <-loan:
+		return l
+	case <-ctx.Done():
+		return wire.Failure{Status: http.StatusServiceUnavailable, Reason: "link_ended", NotRun: true}
+	}
+}
+
+func (f *Front) answerBorrow(e serve.AnswerBorrow) {
+	f.mu.Lock()
+	waiting := f.loans[e.Call]
+	f.mu.Unlock()
+	if waiting != nil {
+		waiting <- e.Loan
+	}
+}
+
+func (f *Front) sendBorrow(e serve.SendBorrow) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), borrowTimeout)
+		defer cancel()
+		answer, err := f.deps.Peers.Call(ctx, e.To, e.Borrow)
+		loan, ok := answer.(wire.Loan)
+		if err != nil || !ok {
+			f.step(serve.LoanMissed{Ask: e.Ask})
+			return
+		}
+		f.deps.Log.Debug("route: slots borrowed", "peer", e.To, "service", e.Borrow.Service, "parts", len(loan.Parts))
+		f.step(serve.LoanReceived{Ask: e.Ask, Loan: loan})
+	}()
+}
+
+func (f *Front) sendReturn(e serve.SendReturn) {
+	if err := f.deps.Peers.Send(e.To, e.Return); err != nil {
+		f.deps.Log.Debug("route: loan not returned, it expires", "peer", e.To, "loan", e.Return.ID, "error", err)
+	}
+}
+
+// forward sends the request to a peer and reports the peer's outcome to the reducer.
+func (f *Front) forward(e serve.Forward) {
+	f.mu.Lock()
+	c := f.calls[e.Request.ID]
+	ctx, cancel := context.WithDeadline(context.Background(), e.Request.Deadline)
+	key := attemptKey{e.Request.ID, e.Attempt}
+	f.attempts[key] = cancel
+	f.mu.Unlock()
+	go func() {
+		ended := serve.ForwardEnded{ID: e.Request.ID, Attempt: e.Attempt, Outcome: serve.NotRun}
+		if c != nil {
+			ended = f.callPeer(ctx, e, c)
+		}
+		f.cancel(key)
+		f.step(ended)
+	}()
+}
+
+func (f *Front) callPeer(ctx context.Context, e serve.Forward, c *call) serve.ForwardEnded {
+	header := make(http.Header)
+	copyHeader(header, c.header)
+	ended := serve.ForwardEnded{ID: e.Request.ID, Attempt: e.Attempt, Outcome: serve.Unknown}
+	answer, err := f.deps.Peers.Call(ctx, e.Peer, wire.Forward{
+		Service: e.Request.Service, Customer: e.Request.Customer, Class: e.Request.Class, Request: e.Request.Key,
+		NonIdempotent: e.Request.NonIdempotent, RemainingMS: time.Until(e.Request.Deadline).Milliseconds(),
+		Method: c.method, Path: c.path, Header: header, Body: c.body,
+	})
+	if err != nil {
+		ended.Reason = "link_failed"
+		var link *peers.LinkError
+		if errors.As(err, &link) && link.NotSent {
+			ended.Outcome = serve.NotRun
+		}
+		f.deps.Log.Info("route: forwarding failed", "request", e.Request.ID, "peer", e.Peer, "outcome", ended.Outcome,
+			"error", err)
+		return ended
+	}
+	switch m := answer.(type) {
+	case wire.ForwardAnswer:
+		ended.Outcome, ended.Reason, ended.Status = outcomeOf(m), m.Reason, m.Status
+		c.keep(e.Attempt, &backendAnswer{status: m.Status, header: m.Header, body: m.Body})
+	case wire.Failure:
+		ended.Reason = m.Reason
+		if m.NotRun {
+			ended.Outcome = serve.NotRun
+		}
+	default:
+		ended.Reason = "unexpected_answer"
+	}
+	return ended
+}
+
+// outcomeOf takes an answer without a valid outcome and status for unknown.
+func outcomeOf(m wire.ForwardAnswer) serve.Outcome {
+	o := serve.Outcome(m.Outcome)
+	if o == serve.NotRun || (o == serve.Ran && m.Status >= http.StatusOK && m.Status <= 999) {
+		return o
+	}
+	return serve.Unknown
+}
+
+// runForwarded runs a peer's request on a slot of this process.
+func (f *Front) runForwarded(ctx context.Context, from fleet.EntryHostID, m wire.Forward) wire.Message {
+	if m.RemainingMS <= 0 || m.Class > fleet.Deferrable {
+		return wire.Failure{Status: http.StatusBadRequest, Reason: "bad_forward", NotRun: true}
+	}
+	remaining := min(time.Duration(m.RemainingMS)*time.Millisecond, maxDeadline)
+	c := &call{
+		request: serve.Request{
+			Key: m.Request, Service: m.Service, Customer: m.Customer, Class: m.Class,
+			Deadline: f.now().Add(remaining), NonIdempotent: m.NonIdempotent, Forwarded: true,
+		},
+		method: m.Method, path: m.Path, header: m.Header, body: m.Body,
+	}
+	f.open(c)
+	defer f.close(c)
+	f.step(serve.Arrived{Request: c.request})
+	select {
+	case a := <-c.done:
+		f.deps.Log.Debug("route: forwarded request ended", "peer", from, "outcome", a.Outcome, "reason", a.Reason)
+		return forwardAnswer(c, a)
+	case <-ctx.Done():
+		f.step(serve.CallerGone{ID: c.request.ID})
+		return wire.Failure{Status: http.StatusBadGateway, Reason: "link_ended"}
+	}
+}
+
+func forwardAnswer(c *call, a serve.Answer) wire.ForwardAnswer {
+	answer := wire.ForwardAnswer{Outcome: string(a.Outcome), Reason: a.Reason, Status: a.Status}
+	if a.Attempt == 0 {
+		return answer
+	}
+	kept := c.kept(a.Attempt)
+	header := make(http.Header)
+	copyHeader(header, kept.header)
+	answer.Status, answer.Header, answer.Body = kept.status, header, kept.body
+	return answer
+}
