place: hold observed sizes, probation, interference model with mitigation

Cause: reports, outcomes and kinds were accepted and ignored.

Change: usage of a worker is divided among the attempts that ran when it was measured; the larger of declared and observed size is held, and what is learned of a kind is reserved for its next tasks. Three distinct jobs failing without a success put a worker on probation, unless the jobs fail elsewhere too. The interference model is a table of pairs corrected by normalised least mean squares; a slowed urgent task throttles its cause twice, then moves it.

--- a/coord/place/host.go
+++ b/coord/place/host.go
@@ -22,6 +22,12 @@
 	evicting fleet.Resources
 	pending  fleet.Resources
 	record   workerRecord
+	// measuredAt is when the newest report was measured.
+	measuredAt time.Time
+	past       []run
+	// mix is nil when it must be computed again.
+	mix   []mixed
+	guard guard
 }
 
 func (h *host) free() fleet.Resources { return h.worker.Capacity.Sub(h.used) }
@@ -32,6 +38,7 @@
 // resize changes what a reservation holds and keeps the sums of its worker.
 func (t *held) resize(size fleet.Resources) {
 	delta := size.Sub(t.size)
+	t.host.mix = nil
 	t.size = size
 	t.host.used = t.host.used.Add(delta)
 	if t.evicting {
@@ -65,6 +72,7 @@
 	t.host = h
 	h.tasks[t.task.Ref] = t
 	h.used = h.used.Add(t.size)
+	h.mix = nil
 }
 
 func (h *host) remove(t *held) {
--- a/coord/place/machine.go
+++ b/coord/place/machine.go
@@ -19,21 +19,43 @@
 	// capacities counts the known workers of each size.
 	capacities map[fleet.Resources]int
 	tasks      map[plat.TaskRef]*held
-	model      *model
+	jobs       map[fleet.JobID]*jobRecord
+	// moves holds when a task was last evicted for the sake of others.
+	moves map[fleet.TaskID]time.Time
+	model *model
+	sizes *sizes
+	// observes and mitigates turn on observed sizes, and throttles and moves.
+	observes  bool
+	mitigates bool
 }
 
 // Option changes a default of [New].
 type Option func(*Machine)
 
-// New returns a machine without workers.
+// WithDeclaredSizes holds only declared sizes and ignores observed ones; it is a baseline for comparisons.
+func WithDeclaredSizes() Option {
+	return func(m *Machine) { m.observes = false }
+}
+
+// WithMitigation turns throttles and moves of tasks that slow urgent ones on or off.
+func WithMitigation(on bool) Option {
+	return func(m *Machine) { m.mitigates = on }
+}
+
+// New returns a machine without workers. The policy [Interference] turns mitigation on.
 func New(policy Policy, opts ...Option) *Machine {
 	m := &Machine{
 		policy:     policy,
 		hosts:      map[fleet.WorkerID]*host{},
 		capacities: map[fleet.Resources]int{},
 		tasks:      map[plat.TaskRef]*held{},
+		jobs:       map[fleet.JobID]*jobRecord{},
+		moves:      map[fleet.TaskID]time.Time{},
 		model:      newModel(),
+		sizes:      &sizes{},
+		observes:   true,
 	}
+	_, m.mitigates = policy.(Interference)
 	for _, o := range opts {
 		o(m)
 	}
@@ -52,8 +74,15 @@
 	case Started:
 		m.started(now, ev)
 	case Ended:
-		m.ended(ev)
-	case Succeeded, Failed, Report, Tick:
+		m.ended(now, ev)
+	case Succeeded:
+		return m.succeeded(now, ev)
+	case Failed:
+		return m.failed(now, ev)
+	case Report:
+		return m.report(now, ev)
+	case Tick:
+		return m.expire(now)
 	default:
 		panic(fmt.Sprintf("place: unknown event %T", ev))
 	}
@@ -119,16 +148,50 @@
 }
 
 func (m *Machine) newHeld(now time.Time, task Task) *held {
+	kind := m.model.kind(task.Kind)
+	m.sizes.grow(kind)
+	size := m.reservedSize(kind, task.Resources)
 	return &held{
 		task:       task,
-		kind:       m.model.kind(task.Kind),
-		size:       task.Resources,
+		kind:       kind,
+		size:       size,
+		observed:   size,
+		seenAt:     now,
 		reservedAt: now,
 		permille:   unthrottled,
 		slowdown:   1,
 	}
 }
 
+// reservedSize returns the size to reserve for a new task, at most what the largest worker for it can hold.
+func (m *Machine) reservedSize(kind kindID, declared fleet.Resources) fleet.Resources {
+	if !m.observes {
+		return declared
+	}
+	size := m.sizes.estimate(kind, declared)
+	if size == declared || m.Fits(size) == nil {
+		return size
+	}
+	var limit fleet.Resources
+	for capacity := range m.capacities {
+		if declared.Fits(capacity) && larger(capacity, limit) {
+			limit = capacity
+		}
+	}
+	size.MilliCPU = max(declared.MilliCPU, min(size.MilliCPU, limit.MilliCPU))
+	size.MemoryBytes = max(declared.MemoryBytes, min(size.MemoryBytes, limit.MemoryBytes))
+	return size
+}
+
+// larger orders capacities so that the choice does not depend on the order of a map.
+func larger(a, b fleet.Resources) bool {
+	return cmp.Or(
+		cmp.Compare(a.MilliCPU, b.MilliCPU),
+		cmp.Compare(a.MemoryBytes, b.MemoryBytes),
+		cmp.Compare(a.Accelerators, b.Accelerators),
+	) > 0
+}
+
 // unthrottled is the permille of a task without a limit.
 const unthrottled = 1000
 
@@ -143,12 +206,15 @@
 	}
 }
 
-func (m *Machine) ended(ev Ended) {
+func (m *Machine) ended(now time.Time, ev Ended) {
 	t, ok := m.find(ev.TaskRef, ev.Worker)
 	if !ok {
 		return
 	}
 	delete(m.tasks, ev.TaskRef)
+	if !t.startedAt.IsZero() {
+		t.host.past = append(t.host.past, run{t.kind, t.task.Resources, t.load, t.startedAt, now})
+	}
 	t.host.remove(t)
 	t.host.settle()
 }
--- a/coord/place/model.go
+++ b/coord/place/model.go
@@ -1,12 +1,175 @@
 package place
 
-// kindID is the index of a task kind in the interference model.
+import (
+	"lovagefork.example/coord/fleet"
+	"lovagefork.example/coord/plat"
+)
+
+// kindID is the index of a task kind.
 type kindID int
 
-type model struct{}
+const (
+	// maxKinds bounds the pair table to half a megabyte; further kinds share the last index.
+	maxKinds = 256
+	// priorSlowdown is assumed of a pair never seen together, so that unknown pairs are spread rather than stacked.
+	priorSlowdown = 0.3
+	// maxSlowdown bounds what one full worker of a kind can be learned to add.
+	maxSlowdown = 20
+	// learnStep is the part of an error that a report corrects once a pair is well known, firstStep at its start.
+	learnStep = 0.05
+	firstStep = 0.5
+	// learnFloor keeps nearly idle workers, whose slowdown is mostly noise, from moving the table.
+	learnFloor = 0.02
+)
+
+// classWeights is how much a slowdown of each class counts, urgent first.
+var classWeights = [...]float64{10, 3, 1}
+
+func weight(c fleet.Class) float64 { return classWeights[min(int(c), len(classWeights)-1)] }
+
+// model learns how much each kind of task slows each other kind, per share of a worker's processors that it uses.
+type model struct {
+	kinds map[string]kindID
+	// pairs holds, by victim and then by cause, the slowdown added by a cause that uses a whole worker.
+	pairs [][]float64
+	seen  [][]uint16
+}
+
+// mixed sums up the tasks of one kind on a worker.
+type mixed struct {
+	kind kindID
+	// load is the share of the worker's processors that they use.
+	load float64
+	// weight is the sum of their class weights.
+	weight float64
+}
+
+func newModel() *model { return &model{kinds: map[string]kindID{}} }
+
+// kind returns the index of a kind and adds it if it is new.
+func (md *model) kind(name string) kindID {
+	if k, ok := md.kinds[name]; ok {
+		return k
+	}
+	k := kindID(len(md.pairs))
+	if k == maxKinds {
+		return maxKinds - 1
+	}
+	md.kinds[name] = k
+	for v := range md.pairs {
+		md.pairs[v] = append(md.pairs[v], priorSlowdown)
+		md.seen[v] = append(md.seen[v], 0)
+	}
+	row := make([]float64, k+1)
+	for i := range row {
+		row[i] = priorSlowdown
+	}
+	md.pairs = append(md.pairs, row)
+	md.seen = append(md.seen, make([]uint16, k+1))
+	return k
+}
+
+// mixOf returns the kinds on a worker in the order of their first task; it is computed again after each change.
+func (h *host) mixOf() []mixed {
+	if h.mix != nil {
+		return h.mix
+	}
+	h.mix = make([]mixed, 0, 8)
+	for _, t := range h.sorted() {
+		h.mix = addMix(h.mix, t.kind, h.share(t.expectedLoad()), weight(t.task.Class))
+	}
+	return h.mix
+}
+
+func addMix(mix []mixed, kind kindID, load, weight float64) []mixed {
+	for i := range mix {
+		if mix[i].kind == kind {
+			mix[i].load += load
+			mix[i].weight += weight
+			return mix
+		}
+	}
+	return append(mix, mixed{kind, load, weight})
+}
+
+// share returns processor time as a part of the worker's.
+func (h *host) share(milliCPU int64) float64 { return share(milliCPU, h.worker.Capacity.MilliCPU) }
+
+// expectedLoad returns the measured processor time of a task, or the reserved one before it is measured.
+func (t *held) expectedLoad() int64 {
+	if t.load.IsZero() {
+		return t.size.MilliCPU
+	}
+	return t.load.MilliCPU
+}
+
+// cost returns the weighted slowdown that a task would suffer and cause on a worker.
+func (md *model) cost(h *host, t *held) float64 {
+	load := h.share(t.size.MilliCPU)
+	var suffered, caused float64
+	for _, x := range h.mixOf() {
+		suffered += md.pairs[t.kind][x.kind] * x.load
+		caused += md.pairs[x.kind][t.kind] * x.weight
+	}
+	return weight(t.task.Class)*suffered + load*caused
+}
+
+// learn corrects the table from the slowdowns in a report, attributed to what ran when it was measured.
+func (m *Machine) learn(h *host, ran []*held, past []run, tasks []plat.TaskStatus) {
+	var mix []mixed
+	for _, t := range ran {
+		mix = addMix(mix, t.kind, h.share(t.load.MilliCPU), 0)
+	}
+	for _, r := range past {
+		mix = addMix(mix, r.kind, h.share(r.load.MilliCPU), 0)
+	}
+	inReport := make(map[plat.TaskRef]int, len(tasks))
+	for _, s := range tasks {
+		inReport[s.TaskRef] = s.SlowdownPermille
+	}
+	for _, t := range ran {
+		permille, ok := inReport[t.task.Ref]
+		if !ok || permille <= 0 {
+			continue
+		}
+		slowdown := float64(permille) / 1000
+		t.slowdown += slowdownStep * (slowdown - t.slowdown)
+		// The slowdown of a throttled task is of our own making.
+		if t.permille == unthrottled {
+			m.model.correct(t.kind, h.share(t.load.MilliCPU), mix, slowdown-1)
+		}
+	}
+}
 
-func newModel() *model { return &model{} }
+// slowdownStep smooths the slowdown of a single task; two reports in a row make up three quarters of it.
+const slowdownStep = 0.5
 
-func (*model) kind(string) kindID { return 0 }
+// correct moves the row of a victim towards an added slowdown that was seen in a mix, which includes its own load.
+func (md *model) correct(victim kindID, own float64, mix []mixed, added float64) {
+	row, seen := md.pairs[victim], md.seen[victim]
+	squares := learnFloor
+	predicted := 0.0
+	for _, x := range mix {
+		load := otherLoad(x, victim, own)
+		predicted += row[x.kind] * load
+		squares += load * load
+	}
+	for _, x := range mix {
+		load := otherLoad(x, victim, own)
+		if load <= 0 {
+			continue
+		}
+		step := max(learnStep, firstStep/float64(1+int(seen[x.kind])/8))
+		row[x.kind] += step * (added - predicted) * load / squares
+		row[x.kind] = min(max(row[x.kind], 0), maxSlowdown)
+		seen[x.kind] = min(seen[x.kind]+1, 1<<15)
+	}
+}
 
-func (*model) cost(*host, *held) float64 { return 0 }
+// otherLoad is the load of a kind without the victim's own.
+func otherLoad(x mixed, victim kindID, own float64) float64 {
+	if x.kind == victim {
+		return max(x.load-own, 0)
+	}
+	return x.load
+}
--- a/coord/place/place.go
+++ b/coord/place/place.go
@@ -40,17 +40,19 @@
 	}
 	t := m.newHeld(now, task)
 	why := &NoRoomError{Task: task.Ref, Need: t.size, Workers: len(m.order)}
-	if h := m.choose(t, why); h != nil {
-		t.decision = Decision{Worker: h.worker.ID, Reason: m.reason(h, t)}
-		m.reserve(h, t)
-		return t.decision, nil
-	}
-	if task.Class == fleet.Urgent {
-		if h, victims := m.chooseVictims(t); h != nil {
-			return m.reserveEvicting(h, t, victims), nil
+	h := m.choose(t, why)
+	// An urgent task would rather evict than try out a worker on probation.
+	if task.Class == fleet.Urgent && (h == nil || h.record.probation) {
+		if evictOn, victims := m.chooseVictims(t); evictOn != nil {
+			return m.reserveEvicting(now, evictOn, t, victims), nil
 		}
 	}
-	return Decision{}, why
+	if h == nil {
+		return Decision{}, why
+	}
+	t.decision = Decision{Worker: h.worker.ID, Reason: m.reason(h, t)}
+	m.reserve(h, t)
+	return t.decision, nil
 }
 
 func (m *Machine) reason(h *host, t *held) string {
@@ -174,9 +176,10 @@
 }
 
 // reserveEvicting reserves on a host whose evicting tasks must end first.
-func (m *Machine) reserveEvicting(h *host, t *held, victims []*held) Decision {
+func (m *Machine) reserveEvicting(now time.Time, h *host, t *held, victims []*held) Decision {
 	for _, v := range victims {
 		v.setEvicting()
+		m.moves[v.task.Ref.Task] = now
 	}
 	m.reserve(h, t)
 	t.setPending(true)
--- /dev/null
+++ b/coord/place/place_test.go
@@ -0,0 +1,373 @@
+package place_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"lovagefork.example/coord/fleet"
+	"lovagefork.example/coord/place"
+	"lovagefork.example/coord/plat"
+	"lovagefork.example/coord/sets"
+)
+
+var capacity = fleet.Resources{MilliCPU: 8000, MemoryBytes: 16 << 30, Accelerators: 2}
+
+func worker(id fleet.WorkerID) fleet.Worker {
+	return fleet.Worker{ID: id, Zone: "a", Rack: "r", State: fleet.HostLive, Capacity: capacity}
+}
+
+func ref(task string, attempt fleet.Attempt) plat.TaskRef {
+	return plat.TaskRef{Task: fleet.TaskID(task), Attempt: attempt}
+}
+
+// attempt is the fake platform's view of one attempt, kept apart from the books of the machine.
+type attempt struct {
+	task    place.Task
+	worker  fleet.WorkerID
+	waits   []plat.TaskRef
+	running bool
+	evicted bool
+}
+
+// world drives a machine with random events and keeps its own books.
+type world struct {
+	m        *place.Machine
+	now      time.Time
+	attempts map[plat.TaskRef]*attempt
+	reports  []place.Report
+	workers  []fleet.WorkerID
+	next     int
+}
+
+func (w *world) refs(keep func(*attempt) bool) []plat.TaskRef {
+	var refs []plat.TaskRef
+	for r, a := range w.attempts {
+		if keep(a) {
+			refs = append(refs, r)
+		}
+	}
+	slices.SortFunc(refs, func(a, b plat.TaskRef) int { return int(a.Attempt) - int(b.Attempt) })
+	return refs
+}
+
+func (w *world) sum(id fleet.WorkerID, keep func(*attempt) bool) fleet.Resources {
+	var sum fleet.Resources
+	for _, a := range w.attempts {
+		if a.worker == id && keep(a) {
+			sum = sum.Add(a.task.Resources)
+		}
+	}
+	return sum
+}
+
+func (w *world) step(ev place.Event) {
+	w.now = w.now.Add(time.Second)
+	for _, e := range w.m.Step(w.now, ev) {
+		if e, ok := e.(place.Evict); ok {
+			w.attempts[e.TaskRef].evicted = true
+		}
+	}
+}
+
+func (w *world) place(t *rapid.T) {
+	w.next++
+	task := place.Task{
+		Ref:   ref(fmt.Sprintf("j%d/0", w.next), fleet.Attempt(w.next)),
+		Kind:  rapid.SampledFrom([]string{"quote", "plan", "count"}).Draw(t, "kind"),
+		Class: rapid.SampledFrom(fleet.Classes[:]).Draw(t, "class"),
+		Resources: fleet.Resources{
+			MilliCPU:     rapid.Int64Range(1, 5000).Draw(t, "cpu"),
+			MemoryBytes:  rapid.Int64Range(1, 10<<30).Draw(t, "memory"),
+			Accelerators: rapid.Int64Range(0, 1).Draw(t, "accelerators"),
+		},
+		Avoid: sets.Of(rapid.SampledFrom([]fleet.WorkerID{"w1", "none", "other"}).Draw(t, "avoid")),
+	}
+	d, err := w.m.Place(w.now, task)
+	if err != nil {
+		return
+	}
+	assert.Assert(t, len(d.Evict) == 0 || task.Class == fleet.Urgent)
+	if len(d.Evict) == 0 {
+		assert.Assert(t, w.m.Used(d.Worker).Fits(capacity), "no room on %s", d.Worker)
+	}
+	for _, r := range d.Evict {
+		assert.Assert(t, w.attempts[r].evicted || w.attempts[r].task.Class == fleet.Deferrable)
+		w.attempts[r].evicted = true
+	}
+	w.attempts[task.Ref] = &attempt{task: task, worker: d.Worker, waits: d.Evict}
+	again, err := w.m.Place(w.now, task)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, again, d)
+}
+
+func (w *world) start(t *rapid.T) {
+	waiting := w.refs(func(a *attempt) bool { return !a.running })
+	if len(waiting) == 0 {
+		return
+	}
+	r := rapid.SampledFrom(waiting).Draw(t, "start")
+	a := w.attempts[r]
+	for _, e := range a.waits {
+		if _, ok := w.attempts[e]; ok {
+			return
+		}
+	}
+	assert.Assert(t, w.m.Ready(r) || !w.m.Used(a.worker).Fits(capacity))
+	a.running = true
+	w.step(place.Started{TaskRef: r, Worker: a.worker})
+}
+
+func (w *world) end(t *rapid.T) {
+	all := w.refs(func(*attempt) bool { return true })
+	if len(all) == 0 {
+		return
+	}
+	r := rapid.SampledFrom(all).Draw(t, "end")
+	ended := place.Ended{TaskRef: r, Worker: w.attempts[r].worker}
+	delete(w.attempts, r)
+	elsewhere := ended
+	elsewhere.Worker = "unknown"
+	used := w.m.Used(ended.Worker)
+	w.step(elsewhere)
+	assert.Equal(t, w.m.Used(ended.Worker), used)
+	w.step(ended)
+	w.step(ended)
+}
+
+func (w *world) report(t *rapid.T) {
+	id := rapid.SampledFrom(w.workers).Draw(t, "worker")
+	r := place.Report{Worker: id, MeasuredAt: w.now.Add(-time.Duration(rapid.IntRange(0, 20).Draw(t, "lag")) * time.Second)}
+	wrong := rapid.Float64Range(0, 10).Draw(t, "wrong")
+	sum := w.sum(id, func(a *attempt) bool { return a.running })
+	r.Usage = fleet.Resources{
+		MilliCPU:     int64(wrong * float64(sum.MilliCPU)),
+		MemoryBytes:  int64(wrong * float64(sum.MemoryBytes)),
+		Accelerators: sum.Accelerators,
+	}
+	for _, x := range w.refs(func(a *attempt) bool { return a.running && a.worker == id }) {
+		slowdown := rapid.IntRange(1000, 3000).Draw(t, "slowdown")
+		r.Tasks = append(r.Tasks, plat.TaskStatus{TaskRef: x, State: plat.TaskRunning, SlowdownPermille: slowdown})
+	}
+	w.reports = append(w.reports, r)
+	if rapid.Bool().Draw(t, "at once") {
+		w.step(r)
+	}
+}
+
+func (w *world) deliver(t *rapid.T) {
+	if len(w.reports) > 0 {
+		w.step(rapid.SampledFrom(w.reports).Draw(t, "report"))
+	}
+}
+
+func (w *world) churn(t *rapid.T) {
+	id := rapid.SampledFrom(w.workers).Draw(t, "worker")
+	switch rapid.IntRange(0, 5).Draw(t, "change") {
+	case 0:
+		w.step(place.WorkerRemoved{ID: id})
+	case 1:
+		w.step(place.WorkerUpdated{Worker: worker(id).WithState(fleet.HostLeaving)})
+	default:
+		w.step(place.WorkerUpdated{Worker: worker(id)})
+	}
+}
+
+func (w *world) outcome(t *rapid.T) {
+	running := w.refs(func(a *attempt) bool { return a.running })
+	if len(running) == 0 {
+		return
+	}
+	r := rapid.SampledFrom(running).Draw(t, "outcome")
+	if rapid.Bool().Draw(t, "success") {
+		w.step(place.Succeeded{TaskRef: r, Worker: w.attempts[r].worker})
+	} else {
+		w.step(place.Failed{TaskRef: r, Worker: w.attempts[r].worker})
+	}
+}
+
+func (w *world) tick(t *rapid.T) {
+	w.now = w.now.Add(time.Duration(rapid.IntRange(1, 900_000).Draw(t, "ms")) * time.Millisecond)
+	w.step(place.Tick{})
+}
+
+func (w *world) check(t *rapid.T) {
+	for _, id := range w.workers {
+		running := w.sum(id, func(a *attempt) bool { return a.running })
+		assert.Assert(t, running.Fits(capacity), "worker %s runs %v of %v", id, running, capacity)
+		kept := w.sum(id, func(a *attempt) bool { return !a.evicted })
+		assert.Assert(t, kept.Fits(capacity), "worker %s promised %v of %v", id, kept, capacity)
+		all := w.sum(id, func(*attempt) bool { return true })
+		assert.Assert(t, all.Fits(w.m.Used(id)), "worker %s holds %v, books say %v", id, all, w.m.Used(id))
+		if all.IsZero() {
+			assert.Assert(t, w.m.Used(id).IsZero(), "worker %s is idle, books say %v", id, w.m.Used(id))
+		}
+	}
+}
+
+// Guards against a worker that is given more than it has, or whose resources leak, under reports that are wrong, late,
+// repeated or reordered, workers that come and go, and evictions that take time.
+func TestCapacityHoldsAtEveryEvent(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		policy := rapid.SampledFrom([]place.Policy{place.FirstFit{}, place.Spread{}, place.Interference{}}).Draw(t, "policy")
+		w := &world{
+			m:        place.New(policy),
+			now:      time.Unix(1000, 0),
+			attempts: map[plat.TaskRef]*attempt{},
+			workers:  []fleet.WorkerID{"w1", "w2"},
+		}
+		for _, id := range w.workers {
+			w.step(place.WorkerUpdated{Worker: worker(id)})
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"place": w.place, "place2": w.place, "place3": w.place, "start": w.start, "start2": w.start, "end": w.end, "report": w.report, "deliver": w.deliver,
+			"churn": w.churn, "outcome": w.outcome, "tick": w.tick, "": w.check,
+		})
+	})
+}
+
+func size(milliCPU int64) fleet.Resources {
+	return fleet.Resources{MilliCPU: milliCPU, MemoryBytes: 1 << 30}
+}
+
+func mustPlace(t *testing.T, m *place.Machine, now time.Time, task place.Task) place.Decision {
+	t.Helper()
+	d, err := m.Place(now, task)
+	assert.NilError(t, err)
+	return d
+}
+
+// Guards against a report measured before a start, a repeated or a reordered one, that changes what is held.
+func TestOldReportChangesNothing(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := func(s int) time.Time { return start.Add(time.Duration(s) * time.Second) }
+	m := place.New(place.FirstFit{})
+	m.Step(start, place.WorkerUpdated{Worker: worker("w")})
+	first, second := ref("j/0", 1), ref("j/1", 1)
+	mustPlace(t, m, start, place.Task{Ref: first, Kind: "a", Resources: size(1000)})
+	m.Step(at(1), place.Started{TaskRef: first, Worker: "w"})
+	running := []plat.TaskStatus{{TaskRef: first, State: plat.TaskRunning}, {TaskRef: second, State: plat.TaskRunning}}
+	m.Step(at(3), place.Report{Worker: "w", MeasuredAt: at(2), Usage: size(4000), Tasks: running[:1]})
+	mustPlace(t, m, at(4), place.Task{Ref: second, Kind: "b", Resources: size(1500)})
+	held := m.Used("w")
+	assert.Equal(t, held.MilliCPU, int64(5500))
+	for _, r := range []place.Report{
+		{MeasuredAt: at(1), Usage: size(8000), Tasks: running[:1]},
+		{MeasuredAt: at(2), Usage: size(8000), Tasks: running[:1]},
+		{MeasuredAt: at(3), Usage: size(4000), Tasks: running},
+	} {
+		r.Worker = "w"
+		m.Step(at(6), place.Started{TaskRef: second, Worker: "w"})
+		m.Step(at(6), r)
+		assert.Assert(t, held.Fits(m.Used("w")))
+		assert.Assert(t, m.Used("w").MilliCPU <= held.MilliCPU, "measured at %v", r.MeasuredAt.Sub(start))
+	}
+}
+
+// Guards against tasks of a kind whose declared size is far too small being stacked on a worker that they overload.
+func TestObservedSizeIsHeld(t *testing.T) {
+	now := time.Unix(1000, 0)
+	m := place.New(place.FirstFit{})
+	m.Step(now, place.WorkerUpdated{Worker: worker("w")})
+	r := ref("j/0", 1)
+	mustPlace(t, m, now, place.Task{Ref: r, Kind: "k", Class: fleet.Urgent, Resources: size(700)})
+	m.Step(now, place.Started{TaskRef: r, Worker: "w"})
+	for range 20 {
+		now = now.Add(time.Second)
+		running := []plat.TaskStatus{{TaskRef: r, State: plat.TaskRunning, SlowdownPermille: 1000}}
+		m.Step(now, place.Report{Worker: "w", MeasuredAt: now, Usage: size(7000), Tasks: running})
+	}
+	_, err := m.Place(now, place.Task{Ref: ref("j/1", 1), Kind: "other", Resources: size(2000)})
+	assert.ErrorType(t, err, (*place.NoRoomError)(nil))
+	m.Step(now, place.Ended{TaskRef: r, Worker: "w"})
+	mustPlace(t, m, now, place.Task{Ref: ref("j/2", 1), Kind: "k", Resources: size(700)})
+	assert.Assert(t, m.Used("w").MilliCPU > 5000, "a kind known to use 7000m is reserved at %v", m.Used("w"))
+}
+
+// Guards against a worker that fails everything and so attracts all work, and against blaming it for bad jobs.
+func TestProbation(t *testing.T) {
+	now := time.Unix(1000, 0)
+	bad := func(job string, worker fleet.WorkerID) place.Failed {
+		return place.Failed{TaskRef: ref(job+"/0", 1), Worker: worker}
+	}
+	for _, c := range []struct {
+		name   string
+		events []place.Event
+		on     bool
+		fault  place.Fault
+	}{
+		{"three jobs", []place.Event{bad("a", "w1"), bad("b", "w1"), bad("c", "w1")}, true, place.FaultWorker},
+		{"one job", []place.Event{bad("a", "w1"), bad("a", "w1"), bad("a", "w1")}, false, place.FaultUnknown},
+		{"success between", []place.Event{
+			bad("a", "w1"), bad("b", "w1"), place.Succeeded{TaskRef: ref("d/0", 1), Worker: "w1"}, bad("c", "w1"),
+		}, false, place.FaultUnknown},
+		{"job fails elsewhere later", []place.Event{
+			bad("a", "w1"), bad("b", "w1"), bad("c", "w1"), bad("a", "w2"), bad("a", "w3"),
+		}, false, place.FaultJob},
+		{"each job failed on one other worker", []place.Event{
+			bad("a", "w1"), bad("a", "w2"), bad("b", "w1"), bad("b", "w3"), bad("c", "w1"),
+		}, true, place.FaultWorker},
+		{"job succeeds elsewhere", []place.Event{
+			bad("a", "w1"), bad("b", "w1"), bad("c", "w1"), bad("a", "w2"), bad("a", "w3"),
+			place.Succeeded{TaskRef: ref("a/1", 1), Worker: "w2"},
+			bad("d", "w1"),
+		}, true, place.FaultWorker},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			m := place.New(place.FirstFit{})
+			for _, id := range []fleet.WorkerID{"w1", "w2", "w3"} {
+				m.Step(now, place.WorkerUpdated{Worker: worker(id)})
+			}
+			for _, ev := range c.events {
+				m.Step(now, ev)
+			}
+			assert.Equal(t, m.OnProbation("w1"), c.on)
+			assert.Equal(t, m.Fault("a/0", "w1"), c.fault)
+			d := mustPlace(t, m, now, place.Task{Ref: ref("x/0", 1), Kind: "k", Resources: size(100)})
+			assert.Equal(t, d.Worker == "w1", !c.on, "a worker on probation attracts work")
+		})
+	}
+}
+
+// Guards against a model that stacks a noisy kind next to the kind that it slows, or evicts before it throttles.
+func TestInterferenceIsLearnedAndThrottledFirst(t *testing.T) {
+	now := time.Unix(1000, 0)
+	m := place.New(place.Interference{})
+	m.Step(now, place.WorkerUpdated{Worker: worker("w1")})
+	quote, noisy := ref("q/0", 1), ref("n/0", 1)
+	mustPlace(t, m, now, place.Task{Ref: quote, Kind: "quote", Class: fleet.Urgent, Resources: size(1000)})
+	mustPlace(t, m, now, place.Task{Ref: noisy, Kind: "noisy", Class: fleet.Deferrable, Resources: size(4000)})
+	m.Step(now, place.Started{TaskRef: quote, Worker: "w1"})
+	m.Step(now, place.Started{TaskRef: noisy, Worker: "w1"})
+	var permilles []int
+	evicted := false
+	for range 100 {
+		now = now.Add(2 * time.Second)
+		for _, e := range m.Step(now, place.Report{
+			Worker: "w1", MeasuredAt: now.Add(-time.Second), Usage: size(5000),
+			Tasks: []plat.TaskStatus{
+				{TaskRef: quote, State: plat.TaskRunning, SlowdownPermille: 2500},
+				{TaskRef: noisy, State: plat.TaskRunning, SlowdownPermille: 1000},
+			},
+		}) {
+			switch e := e.(type) {
+			case place.Throttle:
+				assert.Assert(t, !evicted)
+				permilles = append(permilles, e.Permille)
+			case place.Evict:
+				assert.Assert(t, !evicted, "evicted twice")
+				assert.Equal(t, e.TaskRef, noisy)
+				evicted = true
+			}
+		}
+	}
+	assert.DeepEqual(t, permilles, []int{500, 250})
+	assert.Assert(t, evicted)
+	m.Step(now, place.WorkerUpdated{Worker: worker("w2")})
+	d := mustPlace(t, m, now, place.Task{Ref: ref("n/1", 1), Kind: "noisy", Class: fleet.Deferrable, Resources: size(1000)})
+	assert.Equal(t, d.Worker, fleet.WorkerID("w2"))
+}
--- /dev/null
+++ b/coord/place/size.go
@@ -0,0 +1,120 @@
+package place
+
+import (
+	"math"
+
+	"lovagefork.example/coord/fleet"
+)
+
+// dimension is one kind of resource.
+type dimension int
+
+const (
+	cpuSize dimension = iota
+	memorySize
+	acceleratorSize
+	dimensions
+)
+
+const (
+	// sizeStep is the part of an error that one report corrects; reports lag and mix several kinds.
+	sizeStep = 0.3
+	// minSizeRatio and maxSizeRatio bound the correction; declared sizes are wrong by up to ten times.
+	minSizeRatio = 0.1
+	maxSizeRatio = 10
+	// trustedSizes is the number of reports after which the learned size of a kind is used for new tasks.
+	trustedSizes = 10
+	// sizeMargin is the error below which the declared size is kept.
+	sizeMargin = 1.1
+)
+
+// sizes learns how far the declared sizes of each task kind are off.
+type sizes struct {
+	// ratios holds the observed size over the declared size.
+	ratios  [][dimensions]float64
+	reports []int
+}
+
+func (s *sizes) grow(kind kindID) {
+	for int(kind) >= len(s.ratios) {
+		s.ratios = append(s.ratios, [dimensions]float64{1, 1, 1})
+		s.reports = append(s.reports, 0)
+	}
+}
+
+func amount(r fleet.Resources, d dimension) int64 {
+	switch d {
+	case cpuSize:
+		return r.MilliCPU
+	case memorySize:
+		return r.MemoryBytes
+	default:
+		return r.Accelerators
+	}
+}
+
+// expect returns the expected use of a task, with its limit on processor time.
+func (s *sizes) expect(d dimension, kind kindID, declared fleet.Resources, permille int) float64 {
+	e := float64(amount(declared, d)) * s.ratios[kind][d]
+	if d == cpuSize {
+		e *= float64(permille) / unthrottled
+	}
+	return e
+}
+
+// divide splits the total use of one resource among attempts and corrects the ratios of their kinds.
+func (s *sizes) divide(d dimension, ran []*held, past []run, total int64) []int64 {
+	expected := make([]float64, len(ran))
+	declared := map[kindID]float64{}
+	var sum, squares float64
+	for i, t := range ran {
+		expected[i] = s.expect(d, t.kind, t.task.Resources, t.permille)
+		sum += expected[i]
+		declared[t.kind] += float64(amount(t.task.Resources, d))
+	}
+	for _, r := range past {
+		sum += s.expect(d, r.kind, r.declared, unthrottled)
+		declared[r.kind] += float64(amount(r.declared, d))
+	}
+	for _, x := range declared {
+		squares += x * x
+	}
+	if squares > 0 && d != acceleratorSize {
+		for kind, x := range declared {
+			ratio := s.ratios[kind][d] + sizeStep*(float64(total)-sum)*x/squares
+			s.ratios[kind][d] = min(max(ratio, minSizeRatio), maxSizeRatio)
+			if d == cpuSize {
+				s.reports[kind]++
+			}
+		}
+	}
+	return apportion(expected, sum, total)
+}
+
+// apportion divides a total in proportion to the expected parts, or evenly if none is expected.
+func apportion(expected []float64, sum float64, total int64) []int64 {
+	parts := make([]int64, len(expected))
+	for i, e := range expected {
+		if sum > 0 {
+			parts[i] = int64(math.Ceil(e / sum * float64(total)))
+		} else {
+			parts[i] = int64(math.Ceil(float64(total) / float64(len(expected))))
+		}
+	}
+	return parts
+}
+
+// estimate returns the size to reserve for a new task: the declared one, or a larger one learned of its kind.
+func (s *sizes) estimate(kind kindID, declared fleet.Resources) fleet.Resources {
+	if s.reports[kind] < trustedSizes {
+		return declared
+	}
+	learned := declared
+	if r := s.ratios[kind][cpuSize]; r > sizeMargin {
+		learned.MilliCPU = int64(float64(declared.MilliCPU) * r)
+	}
+	if r := s.ratios[kind][memorySize]; r > sizeMargin {
+		learned.MemoryBytes = int64(float64(declared.MemoryBytes) * r)
+	}
+	return learned
+}
--- a/coord/place/task.go
+++ b/coord/place/task.go
@@ -36,6 +36,10 @@
 	decision Decision
 	// size is what the reservation holds: the larger of the declared and of the observed size.
 	size fleet.Resources
+	// observed is the decaying maximum of the sizes seen in reports, at seenAt; load is the newest of them.
+	observed fleet.Resources
+	seenAt   time.Time
+	load     fleet.Resources
 	// reservedAt and startedAt bound the reports that can include the attempt; startedAt is zero until it is known.
 	reservedAt time.Time
 	startedAt  time.Time
--- /dev/null
+++ b/coord/place/usage.go
@@ -0,0 +1,134 @@
+package place
+
+import (
+	"math"
+	"time"
+
+	"lovagefork.example/coord/fleet"
+	"lovagefork.example/coord/plat"
+)
+
+const (
+	// observedHalfLife is how fast an observed size decays without being seen again. Batch tasks of the two firms
+	// change phase within minutes; a shorter time would give a phase's memory away just before it returns.
+	observedHalfLife = 5 * time.Minute
+	// runTTL is how long an ended run can still be part of a late report.
+	runTTL = 2 * time.Minute
+)
+
+// run is an attempt that has ended, kept for reports that were measured while it ran.
+type run struct {
+	kind     kindID
+	declared fleet.Resources
+	load     fleet.Resources
+	from, to time.Time
+}
+
+// report takes in a worker's report unless a newer one has been seen.
+func (m *Machine) report(now time.Time, ev Report) []Effect {
+	h, ok := m.hosts[ev.Worker]
+	if !ok {
+		return nil
+	}
+	at := ev.MeasuredAt
+	if at.After(now) {
+		at = now
+	}
+	if !at.After(h.measuredAt) {
+		return nil
+	}
+	h.measuredAt = at
+	h.forgetRuns(at)
+	ran := h.ranAt(at)
+	past := h.pastAt(at)
+	m.noteStarts(now, h, ev.Tasks)
+	m.attribute(at, ran, past, ev.Usage)
+	h.settle()
+	h.mix = nil
+	effects := m.relieve(now, h, ev.Usage, ran)
+	m.learn(h, ran, past, ev.Tasks)
+	if m.mitigates {
+		effects = append(effects, m.mitigate(now, h)...)
+	}
+	return effects
+}
+
+// noteStarts takes a listed attempt as started from now on, if its start was never confirmed.
+//
+// The usage in the same report is older than the list of tasks, so that it need not include the attempt.
+func (m *Machine) noteStarts(now time.Time, h *host, tasks []plat.TaskStatus) {
+	for _, s := range tasks {
+		if t, ok := h.tasks[s.TaskRef]; ok && t.startedAt.IsZero() {
+			t.startedAt = now
+		}
+	}
+}
+
+// ranAt returns the reservations whose attempts ran at a time, oldest first.
+func (h *host) ranAt(at time.Time) []*held {
+	all := h.sorted()
+	ran := all[:0]
+	for _, t := range all {
+		if !t.startedAt.IsZero() && t.startedAt.Before(at) {
+			ran = append(ran, t)
+		}
+	}
+	return ran
+}
+
+// pastAt returns the ended runs that ran at a time.
+func (h *host) pastAt(at time.Time) []run {
+	var ran []run
+	for _, r := range h.past {
+		if r.from.Before(at) && at.Before(r.to) {
+			ran = append(ran, r)
+		}
+	}
+	return ran
+}
+
+// forgetRuns drops ended runs that no later report can include.
+func (h *host) forgetRuns(at time.Time) {
+	kept := h.past[:0]
+	for _, r := range h.past {
+		if at.Before(r.to) {
+			kept = append(kept, r)
+		}
+	}
+	h.past = kept
+}
+
+// attribute divides a worker's measured usage among the attempts that ran when it was measured.
+//
+// A worker reports only the sum. Each attempt gets the part that its declared size, corrected by what is known of its
+// kind, has of the whole; the correction is learned from how far the whole was off.
+func (m *Machine) attribute(at time.Time, ran []*held, past []run, usage fleet.Resources) {
+	if len(ran) == 0 {
+		return
+	}
+	cpu := m.sizes.divide(cpuSize, ran, past, usage.MilliCPU)
+	memory := m.sizes.divide(memorySize, ran, past, usage.MemoryBytes)
+	accelerators := m.sizes.divide(acceleratorSize, ran, past, usage.Accelerators)
+	for i, t := range ran {
+		seen := fleet.Resources{MilliCPU: cpu[i], MemoryBytes: memory[i], Accelerators: accelerators[i]}
+		t.load = seen
+		if !m.observes {
+			continue
+		}
+		t.observed = decay(t.observed, at.Sub(t.seenAt)).Max(seen)
+		t.seenAt = at
+		t.resize(t.task.Resources.Max(t.observed))
+	}
+}
+
+func decay(r fleet.Resources, age time.Duration) fleet.Resources {
+	if age <= 0 {
+		return r
+	}
+	f := math.Exp2(-age.Seconds() / observedHalfLife.Seconds())
+	return fleet.Resources{
+		MilliCPU:     int64(float64(r.MilliCPU) * f),
+		MemoryBytes:  int64(float64(r.MemoryBytes) * f),
+		Accelerators: int64(float64(r.Accelerators) * f),
+	}
+}
