--- a/coord/grant/grant_test.go
+++ b/coord/grant/grant_test.go
@@ -46,7 +46,6 @@
 	processes []*process
 	runs      []*run
 	letters   []letter
-	asks      map[*process]map[uint64]*process
 	tickets   uint64
 	// greedy takes every slot that becomes free at once.
 	greedy *process
