Add lovctl, with failover, drafts and the questionnaire on a terminal

Cause: operators had no command. A file of plain answers does not tell the revision it was derived from; taking the current one as its base would let an old file undo later changes without a conflict.

Ruled out: sharing HTTP body types by importing entryd from lovctl; they moved to coord/form (body.go), which both modules already use.

Change: lovctl with packages cmds, draft, entry, prompt and show. Drafts keep the base revision and, after an unknown outcome, the change id.

--- a/coord/config/accept.go
+++ b/coord/config/accept.go
@@ -47,7 +47,7 @@
 	return m.attempt(now, ev.Token, p)
 }
 
-// attempt starts the next transaction of a proposal, or ends it if the document in force already tells its outcome.
+// attempt starts the next transaction of a proposal, or ends it if the document in effect already tells its outcome.
 func (m *Machine) attempt(now time.Time, token uint64, p *proposal) []Effect {
 	held := m.docs[p.change.Customer]
 	if held.Document.ChangeID == p.change.ID && held.Revision > 0 {
--- a/coord/config/event.go
+++ b/coord/config/event.go
@@ -124,7 +124,7 @@
 	State State
 }
 
-// Applied tells that a document came into force in this process.
+// Applied tells that a document came into effect in this process.
 type Applied struct {
 	Versioned Versioned
 	Source    Source
--- a/coord/config/machine.go
+++ b/coord/config/machine.go
@@ -12,7 +12,7 @@
 // TickInterval is the time between two [Tick] events.
 const TickInterval = 250 * time.Millisecond
 
-// Machine accepts changes and keeps the documents in force in one process; it is not safe for concurrent use.
+// Machine accepts changes and keeps the documents in effect in one process; it is not safe for concurrent use.
 type Machine struct {
 	docs map[fleet.CustomerID]Versioned
 	// revisions is replaced, never changed, because peers with the same documents share it.
@@ -69,7 +69,7 @@
 	return append(effects, m.spreadSums(now)...)
 }
 
-// apply brings a document into force unless one with the same or a higher revision is.
+// apply brings a document into effect unless one with the same or a higher revision is.
 func (m *Machine) apply(v Versioned, source Source) []Effect {
 	id := v.Document.Customer
 	held, exists := m.docs[id]
@@ -124,7 +124,7 @@
 	}
 }
 
-// Customer returns the document in force of a customer, and false if it has none.
+// Customer returns the document in effect of a customer, and false if it has none.
 func (m *Machine) Customer(id fleet.CustomerID) (Versioned, bool) {
 	v, ok := m.docs[id]
 	return v, ok
@@ -135,7 +135,7 @@
 	return slices.Sorted(maps.Keys(m.docs))
 }
 
-// Revisions returns the revision in force of each customer; the map must not be changed.
+// Revisions returns the revision in effect of each customer; the map must not be changed.
 func (m *Machine) Revisions() map[fleet.CustomerID]store.Revision {
 	return m.revisions
 }
--- a/coord/config/spread.go
+++ b/coord/config/spread.go
@@ -24,7 +24,7 @@
 	docsPerMessage = 100
 )
 
-// State summarises the documents in force in a process; Sum is equal in processes that hold the same revisions.
+// State summarises the documents in effect in a process; Sum is equal in processes that hold the same revisions.
 type State struct {
 	Sum uint64
 	// Full is set if Revisions lists all customers; otherwise it is empty.
--- a/coord/form/decode.go
+++ b/coord/form/decode.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"strconv"
 	"strings"
 )
 
@@ -57,9 +58,13 @@
 		}
 		return &FieldError{Field: field, Value: "a JSON " + mismatch.Value, Allowed: "a value of type " + mismatch.Type.String()}
 	}
-	if _, field, found := strings.Cut(err.Error(), "unknown field "); found {
+	if _, quoted, found := strings.Cut(err.Error(), "unknown field "); found {
+		field, err := strconv.Unquote(quoted)
+		if err != nil || field == "" {
+			field = "answers"
+		}
 		return &FieldError{
-			Field: strings.Trim(field, `"`), Value: "an unknown field",
+			Field: field, Value: "an unknown field",
 			Allowed: "customer, urgent, may_wait, never_twice, services, batch, quota and their fields",
 		}
 	}
--- a/coord/wire/messages.go
+++ b/coord/wire/messages.go
@@ -87,7 +87,7 @@
 	Documents []config.Versioned `cbor:"documents"`
 }
 
-// ConfigState summarises the documents in force at the sender; Sum is equal for equal revisions.
+// ConfigState summarises the documents in effect at the sender; Sum is equal for equal revisions.
 //
 // Full is set if Revisions gives the revision of every customer; otherwise it is empty. Reply asks for the documents that
 // the receiver holds at a higher revision.
--- a/entryd/admin/admin.go
+++ b/entryd/admin/admin.go
@@ -26,7 +26,7 @@
 	Send(to fleet.EntryHostID, msg wire.Message) error
 }
 
-// Admin accepts changes of the configuration and keeps the documents in force in this process.
+// Admin accepts changes of the configuration and keeps the documents in effect in this process.
 type Admin struct {
 	self  fleet.EntryHostID
 	store store.Client
@@ -100,11 +100,11 @@
 	a.running.Wait()
 }
 
-// View returns the documents in force.
+// View returns the documents in effect.
 func (a *Admin) View() config.View { return liveView{admin: a} }
 
-// Subscribe adds a function that is called with each document that comes into force, in order; it must not block or call
-// this package. It is called first with the documents that are in force already.
+// Subscribe adds a function that is called with each document that comes into effect, in order; it must not block or call
+// this package. It is called first with the documents that are in effect already.
 func (a *Admin) Subscribe(f func(config.Versioned)) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/entryd/admin/admin_test.go
+++ b/entryd/admin/admin_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"lovagefork.example/coord/fleet"
+	"lovagefork.example/coord/form"
 	"lovagefork.example/coord/store"
 	"lovagefork.example/entryd/admin"
 )
@@ -82,7 +83,7 @@
 	return data
 }
 
-// Guards the whole path: an answers file put at one process must be in force at another through its watch.
+// Guards the whole path: an answers file put at one process must be in effect at another through its watch.
 func TestChangeReachesOtherProcess(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster()
@@ -90,8 +91,8 @@
 		one, two := c.start("e1"), c.start("e2")
 		c.mesh.setCut("e1", "e2", true)
 		time.Sleep(time.Second)
-		var answer admin.ChangeAnswer
-		request := admin.ChangeRequest{ChangeID: "c1", Answers: answersFile(t)}
+		var answer form.ChangeAnswer
+		request := form.ChangeRequest{ChangeID: "c1", Answers: answersFile(t)}
 		assert.Equal(t, call(one, http.MethodPut, "/v1/config/gehegewerk", request, &answer), http.StatusOK)
 		time.Sleep(time.Second)
 		v, found := two.admin.View().Customer("gehegewerk")
@@ -111,14 +112,14 @@
 		n := c.start("e1")
 		time.Sleep(time.Second)
 		c.kv.set(func(k *kv) { k.down = true })
-		request := admin.ChangeRequest{ChangeID: "c1", Answers: answersFile(t)}
-		var failure admin.Failure
+		request := form.ChangeRequest{ChangeID: "c1", Answers: answersFile(t)}
+		var failure form.Failure
 		assert.Equal(t, call(n, http.MethodPut, "/v1/config/gehegewerk", request, &failure), http.StatusServiceUnavailable)
-		assert.Equal(t, failure.Outcome, admin.OutcomeNotRun)
+		assert.Equal(t, failure.Outcome, form.OutcomeNotRun)
 
 		c.kv.set(func(k *kv) { k.down, k.lose = false, true })
-		var answer admin.ChangeAnswer
+		var answer form.ChangeAnswer
 		assert.Equal(t, call(n, http.MethodPut, "/v1/config/gehegewerk", request, &answer), http.StatusOK)
-		assert.Equal(t, answer.Outcome, admin.OutcomeAccepted)
+		assert.Equal(t, answer.Outcome, form.OutcomeAccepted)
 	})
 }
--- a/entryd/admin/effect.go
+++ b/entryd/admin/effect.go
@@ -50,7 +50,7 @@
 
 func (a *Admin) logApplied(e config.Applied) {
 	v := e.Versioned
-	a.log.Info("config: change in force", "customer", v.Document.Customer, "revision", v.Revision,
+	a.log.Info("config: applied", "customer", v.Document.Customer, "revision", v.Revision,
 		"change_id", v.Document.ChangeID, "sequence", v.Sequence, "source", e.Source)
 }
 
--- a/entryd/admin/http.go
+++ b/entryd/admin/http.go
@@ -23,43 +23,6 @@
 
 var changeIDPattern = regexp.MustCompile(`^[A-Za-z0-9._:-]{1,128}$`)
 
-// Outcomes of a change in answers to operators.
-const (
-	OutcomeAccepted = "accepted"
-	OutcomeNotRun   = "not_run"
-	OutcomeUnknown  = "unknown"
-)
-
-// ChangeRequest is the body of a change; BaseRevision is the revision that the operator amended, zero for a new customer.
-type ChangeRequest struct {
-	BaseRevision store.Revision  `json:"base_revision"`
-	ChangeID     string          `json:"change_id"`
-	Answers      json.RawMessage `json:"answers"`
-}
-
-// ChangeAnswer is the body of the answer to an accepted change.
-type ChangeAnswer struct {
-	Outcome  string           `json:"outcome"`
-	Customer fleet.CustomerID `json:"customer"`
-	Revision store.Revision   `json:"revision"`
-	Sequence int64            `json:"sequence"`
-	ChangeID string           `json:"change_id"`
-	Document config.Document  `json:"document"`
-}
-
-// Failure is the body of every answer that reports an error; only the first three fields are always present.
-type Failure struct {
-	Error   string `json:"error"`
-	Field   string `json:"field"`
-	Outcome string `json:"outcome"`
-
-	Problems    []*form.FieldError `json:"problems,omitempty"`
-	ChangeID    string             `json:"change_id,omitempty"`
-	Revision    store.Revision     `json:"revision,omitempty"`
-	Answers     json.RawMessage    `json:"answers,omitempty"`
-	Differences []form.Difference  `json:"differences,omitempty"`
-}
-
 // Register adds the routes of this package.
 func (a *Admin) Register(r *mux.Router) {
 	r.HandleFunc("/v1/config", a.serveStatus).Methods(http.MethodGet)
@@ -70,7 +33,7 @@
 }
 
 func (a *Admin) serveChange(w http.ResponseWriter, r *http.Request) {
-	var request ChangeRequest
+	var request form.ChangeRequest
 	if !readBody(w, r, &request) {
 		return
 	}
@@ -82,7 +45,7 @@
 	}
 	encoded, err := form.Encode(answers)
 	if err != nil {
-		writeJSON(w, http.StatusInternalServerError, Failure{Error: err.Error(), Outcome: OutcomeNotRun})
+		writeJSON(w, http.StatusInternalServerError, form.Failure{Error: err.Error(), Outcome: form.OutcomeNotRun})
 		return
 	}
 	change := config.Change{
@@ -91,7 +54,7 @@
 	writeOutcome(w, change, answers, a.propose(r.Context(), change))
 }
 
-func checkChange(customer fleet.CustomerID, request ChangeRequest) (form.Answers, *Failure) {
+func checkChange(customer fleet.CustomerID, request form.ChangeRequest) (form.Answers, *form.Failure) {
 	switch {
 	case !changeIDPattern.MatchString(request.ChangeID):
 		return form.Answers{}, refusal("change_id", "1 to 128 letters, digits, dots, colons, hyphens or underscores")
@@ -101,12 +64,12 @@
 	return checkAnswers(customer, request.Answers)
 }
 
-func checkAnswers(customer fleet.CustomerID, data []byte) (form.Answers, *Failure) {
+func checkAnswers(customer fleet.CustomerID, data []byte) (form.Answers, *form.Failure) {
 	answers, err := form.Decode(data)
 	invalid := (*form.InvalidError)(nil)
 	if errors.As(err, &invalid) {
-		return form.Answers{}, &Failure{
-			Error: err.Error(), Field: invalid.Problems[0].Field, Outcome: OutcomeNotRun, Problems: invalid.Problems,
+		return form.Answers{}, &form.Failure{
+			Error: err.Error(), Field: invalid.Problems[0].Field, Outcome: form.OutcomeNotRun, Problems: invalid.Problems,
 		}
 	}
 	if answers.Customer != customer {
@@ -115,36 +78,36 @@
 	return answers, nil
 }
 
-func refusal(field, allowed string) *Failure {
-	return &Failure{Error: field + ": want " + allowed, Field: field, Outcome: OutcomeNotRun}
+func refusal(field, allowed string) *form.Failure {
+	return &form.Failure{Error: field + ": want " + allowed, Field: field, Outcome: form.OutcomeNotRun}
 }
 
 func writeOutcome(w http.ResponseWriter, c config.Change, answers form.Answers, outcome config.Outcome) {
 	switch o := outcome.(type) {
 	case config.Accepted:
-		writeJSON(w, http.StatusOK, ChangeAnswer{
-			Outcome: OutcomeAccepted, Customer: c.Customer, Revision: o.Versioned.Revision, Sequence: o.Versioned.Sequence,
+		writeJSON(w, http.StatusOK, form.ChangeAnswer{
+			Outcome: form.OutcomeAccepted, Customer: c.Customer, Revision: o.Versioned.Revision, Sequence: o.Versioned.Sequence,
 			ChangeID: c.ID, Document: o.Versioned.Document,
 		})
 	case config.Conflict:
 		writeJSON(w, http.StatusConflict, conflict(c, answers, o.Current))
 	case config.Reused:
-		writeJSON(w, http.StatusUnprocessableEntity, Failure{
+		writeJSON(w, http.StatusUnprocessableEntity, form.Failure{
 			Error: fmt.Sprintf("change_id %s was accepted with other answers at revision %d", c.ID, o.Revision),
-			Field: "change_id", Outcome: OutcomeNotRun, ChangeID: c.ID, Revision: o.Revision,
+			Field: "change_id", Outcome: form.OutcomeNotRun, ChangeID: c.ID, Revision: o.Revision,
 		})
 	case config.NotRun:
-		writeUnavailable(w, c.ID, OutcomeNotRun, "the change was not run: "+o.Reason)
+		writeUnavailable(w, c.ID, form.OutcomeNotRun, "the change was not run: "+o.Reason)
 	case config.Unknown:
-		writeUnavailable(w, c.ID, OutcomeUnknown, "the change may have taken effect; repeat it with the same change_id: "+o.Reason)
+		writeUnavailable(w, c.ID, form.OutcomeUnknown, "the change may have taken effect; repeat it with the same change_id: "+o.Reason)
 	}
 }
 
-func conflict(c config.Change, answers form.Answers, current config.Versioned) Failure {
-	f := Failure{
+func conflict(c config.Change, answers form.Answers, current config.Versioned) form.Failure {
+	f := form.Failure{
 		Error:   fmt.Sprintf("base_revision %d is not current: the current revision is %d", c.Base, current.Revision),
 		Field:   "base_revision",
-		Outcome: OutcomeNotRun, ChangeID: c.ID, Revision: current.Revision, Answers: current.Answers,
+		Outcome: form.OutcomeNotRun, ChangeID: c.ID, Revision: current.Revision, Answers: current.Answers,
 	}
 	// Answers that an older version of the questionnaire accepted are still shown, only not compared.
 	if held, err := form.Decode(current.Answers); err == nil {
@@ -155,7 +118,7 @@
 
 func writeUnavailable(w http.ResponseWriter, changeID, outcome, reason string) {
 	w.Header().Set("Retry-After", "3")
-	writeJSON(w, http.StatusServiceUnavailable, Failure{Error: reason, Outcome: outcome, ChangeID: changeID})
+	writeJSON(w, http.StatusServiceUnavailable, form.Failure{Error: reason, Outcome: outcome, ChangeID: changeID})
 }
 
 func customerOf(r *http.Request) fleet.CustomerID { return fleet.CustomerID(mux.Vars(r)["customer"]) }
@@ -169,7 +132,7 @@
 		err = d.Decode(into)
 	}
 	if err != nil {
-		writeJSON(w, http.StatusBadRequest, Failure{Error: "body: " + err.Error(), Field: "body", Outcome: OutcomeNotRun})
+		writeJSON(w, http.StatusBadRequest, form.Failure{Error: "body: " + err.Error(), Field: "body", Outcome: form.OutcomeNotRun})
 	}
 	return err == nil
 }
--- a/entryd/admin/inspect.go
+++ b/entryd/admin/inspect.go
@@ -1,7 +1,6 @@
 package admin
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"slices"
@@ -12,66 +11,13 @@
 	"lovagefork.example/coord/store"
 )
 
-// Current is the body of the answer that shows a customer's configuration.
-type Current struct {
-	Customer fleet.CustomerID `json:"customer"`
-	Revision store.Revision   `json:"revision"`
-	Sequence int64            `json:"sequence"`
-	ChangeID string           `json:"change_id"`
-	Document config.Document  `json:"document"`
-	Answers  json.RawMessage  `json:"answers"`
-}
-
-// HistoryEntry is one accepted change with what it changed in the answers.
-type HistoryEntry struct {
-	config.Past
-	Differences []form.Difference `json:"differences"`
-}
-
-// History is the body of the answer that lists a customer's changes, the newest first.
-type History struct {
-	Customer fleet.CustomerID `json:"customer"`
-	History  []HistoryEntry   `json:"history"`
-}
-
-// PeerStatus is the last known state of a peer's configuration; HeardMS is -1 if it has sent none on this link.
-type PeerStatus struct {
-	EntryHost fleet.EntryHostID                   `json:"entry_host"`
-	Linked    bool                                `json:"linked"`
-	HeardMS   int64                               `json:"heard_ms"`
-	Revisions map[fleet.CustomerID]store.Revision `json:"revisions"`
-}
-
-// Status is the body of the answer that shows the revisions in force here and at each peer.
-type Status struct {
-	EntryHost fleet.EntryHostID                   `json:"entry_host"`
-	Loaded    bool                                `json:"loaded"`
-	Watching  bool                                `json:"watching"`
-	Revisions map[fleet.CustomerID]store.Revision `json:"revisions"`
-	Peers     []PeerStatus                        `json:"peers"`
-}
-
-// Preview is the body of the answer that shows what answers would change.
-type Preview struct {
-	Customer            fleet.CustomerID  `json:"customer"`
-	Revision            store.Revision    `json:"revision"`
-	Document            config.Document   `json:"document"`
-	Differences         []form.Difference `json:"differences"`
-	DocumentDifferences []form.Difference `json:"document_differences"`
-}
-
-// PreviewRequest is the body of a preview.
-type PreviewRequest struct {
-	Answers json.RawMessage `json:"answers"`
-}
-
 func (a *Admin) serveCurrent(w http.ResponseWriter, r *http.Request) {
 	v, found := a.View().Customer(customerOf(r))
 	if !found {
 		a.writeMissing(w, customerOf(r))
 		return
 	}
-	writeJSON(w, http.StatusOK, Current{
+	writeJSON(w, http.StatusOK, form.Current{
 		Customer: v.Document.Customer, Revision: v.Revision, Sequence: v.Sequence,
 		ChangeID: v.Document.ChangeID, Document: v.Document, Answers: v.Answers,
 	})
@@ -80,20 +26,20 @@
 // writeMissing answers 404 only if the store has been read: before, the customer may exist without being known here.
 func (a *Admin) writeMissing(w http.ResponseWriter, id fleet.CustomerID) {
 	if !a.Loaded() {
-		writeUnavailable(w, "", OutcomeUnknown, "the configuration has not been read from the store yet")
+		writeUnavailable(w, "", form.OutcomeUnknown, "the configuration has not been read from the store yet")
 		return
 	}
-	writeJSON(w, http.StatusNotFound, Failure{Error: fmt.Sprintf("no configuration of customer %q", id), Field: "customer"})
+	writeJSON(w, http.StatusNotFound, form.Failure{Error: fmt.Sprintf("no configuration of customer %q", id), Field: "customer"})
 }
 
 func (a *Admin) serveHistory(w http.ResponseWriter, r *http.Request) {
 	id := customerOf(r)
 	result, err := a.read(r.Context(), store.Get{Key: config.HistoryKeys(id), Prefix: true, Limit: 2 * config.HistoryLimit})
 	if err != nil {
-		writeUnavailable(w, "", OutcomeNotRun, err.Error())
+		writeUnavailable(w, "", form.OutcomeNotRun, err.Error())
 		return
 	}
-	answer := History{Customer: id, History: []HistoryEntry{}}
+	answer := form.History{Customer: id, History: []form.HistoryEntry{}}
 	var before form.Answers
 	for _, e := range result.Entries {
 		past, err := config.ParsePast(e)
@@ -102,7 +48,7 @@
 			continue
 		}
 		after, _ := form.Decode(past.Answers)
-		answer.History = append(answer.History, HistoryEntry{Past: past, Differences: form.Diff(before, after)})
+		answer.History = append(answer.History, form.HistoryEntry{Past: past, Differences: form.Diff(before, after)})
 		before = after
 	}
 	slices.Reverse(answer.History)
@@ -114,16 +60,16 @@
 	only := fleet.CustomerID(r.URL.Query().Get("customer"))
 	a.mu.Lock()
 	now := a.now()
-	status := Status{
+	status := form.Status{
 		EntryHost: a.self, Loaded: a.machine.Loaded(), Watching: a.machine.Watching(),
-		Revisions: pick(a.machine.Revisions(), only), Peers: []PeerStatus{},
+		Revisions: pick(a.machine.Revisions(), only), Peers: []form.PeerStatus{},
 	}
 	for _, p := range a.machine.Peers() {
 		heard := int64(-1)
 		if !p.HeardAt.IsZero() {
 			heard = now.Sub(p.HeardAt).Milliseconds()
 		}
-		status.Peers = append(status.Peers, PeerStatus{
+		status.Peers = append(status.Peers, form.PeerStatus{
 			EntryHost: p.Peer, Linked: p.Up, HeardMS: heard, Revisions: pick(p.Revisions, only),
 		})
 	}
@@ -144,7 +90,7 @@
 }
 
 func (a *Admin) servePreview(w http.ResponseWriter, r *http.Request) {
-	var request PreviewRequest
+	var request form.PreviewRequest
 	if !readBody(w, r, &request) {
 		return
 	}
@@ -157,7 +103,7 @@
 	before, _ := form.Decode(held.Answers)
 	doc := answers.Generate()
 	doc.ChangeID = held.Document.ChangeID
-	writeJSON(w, http.StatusOK, Preview{
+	writeJSON(w, http.StatusOK, form.Preview{
 		Customer: answers.Customer, Revision: held.Revision, Document: doc,
 		Differences: form.Diff(before, answers), DocumentDifferences: form.DiffDocuments(held.Document, doc),
 	})
--- /dev/null
+++ b/lovctl/entry/doc.go
@@ -0,0 +1,2 @@
+// Package entry calls the HTTP interface of entry processes and fails over between them.
+package entry
--- a/lovctl/main.go
+++ b/lovctl/main.go
@@ -1,4 +1,20 @@
-// Command lovctl is described in README.md.
+// Command lovctl is the operators' command of lovagefork.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"lovagefork.example/lovctl/cmds"
+)
+
+// version is set when the program is built.
+var version = "development"
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	os.Exit(cmds.Run(ctx, version, os.Args[1:], cmds.Streams{In: os.Stdin, Out: os.Stdout, Err: os.Stderr}))
+}
--- /dev/null
+++ b/lovctl/prompt/doc.go
@@ -0,0 +1,2 @@
+// Package prompt asks the questionnaire on a terminal.
+package prompt
