--- a/entryd/daemon/app.go
+++ b/entryd/daemon/app.go
@@ -12,6 +12,7 @@
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
+	"lovagefork.example/coord/budget"
 	"lovagefork.example/coord/etcdkv"
 	"lovagefork.example/coord/fleet"
 	"lovagefork.example/coord/grant"
@@ -20,6 +21,7 @@
 	"lovagefork.example/coord/wire"
 	"lovagefork.example/entryd/admin"
 	"lovagefork.example/entryd/front"
+	"lovagefork.example/entryd/hosts"
 	"lovagefork.example/entryd/peers"
 	"lovagefork.example/entryd/setup"
 	"lovagefork.example/entryd/stats"
@@ -37,8 +39,10 @@
 			newHello,
 			newTLS,
 			newMesh,
-			newStore,
+			newBudget,
+			func(c *budget.Client) store.Client { return c },
 			newPlatform,
+			newHosts,
 			newAdmin,
 			newFront,
 			newRouter,
@@ -76,8 +80,14 @@
 	return peers.New(self, s.Addresses(), log, opts...)
 }
 
-func newStore(s setup.Settings) store.Client {
-	return etcdkv.New(s.Store.String())
+// newBudget puts every store call of the process under one allowance.
+func newBudget(s setup.Settings) *budget.Client {
+	total := budget.Rates{Writes: float64(s.StoreWrites), Reads: float64(s.StoreReads)}
+	return budget.Limit(etcdkv.New(s.Store.String()), budget.New(total, len(s.Roster)))
+}
+
+func newHosts(source plat.Hosts, log *slog.Logger) *hosts.View {
+	return hosts.New(source, log)
 }
 
 func newPlatform(s setup.Settings) (plat.Agent, plat.Hosts) {
--- a/entryd/daemon/run.go
+++ b/entryd/daemon/run.go
@@ -13,12 +13,14 @@
 	"lovagefork.example/coord/fleet"
 	"lovagefork.example/entryd/admin"
 	"lovagefork.example/entryd/front"
+	"lovagefork.example/entryd/hosts"
 	"lovagefork.example/entryd/peers"
 	"lovagefork.example/entryd/setup"
 )
 
 // connect passes messages and observations between the parts.
-func connect(mesh *peers.Mesh, a *admin.Admin, f *front.Front) {
+func connect(mesh *peers.Mesh, h *hosts.View, a *admin.Admin, f *front.Front) {
+	h.Subscribe(f.ObserveFleet)
 	mesh.Handle(a.HandlePeer)
 	mesh.Handle(f.HandlePeer)
 	mesh.OnChange(func(peer fleet.EntryHostID, up bool) {
@@ -54,6 +56,7 @@
 	Log      *slog.Logger
 	Router   *mux.Router
 	Mesh     *peers.Mesh
+	Hosts    *hosts.View
 	Admin    *admin.Admin
 	Front    *front.Front
 	Health   *Health
@@ -75,6 +78,7 @@
 			ctx, cancel := context.WithCancel(context.Background())
 			r.cancel = cancel
 			r.run(ctx, "peers", func(ctx context.Context) error { p.Mesh.Run(ctx); return nil })
+			r.run(ctx, "hosts", func(ctx context.Context) error { p.Hosts.Run(ctx); return nil })
 			r.run(ctx, "admin", p.Admin.Run)
 			r.run(ctx, "front", p.Front.Run)
 			p.Health.Meet("start")
