--- a/entryd/daemon/run.go
+++ b/entryd/daemon/run.go
@@ -93,6 +93,7 @@
 			defer cancel()
 			err = errors.Join(err, callers.stop(stopCtx))
 			r.cancel()
+			p.Mesh.Close()
 			r.wg.Wait()
 			err = errors.Join(err, links.http.Close())
 			p.Log.Info("daemon: stopped", "error", err)
--- a/entryd/peers/peers.go
+++ b/entryd/peers/peers.go
@@ -161,6 +161,16 @@
 	wg.Wait()
 }
 
+// Close breaks every link; peers that are still running link up again.
+func (m *Mesh) Close() {
+	m.mu.Lock()
+	links := slices.Collect(maps.Values(m.links))
+	m.mu.Unlock()
+	for _, l := range links {
+		l.stop()
+	}
+}
+
 func (m *Mesh) dialLoop(ctx context.Context, peer fleet.EntryHostID, address string) {
 	wait := redialMin
 	for ctx.Err() == nil {
