--- a/coord/budget/client.go
+++ b/coord/budget/client.go
@@ -20,6 +20,34 @@
 	return context.WithValue(ctx, priorityKey{}, p)
 }
 
+// At returns the same budget for a path whose calls have another priority unless their context says otherwise.
+func (c *Client) At(p Priority) store.Client { return path{Client: c, priority: p} }
+
+// path is one user of a [Client] with its own priority.
+type path struct {
+	*Client
+	priority Priority
+}
+
+func (p path) context(ctx context.Context) context.Context {
+	return WithPriority(ctx, priorityOf(ctx, p.priority))
+}
+
+// Range implements [store.Client].
+func (p path) Range(ctx context.Context, get store.Get) (store.RangeResult, error) {
+	return p.Client.Range(p.context(ctx), get)
+}
+
+// Txn implements [store.Client].
+func (p path) Txn(ctx context.Context, txn store.Txn) (store.TxnResult, error) {
+	return p.Client.Txn(p.context(ctx), txn)
+}
+
+// Grant implements [store.Client].
+func (p path) Grant(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
+	return p.Client.Grant(p.context(ctx), ttl)
+}
+
 func priorityOf(ctx context.Context, otherwise Priority) Priority {
 	if p, ok := ctx.Value(priorityKey{}).(Priority); ok {
 		return p
--- a/coord/lease/lease.go
+++ b/coord/lease/lease.go
@@ -91,6 +91,14 @@
 	return m.lease != 0 && now.Before(m.validUntil)
 }
 
+// ValidUntil returns the time until which the session is proven, or the zero time without a session.
+func (m *Machine) ValidUntil() time.Time {
+	if m.lease == 0 {
+		return time.Time{}
+	}
+	return m.validUntil
+}
+
 // Holds reports whether the process may claim tasks in the partition under the epoch at now.
 func (m *Machine) Holds(now time.Time, p fleet.PartitionID, epoch fleet.Epoch) bool {
 	h, held := m.held[p]
--- a/entryd/batch/batch.go
+++ b/entryd/batch/batch.go
@@ -38,6 +38,18 @@
 	Broadcast(msg wire.Message)
 }
 
+// Budget learns from the session how many processes share the store.
+type Budget interface {
+	Held(until time.Time)
+	Members(count int)
+}
+
+// noBudget is used by a runtime whose store client has no budget.
+type noBudget struct{}
+
+func (noBudget) Held(time.Time) {}
+func (noBudget) Members(int)    {}
+
 // Deps is what the runtime works with.
 type Deps struct {
 	Self       wire.Hello
@@ -55,6 +67,7 @@
 	onEndpoints func(wire.Endpoints)
 	newPlacer   func() *place.Machine
 	horizon     time.Duration
+	budget      Budget
 
 	mu         sync.Mutex
 	ctx        context.Context
@@ -110,6 +123,11 @@
 	return func(r *Runtime) { r.horizon = d }
 }
 
+// WithBudget passes the state of the session to the budget of the store client.
+func WithBudget(b Budget) Option {
+	return func(r *Runtime) { r.budget = b }
+}
+
 // New returns a runtime that does nothing before [Runtime.Run].
 func New(deps Deps, opts ...Option) *Runtime {
 	r := &Runtime{
@@ -117,6 +135,7 @@
 		onEndpoints: func(wire.Endpoints) {},
 		newPlacer:   func() *place.Machine { return place.New(place.Interference{}) },
 		horizon:     lease.OutageHorizon,
+		budget:      noBudget{},
 		ledger:      ledger.New(),
 		parts:       make(map[fleet.PartitionID]*part),
 		recovering:  make(map[fleet.PartitionID]fleet.Epoch),
--- a/entryd/batch/owner.go
+++ b/entryd/batch/owner.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"lovagefork.example/coord/budget"
 	"lovagefork.example/coord/fleet"
 	"lovagefork.example/coord/jobs"
 	"lovagefork.example/coord/lease"
@@ -17,6 +18,15 @@
 
 func (r *Runtime) stepLease(now time.Time, ev lease.Event) {
 	r.performLease(now, r.lease.Step(now, ev))
+	r.budget.Held(r.lease.ValidUntil())
+	if snapshot, ok := ev.(lease.Snapshot); ok && snapshot.OK {
+		r.budget.Members(len(r.lease.Members()))
+	}
+}
+
+// spawnSession runs a store call that keeps the session or the ownership of partitions, before all other calls.
+func (r *Runtime) spawnSession(call func(ctx context.Context)) {
+	r.spawn(storeTimeout, func(ctx context.Context) { call(budget.WithPriority(ctx, budget.Session)) })
 }
 
 func (r *Runtime) leaseEvent(ev lease.Event) {
@@ -29,35 +39,35 @@
 	for _, e := range effects {
 		switch e := e.(type) {
 		case lease.Grant:
-			r.spawn(storeTimeout, func(ctx context.Context) {
+			r.spawnSession(func(ctx context.Context) {
 				sent := time.Now()
 				id, err := r.Store.Grant(ctx, lease.TTL)
 				r.warn("lease: no session granted", err)
 				r.leaseEvent(lease.Granted{ID: id, SentAt: sent})
 			})
 		case lease.KeepAlive:
-			r.spawn(storeTimeout, func(ctx context.Context) {
+			r.spawnSession(func(ctx context.Context) {
 				sent := time.Now()
 				left, err := r.Store.KeepAlive(ctx, e.ID)
 				r.warn("lease: session not renewed", err)
 				r.leaseEvent(lease.KeptAlive{ID: e.ID, SentAt: sent, TTL: left, Known: err == nil})
 			})
 		case lease.Register:
-			r.spawn(storeTimeout, func(ctx context.Context) {
+			r.spawnSession(func(ctx context.Context) {
 				_, err := r.Store.Txn(ctx, e.Txn)
 				r.warn("lease: process not registered", err)
 				r.leaseEvent(lease.Registered{ID: e.ID, OK: err == nil})
 			})
 		case lease.Refresh:
-			r.spawn(storeTimeout, r.refreshOwners)
+			r.spawnSession(r.refreshOwners)
 		case lease.Claim:
-			r.spawn(storeTimeout, func(ctx context.Context) {
+			r.spawnSession(func(ctx context.Context) {
 				result, err := r.Store.Txn(ctx, e.Txn)
 				r.warn("lease: claim of partition "+string(e.Partition)+" unclear", err)
 				r.leaseEvent(lease.ClaimDone{Partition: e.Partition, Owner: e.Owner, Won: result.Committed, Known: err == nil})
 			})
 		case lease.Release:
-			r.spawn(storeTimeout, func(ctx context.Context) {
+			r.spawnSession(func(ctx context.Context) {
 				_, err := r.Store.Txn(ctx, e.Txn)
 				r.warn("lease: release of partition "+string(e.Partition)+" unclear", err)
 				r.leaseEvent(lease.OwnersChanged{})
@@ -113,7 +123,7 @@
 			break
 		}
 		calls++
-		callCtx, cancel := context.WithTimeout(ctx, readTimeout)
+		callCtx, cancel := context.WithTimeout(budget.WithPriority(ctx, budget.Recovery), readTimeout)
 		result, err := r.Store.Txn(callCtx, txn)
 		cancel()
 		if err == nil {
--- a/entryd/daemon/app.go
+++ b/entryd/daemon/app.go
@@ -17,9 +17,9 @@
 	"lovagefork.example/coord/fleet"
 	"lovagefork.example/coord/grant"
 	"lovagefork.example/coord/plat"
-	"lovagefork.example/coord/store"
 	"lovagefork.example/coord/wire"
 	"lovagefork.example/entryd/admin"
+	"lovagefork.example/entryd/batch"
 	"lovagefork.example/entryd/front"
 	"lovagefork.example/entryd/hosts"
 	"lovagefork.example/entryd/peers"
@@ -40,11 +40,11 @@
 			newTLS,
 			newMesh,
 			newBudget,
-			func(c *budget.Client) store.Client { return c },
 			newPlatform,
 			newHosts,
 			newAdmin,
 			newFront,
+			newBatch,
 			newRouter,
 			metrics.NewRegistry,
 			func() *Health { return NewHealth(map[string]string{"start": "starting"}) },
@@ -95,27 +95,37 @@
 	return client, client
 }
 
-func newAdmin(self wire.Hello, client store.Client, mesh *peers.Mesh, log *slog.Logger) *admin.Admin {
-	return admin.New(self.EntryHost, client, mesh, log)
+func newAdmin(self wire.Hello, client *budget.Client, mesh *peers.Mesh, log *slog.Logger) *admin.Admin {
+	return admin.New(self.EntryHost, client.At(budget.Config), mesh, log)
 }
 
 func newFront(
-	s setup.Settings, self wire.Hello, mesh *peers.Mesh, client store.Client, a *admin.Admin, log *slog.Logger,
+	s setup.Settings, self wire.Hello, mesh *peers.Mesh, client *budget.Client, a *admin.Admin, log *slog.Logger,
 ) *front.Front {
 	roster := make([]grant.Member, 0, len(s.Roster))
 	for _, m := range s.Roster {
 		roster = append(roster, grant.Member{Host: m.ID, Zone: m.Zone})
 	}
 	return front.New(front.Deps{
-		Self: self, Roster: roster, Peers: mesh, Store: client, Config: a.View(), Log: log,
+		Self: self, Roster: roster, Peers: mesh, Store: client.At(budget.Claims), Config: a.View(), Log: log,
 	}, front.WithDrainNotice(s.DrainNotice))
 }
 
-func newRouter(h *Health, r metrics.Registry, a *admin.Admin, f *front.Front) *mux.Router {
+func newBatch(
+	s setup.Settings, self wire.Hello, mesh *peers.Mesh, client *budget.Client, agent plat.Agent, f *front.Front, log *slog.Logger,
+) *batch.Runtime {
+	return batch.New(batch.Deps{
+		Self: self, Partitions: s.Partitions(), PerZone: s.PartitionsPerZone,
+		Store: client, Agent: agent, Peers: mesh, Log: log,
+	}, batch.WithOnEndpoints(f.ObserveEndpoints), batch.WithOutageHorizon(s.OutageHorizon), batch.WithBudget(client))
+}
+
+func newRouter(h *Health, r metrics.Registry, a *admin.Admin, f *front.Front, b *batch.Runtime) *mux.Router {
 	router := mux.NewRouter()
 	h.Register(router)
 	router.Handle("/metrics", stats.Handler(r)).Methods(http.MethodGet)
 	a.Register(router)
 	f.Register(router)
+	b.Register(router)
 	return router
 }
--- a/entryd/daemon/run.go
+++ b/entryd/daemon/run.go
@@ -12,6 +12,7 @@
 
 	"lovagefork.example/coord/fleet"
 	"lovagefork.example/entryd/admin"
+	"lovagefork.example/entryd/batch"
 	"lovagefork.example/entryd/front"
 	"lovagefork.example/entryd/hosts"
 	"lovagefork.example/entryd/peers"
@@ -19,10 +20,13 @@
 )
 
 // connect passes messages and observations between the parts.
-func connect(mesh *peers.Mesh, h *hosts.View, a *admin.Admin, f *front.Front) {
+func connect(mesh *peers.Mesh, h *hosts.View, a *admin.Admin, f *front.Front, b *batch.Runtime) {
+	h.Subscribe(b.ObserveFleet)
+	a.Subscribe(b.ObserveConfig)
 	h.Subscribe(f.ObserveFleet)
 	mesh.Handle(a.HandlePeer)
 	mesh.Handle(f.HandlePeer)
+	mesh.Handle(b.HandlePeer)
 	mesh.OnChange(func(peer fleet.EntryHostID, up bool) {
 		if up {
 			a.OnPeerUp(peer)
@@ -59,6 +63,7 @@
 	Hosts    *hosts.View
 	Admin    *admin.Admin
 	Front    *front.Front
+	Batch    *batch.Runtime
 	Health   *Health
 }
 
@@ -81,6 +86,7 @@
 			r.run(ctx, "hosts", func(ctx context.Context) error { p.Hosts.Run(ctx); return nil })
 			r.run(ctx, "admin", p.Admin.Run)
 			r.run(ctx, "front", p.Front.Run)
+			r.run(ctx, "batch", p.Batch.Run)
 			p.Health.Meet("start")
 			p.Log.Info("daemon: serving", "listen", p.Settings.Listen, "peer_listen", p.Settings.PeerListen)
 			return nil
@@ -110,5 +116,5 @@
 	started := time.Now()
 	err := p.Front.Drain(ctx)
 	p.Log.Info("daemon: requests drained", "took", time.Since(started).Round(time.Millisecond), "error", err)
-	return err
+	return errors.Join(err, p.Batch.Drain(ctx))
 }
--- a/entryd/setup/parse.go
+++ b/entryd/setup/parse.go
@@ -63,12 +63,6 @@
 	{"partitions-per-zone", "2", "1 to 64", "partitions of each availability zone; equal at all entry hosts", func(s *Settings, v string) bool {
 		return applyInt(&s.PartitionsPerZone, v, 1, 64)
 	}},
-	{"session-ttl", "10s", "2s to 1m", "lease of this process in the store", func(s *Settings, v string) bool {
-		return applyDuration(&s.SessionTTL, v, 2*time.Second, time.Minute)
-	}},
-	{"task-lease", "60s", "2s to 10m", "lease of a task at its worker", func(s *Settings, v string) bool {
-		return applyDuration(&s.TaskLease, v, 2*time.Second, 10*time.Minute)
-	}},
 	{"outage-horizon", "75m", "10s to 24h", "how long task leases are renewed while the store is down", func(s *Settings, v string) bool {
 		return applyDuration(&s.OutageHorizon, v, 10*time.Second, 24*time.Hour)
 	}},
--- a/entryd/setup/settings.go
+++ b/entryd/setup/settings.go
@@ -28,8 +28,6 @@
 	Zones             []fleet.AvailabilityZone
 	PartitionsPerZone int
 
-	SessionTTL    time.Duration
-	TaskLease     time.Duration
 	OutageHorizon time.Duration
 	StoreWrites   int
 	StoreReads    int
