--- a/entryd/daemon/app.go
+++ b/entryd/daemon/app.go
@@ -49,7 +49,7 @@
 			metrics.NewRegistry,
 			func() *Health { return NewHealth(map[string]string{"start": "starting"}) },
 		),
-		fx.Invoke(connect, serve),
+		fx.Invoke(connect, registerGauges, serve),
 		fx.StopTimeout(s.DrainNotice+s.DrainTimeout+stopReserve),
 		fx.WithLogger(func(log *slog.Logger) fxevent.Logger {
 			events := &fxevent.SlogLogger{Logger: log}
@@ -122,6 +122,7 @@
 
 func newRouter(h *Health, r metrics.Registry, a *admin.Admin, f *front.Front, b *batch.Runtime) *mux.Router {
 	router := mux.NewRouter()
+	router.Use(Measure(r))
 	h.Register(router)
 	router.Handle("/metrics", stats.Handler(r)).Methods(http.MethodGet)
 	a.Register(router)
