--- a/coord/serve/attempt.go
+++ b/coord/serve/attempt.go
@@ -109,6 +109,10 @@
 	switch ev.Result {
 	case Answered:
 		m.costs.add(now, r.Service, ev.Latency)
+		r.touched = true
+		if ev.Status == http.StatusServiceUnavailable && m.requeue(now, r) {
+			break
+		}
 		effects = append(effects, m.finish(now, r, Answer{
 			ID: r.ID, Attempt: ev.Attempt, Outcome: Ran, Reason: "answered", Status: ev.Status,
 		})...)
@@ -142,24 +146,26 @@
 	return status == http.StatusBadGateway || status == http.StatusServiceUnavailable
 }
 
-// again queues a request for another attempt if that is safe and allowed, or ends it.
+// again queues a request for another attempt, or ends it.
 func (m *Machine) again(now time.Time, r *request, reason string) []Effect {
-	safe := !r.NonIdempotent || !r.touched
-	timely := now.Add(m.costs.of(r.Service)).Before(r.Deadline)
-	switch {
-	case r.answered, r.Forwarded, !safe, r.sends >= maxAttempts:
-	case !timely:
-		reason = string(admit.ReasonDeadline)
-	case !m.retries.withdraw():
-		reason = "retry_budget_empty"
-	default:
-		r.phase = queued
-		m.admits.Step(now, admit.Requeue{Item: m.item(r.Request)})
+	if m.requeue(now, r) {
 		return nil
 	}
 	return m.finish(now, r, m.failure(r, reason))
 }
 
+// requeue queues a request for another attempt if that is safe, timely and within the retry budget.
+func (m *Machine) requeue(now time.Time, r *request) bool {
+	safe := !r.NonIdempotent || !r.touched
+	timely := now.Add(m.costs.of(r.Service)).Before(r.Deadline)
+	if r.answered || r.Forwarded || !safe || !timely || r.sends >= maxAttempts || !m.retries.withdraw() {
+		return false
+	}
+	r.phase = queued
+	m.admits.Step(now, admit.Requeue{Item: m.item(r.Request)})
+	return true
+}
+
 func (m *Machine) failure(r *request, reason string) Answer {
 	outcome := r.untouched()
 	status := http.StatusServiceUnavailable
