--- a/coord/wire/messages.go
+++ b/coord/wire/messages.go
@@ -52,17 +52,19 @@
 	ID string `cbor:"loan_id"`
 }
 
-// Forward passes a caller's request to another entry process, to be sent on from there.
+// Forward passes a caller's request to another entry process, to be sent on from there. The sender has already claimed
+// a non-idempotent request.
 type Forward struct {
-	Service     fleet.ServiceID     `cbor:"service"`
-	Customer    fleet.CustomerID    `cbor:"customer"`
-	Class       fleet.Class         `cbor:"class"`
-	Request     fleet.RequestID     `cbor:"request_id"`
-	RemainingMS int64               `cbor:"remaining_ms"`
-	Method      string              `cbor:"method"`
-	Path        string              `cbor:"path"`
-	Header      map[string][]string `cbor:"header"`
-	Body        []byte              `cbor:"body"`
+	Service       fleet.ServiceID     `cbor:"service"`
+	Customer      fleet.CustomerID    `cbor:"customer"`
+	Class         fleet.Class         `cbor:"class"`
+	Request       fleet.RequestID     `cbor:"request_id"`
+	NonIdempotent bool                `cbor:"non_idempotent"`
+	RemainingMS   int64               `cbor:"remaining_ms"`
+	Method        string              `cbor:"method"`
+	Path          string              `cbor:"path"`
+	Header        map[string][]string `cbor:"header"`
+	Body          []byte              `cbor:"body"`
 }
 
 // ForwardAnswer answers [Forward] with the whole answer of the backend server, or with the outcome without one.
@@ -87,7 +89,7 @@
 	Documents []config.Versioned `cbor:"documents"`
 }
 
-// ConfigState summarises the documents in force at the sender; Sum is equal for equal revisions.
+// ConfigState summarises the documents in effect at the sender; Sum is equal for equal revisions.
 //
 // Full is set if Revisions gives the revision of every customer; otherwise it is empty. Reply asks for the documents that
 // the receiver holds at a higher revision.
@@ -112,6 +114,20 @@
 	Body   []byte `cbor:"body"`
 }
 
+// Usage tells what each customer's tasks hold in a partition; a higher (Epoch, Sequence) replaces a lower one.
+type Usage struct {
+	Partition fleet.PartitionID          `cbor:"partition"`
+	Epoch     fleet.Epoch                `cbor:"epoch"`
+	Sequence  uint64                     `cbor:"sequence"`
+	Customers map[fleet.CustomerID]Share `cbor:"customers"`
+}
+
+// Share is what a customer's tasks hold.
+type Share struct {
+	Tasks     int             `cbor:"tasks"`
+	Resources fleet.Resources `cbor:"resources"`
+}
+
 // Load tells the sender's queue lengths by class and its idle slots by worker.
 type Load struct {
 	Queued    [3]int                 `cbor:"queued"`
@@ -131,4 +147,5 @@
 func (ConfigState) kind() string   { return "config_state" }
 func (JobCall) kind() string       { return "job_call" }
 func (JobAnswer) kind() string     { return "job_answer" }
+func (Usage) kind() string         { return "usage" }
 func (Load) kind() string          { return "load" }
