Add lovload: open-loop load and failure experiments

Cause: tail latency, outcomes under overload and the guarantees towards callers need one repeatable measurement against running processes.

--- a/fakebe/besrv/pool.go
+++ b/fakebe/besrv/pool.go
@@ -84,15 +84,30 @@
 	MaxRuns  int64 `json:"max_runs"`
 }
 
-// Control serves the control page: GET /control reports, GET /control/runs?key= returns the runs of one key, POST
+func (p *Pool) runsOf(keys []string) []int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	runs := make([]int64, len(keys))
+	for i, key := range keys {
+		runs[i] = p.runs[key]
+	}
+	return runs
+}
+
+// Control serves the control page: GET /control reports, POST /control/runs counts the runs of {"keys": […]}, POST
 // /control takes {"servers": {"<worker>": {…}}}, where "*" names every server; it replaces the fault of each one named.
 func (p *Pool) Control() http.Handler {
 	m := http.NewServeMux()
 	m.HandleFunc("GET /control", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, p.report()) })
-	m.HandleFunc("GET /control/runs", func(w http.ResponseWriter, r *http.Request) {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		writeJSON(w, map[string]int64{"runs": p.runs[r.URL.Query().Get("key")]})
+	m.HandleFunc("POST /control/runs", func(w http.ResponseWriter, r *http.Request) {
+		var req struct {
+			Keys []string `json:"keys"`
+		}
+		if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		writeJSON(w, map[string][]int64{"runs": p.runsOf(req.Keys)})
 	})
 	m.HandleFunc("POST /control", func(w http.ResponseWriter, r *http.Request) {
 		if err := p.change(r); err != nil {
--- /dev/null
+++ b/lovload/chart/doc.go
@@ -0,0 +1,2 @@
+// Package chart draws the timeline of an experiment as SVG.
+package chart
--- /dev/null
+++ b/lovload/drive/doc.go
@@ -0,0 +1,2 @@
+// Package drive carries out an experiment against running processes with open-loop arrivals.
+package drive
