daemon: ready only with a configuration, a host list and the own slots

Cause: /readyz answered 200 at once, and the load balancer sent requests to a process whose share of slots was still in quarantine (5 s loan life plus margin); they were refused with deadline_unreachable. Ruled out: a fixed start delay, which would also hold back a process that has everything. Change: three conditions, each with its reason in the answer. The configuration may come from a peer, so that a process born during a store outage becomes ready.

--- a/coord/serve/machine.go
+++ b/coord/serve/machine.go
@@ -153,6 +153,9 @@
 // Active returns the number of requests that are not answered or still occupy a backend server.
 func (m *Machine) Active() int { return len(m.requests) }
 
+// Open reports whether the process may use its own share of slots, which a start delays by the life of a loan.
+func (m *Machine) Open(now time.Time) bool { return m.grants.Open(now) }
+
 // Unrecorded returns the number of outcomes that the store does not have yet.
 func (m *Machine) Unrecorded() int { return m.claims.Unrecorded() }
 
--- a/entryd/daemon/app.go
+++ b/entryd/daemon/app.go
@@ -47,7 +47,7 @@
 			newBatch,
 			newRouter,
 			metrics.NewRegistry,
-			func() *Health { return NewHealth(map[string]string{"start": "starting"}) },
+			newHealth,
 		),
 		fx.Invoke(connect, registerGauges, serve),
 		fx.StopTimeout(s.DrainNotice+s.DrainTimeout+stopReserve),
@@ -67,6 +67,21 @@
 	return slog.New(slog.NewTextHandler(w, opts)).With("entry_host", s.EntryHost)
 }
 
+// Conditions of readiness.
+const (
+	conditionConfig  = "config"
+	conditionWorkers = "workers"
+	conditionSlots   = "slots"
+)
+
+func newHealth() *Health {
+	return NewHealth(map[string]string{
+		conditionConfig:  "no configuration read from the store or a peer yet",
+		conditionWorkers: "no host list read yet",
+		conditionSlots:   "loans of the former process at this address may still be in use",
+	})
+}
+
 func newHello(s setup.Settings) wire.Hello {
 	return wire.Hello{EntryHost: s.EntryHost, Boot: fleet.BootID(rand.Text()), Zone: s.Zone}
 }
--- a/entryd/daemon/run.go
+++ b/entryd/daemon/run.go
@@ -87,7 +87,7 @@
 			r.run(ctx, "admin", p.Admin.Run)
 			r.run(ctx, "front", p.Front.Run)
 			r.run(ctx, "batch", p.Batch.Run)
-			p.Health.Meet("start")
+			r.run(ctx, "readiness", func(ctx context.Context) error { return watchReadiness(ctx, p) })
 			p.Log.Info("daemon: serving", "listen", p.Settings.Listen, "peer_listen", p.Settings.PeerListen)
 			return nil
 		},
@@ -108,6 +108,36 @@
 	})
 }
 
+// readinessInterval paces the checks until the process is ready.
+const readinessInterval = 100 * time.Millisecond
+
+// watchReadiness meets each condition once it holds. The configuration may come from a peer, because a process that
+// starts while the store is down must serve too.
+func watchReadiness(ctx context.Context, p parts) error {
+	conditions := map[string]func() bool{
+		conditionConfig:  func() bool { return p.Admin.Loaded() || len(p.Admin.View().All()) > 0 },
+		conditionWorkers: func() bool { return len(p.Hosts.Workers()) > 0 },
+		conditionSlots:   p.Front.Open,
+	}
+	ticker := time.NewTicker(readinessInterval)
+	defer ticker.Stop()
+	for len(conditions) > 0 {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+		for name, holds := range conditions {
+			if holds() {
+				p.Health.Meet(name)
+				delete(conditions, name)
+			}
+		}
+	}
+	p.Log.Info("daemon: ready")
+	return nil
+}
+
 // drain finishes the requests in flight before it hands over the partitions, because requests need no partition.
 func drain(ctx context.Context, p parts) error {
 	limit := p.Settings.DrainNotice + p.Settings.DrainTimeout
--- a/entryd/front/front.go
+++ b/entryd/front/front.go
@@ -187,6 +187,13 @@
 	return nil
 }
 
+// Open reports whether requests may use this process's own share of slots, which a start delays by the life of a loan.
+func (f *Front) Open() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.machine.Open(f.now())
+}
+
 func (f *Front) unrecorded() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
