--- a/coord/place/place.go
+++ b/coord/place/place.go
@@ -40,17 +40,19 @@
 	}
 	t := m.newHeld(now, task)
 	why := &NoRoomError{Task: task.Ref, Need: t.size, Workers: len(m.order)}
-	if h := m.choose(t, why); h != nil {
-		t.decision = Decision{Worker: h.worker.ID, Reason: m.reason(h, t)}
-		m.reserve(h, t)
-		return t.decision, nil
-	}
-	if task.Class == fleet.Urgent {
-		if h, victims := m.chooseVictims(t); h != nil {
-			return m.reserveEvicting(h, t, victims), nil
+	h := m.choose(t, why)
+	// An urgent task would rather evict than try out a worker on probation.
+	if task.Class == fleet.Urgent && (h == nil || h.record.probation) {
+		if evictOn, victims := m.chooseVictims(t); evictOn != nil {
+			return m.reserveEvicting(now, evictOn, t, victims), nil
 		}
 	}
-	return Decision{}, why
+	if h == nil {
+		return Decision{}, why
+	}
+	t.decision = Decision{Worker: h.worker.ID, Reason: m.reason(h, t)}
+	m.reserve(h, t)
+	return t.decision, nil
 }
 
 func (m *Machine) reason(h *host, t *held) string {
@@ -63,7 +65,7 @@
 	var best *host
 	var bestCost float64
 	for _, h := range m.order {
-		if !admits(h, t, avoid, why) {
+		if !m.admits(h, t, avoid, why) {
 			continue
 		}
 		if best != nil && h.record.probation && !best.record.probation {
@@ -91,7 +93,7 @@
 }
 
 // admits reports whether the host has room for the task, and counts the cause if not.
-func admits(h *host, t *held, avoid bool, why *NoRoomError) bool {
+func (m *Machine) admits(h *host, t *held, avoid bool, why *NoRoomError) bool {
 	switch {
 	case !h.available():
 		why.Unavailable++
@@ -105,7 +107,11 @@
 	}
 	free := h.free()
 	if t.size.Fits(free) {
-		return true
+		if m.policy.accepts(m, h, t) {
+			return true
+		}
+		why.Disturbing++
+		return false
 	}
 	if t.size.MilliCPU > free.MilliCPU {
 		why.MilliCPU++
@@ -174,9 +180,10 @@
 }
 
 // reserveEvicting reserves on a host whose evicting tasks must end first.
-func (m *Machine) reserveEvicting(h *host, t *held, victims []*held) Decision {
+func (m *Machine) reserveEvicting(now time.Time, h *host, t *held, victims []*held) Decision {
 	for _, v := range victims {
 		v.setEvicting()
+		m.moves[v.task.Ref.Task] = now
 	}
 	m.reserve(h, t)
 	t.setPending(true)
