jobs: divide quotas by grants that are reported back

Cause: TestQuotaHoldsOverAllPartitions saw 6 running tasks with a quota of 3. Partitions divided what was left of a quota by what they had last heard of each other, in turns of a second; a turn could begin before the news of the last one had arrived.

Ruled out: longer turns with guard times. They hold the quota, but with 64 partitions a customer would wait minutes for its turn.

Change: the owner of the partition that a customer's name chooses grants limits. A partition reports its limit and returns what it does not need; a grant counts against the quota until it is reported back. A grant takes two messages, at most 0.8 s. coord/wire: Usage has limits and demand, QuotaGrant is new.

Left open: an owner that takes over a customer's quota waits 3 s for reports; tasks of a partition that has no owner at that time are not counted.

--- a/coord/jobs/machine.go
+++ b/coord/jobs/machine.go
@@ -39,10 +39,8 @@
 	nextMove     time.Time
 	cancels      map[fleet.JobID][]uint64
 	held         map[fleet.CustomerID]Holding
-	others       map[fleet.CustomerID]Holding
 	quotas       map[fleet.CustomerID]config.Quota
-	allowance    map[fleet.CustomerID]Holding
-	shares       Shares
+	limits       map[fleet.CustomerID]Account
 	capacities   map[fleet.PartitionID][]fleet.Resources
 	version      uint64
 	configs      map[fleet.CustomerID]Configured
@@ -72,9 +70,8 @@
 		inboxSeen:  make(map[fleet.JobID]bool),
 		cancels:    make(map[fleet.JobID][]uint64),
 		held:       make(map[fleet.CustomerID]Holding),
-		others:     make(map[fleet.CustomerID]Holding),
 		quotas:     make(map[fleet.CustomerID]config.Quota),
-		allowance:  make(map[fleet.CustomerID]Holding),
+		limits:     make(map[fleet.CustomerID]Account),
 		configs:    make(map[fleet.CustomerID]Configured),
 		settingUp:  make(map[fleet.ServiceID]bool),
 		published:  make(map[fleet.ServiceID][]fleet.WorkerID),
@@ -176,8 +173,8 @@
 		m.capacities = ev.Workers
 	case Configured:
 		m.configured(ev)
-	case Shares:
-		m.share(ev)
+	case Grant:
+		m.granted(ev)
 	case StartDone:
 		m.startDone(now, ev)
 	case RenewDone:
@@ -266,17 +263,6 @@
 	m.held[customer] = h
 }
 
-// Held returns what each customer's claimed and running tasks hold in this partition.
-func (m *Machine) Held() map[fleet.CustomerID]Holding {
-	all := make(map[fleet.CustomerID]Holding, len(m.held))
-	for c, h := range m.held {
-		if h.Tasks > 0 {
-			all[c] = h
-		}
-	}
-	return all
-}
-
 func (m *Machine) act(now time.Time, actions []place.Effect) {
 	if !m.permit.Claim {
 		return
--- a/coord/jobs/queue.go
+++ b/coord/jobs/queue.go
@@ -1,7 +1,6 @@
 package jobs
 
 import (
-	"fmt"
 	"slices"
 	"time"
 
@@ -168,7 +167,6 @@
 	t.reserved, t.reservedAt, t.reservedFor = d.Worker, now, d.Reason
 	t.worker = ""
 	m.hold(t, 1)
-	m.spend(t)
 	for _, victim := range d.Evict {
 		m.evict(now, victim, "urgent task "+string(t.id)+" needs the room")
 	}
@@ -216,82 +214,6 @@
 	}})
 }
 
-// overQuota returns why a customer may not start another task of the shape, or "".
-func (m *Machine) overQuota(s shape) string {
-	quota := m.quotas[s.customer]
-	if quota.RunningTasks == 0 && quota.Resources.IsZero() {
-		return ""
-	}
-	left := m.allowance[s.customer]
-	if quota.RunningTasks > 0 && left.Tasks < 1 {
-		return fmt.Sprintf("quota of customer %s: %d running tasks", s.customer, quota.RunningTasks)
-	}
-	limited := quotaLimit(quota.Resources)
-	if !s.resources.Fits(maskUnlimited(left.Resources, limited, s.resources)) {
-		return fmt.Sprintf("quota of customer %s: %v", s.customer, quota.Resources)
-	}
-	return ""
-}
-
-// quotaLimit tells which kinds of resources a quota limits; zero means no limit.
-func quotaLimit(q fleet.Resources) [3]bool {
-	return [3]bool{q.MilliCPU > 0, q.MemoryBytes > 0, q.Accelerators > 0}
-}
-
-// maskUnlimited replaces the kinds that are not limited by what is needed, so that they always fit.
-func maskUnlimited(left fleet.Resources, limited [3]bool, need fleet.Resources) fleet.Resources {
-	if !limited[0] {
-		left.MilliCPU = need.MilliCPU
-	}
-	if !limited[1] {
-		left.MemoryBytes = need.MemoryBytes
-	}
-	if !limited[2] {
-		left.Accelerators = need.Accelerators
-	}
-	return left
-}
-
-// share divides what is left of each quota, so that partitions that decide at the same time do not exceed it together.
-func (m *Machine) share(ev Shares) {
-	m.shares, m.others = ev, ev.Others
-	for customer := range m.quotas {
-		m.allow(customer)
-	}
-	m.version++
-}
-
-func (m *Machine) allow(customer fleet.CustomerID) {
-	quota, own, others := m.quotas[customer], m.held[customer], m.others[customer]
-	divisor := int64(max(m.shares.Divisor, 1))
-	tasks := int64(quota.RunningTasks - own.Tasks - others.Tasks)
-	left := quota.Resources.Sub(own.Resources).Sub(others.Resources)
-	// One partition at a time may use half of the rest, and all of it when the rest is too small to divide.
-	if m.shares.Turn || divisor == 1 {
-		m.allowance[customer] = Holding{Tasks: int(max(tasks, 0)), Resources: left}
-		if divisor > 1 && tasks > 2*divisor {
-			m.allowance[customer] = Holding{Tasks: int(tasks / 2), Resources: half(left, 2)}
-		}
-		return
-	}
-	if tasks <= 2*divisor {
-		m.allowance[customer] = Holding{}
-		return
-	}
-	m.allowance[customer] = Holding{Tasks: int(tasks / (2 * divisor)), Resources: half(left, 2*divisor)}
-}
-
-func half(r fleet.Resources, by int64) fleet.Resources {
-	return fleet.Resources{MilliCPU: r.MilliCPU / by, MemoryBytes: r.MemoryBytes / by, Accelerators: r.Accelerators / by}
-}
-
-func (m *Machine) spend(t *task) {
-	customer := t.job.spec.Customer
-	if left, limited := m.allowance[customer]; limited {
-		m.allowance[customer] = Holding{Tasks: left.Tasks - 1, Resources: left.Resources.Sub(t.job.spec.Resources)}
-	}
-}
-
 func request(t *task, ref plat.TaskRef) place.Task {
 	return place.Task{
 		Ref:       ref,
--- a/coord/jobs/service.go
+++ b/coord/jobs/service.go
@@ -62,7 +62,6 @@
 	}
 	m.configs[customer] = ev
 	m.quotas[customer] = ev.Document.Document.Quota
-	m.allow(customer)
 	m.configDirty = true
 	m.version++
 }
--- a/coord/jobs/types.go
+++ b/coord/jobs/types.go
@@ -104,12 +104,6 @@
 		Document config.Versioned
 		Services []ledger.Service
 	}
-	// Shares gives what each customer holds in other partitions, and the divisor of what is left of its quota.
-	Shares struct {
-		Others  map[fleet.CustomerID]Holding
-		Divisor int
-		Turn    bool
-	}
 	// StartDone answers [Start].
 	StartDone struct {
 		Ref    plat.TaskRef
@@ -153,7 +147,7 @@
 func (WorkerGone) event() {}
 func (Capacities) event() {}
 func (Configured) event() {}
-func (Shares) event()     {}
+func (Grant) event()      {}
 func (StartDone) event()  {}
 func (RenewDone) event()  {}
 func (StatusDone) event() {}
--- a/coord/wire/codec.go
+++ b/coord/wire/codec.go
@@ -49,6 +49,7 @@
 	JobCall{}.kind():       decodeAs[JobCall],
 	JobAnswer{}.kind():     decodeAs[JobAnswer],
 	Usage{}.kind():         decodeAs[Usage],
+	QuotaGrant{}.kind():    decodeAs[QuotaGrant],
 	Load{}.kind():          decodeAs[Load],
 }
 
--- a/coord/wire/messages.go
+++ b/coord/wire/messages.go
@@ -114,7 +114,7 @@
 	Body   []byte `cbor:"body"`
 }
 
-// Usage tells what each customer's tasks hold in a partition; a higher (Epoch, Sequence) replaces a lower one.
+// Usage tells what each customer with a quota holds in a partition; a higher (Epoch, Sequence) replaces a lower one.
 type Usage struct {
 	Partition fleet.PartitionID          `cbor:"partition"`
 	Epoch     fleet.Epoch                `cbor:"epoch"`
@@ -122,10 +122,25 @@
 	Customers map[fleet.CustomerID]Share `cbor:"customers"`
 }
 
-// Share is what a customer's tasks hold.
+// Share is what a customer's tasks hold, may hold, and ask for in a partition; Grant is the sequence of its last grant.
 type Share struct {
-	Tasks     int             `cbor:"tasks"`
-	Resources fleet.Resources `cbor:"resources"`
+	Tasks          int             `cbor:"tasks"`
+	Resources      fleet.Resources `cbor:"resources"`
+	LimitTasks     int             `cbor:"limit_tasks"`
+	LimitResources fleet.Resources `cbor:"limit_resources"`
+	WantTasks      int             `cbor:"want_tasks"`
+	WantResources  fleet.Resources `cbor:"want_resources"`
+	Grant          uint64          `cbor:"grant"`
+}
+
+// QuotaGrant sets what a customer's tasks may hold in a partition; a higher Sequence replaces a lower one.
+type QuotaGrant struct {
+	Partition fleet.PartitionID `cbor:"partition"`
+	Epoch     fleet.Epoch       `cbor:"epoch"`
+	Customer  fleet.CustomerID  `cbor:"customer"`
+	Tasks     int               `cbor:"tasks"`
+	Resources fleet.Resources   `cbor:"resources"`
+	Sequence  uint64            `cbor:"sequence"`
 }
 
 // Load tells the sender's queue lengths by class and its idle slots by worker.
@@ -148,4 +163,5 @@
 func (JobCall) kind() string       { return "job_call" }
 func (JobAnswer) kind() string     { return "job_answer" }
 func (Usage) kind() string         { return "usage" }
+func (QuotaGrant) kind() string    { return "quota_grant" }
 func (Load) kind() string          { return "load" }
--- a/entryd/batch/batch.go
+++ b/entryd/batch/batch.go
@@ -19,14 +19,16 @@
 
 // Timeouts of calls.
 const (
-	storeTimeout    = 2 * time.Second
-	readTimeout     = 5 * time.Second
-	agentTimeout    = 3 * time.Second
-	stopTimeout     = 10 * time.Second
-	callTimeout     = 5 * time.Second
-	watchRetry      = time.Second
-	recoverRetry    = 500 * time.Millisecond
-	shareEvery      = time.Second
+	storeTimeout = 2 * time.Second
+	readTimeout  = 5 * time.Second
+	agentTimeout = 3 * time.Second
+	stopTimeout  = 10 * time.Second
+	callTimeout  = 5 * time.Second
+	watchRetry   = time.Second
+	recoverRetry = 500 * time.Millisecond
+	shareEvery   = 400 * time.Millisecond
+	// granterDelay lets a new granter hear of every partition before it grants anything.
+	granterDelay    = 3 * time.Second
 	releaseTimeout  = 2 * time.Second
 	drainPoll       = 20 * time.Millisecond
 	snapshotRetries = 5
@@ -81,6 +83,7 @@
 	inboxes    map[string]inboxItem
 	usage      map[fleet.PartitionID]wire.Usage
 	nextShare  time.Time
+	granters   map[fleet.CustomerID]*granter
 	nextCall   uint64
 	waiting    map[uint64]waiter
 	wg         sync.WaitGroup
@@ -144,6 +147,7 @@
 		workers:     make(map[fleet.WorkerID]fleet.Worker),
 		configs:     make(map[fleet.CustomerID]config.Versioned),
 		inboxes:     make(map[string]inboxItem),
+		granters:    make(map[fleet.CustomerID]*granter),
 		usage:       make(map[fleet.PartitionID]wire.Usage),
 		waiting:     make(map[uint64]waiter),
 	}
--- a/entryd/batch/calls.go
+++ b/entryd/batch/calls.go
@@ -215,6 +215,8 @@
 		r.onEndpoints(m)
 	case wire.Usage:
 		r.takeUsage(m)
+	case wire.QuotaGrant:
+		r.takeGrant(m)
 	}
 	return nil
 }
--- a/entryd/batch/feature_test.go
+++ b/entryd/batch/feature_test.go
@@ -105,6 +105,28 @@
 	})
 }
 
+// A customer must not hold more than its quota, however its jobs are spread over partitions.
+func TestQuotaHoldsOverAllPartitions(t *testing.T) {
+	inWorld(t, 2, func(t *testing.T, w *world) {
+		p, q := w.start("e1", "a"), w.start("e2", "b")
+		doc := config.Versioned{Revision: 5, Document: config.Document{Customer: "c", Quota: config.Quota{RunningTasks: 3}}}
+		p.runtime.ObserveConfig(doc)
+		q.runtime.ObserveConfig(doc)
+		time.Sleep(5 * time.Second)
+		for i := range 6 {
+			p.do(http.MethodPost, "/v1/jobs", jobBody(fmt.Sprintf("j%d", i), "standard", 2, 20_000))
+		}
+		most := 0
+		for range 1200 {
+			time.Sleep(100 * time.Millisecond)
+			most = max(most, w.fleet.running(func(plat.Start) bool { return true }))
+		}
+		assert.Equal(t, most, 3)
+		_, list := p.raw(http.MethodGet, "/v1/jobs?state=succeeded", "")
+		assert.Equal(t, strings.Count(list, `"job_id"`), 6, list)
+	})
+}
+
 // A job that only the workers of another partition can hold must get there, and stay visible under its id.
 func TestJobMovesToWhereItFits(t *testing.T) {
 	inWorld(t, 1, func(t *testing.T, w *world) {
