--- /dev/null
+++ b/coord/jobs/bench_test.go
@@ -0,0 +1,151 @@
+package jobs_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"lovagefork.example/coord/fleet"
+	"lovagefork.example/coord/jobs"
+	"lovagefork.example/coord/ledger"
+	"lovagefork.example/coord/place"
+	"lovagefork.example/coord/plat"
+)
+
+// driver answers the effects of a machine at once, as a store and workers without delay would.
+type driver struct {
+	m       *jobs.Machine
+	now     time.Time
+	runs    map[fleet.WorkerID]map[plat.TaskRef]plat.TaskStatus
+	records int
+	starts  int
+	ended   int
+}
+
+func newDriver(workers int) *driver {
+	d := &driver{now: time.Now(), runs: make(map[fleet.WorkerID]map[plat.TaskRef]plat.TaskStatus)}
+	d.m = jobs.New("a/0", 1, place.New(place.Spread{}))
+	d.m.Allow(jobs.Permit{Claim: true, Renew: true})
+	for i := range workers {
+		id := fleet.WorkerID(fmt.Sprintf("w%04d", i))
+		d.runs[id] = make(map[plat.TaskRef]plat.TaskStatus)
+		d.step(jobs.WorkerSeen{Worker: fleet.Worker{
+			ID: id, Zone: "a", State: fleet.HostLive, AgentURL: "http://w",
+			Capacity: fleet.Resources{MilliCPU: 64_000, MemoryBytes: 250 << 30, Accelerators: 2},
+		}})
+	}
+	d.tick()
+	return d
+}
+
+func (d *driver) tick() {
+	d.now = d.now.Add(ledger.TickEvery)
+	d.step(jobs.Tick{})
+}
+
+func (d *driver) step(ev jobs.Event) {
+	for _, e := range d.m.Step(d.now, ev) {
+		switch e := e.(type) {
+		case jobs.Append:
+			d.records += len(e.Records)
+			d.step(jobs.Committed{Records: e.Records})
+		case jobs.Start:
+			d.starts++
+			d.runs[e.Worker.ID][e.Start.TaskRef] = plat.TaskStatus{TaskRef: e.Start.TaskRef, State: plat.TaskRunning}
+			d.step(jobs.StartDone{Ref: e.Start.TaskRef, Worker: e.Worker.ID, Epoch: e.Start.Epoch})
+		case jobs.Status:
+			var s plat.Status
+			for _, t := range d.runs[e.Worker.ID] {
+				s.Tasks = append(s.Tasks, t)
+			}
+			d.step(jobs.StatusDone{Worker: e.Worker.ID, Epoch: e.Epoch, SentAt: d.now, Status: s})
+		case jobs.Renew:
+			d.step(jobs.RenewDone{Worker: e.Worker.ID, Epoch: e.Epoch, Tasks: e.Tasks})
+		case jobs.Ack:
+			for _, ref := range e.Tasks {
+				delete(d.runs[e.Worker.ID], ref)
+				d.ended++
+			}
+		}
+	}
+}
+
+func (d *driver) submit(i, tasks int) {
+	d.step(jobs.Submit{Spec: ledger.Spec{
+		Job: fleet.JobID(fmt.Sprintf("job%d", i)), Customer: fleet.CustomerID(fmt.Sprintf("team%d", i%360)), Class: fleet.Deferrable,
+		Kind: fmt.Sprint("kind", i%20), Tasks: tasks, Resources: fleet.Resources{MilliCPU: 2500, MemoryBytes: 8 << 30}, MaxAttempts: 5,
+	}})
+}
+
+// One partition of the target size: 55 workers, 1,300 running tasks.
+const (
+	partitionWorkers = 55
+	partitionTasks   = 1300
+)
+
+// A start must cost little enough that 750 a second fit into a few processes, with about two records each.
+func BenchmarkStartToEnd(b *testing.B) {
+	d := newDriver(partitionWorkers)
+	i := 0
+	for b.Loop() {
+		for range 12 { // a second's share of 750 starts in 64 partitions
+			d.submit(i, 1)
+			i++
+		}
+		for range 20 {
+			d.tick()
+		}
+		for _, runs := range d.runs {
+			for ref, s := range runs {
+				s.State = plat.TaskSucceeded
+				runs[ref] = s
+			}
+		}
+	}
+	b.ReportMetric(float64(d.records)/float64(max(d.starts, 1)), "records/start")
+	b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(max(d.starts, 1)), "us/start")
+}
+
+// A tick over a full partition runs twenty times a second in every owner.
+func BenchmarkTickOfFullPartition(b *testing.B) {
+	d := newDriver(partitionWorkers)
+	for i := range partitionTasks / 10 {
+		d.submit(i, 10)
+	}
+	for range 100 {
+		d.tick()
+	}
+	for b.Loop() {
+		d.tick()
+	}
+	b.ReportMetric(float64(d.starts), "running")
+}
+
+// All tasks of the target size must fit into the memory of a few small processes.
+func BenchmarkMemoryOfAllTasks(b *testing.B) {
+	var before, after runtime.MemStats
+	for b.Loop() {
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		var all []*driver
+		tasks := 0
+		for range 64 {
+			d := newDriver(partitionWorkers)
+			for i := range partitionTasks / 10 {
+				d.submit(i, 10)
+			}
+			for range 60 {
+				d.tick()
+			}
+			d.runs = nil
+			tasks += d.starts
+			all = append(all, d)
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(tasks), "B/task")
+		b.ReportMetric(float64(tasks), "tasks")
+		runtime.KeepAlive(all)
+	}
+}
