jobs: pass on jobs whose partition has lost all fitting workers

Cause: a job that had run once was never passed on, so that the jobs of a lost availability zone waited for its return. An urgent task could also wait 20 s if one of the tasks to be evicted for it was only just being claimed.

Change: a job of which no attempt can be running moves with the state of its tasks as soon as its partition has no worker that could hold one; "inbox/" records carry the attempts and checkpoints. Evictions for an urgent task are repeated until all of them are under way.

Left open: replicas of services are not moved out of a lost zone; their spread over the zones covers it.

--- a/coord/jobs/machine.go
+++ b/coord/jobs/machine.go
@@ -35,7 +35,7 @@
 	reserving    []*task
 	submits      map[fleet.JobID]*submission
 	inboxSeen    map[fleet.JobID]bool
-	unplaced     []*job
+	open         []*job
 	nextMove     time.Time
 	cancels      map[fleet.JobID][]uint64
 	held         map[fleet.CustomerID]Holding
@@ -92,7 +92,7 @@
 	}
 	for _, j := range m.jobs {
 		j.arrived = now
-		m.unplaced = append(m.unplaced, j)
+		m.open = append(m.open, j)
 	}
 	for _, t := range m.sortedTasks() {
 		switch {
--- a/coord/jobs/queue.go
+++ b/coord/jobs/queue.go
@@ -167,20 +167,26 @@
 	t.reserved, t.reservedAt, t.reservedFor = d.Worker, now, d.Reason
 	t.worker = ""
 	m.hold(t, 1)
-	for _, victim := range d.Evict {
-		m.evict(now, victim, "urgent task "+string(t.id)+" needs the room")
-	}
 	if len(d.Evict) > 0 {
+		t.victims = d.Evict
+		m.evictFor(now, t)
 		m.reserving = append(m.reserving, t)
 		return
 	}
 	m.claim(t)
 }
 
+// evictFor evicts the tasks that an urgent one waits for; one whose claim is not durable yet follows in a later tick.
+func (m *Machine) evictFor(now time.Time, t *task) {
+	for _, victim := range t.victims {
+		m.evict(now, victim, "urgent task "+string(t.id)+" needs the room")
+	}
+}
+
 // unreserve gives a reservation back whose claim was not recorded.
 func (m *Machine) unreserve(now time.Time, t *task) {
 	m.placer.Step(now, place.Ended{TaskRef: t.nextRef(), Worker: t.reserved})
-	t.reserved, t.reservedFor = "", ""
+	t.reserved, t.reservedFor, t.victims = "", "", nil
 	m.hold(t, -1)
 	m.version++
 }
@@ -202,6 +208,7 @@
 			m.enqueue(t)
 			return true
 		}
+		m.evictFor(now, t)
 		return false
 	})
 }
--- a/coord/jobs/serve.go
+++ b/coord/jobs/serve.go
@@ -71,9 +71,11 @@
 	}
 	j := m.jobs[r.Spec.Job]
 	j.arrived = now
-	m.unplaced = append(m.unplaced, j)
+	m.open = append(m.open, j)
 	for _, t := range j.tasks {
-		m.enqueue(t)
+		if t.state == Waiting {
+			m.enqueue(t)
+		}
 	}
 	m.note("jobs: job accepted", "job", r.Spec.Job, "customer", r.Spec.Customer, "class", r.Spec.Class,
 		"tasks", r.Spec.Tasks, "moves", r.Moves)
@@ -158,25 +160,26 @@
 	m.answer(ev.Call, http.StatusAccepted, ev.Job, "")
 }
 
-// moveWaiting passes on jobs of which no task was ever placed: at once if no worker here could hold a task, and after
-// moveAfter if the workers are full. The number of moves is bounded, so that an overload does not pass jobs in circles.
+// moveWaiting passes on jobs without a running task: at once if no worker here could hold a task, as after the loss of an
+// availability zone, and after moveAfter if the workers are full and no task was ever placed. The number of moves is
+// bounded, so that an overload does not pass jobs in circles.
 func (m *Machine) moveWaiting(now time.Time) {
-	if now.Before(m.nextMove) {
+	if now.Before(m.nextMove) || len(m.capacities) == 0 {
 		return
 	}
 	m.nextMove = now.Add(retryFull)
-	m.unplaced = slices.DeleteFunc(m.unplaced, func(j *job) bool {
-		return j.attempted || j.ended != 0 || j.cancelled || j.moves >= maxMoves || len(j.tasks) == 0
+	m.open = slices.DeleteFunc(m.open, func(j *job) bool {
+		return j.ended != 0 || j.cancelled || len(j.tasks) == 0 || j.service != ""
 	})
-	for _, j := range m.unplaced {
+	for _, j := range m.open {
 		fitsHere := fitsAny(j.spec.Resources, m.capacities[m.partition])
-		if len(m.capacities) == 0 || j.passing || len(m.cancels[j.spec.Job]) > 0 || j.claiming() {
+		if fitsHere && (j.attempted || j.moves >= maxMoves || now.Sub(j.arrived) < j.moveAfter()) {
 			continue
 		}
-		if fitsHere && now.Sub(j.arrived) < j.moveAfter() {
+		if j.moves >= maxForcedMoves || j.passing || len(m.cancels[j.spec.Job]) > 0 || j.busy() {
 			continue
 		}
-		if m.overQuota(shapeOf(j.tasks[0])) != "" {
+		if fitsHere && m.overQuota(shapeOf(j.tasks[0])) != "" {
 			continue
 		}
 		if to := m.nextPartition(j); to != "" {
@@ -192,8 +195,9 @@
 	return moveAfter
 }
 
-func (j *job) claiming() bool {
-	return slices.ContainsFunc(j.tasks, func(t *task) bool { return t.pending || t.reserved != "" })
+// busy reports whether an attempt of the job may run or be claimed.
+func (j *job) busy() bool {
+	return slices.ContainsFunc(j.tasks, func(t *task) bool { return t.pending || t.reserved != "" || t.state.live() })
 }
 
 func fitsAny(need fleet.Resources, capacities []fleet.Resources) bool {
@@ -216,8 +220,12 @@
 func InboxPrefix(p fleet.PartitionID) string { return "inbox/" + string(p) + "/" }
 
 func (m *Machine) pass(now time.Time, j *job, to fleet.PartitionID) {
-	value, err := ledger.EncodeRecord(ledger.Submitted{Spec: j.spec, AtMS: j.submitted, Moves: j.moves + 1})
-	if err != nil {
+	record := ledger.Submitted{Spec: j.spec, AtMS: j.submitted, Moves: j.moves + 1}
+	for _, r := range taskRecords(j) {
+		record.Tasks = append(record.Tasks, r.(ledger.Task))
+	}
+	value, err := ledger.EncodeRecord(record)
+	if err != nil || len(value) > ledger.ChunkBytes {
 		return
 	}
 	j.passing = true
--- a/coord/jobs/state.go
+++ b/coord/jobs/state.go
@@ -80,6 +80,7 @@
 	reserved    fleet.WorkerID
 	reservedAt  time.Time
 	reservedFor string
+	victims     []plat.TaskRef
 	notBefore   time.Time
 }
 
@@ -92,7 +93,7 @@
 	t.pending, t.sent, t.startBusy, t.unclear, t.inherited = false, false, false, false, false
 	t.stopBusy, t.stopKeep = false, false
 	t.confirmed, t.mayRunTo, t.stopAt = time.Time{}, time.Time{}, time.Time{}
-	t.sentEpoch, t.reserved, t.reservedFor = 0, "", ""
+	t.sentEpoch, t.reserved, t.reservedFor, t.victims = 0, "", "", nil
 }
 
 // worker is a worker of the partition, or a former one that may still run attempts.
@@ -176,6 +177,9 @@
 		m.tasks[t.id] = t
 	}
 	m.jobs[r.Spec.Job] = j
+	for _, t := range r.Tasks {
+		m.applyTask(t)
+	}
 	return true
 }
 
--- a/coord/jobs/types.go
+++ b/coord/jobs/types.go
@@ -41,6 +41,8 @@
 	// moveUrgentAfter leaves time for a start elsewhere within the two seconds of urgent work.
 	moveUrgentAfter = 750 * time.Millisecond
 	maxMoves        = 3
+	// maxForcedMoves bounds the moves of a job whose partitions lose their workers one after another.
+	maxForcedMoves = 50
 	// retention is how long a finished job answers repeated submissions.
 	retention = 24 * time.Hour
 )
--- a/coord/ledger/records.go
+++ b/coord/ledger/records.go
@@ -37,11 +37,12 @@
 type Record interface{ kind() string }
 
 type (
-	// Submitted adds a job; Moves counts the partitions that have passed it on.
+	// Submitted adds a job; Moves counts the partitions that have passed it on, and Tasks holds what they did of it.
 	Submitted struct {
-		Spec  Spec  `cbor:"spec"`
-		AtMS  int64 `cbor:"at_ms"`
-		Moves int   `cbor:"moves"`
+		Spec  Spec   `cbor:"spec"`
+		AtMS  int64  `cbor:"at_ms"`
+		Moves int    `cbor:"moves"`
+		Tasks []Task `cbor:"tasks,omitempty"`
 	}
 	// Claimed binds an attempt to a worker before it is started there.
 	Claimed struct {
--- a/entryd/batch/feature_test.go
+++ b/entryd/batch/feature_test.go
@@ -215,3 +215,87 @@
 		}
 	})
 }
+
+// After the loss of an availability zone its tasks must resume in another one, from what they had checkpointed.
+func TestJobsOfALostZoneResumeElsewhere(t *testing.T) {
+	inWorld(t, 2, func(t *testing.T, w *world) {
+		p := w.start("e1", "a")
+		time.Sleep(5 * time.Second)
+		for i := range 4 {
+			p.do(http.MethodPost, "/v1/jobs", jobBody(fmt.Sprintf("j%d", i), "standard", 3, 200_000))
+		}
+		time.Sleep(5 * time.Second)
+		w.fleet.setCut("b0", true)
+		w.fleet.setCut("b1", true)
+		var left []fleet.Worker
+		for _, b := range w.fleet.boxes {
+			if b.info.Zone == "a" {
+				left = append(left, b.info)
+			}
+		}
+		time.Sleep(5 * time.Second)
+		p.runtime.ObserveFleet(left)
+		time.Sleep(15 * time.Minute)
+		for i := range 4 {
+			_, v := p.do(http.MethodGet, fmt.Sprintf("/v1/jobs/j%d/explain", i), "")
+			assert.Equal(t, v.State, jobs.Succeeded, "%+v\n%s", v, w.logs)
+			assert.Equal(t, v.Partition, fleet.PartitionID("a/0"))
+		}
+	})
+}
+
+// A drained process must hand its partitions over at once, and a leaving worker its tasks, without lost work.
+func TestDrainAndLeavingWorker(t *testing.T) {
+	inWorld(t, 2, func(t *testing.T, w *world) {
+		p, q := w.start("e1", "a"), w.start("e2", "b")
+		time.Sleep(5 * time.Second)
+		for i := range 4 {
+			q.do(http.MethodPost, "/v1/jobs", jobBody(fmt.Sprintf("j%d", i), "standard", 2, 60_000))
+		}
+		time.Sleep(5 * time.Second)
+		assert.NilError(t, p.runtime.Drain(t.Context()))
+		time.Sleep(4 * time.Second)
+		for i := range 4 {
+			status, _ := q.do(http.MethodGet, fmt.Sprintf("/v1/jobs/j%d", i), "")
+			assert.Equal(t, status, http.StatusOK)
+		}
+		var list []fleet.Worker
+		for _, b := range w.fleet.boxes {
+			list = append(list, b.info)
+			if b.info.ID == "a0" || b.info.ID == "b0" {
+				list[len(list)-1] = b.info.WithState(fleet.HostLeaving)
+			}
+		}
+		q.runtime.ObserveFleet(list)
+		time.Sleep(5 * time.Second)
+		for _, id := range []fleet.WorkerID{"a0", "b0"} {
+			assert.Equal(t, w.fleet.running(func(s plat.Start) bool { return w.fleet.boxes[id].runs[s.TaskRef] != nil }), 0)
+		}
+		time.Sleep(5 * time.Minute)
+		for i := range 4 {
+			_, v := q.do(http.MethodGet, fmt.Sprintf("/v1/jobs/j%d/explain", i), "")
+			assert.Equal(t, v.State, jobs.Succeeded, "%+v\n%s", v, w.logs)
+		}
+	})
+}
+
+// The number of store calls must follow the time and not the number of starts, or 750 starts a second exceed the store.
+func TestStoreCallsDoNotGrowWithStarts(t *testing.T) {
+	inWorld(t, 40, func(t *testing.T, w *world) {
+		p := w.start("e1", "a")
+		time.Sleep(5 * time.Second)
+		w.kv.mu.Lock()
+		before := w.kv.txns
+		w.kv.mu.Unlock()
+		for i := range 100 {
+			go p.do(http.MethodPost, "/v1/jobs", jobBody(fmt.Sprintf("j%d", i), "standard", 30, 500))
+		}
+		time.Sleep(30 * time.Second)
+		w.kv.mu.Lock()
+		calls := w.kv.txns - before
+		w.kv.mu.Unlock()
+		t.Logf("%d starts, %d store transactions", w.fleet.starts, calls)
+		assert.Equal(t, w.fleet.starts, 3000)
+		assert.Assert(t, calls < 30*20+30, calls)
+	})
+}
