place: keep the reservations of a worker in order instead of sorting them

Cause: each report and each change of the mix sorted all tasks of a worker. Change: a slice in the order of reservation beside the map.

--- a/coord/place/host.go
+++ b/coord/place/host.go
@@ -1,7 +1,6 @@
 package place
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -16,6 +15,8 @@
 	known  bool
 	goneAt time.Time
 	tasks  map[plat.TaskRef]*held
+	// list holds the reservations in the order they were made.
+	list []*held
 	// used is the sum of all reservations, including pending and evicting ones.
 	used fleet.Resources
 	// evicting and pending are the parts of used that will be freed, or that wait for it.
@@ -71,6 +72,7 @@
 func (h *host) add(t *held) {
 	t.host = h
 	h.tasks[t.task.Ref] = t
+	h.list = append(h.list, t)
 	h.used = h.used.Add(t.size)
 	h.mix = nil
 }
@@ -78,6 +80,8 @@
 func (h *host) remove(t *held) {
 	t.resize(fleet.Resources{})
 	delete(h.tasks, t.task.Ref)
+	i := slices.Index(h.list, t)
+	h.list = slices.Delete(h.list, i, i+1)
 }
 
 // settle clears the pending mark of reservations that fit now, oldest first.
@@ -85,26 +89,10 @@
 	if h.pending.IsZero() {
 		return
 	}
-	for _, t := range h.sorted() {
+	for _, t := range h.list {
 		started := h.used.Sub(h.pending)
 		if t.pending && started.Add(t.size).Fits(h.worker.Capacity) {
 			t.setPending(false)
 		}
 	}
 }
-
-// sorted returns the reservations, oldest first.
-func (h *host) sorted() []*held {
-	all := make([]*held, 0, len(h.tasks))
-	for _, t := range h.tasks {
-		all = append(all, t)
-	}
-	slices.SortFunc(all, func(a, b *held) int {
-		return cmp.Or(
-			a.reservedAt.Compare(b.reservedAt),
-			cmp.Compare(a.task.Ref.Task, b.task.Ref.Task),
-			cmp.Compare(a.task.Ref.Attempt, b.task.Ref.Attempt),
-		)
-	})
-	return all
-}
--- a/coord/place/mitigate.go
+++ b/coord/place/mitigate.go
@@ -62,7 +62,7 @@
 // slowest returns the urgent task on a worker that is slowed most.
 func slowest(h *host) *held {
 	var worst *held
-	for _, t := range h.sorted() {
+	for _, t := range h.list {
 		if t.task.Class == fleet.Urgent && (worst == nil || t.slowdown > worst.slowdown) {
 			worst = t
 		}
@@ -84,7 +84,7 @@
 func (m *Machine) worstCause(now time.Time, h *host, victim *held, class fleet.Class) *held {
 	var worst *held
 	worstGain := minGain
-	for _, t := range h.sorted() {
+	for _, t := range h.list {
 		if t.task.Class != class || t.evicting || !m.canStep(now, t) {
 			continue
 		}
@@ -130,7 +130,7 @@
 
 // stepDown lifts one limit by one step if the urgent tasks are predicted to stay below the upper threshold.
 func (m *Machine) stepDown(now time.Time, h *host, victim *held) []Effect {
-	for _, t := range h.sorted() {
+	for _, t := range h.list {
 		i := slices.Index(throttleSteps[:], t.permille)
 		if i <= 0 || t.evicting {
 			continue
--- a/coord/place/model.go
+++ b/coord/place/model.go
@@ -79,7 +79,7 @@
 		return h.mix
 	}
 	h.mix = make([]mixed, 0, 8)
-	for _, t := range h.sorted() {
+	for _, t := range h.list {
 		x := mixed{kind: t.kind, load: h.share(t.expectedLoad()), weight: weight(t.task.Class), count: 1}
 		if t.task.Class == fleet.Urgent {
 			x.urgent, x.worst = true, t.slowdown
--- a/coord/place/place.go
+++ b/coord/place/place.go
@@ -150,10 +150,8 @@
 		return nil, true
 	}
 	// The youngest tasks lose the least work.
-	tasks := h.sorted()
-	slices.Reverse(tasks)
 	var victims []*held
-	for _, v := range tasks {
+	for _, v := range slices.Backward(h.list) {
 		if v.task.Class != fleet.Deferrable || v.evicting || v.pending {
 			continue
 		}
@@ -197,7 +195,7 @@
 
 func evictingOn(h *host) []plat.TaskRef {
 	var refs []plat.TaskRef
-	for _, t := range h.sorted() {
+	for _, t := range h.list {
 		if t.evicting {
 			refs = append(refs, t.task.Ref)
 		}
--- a/coord/place/usage.go
+++ b/coord/place/usage.go
@@ -66,9 +66,8 @@
 
 // ranAt returns the reservations whose attempts ran at a time, oldest first.
 func (h *host) ranAt(at time.Time) []*held {
-	all := h.sorted()
-	ran := all[:0]
-	for _, t := range all {
+	ran := make([]*held, 0, len(h.list))
+	for _, t := range h.list {
 		if !t.startedAt.IsZero() && t.startedAt.Before(at) {
 			ran = append(ran, t)
 		}
