--- a/bench/main.go
+++ b/bench/main.go
@@ -11,6 +11,7 @@
 	"github.com/integrii/flaggy"
 
 	"lovagefork.example/bench/colo"
+	"lovagefork.example/bench/reqs"
 	"lovagefork.example/bench/table"
 )
 
@@ -33,7 +34,7 @@
 	policies.Description = "compare policies with baselines"
 	policies.Int(&s.seeds, "n", "seeds", "number of seeds")
 	policies.Int(&s.parallel, "p", "parallel", "runs at a time")
-	policies.String(&s.only, "o", "only", "run only this experiment: placement")
+	policies.String(&s.only, "o", "only", "run only this experiment: placement, routing or overload")
 	policies.Bool(&s.csv, "c", "csv", "write CSV instead of Markdown")
 	policies.String(&s.svg, "s", "svg", "also write an SVG plot of each table into this directory")
 	flaggy.AttachSubcommand(policies, 1)
@@ -52,6 +53,8 @@
 		name string
 		run  func(seeds, parallel int) []*table.Table
 	}{
+		{"routing", func(n, parallel int) []*table.Table { return reqs.Routes(n, parallel, reqs.Loads...) }},
+		{"overload", reqs.Floods},
 		{"placement", func(n, parallel int) []*table.Table { return colo.Compare(n, parallel, colo.Night) }},
 	}
 	for _, e := range experiments {
--- a/bench/table/fill.go
+++ b/bench/table/fill.go
@@ -8,8 +8,9 @@
 	Run            func() map[string]float64
 }
 
-// Fill runs the jobs, at most parallel at a time, and adds their values in the order of the jobs.
-func (t *Table) Fill(jobs []Job, parallel int) {
+// Fill runs the jobs, at most parallel at a time, and adds their values in the order of the jobs; it returns
+// all values of each job.
+func (t *Table) Fill(jobs []Job, parallel int) []map[string]float64 {
 	results := make([]map[string]float64, len(jobs))
 	slots := make(chan struct{}, parallel)
 	var wait sync.WaitGroup
@@ -28,4 +29,5 @@
 			}
 		}
 	}
+	return results
 }
