--- a/entryd/daemon/run.go
+++ b/entryd/daemon/run.go
@@ -71,6 +71,7 @@
 func serve(lc fx.Lifecycle, p parts) {
 	callers := newServer("listen", p.Settings.Listen, p.Router, p.TLS.callers, p.Log)
 	links := newPeerServer(p.Settings, p.Mesh, p.TLS, p.Log)
+	debug := newDebugServer(p.Settings, p.Log)
 	r := &runner{log: p.Log}
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
@@ -80,6 +81,11 @@
 			if err := callers.start(); err != nil {
 				return err
 			}
+			if p.Settings.DebugListen != "" {
+				if err := debug.start(); err != nil {
+					return err
+				}
+			}
 			ctx, cancel := context.WithCancel(context.Background())
 			r.cancel = cancel
 			r.run(ctx, "peers", func(ctx context.Context) error { p.Mesh.Run(ctx); return nil })
@@ -101,7 +107,7 @@
 			r.cancel()
 			p.Mesh.Close()
 			r.wg.Wait()
-			err = errors.Join(err, links.http.Close())
+			err = errors.Join(err, links.http.Close(), debug.http.Close())
 			p.Log.Info("daemon: stopped", "error", err)
 			return err
 		},
--- a/entryd/daemon/servers.go
+++ b/entryd/daemon/servers.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -113,3 +114,12 @@
 	r.Handle("/peer/v1", mesh).Methods(http.MethodGet)
 	return newServer("peer-listen", s.PeerListen, r, configs.peers.Server, log)
 }
+
+// newDebugServer serves the Go profiler, which must not be reachable for callers.
+func newDebugServer(s setup.Settings, log *slog.Logger) *server {
+	r := mux.NewRouter()
+	r.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	r.HandleFunc("/debug/pprof/trace", pprof.Trace)
+	r.PathPrefix("/debug/pprof/").HandlerFunc(pprof.Index)
+	return newServer("debug-listen", s.DebugListen, r, nil, log)
+}
--- a/entryd/setup/parse.go
+++ b/entryd/setup/parse.go
@@ -98,6 +98,10 @@
 		s.PeerCA = v
 		return true
 	}},
+	{"debug-listen", "", "ip:port, or empty", "address of the Go profiler; empty for none", func(s *Settings, v string) bool {
+		s.DebugListen = v
+		return v == "" || isAddress(v)
+	}},
 	{"log-level", "info", "debug, info, warn or error", "least severe level that is logged", func(s *Settings, v string) bool {
 		return s.LogLevel.UnmarshalText([]byte(v)) == nil && strings.ToLower(s.LogLevel.String()) == v
 	}},
--- a/entryd/setup/settings.go
+++ b/entryd/setup/settings.go
@@ -41,8 +41,9 @@
 	PeerKey         string
 	PeerCA          string
 
-	LogLevel  slog.Level
-	LogFormat string
+	DebugListen string
+	LogLevel    slog.Level
+	LogFormat   string
 }
 
 // Addresses maps every entry host of the roster to its peer address.
