batch: page lists of jobs, keep pointers of moved jobs, put urgent claims first

Change: GET /v1/jobs takes limit (1,000 at most, the default) and after, and says "more"; the record of a move is kept for 30 days; a commit with an urgent claim has the priority of claims.

--- a/coord/jobs/queue.go
+++ b/coord/jobs/queue.go
@@ -216,9 +216,8 @@
 // claim asks for the record that must be durable before the start is sent.
 func (m *Machine) claim(t *task) {
 	t.pending = true
-	m.emit(Append{Records: []ledger.Record{
-		ledger.Claimed{Task: t.id, Attempt: t.attempt + 1, Worker: t.reserved},
-	}})
+	claimed := ledger.Claimed{Task: t.id, Attempt: t.attempt + 1, Worker: t.reserved}
+	m.emit(Append{Records: []ledger.Record{claimed}, Urgent: t.job.spec.Class == fleet.Urgent})
 }
 
 func request(t *task, ref plat.TaskRef) place.Task {
--- a/coord/jobs/types.go
+++ b/coord/jobs/types.go
@@ -45,6 +45,8 @@
 	maxForcedMoves = 50
 	// retention is how long a finished job answers repeated submissions.
 	retention = 24 * time.Hour
+	// retentionMoved is longer, because a job that was passed on may run for days elsewhere, and is found by its home.
+	retentionMoved = 30 * 24 * time.Hour
 )
 
 // fenceBits is the part of an epoch that counts the fences of a worker under one owner; see [Machine] and worker.epoch.
@@ -159,10 +161,11 @@
 type Effect interface{ effect() }
 
 type (
-	// Append asks to make records durable, together with store operations.
+	// Append asks to make records durable, together with store operations; Urgent claims go before other store calls.
 	Append struct {
 		Records []ledger.Record
 		Ops     []store.Op
+		Urgent  bool
 	}
 	// Start asks to start a claimed attempt.
 	Start struct {
--- a/coord/jobs/view.go
+++ b/coord/jobs/view.go
@@ -46,19 +46,33 @@
 	return v, true
 }
 
-// List returns the jobs of a customer in a state, without tasks; the zero value of either matches all.
-func (m *Machine) List(customer fleet.CustomerID, state State) []View {
+// Filter selects jobs; the zero value of Customer or State matches all. Jobs come in ascending order of id, those after
+// the given one first, and at most Limit of them.
+type Filter struct {
+	Customer fleet.CustomerID `json:"customer"`
+	State    State            `json:"state"`
+	After    fleet.JobID      `json:"after"`
+	Limit    int              `json:"limit"`
+}
+
+// List returns the selected jobs without their tasks.
+func (m *Machine) List(f Filter) []View {
 	var all []View
-	for _, j := range m.jobs {
-		if j.movedTo != "" || j.service != "" || (customer != "" && j.spec.Customer != customer) {
+	for id, j := range m.jobs {
+		if j.movedTo != "" || j.service != "" || id <= f.After || (f.Customer != "" && j.spec.Customer != f.Customer) {
 			continue
 		}
-		if v := m.view(j); state == "" || v.State == state {
+		if v := m.view(j); f.State == "" || v.State == f.State {
 			all = append(all, v)
 		}
 	}
+	return Page(all, f.Limit)
+}
+
+// Page sorts jobs by id and returns the first of them.
+func Page(all []View, limit int) []View {
 	slices.SortFunc(all, func(a, b View) int { return cmp.Compare(a.Job, b.Job) })
-	return all
+	return all[:min(len(all), limit)]
 }
 
 // Explain returns a job whose waiting tasks tell what they wait for, and false if the partition does not know it.
@@ -123,11 +137,11 @@
 
 // Snapshot returns records that rebuild the state of all durable records, and forgets jobs that ended long ago.
 func (m *Machine) Snapshot(now time.Time) []ledger.Record {
-	oldest := now.Add(-retention).UnixMilli()
+	oldest, oldestMoved := now.Add(-retention).UnixMilli(), now.Add(-retentionMoved).UnixMilli()
 	var records []ledger.Record
 	for _, id := range slices.Sorted(maps.Keys(m.jobs)) {
 		j := m.jobs[id]
-		if j.ended != 0 && j.ended < oldest {
+		if j.ended != 0 && (j.ended < oldest && j.movedTo == "" || j.ended < oldestMoved) {
 			m.dropTasks(j)
 			delete(m.jobs, id)
 			continue
--- a/coord/ledger/ledger.go
+++ b/coord/ledger/ledger.go
@@ -43,11 +43,12 @@
 	}
 	// Close forgets a partition with its uncommitted records.
 	Close struct{ Partition fleet.PartitionID }
-	// Append adds records, and operations that must take effect in the same transaction.
+	// Append adds records, and operations that must take effect in the same transaction; Urgent marks its [Commit].
 	Append struct {
 		Partition fleet.PartitionID
 		Records   []Record
 		Ops       []store.Op
+		Urgent    bool
 	}
 	// Tick tells that a commit may be sent.
 	Tick struct{}
@@ -72,6 +73,7 @@
 	Commit struct {
 		Txn     store.Txn
 		Records int
+		Urgent  bool
 	}
 	// Committed tells that records of a partition are durable. Snapshot is set if they end a segment.
 	Committed struct {
@@ -106,6 +108,7 @@
 	record Record
 	frame  frame
 	ops    []store.Op
+	urgent bool
 }
 
 // batch is a log entry whose outcome is not known; it is repeated unchanged until it is.
@@ -114,6 +117,7 @@
 	value   []byte
 	records []Record
 	ops     []store.Op
+	urgent  bool
 }
 
 // Machine holds the logs of all partitions that one process owns; it is not safe for concurrent use.
@@ -171,7 +175,7 @@
 		if err != nil {
 			panic(err) // the records of this package always encode
 		}
-		p := pending{record: r, frame: f}
+		p := pending{record: r, frame: f, urgent: ev.Urgent}
 		if i == 0 {
 			p.ops = ev.Ops
 		}
@@ -185,7 +189,7 @@
 	}
 	var txn store.Txn
 	m.sent = m.sent[:0]
-	records, bytes, ops := 0, 0, 0
+	records, bytes, ops, urgent := 0, 0, 0, false
 	for _, id := range slices.Sorted(maps.Keys(m.partitions)) {
 		part := m.partitions[id]
 		part.seal()
@@ -198,6 +202,7 @@
 		}
 		m.sent = append(m.sent, part)
 		records, bytes, ops = records+len(b.records), bytes+len(b.value), ops+len(b.ops)
+		urgent = urgent || b.urgent
 		txn.If = append(txn.If, store.Equal{Key: part.ownerKey, Value: part.ownerValue}, store.Absent{Key: b.key})
 		txn.Then = append(txn.Then, store.Put{Key: b.key, Value: b.value})
 		txn.Then = append(txn.Then, b.ops...)
@@ -207,7 +212,7 @@
 		return nil
 	}
 	m.busy = true
-	return []Effect{Commit{Txn: txn, Records: records}}
+	return []Effect{Commit{Txn: txn, Records: records, Urgent: urgent}}
 }
 
 // seal turns queued records into the next log entry. Nothing is added to an entry that was sent once, because the
@@ -226,6 +231,7 @@
 		e.Frames = append(e.Frames, q.frame)
 		b.records = append(b.records, q.record)
 		b.ops = append(b.ops, q.ops...)
+		b.urgent = b.urgent || q.urgent
 		size += len(q.frame.Body)
 		taken++
 	}
--- a/entryd/batch/calls.go
+++ b/entryd/batch/calls.go
@@ -78,14 +78,10 @@
 	Task fleet.TaskID `json:"task_id"`
 }
 
-// listBody is the filter of a list.
-type listBody struct {
-	Customer fleet.CustomerID `json:"customer"`
-	State    jobs.State       `json:"state"`
-}
-
-// listAnswer is the JSON of a list; Incomplete names partitions whose owner did not answer.
+// listAnswer is the JSON of a list; More tells that further jobs follow the last one, and Incomplete names partitions
+// whose owner did not answer.
 type listAnswer struct {
+	More       bool                `json:"more,omitempty"`
 	Jobs       []jobs.View         `json:"jobs"`
 	Incomplete []fleet.PartitionID `json:"incomplete,omitempty"`
 }
@@ -123,7 +119,7 @@
 }
 
 func (r *Runtime) localList(body []byte) answer {
-	var filter listBody
+	var filter jobs.Filter
 	if err := json.Unmarshal(body, &filter); err != nil {
 		return failure(http.StatusBadRequest, notRun, err.Error(), "")
 	}
@@ -132,9 +128,10 @@
 	list := listAnswer{Jobs: []jobs.View{}}
 	for _, id := range r.Partitions {
 		if p := r.parts[id]; p != nil {
-			list.Jobs = append(list.Jobs, p.machine.List(filter.Customer, filter.State)...)
+			list.Jobs = append(list.Jobs, p.machine.List(filter)...)
 		}
 	}
+	list.Jobs = jobs.Page(list.Jobs, filter.Limit)
 	return answer{status: http.StatusOK, body: list}
 }
 
--- a/entryd/batch/effects.go
+++ b/entryd/batch/effects.go
@@ -57,7 +57,7 @@
 func (r *Runtime) performJobs(now time.Time, p *part, e jobs.Effect) {
 	switch e := e.(type) {
 	case jobs.Append:
-		r.stepLedger(now, ledger.Append{Partition: p.id, Records: e.Records, Ops: e.Ops})
+		r.stepLedger(now, ledger.Append{Partition: p.id, Records: e.Records, Ops: e.Ops, Urgent: e.Urgent})
 	case jobs.Answer:
 		r.deliver(e)
 	case jobs.Note:
@@ -142,7 +142,11 @@
 		switch e := e.(type) {
 		case ledger.Commit:
 			r.spawn(storeTimeout, func(ctx context.Context) {
-				result, err := r.Store.Txn(budget.WithPriority(ctx, budget.Ledger), e.Txn)
+				priority := budget.Ledger
+				if e.Urgent {
+					priority = budget.Claims
+				}
+				result, err := r.Store.Txn(budget.WithPriority(ctx, priority), e.Txn)
 				r.warn("jobs: commit unclear", err)
 				r.mu.Lock()
 				defer r.mu.Unlock()
--- a/entryd/batch/http.go
+++ b/entryd/batch/http.go
@@ -7,8 +7,10 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"regexp"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 
@@ -26,6 +28,8 @@
 	maxTasks        = 5000
 	maxMaxAttempts  = 100
 	defaultAttempts = 5
+	// maxListed keeps a list well below the largest message between entry processes.
+	maxListed = 1000
 )
 
 var jobIDPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._:-]{0,127}$`)
@@ -219,25 +223,48 @@
 	return call.Partition
 }
 
-func (r *Runtime) serveList(w http.ResponseWriter, req *http.Request) {
-	query := req.URL.Query()
+// listFilter reads the filters of a list, or tells what is wrong with them.
+func listFilter(query url.Values) (filter jobs.Filter, problem string) {
+	filter.Limit = maxListed
 	for name := range query {
-		if name != "customer" && name != "state" {
-			reply(w, failure(http.StatusBadRequest, notRun, "unknown filter "+name+": want customer or state", ""))
-			return
+		value := query.Get(name)
+		switch name {
+		case "customer":
+			filter.Customer = fleet.CustomerID(value)
+		case "state":
+			filter.State = jobs.State(value)
+		case "after":
+			filter.After = fleet.JobID(value)
+		case "limit":
+			limit, err := strconv.Atoi(value)
+			if err != nil || limit < 1 || limit > maxListed {
+				return filter, fmt.Sprintf("limit: want 1 to %d", maxListed)
+			}
+			filter.Limit = limit
+		default:
+			return filter, "unknown filter " + name + ": want customer, state, after or limit"
 		}
 	}
-	filter := listBody{Customer: fleet.CustomerID(query.Get("customer")), State: jobs.State(query.Get("state"))}
 	known := []jobs.State{"", jobs.Waiting, jobs.Running, jobs.Succeeded, jobs.Failed, jobs.Cancelled}
 	if !slices.Contains(known, filter.State) {
-		reply(w, failure(http.StatusBadRequest, notRun, "state: want waiting, running, succeeded, failed or cancelled", ""))
+		return filter, "state: want waiting, running, succeeded, failed or cancelled"
+	}
+	return filter, ""
+}
+
+func (r *Runtime) serveList(w http.ResponseWriter, req *http.Request) {
+	filter, problem := listFilter(req.URL.Query())
+	if problem != "" {
+		reply(w, failure(http.StatusBadRequest, notRun, problem, ""))
 		return
 	}
 	reply(w, r.list(req.Context(), filter))
 }
 
 // list asks every owner once for the jobs of all its partitions.
-func (r *Runtime) list(ctx context.Context, filter listBody) answer {
+func (r *Runtime) list(ctx context.Context, filter jobs.Filter) answer {
+	limit := filter.Limit
+	filter.Limit++ // one more tells whether further jobs follow
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	body, err := json.Marshal(filter)
@@ -272,7 +299,8 @@
 		})
 	}
 	wg.Wait()
-	slices.SortFunc(all.Jobs, func(a, b jobs.View) int { return strings.Compare(string(a.Job), string(b.Job)) })
+	all.More = len(all.Jobs) > limit
+	all.Jobs = jobs.Page(all.Jobs, limit)
 	slices.Sort(all.Incomplete)
 	return answer{status: http.StatusOK, body: all}
 }
