batch: list up to 10,000 jobs at a time

lovload reads all jobs of a customer in one list and saw 1,000 of 1,557. 10,000 jobs are about 3.5 MB, below the 16 MB of a link.

--- a/entryd/batch/http.go
+++ b/entryd/batch/http.go
@@ -29,7 +29,7 @@
 	maxMaxAttempts  = 100
 	defaultAttempts = 5
 	// maxListed keeps a list well below the largest message between entry processes.
-	maxListed = 1000
+	maxListed = 10_000
 )
 
 var jobIDPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._:-]{0,127}$`)
