batch: test owners that are cut off from the store, from workers, or from both

Cause: three lines could be broken without a failing test: the wait for the outage horizon, the fence after an unclear start, and the outage that is longer than the horizon was not run at all. Random plans favoured short times and their faults began after the first starts.

Change, tests only: plans isolate a process from the store, part another from a worker or a zone, and have outages beyond the horizon; times are drawn around several sizes; up to two faults begin before the jobs are submitted. A checkpoint on a worker that an owner cannot reach past the horizon may be given up, so those workers are left out of the checkpoint comparison.

Shown to fail: - without the horizon ("if !clean && false" in Recover) TestUnreachableTaskOfAnIsolatedOwner says "task j1/0 attempt 2 starts on b0 while attempt 1 runs on a0"; - without fences (no "w.fence++", absent means not started) the random plans say "task probe0/1 attempt 1 starts on a1 while attempt 2 runs on a1".

--- a/entryd/batch/batch_test.go
+++ b/entryd/batch/batch_test.go
@@ -29,7 +29,7 @@
 const (
 	perZone = 1
 	// testHorizon is shorter than the real one, because every virtual second costs ticks.
-	testHorizon = 5 * time.Minute
+	testHorizon = 2 * time.Minute
 )
 
 var zones = []fleet.AvailabilityZone{"a", "b"}
@@ -71,6 +71,9 @@
 
 	mu     sync.Mutex
 	paused chan struct{}
+	// alone cuts the process off from the store, and apart from the workers whose names begin so.
+	alone bool
+	apart string
 }
 
 func newWorld(perZone int) *world {
@@ -187,15 +190,52 @@
 	proc *proc
 }
 
+func (p *proc) set(change func(*proc)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	change(p)
+}
+
+func (p *proc) store() error {
+	p.gate()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.alone {
+		return &store.NotSentError{Op: "any", Cause: errFake}
+	}
+	return nil
+}
+
+func (p *proc) worker(w fleet.Worker) error {
+	p.gate()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.apart != "" && strings.HasPrefix(string(w.ID), p.apart) {
+		return &plat.UnreachableError{Worker: w.ID, Op: "any", Cause: errFake}
+	}
+	return nil
+}
+
 func (s gatedStore) Txn(ctx context.Context, t store.Txn) (store.TxnResult, error) {
-	s.proc.gate()
+	if err := s.proc.store(); err != nil {
+		return store.TxnResult{}, err
+	}
 	r, err := s.kv.Txn(ctx, t)
 	s.proc.gate()
 	return r, err
 }
 
+func (s gatedStore) Grant(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
+	if err := s.proc.store(); err != nil {
+		return 0, err
+	}
+	return s.kv.Grant(ctx, ttl)
+}
+
 func (s gatedStore) KeepAlive(ctx context.Context, id store.LeaseID) (time.Duration, error) {
-	s.proc.gate()
+	if err := s.proc.store(); err != nil {
+		return 0, err
+	}
 	left, err := s.kv.KeepAlive(ctx, id)
 	s.proc.gate()
 	return left, err
@@ -207,22 +247,30 @@
 }
 
 func (a gatedAgent) Start(ctx context.Context, w fleet.Worker, s plat.Start) error {
-	a.proc.gate()
+	if err := a.proc.worker(w); err != nil {
+		return err
+	}
 	return a.machines.Start(ctx, w, s)
 }
 
 func (a gatedAgent) Renew(ctx context.Context, w fleet.Worker, e fleet.Epoch, l time.Duration, t []plat.TaskRef) ([]plat.TaskRef, error) {
-	a.proc.gate()
+	if err := a.proc.worker(w); err != nil {
+		return nil, err
+	}
 	return a.machines.Renew(ctx, w, e, l, t)
 }
 
 func (a gatedAgent) Status(ctx context.Context, w fleet.Worker, e fleet.Epoch) (plat.Status, error) {
-	a.proc.gate()
+	if err := a.proc.worker(w); err != nil {
+		return plat.Status{}, err
+	}
 	return a.machines.Status(ctx, w, e)
 }
 
 func (a gatedAgent) Stop(ctx context.Context, w fleet.Worker, e fleet.Epoch, t plat.TaskRef, c bool) (plat.TaskStatus, error) {
-	a.proc.gate()
+	if err := a.proc.worker(w); err != nil {
+		return plat.TaskStatus{}, err
+	}
 	return a.machines.Stop(ctx, w, e, t, c)
 }
 
--- a/entryd/batch/faults_test.go
+++ b/entryd/batch/faults_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -39,15 +40,19 @@
 	classes []string
 	bad     []bool
 	actions []action
+	// early is the number of actions before the jobs are submitted, so that faults also meet their first starts.
+	early int
 }
 
 var kinds = []string{
 	"pause", "kill", "lose start", "late start", "lose store", "outage", "evict", "cancel", "evict and cancel",
-	"cut", "reboot", "resubmit", "drain",
+	"cut", "reboot", "resubmit", "drain", "isolate", "part", "isolate and part", "long outage",
 }
 
-func millis(t *rapid.T, name string, from, to int) time.Duration {
-	return time.Duration(rapid.IntRange(from, to).Draw(t, name)) * time.Millisecond
+// millis draws a time near one of several sizes, because an even draw would favour short times.
+func millis(t *rapid.T, name string, sizes ...int) time.Duration {
+	size := rapid.SampledFrom(sizes).Draw(t, name)
+	return time.Duration(size+rapid.IntRange(0, size/2).Draw(t, name+" extra")) * time.Millisecond
 }
 
 func drawPlan(t *rapid.T) plan {
@@ -55,15 +60,15 @@
 	n := rapid.IntRange(2, 5).Draw(t, "jobs")
 	for range n {
 		p.tasks = append(p.tasks, rapid.IntRange(1, 5).Draw(t, "tasks"))
-		p.runMS = append(p.runMS, int64(rapid.IntRange(100, 60_000).Draw(t, "run_ms")))
+		p.runMS = append(p.runMS, millis(t, "run", 100, 2000, 20_000, 80_000).Milliseconds())
 		p.classes = append(p.classes, rapid.SampledFrom([]string{"urgent", "standard", "deferrable"}).Draw(t, "class"))
 		p.bad = append(p.bad, rapid.IntRange(0, 5).Draw(t, "bad") == 0)
 	}
 	for range rapid.IntRange(1, 8).Draw(t, "actions") {
 		p.actions = append(p.actions, action{
 			kind:   rapid.SampledFrom(kinds).Draw(t, "kind"),
-			after:  millis(t, "after", 0, 8000),
-			length: millis(t, "length", 10, 40_000),
+			after:  millis(t, "after", 0, 50, 1000, 6000),
+			length: millis(t, "length", 10, 1000, 10_000, 27_000),
 			host:   rapid.SampledFrom(hosts).Draw(t, "host"),
 			box:    rapid.SampledFrom(boxNames).Draw(t, "worker"),
 			job:    rapid.IntRange(0, n-1).Draw(t, "job"),
@@ -71,13 +76,24 @@
 			flag:   rapid.Bool().Draw(t, "flag"),
 		})
 	}
+	p.early = rapid.IntRange(0, min(2, len(p.actions))).Draw(t, "early")
 	return p
 }
 
+// quiet is the time after which every fault of the plan has ended.
+func (p plan) quiet() time.Duration {
+	longest := 10 * time.Second
+	for _, a := range p.actions {
+		longest = max(longest, 6*a.length)
+	}
+	return longest
+}
+
 // trial runs a plan and collects what went wrong.
 type trial struct {
 	world     *world
 	plan      plan
+	mu        sync.Mutex
 	accepted  map[int]bool
 	cancelled map[int]bool
 	problems  []string
@@ -112,7 +128,9 @@
 		body = `{"kind":"bad",` + body[1:]
 	}
 	if code, _ := p.do(http.MethodPost, "/v1/jobs", body); code == http.StatusCreated || code == http.StatusOK {
+		r.mu.Lock()
 		r.accepted[i] = true
+		r.mu.Unlock()
 	}
 }
 
@@ -151,6 +169,11 @@
 	case "outage":
 		r.world.kv.setDown(true, a.flag)
 		time.AfterFunc(a.length, func() { r.world.kv.setDown(false, a.flag) })
+	case "long outage": // up to 4 minutes, beyond the horizon of the test
+		r.world.kv.setDown(true, a.flag)
+		time.AfterFunc(6*a.length, func() { r.world.kv.setDown(false, a.flag) })
+	case "isolate", "part", "isolate and part":
+		r.separate(a)
 	case "cut":
 		fleet.setCut(a.box, true)
 		time.AfterFunc(3*a.length, func() { fleet.setCut(a.box, false) })
@@ -163,6 +186,29 @@
 	}
 }
 
+// separate cuts one process off from the store, another one from a worker, or both: a former owner then renews the
+// leases of tasks that the next owner cannot reach.
+func (r *trial) separate(a action) {
+	for _, h := range hosts {
+		p := r.at(h)
+		if p == nil || (a.kind != "isolate and part" && h != a.host) {
+			continue
+		}
+		if a.kind == "isolate" || (a.kind != "part" && h == a.host) {
+			p.set(func(p *proc) { p.alone = true })
+			time.AfterFunc(5*a.length, func() { p.set(func(p *proc) { p.alone = false }) })
+			continue
+		}
+		apart := string(a.box)
+		if a.flag {
+			apart = apart[:1] // the whole zone
+		}
+		r.world.fleet.setUnsure(apart)
+		p.set(func(p *proc) { p.apart = apart })
+		time.AfterFunc(6*a.length, func() { p.set(func(p *proc) { p.apart = "" }) })
+	}
+}
+
 func (r *trial) change(a action) {
 	p := r.at(a.host)
 	if p == nil {
@@ -200,16 +246,23 @@
 		w.start(h, hostZones[h])
 	}
 	time.Sleep(4 * time.Second)
+	for _, a := range r.plan.actions[:r.plan.early] {
+		r.act(a)
+	}
 	for i := range r.plan.tasks {
 		r.submit(i)
 	}
-	for _, a := range r.plan.actions {
+	for _, a := range r.plan.actions[r.plan.early:] {
 		r.act(a)
 	}
-	time.Sleep(130 * time.Second) // every fault has ended by then
-	deadline := time.Now().Add(testHorizon + 10*time.Minute)
+	time.Sleep(r.plan.quiet())
+	// A failing job may take five runs of two minutes, each of them interrupted.
+	deadline := time.Now().Add(testHorizon + 20*time.Minute)
 	for i := range r.plan.tasks {
-		if !r.accepted[i] {
+		r.mu.Lock()
+		accepted := r.accepted[i]
+		r.mu.Unlock()
+		if !accepted {
 			continue
 		}
 		v, done := r.final(i)
--- a/entryd/batch/feature_test.go
+++ b/entryd/batch/feature_test.go
@@ -303,3 +303,39 @@
 		assert.Assert(t, calls < 30*20+30, calls)
 	})
 }
+
+// An owner that is cut off together with the workers of its partition keeps their tasks alive. The next owner must wait
+// for the end of the outage horizon before it starts them in another zone.
+func TestUnreachableTaskOfAnIsolatedOwner(t *testing.T) {
+	inWorld(t, 2, func(t *testing.T, w *world) {
+		horizon := batch.WithOutageHorizon(5 * time.Minute)
+		q, p := w.start("e1", "a", horizon), w.start("e2", "b", horizon)
+		time.Sleep(20 * time.Second)
+		for i := range 4 {
+			q.do(http.MethodPost, "/v1/jobs", jobBody(fmt.Sprintf("j%d", i), "standard", 2, 250_000))
+		}
+		time.Sleep(5 * time.Second)
+		inZone := func(s plat.Start) bool {
+			return w.fleet.boxes["a0"].runs[s.TaskRef] != nil || w.fleet.boxes["a1"].runs[s.TaskRef] != nil
+		}
+		busy := w.fleet.running(inZone)
+		assert.Assert(t, busy > 0)
+		// The workers of zone a belong to the process in zone b.
+		p.set(func(p *proc) { p.alone = true })
+		q.set(func(p *proc) { p.apart = "a" })
+		time.Sleep(3 * time.Minute)
+		assert.Equal(t, w.fleet.running(inZone), busy)
+		var left []fleet.Worker
+		for _, b := range w.fleet.boxes {
+			if b.info.Zone == "b" {
+				left = append(left, b.info)
+			}
+		}
+		q.runtime.ObserveFleet(left)
+		time.Sleep(17 * time.Minute)
+		for i := range 4 {
+			_, v := q.do(http.MethodGet, fmt.Sprintf("/v1/jobs/j%d/explain", i), "")
+			assert.Equal(t, v.State, jobs.Succeeded, "%+v\n%s", v, w.logs)
+		}
+	})
+}
--- a/entryd/batch/fleet_test.go
+++ b/entryd/batch/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -33,8 +34,10 @@
 	boxes   map[fleet.WorkerID]*box
 	started map[plat.TaskRef]int
 	// saved is the checkpoint of the last stopped attempt of a task.
-	saved    map[fleet.TaskID]string
-	faults   []string
+	saved  map[fleet.TaskID]string
+	faults []string
+	// unsure holds workers whose checkpoints may be given up, because an owner could not reach them past the horizon.
+	unsure   map[fleet.WorkerID]bool
 	loseNext int
 	failing  map[string]bool
 	// lateBy delays the delivery of starts whose answer is lost.
@@ -45,7 +48,7 @@
 func newMachines(workers []fleet.Worker) *machines {
 	m := &machines{
 		boxes: map[fleet.WorkerID]*box{}, started: map[plat.TaskRef]int{}, saved: map[fleet.TaskID]string{},
-		failing: map[string]bool{},
+		failing: map[string]bool{}, unsure: map[fleet.WorkerID]bool{},
 	}
 	for _, w := range workers {
 		m.boxes[w.ID] = &box{info: w, runs: map[plat.TaskRef]*run{}}
@@ -189,6 +192,9 @@
 		if checkpoint {
 			r.start.Checkpoint = fmt.Appendf(nil, "after attempt %d", task.Attempt)
 			m.saved[task.Task] = string(r.start.Checkpoint)
+			if m.unsure[w.ID] {
+				delete(m.saved, task.Task)
+			}
 		}
 	}
 	return r.status(), m.lost(w.ID, "stop")
@@ -251,6 +257,17 @@
 	}
 }
 
+func (m *machines) setUnsure(prefix string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for id, b := range m.boxes {
+		if strings.HasPrefix(string(id), prefix) {
+			m.unsure[id] = true
+			m.forgetSaved(b)
+		}
+	}
+}
+
 func (m *machines) setCut(id fleet.WorkerID, cut bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
