--- a/entryd/daemon/app.go
+++ b/entryd/daemon/app.go
@@ -86,8 +86,10 @@
 	return wire.Hello{EntryHost: s.EntryHost, Boot: fleet.BootID(rand.Text()), Zone: s.Zone}
 }
 
-func newMesh(s setup.Settings, self wire.Hello, configs tlsConfigs, log *slog.Logger) *peers.Mesh {
-	var opts []peers.Option
+func newMesh(
+	s setup.Settings, self wire.Hello, configs tlsConfigs, r metrics.Registry, log *slog.Logger,
+) *peers.Mesh {
+	opts := []peers.Option{peers.WithMetrics(r)}
 	if configs.peers.Client != nil {
 		client := &http.Client{Transport: &http.Transport{TLSClientConfig: configs.peers.Client.Clone()}}
 		opts = append(opts, peers.WithClient(client, "wss"))
--- a/entryd/peers/link.go
+++ b/entryd/peers/link.go
@@ -83,6 +83,7 @@
 				l.stop()
 				return
 			}
+			l.mesh.sent.add(data)
 		}
 	}
 }
@@ -113,6 +114,7 @@
 		if err != nil {
 			return err
 		}
+		l.mesh.received.add(data)
 		e, err := wire.Decode(data)
 		if err != nil {
 			return err
--- a/entryd/peers/peers.go
+++ b/entryd/peers/peers.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/coder/websocket"
+	"github.com/rcrowley/go-metrics"
 
 	"lovagefork.example/coord/fleet"
 	"lovagefork.example/coord/wire"
@@ -58,11 +59,13 @@
 
 // Mesh holds one link to each other entry process of the roster.
 type Mesh struct {
-	self   wire.Hello
-	roster map[fleet.EntryHostID]string
-	log    *slog.Logger
-	client *http.Client
-	scheme string
+	self     wire.Hello
+	roster   map[fleet.EntryHostID]string
+	log      *slog.Logger
+	client   *http.Client
+	scheme   string
+	sent     traffic
+	received traffic
 
 	mu        sync.Mutex
 	links     map[fleet.EntryHostID]*link
@@ -78,6 +81,28 @@
 	return func(m *Mesh) { m.client, m.scheme = c, scheme }
 }
 
+// WithMetrics counts messages and bytes in both directions.
+func WithMetrics(r metrics.Registry) Option {
+	return func(m *Mesh) { m.sent, m.received = newTraffic("sent", r), newTraffic("received", r) }
+}
+
+// traffic counts the messages of one direction.
+type traffic struct {
+	messages, bytes metrics.Counter
+}
+
+func newTraffic(direction string, r metrics.Registry) traffic {
+	return traffic{
+		messages: metrics.GetOrRegisterCounter("peers.messages_"+direction+".total", r),
+		bytes:    metrics.GetOrRegisterCounter("peers.bytes_"+direction+".total", r),
+	}
+}
+
+func (t traffic) add(data []byte) {
+	t.messages.Inc(1)
+	t.bytes.Inc(int64(len(data)))
+}
+
 // New returns a mesh for the process self; roster gives the address "ip:port" of every entry host, its own included.
 func New(self wire.Hello, roster map[fleet.EntryHostID]string, log *slog.Logger, opts ...Option) *Mesh {
 	m := &Mesh{
@@ -87,6 +112,9 @@
 		client: &http.Client{},
 		scheme: "ws",
 		links:  make(map[fleet.EntryHostID]*link),
+
+		sent:     newTraffic("sent", metrics.NewRegistry()),
+		received: newTraffic("received", metrics.NewRegistry()),
 	}
 	for _, opt := range opts {
 		opt(m)
