batch: send usage only to the process that divides the quota, as changes

Cause: each process sent the accounts of every customer in every own partition to all peers every shareEvery. At the target (360 customers, 64 partitions) that is 23,040 accounts, each about 180 bytes with its field names, to every peer.

Ruled out: sending less often, which delays grants by as much.

Change: an account goes only to the owner of the customer's home partition; messages carry the accounts that changed, and all of them every 10 s or when owner, epoch or homes change; shares are encoded as arrays. A receiver ignores changes after a gap until the next full message, and takes no report from a message that does not cover the customer's home.

--- a/coord/wire/messages.go
+++ b/coord/wire/messages.go
@@ -114,16 +114,25 @@
 	Body   []byte `cbor:"body"`
 }
 
-// Usage tells what each customer with a quota holds in a partition; a higher (Epoch, Sequence) replaces a lower one.
+// Usage tells what the customers whose quotas the receiver divides hold in a partition.
+//
+// Homes are the partitions whose owner divides those quotas. A full message lists all customers of the homes; any other
+// lists those that changed since the message with the sequence before, with zeros for an account that has ended.
 type Usage struct {
 	Partition fleet.PartitionID          `cbor:"partition"`
 	Epoch     fleet.Epoch                `cbor:"epoch"`
 	Sequence  uint64                     `cbor:"sequence"`
+	Full      bool                       `cbor:"full"`
+	Homes     []fleet.PartitionID        `cbor:"homes"`
 	Customers map[fleet.CustomerID]Share `cbor:"customers"`
 }
 
 // Share is what a customer's tasks hold, may hold, and ask for in a partition; Grant is the sequence of its last grant.
+//
+// It is encoded without names, because a process sends thousands of them in a second at the target size.
 type Share struct {
+	_ struct{} `cbor:",toarray"`
+
 	Tasks          int             `cbor:"tasks"`
 	Resources      fleet.Resources `cbor:"resources"`
 	LimitTasks     int             `cbor:"limit_tasks"`
--- a/entryd/batch/batch.go
+++ b/entryd/batch/batch.go
@@ -37,6 +37,7 @@
 // Links is the part of the peer mesh that the runtime uses.
 type Links interface {
 	Call(ctx context.Context, to fleet.EntryHostID, msg wire.Message) (wire.Message, error)
+	Send(to fleet.EntryHostID, msg wire.Message) error
 	Broadcast(msg wire.Message)
 }
 
@@ -81,7 +82,9 @@
 	observed   bool
 	configs    map[fleet.CustomerID]config.Versioned
 	inboxes    map[string]inboxItem
-	usage      map[fleet.PartitionID]wire.Usage
+	usage      map[fleet.PartitionID]accounts
+	sentUsage  map[usageTo]accounts
+	homes      map[fleet.CustomerID]fleet.PartitionID
 	nextShare  time.Time
 	granters   map[fleet.CustomerID]*granter
 	nextCall   uint64
@@ -95,7 +98,9 @@
 	epoch      fleet.Epoch
 	ownerValue []byte
 	machine    *jobs.Machine
-	head       []byte
+	// accounts are those of the last share of usage.
+	accounts map[fleet.CustomerID]jobs.Account
+	head     []byte
 	// closed is set when the ledger refuses commits; running tasks are renewed until the lease machine decides.
 	closed bool
 	// stepping stops claims before a release, and silent stops renewals before the release of a drain.
@@ -148,7 +153,9 @@
 		configs:     make(map[fleet.CustomerID]config.Versioned),
 		inboxes:     make(map[string]inboxItem),
 		granters:    make(map[fleet.CustomerID]*granter),
-		usage:       make(map[fleet.PartitionID]wire.Usage),
+		usage:       make(map[fleet.PartitionID]accounts),
+		sentUsage:   make(map[usageTo]accounts),
+		homes:       make(map[fleet.CustomerID]fleet.PartitionID),
 		waiting:     make(map[uint64]waiter),
 	}
 	for _, opt := range opts {
--- a/entryd/batch/batch_test.go
+++ b/entryd/batch/batch_test.go
@@ -68,6 +68,7 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	ended   chan struct{}
+	inbox   chan func()
 
 	mu     sync.Mutex
 	paused chan struct{}
@@ -86,7 +87,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.boots++
-	p := &proc{world: w, host: host, router: mux.NewRouter(), ended: make(chan struct{})}
+	p := &proc{world: w, host: host, router: mux.NewRouter(), ended: make(chan struct{}), inbox: make(chan func(), 4096)}
 	self := wire.Hello{EntryHost: host, Zone: zone, Boot: fleet.BootID(fmt.Sprint(w.boots))}
 	p.runtime = batch.New(batch.Deps{
 		Self: self, Partitions: fleet.Partitions(zones, perZone), PerZone: perZone,
@@ -100,6 +101,7 @@
 	p.runtime.ObserveFleet(list)
 	ctx, cancel := context.WithCancel(context.Background())
 	p.ctx, p.cancel = ctx, cancel
+	go p.deliver(ctx)
 	go func() {
 		_ = p.runtime.Run(ctx)
 		close(p.ended)
@@ -164,6 +166,29 @@
 	return other.runtime.HandlePeer(ctx, p.host, m), nil
 }
 
+func (p *proc) Send(to fleet.EntryHostID, m wire.Message) error {
+	p.world.mu.Lock()
+	other := p.world.procs[to]
+	p.world.mu.Unlock()
+	if other == nil {
+		return &peers.LinkError{Peer: to, NotSent: true, Cause: errFake}
+	}
+	other.inbox <- func() { other.runtime.HandlePeer(context.Background(), p.host, m) }
+	return nil
+}
+
+// deliver takes one-way messages in the order in which they were sent, as a link does.
+func (p *proc) deliver(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case take := <-p.inbox:
+			take()
+		}
+	}
+}
+
 func (p *proc) Broadcast(m wire.Message) {
 	for _, other := range p.world.others(p) {
 		go other.runtime.HandlePeer(context.Background(), p.host, m)
--- a/entryd/batch/share.go
+++ b/entryd/batch/share.go
@@ -1,6 +1,8 @@
 package batch
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"lovagefork.example/coord/fleet"
@@ -15,13 +17,38 @@
 	from  time.Time
 }
 
-// takeUsage keeps the newest usage of each partition.
+// accounts are the accounts of a partition, as far as the customers' quotas are divided by the owners of homes.
+type accounts struct {
+	epoch     fleet.Epoch
+	sequence  uint64
+	fullAt    time.Time
+	homes     []fleet.PartitionID
+	customers map[fleet.CustomerID]wire.Share
+}
+
+// usageTo names the messages on one partition to one peer.
+type usageTo struct {
+	partition fleet.PartitionID
+	peer      fleet.EntryHostID
+}
+
+// fullEvery bounds how long a lost message leaves the accounts of a partition out of date at a peer.
+const fullEvery = 10 * time.Second
+
+// takeUsage keeps the newest accounts of each partition. Changes that follow a lost message wait for the next full one.
 func (r *Runtime) takeUsage(u wire.Usage) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	old := r.usage[u.Partition]
-	if u.Epoch > old.Epoch || (u.Epoch == old.Epoch && u.Sequence > old.Sequence) {
-		r.usage[u.Partition] = u
+	switch {
+	case u.Epoch < old.epoch, u.Epoch == old.epoch && u.Sequence <= old.sequence:
+		return
+	case u.Full:
+		r.usage[u.Partition] = accounts{epoch: u.Epoch, sequence: u.Sequence, homes: u.Homes, customers: u.Customers}
+	case u.Epoch == old.epoch && u.Sequence == old.sequence+1:
+		maps.Copy(old.customers, u.Customers)
+		old.sequence = u.Sequence
+		r.usage[u.Partition] = old
 	}
 }
 
@@ -36,25 +63,22 @@
 	}
 }
 
-// shareUsage tells peers what customers with a quota hold here, and grants parts of the quotas that it divides.
+// shareUsage tells the owners that divide quotas what customers hold here, and grants parts of the quotas that this
+// process divides.
 func (r *Runtime) shareUsage(now time.Time) {
 	if now.Before(r.nextShare) {
 		return
 	}
 	r.nextShare = now.Add(shareEvery)
+	homes := r.homesByOwner()
 	for id, p := range r.parts {
-		u := wire.Usage{
-			Partition: id, Epoch: p.epoch, Sequence: r.usage[id].Sequence + 1,
-			Customers: make(map[fleet.CustomerID]wire.Share),
-		}
-		for customer, a := range p.machine.Accounts() {
-			u.Customers[customer] = wire.Share{
-				Tasks: a.Held.Tasks, Resources: a.Held.Resources, LimitTasks: a.Limit.Tasks, LimitResources: a.Limit.Resources,
-				WantTasks: a.Want.Tasks, WantResources: a.Want.Resources, Grant: a.Sequence,
+		p.accounts = p.machine.Accounts()
+		shares := r.sharesByOwner(p.accounts)
+		for peer, served := range homes {
+			if peer != r.Self.EntryHost {
+				r.sendUsage(now, usageTo{id, peer}, p.epoch, served, shares[peer])
 			}
 		}
-		r.usage[id] = u
-		r.Peers.Broadcast(u)
 	}
 	for customer, doc := range r.configs {
 		if q := doc.Document.Quota; q.RunningTasks == 0 && q.Resources.IsZero() {
@@ -66,8 +90,83 @@
 	}
 }
 
+// homesByOwner lists the partitions of each owner.
+func (r *Runtime) homesByOwner() map[fleet.EntryHostID][]fleet.PartitionID {
+	homes := make(map[fleet.EntryHostID][]fleet.PartitionID)
+	for _, id := range r.Partitions {
+		if owner, known := r.lease.Owner(id); known {
+			homes[owner.EntryHost] = append(homes[owner.EntryHost], id)
+		}
+	}
+	return homes
+}
+
+// home returns the partition whose owner divides the quota of a customer.
+func (r *Runtime) home(customer fleet.CustomerID) fleet.PartitionID {
+	id, known := r.homes[customer]
+	if !known {
+		id = fleet.Rendezvous(string(customer), r.Partitions)
+		r.homes[customer] = id
+	}
+	return id
+}
+
+// sharesByOwner sorts the accounts of a partition by the process that divides the customer's quota.
+func (r *Runtime) sharesByOwner(all map[fleet.CustomerID]jobs.Account) map[fleet.EntryHostID]map[fleet.CustomerID]wire.Share {
+	shares := make(map[fleet.EntryHostID]map[fleet.CustomerID]wire.Share)
+	for customer, a := range all {
+		owner, known := r.lease.Owner(r.home(customer))
+		if !known {
+			continue
+		}
+		if shares[owner.EntryHost] == nil {
+			shares[owner.EntryHost] = make(map[fleet.CustomerID]wire.Share)
+		}
+		shares[owner.EntryHost][customer] = shareOf(a)
+	}
+	return shares
+}
+
+func (r *Runtime) sendUsage(
+	now time.Time, to usageTo, epoch fleet.Epoch, homes []fleet.PartitionID, current map[fleet.CustomerID]wire.Share,
+) {
+	sent := r.sentUsage[to]
+	full := sent.epoch != epoch || !slices.Equal(sent.homes, homes) || now.Sub(sent.fullAt) >= fullEvery
+	if full {
+		sent = accounts{epoch: epoch, sequence: sent.sequence, fullAt: now, homes: homes}
+	}
+	changed := make(map[fleet.CustomerID]wire.Share)
+	for customer, s := range current {
+		if s != sent.customers[customer] {
+			changed[customer] = s
+		}
+	}
+	for customer := range sent.customers {
+		if _, still := current[customer]; !still {
+			changed[customer] = wire.Share{}
+		}
+	}
+	if len(changed) == 0 && !full {
+		return
+	}
+	sent.sequence++
+	sent.customers = current
+	u := wire.Usage{Partition: to.partition, Epoch: epoch, Sequence: sent.sequence, Full: full, Homes: homes, Customers: changed}
+	if err := r.Peers.Send(to.peer, u); err != nil {
+		sent.fullAt = time.Time{}
+	}
+	r.sentUsage[to] = sent
+}
+
+func shareOf(a jobs.Account) wire.Share {
+	return wire.Share{
+		Tasks: a.Held.Tasks, Resources: a.Held.Resources, LimitTasks: a.Limit.Tasks, LimitResources: a.Limit.Resources,
+		WantTasks: a.Want.Tasks, WantResources: a.Want.Resources, Grant: a.Sequence,
+	}
+}
+
 func (r *Runtime) grant(now time.Time, customer fleet.CustomerID) []jobs.Grant {
-	p := r.parts[fleet.Rendezvous(string(customer), r.Partitions)]
+	p := r.parts[r.home(customer)]
 	if p == nil {
 		delete(r.granters, customer)
 		return nil
@@ -82,22 +181,35 @@
 	}
 	reports := make(map[fleet.PartitionID]jobs.Report)
 	for id, u := range r.usage {
-		s := u.Customers[customer]
-		reports[id] = jobs.Report{Epoch: u.Epoch, Account: jobs.Account{
-			Held: jobs.Holding{Tasks: s.Tasks, Resources: s.Resources}, Sequence: s.Grant,
-			Limit: jobs.Holding{Tasks: s.LimitTasks, Resources: s.LimitResources},
-			Want:  jobs.Holding{Tasks: s.WantTasks, Resources: s.WantResources},
-		}}
+		if slices.Contains(u.homes, p.id) {
+			reports[id] = jobs.Report{Epoch: u.epoch, Account: accountOf(u.customers[customer])}
+		}
+	}
+	for id, own := range r.parts {
+		reports[id] = jobs.Report{Epoch: own.epoch, Account: own.accounts[customer]}
 	}
 	return g.Step(r.configs[customer].Document.Quota, reports)
 }
 
+func accountOf(s wire.Share) jobs.Account {
+	return jobs.Account{
+		Held: jobs.Holding{Tasks: s.Tasks, Resources: s.Resources}, Sequence: s.Grant,
+		Limit: jobs.Holding{Tasks: s.LimitTasks, Resources: s.LimitResources},
+		Want:  jobs.Holding{Tasks: s.WantTasks, Resources: s.WantResources},
+	}
+}
+
 func (r *Runtime) sendGrant(now time.Time, g jobs.Grant) {
 	if p := r.parts[g.Partition]; p != nil {
 		r.stepJobs(now, p, g)
 		return
 	}
-	r.Peers.Broadcast(wire.QuotaGrant{
+	owner, known := r.lease.Owner(g.Partition)
+	if !known {
+		return
+	}
+	// A grant that is lost is sent again, because it stays open until the partition reports it.
+	_ = r.Peers.Send(owner.EntryHost, wire.QuotaGrant{
 		Partition: g.Partition, Epoch: g.Epoch, Customer: g.Customer, Sequence: g.Sequence,
 		Tasks: g.Limit.Tasks, Resources: g.Limit.Resources,
 	})
