--- a/coord/place/place.go
+++ b/coord/place/place.go
@@ -65,7 +65,7 @@
 	var best *host
 	var bestCost float64
 	for _, h := range m.order {
-		if !admits(h, t, avoid, why) {
+		if !m.admits(h, t, avoid, why) {
 			continue
 		}
 		if best != nil && h.record.probation && !best.record.probation {
@@ -93,7 +93,7 @@
 }
 
 // admits reports whether the host has room for the task, and counts the cause if not.
-func admits(h *host, t *held, avoid bool, why *NoRoomError) bool {
+func (m *Machine) admits(h *host, t *held, avoid bool, why *NoRoomError) bool {
 	switch {
 	case !h.available():
 		why.Unavailable++
@@ -107,7 +107,11 @@
 	}
 	free := h.free()
 	if t.size.Fits(free) {
-		return true
+		if m.policy.accepts(m, h, t) {
+			return true
+		}
+		why.Disturbing++
+		return false
 	}
 	if t.size.MilliCPU > free.MilliCPU {
 		why.MilliCPU++
@@ -146,10 +150,8 @@
 		return nil, true
 	}
 	// The youngest tasks lose the least work.
-	tasks := h.sorted()
-	slices.Reverse(tasks)
 	var victims []*held
-	for _, v := range tasks {
+	for _, v := range slices.Backward(h.list) {
 		if v.task.Class != fleet.Deferrable || v.evicting || v.pending {
 			continue
 		}
@@ -193,7 +195,7 @@
 
 func evictingOn(h *host) []plat.TaskRef {
 	var refs []plat.TaskRef
-	for _, t := range h.sorted() {
+	for _, t := range h.list {
 		if t.evicting {
 			refs = append(refs, t.task.Ref)
 		}
--- a/coord/wire/codec.go
+++ b/coord/wire/codec.go
@@ -48,6 +48,8 @@
 	ConfigState{}.kind():   decodeAs[ConfigState],
 	JobCall{}.kind():       decodeAs[JobCall],
 	JobAnswer{}.kind():     decodeAs[JobAnswer],
+	Usage{}.kind():         decodeAs[Usage],
+	QuotaGrant{}.kind():    decodeAs[QuotaGrant],
 	Load{}.kind():          decodeAs[Load],
 }
 
--- a/entryd/daemon/run.go
+++ b/entryd/daemon/run.go
@@ -12,15 +12,21 @@
 
 	"lovagefork.example/coord/fleet"
 	"lovagefork.example/entryd/admin"
+	"lovagefork.example/entryd/batch"
 	"lovagefork.example/entryd/front"
+	"lovagefork.example/entryd/hosts"
 	"lovagefork.example/entryd/peers"
 	"lovagefork.example/entryd/setup"
 )
 
 // connect passes messages and observations between the parts.
-func connect(mesh *peers.Mesh, a *admin.Admin, f *front.Front) {
+func connect(mesh *peers.Mesh, h *hosts.View, a *admin.Admin, f *front.Front, b *batch.Runtime) {
+	h.Subscribe(b.ObserveFleet)
+	a.Subscribe(b.ObserveConfig)
+	h.Subscribe(f.ObserveFleet)
 	mesh.Handle(a.HandlePeer)
 	mesh.Handle(f.HandlePeer)
+	mesh.Handle(b.HandlePeer)
 	mesh.OnChange(func(peer fleet.EntryHostID, up bool) {
 		if up {
 			a.OnPeerUp(peer)
@@ -54,8 +60,10 @@
 	Log      *slog.Logger
 	Router   *mux.Router
 	Mesh     *peers.Mesh
+	Hosts    *hosts.View
 	Admin    *admin.Admin
 	Front    *front.Front
+	Batch    *batch.Runtime
 	Health   *Health
 }
 
@@ -63,6 +71,7 @@
 func serve(lc fx.Lifecycle, p parts) {
 	callers := newServer("listen", p.Settings.Listen, p.Router, p.TLS.callers, p.Log)
 	links := newPeerServer(p.Settings, p.Mesh, p.TLS, p.Log)
+	debug := newDebugServer(p.Settings, p.Log)
 	r := &runner{log: p.Log}
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
@@ -72,12 +81,19 @@
 			if err := callers.start(); err != nil {
 				return err
 			}
+			if p.Settings.DebugListen != "" {
+				if err := debug.start(); err != nil {
+					return err
+				}
+			}
 			ctx, cancel := context.WithCancel(context.Background())
 			r.cancel = cancel
 			r.run(ctx, "peers", func(ctx context.Context) error { p.Mesh.Run(ctx); return nil })
+			r.run(ctx, "hosts", func(ctx context.Context) error { p.Hosts.Run(ctx); return nil })
 			r.run(ctx, "admin", p.Admin.Run)
 			r.run(ctx, "front", p.Front.Run)
-			p.Health.Meet("start")
+			r.run(ctx, "batch", p.Batch.Run)
+			r.run(ctx, "readiness", func(ctx context.Context) error { return watchReadiness(ctx, p) })
 			p.Log.Info("daemon: serving", "listen", p.Settings.Listen, "peer_listen", p.Settings.PeerListen)
 			return nil
 		},
@@ -89,14 +105,45 @@
 			defer cancel()
 			err = errors.Join(err, callers.stop(stopCtx))
 			r.cancel()
+			p.Mesh.Close()
 			r.wg.Wait()
-			err = errors.Join(err, links.http.Close())
+			err = errors.Join(err, links.http.Close(), debug.http.Close())
 			p.Log.Info("daemon: stopped", "error", err)
 			return err
 		},
 	})
 }
 
+// readinessInterval paces the checks until the process is ready.
+const readinessInterval = 100 * time.Millisecond
+
+// watchReadiness meets each condition once it holds. The configuration may come from a peer, because a process that
+// starts while the store is down must serve too.
+func watchReadiness(ctx context.Context, p parts) error {
+	conditions := map[string]func() bool{
+		conditionConfig:  func() bool { return p.Admin.Loaded() || len(p.Admin.View().All()) > 0 },
+		conditionWorkers: func() bool { return len(p.Hosts.Workers()) > 0 },
+		conditionSlots:   p.Front.Open,
+	}
+	ticker := time.NewTicker(readinessInterval)
+	defer ticker.Stop()
+	for len(conditions) > 0 {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+		for name, holds := range conditions {
+			if holds() {
+				p.Health.Meet(name)
+				delete(conditions, name)
+			}
+		}
+	}
+	p.Log.Info("daemon: ready")
+	return nil
+}
+
 // drain finishes the requests in flight before it hands over the partitions, because requests need no partition.
 func drain(ctx context.Context, p parts) error {
 	limit := p.Settings.DrainNotice + p.Settings.DrainTimeout
@@ -105,5 +152,5 @@
 	started := time.Now()
 	err := p.Front.Drain(ctx)
 	p.Log.Info("daemon: requests drained", "took", time.Since(started).Round(time.Millisecond), "error", err)
-	return err
+	return errors.Join(err, p.Batch.Drain(ctx))
 }
--- a/entryd/setup/parse.go
+++ b/entryd/setup/parse.go
@@ -63,12 +63,6 @@
 	{"partitions-per-zone", "2", "1 to 64", "partitions of each availability zone; equal at all entry hosts", func(s *Settings, v string) bool {
 		return applyInt(&s.PartitionsPerZone, v, 1, 64)
 	}},
-	{"session-ttl", "10s", "2s to 1m", "lease of this process in the store", func(s *Settings, v string) bool {
-		return applyDuration(&s.SessionTTL, v, 2*time.Second, time.Minute)
-	}},
-	{"task-lease", "60s", "2s to 10m", "lease of a task at its worker", func(s *Settings, v string) bool {
-		return applyDuration(&s.TaskLease, v, 2*time.Second, 10*time.Minute)
-	}},
 	{"outage-horizon", "75m", "10s to 24h", "how long task leases are renewed while the store is down", func(s *Settings, v string) bool {
 		return applyDuration(&s.OutageHorizon, v, 10*time.Second, 24*time.Hour)
 	}},
@@ -104,6 +98,10 @@
 		s.PeerCA = v
 		return true
 	}},
+	{"debug-listen", "", "ip:port, or empty", "address of the Go profiler; empty for none", func(s *Settings, v string) bool {
+		s.DebugListen = v
+		return v == "" || isAddress(v)
+	}},
 	{"log-level", "info", "debug, info, warn or error", "least severe level that is logged", func(s *Settings, v string) bool {
 		return s.LogLevel.UnmarshalText([]byte(v)) == nil && strings.ToLower(s.LogLevel.String()) == v
 	}},
--- a/entryd/setup/settings.go
+++ b/entryd/setup/settings.go
@@ -28,8 +28,6 @@
 	Zones             []fleet.AvailabilityZone
 	PartitionsPerZone int
 
-	SessionTTL    time.Duration
-	TaskLease     time.Duration
 	OutageHorizon time.Duration
 	StoreWrites   int
 	StoreReads    int
@@ -43,8 +41,9 @@
 	PeerKey         string
 	PeerCA          string
 
-	LogLevel  slog.Level
-	LogFormat string
+	DebugListen string
+	LogLevel    slog.Level
+	LogFormat   string
 }
 
 // Addresses maps every entry host of the roster to its peer address.
--- a/lovctl/cmds/cmds_test.go
+++ b/lovctl/cmds/cmds_test.go
@@ -69,6 +69,12 @@
 	reply(w, http.StatusOK, form.ChangeAnswer{Customer: "llinos", Revision: f.revision, ChangeID: c.ChangeID})
 }
 
+func (f *fakeEntry) received() []form.ChangeRequest {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changes
+}
+
 func reply(w http.ResponseWriter, status int, body any) {
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(body)
@@ -122,12 +128,10 @@
 	assert.Equal(t, kept.Answers.Services[0].Replicas, 7)
 
 	// The kept file is still derived from the old revision, so that repeating it cannot undo the winner's change.
-	code, _, _ = run("", "--entry", f.url(t), "config", "amend", "llinos", "--file", keep, "--yes", "--keep", keep)
+	code, _, _ = run("", "--entry", serve(t, f), "config", "amend", "llinos", "--file", keep, "--yes", "--keep", keep)
 	assert.Equal(t, code, cmds.ExitConflict)
 }
 
-func (f *fakeEntry) url(t *testing.T) string { return serve(t, f) }
-
 // A change whose answer was lost may only be repeated elsewhere under the same id, or it could be made twice.
 func TestFailoverKeepsChangeID(t *testing.T) {
 	broken, working := &fakeEntry{loseAnswer: true}, &fakeEntry{}
@@ -135,9 +139,9 @@
 	entries := "127.0.0.1:1," + serve(t, broken) + "," + serve(t, working)
 	code, _, errOut := run("", "-e", entries, "config", "amend", "llinos", "--file", file, "--yes")
 	assert.Equal(t, code, cmds.ExitDone, errOut)
-	assert.Equal(t, len(broken.changes), 1)
-	assert.Equal(t, len(working.changes), 1)
-	assert.Equal(t, broken.changes[0].ChangeID, working.changes[0].ChangeID)
+	assert.Equal(t, len(broken.received()), 1)
+	assert.Equal(t, len(working.received()), 1)
+	assert.Equal(t, broken.received()[0].ChangeID, working.received()[0].ChangeID)
 
 	code, _, errOut = run("", "-e", serve(t, &fakeEntry{loseAnswer: true}), "config", "amend", "llinos", "-f", file, "-y",
 		"-k", filepath.Join(t.TempDir(), "kept.json"))
@@ -150,7 +154,7 @@
 	file := write(t, encode(t, answers(3)))
 	code, _, _ := run("", "-e", serve(t, f), "config", "amend", "llinos", "-f", file, "-y")
 	assert.Equal(t, code, cmds.ExitUsage)
-	assert.Equal(t, len(f.changes), 0)
+	assert.Equal(t, len(f.received()), 0)
 	code, out, errOut := run("", "-e", serve(t, f), "--json", "config", "amend", "llinos", "-f", file, "-y", "--base", "5")
 	assert.Equal(t, code, cmds.ExitDone, errOut)
 	assert.Assert(t, strings.Contains(out, `"revision": 6`), out)
@@ -161,7 +165,7 @@
 	f := &fakeEntry{}
 	code, _, _ := run("n\n", "-e", serve(t, f), "config", "amend", "llinos", "-f", write(t, encode(t, answers(2))))
 	assert.Equal(t, code, cmds.ExitAborted)
-	assert.Equal(t, len(f.changes), 0)
+	assert.Equal(t, len(f.received()), 0)
 }
 
 // Scripts rely on the exit codes to tell a job that was not submitted from one that may have been.
