serve, admit: decide faster about queued requests

Cause: an arrival that had to wait searched all flows of all customers again, although no slot had become free.

Ruled out: the choice of the backend server; it is 7 % of the time.

Change: an arrival whose flow is blocked only looks for slots of peers; empty classes are skipped.

--- a/coord/admit/policy.go
+++ b/coord/admit/policy.go
@@ -56,7 +56,7 @@
 func (m *Machine) nextFair(p Fair, can func(Item) bool) *entry {
 	for c := range m.classes {
 		class := &m.classes[c]
-		if class.credit <= 0 {
+		if class.credit <= 0 || class.length == 0 {
 			continue
 		}
 		if e := class.fairest(can); e != nil && class.credit >= min(e.charge(), maxCredit) {
@@ -112,6 +112,9 @@
 	var best *entry
 	var bestFinish float64
 	var bestCustomer fleet.CustomerID
+	if q.length == 0 {
+		return nil
+	}
 	for id, c := range q.customers {
 		if c.length == 0 || (best != nil && (c.finish > bestFinish || (c.finish == bestFinish && id > bestCustomer))) {
 			continue
@@ -125,6 +128,9 @@
 
 func (q *classQueue) oldest(can func(Item) bool) *entry {
 	var best *entry
+	if q.length == 0 {
+		return nil
+	}
 	for _, c := range q.customers {
 		if e := c.oldest(can); e != nil && (best == nil || e.sequence < best.sequence) {
 			best = e
--- a/coord/serve/machine.go
+++ b/coord/serve/machine.go
@@ -195,9 +195,15 @@
 	if rejected, ok := m.admits.Step(now, admit.Push{Item: m.item(now, r.Request)})[0].(admit.Rejected); ok {
 		return m.finish(now, r, rejection(rejected, NotRun))
 	}
-	effects := m.dispatch(now)
-	if r.phase == queued {
-		effects = append(effects, m.overflowAll(now)...)
+	// While its flow is blocked, nothing has changed for the requests that wait.
+	var effects []Effect
+	flow := m.flow(now, r.Request)
+	if !m.blocked[flow] {
+		effects = m.dispatch(now)
+	}
+	if _, wait := m.overflow.(WaitOnly); r.phase == queued && !wait {
+		waiting := admit.Waiting{Requests: 1, Class: r.Class, Soonest: r.Deadline}
+		effects = append(effects, m.overflowOf(now, flow, waiting)...)
 	}
 	return effects
 }
--- a/coord/serve/overflow.go
+++ b/coord/serve/overflow.go
@@ -193,7 +193,7 @@
 // idlest returns the peer with the most reported idle slots for a service.
 func (m *Machine) idlest(now time.Time, service fleet.ServiceID) (best fleet.EntryHostID, most int) {
 	for id, p := range m.peers {
-		if now.Sub(p.at) > loadMaxAge {
+		if now.Sub(p.at) > loadMaxAge || (len(p.free) == 0 && p.reportedSent <= p.sent) {
 			continue
 		}
 		n := p.reportedSent - p.sent
