--- a/coord/serve/machine.go
+++ b/coord/serve/machine.go
@@ -27,7 +27,7 @@
 	backends backends
 	retries  retryBudget
 	costs    costs
-	blocked  map[fleet.ServiceID]bool
+	blocked  map[admit.Flow]bool
 	drained  bool
 }
 
@@ -110,7 +110,7 @@
 		backends: newBackends(),
 		retries:  newRetryBudget(),
 		costs:    make(costs),
-		blocked:  make(map[fleet.ServiceID]bool),
+		blocked:  make(map[admit.Flow]bool),
 	}
 }
 
@@ -167,7 +167,7 @@
 	case r.Forwarded:
 		return m.arriveForwarded(now, r)
 	}
-	if rejected, ok := m.admits.Step(now, admit.Check{Item: m.item(in)})[0].(admit.Rejected); ok {
+	if rejected, ok := m.admits.Step(now, admit.Check{Item: m.item(now, in)})[0].(admit.Rejected); ok {
 		return []Effect{rejection(rejected, NotRun)}
 	}
 	m.requests[r.ID] = r
@@ -192,19 +192,25 @@
 // enqueue puts an admitted request into its queue.
 func (m *Machine) enqueue(now time.Time, r *request) []Effect {
 	r.phase = queued
-	if rejected, ok := m.admits.Step(now, admit.Push{Item: m.item(r.Request)})[0].(admit.Rejected); ok {
+	if rejected, ok := m.admits.Step(now, admit.Push{Item: m.item(now, r.Request)})[0].(admit.Rejected); ok {
 		return m.finish(now, r, rejection(rejected, NotRun))
 	}
-	effects := m.dispatch(now)
-	if r.phase == queued {
-		effects = append(effects, m.overflowOf(now, r.Service)...)
+	// While its flow is blocked, nothing has changed for the requests that wait.
+	var effects []Effect
+	flow := m.flow(now, r.Request)
+	if !m.blocked[flow] {
+		effects = m.dispatch(now)
+	}
+	if _, wait := m.overflow.(WaitOnly); r.phase == queued && !wait {
+		waiting := admit.Waiting{Requests: 1, Class: r.Class, Soonest: r.Deadline}
+		effects = append(effects, m.overflowOf(now, flow, waiting)...)
 	}
 	return effects
 }
 
-func (m *Machine) item(r Request) admit.Item {
+func (m *Machine) item(now time.Time, r Request) admit.Item {
 	return admit.Item{
-		ID: r.ID, Class: r.Class, Customer: r.Customer, Service: r.Service,
+		ID: r.ID, Class: r.Class, Customer: r.Customer, Flow: m.flow(now, r),
 		Deadline: r.Deadline, Cost: m.costs.of(r.Service),
 	}
 }
@@ -251,9 +257,7 @@
 	}
 	m.unblock()
 	effects = append(effects, m.dispatch(now)...)
-	for _, service := range m.admits.Services() {
-		effects = append(effects, m.overflowOf(now, service)...)
-	}
+	effects = append(effects, m.overflowAll(now)...)
 	return append(effects, m.shareLoad(now)...)
 }
 
