--- a/coord/place/host.go
+++ b/coord/place/host.go
@@ -1,7 +1,6 @@
 package place
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -16,12 +15,20 @@
 	known  bool
 	goneAt time.Time
 	tasks  map[plat.TaskRef]*held
+	// list holds the reservations in the order they were made.
+	list []*held
 	// used is the sum of all reservations, including pending and evicting ones.
 	used fleet.Resources
 	// evicting and pending are the parts of used that will be freed, or that wait for it.
 	evicting fleet.Resources
 	pending  fleet.Resources
 	record   workerRecord
+	// measuredAt is when the newest report was measured.
+	measuredAt time.Time
+	past       []run
+	// mix is nil when it must be computed again.
+	mix   []mixed
+	guard guard
 }
 
 func (h *host) free() fleet.Resources { return h.worker.Capacity.Sub(h.used) }
@@ -32,6 +39,7 @@
 // resize changes what a reservation holds and keeps the sums of its worker.
 func (t *held) resize(size fleet.Resources) {
 	delta := size.Sub(t.size)
+	t.host.mix = nil
 	t.size = size
 	t.host.used = t.host.used.Add(delta)
 	if t.evicting {
@@ -64,12 +72,16 @@
 func (h *host) add(t *held) {
 	t.host = h
 	h.tasks[t.task.Ref] = t
+	h.list = append(h.list, t)
 	h.used = h.used.Add(t.size)
+	h.mix = nil
 }
 
 func (h *host) remove(t *held) {
 	t.resize(fleet.Resources{})
 	delete(h.tasks, t.task.Ref)
+	i := slices.Index(h.list, t)
+	h.list = slices.Delete(h.list, i, i+1)
 }
 
 // settle clears the pending mark of reservations that fit now, oldest first.
@@ -77,26 +89,10 @@
 	if h.pending.IsZero() {
 		return
 	}
-	for _, t := range h.sorted() {
+	for _, t := range h.list {
 		started := h.used.Sub(h.pending)
 		if t.pending && started.Add(t.size).Fits(h.worker.Capacity) {
 			t.setPending(false)
 		}
 	}
 }
-
-// sorted returns the reservations, oldest first.
-func (h *host) sorted() []*held {
-	all := make([]*held, 0, len(h.tasks))
-	for _, t := range h.tasks {
-		all = append(all, t)
-	}
-	slices.SortFunc(all, func(a, b *held) int {
-		return cmp.Or(
-			a.reservedAt.Compare(b.reservedAt),
-			cmp.Compare(a.task.Ref.Task, b.task.Ref.Task),
-			cmp.Compare(a.task.Ref.Attempt, b.task.Ref.Attempt),
-		)
-	})
-	return all
-}
