lovctl: leave the class of a job to its kind, match the job interface

Cause: job submit always sent class "standard", which overrode the class that the customer's batch kind has in the configuration; work that may wait ran as standard work. The list guessed at fields that entryd/batch does not send.

Ruled out: a default in lovctl from the configuration, which may be older than the one the entry process uses.

Change: class is sent only if given.

--- a/lovctl/cmds/cmds_test.go
+++ b/lovctl/cmds/cmds_test.go
@@ -192,3 +192,25 @@
 	code, _, _ := run("", "-e", "127.0.0.1:1", "job", "evict", "j1")
 	assert.Equal(t, code, cmds.ExitUnavailable)
 }
+
+// A class or size that the operator leaves open must be left to the kind of batch work; a list that lacks partitions must
+// not pass for a complete one.
+func TestJobDefaultsAndLists(t *testing.T) {
+	var body map[string]any
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			_ = json.NewDecoder(r.Body).Decode(&body)
+			reply(w, http.StatusCreated, nil)
+			return
+		}
+		_, _ = w.Write([]byte(`{"jobs":[{"job_id":"j","state":"running","task_states":{"running":2,"waiting":1}}],"incomplete":["a/0"]}`))
+	}))
+	defer s.Close()
+	code, _, errOut := run("", "-e", s.URL, "job", "submit", "--customer", "llinos", "--kind", "counts")
+	assert.Equal(t, code, cmds.ExitDone, errOut)
+	_, hasClass := body["class"]
+	assert.Assert(t, !hasClass)
+	code, out, _ := run("", "-e", s.URL, "job", "list", "--state", "running")
+	assert.Equal(t, code, cmds.ExitDone)
+	assert.Assert(t, strings.Contains(out, "running=2,waiting=1") && strings.Contains(out, "incomplete"), out)
+}
--- a/lovctl/cmds/job.go
+++ b/lovctl/cmds/job.go
@@ -23,11 +23,11 @@
 
 func jobPath(id string) string { return "/v1/jobs/" + url.PathEscape(id) }
 
-// submission is the body of a new job.
+// submission is the body of a new job; what is left out is taken from the customer's batch kind.
 type submission struct {
 	Job            fleet.JobID      `json:"job_id"`
 	Customer       fleet.CustomerID `json:"customer"`
-	Class          fleet.Class      `json:"class"`
+	Class          *fleet.Class     `json:"class,omitempty"`
 	Tasks          int              `json:"tasks"`
 	Resources      fleet.Resources  `json:"resources"`
 	EstimatedRunMS int64            `json:"estimated_run_ms"`
@@ -39,11 +39,9 @@
 	return group("job", "Batch jobs.", a.submitCommand(), a.listCommand(),
 		a.jobCommand("show", "Show the state of a job.", func(id string) error { return a.jobGet(jobPath(id)) }),
 		a.jobCommand("cancel", "Cancel a job; its running tasks are stopped.", func(id string) error {
-			return a.jobChange(entry.Always, http.MethodDelete, jobPath(id))
-		}),
-		a.jobCommand("evict", "Checkpoint the running tasks of a job and let them resume later.", func(id string) error {
-			return a.jobChange(entry.UnlessSent, http.MethodPost, jobPath(id)+"/evict")
+			return a.jobChange(entry.Always, http.MethodDelete, jobPath(id), nil)
 		}),
+		a.evictCommand(),
 		a.jobCommand("explain", "Tell why a job waits or where it was placed.", func(id string) error {
 			return a.jobGet(jobPath(id) + "/explain")
 		}),
@@ -57,29 +55,45 @@
 	return c
 }
 
+func (a *app) evictCommand() *flaggy.Subcommand {
+	var task string
+	c := a.jobCommand("evict", "Checkpoint the running tasks of a job and let them resume later.", func(id string) error {
+		body := struct {
+			Task string `json:"task_id,omitempty"`
+		}{task}
+		return a.jobChange(entry.UnlessSent, http.MethodPost, jobPath(id)+"/evict", body)
+	})
+	c.String(&task, "", "task", "Id of the only task to evict (default: every running task).")
+	return c
+}
+
 func (a *app) submitCommand() *flaggy.Subcommand {
 	s := &submission{Tasks: 1}
 	var id, customer, file string
-	class, memoryMiB := fleet.Standard.String(), int64(0)
+	var class string
+	var memoryMiB int64
 	c := a.command("submit", "Submit a job. Repeating a submission with the same job id changes nothing.", func() error {
 		if file != "" {
 			return a.submitFile(file)
 		}
-		parsed, err := fleet.ParseClass(class)
-		if err != nil {
-			return &UsageError{Reason: "--class: " + err.Error()}
+		if class != "" {
+			parsed, err := fleet.ParseClass(class)
+			if err != nil {
+				return &UsageError{Reason: "--class: " + err.Error()}
+			}
+			s.Class = &parsed
 		}
-		s.Job, s.Customer, s.Class = fleet.JobID(id), fleet.CustomerID(customer), parsed
+		s.Job, s.Customer = fleet.JobID(id), fleet.CustomerID(customer)
 		s.Resources.MemoryBytes = memoryMiB << 20
 		return a.submit(*s)
 	})
 	c.String(&file, "f", "file", "File with the job as JSON, instead of the other flags; \"-\" is the standard input.")
 	c.String(&id, "", "job-id", "Id of the job (default: a new one).")
 	c.String(&customer, "", "customer", "Customer that the job belongs to.")
-	c.String(&class, "", "class", "Class: urgent, standard or deferrable.")
+	c.String(&class, "", "class", "Class: urgent, standard or deferrable (default: that of the kind).")
 	c.Int(&s.Tasks, "", "tasks", "Number of tasks.")
-	c.Int64(&s.Resources.MilliCPU, "", "milli-cpu", "Processor time of a task in thousandths of a core.")
-	c.Int64(&memoryMiB, "", "memory-mib", "Memory of a task in MiB.")
+	c.Int64(&s.Resources.MilliCPU, "", "milli-cpu", "Processor time of a task in thousandths of a core (default: that of the kind).")
+	c.Int64(&memoryMiB, "", "memory-mib", "Memory of a task in MiB (default: that of the kind).")
 	c.Int64(&s.Resources.Accelerators, "", "accelerators", "Accelerators of a task.")
 	c.Int64(&s.EstimatedRunMS, "", "estimated-run-ms", "Expected run time of a task in milliseconds.")
 	c.String(&s.Kind, "", "kind", "Kind of batch work, as named in the questionnaire.")
@@ -128,20 +142,24 @@
 }
 
 func (a *app) listCommand() *flaggy.Subcommand {
-	var customer string
+	var customer, state string
 	c := a.command("list", "List jobs.", func() error {
-		path := "/v1/jobs"
+		filter := url.Values{}
 		if customer != "" {
-			path += "?customer=" + url.QueryEscape(customer)
+			filter.Set("customer", customer)
+		}
+		if state != "" {
+			filter.Set("state", state)
 		}
 		var data json.RawMessage
-		done, err := a.get(path, &data)
+		done, err := a.get("/v1/jobs?"+filter.Encode(), &data)
 		if done || err != nil {
 			return err
 		}
 		return show.Jobs(a.Out, data)
 	})
 	c.String(&customer, "", "customer", "Show only the jobs of this customer.")
+	c.String(&state, "", "state", "Show only jobs in this state: waiting, running, succeeded, failed or cancelled.")
 	return c
 }
 
@@ -154,8 +172,8 @@
 	return show.Fields(a.Out, data)
 }
 
-func (a *app) jobChange(repeat entry.Repeat, method, path string) error {
-	data, err := a.client.Call(a.ctx, repeat, method, path, nil)
+func (a *app) jobChange(repeat entry.Repeat, method, path string, body any) error {
+	data, err := a.client.Call(a.ctx, repeat, method, path, body)
 	if err != nil {
 		return err
 	}
--- a/lovctl/show/jobs.go
+++ b/lovctl/show/jobs.go
@@ -6,25 +6,23 @@
 	"io"
 	"maps"
 	"slices"
+	"strings"
 )
 
 // jobColumns are the fields of a job that a list shows; fields that the entry process does not send stay empty.
-var jobColumns = []string{"job_id", "customer", "class", "kind", "state", "tasks", "waiting", "running", "succeeded", "failed"}
+var jobColumns = []string{"job_id", "customer", "class", "kind", "state", "tasks", "task_states", "partition"}
 
-// Jobs prints a list of jobs, given as an array or as {"jobs": [...]}.
+// Jobs prints a list of jobs; it says so if the owners of some partitions did not answer.
 func Jobs(w io.Writer, data json.RawMessage) error {
-	var list []map[string]any
-	if err := json.Unmarshal(data, &list); err != nil {
-		var wrapped struct {
-			Jobs []map[string]any `json:"jobs"`
-		}
-		if err := json.Unmarshal(data, &wrapped); err != nil {
-			return err
-		}
-		list = wrapped.Jobs
+	var answer struct {
+		Jobs       []map[string]any `json:"jobs"`
+		Incomplete []string         `json:"incomplete"`
+	}
+	if err := json.Unmarshal(data, &answer); err != nil {
+		return err
 	}
 	rows := [][]string{jobColumns}
-	for _, job := range list {
+	for _, job := range answer.Jobs {
 		row := make([]string, len(jobColumns))
 		for i, column := range jobColumns {
 			if value, found := job[column]; found {
@@ -34,6 +32,9 @@
 		rows = append(rows, row)
 	}
 	table(w, rows)
+	if len(answer.Incomplete) > 0 {
+		_, _ = fmt.Fprintf(w, "\nincomplete: no answer for the partitions %s\n", strings.Join(answer.Incomplete, ", "))
+	}
 	return nil
 }
 
@@ -77,8 +78,15 @@
 	if number, ok := value.(float64); ok && number == float64(int64(number)) {
 		return fmt.Sprint(int64(number))
 	}
-	if value == nil {
+	switch node := value.(type) {
+	case nil:
 		return ""
+	case map[string]any:
+		var parts []string
+		for _, key := range slices.Sorted(maps.Keys(node)) {
+			parts = append(parts, key+"="+text(node[key]))
+		}
+		return strings.Join(parts, ",")
 	}
 	return fmt.Sprint(value)
 }
