--- /dev/null
+++ b/coord/config/bench_test.go
@@ -0,0 +1,135 @@
+package config_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"lovagefork.example/coord/config"
+	"lovagefork.example/coord/fleet"
+	"lovagefork.example/coord/store"
+	"lovagefork.example/coord/wire"
+)
+
+// Size of the target: customers with ten entries each, and entry processes.
+const (
+	targetCustomers = 360
+	targetProcesses = 32
+)
+
+func customerDocument(i int) (config.Document, json.RawMessage) {
+	d := config.Document{Customer: fleet.CustomerID(fmt.Sprintf("team-%03d", i)), ChangeID: "000000000000000000000000"}
+	size := fleet.Resources{MilliCPU: 2000, MemoryBytes: 4 << 30}
+	for j := range 5 {
+		d.Services = append(d.Services, config.Service{Name: fmt.Sprintf("service-%d", j), Replicas: 12, Resources: size, DeadlineMS: 800})
+		d.Batch = append(d.Batch, config.BatchKind{Name: fmt.Sprintf("batch-%d", j), Resources: size, MaxAttempts: 5})
+	}
+	// The answers take about as much room as the document.
+	answers, _ := json.Marshal(d)
+	return d, answers
+}
+
+// loaded returns a machine that holds all customers and is linked to all other processes, which hold the same, and its sum.
+func loaded(now time.Time) (*config.Machine, uint64) {
+	m := config.New()
+	var documents []config.Versioned
+	for i := range targetCustomers {
+		d, answers := customerDocument(i)
+		documents = append(documents, config.Versioned{Document: d, Revision: store.Revision(i + 1), Sequence: 200, Answers: answers})
+	}
+	m.Step(now, config.DocsReceived{From: "p00", Documents: documents})
+	var sum uint64
+	for i := range targetProcesses - 1 {
+		peer := fleet.EntryHostID(fmt.Sprintf("p%02d", i))
+		for _, e := range m.Step(now, config.PeerUp{Peer: peer}) {
+			if s, ok := e.(config.SendState); ok {
+				sum = s.State.Sum
+			}
+		}
+		m.Step(now, config.StateReceived{From: peer, State: config.State{Sum: sum}})
+	}
+	return m, sum
+}
+
+// BenchmarkChange measures one accepted change at the accepting process, with the bytes that its messages take.
+func BenchmarkChange(b *testing.B) {
+	now := time.Now()
+	m, _ := loaded(now)
+	revision := store.Revision(targetCustomers)
+	calls, sent, written := 0, 0, 0
+	b.ReportAllocs()
+	for n := 0; b.Loop(); n++ {
+		d, answers := customerDocument(n % targetCustomers)
+		held, _ := m.Customer(d.Customer)
+		d.ChangeID = fmt.Sprint(n)
+		c := config.Change{Customer: d.Customer, Base: held.Revision, ID: d.ChangeID, Answers: answers, Document: d}
+		revision++
+		token := uint64(n + 1)
+		for _, e := range m.Step(now, config.Propose{Token: token, Change: c}) {
+			if txn, ok := e.(config.RunTxn); ok {
+				calls++
+				written += putBytes(txn.Txn)
+			}
+		}
+		done := config.TxnDone{Token: token, Result: store.TxnResult{Committed: true, Revision: revision}}
+		for _, e := range m.Step(now, done) {
+			if docs, ok := e.(config.SendDocs); ok && n == 0 {
+				data, _ := wire.Encode(wire.Envelope{Message: wire.ConfigDoc{Documents: docs.Documents}})
+				sent += len(data)
+			}
+		}
+	}
+	b.ReportMetric(float64(calls)/float64(b.N), "txns/change")
+	b.ReportMetric(float64(written)/float64(b.N), "stored_bytes/change")
+	b.ReportMetric(float64(sent), "sent_bytes/change")
+}
+
+func putBytes(t store.Txn) int {
+	n := 0
+	for _, op := range t.Then {
+		if p, ok := op.(store.Put); ok {
+			n += len(p.Value)
+		}
+	}
+	return n
+}
+
+// BenchmarkSecond measures one second without changes: four ticks and one sum from each other process.
+func BenchmarkSecond(b *testing.B) {
+	now := time.Now()
+	m, sum := loaded(now)
+	sent := 0
+	b.ReportAllocs()
+	for b.Loop() {
+		for range 4 {
+			now = now.Add(config.TickInterval)
+			for _, e := range m.Step(now, config.Tick{}) {
+				if s, ok := e.(config.SendState); ok {
+					data, _ := wire.Encode(wire.Envelope{Message: wire.ConfigState(s.State)})
+					sent += len(data)
+				}
+			}
+		}
+		for i := range targetProcesses - 1 {
+			m.Step(now, config.StateReceived{From: fleet.EntryHostID(fmt.Sprintf("p%02d", i)), State: config.State{Sum: sum}})
+		}
+	}
+	b.ReportMetric(float64(sent)/float64(b.N), "sent_bytes/s")
+}
+
+// BenchmarkMemory reports the heap that the documents of the target take, answers included.
+func BenchmarkMemory(b *testing.B) {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	var m *config.Machine
+	for b.Loop() {
+		m, _ = loaded(time.Now())
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc), "heap_bytes")
+	runtime.KeepAlive(m)
+}
