bench: capacity measurement with least-squares slopes

Change: go run ./bench capacity measures processor time, heap and bytes at three sizes or more and prints slope, intercept and residual.

--- a/bench/main.go
+++ b/bench/main.go
@@ -12,6 +12,7 @@
 
 	"lovagefork.example/bench/colo"
 	"lovagefork.example/bench/reqs"
+	"lovagefork.example/bench/slope"
 	"lovagefork.example/bench/table"
 )
 
@@ -38,11 +39,23 @@
 	policies.Bool(&s.csv, "c", "csv", "write CSV instead of Markdown")
 	policies.String(&s.svg, "s", "svg", "also write an SVG plot of each table into this directory")
 	flaggy.AttachSubcommand(policies, 1)
+	capacity := flaggy.NewSubcommand("capacity")
+	capacity.Description = "measure processor time, memory and bytes of the parts at several sizes"
+	capacity.Bool(&s.csv, "c", "csv", "write CSV instead of Markdown")
+	flaggy.AttachSubcommand(capacity, 1)
 	flaggy.Parse()
-	if !policies.Used {
+	var err error
+	switch {
+	case policies.Used:
+		err = comparePolicies(s)
+	case capacity.Used && s.csv:
+		err = slope.CSV(os.Stdout, slope.Measure())
+	case capacity.Used:
+		err = slope.Markdown(os.Stdout, slope.Measure())
+	default:
 		flaggy.ShowHelpAndExit("a subcommand is needed")
 	}
-	if err := comparePolicies(s); err != nil {
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "bench:", err)
 		os.Exit(1)
 	}
--- /dev/null
+++ b/bench/slope/serve.go
@@ -0,0 +1,116 @@
+package slope
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"lovagefork.example/coord/admit"
+	"lovagefork.example/coord/fleet"
+	"lovagefork.example/coord/grant"
+	"lovagefork.example/coord/member"
+	"lovagefork.example/coord/plat"
+	"lovagefork.example/coord/serve"
+	"lovagefork.example/coord/wire"
+)
+
+// roster returns two entry hosts in each of 16 availability zones.
+func roster() []grant.Member {
+	all := make([]grant.Member, 32)
+	for i := range all {
+		all[i] = grant.Member{Host: fleet.EntryHostID(fmt.Sprintf("entry-%02d", i)), Zone: fleet.AvailabilityZone(fmt.Sprintf("zone-%02d", i%16))}
+	}
+	return all
+}
+
+// newServe returns a machine that knows n workers and a service with replicas on some of them, after its quarantine.
+func newServe(n, replicas int) (*serve.Machine, time.Time) {
+	m := serve.New(serve.Config{Self: roster()[0], Boot: "1", Roster: roster(), Random: rand.New(rand.NewPCG(1, 1))}, start)
+	m.Step(start, serve.FleetObserved{Workers: workers(n)})
+	m.Step(start, serve.EndpointsObserved{Endpoints: endpoints(replicas)})
+	return m, start.Add(10 * time.Second)
+}
+
+// endpoints lists a service on every 16th worker, all in the zone of the first entry host.
+func endpoints(replicas int) wire.Endpoints {
+	e := wire.Endpoints{Partition: "zone-00/0", Epoch: 1, Sequence: 1, Services: map[fleet.ServiceID][]fleet.WorkerID{}}
+	for i := range replicas {
+		e.Services["team/quote"] = append(e.Services["team/quote"], fleet.WorkerID(fmt.Sprintf("worker-%05d", 16*i)))
+	}
+	return e
+}
+
+func request(m *serve.Machine, now time.Time, id uint64) {
+	effects := m.Step(now, serve.Arrived{Request: serve.Request{
+		ID: id, Service: "team/quote", Customer: "team", Class: fleet.Urgent, Deadline: now.Add(2 * time.Second),
+	}})
+	for _, e := range effects {
+		if send, ok := e.(serve.Send); ok {
+			m.Step(now, serve.AttemptEnded{ID: id, Attempt: send.Attempt, Result: serve.Answered, Status: 200, Latency: 50 * time.Millisecond})
+			return
+		}
+	}
+	panic("request was not sent")
+}
+
+var replicaSizes = []int{10, 50, 200}
+
+func serveLines() []Line {
+	return []Line{
+		line("serve", "one request", "µs", "replica of its service", replicaSizes, func(n int) float64 {
+			m, now := newServe(targetWorkers, n)
+			return microseconds(2000, func(i int) { request(m, now, uint64(i+1)) })
+		}),
+		line("serve", "tick", "µs", "worker", workerSizes, func(n int) float64 {
+			m, now := newServe(n, 5)
+			return microseconds(50, func(i int) { m.Step(now.Add(time.Duration(i)*50*time.Millisecond), serve.Tick{}) })
+		}),
+		line("serve", "new host list", "µs", "worker", workerSizes, func(n int) float64 {
+			m, now := newServe(n, 5)
+			all := workers(n)
+			return microseconds(5, func(int) { m.Step(now, serve.FleetObserved{Workers: all}) })
+		}),
+		line("serve", "memory", "MB", "worker", workerSizes, func(n int) float64 {
+			return megabytes(func() any { m, _ := newServe(n, 5); return m })
+		}),
+		line("admit", "push and next", "µs", "waiting request", []int{100, 1000, 4000}, func(n int) float64 {
+			return admitTime(n)
+		}),
+		line("member", "host list", "µs", "worker", workerSizes, func(n int) float64 {
+			m := member.New()
+			return microseconds(5, func(i int) {
+				at := start.Add(time.Duration(i+1) * time.Second)
+				m.Step(at, member.HostListed{List: plat.HostList{Hosts: workers(n)}, Sent: at})
+			})
+		}),
+		line("wire", "load message, sent to each peer 5 times a second", "bytes", "worker with free slots", workerSizes, func(n int) float64 {
+			free := map[fleet.WorkerID]int{}
+			for _, w := range workers(n) {
+				free[w.ID] = 4
+			}
+			return encoded(wire.Load{FreeSlots: free})
+		}),
+		line("wire", "endpoints message", "bytes", "replica", []int{100, 1000, 23000 / targetPartitions * 8}, func(n int) float64 {
+			return encoded(endpoints(n))
+		}),
+	}
+}
+
+// admitTime measures with queues of 100 customers.
+func admitTime(n int) float64 {
+	m := admit.New()
+	push := func(i int) {
+		item := admit.Item{
+			ID: uint64(i + 1), Class: fleet.Classes[i%3], Customer: fleet.CustomerID(fmt.Sprintf("team-%03d", i%100)),
+			Service: "team/quote", Deadline: start.Add(time.Hour), Cost: time.Millisecond,
+		}
+		m.Step(start, admit.Push{Item: item})
+	}
+	for i := range n {
+		push(i)
+	}
+	return microseconds(1000, func(i int) {
+		push(n + i)
+		m.Next(start, func(admit.Item) bool { return true })
+	})
+}
