--- a/bench/colo/colo.go
+++ b/bench/colo/colo.go
@@ -23,6 +23,7 @@
 		{"spread", place.Spread{}, nil},
 		{"interference, no mitigation", place.Interference{}, []place.Option{place.WithMitigation(false)}},
 		{"interference", place.Interference{}, nil},
+		{"interference, limit 1.35", place.Interference{}, []place.Option{place.WithSlowdownLimit(1.35)}},
 	}
 }
 
--- a/bench/main.go
+++ b/bench/main.go
@@ -23,6 +23,7 @@
 	seeds    int
 	parallel int
 	only     string
+	metrics  []string
 	csv      bool
 	svg      string
 }
@@ -36,6 +37,7 @@
 	policies.Int(&s.seeds, "n", "seeds", "number of seeds")
 	policies.Int(&s.parallel, "p", "parallel", "runs at a time")
 	policies.String(&s.only, "o", "only", "run only this experiment: placement, routing or overload")
+	policies.StringSlice(&s.metrics, "m", "metric", "write only this metric, with variants as columns; may be repeated")
 	policies.Bool(&s.csv, "c", "csv", "write CSV instead of Markdown")
 	policies.String(&s.svg, "s", "svg", "also write an SVG plot of each table into this directory")
 	flaggy.AttachSubcommand(policies, 1)
@@ -92,7 +94,15 @@
 	if s.csv {
 		return t.CSV(os.Stdout)
 	}
-	return t.Markdown(os.Stdout)
+	if len(s.metrics) == 0 {
+		return t.Markdown(os.Stdout)
+	}
+	for _, m := range s.metrics {
+		if err := t.Pivot(os.Stdout, m); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 func plot(t *table.Table, directory string) error {
--- a/bench/slope/jobs.go
+++ b/bench/slope/jobs.go
@@ -144,9 +144,13 @@
 
 // steady returns the seconds of processor time for each virtual second, in percent of a core.
 func steady(n int) (percent, records float64) {
-	const seconds = 5
 	p, ids := loaded(n)
-	starts := max(startsPerWorker*float64(n), 1)
+	return p.steady(ids)
+}
+
+func (p *partition) steady(ids []fleet.Worker) (percent, records float64) {
+	const seconds = 5
+	starts := max(startsPerWorker*float64(len(ids)), 1)
 	p.second(ids, starts)
 	p.spent, p.records = 0, 0
 	for range seconds {
@@ -158,18 +162,27 @@
 // partitionSizes begin at the partition of the target, 55 workers.
 var partitionSizes = []int{55, 110, 220}
 
-// wholeSizes show why one process cannot own all workers.
-var wholeSizes = []int{100, 1000}
-
 func jobsLines() []Line {
 	records := line("jobs", "ledger records a second at the target's rate of starts", "records/s", "worker", partitionSizes, func(n int) float64 {
 		_, records := steady(n)
 		return records
 	})
 	cpu := func(n int) float64 { percent, _ := steady(n); return percent }
+	whole := map[int]float64{}
+	memory := func(n int) float64 {
+		return megabytes(func() any {
+			p, ids := loaded(n)
+			whole[n], _ = p.steady(ids)
+			p.running = nil
+			return p.m
+		})
+	}
+	memoryLine := line("jobs and place", "memory, one partition for all", "MB", "worker", workerSizes, memory)
 	return []Line{
 		line("jobs and place", "steady load of one partition", "% of a core", "worker", partitionSizes, cpu),
-		line("jobs and place", "steady load, one partition for all", "% of a core", "worker", append(wholeSizes, targetWorkers), cpu),
+		line("jobs and place", "steady load, one partition for all", "% of a core", "worker", workerSizes, func(n int) float64 {
+			return whole[n]
+		}),
 		records,
 		line("ledger", "snapshot of one partition, read by a new owner", "bytes", "worker", partitionSizes, func(n int) float64 {
 			p, _ := loaded(n)
@@ -183,8 +196,6 @@
 			}
 			return float64(total)
 		}),
-		line("jobs and place", "memory of one partition", "MB", "worker", workerSizes, func(n int) float64 {
-			return megabytes(func() any { p, _ := loaded(n); p.running = nil; return p.m })
-		}),
+		memoryLine,
 	}
 }
--- a/coord/place/machine.go
+++ b/coord/place/machine.go
@@ -27,6 +27,8 @@
 	// observes and mitigates turn on observed sizes, and throttles and moves.
 	observes  bool
 	mitigates bool
+	// limit is the slowdown of urgent tasks above which a task is throttled, moved or not accepted.
+	limit float64
 }
 
 // Option changes a default of [New].
@@ -42,6 +44,11 @@
 	return func(m *Machine) { m.mitigates = on }
 }
 
+// WithSlowdownLimit sets how far urgent tasks may be slowed, 1 for not at all; a higher limit runs more batch work.
+func WithSlowdownLimit(limit float64) Option {
+	return func(m *Machine) { m.limit = limit }
+}
+
 // New returns a machine without workers. The policy [Interference] turns mitigation on.
 func New(policy Policy, opts ...Option) *Machine {
 	m := &Machine{
@@ -54,6 +61,7 @@
 		model:      newModel(),
 		sizes:      &sizes{},
 		observes:   true,
+		limit:      DefaultSlowdownLimit,
 	}
 	_, m.mitigates = policy.(Interference)
 	for _, o := range opts {
--- a/coord/place/mitigate.go
+++ b/coord/place/mitigate.go
@@ -9,9 +9,11 @@
 )
 
 const (
-	// highSlowdown starts and lowSlowdown ends the mitigation; the distance between them is the hysteresis.
-	highSlowdown = 1.35
-	lowSlowdown  = 1.15
+	// DefaultSlowdownLimit is the slowdown of urgent tasks above which mitigation starts. At 1.35 the batch work falls to
+	// half of that under Spread in the worst case of docs/policies.md; at 1.8 it keeps 95 %.
+	DefaultSlowdownLimit = 1.8
+	// slowdownBand is the hysteresis: mitigation is lifted this far below the limit.
+	slowdownBand = 0.2
 	// badReports and goodReports are the reports in a row that must agree before a step up or down.
 	badReports  = 2
 	goodReports = 6
@@ -40,9 +42,9 @@
 	switch {
 	case victim == nil:
 		g.bad, g.good = 0, g.good+1
-	case victim.slowdown > highSlowdown:
+	case victim.slowdown > m.limit:
 		g.bad, g.good = g.bad+1, 0
-	case victim.slowdown < lowSlowdown:
+	case victim.slowdown < m.limit-slowdownBand:
 		g.bad, g.good = 0, g.good+1
 	default:
 		g.bad, g.good = 0, 0
@@ -109,7 +111,7 @@
 func (m *Machine) betterElsewhere(t *held) bool {
 	for _, h := range m.order {
 		if h != t.host && h.available() && !h.record.probation && t.size.Fits(h.free()) &&
-			m.model.worstWith(h, t) <= highSlowdown {
+			m.model.worstWith(h, t) <= m.limit {
 			return true
 		}
 	}
@@ -135,7 +137,7 @@
 		if i <= 0 || t.evicting {
 			continue
 		}
-		if victim != nil && victim.slowdown+m.addedByLifting(h, victim, t, throttleSteps[i-1]) > highSlowdown {
+		if victim != nil && victim.slowdown+m.addedByLifting(h, victim, t, throttleSteps[i-1]) > m.limit {
 			continue
 		}
 		t.permille = throttleSteps[i-1]
--- a/coord/place/policy.go
+++ b/coord/place/policy.go
@@ -31,7 +31,7 @@
 //
 // A task is always accepted beside urgent tasks alone, so that a kind which disturbs everywhere still finishes.
 func (Interference) accepts(m *Machine, h *host, t *held) bool {
-	return t.task.Class == fleet.Urgent || h.onlyUrgent() || m.model.worstWith(h, t) <= highSlowdown
+	return t.task.Class == fleet.Urgent || h.onlyUrgent() || m.model.worstWith(h, t) <= m.limit
 }
 
 func (FirstFit) cost(*Machine, *host, *held) float64 { return 0 }
