--- a/coord/jobs/types.go
+++ b/coord/jobs/types.go
@@ -41,6 +41,8 @@
 	// moveUrgentAfter leaves time for a start elsewhere within the two seconds of urgent work.
 	moveUrgentAfter = 750 * time.Millisecond
 	maxMoves        = 3
+	// maxForcedMoves bounds the moves of a job whose partitions lose their workers one after another.
+	maxForcedMoves = 50
 	// retention is how long a finished job answers repeated submissions.
 	retention = 24 * time.Hour
 )
@@ -104,12 +106,6 @@
 		Document config.Versioned
 		Services []ledger.Service
 	}
-	// Shares gives what each customer holds in other partitions, and the divisor of what is left of its quota.
-	Shares struct {
-		Others  map[fleet.CustomerID]Holding
-		Divisor int
-		Turn    bool
-	}
 	// StartDone answers [Start].
 	StartDone struct {
 		Ref    plat.TaskRef
@@ -153,7 +149,7 @@
 func (WorkerGone) event() {}
 func (Capacities) event() {}
 func (Configured) event() {}
-func (Shares) event()     {}
+func (Grant) event()      {}
 func (StartDone) event()  {}
 func (RenewDone) event()  {}
 func (StatusDone) event() {}
