place: keep tasks of unknown true size apart until they are measured

Ruled out: reserving ten times the declared size of each new task, which leaves a worker of 125 GB with two tasks of 6 GB. Change: a less than urgent task of a kind with fewer than three reports does not join another unmeasured one if both could exceed the worker's memory at ten times their size; the wait ends after a minute without reports. The first reports of a kind correct its size fully instead of by 0.3.

--- a/coord/place/errors.go
+++ b/coord/place/errors.go
@@ -39,6 +39,8 @@
 	Probation int
 	// Disturbing counts workers whose urgent tasks are predicted to be slowed too much.
 	Disturbing int
+	// Unmeasured counts workers that run tasks of unknown true size, which may need the memory that seems free.
+	Unmeasured int
 	// MilliCPU, Memory and Accelerators count workers that lack the resource; one worker may count in several.
 	MilliCPU     int
 	Memory       int
@@ -48,6 +50,6 @@
 // Error names the task, its size and the counts.
 func (e *NoRoomError) Error() string {
 	return fmt.Sprintf("task %s attempt %d: no room for %v on %d workers: %d unavailable, %d avoided, %d on probation, "+
-		"%d disturbed, %d lack processors, %d lack memory, %d lack accelerators", e.Task.Task, e.Task.Attempt, e.Need, e.Workers,
-		e.Unavailable, e.Avoided, e.Probation, e.Disturbing, e.MilliCPU, e.Memory, e.Accelerators)
+		"%d disturbed, %d with unmeasured tasks, %d lack processors, %d lack memory, %d lack accelerators", e.Task.Task, e.Task.Attempt, e.Need, e.Workers,
+		e.Unavailable, e.Avoided, e.Probation, e.Disturbing, e.Unmeasured, e.MilliCPU, e.Memory, e.Accelerators)
 }
--- a/coord/place/place.go
+++ b/coord/place/place.go
@@ -107,6 +107,10 @@
 	}
 	free := h.free()
 	if t.size.Fits(free) {
+		if m.risky(h, t) {
+			why.Unmeasured++
+			return false
+		}
 		if m.policy.accepts(m, h, t) {
 			return true
 		}
--- a/coord/place/size.go
+++ b/coord/place/size.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"lovagefork.example/coord/fleet"
 )
@@ -17,13 +18,16 @@
 )
 
 const (
-	// sizeStep is the part of an error that one report corrects; reports lag and mix several kinds.
+	// sizeStep is the part of an error that one report corrects; reports lag and mix several kinds. The first reports of
+	// a kind correct more, so that few suffice.
 	sizeStep = 0.3
 	// minSizeRatio and maxSizeRatio bound the correction; declared sizes are wrong by up to ten times.
 	minSizeRatio = 0.1
 	maxSizeRatio = 10
 	// trustedSizes is the number of reports after which the learned size of a kind is used for new tasks.
-	trustedSizes = 10
+	trustedSizes = 3
+	// probeTime bounds how long a task without a report keeps others of unknown size away.
+	probeTime = time.Minute
 	// sizeMargin is the error below which the declared size is kept.
 	sizeMargin = 1.1
 	// memoryHeadroom covers the spread of tasks within a kind; without it a full worker exceeds its memory half of the
@@ -88,7 +92,8 @@
 			if x == 0 {
 				continue
 			}
-			ratio := s.ratios[kind][d] + sizeStep*(float64(total)-sum)*x/squares
+			step := max(sizeStep, 1/float64(1+s.reports[kind]))
+			ratio := s.ratios[kind][d] + step*(float64(total)-sum)*x/squares
 			s.ratios[kind][d] = min(max(ratio, minSizeRatio), maxSizeRatio)
 			if d == cpuSize {
 				s.reports[kind]++
@@ -111,9 +116,27 @@
 	return parts
 }
 
+func (s *sizes) trusted(kind kindID) bool { return s.reports[kind] >= trustedSizes }
+
+// risky reports whether a less than urgent task of unknown true size would share a worker with another such task while
+// both together may exceed its memory, as declared sizes are wrong by up to maxSizeRatio.
+func (m *Machine) risky(h *host, t *held) bool {
+	if !m.observes || t.task.Class == fleet.Urgent || m.sizes.trusted(t.kind) {
+		return false
+	}
+	var unknown int64
+	for _, o := range h.list {
+		if !o.measured && !m.sizes.trusted(o.kind) && t.reservedAt.Sub(o.reservedAt) < probeTime {
+			unknown += o.task.Resources.MemoryBytes
+		}
+	}
+	worst := (maxSizeRatio-1)*unknown + maxSizeRatio*t.task.Resources.MemoryBytes
+	return unknown > 0 && worst > h.free().MemoryBytes
+}
+
 // estimate returns the size to reserve for a new task: the declared one, or a larger one learned of its kind.
 func (s *sizes) estimate(kind kindID, declared fleet.Resources) fleet.Resources {
-	if s.reports[kind] < trustedSizes {
+	if !s.trusted(kind) {
 		return declared
 	}
 	learned := declared
--- a/coord/place/task.go
+++ b/coord/place/task.go
@@ -40,6 +40,7 @@
 	observed fleet.Resources
 	seenAt   time.Time
 	load     fleet.Resources
+	measured bool
 	// reservedAt and startedAt bound the reports that can include the attempt; startedAt is zero until it is known.
 	reservedAt time.Time
 	startedAt  time.Time
--- a/coord/place/usage.go
+++ b/coord/place/usage.go
@@ -110,7 +110,7 @@
 	accelerators := m.sizes.divide(acceleratorSize, ran, past, usage.Accelerators)
 	for i, t := range ran {
 		seen := fleet.Resources{MilliCPU: cpu[i], MemoryBytes: memory[i], Accelerators: accelerators[i]}
-		t.load = seen
+		t.load, t.measured = seen, true
 		if !m.observes {
 			continue
 		}
