--- /dev/null
+++ b/entryd/procs/load_test.go
@@ -0,0 +1,71 @@
+package procs_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// report is what lovload prints.
+type report struct {
+	Streams []struct {
+		Stream   string         `json:"stream"`
+		Count    int            `json:"count"`
+		Outcomes map[string]int `json:"outcomes"`
+		Reasons  map[string]int `json:"reasons"`
+	} `json:"streams"`
+	Jobs     map[string]int `json:"job_states"`
+	Verified struct {
+		Checked    int      `json:"checked"`
+		Violations int      `json:"violations"`
+		Examples   []string `json:"examples"`
+	} `json:"verified"`
+}
+
+func (r report) outcomes(stream string) map[string]int {
+	for _, s := range r.Streams {
+		if s.Stream == stream {
+			return s.Outcomes
+		}
+	}
+	return nil
+}
+
+// load sends requests of both services and jobs for the given time while during runs, and checks what callers were told
+// against what ran.
+func (s *set) load(seconds int, during func()) report {
+	s.t.Helper()
+	plan := fmt.Sprintf(`{"name": "procs", "seed": 1, "duration_ms": %d, "settle_ms": 90000, "entries": [%q, %q, %q],
+		"backend_control": "http://%s/control", "worker_control": "http://%s/control", "store_control": "http://%s/control",
+		"streams": [{"name": "bookings", "customer": "llinos", "service": "bookings", "rate": 40, "deadline_ms": 5000, "body_bytes": 100},
+			{"name": "invoices", "customer": "llinos", "service": "invoices", "rate": 10, "deadline_ms": 5000, "non_idempotent": true, "body_bytes": 100}],
+		"jobs": [{"name": "j", "customer": "llinos", "kind": "reconciliation", "rate": 2, "tasks": 2, "milli_cpu": 500, "memory_mib": 256, "run_ms": 1500}]}`,
+		seconds*1000, s.url(0), s.url(1), s.url(2), s.address(portBackendsControl, 0), s.address(portWorkersControl, 0),
+		s.address(portStoreControl, 0))
+	file := filepath.Join(s.dir, "plan.json")
+	assert.NilError(s.t, os.WriteFile(file, []byte(plan), 0o600))
+	cmd := exec.Command(filepath.Join(bin, "lovload"), file)
+	var out, errOut bytes.Buffer
+	cmd.Stdout, cmd.Stderr = &out, &errOut
+	assert.NilError(s.t, cmd.Start())
+	time.Sleep(time.Second)
+	during()
+	err := cmd.Wait()
+	s.t.Logf("lovload: %s", bytes.ReplaceAll(bytes.ReplaceAll(out.Bytes(), []byte("\n"), nil), []byte("  "), nil))
+	assert.NilError(s.t, err, "%s", errOut.String())
+	var r report
+	assert.NilError(s.t, json.Unmarshal(out.Bytes(), &r))
+	assert.Equal(s.t, r.Verified.Violations, 0, "%v", r.Verified.Examples)
+	assert.Assert(s.t, r.Verified.Checked > 0)
+	for state, n := range r.Jobs {
+		assert.Equal(s.t, state, "succeeded", "%d accepted jobs are %s", n, state)
+	}
+	assert.Assert(s.t, r.Jobs["succeeded"] > 0)
+	return r
+}
--- a/lovload/drive/drive_test.go
+++ b/lovload/drive/drive_test.go
@@ -61,6 +61,9 @@
 	var mu sync.Mutex
 	runs := make(map[string]int64)
 	mux := http.NewServeMux()
+	mux.HandleFunc("GET /control", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte(`{"counters":{"a-w0":{"max_slots":9},"a-w1":{"max_slots":8,"max_connections":64}}}`))
+	})
 	mux.HandleFunc("POST /control/runs", func(w http.ResponseWriter, r *http.Request) {
 		var req struct{ Keys []string }
 		_ = json.NewDecoder(r.Body).Decode(&req)
@@ -107,7 +110,7 @@
 	v, err := d.Verify(t.Context())
 	assert.NilError(t, err)
 	assert.Assert(t, lies > 0)
-	assert.Equal(t, v.Violations, lies, "%v", v.Examples)
+	assert.Equal(t, v.Violations, lies+1, "%v", v.Examples)
 	var csv bytes.Buffer
 	points := d.Tally.Timeline(100 * time.Millisecond)
 	assert.NilError(t, tally.WriteCSV(&csv, points))
--- a/lovload/drive/jobs.go
+++ b/lovload/drive/jobs.go
@@ -36,6 +36,20 @@
 	if err != nil {
 		return tally.Unsent, err.Error()
 	}
+	outcome, reason := d.submitOnce(ctx, a, id, data)
+	for outcome == tally.Unknown || outcome == tally.Broken {
+		// A caller that does not know must ask again with the same id, which may not start the job twice.
+		select {
+		case <-time.After(pollInterval):
+		case <-ctx.Done():
+			return outcome, reason
+		}
+		outcome, reason = d.submitOnce(ctx, a, id, data)
+	}
+	return outcome, reason
+}
+
+func (d *Driver) submitOnce(ctx context.Context, a plan.Arrival, id string, data []byte) (tally.Outcome, string) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	for try := range d.plan.Entries {
@@ -53,7 +67,6 @@
 	return tally.Unsent, "no entry process reachable"
 }
 
-// submitted judges the answer. A job whose outcome is unknown is repeated by its caller later, and is not followed here.
 func (d *Driver) submitted(id string, status int, header http.Header, err error) (tally.Outcome, string) {
 	switch {
 	case err != nil:
--- a/lovload/drive/verify.go
+++ b/lovload/drive/verify.go
@@ -23,6 +23,8 @@
 	Examples   []string `json:"examples,omitempty"`
 	// Workers is the audit of the workers' control page.
 	Workers json.RawMessage `json:"workers,omitempty"`
+	// Store holds the counters of the store's control page.
+	Store json.RawMessage `json:"store,omitempty"`
 }
 
 func (v *Verdict) violation(format string, args ...any) {
@@ -35,19 +37,31 @@
 // Verify asks the control pages of the plan. Its error reports a page that cannot be read.
 func (d *Driver) Verify(ctx context.Context) (Verdict, error) {
 	var v Verdict
-	if d.plan.BackendControl != "" {
-		if err := d.verifyRuns(ctx, &v); err != nil {
+	for _, check := range []struct {
+		page string
+		run  func(context.Context, *Verdict) error
+	}{
+		{d.plan.BackendControl, d.verifyRuns},
+		{d.plan.BackendControl, d.verifySlots},
+		{d.plan.WorkerControl, d.verifyWorkers},
+		{d.plan.StoreControl, d.verifyStore},
+	} {
+		if check.page == "" {
+			continue
+		}
+		if err := check.run(ctx, &v); err != nil {
 			return v, err
 		}
 	}
-	if d.plan.WorkerControl == "" {
-		return v, nil
-	}
+	return v, nil
+}
+
+func (d *Driver) verifyWorkers(ctx context.Context, v *Verdict) error {
 	var page struct {
 		Audit json.RawMessage `json:"audit"`
 	}
 	if err := d.page(ctx, http.MethodGet, d.plan.WorkerControl, nil, &page); err != nil {
-		return v, err
+		return err
 	}
 	v.Workers = page.Audit
 	var audit struct {
@@ -55,11 +69,50 @@
 		Examples   []string `json:"examples"`
 	}
 	if err := json.Unmarshal(page.Audit, &audit); err != nil {
-		return v, err
+		return err
 	}
 	v.Violations += audit.Violations
 	v.Examples = append(v.Examples, audit.Examples[:min(len(audit.Examples), maxExamples)]...)
-	return v, nil
+	return nil
+}
+
+func (d *Driver) verifySlots(ctx context.Context, v *Verdict) error {
+	var page struct {
+		Counters map[string]struct {
+			MaxSlots       int `json:"max_slots"`
+			MaxConnections int `json:"max_connections"`
+		} `json:"counters"`
+	}
+	if err := d.page(ctx, http.MethodGet, d.plan.BackendControl, nil, &page); err != nil {
+		return err
+	}
+	for worker, c := range page.Counters {
+		if c.MaxSlots > d.plan.Limits.Slots || c.MaxConnections > d.plan.Limits.Connections {
+			v.violation("backend server %s: %d slots and %d connections in use at a time", worker, c.MaxSlots, c.MaxConnections)
+		}
+	}
+	return nil
+}
+
+func (d *Driver) verifyStore(ctx context.Context, v *Verdict) error {
+	var page struct {
+		Counters json.RawMessage `json:"counters"`
+	}
+	if err := d.page(ctx, http.MethodGet, d.plan.StoreControl, nil, &page); err != nil {
+		return err
+	}
+	v.Store = page.Counters
+	var c struct {
+		MaxWrites int64 `json:"max_writes_per_second"`
+		MaxReads  int64 `json:"max_reads_per_second"`
+	}
+	if err := json.Unmarshal(page.Counters, &c); err != nil {
+		return err
+	}
+	if c.MaxWrites > d.plan.Limits.StoreWrites || c.MaxReads > d.plan.Limits.StoreReads {
+		v.violation("store: %d writes and %d reads in one second", c.MaxWrites, c.MaxReads)
+	}
+	return nil
 }
 
 func (d *Driver) verifyRuns(ctx context.Context, v *Verdict) error {
--- a/lovload/plan/plan.go
+++ b/lovload/plan/plan.go
@@ -33,11 +33,25 @@
 	SettleMS int64 `json:"settle_ms"`
 	// IntervalMS is the length of one line of the timeline.
 	IntervalMS int64 `json:"interval_ms"`
-	// BackendControl and WorkerControl are control pages that tell afterwards what really ran.
+	// BackendControl, WorkerControl and StoreControl are control pages that tell afterwards what really ran.
 	BackendControl string `json:"backend_control"`
 	WorkerControl  string `json:"worker_control"`
+	StoreControl   string `json:"store_control"`
+	Limits         Limits `json:"limits"`
 }
 
+// Limits are what the control pages must not have seen exceeded since they started.
+type Limits struct {
+	Slots       int `json:"slots"`
+	Connections int `json:"connections"`
+	// StoreWrites and StoreReads are calls in one second.
+	StoreWrites int64 `json:"store_writes"`
+	StoreReads  int64 `json:"store_reads"`
+}
+
+// defaultLimits are those of the platform's workers, and of the store as the entry daemon's settings assume it.
+var defaultLimits = Limits{Slots: 8, Connections: 64, StoreWrites: 300, StoreReads: 1500}
+
 // Stream is one kind of requests with Poisson arrivals at Rate a second from StartMS to EndMS (zero: the whole time).
 type Stream struct {
 	Name          string  `json:"name"`
@@ -95,7 +109,7 @@
 
 // Parse checks the JSON of a plan and fills in the defaults.
 func Parse(data []byte) (Plan, error) {
-	p := Plan{InFlight: 2048, SettleMS: 10_000, IntervalMS: 500}
+	p := Plan{InFlight: 2048, SettleMS: 10_000, IntervalMS: 500, Limits: defaultLimits}
 	dec := json.NewDecoder(bytes.NewReader(data))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(&p); err != nil {
@@ -169,7 +183,7 @@
 	for _, f := range p.Faults {
 		all = append(all, f.URL)
 	}
-	for _, u := range []string{p.BackendControl, p.WorkerControl} {
+	for _, u := range []string{p.BackendControl, p.WorkerControl, p.StoreControl} {
 		if u != "" {
 			all = append(all, u)
 		}
