lovload: never assume the ports of a set

Cause: a run of plans/workers.json met a set that another developer had started on the default ports and put faults into it (07:10:16 to 07:11:39); its figures are of no use to either. A test refuses a plan without it.

--- a/lovload/drive/drive_test.go
+++ b/lovload/drive/drive_test.go
@@ -56,6 +56,17 @@
 	}
 }
 
+// A plan that falls back to some set's ports would put faults into a set that belongs to somebody else.
+func TestPortsAreNeverAssumed(t *testing.T) {
+	file := filepath.Join("..", "plans", "workers.json")
+	_, err := plan.Load(file, 0)
+	var refused *plan.Error
+	assert.ErrorType(t, err, refused)
+	p, err := plan.Load(file, 18000)
+	assert.NilError(t, err)
+	assert.Equal(t, p.Entries[1], "http://127.0.0.1:18011")
+}
+
 // An outcome that is counted wrongly, or a wait that the client leaves out, would report a harmed caller as served.
 func TestOutcomesAsTheCallerSeesThem(t *testing.T) {
 	var mu sync.Mutex
--- a/lovload/main.go
+++ b/lovload/main.go
@@ -29,14 +29,15 @@
 )
 
 func main() {
-	file, out := "", ""
+	file, out, basePort := "", "", 0
 	flaggy.SetName("lovload")
 	flaggy.SetDescription("load and failure experiments against entry processes on loopback")
 	flaggy.AddPositionalValue(&file, "plan", 1, true, "JSON file with the experiment")
 	flaggy.String(&out, "o", "out", "directory for timeline.csv, timeline.svg and summary.json; none if empty")
+	flaggy.Int(&basePort, "p", "base-port", "first port of the set under test, which {base+N} in the plan counts from")
 	flaggy.Parse()
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
-	p, err := plan.Load(file)
+	p, err := plan.Load(file, basePort)
 	if err != nil {
 		log.Error("lovload: plan refused", "error", err)
 		os.Exit(exitUsage)
--- a/lovload/plan/plan.go
+++ b/lovload/plan/plan.go
@@ -7,6 +7,8 @@
 	"net/netip"
 	"net/url"
 	"os"
+	"regexp"
+	"strconv"
 	"time"
 )
 
@@ -16,6 +18,7 @@
 	maxArrivals = 5_000_000
 	maxInFlight = 16384
 	maxFaults   = 1000
+	maxBasePort = 65000
 )
 
 // Plan is one experiment; times are milliseconds from its start.
@@ -98,12 +101,24 @@
 // Error names the field and what is allowed.
 func (e *Error) Error() string { return fmt.Sprintf("plan: %s: want %s", e.Field, e.Want) }
 
-// Load reads a plan and checks it; the error is an [*Error] unless the file cannot be read as JSON.
-func Load(file string) (Plan, error) {
+var portPattern = regexp.MustCompile(`\{base\+(\d+)\}`)
+
+// Load reads a plan and checks it; the error is an [*Error] unless the file cannot be read as JSON. "{base+3}" stands for
+// the port basePort+3.
+//
+// There is no default for the ports: an experiment that met another developer's set would put faults into it.
+func Load(file string, basePort int) (Plan, error) {
 	data, err := os.ReadFile(file)
 	if err != nil {
 		return Plan{}, err
 	}
+	if portPattern.Match(data) && (basePort < 1 || basePort > maxBasePort) {
+		return Plan{}, &Error{"--base-port", fmt.Sprintf("1 to %d, the first port of the set under test", maxBasePort)}
+	}
+	data = portPattern.ReplaceAllFunc(data, func(match []byte) []byte {
+		offset, _ := strconv.Atoi(string(portPattern.FindSubmatch(match)[1]))
+		return strconv.AppendInt(nil, int64(basePort+offset), 10)
+	})
 	return Parse(data)
 }
 
