--- a/coord/jobs/machine.go
+++ b/coord/jobs/machine.go
@@ -35,14 +35,12 @@
 	reserving    []*task
 	submits      map[fleet.JobID]*submission
 	inboxSeen    map[fleet.JobID]bool
-	unplaced     []*job
+	open         []*job
 	nextMove     time.Time
 	cancels      map[fleet.JobID][]uint64
 	held         map[fleet.CustomerID]Holding
-	others       map[fleet.CustomerID]Holding
 	quotas       map[fleet.CustomerID]config.Quota
-	allowance    map[fleet.CustomerID]Holding
-	shares       Shares
+	limits       map[fleet.CustomerID]Account
 	capacities   map[fleet.PartitionID][]fleet.Resources
 	version      uint64
 	configs      map[fleet.CustomerID]Configured
@@ -72,9 +70,8 @@
 		inboxSeen:  make(map[fleet.JobID]bool),
 		cancels:    make(map[fleet.JobID][]uint64),
 		held:       make(map[fleet.CustomerID]Holding),
-		others:     make(map[fleet.CustomerID]Holding),
 		quotas:     make(map[fleet.CustomerID]config.Quota),
-		allowance:  make(map[fleet.CustomerID]Holding),
+		limits:     make(map[fleet.CustomerID]Account),
 		configs:    make(map[fleet.CustomerID]Configured),
 		settingUp:  make(map[fleet.ServiceID]bool),
 		published:  make(map[fleet.ServiceID][]fleet.WorkerID),
@@ -95,7 +92,7 @@
 	}
 	for _, j := range m.jobs {
 		j.arrived = now
-		m.unplaced = append(m.unplaced, j)
+		m.open = append(m.open, j)
 	}
 	for _, t := range m.sortedTasks() {
 		switch {
@@ -123,6 +120,16 @@
 	return true
 }
 
+// Calm reports whether the partition can change its owner without tasks that have to wait for the outage horizon.
+func (m *Machine) Calm() bool {
+	for _, w := range m.order {
+		if w.suspect() && len(w.tasks) > 0 {
+			return false
+		}
+	}
+	return m.Settled()
+}
+
 // Allow sets what the ownership allows from now on; call it before [Machine.Step].
 func (m *Machine) Allow(p Permit) { m.permit = p }
 
@@ -166,8 +173,8 @@
 		m.capacities = ev.Workers
 	case Configured:
 		m.configured(ev)
-	case Shares:
-		m.share(ev)
+	case Grant:
+		m.granted(ev)
 	case StartDone:
 		m.startDone(now, ev)
 	case RenewDone:
@@ -256,17 +263,6 @@
 	m.held[customer] = h
 }
 
-// Held returns what each customer's claimed and running tasks hold in this partition.
-func (m *Machine) Held() map[fleet.CustomerID]Holding {
-	all := make(map[fleet.CustomerID]Holding, len(m.held))
-	for c, h := range m.held {
-		if h.Tasks > 0 {
-			all[c] = h
-		}
-	}
-	return all
-}
-
 func (m *Machine) act(now time.Time, actions []place.Effect) {
 	if !m.permit.Claim {
 		return
