--- a/bench/slope/serve.go
+++ b/bench/slope/serve.go
@@ -102,7 +102,7 @@
 	push := func(i int) {
 		item := admit.Item{
 			ID: uint64(i + 1), Class: fleet.Classes[i%3], Customer: fleet.CustomerID(fmt.Sprintf("team-%03d", i%100)),
-			Service: "team/quote", Deadline: start.Add(time.Hour), Cost: time.Millisecond,
+			Flow: admit.Flow{Service: "team/quote"}, Deadline: start.Add(time.Hour), Cost: time.Millisecond,
 		}
 		m.Step(start, admit.Push{Item: item})
 	}
