serve: report idle slots only to peers whose requests wait

Cause: every process sent its idle slots on every worker to all peers five times a second.

Ruled out: sending only changes (under load most counts change within 200 ms), and totals without workers (a borrower would ask peers that hold no slot for its service).

Change: a process whose requests wait names the services, at most eight; peers report their slots on the workers of those services, the first time at once, then every 200 ms for a second. Without waiting requests nothing is sent.

--- a/bench/reqs/world.go
+++ b/bench/reqs/world.go
@@ -144,11 +144,7 @@
 	case serve.SendReturn:
 		w.toPeer(e, w.byHost[x.To], serve.ReturnReceived{From: e.Host, Return: x.Return})
 	case serve.ShareLoad:
-		for _, peer := range w.entries {
-			if peer != e {
-				w.toPeer(e, peer, serve.LoadReceived{From: e.Host, Load: x.Load})
-			}
-		}
+		w.toPeer(e, w.byHost[x.To], serve.LoadReceived{From: e.Host, Load: x.Load})
 	case serve.StoreLease:
 		w.loop.After(5*time.Millisecond, func() {
 			w.step(e, serve.StoreLeaseEnded{LeaseEnded: once.LeaseEnded{Lease: 1}})
--- a/coord/grant/loans.go
+++ b/coord/grant/loans.go
@@ -260,15 +260,13 @@
 	return max(0, min(m.ownFree(now, w), (w.share.Slots+1)/2-w.lent))
 }
 
-// Idle returns the number of own slots on each worker that could be used now.
-func (m *Machine) Idle(now time.Time) map[fleet.WorkerID]int {
-	idle := make(map[fleet.WorkerID]int)
-	for id, w := range m.workers {
-		if n := m.ownFree(now, w); n > 0 {
-			idle[id] = n
-		}
+// IdleOn returns how many own slots on a worker could be lent or used by a forwarded request now.
+func (m *Machine) IdleOn(now time.Time, id fleet.WorkerID) int {
+	w := m.workers[id]
+	if w == nil {
+		return 0
 	}
-	return idle
+	return max(0, m.ownFree(now, w))
 }
 
 // returned only ever reduces a loan, so a repeated or late message changes nothing.
--- a/coord/serve/machine.go
+++ b/coord/serve/machine.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"lovagefork.example/coord/admit"
@@ -23,6 +24,7 @@
 	peers    map[fleet.EntryHostID]*peer
 	asked    map[uint64]fleet.EntryHostID
 	loadSent time.Time
+	others   []fleet.EntryHostID
 	requests map[uint64]*request
 	backends backends
 	retries  retryBudget
@@ -111,9 +113,22 @@
 		retries:  newRetryBudget(),
 		costs:    make(costs),
 		blocked:  make(map[admit.Flow]bool),
+		others:   otherHosts(c),
 	}
 }
 
+// otherHosts lists the entry hosts of the roster except this process's own, in ascending order.
+func otherHosts(c Config) []fleet.EntryHostID {
+	var others []fleet.EntryHostID
+	for _, member := range c.Roster {
+		if member.Host != c.Self.Host {
+			others = append(others, member.Host)
+		}
+	}
+	slices.Sort(others)
+	return others
+}
+
 // Step applies an event.
 func (m *Machine) Step(now time.Time, ev Event) []Effect {
 	switch ev := ev.(type) {
--- a/coord/serve/overflow.go
+++ b/coord/serve/overflow.go
@@ -31,9 +31,11 @@
 func (WaitOnly) overflow()    {}
 
 const (
-	// loadInterval is how often idle slots are reported, and loadMaxAge how long a report is used.
+	// loadInterval is how often slots are asked for and reported while requests wait; loadMaxAge is how long either counts.
 	loadInterval = 200 * time.Millisecond
 	loadMaxAge   = time.Second
+	// maxWanted bounds the services in one question, and so the size of its answers.
+	maxWanted = 8
 	// loanPause is how long requests are forwarded to a peer that had nothing to lend.
 	loanPause = 200 * time.Millisecond
 	// maxAsk bounds one loan, so that several borrowers can be served.
@@ -50,13 +52,14 @@
 	reportedSent int
 	sent         int
 	noLoanUntil  time.Time
+	wanted       []fleet.ServiceID
+	wantedAt     time.Time
 }
 
 func (m *Machine) peerStep(now time.Time, ev Event) []Effect {
 	switch ev := ev.(type) {
 	case LoadReceived:
-		p := m.peer(ev.From)
-		p.at, p.free, p.reportedSent = now, ev.Load.FreeSlots, p.sent
+		return m.loadReceived(now, ev)
 	case BorrowReceived:
 		return m.lend(now, ev)
 	case LoanReceived:
@@ -127,16 +130,74 @@
 	return effects
 }
 
+// loadReceived takes a report, and answers the first question of a peer at once so that its requests do not wait for the
+// next interval.
+func (m *Machine) loadReceived(now time.Time, ev LoadReceived) []Effect {
+	p := m.peer(ev.From)
+	var effects []Effect
+	if ev.Load.Reported {
+		p.at, p.free, p.reportedSent = now, ev.Load.FreeSlots, p.sent
+		effects = m.overflowAll(now)
+	}
+	if len(ev.Load.Wanted) == 0 {
+		return effects
+	}
+	first := now.Sub(p.wantedAt) > loadMaxAge
+	p.wanted, p.wantedAt = ev.Load.Wanted, now
+	if first {
+		effects = append(effects, ShareLoad{To: ev.From, Load: m.loadFor(now, p, nil)})
+	}
+	return effects
+}
+
+// shareLoad sends nothing while no request waits for a slot anywhere. At 3,500 workers and 32 entry processes, reports of
+// all idle slots to all peers would cost each process several hundred KB a second.
 func (m *Machine) shareLoad(now time.Time) []Effect {
 	if now.Sub(m.loadSent) < loadInterval {
 		return nil
 	}
 	m.loadSent = now
-	load := wire.Load{Queued: m.admits.Queued()}
-	if !m.drained {
-		load.FreeSlots = m.grants.Idle(now)
+	wanted := m.wanted()
+	var effects []Effect
+	for _, id := range m.others {
+		p := m.peer(id)
+		if len(wanted) > 0 || now.Sub(p.wantedAt) <= loadMaxAge {
+			effects = append(effects, ShareLoad{To: id, Load: m.loadFor(now, p, wanted)})
+		}
 	}
-	return []Effect{ShareLoad{Load: load}}
+	return effects
+}
+
+// wanted lists the services of waiting requests, the most urgent first.
+func (m *Machine) wanted() []fleet.ServiceID {
+	if _, wait := m.overflow.(WaitOnly); wait || m.drained {
+		return nil
+	}
+	waiting := m.admits.Waiting()
+	var services []fleet.ServiceID
+	for _, flow := range sortedFlows(waiting) {
+		if len(services) < maxWanted && !slices.Contains(services, flow.Service) {
+			services = append(services, flow.Service)
+		}
+	}
+	return services
+}
+
+func (m *Machine) loadFor(now time.Time, p *peer, wanted []fleet.ServiceID) wire.Load {
+	load := wire.Load{Queued: m.admits.Queued(), Wanted: wanted}
+	if m.drained || now.Sub(p.wantedAt) > loadMaxAge {
+		return load
+	}
+	load.Reported = true
+	load.FreeSlots = make(map[fleet.WorkerID]int)
+	for _, service := range p.wanted {
+		for _, worker := range m.backends.of(service) {
+			if n := m.grants.IdleOn(now, worker); n > 0 {
+				load.FreeSlots[worker] = n
+			}
+		}
+	}
+	return load
 }
 
 // flow tells whether the deadline of a request is too late for a loan that is asked for now.
@@ -147,20 +208,26 @@
 
 // overflowAll finds slots of peers for the waiting requests.
 func (m *Machine) overflowAll(now time.Time) []Effect {
-	if _, wait := m.overflow.(WaitOnly); wait || len(m.peers) == 0 {
+	if _, wait := m.overflow.(WaitOnly); wait || len(m.others) == 0 {
 		return nil
 	}
 	waiting := m.admits.Waiting()
-	flows := slices.SortedFunc(maps.Keys(waiting), func(a, b admit.Flow) int {
-		return cmp.Or(cmp.Compare(waiting[a].Class, waiting[b].Class), cmp.Compare(a.Service, b.Service), order(a, b))
-	})
-	var effects []Effect
-	for _, flow := range flows {
+	if len(waiting) == 0 {
+		return nil
+	}
+	effects := m.shareLoad(now)
+	for _, flow := range sortedFlows(waiting) {
 		effects = append(effects, m.overflowOf(now, flow, waiting[flow])...)
 	}
 	return effects
 }
 
+func sortedFlows(waiting map[admit.Flow]admit.Waiting) []admit.Flow {
+	return slices.SortedFunc(maps.Keys(waiting), func(a, b admit.Flow) int {
+		return cmp.Or(cmp.Compare(waiting[a].Class, waiting[b].Class), cmp.Compare(a.Service, b.Service), order(a, b))
+	})
+}
+
 // order puts short requests before long ones.
 func order(a, b admit.Flow) int {
 	switch {
--- a/coord/serve/serve.go
+++ b/coord/serve/serve.go
@@ -88,7 +88,7 @@
 // EndpointsObserved tells where the replicas of one partition's services run.
 type EndpointsObserved struct{ Endpoints wire.Endpoints }
 
-// LoadReceived is a peer's report of its idle slots.
+// LoadReceived is a peer's report of its idle slots and of the services that it needs slots for.
 type LoadReceived struct {
 	From fleet.EntryHostID
 	Load wire.Load
@@ -217,8 +217,11 @@
 	Return wire.Return
 }
 
-// ShareLoad tells all peers what is idle here.
-type ShareLoad struct{ Load wire.Load }
+// ShareLoad tells a peer which services need slots here, and what is idle here for the services that need slots there.
+type ShareLoad struct {
+	To   fleet.EntryHostID
+	Load wire.Load
+}
 
 // StoreTxn asks for a store transaction.
 type StoreTxn struct{ once.RunTxn }
--- a/coord/serve/sim_test.go
+++ b/coord/serve/sim_test.go
@@ -136,11 +136,7 @@
 	case serve.SendReturn:
 		s.toPeer(s.find(e.To), func(q *proc) { s.step(q, serve.ReturnReceived{From: p.self.Host, Return: e.Return}) })
 	case serve.ShareLoad:
-		for _, q := range s.procs {
-			if q != p {
-				s.toPeer(q, func(q *proc) { s.step(q, serve.LoadReceived{From: p.self.Host, Load: e.Load}) })
-			}
-		}
+		s.toPeer(s.find(e.To), func(q *proc) { s.step(q, serve.LoadReceived{From: p.self.Host, Load: e.Load}) })
 	case serve.StoreTxn:
 		s.storeTxn(p, e)
 	case serve.StoreLease:
--- a/entryd/front/front.go
+++ b/entryd/front/front.go
@@ -24,7 +24,6 @@
 type Peers interface {
 	Call(ctx context.Context, to fleet.EntryHostID, m wire.Message) (wire.Message, error)
 	Send(to fleet.EntryHostID, m wire.Message) error
-	Broadcast(m wire.Message)
 	Up() []fleet.EntryHostID
 }
 
@@ -248,7 +247,8 @@
 	case serve.SendReturn:
 		f.sendReturn(e)
 	case serve.ShareLoad:
-		f.deps.Peers.Broadcast(e.Load)
+		// A lost report is made up for by the next one, 200 ms later.
+		_ = f.deps.Peers.Send(e.To, e.Load)
 	case serve.StoreTxn:
 		f.runTxn(e)
 	case serve.StoreLease:
