form: refuse repeated and misspelt fields; test conflicts and history

Cause: encoding/json matches field names regardless of case and keeps the last of two equal names, so a file could say one thing to the operator and another to the scheduler ("Weight", or "urgent" given twice).

Ruled out: comparing the decoded answers with the file, which cannot see a repeated name.

Change: names of fields are checked on the token stream before decoding.

--- a/coord/form/decode.go
+++ b/coord/form/decode.go
@@ -38,6 +38,9 @@
 
 func parse(data []byte) (Answers, *FieldError) {
 	var a Answers
+	if field := doubtfulKey(json.NewDecoder(bytes.NewReader(data))); field != "" {
+		return Answers{}, unknownField(field)
+	}
 	d := json.NewDecoder(bytes.NewReader(data))
 	d.DisallowUnknownFields()
 	if err := d.Decode(&a); err != nil {
@@ -63,10 +66,64 @@
 		if err != nil || field == "" {
 			field = "answers"
 		}
-		return &FieldError{
-			Field: field, Value: "an unknown field",
-			Allowed: "customer, urgent, may_wait, never_twice, services, batch, quota and their fields",
-		}
+		return unknownField(field)
 	}
 	return &FieldError{Field: "answers", Value: err.Error(), Allowed: "one JSON object"}
 }
+
+func unknownField(field string) *FieldError {
+	return &FieldError{
+		Field: field, Value: "an unknown or repeated field",
+		Allowed: "customer, urgent, may_wait, never_twice, services, batch, quota and their fields, each once",
+	}
+}
+
+// doubtfulKey returns the first object key that is repeated or that encoding/json would match to a field of another
+// spelling, or "". Both would make an answer other than the operator reads it in the file.
+func doubtfulKey(d *json.Decoder) string {
+	// Each open object has the set of its keys, each open array a nil one.
+	var open []map[string]bool
+	wantKey := false
+	for {
+		token, err := d.Token()
+		if err != nil {
+			return ""
+		}
+		switch token := token.(type) {
+		case json.Delim:
+			open = nested(open, token)
+			if len(open) == 0 {
+				return ""
+			}
+			wantKey = open[len(open)-1] != nil
+			continue
+		case string:
+			if wantKey {
+				keys := open[len(open)-1]
+				if keys[token] || strings.ContainsFunc(token, notInKeys) {
+					return token
+				}
+				keys[token] = true
+				wantKey = false
+				continue
+			}
+		}
+		if len(open) == 0 {
+			return ""
+		}
+		wantKey = open[len(open)-1] != nil
+	}
+}
+
+func nested(open []map[string]bool, token json.Delim) []map[string]bool {
+	switch token {
+	case '{':
+		return append(open, make(map[string]bool))
+	case '[':
+		return append(open, nil)
+	default:
+		return open[:len(open)-1]
+	}
+}
+
+func notInKeys(r rune) bool { return r != '_' && (r < 'a' || r > 'z') }
--- a/entryd/admin/admin_test.go
+++ b/entryd/admin/admin_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"log/slog"
 	"maps"
 	"math/rand/v2"
@@ -18,6 +19,7 @@
 	"github.com/gorilla/mux"
 	"gotest.tools/v3/assert"
 
+	"lovagefork.example/coord/config"
 	"lovagefork.example/coord/fleet"
 	"lovagefork.example/coord/form"
 	"lovagefork.example/coord/store"
@@ -147,3 +149,63 @@
 		assert.Equal(t, answer.Outcome, form.OutcomeAccepted)
 	})
 }
+
+// put sends a change of the number of replicas and decodes the answer.
+func put(t *testing.T, n *node, base store.Revision, id string, replicas int, answer any) int {
+	answers := bytes.Replace(answersFile(t), []byte(`"replicas": 4`), fmt.Appendf(nil, `"replicas": %d`, replicas), 1)
+	request := form.ChangeRequest{BaseRevision: base, ChangeID: id, Answers: answers}
+	return call(n, http.MethodPut, "/v1/config/gehegewerk", request, answer)
+}
+
+// The loser of a race must learn what is current, and a repeated change must not be made twice, however old it is.
+func TestConflictAndRepetition(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster()
+		defer c.stop()
+		one, two := c.start("e1"), c.start("e2")
+		time.Sleep(time.Second)
+		var first, second, again form.ChangeAnswer
+		var failure form.Failure
+		assert.Equal(t, put(t, one, 0, "c1", 5, &first), http.StatusOK)
+		assert.Equal(t, put(t, two, 0, "c2", 6, &failure), http.StatusConflict)
+		assert.Equal(t, failure.Revision, first.Revision)
+		assert.DeepEqual(t, failure.Differences, []form.Difference{{Field: "services[stock-watch].replicas", From: "5", To: "6"}})
+
+		assert.Equal(t, put(t, two, first.Revision, "c2", 6, &second), http.StatusOK)
+		assert.Equal(t, put(t, two, 0, "c1", 5, &again), http.StatusOK)
+		assert.Equal(t, again.Revision, first.Revision)
+		assert.Equal(t, put(t, one, 0, "c1", 7, &failure), http.StatusUnprocessableEntity)
+		assert.Equal(t, failure.Field, "change_id")
+		assert.Equal(t, put(t, one, second.Revision, "", 7, &failure), http.StatusUnprocessableEntity)
+		time.Sleep(2 * time.Second)
+		var status form.Status
+		assert.Equal(t, call(one, http.MethodGet, "/v1/config", nil, &status), http.StatusOK)
+		assert.Equal(t, status.Revisions["gehegewerk"], second.Revision)
+		assert.DeepEqual(t, status.Peers[0].Revisions, status.Revisions)
+	})
+}
+
+// Without a limit the history of a busy customer would fill the store; a preview must not add to it.
+func TestHistoryIsTrimmed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster()
+		defer c.stop()
+		n := c.start("e1")
+		time.Sleep(time.Second)
+		var answer form.ChangeAnswer
+		for i := range config.HistoryLimit + 5 {
+			assert.Equal(t, put(t, n, answer.Revision, fmt.Sprint("c", i), i+1, &answer), http.StatusOK)
+			synctest.Wait()
+		}
+		var preview form.Preview
+		path := "/v1/config/gehegewerk"
+		assert.Equal(t, call(n, http.MethodPost, path+"/preview", form.PreviewRequest{Answers: answersFile(t)}, &preview), http.StatusOK)
+		assert.Equal(t, preview.Differences[0].To, "4")
+		var history form.History
+		assert.Equal(t, call(n, http.MethodGet, path+"/history", nil, &history), http.StatusOK)
+		assert.Equal(t, history.History[0].ChangeID, "c104")
+		assert.Equal(t, history.History[0].Differences[0].To, "105")
+		stored, _ := c.kv.get(store.Get{Key: config.HistoryPrefix, Prefix: true}, len(c.kv.log))
+		assert.Equal(t, len(stored), config.HistoryLimit)
+	})
+}
