--- a/entryd/procs/failure_test.go
+++ b/entryd/procs/failure_test.go
@@ -1,6 +1,7 @@
 package procs_test
 
 import (
+	"fmt"
 	"syscall"
 	"testing"
 	"time"
@@ -64,6 +65,54 @@
 	})
 }
 
+// The loss of an availability zone, its entry process included, must leave the requests to the other zones and let every
+// accepted job finish once, after the leases of the lost tasks.
+func TestLostAvailabilityZone(t *testing.T) {
+	loseZone(t, `{"dead": true, "list_state": "gone"}`)
+}
+
+// A host list that goes on to show the lost workers as live must not keep their jobs waiting.
+func TestLostAvailabilityZoneStillListed(t *testing.T) {
+	loseZone(t, `{"dead": true}`)
+}
+
+func loseZone(t *testing.T, fault string) {
+	s := start(t)
+	r := s.load(12, func() {
+		s.control(portWorkersControl, fmt.Sprintf(`{"workers": {"b-w0": %[1]s, "b-w1": %[1]s, "b-w2": %[1]s, "b-w3": %[1]s}}`, fault))
+		s.control(portBackendsControl, `{"servers": {"b-w0": {"down": true}, "b-w1": {"down": true}, "b-w2": {"down": true}, "b-w3": {"down": true}}}`)
+		s.entries[1].signal(t, syscall.SIGKILL)
+	})
+	assert.Assert(t, r.outcomes("bookings")["good"] > 0)
+}
+
+// A backend server that leaves must soon get no new request, and get them again when it is back.
+func TestLeavingBackendServer(t *testing.T) {
+	s := start(t)
+	requests := func() int64 {
+		var page struct {
+			Counters map[string]struct {
+				Requests int64 `json:"requests"`
+			} `json:"counters"`
+		}
+		assert.NilError(t, s.get("http://"+s.address(portBackendsControl, 0)+"/control", &page))
+		return page.Counters["b-w0"].Requests
+	}
+	s.load(20, func() {
+		s.await("requests at b-w0", func() bool { return requests() > 0 })
+		s.control(portWorkersControl, `{"workers": {"b-w0": {"list_state": "leaving"}}}`)
+		before := requests()
+		s.await("b-w0 without new requests", func() bool {
+			last := before
+			before = requests()
+			time.Sleep(2 * time.Second)
+			return before == last
+		})
+		s.control(portWorkersControl, `{"workers": {"b-w0": {}}}`)
+		s.await("new requests at b-w0", func() bool { return requests() > before })
+	})
+}
+
 // A graceful shutdown must cut off no request in flight and leave with exit code 0.
 func TestDrainUnderLoad(t *testing.T) {
 	s := start(t)
