--- a/coord/grant/loans.go
+++ b/coord/grant/loans.go
@@ -159,7 +159,7 @@
 	l := &loan{id: ev.Loan.ID, lender: a.peer, ends: ends, lastUse: now}
 	for _, p := range ev.Loan.Parts {
 		w := m.worker(p.Worker)
-		part := &loanPart{loan: l, id: p.Worker, worker: w, slots: min(p.Slots, p.Connections)}
+		part := &loanPart{loan: l, id: p.Worker, worker: w, slots: max(0, min(p.Slots, p.Connections))}
 		l.parts = append(l.parts, part)
 		w.borrowed = append(w.borrowed, part)
 	}
--- a/coord/route/policy.go
+++ b/coord/route/policy.go
@@ -28,7 +28,7 @@
 func (RoundRobin) policy() {}
 func (FixedSplit) policy() {}
 
-func (m *Machine) pick(candidates []Candidate, where string) Choice {
+func (m *Machine) pick(now time.Time, candidates []Candidate, where string) Choice {
 	switch p := m.policy.(type) {
 	case Random:
 		c := candidates[m.random.IntN(len(candidates))]
@@ -38,7 +38,7 @@
 	case FixedSplit:
 		return Choice{Worker: m.next(p.part(candidates)).Worker, Reason: where + ", fixed split"}
 	default:
-		return m.pickOfTwo(candidates, where)
+		return m.pickOfTwo(now, candidates, where)
 	}
 }
 
@@ -61,7 +61,7 @@
 	return own
 }
 
-func (m *Machine) pickOfTwo(candidates []Candidate, where string) Choice {
+func (m *Machine) pickOfTwo(now time.Time, candidates []Candidate, where string) Choice {
 	if len(candidates) == 1 {
 		return Choice{Worker: candidates[0].Worker, Reason: where + ", only candidate"}
 	}
@@ -71,7 +71,7 @@
 		j++
 	}
 	a, b := candidates[i], candidates[j]
-	scoreA, scoreB := m.score(a), m.score(b)
+	scoreA, scoreB := m.score(now, a), m.score(now, b)
 	if scoreB < scoreA {
 		a, b, scoreA, scoreB = b, a, scoreB, scoreA
 	}
@@ -82,9 +82,9 @@
 }
 
 // score estimates the time to an answer: the latency once for each request ahead and for the new one.
-func (m *Machine) score(c Candidate) time.Duration {
+func (m *Machine) score(now time.Time, c Candidate) time.Duration {
 	s := m.workers[c.Worker]
-	latency := s.latency
+	latency := s.expected(now, m.typical)
 	if latency == 0 {
 		// A server without samples counts as typical, so that it gets requests but not all of them.
 		latency = max(m.typical, time.Millisecond)
--- a/coord/route/route.go
+++ b/coord/route/route.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -72,6 +73,7 @@
 	leaving     bool
 	outstanding int
 	latency     time.Duration
+	sampled     time.Time
 	health
 }
 
@@ -139,7 +141,8 @@
 		return nil
 	}
 	if !ev.Failed {
-		s.latency = average(s.latency, ev.Latency, latencyWeight)
+		s.latency = average(s.expected(now, m.typical), ev.Latency, latencyWeight)
+		s.sampled = now
 		m.typical = average(m.typical, ev.Latency, latencyWeight/10)
 	}
 	return m.judge(now, ev, s)
@@ -152,6 +155,18 @@
 	return old + time.Duration(weight*float64(sample-old))
 }
 
+// latencyHalfLife lets a server that looks slow, and so is never chosen, be tried again.
+const latencyHalfLife = 5 * time.Second
+
+// expected returns the average latency; without new samples it approaches the typical one.
+func (s *server) expected(now time.Time, typical time.Duration) time.Duration {
+	if s.latency == 0 {
+		return 0
+	}
+	age := now.Sub(s.sampled).Seconds() / latencyHalfLife.Seconds()
+	return typical + time.Duration(float64(s.latency-typical)*math.Exp2(-age))
+}
+
 // Eligible reports whether a worker may get a request now: known, not leaving, and not ejected.
 func (m *Machine) Eligible(now time.Time, id fleet.WorkerID) bool {
 	s := m.workers[id]
@@ -172,9 +187,9 @@
 	}
 	switch {
 	case len(near) > 0:
-		return m.pick(near, "own zone"), true
+		return m.pick(now, near, "own zone"), true
 	case len(far) > 0:
-		return m.pick(far, "other zone"), true
+		return m.pick(now, far, "other zone"), true
 	}
 	return Choice{}, false
 }
--- /dev/null
+++ b/entryd/front/fuzz_test.go
@@ -0,0 +1,77 @@
+package front_test
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"testing"
+
+	"github.com/gorilla/mux"
+	"gotest.tools/v3/assert"
+
+	"lovagefork.example/coord/fleet"
+	"lovagefork.example/coord/grant"
+	"lovagefork.example/coord/wire"
+	"lovagefork.example/entryd/front"
+)
+
+// A caller's request must be answered with an outcome, whatever its headers are; the process is draining and runs none.
+func FuzzCallerRequest(f *testing.F) {
+	fr := front.New(front.Deps{
+		Self: wire.Hello{EntryHost: "e1"}, Roster: []grant.Member{{Host: "e1"}}, Peers: noPeers{},
+		Config: gehegewerk, Log: discard,
+	}, front.WithDrainNotice(0))
+	assert.NilError(f, fr.Drain(context.Background()))
+	router := mux.NewRouter()
+	fr.Register(router)
+	f.Add("gehegewerk/quotes", "a/b", "llinos", "urgent", "100", "k", []byte("x"))
+	f.Add("gehegewerk/orders", "?", "a/b", "", "-1", "", []byte{})
+	f.Fuzz(func(t *testing.T, service, path, customer, class, deadline, key string, body []byte) {
+		r := &http.Request{
+			Method: "POST", URL: &url.URL{Path: "/v1/services/" + service + "/requests/" + path},
+			Body: http.NoBody, ContentLength: int64(len(body)),
+			Header: http.Header{
+				"Lovagefork-Customer": {customer}, "Lovagefork-Class": {class}, "Lovagefork-Deadline-Ms": {deadline},
+				"Idempotency-Key": {key},
+			},
+		}
+		r.Body = readCloser{bytes.NewReader(body)}
+		w := httptest.NewRecorder()
+		router.ServeHTTP(w, r)
+		notOurs := w.Code == http.StatusMovedPermanently ||
+			(w.Code == http.StatusNotFound && w.Header().Get("Lovagefork-Reason") == "")
+		assert.Assert(t, notOurs || w.Header().Get("Lovagefork-Outcome") == "not_run", "%d %v", w.Code, w.Header())
+	})
+}
+
+type readCloser struct{ *bytes.Reader }
+
+func (readCloser) Close() error { return nil }
+
+// A message of a peer must be answered, whatever its fields are.
+func FuzzPeerMessage(f *testing.F) {
+	fr := front.New(front.Deps{
+		Self: wire.Hello{EntryHost: "e1"}, Roster: []grant.Member{{Host: "e1"}}, Peers: noPeers{},
+		Config: gehegewerk, Log: discard,
+	})
+	fr.ObserveFleet([]fleet.Worker{worker("http://127.0.0.1:1")})
+	f.Add("c/s", uint8(0), int64(10), "GET", "/x", 3, "l", -1)
+	f.Add("", uint8(9), int64(-1), "", "@host", -3, "", 1<<40)
+	f.Fuzz(func(t *testing.T, service string, class uint8, ms int64, method, path string, slots int, loan string, n int) {
+		id := fleet.ServiceID(service)
+		forward := wire.Forward{
+			Service: id, Class: fleet.Class(class), RemainingMS: ms, Method: method, Path: path,
+		}
+		borrow := wire.Borrow{Service: id, Class: fleet.Class(class), Slots: slots}
+		back := wire.Return{ID: loan, Kept: []wire.LoanPart{{Worker: "w1", Slots: n}}}
+		load := wire.Load{FreeSlots: map[fleet.WorkerID]int{"w1": n}}
+		for _, m := range []wire.Message{load, back} {
+			assert.Assert(t, fr.HandlePeer(context.Background(), "e2", m) == nil)
+		}
+		for _, m := range []wire.Message{forward, borrow} {
+			assert.Assert(t, fr.HandlePeer(context.Background(), "e2", m) != nil)
+		}
+	})
+}
--- a/entryd/front/peer.go
+++ b/entryd/front/peer.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strings"
 	"time"
 
 	"lovagefork.example/coord/fleet"
@@ -148,7 +149,8 @@
 
 // runForwarded runs a peer's request on a slot of this process.
 func (f *Front) runForwarded(ctx context.Context, from fleet.EntryHostID, m wire.Forward) wire.Message {
-	if m.RemainingMS <= 0 || m.Class > fleet.Deferrable {
+	// A path without a slash would continue the host name of the backend server's URL.
+	if m.RemainingMS <= 0 || m.Class > fleet.Deferrable || !strings.HasPrefix(m.Path, "/") {
 		return wire.Failure{Status: http.StatusBadRequest, Reason: "bad_forward", NotRun: true}
 	}
 	remaining := min(time.Duration(m.RemainingMS)*time.Millisecond, maxDeadline)
