--- a/bench/slope/fleet.go
+++ b/bench/slope/fleet.go
@@ -37,6 +37,11 @@
 	return all
 }
 
+// usage is what n tasks use that keep to their declared size.
+func usage(n int) fleet.Resources {
+	return fleet.Resources{MilliCPU: int64(n) * taskSize.MilliCPU, MemoryBytes: int64(n) * taskSize.MemoryBytes}
+}
+
 // kinds is the number of task kinds; with 360 teams some hundred kinds share a partition.
 const kinds = 100
 
--- a/bench/slope/placer.go
+++ b/bench/slope/placer.go
@@ -30,10 +30,18 @@
 		// Spread keeps the preparation short at every size; the policy under test is used for what is measured.
 		task := placeTask(i)
 		w := fleet.WorkerID(fmt.Sprintf("worker-%05d", i%n))
-		m.Step(start, place.Reserved{Task: task, Worker: w})
-		m.Step(start, place.Started{TaskRef: task.Ref, Worker: w})
+		before := start.Add(-time.Second)
+		m.Step(before, place.Reserved{Task: task, Worker: w})
+		m.Step(before, place.Started{TaskRef: task.Ref, Worker: w})
 		running[w] = append(running[w], plat.TaskStatus{TaskRef: task.Ref, State: plat.TaskRunning, SlowdownPermille: 1050})
 	}
+	// Three reports make the sizes of all kinds known, without which tasks of one kind are kept apart.
+	for i := range 3 {
+		at := start.Add(time.Duration(i+1-3) * time.Millisecond)
+		for _, w := range workers(n) {
+			m.Step(start, place.Report{Worker: w.ID, MeasuredAt: at, Usage: usage(len(running[w.ID])), Tasks: running[w.ID]})
+		}
+	}
 	return m, running
 }
 
@@ -61,7 +69,7 @@
 		return microseconds(2000, func(i int) {
 			at := start.Add(time.Duration(i+1) * time.Second)
 			w := all[i%n].ID
-			m.Step(at, place.Report{Worker: w, MeasuredAt: at, Usage: taskSize, Tasks: running[w]})
+			m.Step(at, place.Report{Worker: w, MeasuredAt: at, Usage: usage(len(running[w])), Tasks: running[w]})
 		})
 	}))
 	lines = append(lines, line("place", "tick", "µs", "worker", workerSizes, func(n int) float64 {
