--- a/entryd/admin/admin_test.go
+++ b/entryd/admin/admin_test.go
@@ -4,10 +4,14 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"log/slog"
+	"maps"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,6 +19,7 @@
 	"github.com/gorilla/mux"
 	"gotest.tools/v3/assert"
 
+	"lovagefork.example/coord/config"
 	"lovagefork.example/coord/fleet"
 	"lovagefork.example/coord/form"
 	"lovagefork.example/coord/store"
@@ -36,9 +41,14 @@
 }
 
 func newCluster() *cluster {
-	return &cluster{kv: newKV(), mesh: &mesh{nodes: make(map[fleet.EntryHostID]*node), cut: make(map[[2]fleet.EntryHostID]bool)}}
+	m := &mesh{
+		nodes: make(map[fleet.EntryHostID]*node), cut: make(map[[2]fleet.EntryHostID]bool),
+		lost: make(map[[2]fleet.EntryHostID]int), random: rand.New(rand.NewPCG(1, 1)),
+	}
+	return &cluster{kv: newKV(), mesh: m}
 }
 
+// start runs a process, in place of a former one on the same entry host, and links it to those that it can reach.
 func (c *cluster) start(id fleet.EntryHostID) *node {
 	ctx, stop := context.WithCancel(context.Background())
 	n := &node{
@@ -46,25 +56,41 @@
 		router: mux.NewRouter(), stop: stop, done: make(chan struct{}),
 	}
 	n.admin.Register(n.router)
+	c.kill(id)
 	c.mesh.mu.Lock()
-	others := make(map[fleet.EntryHostID]*node)
-	for peer, other := range c.mesh.nodes {
-		others[peer] = other
-	}
 	c.mesh.nodes[id] = n
 	c.mesh.mu.Unlock()
 	go func() { defer close(n.done); _ = n.admin.Run(ctx) }()
-	for peer, other := range others {
-		n.admin.OnPeerUp(peer)
-		other.admin.OnPeerUp(id)
+	for _, peer := range c.ids() {
+		c.mesh.linkChanged(id, peer)
 	}
 	return n
 }
 
+func (c *cluster) kill(id fleet.EntryHostID) {
+	n := c.mesh.node(id)
+	if n == nil {
+		return
+	}
+	c.mesh.mu.Lock()
+	delete(c.mesh.nodes, id)
+	c.mesh.mu.Unlock()
+	n.stop()
+	<-n.done
+	for _, peer := range c.ids() {
+		c.mesh.linkChanged(id, peer)
+	}
+}
+
+func (c *cluster) ids() []fleet.EntryHostID {
+	c.mesh.mu.Lock()
+	defer c.mesh.mu.Unlock()
+	return slices.Sorted(maps.Keys(c.mesh.nodes))
+}
+
 func (c *cluster) stop() {
-	for _, n := range c.mesh.nodes {
-		n.stop()
-		<-n.done
+	for _, id := range c.ids() {
+		c.kill(id)
 	}
 }
 
@@ -123,3 +149,63 @@
 		assert.Equal(t, answer.Outcome, form.OutcomeAccepted)
 	})
 }
+
+// put sends a change of the number of replicas and decodes the answer.
+func put(t *testing.T, n *node, base store.Revision, id string, replicas int, answer any) int {
+	answers := bytes.Replace(answersFile(t), []byte(`"replicas": 4`), fmt.Appendf(nil, `"replicas": %d`, replicas), 1)
+	request := form.ChangeRequest{BaseRevision: base, ChangeID: id, Answers: answers}
+	return call(n, http.MethodPut, "/v1/config/gehegewerk", request, answer)
+}
+
+// The loser of a race must learn what is current, and a repeated change must not be made twice, however old it is.
+func TestConflictAndRepetition(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster()
+		defer c.stop()
+		one, two := c.start("e1"), c.start("e2")
+		time.Sleep(time.Second)
+		var first, second, again form.ChangeAnswer
+		var failure form.Failure
+		assert.Equal(t, put(t, one, 0, "c1", 5, &first), http.StatusOK)
+		assert.Equal(t, put(t, two, 0, "c2", 6, &failure), http.StatusConflict)
+		assert.Equal(t, failure.Revision, first.Revision)
+		assert.DeepEqual(t, failure.Differences, []form.Difference{{Field: "services[stock-watch].replicas", From: "5", To: "6"}})
+
+		assert.Equal(t, put(t, two, first.Revision, "c2", 6, &second), http.StatusOK)
+		assert.Equal(t, put(t, two, 0, "c1", 5, &again), http.StatusOK)
+		assert.Equal(t, again.Revision, first.Revision)
+		assert.Equal(t, put(t, one, 0, "c1", 7, &failure), http.StatusUnprocessableEntity)
+		assert.Equal(t, failure.Field, "change_id")
+		assert.Equal(t, put(t, one, second.Revision, "", 7, &failure), http.StatusUnprocessableEntity)
+		time.Sleep(2 * time.Second)
+		var status form.Status
+		assert.Equal(t, call(one, http.MethodGet, "/v1/config", nil, &status), http.StatusOK)
+		assert.Equal(t, status.Revisions["gehegewerk"], second.Revision)
+		assert.DeepEqual(t, status.Peers[0].Revisions, status.Revisions)
+	})
+}
+
+// Without a limit the history of a busy customer would fill the store; a preview must not add to it.
+func TestHistoryIsTrimmed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster()
+		defer c.stop()
+		n := c.start("e1")
+		time.Sleep(time.Second)
+		var answer form.ChangeAnswer
+		for i := range config.HistoryLimit + 5 {
+			assert.Equal(t, put(t, n, answer.Revision, fmt.Sprint("c", i), i+1, &answer), http.StatusOK)
+			synctest.Wait()
+		}
+		var preview form.Preview
+		path := "/v1/config/gehegewerk"
+		assert.Equal(t, call(n, http.MethodPost, path+"/preview", form.PreviewRequest{Answers: answersFile(t)}, &preview), http.StatusOK)
+		assert.Equal(t, preview.Differences[0].To, "4")
+		var history form.History
+		assert.Equal(t, call(n, http.MethodGet, path+"/history", nil, &history), http.StatusOK)
+		assert.Equal(t, history.History[0].ChangeID, "c104")
+		assert.Equal(t, history.History[0].Differences[0].To, "105")
+		stored, _ := c.kv.get(store.Get{Key: config.HistoryPrefix, Prefix: true}, len(c.kv.log))
+		assert.Equal(t, len(stored), config.HistoryLimit)
+	})
+}
--- a/lovload/plan/plan.go
+++ b/lovload/plan/plan.go
@@ -7,6 +7,8 @@
 	"net/netip"
 	"net/url"
 	"os"
+	"regexp"
+	"strconv"
 	"time"
 )
 
@@ -16,6 +18,7 @@
 	maxArrivals = 5_000_000
 	maxInFlight = 16384
 	maxFaults   = 1000
+	maxBasePort = 65000
 )
 
 // Plan is one experiment; times are milliseconds from its start.
@@ -33,11 +36,25 @@
 	SettleMS int64 `json:"settle_ms"`
 	// IntervalMS is the length of one line of the timeline.
 	IntervalMS int64 `json:"interval_ms"`
-	// BackendControl and WorkerControl are control pages that tell afterwards what really ran.
+	// BackendControl, WorkerControl and StoreControl are control pages that tell afterwards what really ran.
 	BackendControl string `json:"backend_control"`
 	WorkerControl  string `json:"worker_control"`
+	StoreControl   string `json:"store_control"`
+	Limits         Limits `json:"limits"`
 }
 
+// Limits are what the control pages must not have seen exceeded since they started.
+type Limits struct {
+	Slots       int `json:"slots"`
+	Connections int `json:"connections"`
+	// StoreWrites and StoreReads are calls in one second.
+	StoreWrites int64 `json:"store_writes"`
+	StoreReads  int64 `json:"store_reads"`
+}
+
+// defaultLimits are those of the platform's workers, and of the store as the entry daemon's settings assume it.
+var defaultLimits = Limits{Slots: 8, Connections: 64, StoreWrites: 300, StoreReads: 1500}
+
 // Stream is one kind of requests with Poisson arrivals at Rate a second from StartMS to EndMS (zero: the whole time).
 type Stream struct {
 	Name          string  `json:"name"`
@@ -84,18 +101,30 @@
 // Error names the field and what is allowed.
 func (e *Error) Error() string { return fmt.Sprintf("plan: %s: want %s", e.Field, e.Want) }
 
-// Load reads a plan and checks it; the error is an [*Error] unless the file cannot be read as JSON.
-func Load(file string) (Plan, error) {
+var portPattern = regexp.MustCompile(`\{base\+(\d+)\}`)
+
+// Load reads a plan and checks it; the error is an [*Error] unless the file cannot be read as JSON. "{base+3}" stands for
+// the port basePort+3.
+//
+// There is no default for the ports: an experiment that met another developer's set would put faults into it.
+func Load(file string, basePort int) (Plan, error) {
 	data, err := os.ReadFile(file)
 	if err != nil {
 		return Plan{}, err
 	}
+	if portPattern.Match(data) && (basePort < 1 || basePort > maxBasePort) {
+		return Plan{}, &Error{"--base-port", fmt.Sprintf("1 to %d, the first port of the set under test", maxBasePort)}
+	}
+	data = portPattern.ReplaceAllFunc(data, func(match []byte) []byte {
+		offset, _ := strconv.Atoi(string(portPattern.FindSubmatch(match)[1]))
+		return strconv.AppendInt(nil, int64(basePort+offset), 10)
+	})
 	return Parse(data)
 }
 
 // Parse checks the JSON of a plan and fills in the defaults.
 func Parse(data []byte) (Plan, error) {
-	p := Plan{InFlight: 2048, SettleMS: 10_000, IntervalMS: 500}
+	p := Plan{InFlight: 2048, SettleMS: 10_000, IntervalMS: 500, Limits: defaultLimits}
 	dec := json.NewDecoder(bytes.NewReader(data))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(&p); err != nil {
@@ -169,7 +198,7 @@
 	for _, f := range p.Faults {
 		all = append(all, f.URL)
 	}
-	for _, u := range []string{p.BackendControl, p.WorkerControl} {
+	for _, u := range []string{p.BackendControl, p.WorkerControl, p.StoreControl} {
 		if u != "" {
 			all = append(all, u)
 		}
