serve: forward requests without a free slot by default; jobs: leave partitions of silent workers

Cause (serve): borrowing keeps slots for up to 5 s after the need has passed, so at 80 % of capacity and above it idles slots that others wait for. Ruled out: shorter loans, which end before the deadlines of their requests. Change: ForwardOnly is the default; BorrowFirst stays as an alternative.

Cause (jobs): TestLostAvailabilityZoneStillListed: jobs waited for more than 120 s with 'no worker is known' while the host list went on to show dead workers as live, because an attempted job was passed on only if no listed worker fitted. Change: a worker that has not answered its owner for 5 s does not count.

--- a/bench/reqs/routes.go
+++ b/bench/reqs/routes.go
@@ -45,11 +45,11 @@
 
 func routeVariants() []variant {
 	return []variant{
-		{"two choices, borrow", always()},
+		{"two choices, borrow", always(serve.WithOverflow(serve.BorrowFirst{}))},
 		{"two choices, forward", always(serve.WithOverflow(serve.ForwardOnly{}))},
 		{"two choices, wait", always(serve.WithOverflow(serve.WaitOnly{}))},
-		{"random, borrow", always(serve.WithRoute(route.WithPolicy(route.Random{})))},
-		{"round robin, borrow", always(serve.WithRoute(route.WithPolicy(route.RoundRobin{})))},
+		{"random, forward", always(serve.WithRoute(route.WithPolicy(route.Random{})))},
+		{"round robin, forward", always(serve.WithRoute(route.WithPolicy(route.RoundRobin{})))},
 		{"fixed split, wait", func(s Site, i int) []serve.Option {
 			split := route.FixedSplit{Part: i, Parts: s.entries}
 			return []serve.Option{serve.WithRoute(route.WithPolicy(split)), serve.WithOverflow(serve.WaitOnly{})}
--- a/coord/jobs/serve.go
+++ b/coord/jobs/serve.go
@@ -172,7 +172,7 @@
 		return j.ended != 0 || j.cancelled || len(j.tasks) == 0 || j.service != ""
 	})
 	for _, j := range m.open {
-		fitsHere := fitsAny(j.spec.Resources, m.capacities[m.partition])
+		fitsHere := m.fitsHere(now, j.spec.Resources)
 		if fitsHere && (j.attempted || j.moves >= maxMoves || now.Sub(j.arrived) < j.moveAfter()) {
 			continue
 		}
@@ -200,6 +200,15 @@
 	return slices.ContainsFunc(j.tasks, func(t *task) bool { return t.pending || t.reserved != "" || t.state.live() })
 }
 
+// fitsHere reports whether some worker of the partition is large enough. A worker that has not answered this owner for a
+// while does not count, because the host list goes on to show it as live for as long as the platform has not noticed.
+func (m *Machine) fitsHere(now time.Time, need fleet.Resources) bool {
+	return slices.ContainsFunc(m.order, func(w *worker) bool {
+		lost := w.suspect() && now.Sub(w.failedAt) > unusableAfter
+		return w.listed && !lost && w.info.State == fleet.HostLive && need.Fits(w.info.Capacity)
+	})
+}
+
 func fitsAny(need fleet.Resources, capacities []fleet.Resources) bool {
 	return slices.ContainsFunc(capacities, func(c fleet.Resources) bool { return need.Fits(c) })
 }
--- a/coord/serve/machine.go
+++ b/coord/serve/machine.go
@@ -90,12 +90,12 @@
 	return func(o *options) { o.grant = append(o.grant, opts...) }
 }
 
-// WithOverflow sets what happens to requests for which no slot is free here; the default is [BorrowFirst].
+// WithOverflow sets what happens to requests for which no slot is free here; the default is [ForwardOnly].
 func WithOverflow(p Overflow) Option { return func(o *options) { o.overflow = p } }
 
 // New returns a machine for a process that starts now.
 func New(c Config, now time.Time, opts ...Option) *Machine {
-	o := options{overflow: BorrowFirst{}}
+	o := options{overflow: ForwardOnly{}}
 	for _, opt := range opts {
 		opt(&o)
 	}
--- a/coord/serve/sim_test.go
+++ b/coord/serve/sim_test.go
@@ -406,6 +406,8 @@
 			storeLost: rate("store lost", 300), storeLate: rate("store late", 300), linkLost: rate("link lost", 300),
 			unreachable: rate("unreachable", 300), broken: rate("broken", 300), restart: rate("restart", 2), gone: 50,
 		}
+		policies := []serve.Overflow{serve.BorrowFirst{}, serve.ForwardOnly{}}
+		s.opts = []serve.Option{serve.WithOverflow(rapid.SampledFrom(policies).Draw(t, "overflow"))}
 		for _, p := range s.procs {
 			s.start(p)
 		}
