grant: a loan names the question that it answers

An entry host's next process counts its questions from 1 again, so an answer to its predecessor was taken for one to its own first question, and its time was counted from that question.

Ruled out: the links, which match answers to calls by connection and would not deliver this one; the reducer must not depend on that.

Change: a question has an id with entry host and boot, the loan repeats it, and any other loan is ignored.

--- a/coord/grant/grant_test.go
+++ b/coord/grant/grant_test.go
@@ -73,7 +73,7 @@
 			lender := w.find(e.To)
 			call := uint64(p.boots)<<32 | e.Ask
 			w.letters = append(w.letters, letter{p, lender, grant.BorrowReceived{
-				Call: call, From: p.self.Host, Workers: []fleet.WorkerID{"w0", "w1"}, Slots: e.Borrow.Slots,
+				Call: call, ID: e.Borrow.ID, From: p.self.Host, Workers: []fleet.WorkerID{"w0", "w1"}, Slots: e.Borrow.Slots,
 			}})
 		case grant.SendLoan:
 			borrower := ev.(grant.BorrowReceived)
--- a/coord/grant/loans.go
+++ b/coord/grant/loans.go
@@ -29,6 +29,7 @@
 // BorrowReceived is a peer's request for up to Slots idle slots on some workers.
 type BorrowReceived struct {
 	Call    uint64
+	ID      string
 	From    fleet.EntryHostID
 	Workers []fleet.WorkerID
 	Slots   int
@@ -83,6 +84,7 @@
 }
 
 type ask struct {
+	id   string
 	peer fleet.EntryHostID
 	at   time.Time
 }
@@ -133,8 +135,10 @@
 
 func (m *Machine) ask(now time.Time, ev Ask) []Effect {
 	m.nextAsk++
-	m.asks[m.nextAsk] = ask{peer: ev.Peer, at: now}
-	return []Effect{SendBorrow{Ask: m.nextAsk, To: ev.Peer, Borrow: ev.Borrow}}
+	borrow := ev.Borrow
+	borrow.ID = string(m.self) + "/" + string(m.boot) + "/" + strconv.FormatUint(m.nextAsk, 10)
+	m.asks[m.nextAsk] = ask{id: borrow.ID, peer: ev.Peer, at: now}
+	return []Effect{SendBorrow{Ask: m.nextAsk, To: ev.Peer, Borrow: borrow}}
 }
 
 // Asking reports whether a request for a loan to the peer is unanswered.
@@ -153,7 +157,7 @@
 	delete(m.asks, ev.Ask)
 	ttl := min(m.ttl, time.Duration(ev.Loan.TTLMS)*time.Millisecond)
 	ends := a.at.Add(ttl)
-	if !asked || len(ev.Loan.Parts) == 0 || !now.Before(ends) || m.loanBook.borrowed[ev.Loan.ID] != nil {
+	if !asked || ev.Loan.Borrow != a.id || len(ev.Loan.Parts) == 0 || !now.Before(ends) || m.loanBook.borrowed[ev.Loan.ID] != nil {
 		return
 	}
 	l := &loan{id: ev.Loan.ID, lender: a.peer, ends: ends, lastUse: now}
@@ -220,7 +224,8 @@
 	}
 }
 
-// lend gives slots together with one connection each, which the share then does not need itself. It takes one slot at a time from the worker with the most idle ones, so that a loan spreads over workers.
+// lend gives slots together with one connection each, which the share then does not need itself. It takes one slot at a
+// time from the worker with the most idle ones, so that a loan spreads over workers.
 func (m *Machine) lend(now time.Time, ev BorrowReceived) []Effect {
 	given := make(map[fleet.WorkerID]int)
 	for range ev.Slots {
@@ -247,7 +252,9 @@
 	}
 	slices.SortFunc(parts, func(a, b wire.LoanPart) int { return cmp.Compare(a.Worker, b.Worker) })
 	m.lent[id] = lentLoan{to: ev.From, ends: now.Add(m.ttl + m.margin), parts: parts}
-	return []Effect{SendLoan{Call: ev.Call, Loan: wire.Loan{ID: id, Parts: parts, TTLMS: m.ttl.Milliseconds()}}}
+	return []Effect{SendLoan{Call: ev.Call, Loan: wire.Loan{
+		ID: id, Borrow: ev.ID, Parts: parts, TTLMS: m.ttl.Milliseconds(),
+	}}}
 }
 
 // lendable returns the idle slots of a worker up to half of the share. The other half stays for the lender's own requests
--- a/coord/serve/overflow.go
+++ b/coord/serve/overflow.go
@@ -110,7 +110,7 @@
 		}
 	}
 	return m.loanEffects(m.grants.Step(now, grant.BorrowReceived{
-		Call: ev.Call, From: ev.From, Workers: workers, Slots: min(ev.Borrow.Slots, maxAsk),
+		Call: ev.Call, ID: ev.Borrow.ID, From: ev.From, Workers: workers, Slots: min(ev.Borrow.Slots, maxAsk),
 	}))
 }
 
--- a/coord/wire/messages.go
+++ b/coord/wire/messages.go
@@ -27,17 +27,23 @@
 }
 
 // Borrow asks for idle slots on the workers of some availability zones for a class of requests.
+//
+// ID is unique over the processes of the sender's entry host, so that an answer to a former one is not taken for another.
 type Borrow struct {
+	ID      string          `cbor:"borrow_id"`
 	Service fleet.ServiceID `cbor:"service"`
 	Class   fleet.Class     `cbor:"class"`
 	Slots   int             `cbor:"slots"`
 }
 
 // Loan answers [Borrow] with slots that the borrower may use for TTLMS milliseconds from before it asked.
+//
+// Borrow is the ID of the question.
 type Loan struct {
-	ID    string     `cbor:"loan_id"`
-	Parts []LoanPart `cbor:"parts"`
-	TTLMS int64      `cbor:"ttl_ms"`
+	ID     string     `cbor:"loan_id"`
+	Borrow string     `cbor:"borrow_id"`
+	Parts  []LoanPart `cbor:"parts"`
+	TTLMS  int64      `cbor:"ttl_ms"`
 }
 
 // LoanPart is the part of a loan on one worker.
