front: refuse before the body is read, keep attempts cancellable

Cause: a request was read whole before admission could reject it, and a caller that left between a decision and its effect did not stop its attempt.

Ruled out: refusing without closing the connection; net/http then holds the answer back until more of the body has come, which hung TestDrainFinishesRequests for 10 minutes.

Change: a request with a body is refused first if it would be rejected now; attempts are registered under the lock of the decision.

--- a/coord/admit/admit.go
+++ b/coord/admit/admit.go
@@ -184,6 +184,9 @@
 	return found
 }
 
+// Refuses reports whether a request would be rejected now for other reasons than its customer's rate.
+func (m *Machine) Refuses(now time.Time, it Item) (Rejected, bool) { return m.refuse(now, it) }
+
 func (m *Machine) check(now time.Time, it Item) Effect {
 	if rejected, ok := m.refuse(now, it); ok {
 		return rejected
--- a/coord/serve/machine.go
+++ b/coord/serve/machine.go
@@ -159,6 +159,15 @@
 // Unrecorded returns the number of outcomes that the store does not have yet.
 func (m *Machine) Unrecorded() int { return m.claims.Unrecorded() }
 
+// Refuses reports whether a request would be rejected now, so that its body need not be read.
+func (m *Machine) Refuses(now time.Time, r Request) (Answer, bool) {
+	if m.drained {
+		return refusal(r.ID, "draining", http.StatusServiceUnavailable, time.Second), true
+	}
+	rejected, ok := m.admits.Refuses(now, m.item(now, r))
+	return rejection(rejected, NotRun), ok
+}
+
 func (m *Machine) arrive(now time.Time, in Request) []Effect {
 	r := &request{Request: in}
 	switch {
--- a/entryd/front/attempt.go
+++ b/entryd/front/attempt.go
@@ -26,30 +26,30 @@
 
 // send runs an attempt and reports its end to the reducer.
 func (f *Front) send(e serve.Send) {
-	f.mu.Lock()
-	c := f.calls[e.Request.ID]
-	ctx, cancel := context.WithDeadline(context.Background(), e.Request.Deadline)
 	key := attemptKey{e.Request.ID, e.Attempt}
-	f.attempts[key] = cancel
-	f.mu.Unlock()
+	a := f.attemptOf(key)
 	go func() {
 		ended := serve.AttemptEnded{ID: e.Request.ID, Attempt: e.Attempt, Result: serve.NotSent}
-		if c != nil {
-			ended = f.attempt(ctx, e, c)
+		if a.call != nil && a.ctx.Err() == nil {
+			ended = f.attempt(a.ctx, e, a.call)
 		}
-		f.cancel(key)
+		f.forget(key)
 		f.step(ended)
 	}()
 }
 
+// cancel stops an attempt. It stays registered until its end.
 func (f *Front) cancel(key attemptKey) {
+	if a := f.attemptOf(key); a.cancel != nil {
+		a.cancel()
+	}
+}
+
+func (f *Front) forget(key attemptKey) {
+	f.cancel(key)
 	f.mu.Lock()
-	cancel := f.attempts[key]
+	defer f.mu.Unlock()
 	delete(f.attempts, key)
-	f.mu.Unlock()
-	if cancel != nil {
-		cancel()
-	}
 }
 
 func (f *Front) attempt(ctx context.Context, e serve.Send, c *call) serve.AttemptEnded {
--- /dev/null
+++ b/entryd/front/bench_test.go
@@ -0,0 +1,28 @@
+package front_test
+
+import (
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// BenchmarkRequests measures whole requests over loopback, with caller, front and backend server in one process.
+func BenchmarkRequests(b *testing.B) {
+	_, server := startFront(b, serveBackend(b, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("x")) }))
+	time.Sleep(50 * time.Millisecond) // past the quarantine
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+	b.ResetTimer()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			answer, err := client.Get(server.URL + "/v1/services/gehegewerk/quotes/requests/x")
+			assert.NilError(b, err)
+			assert.Equal(b, answer.Header.Get("Lovagefork-Outcome"), "ran")
+			_, _ = io.Copy(io.Discard, answer.Body)
+			_ = answer.Body.Close()
+		}
+	})
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "requests/s")
+}
--- a/entryd/front/call.go
+++ b/entryd/front/call.go
@@ -63,13 +63,18 @@
 
 // badRequest is a request that is refused before admission.
 type badRequest struct {
-	status int
-	reason string
+	status     int
+	reason     string
+	retryAfter time.Duration
 }
 
 // Error returns the reason.
 func (e *badRequest) Error() string { return e.reason }
 
+func refuse(status int, reason string) *badRequest {
+	return &badRequest{status: status, reason: reason}
+}
+
 func (f *Front) handle(w http.ResponseWriter, r *http.Request) {
 	c, bad := f.parse(r)
 	if bad == nil {
@@ -79,7 +84,11 @@
 	}
 	if bad != nil {
 		f.deps.Log.Info("admit: request refused", "path", r.URL.Path, "outcome", serve.NotRun, "reason", bad.reason)
-		writeOutcome(w, serve.Answer{Outcome: serve.NotRun, Reason: bad.reason, Status: bad.status})
+		// Without it net/http holds the answer back until it has read more of the body.
+		w.Header().Set("Connection", "close")
+		writeOutcome(w, serve.Answer{
+			Outcome: serve.NotRun, Reason: bad.reason, Status: bad.status, RetryAfter: bad.retryAfter,
+		})
 		return
 	}
 	f.open(c)
@@ -116,7 +125,7 @@
 	owner := fleet.CustomerID(vars["customer"])
 	service, known := f.service(owner, vars["service"])
 	if !known {
-		return nil, &badRequest{http.StatusNotFound, "unknown_service"}
+		return nil, refuse(http.StatusNotFound, "unknown_service")
 	}
 	customer := owner
 	if h := r.Header.Get(headerCustomer); h != "" {
@@ -124,7 +133,7 @@
 	}
 	// The customer is a segment of store keys, where a slash would let two customers meet in one key.
 	if strings.Contains(string(customer), "/") {
-		return nil, &badRequest{http.StatusBadRequest, "bad_customer"}
+		return nil, refuse(http.StatusBadRequest, "bad_customer")
 	}
 	class, bad := classOf(r.Header.Get(headerClass), service.Class)
 	if bad != nil {
@@ -137,10 +146,10 @@
 	key := r.Header.Get(headerKey)
 	once := service.NonIdempotent || r.Header.Get(headerNonIdempotent) == "true"
 	if once && key == "" {
-		return nil, &badRequest{http.StatusBadRequest, "idempotency_key_required"}
+		return nil, refuse(http.StatusBadRequest, "idempotency_key_required")
 	}
 	if len(key) > maxKeyBytes {
-		return nil, &badRequest{http.StatusBadRequest, "idempotency_key_too_long"}
+		return nil, refuse(http.StatusBadRequest, "idempotency_key_too_long")
 	}
 	return &call{
 		request: serve.Request{
@@ -174,7 +183,7 @@
 	}
 	asked, err := fleet.ParseClass(header)
 	if err != nil {
-		return 0, &badRequest{http.StatusBadRequest, "bad_class"}
+		return 0, refuse(http.StatusBadRequest, "bad_class")
 	}
 	return max(asked, service), nil
 }
@@ -187,7 +196,7 @@
 	if header != "" {
 		ms, err := strconv.ParseInt(header, 10, 64)
 		if err != nil || ms <= 0 {
-			return 0, &badRequest{http.StatusBadRequest, "bad_deadline"}
+			return 0, refuse(http.StatusBadRequest, "bad_deadline")
 		}
 		d = time.Duration(min(ms, maxDeadline.Milliseconds())) * time.Millisecond
 	}
@@ -209,28 +218,37 @@
 	if r.ContentLength == 0 {
 		return func() {}, nil
 	}
+	if a, refused := f.refuses(c.request); refused {
+		return func() {}, &badRequest{status: a.Status, reason: a.Reason, retryAfter: a.RetryAfter}
+	}
 	reserve := f.bodyLimit
 	if r.ContentLength > 0 {
 		reserve = r.ContentLength
 	}
 	if reserve > f.bodyLimit {
-		return func() {}, &badRequest{http.StatusRequestEntityTooLarge, "body_too_large"}
+		return func() {}, refuse(http.StatusRequestEntityTooLarge, "body_too_large")
 	}
 	if !f.bodies.take(reserve) {
-		return func() {}, &badRequest{http.StatusServiceUnavailable, "bodies_full"}
+		return func() {}, refuse(http.StatusServiceUnavailable, "bodies_full")
 	}
 	release := func() { f.bodies.give(reserve) }
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, f.bodyLimit))
 	if err != nil {
 		if _, tooLarge := err.(*http.MaxBytesError); tooLarge {
-			return release, &badRequest{http.StatusRequestEntityTooLarge, "body_too_large"}
+			return release, refuse(http.StatusRequestEntityTooLarge, "body_too_large")
 		}
-		return release, &badRequest{http.StatusBadRequest, "body_incomplete"}
+		return release, refuse(http.StatusBadRequest, "body_incomplete")
 	}
 	c.body = body
 	return release, nil
 }
 
+func (f *Front) refuses(r serve.Request) (serve.Answer, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.machine.Refuses(f.now(), r)
+}
+
 // byteBudget bounds the memory for bodies.
 type byteBudget struct {
 	mu   sync.Mutex
--- a/entryd/front/fault_test.go
+++ b/entryd/front/fault_test.go
@@ -166,6 +166,15 @@
 	got, _, _ := ask(t, "GET", url, "")
 	assert.Equal(t, got.Header.Get("Lovagefork-Reason"), "draining")
 	assert.Equal(t, got.Header.Get("Lovagefork-Outcome"), "not_run")
+	// A refusal must not wait for the body, which never comes here.
+	body, end := io.Pipe()
+	t.Cleanup(func() { _ = end.Close() })
+	r, err := http.NewRequest("POST", url, body)
+	assert.NilError(t, err)
+	client := &http.Client{Timeout: time.Second}
+	got, err = client.Do(r)
+	assert.NilError(t, err)
+	assert.Equal(t, got.Header.Get("Lovagefork-Reason"), "draining")
 	assert.Equal(t, len(drained), 0, "drain ended before the request")
 	release()
 	assert.Equal(t, <-first, "200done<nil>")
--- a/entryd/front/front.go
+++ b/entryd/front/front.go
@@ -68,7 +68,7 @@
 	machine  *serve.Machine
 	nextID   uint64
 	calls    map[uint64]*call
-	attempts map[attemptKey]context.CancelFunc
+	attempts map[attemptKey]attempt
 	loans    map[uint64]chan wire.Loan
 }
 
@@ -100,7 +100,7 @@
 		deps: deps, now: time.Now,
 		bodyLimit: defaultBodyBytes, answerHold: defaultBufferBytes, bodies: newByteBudget(defaultTotalBytes),
 		notice: defaultNotice, transports: newTransports(),
-		calls: make(map[uint64]*call), attempts: make(map[attemptKey]context.CancelFunc),
+		calls: make(map[uint64]*call), attempts: make(map[attemptKey]attempt),
 		loans: make(map[uint64]chan wire.Loan),
 	}
 	for _, opt := range opts {
@@ -219,12 +219,44 @@
 func (f *Front) step(ev serve.Event) {
 	f.mu.Lock()
 	effects := f.machine.Step(f.now(), ev)
+	f.prepare(effects)
 	f.mu.Unlock()
 	for _, e := range effects {
 		f.carryOut(e)
 	}
 }
 
+// attempt is one try of a call, on a worker or at a peer.
+type attempt struct {
+	ctx    context.Context
+	cancel context.CancelFunc
+	call   *call
+}
+
+// prepare registers attempts before another event can cancel them; the caller holds the lock.
+func (f *Front) prepare(effects []serve.Effect) {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case serve.Send:
+			f.prepareAttempt(e.Request, e.Attempt)
+		case serve.Forward:
+			f.prepareAttempt(e.Request, e.Attempt)
+		}
+	}
+}
+
+func (f *Front) prepareAttempt(r serve.Request, number int) {
+	ctx, cancel := context.WithDeadline(context.Background(), r.Deadline)
+	f.attempts[attemptKey{r.ID, number}] = attempt{ctx: ctx, cancel: cancel, call: f.calls[r.ID]}
+}
+
+// attemptOf returns a registered attempt, which has no call if its caller has gone.
+func (f *Front) attemptOf(key attemptKey) attempt {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.attempts[key]
+}
+
 func (f *Front) carryOut(e serve.Effect) {
 	switch e := e.(type) {
 	case serve.Send:
--- a/entryd/front/front_test.go
+++ b/entryd/front/front_test.go
@@ -101,7 +101,7 @@
 }
 
 // runFront starts a front and waits until its start-up quarantine has passed.
-func runFront(t *testing.T, deps front.Deps, ttl time.Duration, workers []fleet.Worker, opts ...front.Option) *front.Front {
+func runFront(t testing.TB, deps front.Deps, ttl time.Duration, workers []fleet.Worker, opts ...front.Option) *front.Front {
 	t.Helper()
 	deps.Config, deps.Log = gehegewerk, discard
 	times := serve.WithGrant(grant.WithTimes(ttl, ttl/10, 10*time.Millisecond))
@@ -115,7 +115,7 @@
 }
 
 // startFront runs one front over one worker with the given backend server.
-func startFront(t *testing.T, backendURL string, opts ...front.Option) (*front.Front, *httptest.Server) {
+func startFront(t testing.TB, backendURL string, opts ...front.Option) (*front.Front, *httptest.Server) {
 	t.Helper()
 	deps := front.Deps{
 		Self: wire.Hello{EntryHost: "e1", Boot: "b1", Zone: "a"}, Roster: []grant.Member{{Host: "e1", Zone: "a"}},
@@ -133,7 +133,7 @@
 	return fleet.Worker{ID: "w1", Zone: "a", State: fleet.HostLive, Slots: 8, Connections: 64, BackendURL: url}
 }
 
-func serveBackend(t *testing.T, h http.HandlerFunc) string {
+func serveBackend(t testing.TB, h http.HandlerFunc) string {
 	t.Helper()
 	server := httptest.NewServer(h)
 	t.Cleanup(server.Close)
--- a/entryd/front/peer.go
+++ b/entryd/front/peer.go
@@ -88,18 +88,14 @@
 
 // forward sends the request to a peer and reports the peer's outcome to the reducer.
 func (f *Front) forward(e serve.Forward) {
-	f.mu.Lock()
-	c := f.calls[e.Request.ID]
-	ctx, cancel := context.WithDeadline(context.Background(), e.Request.Deadline)
 	key := attemptKey{e.Request.ID, e.Attempt}
-	f.attempts[key] = cancel
-	f.mu.Unlock()
+	a := f.attemptOf(key)
 	go func() {
 		ended := serve.ForwardEnded{ID: e.Request.ID, Attempt: e.Attempt, Outcome: serve.NotRun}
-		if c != nil {
-			ended = f.callPeer(ctx, e, c)
+		if a.call != nil && a.ctx.Err() == nil {
+			ended = f.callPeer(a.ctx, e, a.call)
 		}
-		f.cancel(key)
+		f.forget(key)
 		f.step(ended)
 	}()
 }
