--- a/bench/main.go
+++ b/bench/main.go
@@ -12,6 +12,7 @@
 
 	"lovagefork.example/bench/colo"
 	"lovagefork.example/bench/reqs"
+	"lovagefork.example/bench/slope"
 	"lovagefork.example/bench/table"
 )
 
@@ -22,6 +23,7 @@
 	seeds    int
 	parallel int
 	only     string
+	metrics  []string
 	csv      bool
 	svg      string
 }
@@ -35,14 +37,27 @@
 	policies.Int(&s.seeds, "n", "seeds", "number of seeds")
 	policies.Int(&s.parallel, "p", "parallel", "runs at a time")
 	policies.String(&s.only, "o", "only", "run only this experiment: placement, routing or overload")
+	policies.StringSlice(&s.metrics, "m", "metric", "write only this metric, with variants as columns; may be repeated")
 	policies.Bool(&s.csv, "c", "csv", "write CSV instead of Markdown")
 	policies.String(&s.svg, "s", "svg", "also write an SVG plot of each table into this directory")
 	flaggy.AttachSubcommand(policies, 1)
+	capacity := flaggy.NewSubcommand("capacity")
+	capacity.Description = "measure processor time, memory and bytes of the parts at several sizes"
+	capacity.Bool(&s.csv, "c", "csv", "write CSV instead of Markdown")
+	flaggy.AttachSubcommand(capacity, 1)
 	flaggy.Parse()
-	if !policies.Used {
+	var err error
+	switch {
+	case policies.Used:
+		err = comparePolicies(s)
+	case capacity.Used && s.csv:
+		err = slope.CSV(os.Stdout, slope.Measure())
+	case capacity.Used:
+		err = slope.Markdown(os.Stdout, slope.Measure())
+	default:
 		flaggy.ShowHelpAndExit("a subcommand is needed")
 	}
-	if err := comparePolicies(s); err != nil {
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "bench:", err)
 		os.Exit(1)
 	}
@@ -79,7 +94,15 @@
 	if s.csv {
 		return t.CSV(os.Stdout)
 	}
-	return t.Markdown(os.Stdout)
+	if len(s.metrics) == 0 {
+		return t.Markdown(os.Stdout)
+	}
+	for _, m := range s.metrics {
+		if err := t.Pivot(os.Stdout, m); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 func plot(t *table.Table, directory string) error {
--- a/coord/serve/machine.go
+++ b/coord/serve/machine.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"lovagefork.example/coord/admit"
@@ -23,6 +24,7 @@
 	peers    map[fleet.EntryHostID]*peer
 	asked    map[uint64]fleet.EntryHostID
 	loadSent time.Time
+	others   []fleet.EntryHostID
 	requests map[uint64]*request
 	backends backends
 	retries  retryBudget
@@ -88,12 +90,12 @@
 	return func(o *options) { o.grant = append(o.grant, opts...) }
 }
 
-// WithOverflow sets what happens to requests for which no slot is free here; the default is [BorrowFirst].
+// WithOverflow sets what happens to requests for which no slot is free here; the default is [ForwardOnly].
 func WithOverflow(p Overflow) Option { return func(o *options) { o.overflow = p } }
 
 // New returns a machine for a process that starts now.
 func New(c Config, now time.Time, opts ...Option) *Machine {
-	o := options{overflow: BorrowFirst{}}
+	o := options{overflow: ForwardOnly{}}
 	for _, opt := range opts {
 		opt(&o)
 	}
@@ -111,9 +113,22 @@
 		retries:  newRetryBudget(),
 		costs:    make(costs),
 		blocked:  make(map[admit.Flow]bool),
+		others:   otherHosts(c),
 	}
 }
 
+// otherHosts lists the entry hosts of the roster except this process's own, in ascending order.
+func otherHosts(c Config) []fleet.EntryHostID {
+	var others []fleet.EntryHostID
+	for _, member := range c.Roster {
+		if member.Host != c.Self.Host {
+			others = append(others, member.Host)
+		}
+	}
+	slices.Sort(others)
+	return others
+}
+
 // Step applies an event.
 func (m *Machine) Step(now time.Time, ev Event) []Effect {
 	switch ev := ev.(type) {
--- a/coord/serve/sim_test.go
+++ b/coord/serve/sim_test.go
@@ -136,11 +136,7 @@
 	case serve.SendReturn:
 		s.toPeer(s.find(e.To), func(q *proc) { s.step(q, serve.ReturnReceived{From: p.self.Host, Return: e.Return}) })
 	case serve.ShareLoad:
-		for _, q := range s.procs {
-			if q != p {
-				s.toPeer(q, func(q *proc) { s.step(q, serve.LoadReceived{From: p.self.Host, Load: e.Load}) })
-			}
-		}
+		s.toPeer(s.find(e.To), func(q *proc) { s.step(q, serve.LoadReceived{From: p.self.Host, Load: e.Load}) })
 	case serve.StoreTxn:
 		s.storeTxn(p, e)
 	case serve.StoreLease:
@@ -410,6 +406,8 @@
 			storeLost: rate("store lost", 300), storeLate: rate("store late", 300), linkLost: rate("link lost", 300),
 			unreachable: rate("unreachable", 300), broken: rate("broken", 300), restart: rate("restart", 2), gone: 50,
 		}
+		policies := []serve.Overflow{serve.BorrowFirst{}, serve.ForwardOnly{}}
+		s.opts = []serve.Option{serve.WithOverflow(rapid.SampledFrom(policies).Draw(t, "overflow"))}
 		for _, p := range s.procs {
 			s.start(p)
 		}
--- a/coord/wire/messages.go
+++ b/coord/wire/messages.go
@@ -115,16 +115,25 @@
 	Body   []byte `cbor:"body"`
 }
 
-// Usage tells what each customer with a quota holds in a partition; a higher (Epoch, Sequence) replaces a lower one.
+// Usage tells what the customers whose quotas the receiver divides hold in a partition.
+//
+// Homes are the partitions whose owner divides those quotas. A full message lists all customers of the homes; any other
+// lists those that changed since the message with the sequence before, with zeros for an account that has ended.
 type Usage struct {
 	Partition fleet.PartitionID          `cbor:"partition"`
 	Epoch     fleet.Epoch                `cbor:"epoch"`
 	Sequence  uint64                     `cbor:"sequence"`
+	Full      bool                       `cbor:"full"`
+	Homes     []fleet.PartitionID        `cbor:"homes"`
 	Customers map[fleet.CustomerID]Share `cbor:"customers"`
 }
 
 // Share is what a customer's tasks hold, may hold, and ask for in a partition; Grant is the sequence of its last grant.
+//
+// It is encoded without names, because a process sends thousands of them in a second at the target size.
 type Share struct {
+	_ struct{} `cbor:",toarray"`
+
 	Tasks          int             `cbor:"tasks"`
 	Resources      fleet.Resources `cbor:"resources"`
 	LimitTasks     int             `cbor:"limit_tasks"`
@@ -144,10 +153,13 @@
 	Sequence  uint64            `cbor:"sequence"`
 }
 
-// Load tells the sender's queue lengths by class and its idle slots by worker.
+// Load tells the sender's queue lengths by class and the services whose requests wait for a slot there. If Reported is
+// set, FreeSlots lists the sender's idle slots on the workers of the services that the receiver wants.
 type Load struct {
 	Queued    [3]int                 `cbor:"queued"`
-	FreeSlots map[fleet.WorkerID]int `cbor:"free_slots"`
+	Wanted    []fleet.ServiceID      `cbor:"wanted,omitempty"`
+	Reported  bool                   `cbor:"reported,omitempty"`
+	FreeSlots map[fleet.WorkerID]int `cbor:"free_slots,omitempty"`
 }
 
 func (Hello) kind() string         { return "hello" }
