--- a/coord/jobs/attempt.go
+++ b/coord/jobs/attempt.go
@@ -230,9 +230,9 @@
 	ref := plat.TaskRef{Task: r.Task, Attempt: r.Attempt}
 	switch r.Outcome {
 	case ledger.Succeeded:
-		m.placer.Step(now, place.Succeeded{TaskRef: ref, Worker: t.worker})
+		m.act(now, m.placer.Step(now, place.Succeeded{TaskRef: ref, Worker: t.worker}))
 	case ledger.Failed:
-		m.placer.Step(now, place.Failed{TaskRef: ref, Worker: t.worker})
+		m.act(now, m.placer.Step(now, place.Failed{TaskRef: ref, Worker: t.worker}))
 	}
 	m.placer.Step(now, place.Ended{TaskRef: ref, Worker: t.worker})
 	m.hold(t, -1)
--- a/entryd/daemon/app.go
+++ b/entryd/daemon/app.go
@@ -16,6 +16,7 @@
 	"lovagefork.example/coord/etcdkv"
 	"lovagefork.example/coord/fleet"
 	"lovagefork.example/coord/grant"
+	"lovagefork.example/coord/place"
 	"lovagefork.example/coord/plat"
 	"lovagefork.example/coord/wire"
 	"lovagefork.example/entryd/admin"
@@ -134,7 +135,8 @@
 	return batch.New(batch.Deps{
 		Self: self, Partitions: s.Partitions(), PerZone: s.PartitionsPerZone,
 		Store: client, Agent: agent, Peers: mesh, Log: log,
-	}, batch.WithOnEndpoints(f.ObserveEndpoints), batch.WithOutageHorizon(s.OutageHorizon), batch.WithBudget(client))
+	}, batch.WithOnEndpoints(f.ObserveEndpoints), batch.WithOutageHorizon(s.OutageHorizon), batch.WithBudget(client),
+		batch.WithPolicy(place.Interference{}, place.WithSlowdownLimit(s.SlowdownLimit)))
 }
 
 func newRouter(h *Health, r metrics.Registry, a *admin.Admin, f *front.Front, b *batch.Runtime) *mux.Router {
--- a/entryd/setup/parse.go
+++ b/entryd/setup/parse.go
@@ -66,6 +66,11 @@
 	{"outage-horizon", "75m", "10s to 24h", "how long task leases are renewed while the store is down", func(s *Settings, v string) bool {
 		return applyDuration(&s.OutageHorizon, v, 10*time.Second, 24*time.Hour)
 	}},
+	{"slowdown-limit", "1.8", "1.05 to 10", "slowdown of an urgent task at which batch work is throttled or moved; lower favours latency", func(s *Settings, v string) bool {
+		limit, err := strconv.ParseFloat(v, 64)
+		s.SlowdownLimit = limit
+		return err == nil && limit >= 1.05 && limit <= 10
+	}},
 	{"store-writes", "300", "8 to 100000 calls per second", "store writes of all entry processes together", func(s *Settings, v string) bool {
 		return applyInt(&s.StoreWrites, v, 8, 100000)
 	}},
--- a/entryd/setup/settings.go
+++ b/entryd/setup/settings.go
@@ -29,6 +29,7 @@
 	PartitionsPerZone int
 
 	OutageHorizon time.Duration
+	SlowdownLimit float64
 	StoreWrites   int
 	StoreReads    int
 
