once: probe the store in an outage instead of retrying each claim

Ruled out: a longer backoff for each claim, which grows with the arrivals all the same and slows a claim after a single lost answer.

Change: after three failures in a row one transaction in 0.5 s probes the store; the first clear answer lifts the limit.

--- a/coord/once/once.go
+++ b/coord/once/once.go
@@ -24,6 +24,10 @@
 	// backoff separates the tries of a transaction that failed; for outcomes it doubles up to maxBackoff.
 	backoff    = 50 * time.Millisecond
 	maxBackoff = 5 * time.Second
+	// troubleAfter is the number of failed transactions in a row after which the store is probed by one transaction in
+	// probeEvery, since claims that each try on their own would spend the store budget of the whole process in an outage.
+	troubleAfter = 3
+	probeEvery   = 500 * time.Millisecond
 	// maxRejections bounds the tries of an outcome that the store refuses, for example because its lease has ended.
 	maxRejections = 20
 	// patience is how long a claim is tried before its request is rejected.
@@ -133,6 +137,9 @@
 	leaseUntil  time.Time
 	leaseUnsure bool
 	leaseRetry  time.Time
+
+	failures  int
+	nextProbe time.Time
 }
 
 // claim is a claim from its request to its outcome; unclear is set once a write of it may have taken effect.
@@ -262,10 +269,29 @@
 func (m *Machine) tick(now time.Time) []Effect {
 	effects := m.giveUp(now)
 	effects = append(effects, m.askLease(now)...)
+	room := m.room(now)
+	var sent []Effect
 	if m.lease != 0 && now.Before(m.leaseUntil) {
-		effects = append(effects, m.sendClaims(now)...)
+		sent = m.sendClaims(now, room)
+	}
+	sent = append(sent, m.sendOutcomes(now, room-len(sent))...)
+	if m.troubled() && len(sent) > 0 {
+		m.nextProbe = now.Add(probeEvery)
+	}
+	return append(effects, sent...)
+}
+
+func (m *Machine) troubled() bool { return m.failures >= troubleAfter }
+
+// room returns how many transactions may be sent now.
+func (m *Machine) room(now time.Time) int {
+	switch {
+	case !m.troubled():
+		return maxOutcomes
+	case now.Before(m.nextProbe):
+		return 0
 	}
-	return append(effects, m.sendOutcomes(now)...)
+	return 1
 }
 
 // giveUp rejects the claims that got no clear answer in time. One that may have taken effect is deleted, so that the
--- a/coord/once/once_test.go
+++ b/coord/once/once_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"errors"
+	"strconv"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"lovagefork.example/coord/fleet"
 	"lovagefork.example/coord/once"
 	"lovagefork.example/coord/store"
 )
@@ -47,6 +49,45 @@
 	assert.Assert(t, len(granted) >= 5 && len(granted) <= 8, "%d leases in 400 minutes", len(granted))
 }
 
+// Claims that each try on their own would spend the store budget of the process on an outage, and the keepalives with it.
+func TestOutageIsProbed(t *testing.T) {
+	m := once.New("e", "b")
+	start := time.Unix(0, 0)
+	sent, id := 0, uint64(0)
+	var granted int
+	step := func(now time.Time, down bool) {
+		id++
+		m.Step(now, once.Claim{ID: id, Key: once.Key{Request: fleet.RequestID(strconv.FormatUint(id, 10))}, Deadline: now.Add(time.Second)})
+		for _, e := range m.Step(now, once.Tick{}) {
+			if _, ok := e.(once.GrantLease); ok {
+				m.Step(now, once.LeaseEnded{Lease: 1})
+			}
+			run, ok := e.(once.RunTxn)
+			if !ok {
+				continue
+			}
+			sent++
+			ended := once.TxnEnded{Txn: run.ID, Result: store.TxnResult{Committed: true}}
+			if down {
+				ended = once.TxnEnded{Txn: run.ID, Err: &store.UnclearError{Op: "txn"}}
+			}
+			for _, e := range m.Step(now, ended) {
+				if _, ok := e.(once.Granted); ok {
+					granted++
+				}
+			}
+		}
+	}
+	for i := range 1000 {
+		step(start.Add(time.Duration(i)*10*time.Millisecond), true)
+	}
+	assert.Assert(t, sent <= 25, "%d transactions in an outage of 10 s", sent)
+	for i := range 200 {
+		step(start.Add(10*time.Second+time.Duration(i)*10*time.Millisecond), false)
+	}
+	assert.Assert(t, granted > 100, "%d claims granted in 2 s after the outage", granted)
+}
+
 // A value from outside must be decoded or reported, never stop the process.
 func FuzzDecodeRecord(f *testing.F) {
 	f.Add([]byte(`{"entry_host":"e","boot_id":"b","serial":1,"outcome":"ran","status":200}`))
--- a/coord/once/txn.go
+++ b/coord/once/txn.go
@@ -8,8 +8,9 @@
 	"lovagefork.example/coord/store"
 )
 
-// sendClaims sends the claims that are due in groups. A claim waits while the release of its key is not confirmed.
-func (m *Machine) sendClaims(now time.Time) []Effect {
+// sendClaims sends the claims that are due in at most room groups. A claim waits while the release of its key is not
+// confirmed.
+func (m *Machine) sendClaims(now time.Time, room int) []Effect {
 	var group []*claim
 	due := false
 	for _, c := range m.open {
@@ -24,6 +25,9 @@
 	}
 	var effects []Effect
 	for part := range slices.Chunk(group, maxGroup) {
+		if len(effects) >= room {
+			break
+		}
 		effects = append(effects, m.runClaims(part))
 	}
 	return effects
@@ -55,6 +59,11 @@
 		return nil
 	}
 	delete(m.txns, ev.Txn)
+	if ev.Err == nil {
+		m.failures = 0
+	} else {
+		m.failures++
+	}
 	var effects []Effect
 	for i, c := range t.claims {
 		effects = append(effects, m.claimEnded(now, c, read(ev, i))...)
@@ -141,11 +150,11 @@
 	return []Effect{Granted{ID: c.ID}}
 }
 
-// sendOutcomes sends the outcomes that are due in groups.
-func (m *Machine) sendOutcomes(now time.Time) []Effect {
+// sendOutcomes sends the outcomes that are due in at most room groups.
+func (m *Machine) sendOutcomes(now time.Time, room int) []Effect {
 	var due, kept []*outcome
 	for _, o := range m.outcomes {
-		if now.Before(o.next) {
+		if now.Before(o.next) || len(due) >= room*maxGroup {
 			kept = append(kept, o)
 		} else {
 			due = append(due, o)
