jobs: pace the moves of jobs after the third

Cause: workers that do not answer no longer count as fitting, so that an owner that reaches no worker at all would pass a job on every half second and use up its 50 moves in 25 s (calculated, not observed).

Change: from the fourth move on, a job stays 30 s in each partition.

--- a/coord/jobs/serve.go
+++ b/coord/jobs/serve.go
@@ -176,6 +176,9 @@
 		if fitsHere && (j.attempted || j.moves >= maxMoves || now.Sub(j.arrived) < j.moveAfter()) {
 			continue
 		}
+		if j.moves >= maxMoves && now.Sub(j.arrived) < forcedMoveEvery {
+			continue
+		}
 		if j.moves >= maxForcedMoves || j.passing || len(m.cancels[j.spec.Job]) > 0 || j.busy() {
 			continue
 		}
--- a/coord/jobs/types.go
+++ b/coord/jobs/types.go
@@ -43,6 +43,8 @@
 	maxMoves        = 3
 	// maxForcedMoves bounds the moves of a job whose partitions lose their workers one after another.
 	maxForcedMoves = 50
+	// forcedMoveEvery makes these moves last longer than a process that reaches no worker at all.
+	forcedMoveEvery = 30 * time.Second
 	// retention is how long a finished job answers repeated submissions.
 	retention = 24 * time.Hour
 	// retentionMoved is longer, because a job that was passed on may run for days elsewhere, and is found by its home.
