lovctl: use LOVCTL_ENTRY and the daemon's default port

Cause: entryd refuses unknown variables that start with LOVAGEFORK_, so an operator's shell with LOVAGEFORK_ENTRY set could not start a daemon; and the default address was not the daemon's default. Measured: lovctl tests pass.

--- a/lovctl/cmds/cmds.go
+++ b/lovctl/cmds/cmds.go
@@ -44,10 +44,10 @@
   8  stopped by the operator
 
 Environment:
-  LOVAGEFORK_ENTRY  addresses of entry processes, separated by commas, if --entry is not given`
+  LOVCTL_ENTRY  addresses of entry processes, separated by commas, if --entry is not given`
 
 // defaultEntry is the address of an entry process on the same host.
-const defaultEntry = "127.0.0.1:8080"
+const defaultEntry = "127.0.0.1:7100"
 
 // Streams are the terminal or files that the command reads and writes.
 type Streams struct {
@@ -137,7 +137,7 @@
 
 func (a *app) addresses() []string {
 	if len(a.entries) == 0 {
-		a.entries = []string{os.Getenv("LOVAGEFORK_ENTRY")}
+		a.entries = []string{os.Getenv("LOVCTL_ENTRY")}
 	}
 	var all []string
 	for _, e := range a.entries {
