Name customers and sites neutrally in code, tests and examples

Cause: names of particular customers stood in tests, plans and the bench, where a reader looks for a meaning that they do not have. Change: acme and globex for customers, A and B for the two deployment sizes.

--- a/bench/colo/site.go
+++ b/bench/colo/site.go
@@ -41,7 +41,7 @@
 // Sites returns both deployments at their current size.
 func Sites() []Site {
 	return []Site{
-		{"Llinos", 65, 8, 3, size(64, 250), []kind{
+		{"A", 65, 8, 3, size(64, 250), []kind{
 			{name: "booking", class: fleet.Urgent, declared: size(4, 8), replicas: 160},
 			{name: "catalogue", class: fleet.Urgent, declared: size(2, 4), replicas: 160},
 			{name: "reconcile", class: fleet.Deferrable, declared: size(4, 8), run: 10 * time.Minute, part: 0.4},
@@ -49,7 +49,7 @@
 			{name: "press", class: fleet.Standard, declared: size(8, 24), run: 12 * time.Minute, part: 0.2},
 			{name: "archive", class: fleet.Deferrable, declared: size(4, 16), run: 6 * time.Minute, part: 0.2},
 		}},
-		{"Gehegewerk", 50, 6, 4, size(32, 125), []kind{
+		{"B", 50, 6, 4, size(32, 125), []kind{
 			{name: "quote", class: fleet.Urgent, declared: size(2, 4), replicas: 150},
 			{name: "watch", class: fleet.Urgent, declared: size(1, 2), replicas: 100},
 			{name: "cut-plan", class: fleet.Standard, declared: size(4, 8), run: 8 * time.Minute, part: 0.4},
--- a/bench/reqs/site.go
+++ b/bench/reqs/site.go
@@ -38,8 +38,8 @@
 // Sites returns both deployments at their current size.
 func Sites() []Site {
 	return []Site{
-		{"Llinos", 65, 6, 3, 4500 * time.Microsecond},
-		{"Gehegewerk", 50, 8, 4, 4 * time.Millisecond},
+		{"A", 65, 6, 3, 4500 * time.Microsecond},
+		{"B", 50, 8, 4, 4 * time.Millisecond},
 	}
 }
 
--- a/coord/form/form_test.go
+++ b/coord/form/form_test.go
@@ -14,7 +14,7 @@
 	"lovagefork.example/coord/form"
 )
 
-const llinos = `{"customer":"llinos","urgent":["bookings"],"may_wait":["reconcile"],"never_twice":["reconcile","invoices"],
+const acme = `{"customer":"acme","urgent":["bookings"],"may_wait":["reconcile"],"never_twice":["reconcile","invoices"],
 "services":[{"name":"bookings","replicas":4,"deadline_ms":2000,"size":{"milli_cpu":1000,"memory_mib":512,"accelerators":0}},
 {"name":"invoices","replicas":2,"deadline_ms":5000,"size":{"milli_cpu":500,"memory_mib":256,"accelerators":0}}],
 "batch":[{"name":"reconcile","size":{"milli_cpu":2000,"memory_mib":1024,"accelerators":0},"max_attempts":0}],
@@ -22,7 +22,7 @@
 
 // Guards the meaning of the answers: a wrong class, or a lost never_twice, harms the customer silently.
 func TestGenerate(t *testing.T) {
-	a, err := form.Decode([]byte(llinos))
+	a, err := form.Decode([]byte(acme))
 	assert.NilError(t, err)
 	doc := a.Generate()
 	assert.Equal(t, doc.Services[0].Class, fleet.Urgent)
@@ -38,7 +38,7 @@
 // An operator can correct an answer only if the error names the field, the value and what is allowed.
 func TestValidate(t *testing.T) {
 	for _, c := range []struct{ from, to, field, value, allowed string }{
-		{`"customer":"llinos"`, `"customer":"Llinos!"`, "customer", `"Llinos!"`, "lower-case"},
+		{`"customer":"acme"`, `"customer":"Acme!"`, "customer", `"Acme!"`, "lower-case"},
 		{`"replicas":4`, `"replicas":0`, "services[0].replicas", "0", "from 1 to 10000"},
 		{`"replicas":4`, `"replicas":40`, "quota.milli_cpu", "20000", "at least 41000"},
 		{`"replicas":4`, `"replicas":"4"`, "services.replicas", "a JSON string", "int"},
@@ -51,7 +51,7 @@
 		{`"weight":2`, `"weight":2,"weight":3`, "weight", "repeated", "each once"},
 		{`"weight":2}}`, `"weight":2}} {}`, "answers", "text after", "one JSON object"},
 	} {
-		_, err := form.Decode([]byte(strings.Replace(llinos, c.from, c.to, 1)))
+		_, err := form.Decode([]byte(strings.Replace(acme, c.from, c.to, 1)))
 		invalid := (*form.InvalidError)(nil)
 		assert.Assert(t, errors.As(err, &invalid), c.to)
 		i := slices.IndexFunc(invalid.Problems, func(p *form.FieldError) bool { return p.Field == c.field })
@@ -63,9 +63,9 @@
 
 // A difference under the wrong name misleads the operator who lost a race.
 func TestDiff(t *testing.T) {
-	a, err := form.Decode([]byte(llinos))
+	a, err := form.Decode([]byte(acme))
 	assert.NilError(t, err)
-	b, err := form.Decode([]byte(strings.NewReplacer(`"replicas":2`, `"replicas":3`, `"urgent":["bookings"]`, `"urgent":[]`).Replace(llinos)))
+	b, err := form.Decode([]byte(strings.NewReplacer(`"replicas":2`, `"replicas":3`, `"urgent":["bookings"]`, `"urgent":[]`).Replace(acme)))
 	assert.NilError(t, err)
 	assert.DeepEqual(t, form.Diff(a, b), []form.Difference{
 		{Field: "services[invoices].replicas", From: "2", To: "3"},
@@ -78,7 +78,7 @@
 
 // Answers that decode must survive being stored and read again, and anything else must be refused by field.
 func FuzzDecode(f *testing.F) {
-	f.Add([]byte(llinos))
+	f.Add([]byte(acme))
 	f.Add([]byte(`{"customer":"x"}`))
 	f.Add([]byte(`{"customer":1}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
@@ -101,7 +101,7 @@
 }
 
 func ExampleDecode() {
-	_, err := form.Decode([]byte(`{"customer": "llinos", "quota": {"weight": -1}}`))
+	_, err := form.Decode([]byte(`{"customer": "acme", "quota": {"weight": -1}}`))
 	fmt.Println(err)
 	// Output: quota.weight: -1 is not allowed: want a whole number from 0 to 1000
 }
--- a/coord/grant/grant_test.go
+++ b/coord/grant/grant_test.go
@@ -33,7 +33,7 @@
 	aborted time.Duration
 }
 
-type letter struct {
+type message struct {
 	from, to *process
 	event    grant.Event
 }
@@ -45,7 +45,7 @@
 	workers   []fleet.Worker
 	processes []*process
 	runs      []*run
-	letters   []letter
+	messages  []message
 	tickets   uint64
 	// greedy takes every slot that becomes free at once.
 	greedy *process
@@ -72,17 +72,17 @@
 		case grant.SendBorrow:
 			lender := w.find(e.To)
 			call := uint64(p.boots)<<32 | e.Ask
-			w.letters = append(w.letters, letter{p, lender, grant.BorrowReceived{
+			w.messages = append(w.messages, message{p, lender, grant.BorrowReceived{
 				Call: call, ID: e.Borrow.ID, From: p.self.Host, Workers: []fleet.WorkerID{"w0", "w1"}, Slots: e.Borrow.Slots,
 			}})
 		case grant.SendLoan:
 			borrower := ev.(grant.BorrowReceived)
 			to := w.find(borrower.From)
 			if e.Call>>32 == uint64(to.boots) {
-				w.letters = append(w.letters, letter{p, to, grant.LoanReceived{Ask: e.Call & (1<<32 - 1), Loan: e.Loan}})
+				w.messages = append(w.messages, message{p, to, grant.LoanReceived{Ask: e.Call & (1<<32 - 1), Loan: e.Loan}})
 			}
 		case grant.SendReturn:
-			w.letters = append(w.letters, letter{p, w.find(e.To), grant.ReturnReceived{From: p.self.Host, Return: e.Return}})
+			w.messages = append(w.messages, message{p, w.find(e.To), grant.ReturnReceived{From: p.self.Host, Return: e.Return}})
 		}
 	}
 }
@@ -164,13 +164,13 @@
 }
 
 func (w *world) deliver() {
-	if len(w.letters) == 0 {
+	if len(w.messages) == 0 {
 		return
 	}
-	i := rapid.IntRange(0, len(w.letters)-1).Draw(w.t, "letter")
-	l := w.letters[i]
+	i := rapid.IntRange(0, len(w.messages)-1).Draw(w.t, "message")
+	l := w.messages[i]
 	if rapid.Bool().Draw(w.t, "last copy") {
-		w.letters = slices.Delete(w.letters, i, i+1)
+		w.messages = slices.Delete(w.messages, i, i+1)
 	}
 	w.step(l.to, l.event)
 }
--- a/entryd/admin/admin_test.go
+++ b/entryd/admin/admin_test.go
@@ -104,7 +104,7 @@
 }
 
 func answersFile(t testing.TB) json.RawMessage {
-	data, err := os.ReadFile("testdata/gehegewerk.json")
+	data, err := os.ReadFile("testdata/globex.json")
 	assert.NilError(t, err)
 	return data
 }
@@ -119,9 +119,9 @@
 		time.Sleep(time.Second)
 		var answer form.ChangeAnswer
 		request := form.ChangeRequest{ChangeID: "c1", Answers: answersFile(t)}
-		assert.Equal(t, call(one, http.MethodPut, "/v1/config/gehegewerk", request, &answer), http.StatusOK)
+		assert.Equal(t, call(one, http.MethodPut, "/v1/config/globex", request, &answer), http.StatusOK)
 		time.Sleep(time.Second)
-		v, found := two.admin.View().Customer("gehegewerk")
+		v, found := two.admin.View().Customer("globex")
 		assert.Assert(t, found)
 		assert.Equal(t, v.Revision, answer.Revision)
 		assert.DeepEqual(t, v.Document, answer.Document)
@@ -140,12 +140,12 @@
 		c.kv.set(func(k *kv) { k.down = true })
 		request := form.ChangeRequest{ChangeID: "c1", Answers: answersFile(t)}
 		var failure form.Failure
-		assert.Equal(t, call(n, http.MethodPut, "/v1/config/gehegewerk", request, &failure), http.StatusServiceUnavailable)
+		assert.Equal(t, call(n, http.MethodPut, "/v1/config/globex", request, &failure), http.StatusServiceUnavailable)
 		assert.Equal(t, failure.Outcome, form.OutcomeNotRun)
 
 		c.kv.set(func(k *kv) { k.down, k.lose = false, true })
 		var answer form.ChangeAnswer
-		assert.Equal(t, call(n, http.MethodPut, "/v1/config/gehegewerk", request, &answer), http.StatusOK)
+		assert.Equal(t, call(n, http.MethodPut, "/v1/config/globex", request, &answer), http.StatusOK)
 		assert.Equal(t, answer.Outcome, form.OutcomeAccepted)
 	})
 }
@@ -154,7 +154,7 @@
 func put(t *testing.T, n *node, base store.Revision, id string, replicas int, answer any) int {
 	answers := bytes.Replace(answersFile(t), []byte(`"replicas": 4`), fmt.Appendf(nil, `"replicas": %d`, replicas), 1)
 	request := form.ChangeRequest{BaseRevision: base, ChangeID: id, Answers: answers}
-	return call(n, http.MethodPut, "/v1/config/gehegewerk", request, answer)
+	return call(n, http.MethodPut, "/v1/config/globex", request, answer)
 }
 
 // The loser of a race must learn what is current, and a repeated change must not be made twice, however old it is.
@@ -180,7 +180,7 @@
 		time.Sleep(2 * time.Second)
 		var status form.Status
 		assert.Equal(t, call(one, http.MethodGet, "/v1/config", nil, &status), http.StatusOK)
-		assert.Equal(t, status.Revisions["gehegewerk"], second.Revision)
+		assert.Equal(t, status.Revisions["globex"], second.Revision)
 		assert.DeepEqual(t, status.Peers[0].Revisions, status.Revisions)
 	})
 }
@@ -198,7 +198,7 @@
 			synctest.Wait()
 		}
 		var preview form.Preview
-		path := "/v1/config/gehegewerk"
+		path := "/v1/config/globex"
 		assert.Equal(t, call(n, http.MethodPost, path+"/preview", form.PreviewRequest{Answers: answersFile(t)}, &preview), http.StatusOK)
 		assert.Equal(t, preview.Differences[0].To, "4")
 		var history form.History
--- a/entryd/admin/property_test.go
+++ b/entryd/admin/property_test.go
@@ -25,7 +25,7 @@
 
 var (
 	hosts     = []fleet.EntryHostID{"e0", "e1", "e2", "e3", "e4"}
-	customers = []fleet.CustomerID{"llinos", "gehegewerk"}
+	customers = []fleet.CustomerID{"acme", "globex"}
 )
 
 // action is one thing that happens in a scenario, after a pause.
--- a/entryd/front/bench_test.go
+++ b/entryd/front/bench_test.go
@@ -17,7 +17,7 @@
 	b.ResetTimer()
 	b.RunParallel(func(pb *testing.PB) {
 		for pb.Next() {
-			answer, err := client.Get(server.URL + "/v1/services/gehegewerk/quotes/requests/x")
+			answer, err := client.Get(server.URL + "/v1/services/globex/quotes/requests/x")
 			assert.NilError(b, err)
 			assert.Equal(b, answer.Header.Get("Lovagefork-Outcome"), "ran")
 			_, _ = io.Copy(io.Discard, answer.Body)
--- a/entryd/front/fault_test.go
+++ b/entryd/front/fault_test.go
@@ -66,7 +66,7 @@
 		t.Run(name, func(t *testing.T) {
 			var requests atomic.Int32
 			_, server := startFront(t, brokenBackend(t, answer, &requests))
-			url := server.URL + "/v1/services/gehegewerk/orders/requests/"
+			url := server.URL + "/v1/services/globex/orders/requests/"
 			for _, want := range []int{http.StatusBadGateway, http.StatusConflict, http.StatusConflict} {
 				got, _, _ := ask(t, "GET", url, "", "Idempotency-Key", "k")
 				assert.Equal(t, got.StatusCode, want)
@@ -93,8 +93,8 @@
 		}
 	})
 	_, server := startFront(t, backend)
-	_, _, _ = ask(t, "GET", server.URL+"/v1/services/gehegewerk/quotes/requests/", "")
-	_, _, _ = ask(t, "GET", server.URL+"/v1/services/gehegewerk/orders/requests/", "", "Idempotency-Key", "k")
+	_, _, _ = ask(t, "GET", server.URL+"/v1/services/globex/quotes/requests/", "")
+	_, _, _ = ask(t, "GET", server.URL+"/v1/services/globex/orders/requests/", "", "Idempotency-Key", "k")
 	assert.Equal(t, runs.Load(), int32(1))
 }
 
@@ -102,7 +102,7 @@
 func TestBrokenAnswersAreRepeated(t *testing.T) {
 	var requests atomic.Int32
 	_, server := startFront(t, brokenBackend(t, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab", &requests))
-	got, _, _ := ask(t, "GET", server.URL+"/v1/services/gehegewerk/quotes/requests/", "")
+	got, _, _ := ask(t, "GET", server.URL+"/v1/services/globex/quotes/requests/", "")
 	assert.Equal(t, got.Header.Get("Lovagefork-Outcome"), "unknown")
 	assert.Equal(t, requests.Load(), int32(3))
 }
@@ -110,7 +110,7 @@
 // A request that reached nobody is not_run, and its key must be free again.
 func TestUnreachableBackendFreesTheKey(t *testing.T) {
 	f, server := startFront(t, "http://127.0.0.1:1")
-	url := server.URL + "/v1/services/gehegewerk/orders/requests/"
+	url := server.URL + "/v1/services/globex/orders/requests/"
 	for range 2 {
 		got, _, _ := ask(t, "POST", url, "x", "Idempotency-Key", "k")
 		assert.Equal(t, got.StatusCode, http.StatusServiceUnavailable)
@@ -136,7 +136,7 @@
 		answer := "HTTP/1.1 200 OK\r\n" + header + "\r\n\r\n1000\r\n" + strings.Repeat("a", 4000)
 		var requests atomic.Int32
 		_, server := startFront(t, brokenBackend(t, answer, &requests), front.WithBodyLimits(100, 100, 1000))
-		got, _, err := ask(t, "GET", server.URL+"/v1/services/gehegewerk/quotes/requests/", "")
+		got, _, err := ask(t, "GET", server.URL+"/v1/services/globex/quotes/requests/", "")
 		assert.Equal(t, got.StatusCode, http.StatusOK)
 		assert.ErrorContains(t, err, "EOF")
 	}
@@ -153,7 +153,7 @@
 	})
 	f, server := startFront(t, backend, front.WithDrainNotice(10*time.Millisecond))
 	t.Cleanup(release)
-	url := server.URL + "/v1/services/gehegewerk/quotes/requests/"
+	url := server.URL + "/v1/services/globex/quotes/requests/"
 	first := make(chan string, 1)
 	go func() {
 		got, body, err := ask(t, "GET", url, "")
@@ -230,7 +230,7 @@
 			if i%3 == 0 {
 				service = "orders"
 			}
-			url := fmt.Sprintf("%s/v1/services/gehegewerk/%s/requests/%d", servers[1].URL, service, i)
+			url := fmt.Sprintf("%s/v1/services/globex/%s/requests/%d", servers[1].URL, service, i)
 			got, body, err := ask(t, "POST", url, fmt.Sprint("b", i), "Idempotency-Key", fmt.Sprint(i),
 				"Lovagefork-Deadline-Ms", deadline)
 			if want := fmt.Sprintf("/%d b%d", i, i); err == nil && got.StatusCode == 200 && body != want {
--- a/entryd/front/front_test.go
+++ b/entryd/front/front_test.go
@@ -39,8 +39,8 @@
 	return config.Versioned{}, false
 }
 
-var gehegewerk = documents{{Document: config.Document{
-	Customer: "gehegewerk",
+var globex = documents{{Document: config.Document{
+	Customer: "globex",
 	Services: []config.Service{
 		{Name: "quotes", Class: fleet.Urgent, DeadlineMS: 2000},
 		{Name: "orders", Class: fleet.Standard, DeadlineMS: 2000, NonIdempotent: true},
@@ -102,7 +102,7 @@
 // runFront starts a front and waits until its start-up quarantine has passed.
 func runFront(t testing.TB, deps front.Deps, ttl time.Duration, workers []fleet.Worker, opts ...front.Option) *front.Front {
 	t.Helper()
-	deps.Config, deps.Log = gehegewerk, discard
+	deps.Config, deps.Log = globex, discard
 	times := serve.WithGrant(grant.WithTimes(ttl, ttl/10, 10*time.Millisecond))
 	f := front.New(deps, append(opts, front.WithMachine(times))...)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -164,12 +164,12 @@
 		_, _ = w.Write(large)
 	})
 	_, server := startFront(t, backend, front.WithBodyLimits(100, 1000, 1000))
-	url := server.URL + "/v1/services/gehegewerk/quotes/requests/a%2Fb?c=d"
+	url := server.URL + "/v1/services/globex/quotes/requests/a%2Fb?c=d"
 	answer, body, err := ask(t, "PUT", url, "x", "Connection", "X-Hop", "X-Hop", "secret")
 	assert.NilError(t, err)
 	assert.Equal(t, answer.StatusCode, http.StatusTeapot)
 	assert.Equal(t, answer.Header.Get("Lovagefork-Outcome"), "ran")
-	assert.Equal(t, answer.Header.Get("Echo"), `PUT /a%2Fb?c=d x hop="" service=gehegewerk/quotes`)
+	assert.Equal(t, answer.Header.Get("Echo"), `PUT /a%2Fb?c=d x hop="" service=globex/quotes`)
 	assert.Equal(t, body, string(large))
 	answer, _, _ = ask(t, "PUT", url, strings.Repeat("x", 101))
 	assert.Equal(t, answer.StatusCode, http.StatusRequestEntityTooLarge)
--- a/entryd/front/fuzz_test.go
+++ b/entryd/front/fuzz_test.go
@@ -21,13 +21,13 @@
 func FuzzCallerRequest(f *testing.F) {
 	fr := front.New(front.Deps{
 		Self: wire.Hello{EntryHost: "e1"}, Roster: []grant.Member{{Host: "e1"}}, Peers: noPeers{},
-		Config: gehegewerk, Log: discard,
+		Config: globex, Log: discard,
 	}, front.WithDrainNotice(0))
 	assert.NilError(f, fr.Drain(context.Background()))
 	router := mux.NewRouter()
 	fr.Register(router)
-	f.Add("gehegewerk/quotes", "a/b", "llinos", "urgent", "100", "k", []byte("x"))
-	f.Add("gehegewerk/orders", "?", "a/b", "", "-1", "", []byte{})
+	f.Add("globex/quotes", "a/b", "acme", "urgent", "100", "k", []byte("x"))
+	f.Add("globex/orders", "?", "a/b", "", "-1", "", []byte{})
 	f.Fuzz(func(t *testing.T, service, path, customer, class, deadline, key string, body []byte) {
 		r := &http.Request{
 			Method: "POST", URL: &url.URL{Path: "/v1/services/" + service + "/requests/" + path},
@@ -54,7 +54,7 @@
 func FuzzPeerMessage(f *testing.F) {
 	fr := front.New(front.Deps{
 		Self: wire.Hello{EntryHost: "e1"}, Roster: []grant.Member{{Host: "e1"}}, Peers: noPeers{},
-		Config: gehegewerk, Log: discard,
+		Config: globex, Log: discard,
 	})
 	fr.ObserveFleet([]fleet.Worker{worker("http://127.0.0.1:1")})
 	f.Add("c/s", uint8(0), int64(10), "GET", "/x", 3, "l", -1)
--- a/entryd/procs/load_test.go
+++ b/entryd/procs/load_test.go
@@ -43,9 +43,9 @@
 	s.t.Helper()
 	plan := fmt.Sprintf(`{"name": "procs", "seed": 1, "duration_ms": %d, "settle_ms": 240000, "entries": [%q, %q, %q],
 		"backend_control": "http://%s/control", "worker_control": "http://%s/control", "store_control": "http://%s/control",
-		"streams": [{"name": "bookings", "customer": "llinos", "service": "bookings", "rate": 40, "deadline_ms": 5000, "body_bytes": 100},
-			{"name": "invoices", "customer": "llinos", "service": "invoices", "rate": 10, "deadline_ms": 5000, "non_idempotent": true, "body_bytes": 100}],
-		"jobs": [{"name": "j", "customer": "llinos", "kind": "reconciliation", "rate": 2, "tasks": 2, "milli_cpu": 500, "memory_mib": 256, "run_ms": 1500}]}`,
+		"streams": [{"name": "bookings", "customer": "acme", "service": "bookings", "rate": 40, "deadline_ms": 5000, "body_bytes": 100},
+			{"name": "invoices", "customer": "acme", "service": "invoices", "rate": 10, "deadline_ms": 5000, "non_idempotent": true, "body_bytes": 100}],
+		"jobs": [{"name": "j", "customer": "acme", "kind": "reconciliation", "rate": 2, "tasks": 2, "milli_cpu": 500, "memory_mib": 256, "run_ms": 1500}]}`,
 		seconds*1000, s.url(0), s.url(1), s.url(2), s.address(portBackendsControl, 0), s.address(portWorkersControl, 0),
 		s.address(portStoreControl, 0))
 	file := filepath.Join(s.dir, "plan.json")
@@ -80,7 +80,7 @@
 			Job string `json:"job_id"`
 		} `json:"jobs"`
 	}
-	assert.NilError(s.t, s.get(s.url(0)+"/v1/jobs?customer=llinos&state=waiting", &list))
+	assert.NilError(s.t, s.get(s.url(0)+"/v1/jobs?customer=acme&state=waiting", &list))
 	for _, j := range list.Jobs {
 		var text json.RawMessage
 		assert.NilError(s.t, s.get(s.url(0)+"/v1/jobs/"+j.Job+"/explain", &text))
--- a/entryd/procs/set_test.go
+++ b/entryd/procs/set_test.go
@@ -224,17 +224,17 @@
 // configure gives the customer one idempotent and one non-idempotent service and a kind of batch work.
 func (s *set) configure() {
 	size := `"size": {"milli_cpu": 500, "memory_mib": 256}`
-	body := fmt.Sprintf(`{"base_revision": 0, "change_id": "procs", "answers": {"customer": "llinos",
+	body := fmt.Sprintf(`{"base_revision": 0, "change_id": "procs", "answers": {"customer": "acme",
 		"urgent": ["bookings", "invoices"], "may_wait": ["reconciliation"], "never_twice": ["invoices"],
 		"services": [{"name": "bookings", "replicas": 6, "deadline_ms": 5000, %[1]s}, {"name": "invoices", "replicas": 6, "deadline_ms": 5000, %[1]s}],
 		"batch": [{"name": "reconciliation", "max_attempts": 10, %[1]s}]}}`, size)
 	s.await("acceptance of the configuration", func() bool {
-		return do(http.MethodPut, s.url(0)+"/v1/config/llinos", []byte(body), nil) == nil
+		return do(http.MethodPut, s.url(0)+"/v1/config/acme", []byte(body), nil) == nil
 	})
 	for i := range s.entries {
 		s.await("a request of each service", func() bool {
 			for _, service := range []string{"bookings", "invoices"} {
-				req, _ := http.NewRequest(http.MethodPost, s.url(i)+"/v1/services/llinos/"+service+"/requests/x", strings.NewReader("x"))
+				req, _ := http.NewRequest(http.MethodPost, s.url(i)+"/v1/services/acme/"+service+"/requests/x", strings.NewReader("x"))
 				req.Header.Set("Idempotency-Key", fmt.Sprintf("first-%d-%d", i, time.Now().UnixNano()))
 				resp, err := client.Do(req)
 				if err != nil {
--- a/lovctl/cmds/cmds_test.go
+++ b/lovctl/cmds/cmds_test.go
@@ -43,7 +43,7 @@
 	case f.revision == 0:
 		reply(w, http.StatusNotFound, form.Failure{Error: "no configuration"})
 	default:
-		reply(w, http.StatusOK, form.Current{Customer: "llinos", Revision: f.revision, Answers: f.answers})
+		reply(w, http.StatusOK, form.Current{Customer: "acme", Revision: f.revision, Answers: f.answers})
 	}
 }
 
@@ -66,7 +66,7 @@
 		return
 	}
 	f.revision, f.answers = f.revision+1, c.Answers
-	reply(w, http.StatusOK, form.ChangeAnswer{Customer: "llinos", Revision: f.revision, ChangeID: c.ChangeID})
+	reply(w, http.StatusOK, form.ChangeAnswer{Customer: "acme", Revision: f.revision, ChangeID: c.ChangeID})
 }
 
 func (f *fakeEntry) received() []form.ChangeRequest {
@@ -95,7 +95,7 @@
 func answers(replicas int) form.Answers {
 	size := form.Size{MilliCPU: 1000, MemoryMiB: 512}
 	return form.Answers{
-		Customer: "llinos", Urgent: []string{"bookings"},
+		Customer: "acme", Urgent: []string{"bookings"},
 		Services: []form.Service{{Name: "bookings", Replicas: replicas, DeadlineMS: 500, Size: size}},
 	}
 }
@@ -117,7 +117,7 @@
 	f := &fakeEntry{revision: 5, answers: encode(t, answers(2)), race: encode(t, answers(3))}
 	keep := filepath.Join(t.TempDir(), "kept.json")
 	typed := "bookings\n7\n\n\n\n\n\n\n\n\n\n\n\n\n\n\ny\n"
-	code, _, errOut := run(typed, "--entry", serve(t, f), "config", "amend", "llinos", "--keep", keep)
+	code, _, errOut := run(typed, "--entry", serve(t, f), "config", "amend", "acme", "--keep", keep)
 	assert.Equal(t, code, cmds.ExitConflict, errOut)
 	assert.Assert(t, strings.Contains(errOut, "revision 15 is current"), errOut)
 	assert.Assert(t, strings.Contains(errOut, "- services[bookings].replicas = 3"), errOut)
@@ -128,7 +128,7 @@
 	assert.Equal(t, kept.Answers.Services[0].Replicas, 7)
 
 	// The kept file is still derived from the old revision, so that repeating it cannot undo the winner's change.
-	code, _, _ = run("", "--entry", serve(t, f), "config", "amend", "llinos", "--file", keep, "--yes", "--keep", keep)
+	code, _, _ = run("", "--entry", serve(t, f), "config", "amend", "acme", "--file", keep, "--yes", "--keep", keep)
 	assert.Equal(t, code, cmds.ExitConflict)
 }
 
@@ -137,14 +137,14 @@
 	broken, working := &fakeEntry{loseAnswer: true}, &fakeEntry{}
 	file := write(t, encode(t, answers(2)))
 	entries := "127.0.0.1:1," + serve(t, broken) + "," + serve(t, working)
-	code, _, errOut := run("", "-e", entries, "config", "amend", "llinos", "--file", file, "--yes")
+	code, _, errOut := run("", "-e", entries, "config", "amend", "acme", "--file", file, "--yes")
 	assert.Equal(t, code, cmds.ExitDone, errOut)
 	assert.Equal(t, len(broken.received()), 1)
 	assert.Equal(t, len(working.received()), 1)
 	assert.Equal(t, broken.received()[0].ChangeID, working.received()[0].ChangeID)
 
 	lost, keep := &fakeEntry{loseAnswer: true}, filepath.Join(t.TempDir(), "kept.json")
-	code, _, errOut = run("", "-e", serve(t, lost), "config", "amend", "llinos", "-f", file, "-y", "-k", keep)
+	code, _, errOut = run("", "-e", serve(t, lost), "config", "amend", "acme", "-f", file, "-y", "-k", keep)
 	assert.Equal(t, code, cmds.ExitUnknown, errOut)
 	kept, err := draft.Load(keep)
 	assert.NilError(t, err)
@@ -155,10 +155,10 @@
 func TestPlainFileNeedsBase(t *testing.T) {
 	f := &fakeEntry{revision: 5, answers: encode(t, answers(2))}
 	file := write(t, encode(t, answers(3)))
-	code, _, _ := run("", "-e", serve(t, f), "config", "amend", "llinos", "-f", file, "-y")
+	code, _, _ := run("", "-e", serve(t, f), "config", "amend", "acme", "-f", file, "-y")
 	assert.Equal(t, code, cmds.ExitUsage)
 	assert.Equal(t, len(f.received()), 0)
-	code, out, errOut := run("", "-e", serve(t, f), "--json", "config", "amend", "llinos", "-f", file, "-y", "--base", "5")
+	code, out, errOut := run("", "-e", serve(t, f), "--json", "config", "amend", "acme", "-f", file, "-y", "--base", "5")
 	assert.Equal(t, code, cmds.ExitDone, errOut)
 	assert.Assert(t, strings.Contains(out, `"revision": 6`), out)
 }
@@ -166,7 +166,7 @@
 // A declined change must not be written.
 func TestAmendDeclined(t *testing.T) {
 	f := &fakeEntry{}
-	code, _, _ := run("n\n", "-e", serve(t, f), "config", "amend", "llinos", "-f", write(t, encode(t, answers(2))))
+	code, _, _ := run("n\n", "-e", serve(t, f), "config", "amend", "acme", "-f", write(t, encode(t, answers(2))))
 	assert.Equal(t, code, cmds.ExitAborted)
 	assert.Equal(t, len(f.received()), 0)
 }
@@ -188,7 +188,7 @@
 		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			reply(w, c.status, form.Failure{Error: "e", Outcome: c.outcome})
 		}))
-		code, _, errOut := run("", "-e", s.URL, "job", "submit", "--customer", "llinos", "--kind", "counts")
+		code, _, errOut := run("", "-e", s.URL, "job", "submit", "--customer", "acme", "--kind", "counts")
 		s.Close()
 		assert.Equal(t, code, c.code, errOut)
 	}
@@ -209,7 +209,7 @@
 		_, _ = w.Write([]byte(`{"jobs":[{"job_id":"j","state":"running","task_states":{"running":2,"waiting":1}}],"incomplete":["a/0"]}`))
 	}))
 	defer s.Close()
-	code, _, errOut := run("", "-e", s.URL, "job", "submit", "--customer", "llinos", "--kind", "counts")
+	code, _, errOut := run("", "-e", s.URL, "job", "submit", "--customer", "acme", "--kind", "counts")
 	assert.Equal(t, code, cmds.ExitDone, errOut)
 	_, hasClass := body["class"]
 	assert.Assert(t, !hasClass)
