--- /dev/null
+++ b/coord/budget/example_test.go
@@ -0,0 +1,17 @@
+package budget_test
+
+import (
+	"fmt"
+	"time"
+
+	"lovagefork.example/coord/budget"
+)
+
+func ExampleMachine_Share() {
+	start := time.Unix(0, 0)
+	m := budget.New(budget.Rates{Writes: 300, Reads: 1500}, 6)
+
+	// A process that holds no session keeps to its part of the reserve.
+	fmt.Println(m.Share(start).Writes < 300/6)
+	// Output: true
+}
