front: name service, customer and class of a rejected request in the log

Cause: the line had only the process's own request number, by which nobody can tell whose requests an overload rejects. Measured: tests of entryd/front pass.

--- a/entryd/front/front.go
+++ b/entryd/front/front.go
@@ -289,13 +289,15 @@
 }
 
 func (f *Front) answer(e serve.Answer) {
-	if e.Attempt == 0 {
-		f.deps.Log.Info("admit: request rejected", "request", e.ID, "outcome", e.Outcome, "reason", e.Reason)
-	}
 	f.mu.Lock()
 	c := f.calls[e.ID]
 	f.mu.Unlock()
-	if c != nil {
-		c.done <- e
+	if c == nil {
+		return
+	}
+	if e.Attempt == 0 {
+		f.deps.Log.Info("admit: request rejected", "request", e.ID, "service", c.request.Service,
+			"customer", c.request.Customer, "class", c.request.Class, "outcome", e.Outcome, "reason", e.Reason)
 	}
+	c.done <- e
 }
