wire: drop the queue lengths from load messages

Cause: load messages carried the sender's queue lengths by class, which no receiver reads. Change: the field and the query of admit that filled it are gone; decisions are unchanged.

--- a/coord/admit/admit.go
+++ b/coord/admit/admit.go
@@ -143,15 +143,6 @@
 	return nil
 }
 
-// Queued returns the number of requests that wait in each class.
-func (m *Machine) Queued() [len(fleet.Classes)]int {
-	var n [len(fleet.Classes)]int
-	for i := range m.classes {
-		n[i] = m.classes[i].length
-	}
-	return n
-}
-
 // Waiting tells what waits in a flow: how many requests, their most urgent class, and the earliest deadline among the
 // oldest ones of the customers.
 type Waiting struct {
--- a/coord/serve/overflow.go
+++ b/coord/serve/overflow.go
@@ -184,7 +184,7 @@
 }
 
 func (m *Machine) loadFor(now time.Time, p *peer, wanted []fleet.ServiceID) wire.Load {
-	load := wire.Load{Queued: m.admits.Queued(), Wanted: wanted}
+	load := wire.Load{Wanted: wanted}
 	if m.drained || now.Sub(p.wantedAt) > loadMaxAge {
 		return load
 	}
--- a/coord/wire/messages.go
+++ b/coord/wire/messages.go
@@ -159,10 +159,9 @@
 	Sequence  uint64            `cbor:"sequence"`
 }
 
-// Load tells the sender's queue lengths by class and the services whose requests wait for a slot there. If Reported is
-// set, FreeSlots lists the sender's idle slots on the workers of the services that the receiver wants.
+// Load tells the services whose requests wait for a slot at the sender. If Reported is set, FreeSlots lists the sender's
+// idle slots on the workers of the services that the receiver wants.
 type Load struct {
-	Queued    [3]int                 `cbor:"queued"`
 	Wanted    []fleet.ServiceID      `cbor:"wanted,omitempty"`
 	Reported  bool                   `cbor:"reported,omitempty"`
 	FreeSlots map[fleet.WorkerID]int `cbor:"free_slots,omitempty"`
