--- /dev/null
+++ b/coord/flow/event.go
@@ -0,0 +1,169 @@
+package flow
+
+import (
+	"time"
+
+	"lovagefork.example/coord/fleet"
+	"lovagefork.example/coord/infra"
+)
+
+// Event is anything that changes what the scheduler knows.
+type Event interface{ event() }
+
+// Restored is the first event of a scheduler: everything that the store holds.
+type Restored struct {
+	Jobs []StoredJob
+	// Roster lists the workers on which former schedulers may have started tasks.
+	Roster []RosterEntry
+	// Term counts the schedulers before this one.
+	Term int64
+}
+
+// StoredJob is a job as the store holds it.
+type StoredJob struct {
+	Job       infra.Job
+	Cancelled bool
+	// Record is nil for a job without progress.
+	Record *Record
+}
+
+// RosterEntry names a worker that may run tasks and where its agent listens.
+type RosterEntry struct {
+	Worker  fleet.WorkerID `cbor:"worker"`
+	Address string         `cbor:"address"`
+}
+
+// Configured brings the operator's configuration; a version that is not newer changes nothing.
+type Configured struct{ Catalog *infra.Catalog }
+
+// Submitted brings a job that is durable.
+type Submitted struct{ Job infra.Job }
+
+// CancelRequested brings a cancellation that is durable.
+type CancelRequested struct{ Job fleet.JobID }
+
+// WorkerSeen brings a worker's description of itself.
+type WorkerSeen struct{ Worker infra.Worker }
+
+// WorkerGone reports that the platform no longer lists a worker.
+type WorkerGone struct{ Worker fleet.WorkerID }
+
+// Held brings the answer to a [Hold].
+type Held struct {
+	Worker fleet.WorkerID
+	Order  infra.HoldOrder
+	Report infra.Report
+}
+
+// HoldFailed reports a [Hold] without a report.
+type HoldFailed struct {
+	Worker fleet.WorkerID
+	Order  infra.HoldOrder
+	Err    error
+}
+
+// StartAnswered brings the outcome of a [Start]; Clock is the worker's clock in milliseconds.
+type StartAnswered struct {
+	Worker fleet.WorkerID
+	Order  infra.StartOrder
+	Clock  int64
+	Err    error
+}
+
+// StopAnswered brings the outcome of a [Stop]; Clock is the worker's clock in milliseconds.
+type StopAnswered struct {
+	Worker fleet.WorkerID
+	Order  infra.StopOrder
+	Clock  int64
+	Err    error
+}
+
+// PaceAnswered brings the outcome of a [Pace].
+type PaceAnswered struct {
+	Worker fleet.WorkerID
+	Order  infra.PaceOrder
+	Err    error
+}
+
+// Saved reports that the batch of a [Save] is durable.
+type Saved struct{ Batch int64 }
+
+// Tick lets time pass; Wall is the time of day.
+type Tick struct{ Wall time.Time }
+
+func (Restored) event()        {}
+func (Configured) event()      {}
+func (Submitted) event()       {}
+func (CancelRequested) event() {}
+func (WorkerSeen) event()      {}
+func (WorkerGone) event()      {}
+func (Held) event()            {}
+func (HoldFailed) event()      {}
+func (StartAnswered) event()   {}
+func (StopAnswered) event()    {}
+func (PaceAnswered) event()    {}
+func (Saved) event()           {}
+func (Tick) event()            {}
+
+// Effect is something that the runtime does for the scheduler.
+type Effect interface{ effect() }
+
+// Hold renews the lease of a worker and asks for its report.
+type Hold struct {
+	To    infra.Address
+	Order infra.HoldOrder
+}
+
+// Start starts a task.
+type Start struct {
+	To    infra.Address
+	Order infra.StartOrder
+}
+
+// Stop stops a run.
+type Stop struct {
+	To    infra.Address
+	Order infra.StopOrder
+}
+
+// Pace changes the speed of a run.
+type Pace struct {
+	To    infra.Address
+	Order infra.PaceOrder
+}
+
+// Save makes progress durable; one batch is on its way at a time.
+type Save struct {
+	Batch  int64
+	Jobs   []JobRecord
+	Forget []fleet.JobID
+	// Roster replaces the stored roster unless it is nil.
+	Roster []RosterEntry
+}
+
+// JobRecord is the progress of one job.
+type JobRecord struct {
+	Job    fleet.JobID
+	Record Record
+}
+
+// Resign reports that another scheduler has taken over.
+type Resign struct{ Worker fleet.WorkerID }
+
+// Note is a line for the log: a decision, what it is about, and what decided it.
+type Note struct {
+	Text   string
+	Job    fleet.JobID
+	Task   infra.Task
+	Worker fleet.WorkerID
+	Run    infra.Run
+	Reason string
+}
+
+func (Hold) effect()   {}
+func (Start) effect()  {}
+func (Stop) effect()   {}
+func (Pace) effect()   {}
+func (Save) effect()   {}
+func (Resign) effect() {}
+func (Note) effect()   {}
--- /dev/null
+++ b/coord/flow/machine.go
@@ -0,0 +1,526 @@
+package flow
+
+import (
+	"time"
+
+	"lovagefork.example/coord/fleet"
+	"lovagefork.example/coord/infra"
+)
+
+const (
+	// holdWait is how long a worker may wait for an end before it reports; shorter waits cost more calls.
+	holdWait = time.Second
+	// holdRetry is the pause after a hold that failed.
+	holdRetry = 250 * time.Millisecond
+	// holdUnsaved is the pause between holds while ends cannot be made durable; leases last about 20 times as long.
+	holdUnsaved = 300 * time.Millisecond
+	// startWindow bounds how late a start may happen; a lost packet costs about a third of it.
+	startWindow = 1500 * time.Millisecond
+	// stopRetry is the pause between two stops of the same run.
+	stopRetry = 400 * time.Millisecond
+	// runsPerTerm is the gap between the run numbers of two schedulers, more than one can use for a task in its term.
+	runsPerTerm = 1000
+	// maxBatch bounds the jobs of one durable batch; a transaction of the platform has 32 entries.
+	maxBatch = 24
+	// wallJump is a change of the time of day against steady time that is taken for a jump of the clock.
+	wallJump = 500 * time.Millisecond
+)
+
+// Options of a [Machine].
+type options struct {
+	hold    time.Duration
+	horizon time.Duration
+	retain  time.Duration
+	early   time.Duration
+	drain   time.Duration
+	harm    time.Duration
+	remote  float64
+	former  time.Duration
+}
+
+// Option changes a [Machine] under construction.
+type Option func(*options)
+
+// WithHold sets the longest lease of a worker's tasks.
+func WithHold(d time.Duration) Option { return func(o *options) { o.hold = d } }
+
+// WithHorizon sets how long a scheduler may go on after the store last confirmed it, so that its successor knows how long
+// to wait for workers that it cannot reach.
+func WithHorizon(d time.Duration) Option { return func(o *options) { o.horizon = d } }
+
+// WithFormerLease sets how long a former scheduler may take jobs as new after its successor was elected, because the store
+// can end a lease early.
+func WithFormerLease(d time.Duration) Option { return func(o *options) { o.former = d } }
+
+// WithRetention sets how long the state of a finished job is kept.
+func WithRetention(d time.Duration) Option { return func(o *options) { o.retain = d } }
+
+// WithHarm sets how long a serving task may miss its target because of fillers.
+func WithHarm(d time.Duration) Option { return func(o *options) { o.harm = d } }
+
+// WithRemoteFactor sets how many times slower a task runs away from its data.
+func WithRemoteFactor(x float64) Option { return func(o *options) { o.remote = x } }
+
+// Machine is the scheduler: a reducer over [Event] that returns [Effect]. It is not safe for concurrent use.
+type Machine struct {
+	opts  options
+	token infra.Token
+	term  int64
+
+	catalog *infra.Catalog
+	jobs    map[fleet.JobID]*job
+	workers map[fleet.WorkerID]*worker
+	// order lists the workers by id, so that a run repeats.
+	order []*worker
+
+	// unsettled are the workers that may run tasks of a former scheduler of which this one does not know.
+	unsettled     map[fleet.WorkerID]struct{}
+	unsettledTill time.Time
+	restored      bool
+	// freshFrom is when jobs that become known cannot have been started by a former scheduler.
+	freshFrom   time.Time
+	roster      map[fleet.WorkerID]string
+	rosterDirty bool
+
+	// ready are the steps that are released and have waiting tasks.
+	ready map[*step]*readyStep
+	// timed are the jobs with occurrences that are not created yet.
+	timed map[fleet.JobID]*job
+
+	dirty    []*job
+	forget   []fleet.JobID
+	batch    int64
+	inFlight bool
+	inBatch  []batchJob
+	inRoster []fleet.WorkerID
+	// dirtySeq numbers the entries of dirty, and savedSeq is the last one that is durable.
+	dirtySeq  int64
+	savedSeq  int64
+	finished  []*job
+	now       time.Time
+	wall      time.Time
+	wallAt    time.Time
+	effects   []Effect
+	placeNext bool
+	images    map[string]*imageStats
+	ghosts    map[fleet.WorkerID][]ghost
+	// unknown are cancellations of jobs that are not known yet.
+	unknown map[fleet.JobID]struct{}
+	counts  Counts
+}
+
+type batchJob struct {
+	job   *job
+	state infra.State
+	seq   int64
+}
+
+// Counts are totals since the scheduler was elected.
+type Counts struct {
+	Starts, Refused, Lost, Done, Failed, Stopped, Vanished, Stalled, Paced int64
+}
+
+// New returns the scheduler that holds a fencing token.
+func New(token infra.Token, opts ...Option) *Machine {
+	m := &Machine{
+		opts: options{
+			hold: 6 * time.Second, horizon: 5 * time.Second, retain: 10 * time.Minute, early: 0, harm: 4 * time.Second, remote: 3,
+		},
+		token:     token,
+		jobs:      make(map[fleet.JobID]*job),
+		workers:   make(map[fleet.WorkerID]*worker),
+		unsettled: make(map[fleet.WorkerID]struct{}),
+		roster:    make(map[fleet.WorkerID]string),
+		ready:     make(map[*step]*readyStep),
+		timed:     make(map[fleet.JobID]*job),
+		images:    make(map[string]*imageStats),
+		ghosts:    make(map[fleet.WorkerID][]ghost),
+		unknown:   make(map[fleet.JobID]struct{}),
+	}
+	for _, opt := range opts {
+		opt(&m.opts)
+	}
+	return m
+}
+
+// Step applies an event at a steady time that counts the sleep of the machine, and returns what is to be done.
+func (m *Machine) Step(now time.Time, ev Event) []Effect {
+	m.now = now
+	switch ev := ev.(type) {
+	case Restored:
+		m.restore(ev)
+	case Configured:
+		m.configure(ev.Catalog)
+	case Submitted:
+		m.submit(ev.Job)
+	case CancelRequested:
+		m.cancel(ev.Job)
+	case WorkerSeen:
+		m.seeWorker(ev.Worker)
+	case WorkerGone:
+		m.loseWorker(ev.Worker)
+	case Held:
+		m.held(ev)
+	case HoldFailed:
+		m.holdFailed(ev)
+	case StartAnswered:
+		m.startAnswered(ev)
+	case StopAnswered:
+		m.stopAnswered(ev)
+	case PaceAnswered:
+		m.paceAnswered(ev)
+	case Saved:
+		m.saved(ev.Batch)
+	case Tick:
+		m.tick(ev.Wall)
+	}
+	out := m.effects
+	m.effects = nil
+	return out
+}
+
+func (m *Machine) emit(e Effect) { m.effects = append(m.effects, e) }
+
+func (m *Machine) configure(c *infra.Catalog) {
+	if m.catalog != nil && c.Version <= m.catalog.Version {
+		return
+	}
+	m.catalog = c
+	for _, j := range m.jobs {
+		m.setObjective(j)
+	}
+}
+
+func (m *Machine) setObjective(j *job) {
+	if m.catalog == nil {
+		return
+	}
+	q, found := m.catalog.Queue(j.spec.Queue)
+	if !found {
+		return
+	}
+	j.objective = time.Duration(float64(j.spec.Chain())*q.Stretch) + q.Objective
+}
+
+func (m *Machine) restore(ev Restored) {
+	m.term = ev.Term
+	base := infra.Run(ev.Term) * runsPerTerm
+	for _, s := range ev.Jobs {
+		if m.jobs[s.Job.ID] != nil {
+			continue
+		}
+		j := m.newJob(s.Job)
+		if s.Record != nil {
+			j.restore(s.Record, 0)
+		}
+		j.cancelled = j.cancelled || s.Cancelled
+		if j.cancelled {
+			j.durable = infra.Cancelled
+		}
+		for _, o := range j.occurrences {
+			o.raise(base)
+		}
+		m.activate(j)
+	}
+	for _, e := range ev.Roster {
+		m.roster[e.Worker] = e.Address
+		m.unsettled[e.Worker] = struct{}{}
+		if m.workers[e.Worker] == nil {
+			m.addWorker(infra.Worker{ID: e.Worker, Address: e.Address})
+		}
+	}
+	m.unsettledTill = m.now.Add(m.opts.horizon + time.Duration(float64(m.opts.hold)*(1+2*clockSlack)) + clockMargin)
+	m.freshFrom = m.now.Add(m.opts.former)
+	m.restored = true
+	m.placeNext = true
+}
+
+// raise lifts the run numbers of open tasks over those of former schedulers.
+func (o *occurrence) raise(base infra.Run) {
+	for i := range o.steps {
+		for t := range o.steps[i].tasks {
+			known := &o.steps[i].tasks[t]
+			known.lastRun = max(known.lastRun, base)
+		}
+	}
+}
+
+func (m *Machine) newJob(spec infra.Job) *job {
+	j := &job{spec: spec, occurrences: make(map[int64]*occurrence), durable: infra.Queued, arrived: m.now}
+	if spec.Submitted > 0 && !m.wall.IsZero() {
+		age := m.wall.Sub(time.UnixMilli(spec.Submitted))
+		j.arrived = m.now.Add(-min(max(0, age), m.opts.retain))
+	}
+	for _, s := range spec.Steps {
+		j.work += float64(s.Count) * float64(s.Size.MilliCPU) * s.Estimate.Seconds()
+	}
+	m.setObjective(j)
+	m.jobs[spec.ID] = j
+	return j
+}
+
+// activate makes the steps of a live job ready, and stops counting a finished one as work.
+func (m *Machine) activate(j *job) {
+	if !j.live() {
+		m.finish(j)
+		return
+	}
+	if j.spec.Schedule.Count > 0 {
+		m.timed[j.spec.ID] = j
+		m.createDue(j)
+	} else {
+		j.occurrence(0)
+		j.created = 1
+	}
+	for _, o := range j.occurrences {
+		m.refresh(o)
+	}
+}
+
+// createDue creates the occurrences whose time has come.
+func (m *Machine) createDue(j *job) {
+	if m.wall.IsZero() || !j.live() {
+		return
+	}
+	for j.created < j.total() {
+		due := time.UnixMilli(j.spec.Schedule.Start).Add(time.Duration(j.created) * j.spec.Schedule.Interval)
+		wait := due.Sub(m.wallNow())
+		if wait > m.opts.early {
+			return
+		}
+		o := j.occurrence(j.created)
+		o.due = m.now.Add(wait)
+		o.raise(infra.Run(m.term) * runsPerTerm)
+		j.created++
+		m.markDirty(j)
+		m.refresh(o)
+	}
+	delete(m.timed, j.spec.ID)
+}
+
+func (m *Machine) wallNow() time.Time { return m.wall.Add(m.now.Sub(m.wallAt)) }
+
+// refresh enters the steps of an occurrence that can run into the ready set.
+func (m *Machine) refresh(o *occurrence) {
+	for i := range o.steps {
+		s := &o.steps[i]
+		if s.waiting > 0 && o.job.live() && o.released(i) {
+			if m.ready[s] == nil {
+				m.ready[s] = &readyStep{occ: o, index: i, step: s, since: m.now}
+			}
+			m.placeNext = true
+		} else {
+			delete(m.ready, s)
+		}
+	}
+}
+
+func (m *Machine) submit(spec infra.Job) {
+	if m.jobs[spec.ID] != nil {
+		return
+	}
+	j := m.newJob(spec)
+	j.fresh = m.now.After(m.freshFrom)
+	m.emit(Note{Text: "job known", Job: spec.ID, Reason: spec.Queue})
+	m.activate(j)
+	if !j.fresh {
+		// A former scheduler may have used run numbers for this job.
+		for _, o := range j.occurrences {
+			o.raise(infra.Run(m.term) * runsPerTerm)
+		}
+	}
+	if _, cancelled := m.unknown[spec.ID]; cancelled {
+		delete(m.unknown, spec.ID)
+		m.cancel(spec.ID)
+	}
+}
+
+func (m *Machine) cancel(id fleet.JobID) {
+	j := m.jobs[id]
+	if j == nil {
+		m.unknown[id] = struct{}{}
+		return
+	}
+	if j.cancelled || j.durable.Final() {
+		return
+	}
+	j.cancelled = true
+	j.durable = infra.Cancelled
+	m.emit(Note{Text: "job cancelled", Job: id})
+	m.closeJob(j, "job cancelled")
+}
+
+// closeJob stops what still runs of a job that is not to run any more.
+func (m *Machine) closeJob(j *job, reason string) {
+	for _, o := range j.occurrences {
+		for i := range o.steps {
+			delete(m.ready, &o.steps[i])
+			for t := range o.steps[i].tasks {
+				for _, r := range o.steps[i].tasks[t].runs {
+					m.stop(r, reason)
+				}
+			}
+		}
+	}
+	m.finish(j)
+}
+
+func (m *Machine) finish(j *job) {
+	delete(m.timed, j.spec.ID)
+	m.markDirty(j)
+	m.finished = append(m.finished, j)
+	j.savedAt = m.now
+}
+
+func (m *Machine) markDirty(j *job) {
+	if !j.dirty {
+		j.dirty = true
+		m.dirtySeq++
+		j.dirtySeq = m.dirtySeq
+		m.dirty = append(m.dirty, j)
+	}
+}
+
+// tick lets time pass: holds that are due, stops to repeat, leases that have lapsed, occurrences that are due.
+func (m *Machine) tick(wall time.Time) {
+	m.wall, m.wallAt = wall, m.now
+	if !m.restored {
+		return
+	}
+	for _, j := range m.timed {
+		m.createDue(j)
+	}
+	if len(m.unsettled) > 0 && m.now.After(m.unsettledTill) {
+		m.emit(Note{Text: "leases of the former scheduler have lapsed"})
+		clear(m.unsettled)
+		m.placeNext = true
+	}
+	for _, w := range m.order {
+		m.tickWorker(w)
+	}
+	m.expire()
+	m.tend()
+	if m.placeNext {
+		m.place()
+	}
+	m.save()
+}
+
+func (m *Machine) tickWorker(w *worker) {
+	if !w.holding && !m.now.Before(w.holdAt) && (w.listed || len(w.runs) > 0 || m.isUnsettled(w)) {
+		m.hold(w)
+	}
+	if !w.reachable && len(w.runs) > 0 && w.lapsed(m.now) {
+		m.emit(Note{Text: "lease lapsed", Worker: w.ID, Reason: "worker not reachable"})
+		m.clearWorker(w, "lease lapsed")
+	}
+	for _, r := range w.runs {
+		if r.state == stopping && !m.now.Before(r.stopAt) {
+			m.sendStop(r)
+		}
+		if r.state == fencing && w.fenced && !m.now.Before(r.stopAt) {
+			m.sendStop(r)
+		}
+	}
+	if !w.listed && len(w.runs) == 0 && !w.holding && !m.isUnsettled(w) {
+		m.removeWorker(w)
+	}
+}
+
+func (m *Machine) isUnsettled(w *worker) bool {
+	_, found := m.unsettled[w.ID]
+	return found
+}
+
+// expire forgets finished jobs after the retention.
+func (m *Machine) expire() {
+	for len(m.finished) > 0 && m.now.Sub(m.finished[0].savedAt) > m.opts.retain {
+		j := m.finished[0]
+		m.finished = m.finished[1:]
+		if j.dirty || len(m.runsOf(j)) > 0 {
+			j.savedAt = m.now
+			m.finished = append(m.finished, j)
+			continue
+		}
+		delete(m.jobs, j.spec.ID)
+		m.forget = append(m.forget, j.spec.ID)
+	}
+}
+
+func (m *Machine) runsOf(j *job) []*run {
+	var all []*run
+	for _, o := range j.occurrences {
+		for i := range o.steps {
+			for t := range o.steps[i].tasks {
+				all = append(all, o.steps[i].tasks[t].runs...)
+			}
+		}
+	}
+	return all
+}
+
+// save starts a durable batch unless one is on its way.
+func (m *Machine) save() {
+	if m.inFlight || (len(m.dirty) == 0 && len(m.forget) == 0 && !m.rosterDirty) {
+		return
+	}
+	m.batch++
+	s := Save{Batch: m.batch}
+	n := min(len(m.dirty), maxBatch)
+	m.inBatch, m.inRoster = m.inBatch[:0], m.inRoster[:0]
+	for _, j := range m.dirty[:n] {
+		j.dirty = false
+		record := j.record()
+		s.Jobs = append(s.Jobs, JobRecord{Job: j.spec.ID, Record: record})
+		m.inBatch = append(m.inBatch, batchJob{job: j, state: record.State, seq: j.dirtySeq})
+	}
+	m.dirty = append([]*job(nil), m.dirty[n:]...)
+	if n == 0 {
+		k := min(len(m.forget), maxBatch/3)
+		s.Forget = append(s.Forget, m.forget[:k]...)
+		m.forget = m.forget[k:]
+	}
+	if m.rosterDirty {
+		m.rosterDirty = false
+		s.Roster = make([]RosterEntry, 0, len(m.roster))
+		for _, w := range m.order {
+			if address, found := m.roster[w.ID]; found {
+				s.Roster = append(s.Roster, RosterEntry{Worker: w.ID, Address: address})
+				m.inRoster = append(m.inRoster, w.ID)
+			}
+		}
+	}
+	m.inFlight = true
+	m.emit(s)
+}
+
+// saved lets the ends of a durable batch be forgotten by the workers and shows final states to callers.
+func (m *Machine) saved(batch int64) {
+	if !m.inFlight || batch != m.batch {
+		return
+	}
+	m.inFlight = false
+	for _, b := range m.inBatch {
+		if !b.job.durable.Final() {
+			b.job.durable = b.state
+		}
+		m.savedSeq = max(m.savedSeq, b.seq)
+	}
+	for _, id := range m.inRoster {
+		if w := m.workers[id]; w != nil && !w.enrolled {
+			w.enrolled = true
+			m.placeNext = true
+		}
+	}
+	for _, w := range m.order {
+		if w.unsaved == 0 || w.unsaved > m.savedSeq {
+			continue
+		}
+		w.unsaved = 0
+		w.durable = w.seen
+		if !w.holding {
+			m.hold(w)
+		}
+	}
+	m.save()
+}
--- /dev/null
+++ b/coord/flow/place.go
@@ -0,0 +1,299 @@
+package flow
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"lovagefork.example/coord/infra"
+)
+
+const (
+	// lateFactor times the objective is when a job is worth nothing any more, by the users' pages.
+	lateFactor = 3
+	// retryRest is the pause before a task is started again after its run did not complete.
+	retryRest = 20 * time.Millisecond
+	// remotePatience is the share of a step's estimate that a task waits for a worker near its data.
+	remotePatience = 0.5
+)
+
+// readyStep is a released step with waiting tasks.
+type readyStep struct {
+	occ   *occurrence
+	index int
+	step  *step
+	since time.Time
+
+	queue infra.Queue
+	rank  rank
+}
+
+// rank orders ready steps: lower values first, field by field.
+type rank struct {
+	hopeless bool
+	priority int
+	slack    time.Duration
+}
+
+func compareReady(a, b *readyStep) int {
+	if a.rank.hopeless != b.rank.hopeless {
+		if a.rank.hopeless {
+			return 1
+		}
+		return -1
+	}
+	return cmp.Or(
+		cmp.Compare(a.rank.priority, b.rank.priority),
+		cmp.Compare(a.rank.slack, b.rank.slack),
+		cmp.Compare(a.occ.job.spec.ID, b.occ.job.spec.ID),
+		cmp.Compare(a.occ.number, b.occ.number),
+		cmp.Compare(a.index, b.index),
+	)
+}
+
+func sortRuns(all []*run) {
+	slices.SortFunc(all, func(a, b *run) int {
+		return cmp.Or(
+			cmp.Compare(a.id.Job, b.id.Job), cmp.Compare(a.id.Occurrence, b.id.Occurrence),
+			cmp.Compare(a.id.Step, b.id.Step), cmp.Compare(a.id.Index, b.id.Index),
+		)
+	})
+}
+
+// place starts waiting tasks in the order of their rank.
+func (m *Machine) place() {
+	m.placeNext = false
+	if !m.restored || m.catalog == nil {
+		return
+	}
+	ready := make([]*readyStep, 0, len(m.ready))
+	for _, r := range m.ready {
+		if !r.occ.job.fresh && len(m.unsettled) > 0 {
+			continue
+		}
+		queue, found := m.catalog.Queue(r.occ.job.spec.Queue)
+		if !found {
+			queue = infra.Queue{Service: r.queue.Service}
+		}
+		r.queue = queue
+		r.rank = m.rank(r)
+		ready = append(ready, r)
+	}
+	slices.SortFunc(ready, compareReady)
+	for _, r := range ready {
+		if r.step.spec.Gang {
+			m.placeGang(r)
+			continue
+		}
+		m.placeStep(r)
+	}
+}
+
+func (m *Machine) rank(r *readyStep) rank {
+	j := r.occ.job
+	due := j.arrived
+	if !r.occ.due.IsZero() {
+		due = r.occ.due
+	}
+	remaining := r.occ.remaining()
+	objective := max(j.objective, time.Millisecond)
+	return rank{
+		hopeless: m.now.Add(remaining).After(due.Add(lateFactor*objective)) && !r.step.spec.LongRunning,
+		priority: r.queue.Priority,
+		slack:    due.Add(objective).Sub(m.now) - remaining,
+	}
+}
+
+func (m *Machine) placeStep(r *readyStep) {
+	s := r.step
+	for i := s.next; i < len(s.tasks) && s.waiting > 0; i++ {
+		t := &s.tasks[i]
+		if t.phase != waiting {
+			if i == s.next {
+				s.next++
+			}
+			continue
+		}
+		if m.now.Before(t.retryAt) {
+			m.placeNext = true
+			continue
+		}
+		w := m.pick(r, t)
+		if w == nil {
+			break
+		}
+		m.start(r, i, w, t.lastRun+1)
+	}
+	if s.waiting == 0 {
+		delete(m.ready, s)
+	}
+}
+
+// placeGang starts all tasks of a gang with one run number, or none.
+func (m *Machine) placeGang(r *readyStep) {
+	s := r.step
+	if s.waiting < len(s.tasks) {
+		return
+	}
+	number := infra.Run(0)
+	for i := range s.tasks {
+		number = max(number, s.tasks[i].lastRun)
+	}
+	number++
+	saved := ""
+	for i := range s.tasks {
+		if s.tasks[i].saved != "" {
+			saved = s.tasks[i].saved
+		}
+	}
+	racks := []string{""}
+	if s.spec.SameRack {
+		racks = append(m.racks(), "")
+	}
+	for _, rack := range racks {
+		chosen := m.pickGang(r, rack)
+		if chosen == nil {
+			continue
+		}
+		for i, w := range chosen {
+			s.tasks[i].saved = saved
+			m.start(r, i, w, number)
+		}
+		delete(m.ready, s)
+		return
+	}
+}
+
+func (m *Machine) racks() []string {
+	var racks []string
+	for _, w := range m.order {
+		if rack := w.rack(); rack != "" && !slices.Contains(racks, rack) {
+			racks = append(racks, rack)
+		}
+	}
+	return racks
+}
+
+// pickGang returns a worker for each task of a gang, all in a rack unless it is empty, or nil.
+func (m *Machine) pickGang(r *readyStep, rack string) []*worker {
+	s := r.step
+	chosen := make([]*worker, 0, len(s.tasks))
+	size := s.spec.Reserved()
+	for range s.tasks {
+		w := m.best(r, nil, rack)
+		if w == nil {
+			break
+		}
+		chosen = append(chosen, w)
+		w.used = w.used.Add(size)
+		if s.perWorker != nil {
+			s.perWorker[w.ID]++
+		}
+	}
+	for _, w := range chosen {
+		w.used = w.used.Sub(size)
+		if s.perWorker != nil {
+			s.perWorker[w.ID]--
+		}
+	}
+	if len(chosen) < len(s.tasks) {
+		return nil
+	}
+	return chosen
+}
+
+// pick returns the worker for a task, or nil.
+func (m *Machine) pick(r *readyStep, t *task) *worker {
+	rack := r.step.spec.DataRack
+	if rack != "" {
+		if w := m.best(r, t, rack); w != nil {
+			return w
+		}
+		patience := time.Duration(float64(r.step.spec.Estimate) * remotePatience)
+		if m.now.Sub(r.since) < patience {
+			return nil
+		}
+	}
+	return m.best(r, t, "")
+}
+
+// best returns the worker with the highest score among those that can take a task, in a rack unless it is empty.
+func (m *Machine) best(r *readyStep, t *task, rack string) *worker {
+	var best *worker
+	bestScore := 0.0
+	for _, w := range m.order {
+		if !m.fits(r, w, rack) {
+			continue
+		}
+		score := m.score(r, w)
+		if t != nil && t.avoid == w.ID {
+			score -= avoidPenalty
+		}
+		if best == nil || score > bestScore {
+			best, bestScore = w, score
+		}
+	}
+	return best
+}
+
+func (m *Machine) fits(r *readyStep, w *worker, rack string) bool {
+	spec := &r.step.spec
+	if w.Service != r.queue.Service || !w.usable(m.now) || (rack != "" && !w.hasLabel(rack)) {
+		return false
+	}
+	if !spec.Reserved().Fits(w.free()) {
+		return false
+	}
+	if spec.Filler && w.spare() < spec.Size.MilliCPU {
+		return false
+	}
+	if spec.Label != "" && !w.hasLabel(spec.Label) {
+		return false
+	}
+	if spec.MaxPerWorker > 0 && r.step.perWorker[w.ID] >= spec.MaxPerWorker {
+		return false
+	}
+	return true
+}
+
+// spare is the processor time that neither the reserved tasks nor the fillers of a worker ask for.
+func (w *worker) spare() int64 {
+	return w.Capacity.MilliCPU - w.used.MilliCPU - w.filler
+}
+
+// avoidPenalty outweighs every difference in load, so that a failed task tries another worker first.
+const avoidPenalty = 10
+
+// score is higher for a worker where a task progresses faster and disturbs others less.
+func (m *Machine) score(r *readyStep, w *worker) float64 {
+	capacity := float64(max(1, w.Capacity.MilliCPU))
+	return float64(w.spare())/capacity + (w.speed-1)*2
+}
+
+func (m *Machine) start(r *readyStep, index int, w *worker, number infra.Run) {
+	s := r.step
+	t := &s.tasks[index]
+	id := infra.Task{Job: r.occ.job.spec.ID, Occurrence: r.occ.number, Step: r.index, Index: index}
+	n := &run{
+		id: id, number: number, worker: w, step: s, occ: r.occ, state: starting, size: s.spec.Reserved(),
+		since: m.now, moved: m.now, pace: 100,
+	}
+	if s.spec.Filler {
+		n.filler = s.spec.Size.MilliCPU
+	}
+	n.deadline = w.estimate(m.now) + startWindow.Milliseconds()
+	w.leaseEnd = max(w.leaseEnd, n.deadline)
+	t.lastRun = number
+	t.runs = append(t.runs, n)
+	w.add(n)
+	if s.perWorker != nil {
+		s.perWorker[w.ID]++
+	}
+	s.setPhase(index, active)
+	r.occ.job.begun = true
+	m.counts.Starts++
+	m.emit(Note{Text: "start", Task: id, Run: number, Worker: w.ID, Reason: r.queue.Name})
+	m.emit(Start{To: w.address(), Order: infra.StartOrder{
+		Task: id, Run: number, Spec: r.occ.job.spec.Spec, Checkpoint: t.saved, Deadline: n.deadline, Token: m.token,
+	}})
+}
--- /dev/null
+++ b/coord/flow/worker.go
@@ -0,0 +1,161 @@
+package flow
+
+import (
+	"time"
+
+	"lovagefork.example/coord/fleet"
+	"lovagefork.example/coord/infra"
+)
+
+const (
+	// clockSlack is how much slower than steady time a worker's clock may run, by the platform's promise.
+	clockSlack = 0.02
+	// clockMargin covers the rounding of worker clocks to milliseconds and the end of a killed run.
+	clockMargin = 100 * time.Millisecond
+)
+
+// runState is what is known of a run at a worker.
+type runState uint8
+
+const (
+	// starting means that the start has no answer yet, or none that tells.
+	starting runState = iota
+	// running means that the worker has confirmed the run.
+	running
+	// stopping means that a stop is on its way.
+	stopping
+	// fencing means that the run may still start in a later life of the worker, until that life has taken a stop.
+	fencing
+)
+
+// run is one start of a task at a worker; it holds capacity until its end is known.
+type run struct {
+	id      infra.Task
+	number  infra.Run
+	worker  *worker
+	step    *step
+	occ     *occurrence
+	state   runState
+	size    fleet.Resources
+	filler  int64
+	since   time.Time
+	percent int
+	// moved is when percent last rose.
+	moved  time.Time
+	figure float64
+	// deadline is the worker's clock after which the start can no longer happen.
+	deadline int64
+	// confirmed is the worker's clock at which the run was present.
+	confirmed int64
+	stopAt    time.Time
+	reason    string
+	pace      int
+	over      time.Time
+}
+
+// worker is one life of a worker.
+type worker struct {
+	infra.Worker
+	listed bool
+	// enrolled workers are in the stored roster, so that a later scheduler knows that tasks may run there.
+	enrolled bool
+	// fenced workers have answered under this scheduler's token.
+	fenced bool
+	// reachable is whether the last call of a hold was answered.
+	reachable bool
+	refusals  int
+	// clockAt is when the worker's clock was clock, in milliseconds.
+	clockAt time.Time
+	clock   int64
+	// leaseEnd is the latest end of lease on the worker's clock that any order can have set.
+	leaseEnd int64
+
+	used   fleet.Resources
+	filler int64
+	runs   map[infra.Task]*run
+
+	seen    int64
+	durable int64
+	// unsaved is the place among the jobs to be saved that makes the ends up to seen durable; 0 if none is needed.
+	unsaved  int64
+	holding  bool
+	holdAt   time.Time
+	lastHold time.Time
+
+	// fails and ends decay; a worker at which most runs fail takes no new ones.
+	fails   float64
+	ends    float64
+	decayAt time.Time
+	// restUntil keeps new work away after the worker was found to fail or to stand still.
+	restUntil time.Time
+	stalls    int
+	// speed is the share of the expected speed at which tasks progress here; it decays towards 1.
+	speed float64
+
+	unhealthyUntil time.Time
+}
+
+func (w *worker) address() infra.Address {
+	return infra.Address{Worker: w.ID, HostPort: w.Worker.Address}
+}
+
+// rack returns the label that names the worker's rack: the last one.
+func (w *worker) rack() string {
+	if len(w.Labels) == 0 {
+		return ""
+	}
+	return w.Labels[len(w.Labels)-1]
+}
+
+func (w *worker) hasLabel(label string) bool {
+	for _, l := range w.Labels {
+		if l == label {
+			return true
+		}
+	}
+	return false
+}
+
+// usable reports whether new tasks may be started on the worker.
+func (w *worker) usable(now time.Time) bool {
+	return w.listed && w.enrolled && w.fenced && w.reachable && !w.Draining && w.clock > 0 && !now.Before(w.restUntil) && !now.Before(w.unhealthyUntil)
+}
+
+func (w *worker) free() fleet.Resources { return w.Capacity.Sub(w.used) }
+
+// estimate returns the worker's clock at now, which may be ahead of the true one by the clock's slack.
+func (w *worker) estimate(now time.Time) int64 {
+	return w.clock + now.Sub(w.clockAt).Milliseconds()
+}
+
+// least returns the least that the worker's clock can show at now.
+func (w *worker) least(now time.Time) int64 {
+	elapsed := float64(now.Sub(w.clockAt)-clockMargin) * (1 - clockSlack)
+	return w.clock + time.Duration(elapsed).Milliseconds()
+}
+
+// lapsed reports whether the lease of everything on the worker has certainly ended.
+func (w *worker) lapsed(now time.Time) bool {
+	return w.clock > 0 && w.least(now) > w.leaseEnd
+}
+
+func (w *worker) observeClock(now time.Time, clock int64) {
+	if clock >= w.clock {
+		w.clock, w.clockAt = clock, now
+	}
+}
+
+func (w *worker) add(r *run) {
+	w.runs[r.id] = r
+	w.used = w.used.Add(r.size)
+	w.filler += r.filler
+}
+
+func (w *worker) remove(r *run) {
+	if w.runs[r.id] != r {
+		return
+	}
+	delete(w.runs, r.id)
+	w.used = w.used.Sub(r.size)
+	w.filler -= r.filler
+}
--- a/coord/wire/codec.go
+++ b/coord/wire/codec.go
@@ -51,6 +51,10 @@
 	Usage{}.kind():         decodeAs[Usage],
 	QuotaGrant{}.kind():    decodeAs[QuotaGrant],
 	Load{}.kind():          decodeAs[Load],
+	Ask{}.kind():           decodeAs[Ask],
+	Reply{}.kind():         decodeAs[Reply],
+	Elected{}.kind():       decodeAs[Elected],
+	CatalogDoc{}.kind():    decodeAs[CatalogDoc],
 }
 
 func decodeAs[T Message](data []byte) (Message, error) {
--- /dev/null
+++ b/entryd/hosted/health.go
@@ -0,0 +1,72 @@
+package hosted
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"time"
+
+	"lovagefork.example/coord/store"
+	"lovagefork.example/entryd/leader"
+)
+
+const (
+	// failuresOfOutage is how many calls of the store must fail in a row before calls are no longer made for callers.
+	failuresOfOutage = 2
+	// probeEach is the pace at which the store is tried while it is out of reach.
+	probeEach = 250 * time.Millisecond
+)
+
+// health tells whether the store can be reached, so that callers are refused at once while it cannot.
+type health struct {
+	store store.Client
+	log   *slog.Logger
+
+	mu       sync.Mutex
+	failures int
+	lost     time.Time
+}
+
+func (h *health) reachable() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.failures < failuresOfOutage
+}
+
+// observe takes note of the outcome of a call.
+func (h *health) observe(err error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if err == nil {
+		if h.failures >= failuresOfOutage {
+			h.log.Info("store: regained", "after", leader.Now().Sub(h.lost))
+		}
+		h.failures = 0
+		return
+	}
+	if errors.Is(err, context.Canceled) {
+		return
+	}
+	h.failures++
+	if h.failures == failuresOfOutage {
+		h.lost = leader.Now()
+		h.log.Warn("store: lost", "error", err)
+	}
+}
+
+// probe tries the store while it is out of reach, until ctx ends.
+func (h *health) probe(ctx context.Context) {
+	for pause(ctx, probeEach) {
+		if h.reachable() {
+			continue
+		}
+		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+		_, err := h.store.Range(callCtx, store.Get{Key: probeKey})
+		cancel()
+		h.observe(err)
+	}
+}
+
+// probeKey is read to see whether the store answers; it need not exist.
+const probeKey = "lovagefork/probe"
--- /dev/null
+++ b/entryd/hosted/intake.go
@@ -0,0 +1,443 @@
+package hosted
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rcrowley/go-metrics"
+
+	"lovagefork.example/coord/fleet"
+	"lovagefork.example/coord/flow"
+	"lovagefork.example/coord/infra"
+	"lovagefork.example/coord/store"
+	"lovagefork.example/coord/wire"
+	"lovagefork.example/entryd/leader"
+	"lovagefork.example/entryd/peers"
+)
+
+const (
+	// storeTimeout bounds one try of a call of the store, which takes 4 ms and up to 300 ms when it is slow.
+	storeTimeout = 700 * time.Millisecond
+	// askTimeout bounds a question to the scheduler, which is a round trip between zones.
+	askTimeout = 400 * time.Millisecond
+	// helpTimeout bounds a call that a peer makes of the store for this process.
+	helpTimeout = 900 * time.Millisecond
+	// retryAfter is when a caller should come back while the store is out of reach; its outages last 4 to 9 s.
+	retryAfter = time.Second
+	// pendingAge is how old a count may be that is given while the scheduler cannot be asked; callers allow 2 s.
+	pendingAge = 1500 * time.Millisecond
+	// tryPause is the pause between two tries of the store within one call.
+	tryPause = 40 * time.Millisecond
+)
+
+// Intake takes jobs from callers: it makes them durable, and answers questions about them.
+type Intake struct {
+	self      fleet.EntryHostID
+	store     store.Client
+	health    *health
+	group     *leader.Group
+	scheduler *leader.Scheduler
+	mesh      *peers.Mesh
+	catalogs  *Catalogs
+	log       *slog.Logger
+
+	submits metrics.Timer
+	states  metrics.Timer
+	refused metrics.Counter
+	unclear metrics.Counter
+
+	mu      sync.Mutex
+	pending map[string]count
+}
+
+type count struct {
+	value int
+	at    time.Time
+}
+
+var _ infra.Jobs = (*Intake)(nil)
+
+// Catalog implements [infra.Jobs].
+func (i *Intake) Catalog() *infra.Catalog { return i.catalogs.Current() }
+
+// Submit implements [infra.Jobs].
+func (i *Intake) Submit(ctx context.Context, q infra.Queue, j infra.Job) error {
+	began := time.Now()
+	j.Submitted = time.Now().UnixMilli()
+	data, err := leader.EncodeJob(j)
+	if err != nil {
+		return &infra.InvalidJobError{Job: j.ID, Reason: err.Error()}
+	}
+	via, err := i.durably(ctx, wire.Ask{Kind: wire.AskStore, Job: j.ID, Queue: q.Name, Data: data})
+	i.submits.UpdateSince(began)
+	i.logCall("submit", j.ID, q.Name, via, began, err)
+	if err == nil && via == viaStore {
+		i.notify(wire.Ask{Kind: wire.AskNotice, Job: j.ID, Queue: q.Name, Data: data})
+	}
+	return err
+}
+
+// Cancel implements [infra.Jobs].
+func (i *Intake) Cancel(ctx context.Context, q infra.Queue, id fleet.JobID) error {
+	began := time.Now()
+	via, err := i.durably(ctx, wire.Ask{Kind: wire.AskCancel, Job: id, Queue: q.Name})
+	i.logCall("cancel", id, q.Name, via, began, err)
+	if err == nil && via == viaStore {
+		i.notify(wire.Ask{Kind: wire.AskCancelNotice, Job: id})
+	}
+	return err
+}
+
+// How a call took effect.
+const (
+	viaStore = "store"
+	viaPeer  = "peer"
+	viaNone  = "none"
+)
+
+// durably makes a change durable, in the store or through a peer that can reach it, within the time of ctx.
+func (i *Intake) durably(ctx context.Context, ask wire.Ask) (string, error) {
+	unclear := false
+	for {
+		if i.health.reachable() {
+			err := i.write(ctx, ask)
+			if err == nil || isFinal(err) {
+				return viaStore, err
+			}
+			unclear = unclear || !notRun(err)
+		}
+		err := i.viaPeers(ctx, ask)
+		if err == nil || isFinal(err) {
+			return viaPeer, err
+		}
+		unclear = unclear || !notRun(err)
+		if !unclear {
+			i.refused.Inc(1)
+			return viaNone, &infra.NotRunError{Reason: "the store is out of reach", RetryAfter: retryAfter}
+		}
+		if !pause(ctx, tryPause) {
+			i.unclear.Inc(1)
+			return viaNone, &infra.UnclearError{Reason: "the store has not answered"}
+		}
+	}
+}
+
+// isFinal reports whether an error is an answer that a repeat would not change.
+func isFinal(err error) bool {
+	var none *infra.NoJobError
+	var invalid *infra.InvalidJobError
+	return errors.As(err, &none) || errors.As(err, &invalid)
+}
+
+func notRun(err error) bool {
+	var e *infra.NotRunError
+	return errors.As(err, &e)
+}
+
+// write makes a change durable in the store with one try.
+func (i *Intake) write(ctx context.Context, ask wire.Ask) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	if ask.Kind == wire.AskStore {
+		key := leader.JobKey(ask.Job)
+		return i.putOnce(ctx, key, ask.Data)
+	}
+	found, err := i.store.Range(ctx, store.Get{Key: leader.JobKey(ask.Job)})
+	i.health.observe(err)
+	if err != nil {
+		return translate(err)
+	}
+	if len(found.Entries) == 0 {
+		return &infra.NoJobError{Job: ask.Job}
+	}
+	return i.putOnce(ctx, leader.CancelKey(ask.Job), nil)
+}
+
+// putOnce writes a key unless it exists, which is as good.
+func (i *Intake) putOnce(ctx context.Context, key string, value []byte) error {
+	_, err := i.store.Txn(ctx, store.Txn{
+		If:   []store.Compare{store.Absent{Key: key}},
+		Then: []store.Op{store.Put{Key: key, Value: value}},
+	})
+	i.health.observe(err)
+	return translate(err)
+}
+
+// translate tells a call that had no effect from one that may have.
+func translate(err error) error {
+	var unsent *store.NotSentError
+	var rejected *store.RejectedError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &unsent), errors.As(err, &rejected):
+		return &infra.NotRunError{Reason: err.Error(), RetryAfter: retryAfter}
+	default:
+		return &infra.UnclearError{Reason: err.Error()}
+	}
+}
+
+// viaPeers lets a peer make a change durable; the scheduler is asked first because it renews its lease all the time.
+func (i *Intake) viaPeers(ctx context.Context, ask wire.Ask) error {
+	candidates := i.mesh.Up()
+	if seat, known := i.group.Seat(); known {
+		for n, peer := range candidates {
+			if peer == seat.EntryHost {
+				candidates[0], candidates[n] = candidates[n], candidates[0]
+			}
+		}
+	}
+	const most = 2
+	for _, peer := range candidates[:min(most, len(candidates))] {
+		reply, err := i.call(ctx, peer, ask, helpTimeout)
+		if err != nil {
+			var link *peers.LinkError
+			if errors.As(err, &link) && link.NotSent {
+				continue
+			}
+			return &infra.UnclearError{Reason: err.Error()}
+		}
+		switch reply.Status {
+		case wire.ReplyOK:
+			return nil
+		case wire.ReplyNone:
+			return &infra.NoJobError{Job: ask.Job}
+		case wire.ReplyUnclear:
+			return &infra.UnclearError{Reason: reply.Reason}
+		case wire.ReplyNotRun:
+		}
+	}
+	return &infra.NotRunError{Reason: "no peer reaches the store", RetryAfter: retryAfter}
+}
+
+func (i *Intake) call(ctx context.Context, peer fleet.EntryHostID, ask wire.Ask, limit time.Duration) (wire.Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	if until, ok := ctx.Deadline(); ok {
+		ask.RemainingMS = time.Until(until).Milliseconds()
+	}
+	answer, err := i.mesh.Call(ctx, peer, ask)
+	if err != nil {
+		return wire.Reply{}, err
+	}
+	reply, ok := answer.(wire.Reply)
+	if !ok {
+		return wire.Reply{Status: wire.ReplyNotRun, Reason: "peer does not answer such calls"}, nil
+	}
+	return reply, nil
+}
+
+// notify tells the scheduler of a change before it finds it in the store; a lost notice costs only that time.
+func (i *Intake) notify(ask wire.Ask) {
+	seat, known := i.group.Seat()
+	if !known {
+		return
+	}
+	if seat.EntryHost == i.self {
+		i.takeNotice(ask)
+		return
+	}
+	if err := i.mesh.Send(seat.EntryHost, ask); err != nil {
+		i.log.Debug("intake: scheduler not told", "job", ask.Job, "error", err)
+	}
+}
+
+func (i *Intake) takeNotice(ask wire.Ask) {
+	if ask.Kind == wire.AskCancelNotice {
+		i.scheduler.NoticeCancel(ask.Job)
+		return
+	}
+	job, err := leader.DecodeJob(ask.Data)
+	if err != nil {
+		i.log.Error("intake: unreadable notice", "job", ask.Job, "error", err)
+		return
+	}
+	i.scheduler.Notice(job)
+}
+
+// State implements [infra.Jobs].
+func (i *Intake) State(ctx context.Context, q infra.Queue, id fleet.JobID) (infra.State, error) {
+	began := time.Now()
+	defer i.states.UpdateSince(began)
+	reply, asked := i.askScheduler(ctx, wire.Ask{Kind: wire.AskState, Job: id, Queue: q.Name})
+	if asked && reply.Status == wire.ReplyOK {
+		return reply.State, nil
+	}
+	state, err := i.storedState(ctx, id)
+	if err != nil {
+		i.logCall("state", id, q.Name, viaStore, began, err)
+	}
+	return state, err
+}
+
+// askScheduler asks the scheduler, here or at a peer; it returns false if there was no answer.
+func (i *Intake) askScheduler(ctx context.Context, ask wire.Ask) (wire.Reply, bool) {
+	seat, known := i.group.Seat()
+	if !known {
+		return wire.Reply{}, false
+	}
+	if seat.EntryHost == i.self {
+		return i.answerLocally(ctx, ask)
+	}
+	reply, err := i.call(ctx, seat.EntryHost, ask, askTimeout)
+	if err != nil {
+		i.log.Debug("intake: scheduler not reached", "job", ask.Job, "scheduler", seat.EntryHost, "error", err)
+		return wire.Reply{}, false
+	}
+	return reply, reply.Status == wire.ReplyOK || reply.Status == wire.ReplyNone
+}
+
+func (i *Intake) answerLocally(ctx context.Context, ask wire.Ask) (wire.Reply, bool) {
+	reply := wire.Reply{Status: wire.ReplyNone}
+	asked := i.scheduler.Ask(ctx, func(m *flow.Machine) {
+		switch ask.Kind {
+		case wire.AskState:
+			if state, found := m.State(ask.Job); found {
+				reply = wire.Reply{Status: wire.ReplyOK, State: state}
+			}
+		case wire.AskPending:
+			reply = wire.Reply{Status: wire.ReplyOK, Count: m.Pending(ask.Queue)}
+		default:
+		}
+	})
+	return reply, asked
+}
+
+// storedState reads the state of a job from the store, for jobs that the scheduler does not know yet or any more.
+func (i *Intake) storedState(ctx context.Context, id fleet.JobID) (infra.State, error) {
+	ctx, cancel := context.WithTimeout(ctx, 2*storeTimeout)
+	defer cancel()
+	job, err := i.read(ctx, leader.JobKey(id))
+	if err != nil {
+		return "", err
+	}
+	if job == nil {
+		return "", &infra.NoJobError{Job: id}
+	}
+	record, err := i.read(ctx, leader.RecordKey(id))
+	if err != nil {
+		return "", err
+	}
+	state := infra.Queued
+	if record != nil {
+		var r flow.Record
+		if err := cbor.Unmarshal(record.Value, &r); err != nil {
+			return "", &infra.UnclearError{Reason: err.Error()}
+		}
+		state = r.State
+	}
+	if state.Final() {
+		return state, nil
+	}
+	cancelled, err := i.read(ctx, leader.CancelKey(id))
+	if err != nil {
+		return "", err
+	}
+	if cancelled != nil {
+		return infra.Cancelled, nil
+	}
+	return state, nil
+}
+
+func (i *Intake) read(ctx context.Context, key string) (*store.Entry, error) {
+	found, err := i.store.Range(ctx, store.Get{Key: key})
+	i.health.observe(err)
+	if err != nil {
+		return nil, translate(err)
+	}
+	if len(found.Entries) == 0 {
+		return nil, nil
+	}
+	return &found.Entries[0], nil
+}
+
+// Pending implements [infra.Jobs].
+func (i *Intake) Pending(ctx context.Context, q infra.Queue) (int, error) {
+	reply, asked := i.askScheduler(ctx, wire.Ask{Kind: wire.AskPending, Queue: q.Name})
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if asked && reply.Status == wire.ReplyOK {
+		i.pending[q.Name] = count{value: reply.Count, at: leader.Now()}
+		return reply.Count, nil
+	}
+	last, found := i.pending[q.Name]
+	if found && leader.Now().Sub(last.at) < pendingAge {
+		return last.value, nil
+	}
+	return 0, &infra.NotRunError{Reason: "no scheduler at the moment", RetryAfter: retryAfter}
+}
+
+// Answer handles the calls of peers.
+func (i *Intake) Answer(ctx context.Context, _ fleet.EntryHostID, m wire.Message) wire.Message {
+	ask, ok := m.(wire.Ask)
+	if !ok {
+		return nil
+	}
+	if ask.RemainingMS > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, time.Duration(ask.RemainingMS)*time.Millisecond)
+		defer cancel()
+	}
+	switch ask.Kind {
+	case wire.AskNotice, wire.AskCancelNotice:
+		i.takeNotice(ask)
+		return wire.Ack{}
+	case wire.AskState, wire.AskPending:
+		reply, asked := i.answerLocally(ctx, ask)
+		if !asked {
+			return wire.Reply{Status: wire.ReplyNotRun, Reason: "this process is not the scheduler"}
+		}
+		return reply
+	case wire.AskStore, wire.AskCancel:
+		return i.storeForPeer(ctx, ask)
+	default:
+		return wire.Reply{Status: wire.ReplyNotRun, Reason: "unknown question"}
+	}
+}
+
+func (i *Intake) storeForPeer(ctx context.Context, ask wire.Ask) wire.Reply {
+	if !i.health.reachable() {
+		return wire.Reply{Status: wire.ReplyNotRun, Reason: "the store is out of reach here too"}
+	}
+	err := i.write(ctx, ask)
+	var none *infra.NoJobError
+	switch {
+	case err == nil:
+		kind := wire.AskNotice
+		if ask.Kind == wire.AskCancel {
+			kind = wire.AskCancelNotice
+		}
+		i.notify(wire.Ask{Kind: kind, Job: ask.Job, Queue: ask.Queue, Data: ask.Data})
+		return wire.Reply{Status: wire.ReplyOK}
+	case errors.As(err, &none):
+		return wire.Reply{Status: wire.ReplyNone}
+	case notRun(err):
+		return wire.Reply{Status: wire.ReplyNotRun, Reason: err.Error()}
+	default:
+		return wire.Reply{Status: wire.ReplyUnclear, Reason: err.Error()}
+	}
+}
+
+func (i *Intake) logCall(call string, id fleet.JobID, queue, via string, began time.Time, err error) {
+	attrs := []any{"call", call, "job", id, "queue", queue, "via", via, "took_ms", time.Since(began).Milliseconds()}
+	if err != nil {
+		i.log.Warn("intake: call failed", append(attrs, "error", err)...)
+		return
+	}
+	i.log.Info("intake: call answered", attrs...)
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/entryd/leader/doc.go
@@ -0,0 +1,2 @@
+// Package leader elects the scheduler through a lease of the store and runs it while the lease lasts.
+package leader
--- /dev/null
+++ b/entryd/leader/reign.go
@@ -0,0 +1,98 @@
+package leader
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"lovagefork.example/coord/store"
+)
+
+// Reign is the time during which one process is the scheduler.
+type Reign struct {
+	store store.Client
+	lease store.LeaseID
+	seat  Seat
+
+	ended    chan struct{}
+	released chan struct{}
+
+	mu     sync.Mutex
+	proven time.Time
+	reason string
+}
+
+func newReign(client store.Client, lease store.LeaseID, seat Seat, sent time.Time) *Reign {
+	return &Reign{
+		store: client, lease: lease, seat: seat, proven: sent, ended: make(chan struct{}), released: make(chan struct{}),
+	}
+}
+
+// Seat returns the token and term of the reign.
+func (r *Reign) Seat() Seat { return r.seat }
+
+// Proven reports whether the store's lease has certainly not ended by itself.
+func (r *Reign) Proven() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return Now().Before(r.proven.Add(leaderTTL))
+}
+
+// Valid reports whether orders may be sent: the lease is proven, or the store has been silent for less than the horizon.
+func (r *Reign) Valid() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.reason == "" && Now().Before(r.proven.Add(leaderTTL+horizon))
+}
+
+// Reason tells why the reign has ended.
+func (r *Reign) Reason() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.reason
+}
+
+func (r *Reign) end(reason string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.reason == "" {
+		r.reason = reason
+		close(r.ended)
+	}
+}
+
+// renew keeps the lease until the reign ends; times are counted from before each renewal was sent.
+func (r *Reign) renew(ctx context.Context, log *slog.Logger) {
+	silent := false
+	for ctx.Err() == nil {
+		sleep(ctx, renewEach)
+		if ctx.Err() != nil {
+			return
+		}
+		sent := Now()
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		left, err := r.store.KeepAlive(callCtx, r.lease)
+		cancel()
+		switch {
+		case err == nil && left == 0:
+			r.end("the lease has ended")
+			return
+		case err == nil:
+			r.mu.Lock()
+			r.proven = sent
+			r.mu.Unlock()
+			if silent {
+				log.Info("group: store regained")
+			}
+			silent = false
+		case !silent && ctx.Err() == nil:
+			silent = true
+			log.Warn("group: store lost", "error", err)
+		}
+		if !r.Valid() {
+			r.end("the store was silent for too long")
+			return
+		}
+	}
+}
--- /dev/null
+++ b/entryd/leader/scheduler.go
@@ -0,0 +1,428 @@
+package leader
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rcrowley/go-metrics"
+
+	"lovagefork.example/coord/fleet"
+	"lovagefork.example/coord/flow"
+	"lovagefork.example/coord/infra"
+	"lovagefork.example/coord/store"
+)
+
+const (
+	// tickEach is the pace of the scheduler while nothing happens; it bounds how late a repeated stop or a placement is.
+	tickEach = 25 * time.Millisecond
+	// eventQueue holds the answers of several seconds of orders.
+	eventQueue = 8192
+	// orderTimeout bounds a start or stop, which takes a round trip of up to 10 ms between zones.
+	orderTimeout = 900 * time.Millisecond
+	// holdSlack is how much longer than its wait a hold may take.
+	holdSlack = 700 * time.Millisecond
+	// maxEventsPerTick lets a tick happen while events arrive faster than they are handled.
+	maxEventsPerTick = 512
+)
+
+// Scheduler runs the scheduler of the system while this process reigns.
+type Scheduler struct {
+	store  store.Client
+	agents infra.Agents
+	format infra.Format
+	bounds infra.Bounds
+	log    *slog.Logger
+	starts metrics.Timer
+	holds  metrics.Counter
+	orders metrics.Counter
+	writes metrics.Counter
+
+	mu      sync.Mutex
+	catalog *infra.Catalog
+	current *loop
+}
+
+// Deps are what a [Scheduler] works with.
+type Deps struct {
+	Store   store.Client
+	Agents  infra.Agents
+	Format  infra.Format
+	Bounds  infra.Bounds
+	Log     *slog.Logger
+	Metrics metrics.Registry
+}
+
+// NewScheduler returns a scheduler that waits for its reign.
+func NewScheduler(d Deps) *Scheduler {
+	return &Scheduler{
+		store: d.Store, agents: d.Agents, format: d.Format, bounds: d.Bounds, log: d.Log,
+		starts: metrics.GetOrRegisterTimer("scheduler.start_seconds", d.Metrics),
+		holds:  metrics.GetOrRegisterCounter("scheduler.holds.total", d.Metrics),
+		orders: metrics.GetOrRegisterCounter("scheduler.orders.total", d.Metrics),
+		writes: metrics.GetOrRegisterCounter("scheduler.saves.total", d.Metrics),
+	}
+}
+
+// Configure passes on a newer configuration.
+func (s *Scheduler) Configure(c *infra.Catalog) {
+	s.mu.Lock()
+	s.catalog = c
+	l := s.current
+	s.mu.Unlock()
+	if l != nil {
+		l.post(flow.Configured{Catalog: c})
+	}
+}
+
+func (s *Scheduler) loop() *loop {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.current
+}
+
+// Notice tells the scheduler of a job that has been stored; without a reign it is read from the store later.
+func (s *Scheduler) Notice(j infra.Job) {
+	if l := s.loop(); l != nil && l.reign.Proven() {
+		l.post(flow.Submitted{Job: j})
+	}
+}
+
+// NoticeCancel tells the scheduler of a cancellation that has been stored.
+func (s *Scheduler) NoticeCancel(id fleet.JobID) {
+	if l := s.loop(); l != nil && l.reign.Proven() {
+		l.post(flow.CancelRequested{Job: id})
+	}
+}
+
+// Ask runs f on the scheduler's state between two events; it returns false if this process does not reign.
+func (s *Scheduler) Ask(ctx context.Context, f func(*flow.Machine)) bool {
+	l := s.loop()
+	if l == nil || !l.reign.Valid() {
+		return false
+	}
+	return l.ask(ctx, f)
+}
+
+// Reign runs the scheduler until ctx ends; it is called by [Group].
+func (s *Scheduler) Reign(ctx context.Context, r *Reign) {
+	l := &loop{
+		Scheduler: s, reign: r, log: s.log.With("token", int64(r.seat.Token)),
+		events: make(chan flow.Event, eventQueue), asks: make(chan question), gone: make(chan struct{}),
+		machine: flow.New(r.seat.Token,
+			flow.WithHold(s.bounds.Hold), flow.WithHorizon(leaderTTL+horizon), flow.WithFormerLease(leaderTTL),
+			flow.WithRetention(retainFactor*s.bounds.Status), flow.WithHarm(s.bounds.Harm),
+			flow.WithRemoteFactor(s.bounds.RemoteFactor)),
+	}
+	defer close(l.gone)
+	if !l.load(ctx) {
+		return
+	}
+	s.mu.Lock()
+	s.current = l
+	catalog := s.catalog
+	s.mu.Unlock()
+	if catalog != nil {
+		l.handle(ctx, flow.Configured{Catalog: catalog})
+	}
+	l.run(ctx)
+	s.mu.Lock()
+	s.current = nil
+	s.mu.Unlock()
+}
+
+// retainFactor times the time for which states must be known is how long finished jobs are kept, because a repeated
+// submission must find them.
+const retainFactor = 3
+
+// loop is one reign of the scheduler: the goroutine that owns the machine.
+type loop struct {
+	*Scheduler
+	reign   *Reign
+	log     *slog.Logger
+	machine *flow.Machine
+	events  chan flow.Event
+	asks    chan question
+	gone    chan struct{}
+
+	sequence store.Revision
+	inputs   store.Revision
+	workers  store.Revision
+	listed   map[fleet.WorkerID]struct{}
+	effects  sync.WaitGroup
+	badEntry map[string]struct{}
+}
+
+type question struct {
+	ask  func(*flow.Machine)
+	done chan struct{}
+}
+
+func (l *loop) ask(ctx context.Context, f func(*flow.Machine)) bool {
+	q := question{ask: f, done: make(chan struct{})}
+	select {
+	case l.asks <- q:
+	case <-l.gone:
+		return false
+	case <-ctx.Done():
+		return false
+	}
+	select {
+	case <-q.done:
+		return true
+	case <-l.gone:
+		return false
+	}
+}
+
+// post queues an event; it waits while the queue is full, because every answer of a worker counts.
+func (l *loop) post(ev flow.Event) {
+	select {
+	case l.events <- ev:
+	case <-l.gone:
+	}
+}
+
+// load reads what former schedulers left.
+func (l *loop) load(ctx context.Context) bool {
+	started := Now()
+	for ctx.Err() == nil {
+		restored, err := l.read(ctx)
+		if err == nil {
+			l.log.Info("scheduler: state read", "jobs", len(restored.Jobs), "roster", len(restored.Roster), "took", Now().Sub(started))
+			l.handle(ctx, flow.Tick{Wall: time.Now()})
+			l.handle(ctx, restored)
+			return true
+		}
+		l.log.Warn("scheduler: state not read", "error", err)
+		sleep(ctx, retryFirst)
+	}
+	return false
+}
+
+func (l *loop) read(ctx context.Context) (flow.Restored, error) {
+	out := flow.Restored{Term: l.reign.seat.Term}
+	inputs, revision, err := readAll(ctx, l.store, inputPrefix)
+	if err != nil {
+		return out, err
+	}
+	l.inputs = revision
+	records, _, err := readAll(ctx, l.store, recordPrefix)
+	if err != nil {
+		return out, err
+	}
+	progress := make(map[fleet.JobID]*flow.Record, len(records))
+	for _, e := range records {
+		var record flow.Record
+		if err := cbor.Unmarshal(e.Value, &record); err != nil {
+			l.log.Error("scheduler: unreadable record", "key", e.Key, "error", err)
+			continue
+		}
+		progress[fleet.JobID(e.Key[len(recordPrefix):])] = &record
+	}
+	cancelled := make(map[fleet.JobID]bool)
+	for _, e := range inputs {
+		if id, isCancel := parseInput(e.Key); isCancel {
+			cancelled[id] = true
+		}
+	}
+	for _, e := range inputs {
+		id, isCancel := parseInput(e.Key)
+		if isCancel {
+			continue
+		}
+		job, err := DecodeJob(e.Value)
+		if err != nil {
+			l.log.Error("scheduler: unreadable job", "key", e.Key, "error", err)
+			continue
+		}
+		out.Jobs = append(out.Jobs, flow.StoredJob{Job: job, Cancelled: cancelled[id], Record: progress[id]})
+	}
+	return out, l.readControl(ctx, &out)
+}
+
+// readControl reads the roster and the sequence of batches.
+func (l *loop) readControl(ctx context.Context, out *flow.Restored) error {
+	for _, key := range []string{rosterKey, sequenceKey} {
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		found, err := l.store.Range(callCtx, store.Get{Key: key})
+		cancel()
+		if err != nil {
+			return err
+		}
+		if len(found.Entries) == 0 {
+			continue
+		}
+		e := found.Entries[0]
+		if key == sequenceKey {
+			l.sequence = e.ModRevision
+			continue
+		}
+		if err := cbor.Unmarshal(e.Value, &out.Roster); err != nil {
+			l.log.Error("scheduler: unreadable roster", "error", err)
+		}
+	}
+	return nil
+}
+
+// EncodeJob returns a job as it is stored.
+func EncodeJob(j infra.Job) ([]byte, error) { return cbor.Marshal(j) }
+
+// DecodeJob returns a stored job.
+func DecodeJob(data []byte) (infra.Job, error) {
+	var j infra.Job
+	err := cbor.Unmarshal(data, &j)
+	return j, err
+}
+
+// run handles events until ctx ends, and then waits for the effects that are on their way.
+func (l *loop) run(ctx context.Context) {
+	var feeds sync.WaitGroup
+	feeds.Go(func() { l.watchInputs(ctx) })
+	feeds.Go(func() { l.watchWorkers(ctx) })
+	ticker := time.NewTicker(tickEach)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		case q := <-l.asks:
+			q.ask(l.machine)
+			close(q.done)
+			continue
+		case ev := <-l.events:
+			l.handle(ctx, ev)
+			l.drain(ctx)
+		}
+		l.handle(ctx, flow.Tick{Wall: time.Now()})
+	}
+	go l.discard()
+	feeds.Wait()
+	l.effects.Wait()
+	l.log.Info("scheduler: stopped", "counts", l.machine.Counts())
+}
+
+func (l *loop) drain(ctx context.Context) {
+	for range maxEventsPerTick {
+		select {
+		case ev := <-l.events:
+			l.handle(ctx, ev)
+		default:
+			return
+		}
+	}
+}
+
+// discard keeps late answers from blocking their senders.
+func (l *loop) discard() {
+	for {
+		select {
+		case <-l.events:
+		case <-l.gone:
+			return
+		}
+	}
+}
+
+func (l *loop) handle(ctx context.Context, ev flow.Event) {
+	for _, e := range l.machine.Step(Now(), ev) {
+		l.carryOut(ctx, e)
+	}
+}
+
+// carryOut does what the machine asks for. Every order checks the reign again, because the process may have been
+// suspended since the decision.
+func (l *loop) carryOut(ctx context.Context, e flow.Effect) {
+	switch e := e.(type) {
+	case flow.Hold:
+		l.holds.Inc(1)
+		l.effects.Go(func() { l.hold(ctx, e) })
+	case flow.Start:
+		l.orders.Inc(1)
+		l.effects.Go(func() { l.start(ctx, e) })
+	case flow.Stop:
+		l.orders.Inc(1)
+		l.effects.Go(func() { l.stop(ctx, e) })
+	case flow.Pace:
+		l.orders.Inc(1)
+		l.effects.Go(func() { l.pace(ctx, e) })
+	case flow.Save:
+		l.writes.Inc(1)
+		l.effects.Go(func() { l.save(ctx, e) })
+	case flow.Resign:
+		l.reign.end("a worker knows a newer scheduler")
+	case flow.Note:
+		l.note(e)
+	}
+}
+
+func (l *loop) note(n flow.Note) {
+	attrs := make([]any, 0, 12)
+	if n.Task.Job != "" {
+		attrs = append(attrs, "job", n.Task.Job, "occurrence", n.Task.Occurrence, "step", n.Task.Step, "index", n.Task.Index, "run", n.Run)
+	} else if n.Job != "" {
+		attrs = append(attrs, "job", n.Job)
+	}
+	if n.Worker != "" {
+		attrs = append(attrs, "worker", n.Worker)
+	}
+	if n.Reason != "" {
+		attrs = append(attrs, "reason", n.Reason)
+	}
+	l.log.Info("scheduler: "+n.Text, attrs...)
+}
+
+// errOver answers an order that was not sent because the reign is over.
+func errOver(id fleet.WorkerID) error {
+	return &infra.UnsentError{Worker: id, Cause: context.Canceled}
+}
+
+func (l *loop) hold(ctx context.Context, e flow.Hold) {
+	if !l.reign.Valid() {
+		l.post(flow.HoldFailed{Worker: e.To.Worker, Order: e.Order, Err: errOver(e.To.Worker)})
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, e.Order.Wait+holdSlack)
+	defer cancel()
+	report, err := l.agents.Hold(callCtx, e.To, e.Order)
+	if err != nil {
+		l.post(flow.HoldFailed{Worker: e.To.Worker, Order: e.Order, Err: err})
+		return
+	}
+	l.post(flow.Held{Worker: e.To.Worker, Order: e.Order, Report: report})
+}
+
+func (l *loop) start(ctx context.Context, e flow.Start) {
+	if !l.reign.Valid() {
+		l.post(flow.StartAnswered{Worker: e.To.Worker, Order: e.Order, Err: errOver(e.To.Worker)})
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	began := time.Now()
+	clock, err := l.agents.Start(callCtx, e.To, e.Order)
+	l.starts.UpdateSince(began)
+	l.post(flow.StartAnswered{Worker: e.To.Worker, Order: e.Order, Clock: clock, Err: err})
+}
+
+func (l *loop) stop(ctx context.Context, e flow.Stop) {
+	if !l.reign.Valid() {
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	clock, err := l.agents.Stop(callCtx, e.To, e.Order)
+	l.post(flow.StopAnswered{Worker: e.To.Worker, Order: e.Order, Clock: clock, Err: err})
+}
+
+func (l *loop) pace(ctx context.Context, e flow.Pace) {
+	if !l.reign.Valid() {
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	err := l.agents.Pace(callCtx, e.To, e.Order)
+	l.post(flow.PaceAnswered{Worker: e.To.Worker, Order: e.Order, Err: err})
+}
--- a/entryd/main.go
+++ b/entryd/main.go
@@ -3,20 +3,55 @@
 
 import (
 	"fmt"
+	"log/slog"
+	"net/http"
 	"os"
 
+	"lovagefork.example/coord/infra"
 	"lovagefork.example/entryd/daemon"
+	"lovagefork.example/entryd/hosted"
 	"lovagefork.example/entryd/setup"
+	"lovagefork.example/platform"
 )
 
 // exitSettings is the exit code for settings that are not allowed.
 const exitSettings = 2
 
+// hostedCommand runs the daemon on the users' platform instead of on own settings.
+const hostedCommand = "hosted"
+
 func main() {
+	if len(os.Args) > 1 && os.Args[1] == hostedCommand {
+		runHosted()
+		return
+	}
 	settings, err := setup.Parse(os.Args[1:], os.Environ())
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "entryd:", err)
-		os.Exit(exitSettings)
+		fail(err)
 	}
 	daemon.New(settings, os.Stderr).Run()
 }
+
+func runHosted() {
+	read := func() (infra.Settings, error) { return platform.ReadSettings(platform.SettingsPath()) }
+	settings, err := read()
+	if err != nil {
+		fail(err)
+	}
+	hosted.New(hosted.Platform{
+		Settings: settings,
+		Reload:   read,
+		Store:    platform.NewStore(settings.Store),
+		Agents:   platform.NewAgents(),
+		Format:   platform.Format{},
+		Ingress: func(jobs infra.Jobs, log *slog.Logger) http.Handler {
+			return platform.NewIngress(jobs, log)
+		},
+		Ready: platform.NewReady,
+	}, os.Stdout).Run()
+}
+
+func fail(err error) {
+	fmt.Fprintln(os.Stderr, "entryd:", err)
+	os.Exit(exitSettings)
+}
--- a/entryd/peers/peers.go
+++ b/entryd/peers/peers.go
@@ -67,8 +67,12 @@
 	sent     traffic
 	received traffic
 
+	// open meshes accept links from peers that are not in the roster yet.
+	open bool
+
 	mu        sync.Mutex
 	links     map[fleet.EntryHostID]*link
+	dialling  map[fleet.EntryHostID]dialled
 	handlers  []Handler
 	observers []func(peer fleet.EntryHostID, up bool)
 }
@@ -86,6 +90,17 @@
 	return func(m *Mesh) { m.sent, m.received = newTraffic("sent", r), newTraffic("received", r) }
 }
 
+// WithOpenRoster accepts links from peers that have not been added with [Mesh.Join] yet.
+func WithOpenRoster() Option {
+	return func(m *Mesh) { m.open = true }
+}
+
+// dialled is a peer that this process dials until stop is called.
+type dialled struct {
+	address string
+	stop    context.CancelFunc
+}
+
 // traffic counts the messages of one direction.
 type traffic struct {
 	messages, bytes metrics.Counter
@@ -113,6 +128,8 @@
 		scheme: "ws",
 		links:  make(map[fleet.EntryHostID]*link),
 
+		dialling: make(map[fleet.EntryHostID]dialled),
+
 		sent:     newTraffic("sent", metrics.NewRegistry()),
 		received: newTraffic("received", metrics.NewRegistry()),
 	}
@@ -189,6 +206,35 @@
 	wg.Wait()
 }
 
+// Join adds a peer, or changes its address, and keeps a link to it until ctx ends or [Mesh.Leave]. The process with the
+// lesser name dials.
+func (m *Mesh) Join(ctx context.Context, peer fleet.EntryHostID, address string) {
+	if peer <= m.self.EntryHost {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if old, known := m.dialling[peer]; known {
+		if old.address == address {
+			return
+		}
+		old.stop()
+	}
+	ctx, stop := context.WithCancel(ctx)
+	m.dialling[peer] = dialled{address: address, stop: stop}
+	go m.dialLoop(ctx, peer, address)
+}
+
+// Leave gives up dialling a peer; an open link stays until it breaks.
+func (m *Mesh) Leave(peer fleet.EntryHostID) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if old, known := m.dialling[peer]; known {
+		old.stop()
+		delete(m.dialling, peer)
+	}
+}
+
 // Close breaks every link; peers that are still running link up again.
 func (m *Mesh) Close() {
 	m.mu.Lock()
@@ -250,7 +296,7 @@
 	if err != nil {
 		return err
 	}
-	if _, known := m.roster[peer.EntryHost]; !known || (expect != "" && peer.EntryHost != expect) {
+	if _, known := m.roster[peer.EntryHost]; !(known || m.open) || (expect != "" && peer.EntryHost != expect) {
 		return fmt.Errorf("unexpected peer %q", peer.EntryHost)
 	}
 	ctx, cancel := context.WithCancel(ctx)
