--- a/coord/flow/place.go
+++ b/coord/flow/place.go
@@ -244,7 +244,7 @@
 	if !spec.Reserved().Fits(w.free()) {
 		return false
 	}
-	if spec.Filler && w.spare() < spec.Size.MilliCPU {
+	if spec.Filler && (w.serving > 0 || w.spare() < spec.Size.MilliCPU) {
 		return false
 	}
 	if spec.Label != "" && !w.hasLabel(spec.Label) {
@@ -264,10 +264,33 @@
 // avoidPenalty outweighs every difference in load, so that a failed task tries another worker first.
 const avoidPenalty = 10
 
+const (
+	// companyBonus packs serving tasks together, which leaves workers for the fillers that would disturb them.
+	companyBonus = 1
+	// fillerPenalty keeps serving tasks from workers where fillers run.
+	fillerPenalty = 3
+	// speedWeight prefers workers where tasks progress as expected.
+	speedWeight = 2
+)
+
 // score is higher for a worker where a task progresses faster and disturbs others less.
 func (m *Machine) score(r *readyStep, w *worker) float64 {
 	capacity := float64(max(1, w.Capacity.MilliCPU))
-	return float64(w.spare())/capacity + (w.speed-1)*2
+	score := (w.speed - 1) * speedWeight
+	spare := float64(w.spare()) / capacity
+	company := 0.0
+	if w.serving > 0 {
+		company = companyBonus
+	}
+	switch spec := &r.step.spec; {
+	case serves(spec):
+		free := float64(w.free().MilliCPU) / capacity
+		return score + company - free - fillerPenalty*float64(w.filler)/capacity
+	case spec.Filler:
+		return score + spare
+	default:
+		return score + company + spare
+	}
 }
 
 func (m *Machine) start(r *readyStep, index int, w *worker, number infra.Run) {
--- a/coord/flow/tend.go
+++ b/coord/flow/tend.go
@@ -51,6 +51,44 @@
 	w.decayAt = now
 }
 
-// tend looks after what runs: serving tasks over their target, tasks that stand still, workers that drain.
+const (
+	// overPatience is how long a serving task may miss its target before the fillers beside it are moved: two reports, well
+	// below the time after which callers are harmed.
+	overPatience = time.Second
+)
+
+// tend looks after what runs beside each other.
 func (m *Machine) tend() {
+	for _, w := range m.order {
+		if w.serving > 0 && w.filler > 0 {
+			m.protect(w)
+		}
+	}
+}
+
+// protect moves the fillers away from serving tasks that miss their target.
+func (m *Machine) protect(w *worker) {
+	harmed := false
+	for _, r := range w.runs {
+		if !r.serves() || r.state != running {
+			continue
+		}
+		if r.figure <= float64(r.step.spec.TailTarget.Milliseconds()) {
+			r.over = time.Time{}
+			continue
+		}
+		if r.over.IsZero() {
+			r.over = m.now
+		}
+		harmed = harmed || m.now.Sub(r.over) >= overPatience
+	}
+	if !harmed {
+		return
+	}
+	for _, r := range w.sortedRuns() {
+		if r.filler > 0 {
+			m.counts.Paced++
+			m.stop(r, "disturbs a serving task")
+		}
+	}
 }
--- a/coord/flow/worker.go
+++ b/coord/flow/worker.go
@@ -72,7 +72,9 @@
 
 	used   fleet.Resources
 	filler int64
-	runs   map[infra.Task]*run
+	// serving counts the runs with a tail latency target.
+	serving int
+	runs    map[infra.Task]*run
 
 	seen    int64
 	durable int64
@@ -149,6 +151,9 @@
 	w.runs[r.id] = r
 	w.used = w.used.Add(r.size)
 	w.filler += r.filler
+	if r.serves() {
+		w.serving++
+	}
 }
 
 func (w *worker) remove(r *run) {
@@ -158,4 +163,12 @@
 	delete(w.runs, r.id)
 	w.used = w.used.Sub(r.size)
 	w.filler -= r.filler
+	if r.serves() {
+		w.serving--
+	}
 }
+
+// serves reports whether the run has a tail latency target.
+func (r *run) serves() bool { return r.step != nil && serves(&r.step.spec) }
+
+func serves(s *infra.Step) bool { return s.TailTarget > 0 }
--- a/entryd/hosted/health.go
+++ b/entryd/hosted/health.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"net/http"
 	"sync"
 	"time"
 
@@ -45,7 +46,7 @@
 		h.failures = 0
 		return
 	}
-	if errors.Is(err, context.Canceled) {
+	if errors.Is(err, context.Canceled) || isMistake(err) {
 		return
 	}
 	h.failures++
@@ -55,6 +56,13 @@
 	}
 }
 
+// isMistake reports whether the store is there but does not accept the call as it is.
+func isMistake(err error) bool {
+	var rejected *store.RejectedError
+	return errors.As(err, &rejected) && rejected.Status != http.StatusServiceUnavailable &&
+		rejected.Status != http.StatusTooManyRequests
+}
+
 // probe tries the store while it is out of reach, until ctx ends.
 func (h *health) probe(ctx context.Context) {
 	for pause(ctx, probeEach) {
--- a/entryd/hosted/intake.go
+++ b/entryd/hosted/intake.go
@@ -154,9 +154,12 @@
 	if len(found.Entries) == 0 {
 		return &infra.NoJobError{Job: ask.Job}
 	}
-	return i.putOnce(ctx, leader.CancelKey(ask.Job), nil)
+	return i.putOnce(ctx, leader.CancelKey(ask.Job), cancelValue)
 }
 
+// cancelValue is what a cancellation's key holds; the key alone tells, but the store wants a value.
+var cancelValue = []byte("cancelled")
+
 // putOnce writes a key unless it exists, which is as good.
 func (i *Intake) putOnce(ctx context.Context, key string, value []byte) error {
 	_, err := i.store.Txn(ctx, store.Txn{
--- a/entryd/leader/feeds.go
+++ b/entryd/leader/feeds.go
@@ -16,7 +16,7 @@
 	// read for each heartbeat would cost as many calls as there are workers.
 	workersPace = 250 * time.Millisecond
 	// inputsPace is the pause between two reads of new jobs; entry processes also tell of them directly.
-	inputsPace = 30 * time.Millisecond
+	inputsPace = 150 * time.Millisecond
 )
 
 // watchInputs follows the jobs and cancellations that entry processes store.
