flow: learn how filler images disturb serving images, and place by it

Cause: the disturbance depends on the pair of images, so keeping all fillers away from all serving tasks leaves too few workers for fillers.

--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -10,6 +10,8 @@
 const (
 	// holdWait is how long a worker may wait for an end before it reports; shorter waits cost more calls.
 	holdWait = time.Second
+	// holdWatch is the same for a worker where fillers may disturb serving tasks.
+	holdWatch = 500 * time.Millisecond
 	// holdRetry is the pause after a hold that failed.
 	holdRetry = 250 * time.Millisecond
 	// holdUnsaved is the pause between holds while ends cannot be made durable; leases last about 20 times as long.
@@ -102,7 +104,7 @@
 	wallAt    time.Time
 	effects   []Effect
 	placeNext bool
-	images    map[string]*imageStats
+	victims   map[string]*victim
 	ghosts    map[fleet.WorkerID][]ghost
 	// unknown are cancellations of jobs that are not known yet.
 	unknown map[fleet.JobID]struct{}
@@ -117,7 +119,7 @@
 
 // Counts are totals since the scheduler was elected.
 type Counts struct {
-	Starts, Refused, Lost, Done, Failed, Stopped, Vanished, Stalled, Paced int64
+	Starts, Refused, Lost, Done, Failed, Stopped, Vanished, Stalled, Relieved int64
 }
 
 // New returns the scheduler that holds a fencing token.
@@ -133,7 +135,7 @@
 		roster:    make(map[fleet.WorkerID]string),
 		ready:     make(map[*step]*readyStep),
 		timed:     make(map[fleet.JobID]*job),
-		images:    make(map[string]*imageStats),
+		victims:   make(map[string]*victim),
 		ghosts:    make(map[fleet.WorkerID][]ghost),
 		unknown:   make(map[fleet.JobID]struct{}),
 	}
--- a/coord/flow/place.go
+++ b/coord/flow/place.go
@@ -244,7 +244,7 @@
 	if !spec.Reserved().Fits(w.free()) {
 		return false
 	}
-	if spec.Filler && (w.serving > 0 || w.spare() < spec.Size.MilliCPU) {
+	if spec.Filler && (w.spare() < spec.Size.MilliCPU || !m.tolerates(w, spec)) {
 		return false
 	}
 	if spec.Label != "" && !w.hasLabel(spec.Label) {
@@ -256,40 +256,51 @@
 	return true
 }
 
-// spare is the processor time that neither the reserved tasks nor the fillers of a worker ask for.
+// servingUse is the part of their reserved processor time that serving tasks use on average; the rest is left to fillers.
+const servingUse = 0.5
+
+// spare is the processor time that neither the other tasks nor the fillers of a worker use.
 func (w *worker) spare() int64 {
-	return w.Capacity.MilliCPU - w.used.MilliCPU - w.filler
+	return w.Capacity.MilliCPU - w.used.MilliCPU + int64((1-servingUse)*float64(w.reserves)) - w.filler
 }
 
 // avoidPenalty outweighs every difference in load, so that a failed task tries another worker first.
 const avoidPenalty = 10
 
 const (
-	// companyBonus packs serving tasks together, which leaves workers for the fillers that would disturb them.
+	// companyBonus packs serving tasks of one image together, because each filler image disturbs some images and not others.
 	companyBonus = 1
-	// fillerPenalty keeps serving tasks from workers where fillers run.
-	fillerPenalty = 3
+	// emptyBonus prefers a worker without serving tasks to one with tasks of another image.
+	emptyBonus = 0.5
+	// pressPenalty keeps serving tasks from workers whose fillers would push them over their target.
+	pressPenalty = 2
 	// speedWeight prefers workers where tasks progress as expected.
 	speedWeight = 2
 )
 
 // score is higher for a worker where a task progresses faster and disturbs others less.
 func (m *Machine) score(r *readyStep, w *worker) float64 {
-	capacity := float64(max(1, w.Capacity.MilliCPU))
-	score := (w.speed - 1) * speedWeight
-	spare := float64(w.spare()) / capacity
-	company := 0.0
-	if w.serving > 0 {
-		company = companyBonus
-	}
-	switch spec := &r.step.spec; {
+	score := (w.speed-1)*speedWeight + float64(w.spare())/float64(max(1, w.Capacity.MilliCPU))
+	spec := &r.step.spec
+	switch {
 	case serves(spec):
-		free := float64(w.free().MilliCPU) / capacity
-		return score + company - free - fillerPenalty*float64(w.filler)/capacity
+		free := w.share(w.free().MilliCPU)
+		return score - 2*free + company(w, spec.Image) - pressPenalty*max(0, m.excess(w, spec))
 	case spec.Filler:
-		return score + spare
+		return score - m.strain(w, spec)
+	default:
+		return score
+	}
+}
+
+func company(w *worker, image string) float64 {
+	switch {
+	case len(w.serving) == 0:
+		return emptyBonus
+	case len(w.serving) == 1 && w.serving[image] > 0:
+		return companyBonus
 	default:
-		return score + company + spare
+		return 0
 	}
 }
 
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -12,7 +12,10 @@
 const refusalsOfAbsence = 2
 
 func (m *Machine) addWorker(info infra.Worker) *worker {
-	w := &worker{Worker: info, runs: make(map[infra.Task]*run), reachable: true, speed: 1, decayAt: m.now}
+	w := &worker{
+		Worker: info, runs: make(map[infra.Task]*run), reachable: true, speed: 1, decayAt: m.now,
+		serving: make(map[string]int), fillers: make(map[string]float64), pressed: make(map[string]float64),
+	}
 	m.workers[info.ID] = w
 	at := len(m.order)
 	for i, o := range m.order {
@@ -160,6 +163,9 @@
 	}
 	if w.unsaved == 0 && w.fenced && w.reachable {
 		order.Wait = holdWait
+		if len(w.serving) > 0 && w.filler > 0 {
+			order.Wait = holdWatch
+		}
 	}
 	w.holding, w.lastHold = true, m.now
 	m.emit(Hold{To: w.address(), Order: order})
@@ -233,6 +239,7 @@
 	}
 	fresh := m.takeEnds(w, ev.Report.Ended)
 	m.takeRunning(w, ev.Report)
+	m.measure(w)
 	if fresh {
 		w.unsaved = m.dirtySeq
 		if m.savedSeq >= m.dirtySeq {
--- a/coord/flow/worker.go
+++ b/coord/flow/worker.go
@@ -51,6 +51,8 @@
 	reason    string
 	pace      int
 	over      time.Time
+	// level is the smoothed logarithm of the tail latency; 0 before the first report.
+	level float64
 }
 
 // worker is one life of a worker.
@@ -72,8 +74,13 @@
 
 	used   fleet.Resources
 	filler int64
-	// serving counts the runs with a tail latency target.
-	serving int
+	// serving counts the runs with a tail latency target, by image; reserves is the processor time that they reserve.
+	serving  map[string]int
+	reserves int64
+	// fillers is the share of the processors that fillers ask for, by image, and pressed the same as it was on average when
+	// the tails were measured.
+	fillers map[string]float64
+	pressed map[string]float64
 	runs    map[infra.Task]*run
 
 	seen    int64
@@ -95,6 +102,8 @@
 	speed float64
 
 	unhealthyUntil time.Time
+	// relievedAt is when fillers were last moved away from serving tasks.
+	relievedAt time.Time
 }
 
 func (w *worker) address() infra.Address {
@@ -150,10 +159,7 @@
 func (w *worker) add(r *run) {
 	w.runs[r.id] = r
 	w.used = w.used.Add(r.size)
-	w.filler += r.filler
-	if r.serves() {
-		w.serving++
-	}
+	w.count(r, 1)
 }
 
 func (w *worker) remove(r *run) {
@@ -162,12 +168,37 @@
 	}
 	delete(w.runs, r.id)
 	w.used = w.used.Sub(r.size)
-	w.filler -= r.filler
+	w.count(r, -1)
+}
+
+// count adds or takes away what a run does to its neighbours.
+func (w *worker) count(r *run, sign int) {
+	w.filler += int64(sign) * r.filler
+	if r.filler > 0 {
+		image := r.step.spec.Image
+		w.fillers[image] += float64(sign) * w.share(r.filler)
+		if w.fillers[image] < minShare {
+			delete(w.fillers, image)
+		}
+	}
 	if r.serves() {
-		w.serving--
+		image := r.step.spec.Image
+		w.serving[image] += sign
+		if w.serving[image] == 0 {
+			delete(w.serving, image)
+		}
+		w.reserves += int64(sign) * r.size.MilliCPU
 	}
 }
 
+// minShare is below the share of any task; what is less comes from rounding.
+const minShare = 1e-6
+
+// share returns processor time as a part of the worker's.
+func (w *worker) share(milliCPU int64) float64 {
+	return float64(milliCPU) / float64(max(1, w.Capacity.MilliCPU))
+}
+
 // serves reports whether the run has a tail latency target.
 func (r *run) serves() bool { return r.step != nil && serves(&r.step.spec) }
 
