--- a/coord/flow/place.go
+++ b/coord/flow/place.go
@@ -297,7 +297,7 @@
 	switch {
 	case len(w.serving) == 0:
 		return emptyBonus
-	case len(w.serving) == 1 && w.serving[image] > 0:
+	case len(w.serving) == 1 && w.serving[image].runs > 0:
 		return companyBonus
 	default:
 		return 0
@@ -319,7 +319,7 @@
 	w.leaseEnd = max(w.leaseEnd, n.deadline)
 	t.lastRun = number
 	t.runs = append(t.runs, n)
-	w.add(n)
+	w.add(m.now, n)
 	if s.perWorker != nil {
 		s.perWorker[w.ID]++
 	}
--- a/coord/flow/press.go
+++ b/coord/flow/press.go
@@ -1,36 +1,49 @@
 package flow
 
-import "math"
+import (
+	"math"
+	"time"
+)
 
-// The tail latency of a serving task is modelled in logarithms: a base for its image, plus a weight for each image of
-// fillers times the share of the worker's processors that they ask for. Each pair of images has a weight of its own,
-// because some pairs hardly disturb each other and others do ten times as much.
+// The tail latency of a serving task is modelled in logarithms: a base for its image, which follows the load of the image
+// and is the same for all of its tasks, plus a weight for each image of fillers times the share of the worker's processors
+// that they ask for. Each pair of images has a weight of its own, because some pairs hardly disturb each other and others
+// do ten times as much.
 const (
 	// pairPrior and pairVariance describe the weight of a pair that has not been seen; one small filler may try it.
 	pairPrior    = 1.5
 	pairVariance = 6
+	// pairDrift is how much the variance of a weight grows in a second.
+	pairDrift = 0.02
 	// basePrior is the base of an unknown image below the logarithm of its target.
 	basePrior    = 1
-	baseVariance = 1
-	// reportVariance is the spread of single reports around the model, most of it from the load of the serving task.
-	reportVariance = 0.2
-	// forgetting lets weights follow changes; a report loses half its weight after about 350 others.
-	forgetting = 0.998
+	baseVariance = 0.5
+	// baseDrift is how much the variance of the base grows in a second: load swings by a third within a few seconds.
+	baseDrift = 0.03
+	// reportVariance is the spread of single reports around the model.
+	reportVariance = 0.08
+	// peakDecay is how fast the highest base seen loses height, in a second: the load swings with a period of 15 to 20 s.
+	peakDecay = 0.015
 	// caution is how many standard deviations of a weight are added to it for a decision.
 	caution = 0.3
 	// maxPairs bounds the images that are told apart for one serving image.
 	maxPairs = 48
 )
 
-// victim is what is known of a serving image: recursive least squares over the fillers beside its tasks.
+// victim is what is known of a serving image: a Kalman filter over its base and the fillers beside its tasks.
 type victim struct {
 	index  map[string]int
 	weight []float64
 	cov    [][]float64
+	at     time.Time
+	peak   float64
 }
 
-func newVictim(logTarget float64) *victim {
-	return &victim{index: make(map[string]int), weight: []float64{logTarget - basePrior}, cov: [][]float64{{baseVariance}}}
+func newVictim(logTarget float64, now time.Time) *victim {
+	base := logTarget - basePrior
+	return &victim{
+		index: make(map[string]int), weight: []float64{base}, cov: [][]float64{{baseVariance}}, at: now, peak: base,
+	}
 }
 
 // feature returns the place of a filler image; images over the bound share the last one.
@@ -59,14 +72,27 @@
 	return max(0, v.weight[i]+caution*math.Sqrt(max(0, v.cov[i][i])))
 }
 
-// base returns the logarithm of the tail without fillers.
+// base returns the logarithm of the tail without fillers at the present load.
 func (v *victim) base() float64 { return v.weight[0] }
 
-// learn corrects the weights from the logarithm of a tail that was seen beside fillers with the given shares.
-func (v *victim) learn(shares map[string]float64, logTail float64) {
+// crest returns the same at the highest load of late, which returns.
+func (v *victim) crest() float64 { return max(v.peak, v.weight[0]) }
+
+// pressed returns what fillers with the given shares add to the logarithm of the tail.
+func (v *victim) pressed(shares map[string]float64) float64 {
+	sum := 0.0
+	for image, share := range shares {
+		sum += v.cost(image) * share
+	}
+	return sum
+}
+
+// learn corrects the model from the logarithm of a tail that was seen beside fillers with the given shares.
+func (v *victim) learn(now time.Time, shares map[string]float64, logTail float64) {
 	for image := range shares {
 		v.feature(image)
 	}
+	v.drift(now)
 	x := make([]float64, len(v.weight))
 	x[0] = 1
 	for image, share := range shares {
@@ -91,15 +117,19 @@
 			v.cov[i][j] -= gain[i] * gain[j] / denominator
 		}
 	}
-	v.forget(x)
+	v.peak = max(v.peak, v.weight[0])
 }
 
-// forget lets the weights that the report was about become less certain, up to what is assumed of an unknown pair.
-func (v *victim) forget(x []float64) {
-	for i := range x {
-		if x[i] == 0 {
-			continue
-		}
-		v.cov[i][i] = min(v.cov[i][i]/forgetting, pairVariance)
+// drift lets the model become less certain with time.
+func (v *victim) drift(now time.Time) {
+	passed := now.Sub(v.at).Seconds()
+	if passed <= 0 {
+		return
+	}
+	v.at = now
+	v.peak -= peakDecay * passed
+	v.cov[0][0] = min(v.cov[0][0]+baseDrift*passed, baseVariance)
+	for i := 1; i < len(v.cov); i++ {
+		v.cov[i][i] = min(v.cov[i][i]+pairDrift*passed, pairVariance)
 	}
 }
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -14,7 +14,7 @@
 func (m *Machine) addWorker(info infra.Worker) *worker {
 	w := &worker{
 		Worker: info, runs: make(map[infra.Task]*run), reachable: true, speed: 1, decayAt: m.now,
-		serving: make(map[string]int), fillers: make(map[string]float64), pressed: make(map[string]float64),
+		serving: make(map[string]target), fillers: make(map[string]float64),
 	}
 	m.workers[info.ID] = w
 	at := len(m.order)
@@ -419,7 +419,7 @@
 
 // release frees the capacity of a run that is not present any more.
 func (m *Machine) release(r *run) {
-	r.worker.remove(r)
+	r.worker.remove(m.now, r)
 	s, t := m.lookup(r.id)
 	if t == nil {
 		return
@@ -500,7 +500,7 @@
 		m.release(old)
 	}
 	if t == nil {
-		w.add(r)
+		w.add(m.now, r)
 		m.stop(r, "task of no known job")
 		return
 	}
@@ -513,7 +513,7 @@
 	if row.Checkpoint != "" {
 		t.saved = row.Checkpoint
 	}
-	w.add(r)
+	w.add(m.now, r)
 	t.runs = append(t.runs, r)
 	if s.perWorker != nil {
 		s.perWorker[w.ID]++
--- a/coord/flow/tend.go
+++ b/coord/flow/tend.go
@@ -47,13 +47,14 @@
 }
 
 const (
-	// levelStep smooths the tail of a task; two reports in a row make up three quarters of it.
-	levelStep = 0.5
-	// headroom is what is left below the logarithm of a target for the swing of the serving task's own load.
-	headroom = 0.25
-	// overPatience is how long a serving task may miss its target before fillers beside it are moved: two or three reports,
+	// headroom is what is left below the logarithm of a target when fillers are placed, for errors of the model.
+	headroom = 0.15
+	// alarm is what is left when fillers are moved away, and relief what the others must leave then.
+	alarm  = 0.03
+	relief = 0.1
+	// overPatience is how long a serving task may miss its target against the model before fillers beside it are moved,
 	// well below the time after which callers are harmed.
-	overPatience = 700 * time.Millisecond
+	overPatience = 1200 * time.Millisecond
 	// settleTime is how long a start or stop takes to show in the tails: a report is about the last half second.
 	settleTime = 700 * time.Millisecond
 )
@@ -65,7 +66,7 @@
 func (m *Machine) victim(s *infra.Step) *victim {
 	v := m.victims[s.Image]
 	if v == nil {
-		v = newVictim(logTarget(s))
+		v = newVictim(logTarget(s), m.now)
 		m.victims[s.Image] = v
 	}
 	return v
@@ -73,87 +74,38 @@
 
 // measure learns from the tails that a worker has reported.
 func (m *Machine) measure(w *worker) {
-	if len(w.serving) == 0 {
+	if len(w.serving) == 0 || m.now.Sub(w.changedAt) < settleTime {
 		return
 	}
-	settled := m.settledShares(w)
-	for image, share := range w.pressed {
-		if _, found := settled[image]; !found {
-			w.pressed[image] = share * (1 - levelStep)
-		}
-	}
-	for image, share := range settled {
-		w.pressed[image] += levelStep * (share - w.pressed[image])
-	}
 	for _, r := range w.sortedRuns() {
 		if !r.serves() || r.figure <= 0 || m.now.Sub(r.since) < settleTime {
 			continue
 		}
-		tail := math.Log(r.figure)
-		if r.level == 0 {
-			r.level = tail
-		}
-		r.level += levelStep * (tail - r.level)
-		m.victim(&r.step.spec).learn(settled, tail)
-		m.watchTarget(r)
-	}
-}
-
-// settledShares returns the shares of the fillers that have run long enough to show in a report.
-func (m *Machine) settledShares(w *worker) map[string]float64 {
-	shares := make(map[string]float64, len(w.fillers))
-	for _, r := range w.runs {
-		if r.filler > 0 && m.now.Sub(r.since) >= settleTime {
-			shares[r.step.spec.Image] += w.share(r.filler)
-		}
-	}
-	return shares
-}
-
-func (m *Machine) watchTarget(r *run) {
-	if r.figure <= float64(r.step.spec.TailTarget.Milliseconds()) {
-		r.over = time.Time{}
-	} else if r.over.IsZero() {
-		r.over = m.now
-	}
-}
-
-// expected returns the logarithm of the tail of a serving run with the fillers that its worker has now.
-func (m *Machine) expected(w *worker, r *run) float64 {
-	v := m.victim(&r.step.spec)
-	level := r.level
-	if level == 0 {
-		level = v.base()
-		for image, share := range w.fillers {
-			level += v.cost(image) * share
+		m.victim(&r.step.spec).learn(m.now, w.fillers, math.Log(r.figure))
+		if r.figure <= float64(r.step.spec.TailTarget.Milliseconds()) {
+			r.over = time.Time{}
+		} else if r.over.IsZero() {
+			r.over = m.now
 		}
-		return level
-	}
-	for image, share := range w.fillers {
-		level += v.cost(image) * (share - w.pressed[image])
 	}
-	return level
 }
 
 // tolerates reports whether all serving tasks of a worker are expected to keep their target beside one more filler.
 func (m *Machine) tolerates(w *worker, filler *infra.Step) bool {
-	if len(w.serving) == 0 {
-		return true
-	}
 	share := w.share(filler.Size.MilliCPU)
-	for _, r := range w.runs {
-		if !r.serves() || r.state == stopping {
-			continue
+	for image, target := range w.serving {
+		v := m.victims[image]
+		if v == nil {
+			return false
 		}
-		added := m.victim(&r.step.spec).cost(filler.Image) * share
-		if m.expected(w, r)+added > logTarget(&r.step.spec)-headroom {
+		if v.crest()+v.pressed(w.fillers)+v.cost(filler.Image)*share > target.log-headroom {
 			return false
 		}
 	}
 	return true
 }
 
-// strain is how much of the serving tasks' tolerance one more filler takes, from 0.
+// strain is how much one more filler adds to the logarithm of the tails on a worker.
 func (m *Machine) strain(w *worker, filler *infra.Step) float64 {
 	worst := 0.0
 	share := w.share(filler.Size.MilliCPU)
@@ -168,11 +120,7 @@
 // excess is how far over its target a new serving task is expected to be beside the fillers of a worker.
 func (m *Machine) excess(w *worker, serving *infra.Step) float64 {
 	v := m.victim(serving)
-	level := v.base()
-	for image, share := range w.fillers {
-		level += v.cost(image) * share
-	}
-	return level - logTarget(serving) + headroom
+	return v.crest() + v.pressed(w.fillers) - logTarget(serving) + headroom
 }
 
 // tend looks after what runs beside each other.
@@ -184,23 +132,32 @@
 	}
 }
 
-// protect moves fillers away from a serving task that misses its target, the most disturbing first.
+// protect moves fillers away from serving tasks that miss their target or are about to, the most disturbing first.
 func (m *Machine) protect(w *worker) {
-	for _, r := range w.sortedRuns() {
-		if !r.serves() || r.state != running || r.over.IsZero() || m.now.Sub(r.over) < overPatience {
+	if m.now.Sub(w.relievedAt) < settleTime {
+		return
+	}
+	for image, target := range w.serving {
+		v := m.victims[image]
+		if v == nil {
 			continue
 		}
-		if m.now.Sub(w.relievedAt) < settleTime {
+		pressed := v.pressed(w.fillers)
+		if pressed > 0 && v.base()+pressed > target.log-alarm {
+			m.relieve(w, v, v.base()+pressed-target.log+relief)
+			return
+		}
+	}
+	for _, r := range w.sortedRuns() {
+		if r.serves() && r.state == running && !r.over.IsZero() && m.now.Sub(r.over) >= overPatience {
+			m.relieve(w, m.victim(&r.step.spec), math.Log(r.figure)-logTarget(&r.step.spec)+relief)
 			return
 		}
-		m.relieve(w, r)
 	}
 }
 
-// relieve stops the fillers that disturb a serving run most, until it should keep its target again.
-func (m *Machine) relieve(w *worker, harmed *run) {
-	v := m.victim(&harmed.step.spec)
-	excess := harmed.level - logTarget(&harmed.step.spec) + headroom
+// relieve stops the fillers that disturb a serving image most, until the excess is gone.
+func (m *Machine) relieve(w *worker, v *victim, excess float64) {
 	fillers := make([]*run, 0, len(w.runs))
 	for _, r := range w.sortedRuns() {
 		if r.filler > 0 && r.state == running {
--- a/coord/flow/worker.go
+++ b/coord/flow/worker.go
@@ -51,8 +51,6 @@
 	reason    string
 	pace      int
 	over      time.Time
-	// level is the smoothed logarithm of the tail latency; 0 before the first report.
-	level float64
 }
 
 // worker is one life of a worker.
@@ -74,14 +72,13 @@
 
 	used   fleet.Resources
 	filler int64
-	// serving counts the runs with a tail latency target, by image; reserves is the processor time that they reserve.
-	serving  map[string]int
+	// serving holds the runs with a tail latency target, by image; reserves is the processor time that they reserve.
+	serving  map[string]target
 	reserves int64
-	// fillers is the share of the processors that fillers ask for, by image, and pressed the same as it was on average when
-	// the tails were measured.
-	fillers map[string]float64
-	pressed map[string]float64
-	runs    map[infra.Task]*run
+	// fillers is the share of the processors that fillers ask for, by image; changedAt is when it last changed.
+	fillers   map[string]float64
+	changedAt time.Time
+	runs      map[infra.Task]*run
 
 	seen    int64
 	durable int64
@@ -156,26 +153,27 @@
 	}
 }
 
-func (w *worker) add(r *run) {
+func (w *worker) add(now time.Time, r *run) {
 	w.runs[r.id] = r
 	w.used = w.used.Add(r.size)
-	w.count(r, 1)
+	w.count(now, r, 1)
 }
 
-func (w *worker) remove(r *run) {
+func (w *worker) remove(now time.Time, r *run) {
 	if w.runs[r.id] != r {
 		return
 	}
 	delete(w.runs, r.id)
 	w.used = w.used.Sub(r.size)
-	w.count(r, -1)
+	w.count(now, r, -1)
 }
 
 // count adds or takes away what a run does to its neighbours.
-func (w *worker) count(r *run, sign int) {
+func (w *worker) count(now time.Time, r *run, sign int) {
 	w.filler += int64(sign) * r.filler
 	if r.filler > 0 {
 		image := r.step.spec.Image
+		w.changedAt = now
 		w.fillers[image] += float64(sign) * w.share(r.filler)
 		if w.fillers[image] < minShare {
 			delete(w.fillers, image)
@@ -183,14 +181,23 @@
 	}
 	if r.serves() {
 		image := r.step.spec.Image
-		w.serving[image] += sign
-		if w.serving[image] == 0 {
+		t := w.serving[image]
+		t.runs += sign
+		t.log = logTarget(&r.step.spec)
+		w.serving[image] = t
+		if t.runs == 0 {
 			delete(w.serving, image)
 		}
 		w.reserves += int64(sign) * r.size.MilliCPU
 	}
 }
 
+// target is a serving image on a worker: its runs and the logarithm of its target.
+type target struct {
+	runs int
+	log  float64
+}
+
 // minShare is below the share of any task; what is less comes from rounding.
 const minShare = 1e-6
 
