--- a/coord/flow/press.go
+++ b/coord/flow/press.go
@@ -24,6 +24,12 @@
 	reportVariance = 0.08
 	// peakDecay is how fast the highest base seen loses height, in a second: the load swings with a period of 15 to 20 s.
 	peakDecay = 0.015
+	// lookAhead is about how long a filler runs, and leastRise what the base may rise meanwhile without a slope.
+	lookAhead = 2500 * time.Millisecond
+	leastRise = 0.1
+	// slopeEach is the time over which a slope is measured, and slopeStep how much of the former one it replaces.
+	slopeEach = 500 * time.Millisecond
+	slopeStep = 0.4
 	// caution is how many standard deviations of a weight are added to it for a decision.
 	caution = 0.3
 	// maxPairs bounds the images that are told apart for one serving image.
@@ -37,12 +43,17 @@
 	cov    [][]float64
 	at     time.Time
 	peak   float64
+	// slope is the smoothed change of the base in a second, since the base was mark at markAt.
+	slope  float64
+	mark   float64
+	markAt time.Time
 }
 
 func newVictim(logTarget float64, now time.Time) *victim {
 	base := logTarget - basePrior
 	return &victim{
 		index: make(map[string]int), weight: []float64{base}, cov: [][]float64{{baseVariance}}, at: now, peak: base,
+		mark: base, markAt: now,
 	}
 }
 
@@ -75,8 +86,12 @@
 // base returns the logarithm of the tail without fillers at the present load.
 func (v *victim) base() float64 { return v.weight[0] }
 
-// crest returns the same at the highest load of late, which returns.
-func (v *victim) crest() float64 { return max(v.peak, v.weight[0]) }
+// ahead returns the highest base that is to be expected while a filler runs: where the present slope leads, but not over
+// the highest one of late.
+func (v *victim) ahead() float64 {
+	rise := max(leastRise, v.slope*lookAhead.Seconds())
+	return max(v.weight[0], min(v.peak, v.weight[0]+rise))
+}
 
 // pressed returns what fillers with the given shares add to the logarithm of the tail.
 func (v *victim) pressed(shares map[string]float64) float64 {
@@ -118,6 +133,10 @@
 		}
 	}
 	v.peak = max(v.peak, v.weight[0])
+	if passed := now.Sub(v.markAt); passed >= slopeEach {
+		v.slope += slopeStep * ((v.weight[0]-v.mark)/passed.Seconds() - v.slope)
+		v.mark, v.markAt = v.weight[0], now
+	}
 }
 
 // drift lets the model become less certain with time.
--- a/coord/flow/tend.go
+++ b/coord/flow/tend.go
@@ -57,6 +57,10 @@
 	overPatience = 1200 * time.Millisecond
 	// settleTime is how long a start or stop takes to show in the tails: a report is about the last half second.
 	settleTime = 700 * time.Millisecond
+	// settleLag is the mean age of what a report is about.
+	settleLag = 300 * time.Millisecond
+	// levelStep smooths the tail of a task; single reports are off by a third.
+	levelStep = 0.4
 )
 
 func logTarget(s *infra.Step) float64 {
@@ -74,20 +78,45 @@
 
 // measure learns from the tails that a worker has reported.
 func (m *Machine) measure(w *worker) {
-	if len(w.serving) == 0 || m.now.Sub(w.changedAt) < settleTime {
+	if len(w.serving) == 0 {
 		return
 	}
+	w.settle(m.now)
 	for _, r := range w.sortedRuns() {
 		if !r.serves() || r.figure <= 0 || m.now.Sub(r.since) < settleTime {
 			continue
 		}
-		m.victim(&r.step.spec).learn(m.now, w.fillers, math.Log(r.figure))
-		if r.figure <= float64(r.step.spec.TailTarget.Milliseconds()) {
-			r.over = time.Time{}
-		} else if r.over.IsZero() {
-			r.over = m.now
+		tail := math.Log(r.figure)
+		m.victim(&r.step.spec).learn(m.now, w.settled, tail)
+		m.watchTarget(r, tail)
+	}
+}
+
+func (m *Machine) watchTarget(r *run, tail float64) {
+	if r.level == 0 {
+		r.level = tail
+	}
+	r.level += levelStep * (tail - r.level)
+	if r.level <= logTarget(&r.step.spec) {
+		r.over = time.Time{}
+	} else if r.over.IsZero() {
+		r.over = m.now
+	}
+}
+
+// settle lets the shares that show in the tails follow those of the fillers that run.
+func (w *worker) settle(now time.Time) {
+	left := math.Exp(-float64(now.Sub(w.settledAt)) / float64(settleLag))
+	w.settledAt = now
+	for image, share := range w.settled {
+		w.settled[image] = share * left
+		if w.settled[image] < minShare {
+			delete(w.settled, image)
 		}
 	}
+	for image, share := range w.fillers {
+		w.settled[image] += share * (1 - left)
+	}
 }
 
 // tolerates reports whether all serving tasks of a worker are expected to keep their target beside one more filler.
@@ -98,7 +127,7 @@
 		if v == nil {
 			return false
 		}
-		if v.crest()+v.pressed(w.fillers)+v.cost(filler.Image)*share > target.log-headroom {
+		if v.ahead()+v.pressed(w.fillers)+v.cost(filler.Image)*share > target.log-headroom {
 			return false
 		}
 	}
@@ -120,7 +149,7 @@
 // excess is how far over its target a new serving task is expected to be beside the fillers of a worker.
 func (m *Machine) excess(w *worker, serving *infra.Step) float64 {
 	v := m.victim(serving)
-	return v.crest() + v.pressed(w.fillers) - logTarget(serving) + headroom
+	return v.ahead() + v.pressed(w.fillers) - logTarget(serving) + headroom
 }
 
 // tend looks after what runs beside each other.
@@ -150,7 +179,7 @@
 	}
 	for _, r := range w.sortedRuns() {
 		if r.serves() && r.state == running && !r.over.IsZero() && m.now.Sub(r.over) >= overPatience {
-			m.relieve(w, m.victim(&r.step.spec), math.Log(r.figure)-logTarget(&r.step.spec)+relief)
+			m.relieve(w, m.victim(&r.step.spec), r.level-logTarget(&r.step.spec)+relief)
 			return
 		}
 	}
--- a/coord/flow/worker.go
+++ b/coord/flow/worker.go
@@ -50,7 +50,9 @@
 	stopAt    time.Time
 	reason    string
 	pace      int
-	over      time.Time
+	// level is the smoothed logarithm of the tail latency, and over when it rose above the target.
+	level float64
+	over  time.Time
 }
 
 // worker is one life of a worker.
@@ -75,9 +77,10 @@
 	// serving holds the runs with a tail latency target, by image; reserves is the processor time that they reserve.
 	serving  map[string]target
 	reserves int64
-	// fillers is the share of the processors that fillers ask for, by image; changedAt is when it last changed.
+	// fillers is the share of the processors that fillers ask for, by image, and settled the same as it shows in the tails.
 	fillers   map[string]float64
-	changedAt time.Time
+	settled   map[string]float64
+	settledAt time.Time
 	runs      map[infra.Task]*run
 
 	seen    int64
@@ -170,10 +173,12 @@
 
 // count adds or takes away what a run does to its neighbours.
 func (w *worker) count(now time.Time, r *run, sign int) {
+	if r.filler > 0 {
+		w.settle(now)
+	}
 	w.filler += int64(sign) * r.filler
 	if r.filler > 0 {
 		image := r.step.spec.Image
-		w.changedAt = now
 		w.fillers[image] += float64(sign) * w.share(r.filler)
 		if w.fillers[image] < minShare {
 			delete(w.fillers, image)
