--- a/coord/flow/job.go
+++ b/coord/flow/job.go
@@ -43,6 +43,8 @@
 	next int
 	// perWorker counts the present runs by worker, for steps with a bound.
 	perWorker map[fleet.WorkerID]int
+	// pulse follows the load of a serving step; nil before its first report.
+	pulse *pulse
 }
 
 // occurrence is one repetition of a job's steps.
--- a/coord/flow/place.go
+++ b/coord/flow/place.go
@@ -295,9 +295,9 @@
 
 func company(w *worker, image string) float64 {
 	switch {
-	case len(w.serving) == 0:
+	case len(w.images) == 0:
 		return emptyBonus
-	case len(w.serving) == 1 && w.serving[image].runs > 0:
+	case len(w.images) == 1 && w.images[image] > 0:
 		return companyBonus
 	default:
 		return 0
--- a/coord/flow/press.go
+++ b/coord/flow/press.go
@@ -5,56 +5,96 @@
 	"time"
 )
 
-// The tail latency of a serving task is modelled in logarithms: a base for its image, which follows the load of the image
-// and is the same for all of its tasks, plus a weight for each image of fillers times the share of the worker's processors
-// that they ask for. Each pair of images has a weight of its own, because some pairs hardly disturb each other and others
-// do ten times as much.
+// The tail latency of a serving task behaves like that of a queue: it is inversely proportional to the part of the task's
+// service capacity that is left. Its inverse is therefore linear in what takes capacity away: the load of the task's job,
+// which swings and is the same for all tasks of a step, and the fillers beside it, by a weight for each pair of images
+// times the share of the worker's processors that the fillers ask for. Some pairs hardly disturb each other, others do ten
+// times as much. The unit used here is the slack, target / tail: 1 is on target.
 const (
 	// pairPrior and pairVariance describe the weight of a pair that has not been seen; one small filler may try it.
-	pairPrior    = 1.5
-	pairVariance = 6
+	pairPrior    = 2.5
+	pairVariance = 10
 	// pairDrift is how much the variance of a weight grows in a second.
-	pairDrift = 0.02
-	// basePrior is the base of an unknown image below the logarithm of its target.
-	basePrior    = 1
-	baseVariance = 0.5
-	// baseDrift is how much the variance of the base grows in a second: load swings by a third within a few seconds.
-	baseDrift = 0.03
-	// reportVariance is the spread of single reports around the model.
-	reportVariance = 0.08
-	// peakDecay is how fast the highest base seen loses height, in a second: the load swings with a period of 15 to 20 s.
-	peakDecay = 0.015
-	// lookAhead is about how long a filler runs, and leastRise what the base may rise meanwhile without a slope.
-	lookAhead = 2500 * time.Millisecond
-	leastRise = 0.1
-	// slopeEach is the time over which a slope is measured, and slopeStep how much of the former one it replaces.
-	slopeEach = 500 * time.Millisecond
-	slopeStep = 0.4
-	// caution is how many standard deviations of a weight are added to it for a decision.
-	caution = 0.3
+	pairDrift = 0.01
 	// maxPairs bounds the images that are told apart for one serving image.
 	maxPairs = 48
+	// caution is how many standard deviations of a weight are added to it for a decision.
+	caution = 0.3
+
+	// reportNoise is the relative error of a report, and reportFloor the least error of a slack.
+	reportNoise = 0.1
+	reportFloor = 0.05
+	// leastSlack is the slack of a tail that is as long as tails get; it tells nothing of how much capacity is missing.
+	leastSlack = 0.25
+
+	// firstSlack is the slack that is assumed of a step without reports.
+	firstSlack = 2
+	// loadVariance and trendVariance are how uncertain the load and its trend are at first.
+	loadVariance  = 1
+	trendVariance = 0.1
+	// trendNoise is how fast the trend changes: the load swings by a third within 4 s.
+	trendNoise = 0.1
+	// lookAhead is about how long a filler runs.
+	lookAhead = 2500 * time.Millisecond
+	// lowRecovery is how fast the lowest slack seen is forgotten, in a second.
+	lowRecovery = 0.02
 )
 
-// victim is what is known of a serving image: a Kalman filter over its base and the fillers beside its tasks.
+// pulse follows the load of one serving step: the slack of its tasks without fillers, and its trend in a second.
+type pulse struct {
+	slack, trend float64
+	cov          [2][2]float64
+	at           time.Time
+}
+
+func newPulse(now time.Time) *pulse {
+	return &pulse{slack: firstSlack, cov: [2][2]float64{{loadVariance, 0}, {0, trendVariance}}, at: now}
+}
+
+// advance lets time pass.
+func (p *pulse) advance(now time.Time) {
+	dt := now.Sub(p.at).Seconds()
+	if dt <= 0 {
+		return
+	}
+	p.at = now
+	p.slack += p.trend * dt
+	c := &p.cov
+	c[0][0] += 2*dt*c[0][1] + dt*dt*c[1][1] + trendNoise*dt*dt*dt/3
+	c[0][1] += dt*c[1][1] + trendNoise*dt*dt/2
+	c[1][0] = c[0][1]
+	c[1][1] += trendNoise * dt
+}
+
+// correct takes up a deviation of an observation whose total variance is given.
+func (p *pulse) correct(miss, variance float64) {
+	c := &p.cov
+	gain := [2]float64{c[0][0] / variance, c[1][0] / variance}
+	p.slack += gain[0] * miss
+	p.trend += gain[1] * miss
+	c[1][1] -= gain[1] * c[0][1]
+	c[0][1] -= gain[0] * c[0][1]
+	c[1][0] = c[0][1]
+	c[0][0] -= gain[0] * c[0][0]
+}
+
+// now returns the slack without fillers at a time after the last report.
+func (p *pulse) now(now time.Time) float64 {
+	return p.slack + p.trend*min(1, now.Sub(p.at).Seconds())
+}
+
+// victim is what is known of a serving image: how much each filler image disturbs it.
 type victim struct {
 	index  map[string]int
 	weight []float64
 	cov    [][]float64
 	at     time.Time
-	peak   float64
-	// slope is the smoothed change of the base in a second, since the base was mark at markAt.
-	slope  float64
-	mark   float64
-	markAt time.Time
+	// low is the lowest slack without fillers of late; the load comes back to it.
+	low float64
 }
 
-func newVictim(logTarget float64, now time.Time) *victim {
-	base := logTarget - basePrior
-	return &victim{
-		index: make(map[string]int), weight: []float64{base}, cov: [][]float64{{baseVariance}}, at: now, peak: base,
-		mark: base, markAt: now,
-	}
+func newVictim(now time.Time) *victim {
+	return &victim{index: make(map[string]int), at: now, low: firstSlack}
 }
 
 // feature returns the place of a filler image; images over the bound share the last one.
@@ -62,8 +102,8 @@
 	if i, known := v.index[image]; known {
 		return i
 	}
-	if len(v.weight) > maxPairs {
-		return maxPairs
+	if len(v.weight) >= maxPairs {
+		return maxPairs - 1
 	}
 	i := len(v.weight)
 	v.index[image] = i
@@ -77,23 +117,13 @@
 	return i
 }
 
-// cost returns the weight of a filler image, with some caution for a pair that is not well known.
+// cost returns the slack that a filler image takes at a share of 1, with some caution for a pair that is not well known.
 func (v *victim) cost(image string) float64 {
 	i := v.feature(image)
 	return max(0, v.weight[i]+caution*math.Sqrt(max(0, v.cov[i][i])))
 }
 
-// base returns the logarithm of the tail without fillers at the present load.
-func (v *victim) base() float64 { return v.weight[0] }
-
-// ahead returns the highest base that is to be expected while a filler runs: where the present slope leads, but not over
-// the highest one of late.
-func (v *victim) ahead() float64 {
-	rise := max(leastRise, v.slope*lookAhead.Seconds())
-	return max(v.weight[0], min(v.peak, v.weight[0]+rise))
-}
-
-// pressed returns what fillers with the given shares add to the logarithm of the tail.
+// pressed returns the slack that fillers with the given shares take.
 func (v *victim) pressed(shares map[string]float64) float64 {
 	sum := 0.0
 	for image, share := range shares {
@@ -102,53 +132,58 @@
 	return sum
 }
 
-// learn corrects the model from the logarithm of a tail that was seen beside fillers with the given shares.
-func (v *victim) learn(now time.Time, shares map[string]float64, logTail float64) {
+// ahead returns the lowest slack without fillers that is to be expected while a filler runs.
+func (v *victim) ahead(p *pulse, now time.Time) float64 {
+	slack := p.now(now)
+	return min(slack, max(v.low, slack+p.trend*lookAhead.Seconds()))
+}
+
+// learn corrects what is known of an image and of the load of a step from a slack that was seen beside fillers with the
+// given shares.
+func (v *victim) learn(now time.Time, p *pulse, shares map[string]float64, slack float64) {
 	for image := range shares {
 		v.feature(image)
 	}
 	v.drift(now)
+	p.advance(now)
 	x := make([]float64, len(v.weight))
-	x[0] = 1
 	for image, share := range shares {
 		x[v.feature(image)] += share
 	}
+	predicted := p.slack
+	noise := reportFloor + reportNoise*slack
+	variance := noise*noise + p.cov[0][0]
 	gain := make([]float64, len(x))
-	denominator := reportVariance
-	predicted := 0.0
 	for i := range x {
-		predicted += v.weight[i] * x[i]
+		predicted -= v.weight[i] * x[i]
 		for j := range x {
 			gain[i] += v.cov[i][j] * x[j]
 		}
-		denominator += gain[i] * x[i]
+		variance += gain[i] * x[i]
 	}
-	miss := logTail - predicted
-	for i := range x {
-		v.weight[i] += gain[i] / denominator * miss
+	if slack < leastSlack && predicted < leastSlack {
+		return
 	}
+	miss := slack - predicted
+	p.correct(miss, variance)
 	for i := range x {
+		v.weight[i] -= gain[i] / variance * miss
 		for j := range x {
-			v.cov[i][j] -= gain[i] * gain[j] / denominator
+			v.cov[i][j] -= gain[i] * gain[j] / variance
 		}
 	}
-	v.peak = max(v.peak, v.weight[0])
-	if passed := now.Sub(v.markAt); passed >= slopeEach {
-		v.slope += slopeStep * ((v.weight[0]-v.mark)/passed.Seconds() - v.slope)
-		v.mark, v.markAt = v.weight[0], now
-	}
+	v.low = min(v.low, p.slack)
 }
 
-// drift lets the model become less certain with time.
+// drift lets the weights become less certain with time.
 func (v *victim) drift(now time.Time) {
 	passed := now.Sub(v.at).Seconds()
 	if passed <= 0 {
 		return
 	}
 	v.at = now
-	v.peak -= peakDecay * passed
-	v.cov[0][0] = min(v.cov[0][0]+baseDrift*passed, baseVariance)
-	for i := 1; i < len(v.cov); i++ {
+	v.low += lowRecovery * passed
+	for i := range v.cov {
 		v.cov[i][i] = min(v.cov[i][i]+pairDrift*passed, pairVariance)
 	}
 }
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -14,7 +14,7 @@
 func (m *Machine) addWorker(info infra.Worker) *worker {
 	w := &worker{
 		Worker: info, runs: make(map[infra.Task]*run), reachable: true, speed: 1, decayAt: m.now,
-		serving: make(map[string]target), fillers: make(map[string]float64), settled: make(map[string]float64), settledAt: m.now,
+		serving: make(map[*step]int), images: make(map[string]int), fillers: make(map[string]float64), settled: make(map[string]float64), settledAt: m.now,
 	}
 	m.workers[info.ID] = w
 	at := len(m.order)
--- a/coord/flow/tend.go
+++ b/coord/flow/tend.go
@@ -47,9 +47,9 @@
 }
 
 const (
-	// headroom is what is left below the logarithm of a target when fillers are placed, for errors of the model.
-	headroom = 0.15
-	// alarm is what is left when fillers are moved away, and relief what the others must leave then.
+	// headroom is the slack over 1 that is left when fillers are placed, for errors of the model.
+	headroom = 0.12
+	// alarm is the slack over 1 below which fillers are moved away, and relief what the others must leave then.
 	alarm  = 0.03
 	relief = 0.1
 	// overPatience is how long a serving task may miss its target against the model before fillers beside it are moved,
@@ -59,19 +59,15 @@
 	settleTime = 700 * time.Millisecond
 	// settleLag is the mean age of what a report is about.
 	settleLag = 300 * time.Millisecond
-	// levelStep smooths the tail of a task; single reports are off by a third.
-	levelStep = 0.4
+	// levelStep smooths the slack of a task.
+	levelStep = 0.5
 )
 
-func logTarget(s *infra.Step) float64 {
-	return math.Log(max(1, float64(s.TailTarget.Milliseconds())))
-}
-
-func (m *Machine) victim(s *infra.Step) *victim {
-	v := m.victims[s.Image]
+func (m *Machine) victim(image string) *victim {
+	v := m.victims[image]
 	if v == nil {
-		v = newVictim(logTarget(s), m.now)
-		m.victims[s.Image] = v
+		v = newVictim(m.now)
+		m.victims[image] = v
 	}
 	return v
 }
@@ -86,18 +82,21 @@
 		if !r.serves() || r.figure <= 0 || m.now.Sub(r.since) < settleTime {
 			continue
 		}
-		tail := math.Log(r.figure)
-		m.victim(&r.step.spec).learn(m.now, w.settled, tail)
-		m.watchTarget(r, tail)
+		slack := float64(r.step.spec.TailTarget.Milliseconds()) / r.figure
+		if r.step.pulse == nil {
+			r.step.pulse = newPulse(m.now)
+		}
+		m.victim(r.step.spec.Image).learn(m.now, r.step.pulse, w.settled, slack)
+		m.watchTarget(r, slack)
 	}
 }
 
-func (m *Machine) watchTarget(r *run, tail float64) {
-	if r.level == 0 {
-		r.level = tail
+func (m *Machine) watchTarget(r *run, slack float64) {
+	if r.slack == 0 {
+		r.slack = slack
 	}
-	r.level += levelStep * (tail - r.level)
-	if r.level <= logTarget(&r.step.spec) {
+	r.slack += levelStep * (slack - r.slack)
+	if r.slack >= 1 {
 		r.over = time.Time{}
 	} else if r.over.IsZero() {
 		r.over = m.now
@@ -119,37 +118,41 @@
 	}
 }
 
+// ahead returns the lowest slack without fillers that a serving step is expected to have soon.
+func (m *Machine) ahead(s *step) float64 {
+	v := m.victim(s.spec.Image)
+	if s.pulse == nil {
+		return v.low
+	}
+	return v.ahead(s.pulse, m.now)
+}
+
 // tolerates reports whether all serving tasks of a worker are expected to keep their target beside one more filler.
 func (m *Machine) tolerates(w *worker, filler *infra.Step) bool {
 	share := w.share(filler.Size.MilliCPU)
-	for image, target := range w.serving {
-		v := m.victims[image]
-		if v == nil {
-			return false
-		}
-		if v.ahead()+v.pressed(w.fillers)+v.cost(filler.Image)*share > target.log-headroom {
+	for s := range w.serving {
+		v := m.victim(s.spec.Image)
+		if m.ahead(s)-v.pressed(w.fillers)-v.cost(filler.Image)*share < 1+headroom {
 			return false
 		}
 	}
 	return true
 }
 
-// strain is how much one more filler adds to the logarithm of the tails on a worker.
+// strain is how much slack one more filler takes from the serving tasks of a worker.
 func (m *Machine) strain(w *worker, filler *infra.Step) float64 {
 	worst := 0.0
 	share := w.share(filler.Size.MilliCPU)
-	for image := range w.serving {
-		if v := m.victims[image]; v != nil {
-			worst = max(worst, v.cost(filler.Image)*share)
-		}
+	for s := range w.serving {
+		worst = max(worst, m.victim(s.spec.Image).cost(filler.Image)*share)
 	}
 	return worst
 }
 
-// excess is how far over its target a new serving task is expected to be beside the fillers of a worker.
+// excess is the slack that a new serving task is expected to miss beside the fillers of a worker.
 func (m *Machine) excess(w *worker, serving *infra.Step) float64 {
-	v := m.victim(serving)
-	return v.ahead() + v.pressed(w.fillers) - logTarget(serving) + headroom
+	v := m.victim(serving.Image)
+	return 1 + headroom + v.pressed(w.fillers) - v.low
 }
 
 // tend looks after what runs beside each other.
@@ -166,27 +169,31 @@
 	if m.now.Sub(w.relievedAt) < settleTime {
 		return
 	}
-	for image, target := range w.serving {
-		v := m.victims[image]
-		if v == nil {
+	var harmed *victim
+	missing := 0.0
+	for s := range w.serving {
+		v := m.victim(s.spec.Image)
+		pressed := v.pressed(w.fillers)
+		if s.pulse == nil || pressed == 0 {
 			continue
 		}
-		pressed := v.pressed(w.fillers)
-		if pressed > 0 && v.base()+pressed > target.log-alarm {
-			m.relieve(w, v, v.base()+pressed-target.log+relief)
-			return
+		slack := s.pulse.now(m.now) - pressed
+		if slack < 1+alarm && 1+relief-slack > missing {
+			harmed, missing = v, 1+relief-slack
 		}
 	}
 	for _, r := range w.sortedRuns() {
-		if r.serves() && r.state == running && !r.over.IsZero() && m.now.Sub(r.over) >= overPatience {
-			m.relieve(w, m.victim(&r.step.spec), r.level-logTarget(&r.step.spec)+relief)
-			return
+		if r.serves() && r.state == running && !r.over.IsZero() && m.now.Sub(r.over) >= overPatience && 1+relief-r.slack > missing {
+			harmed, missing = m.victim(r.step.spec.Image), 1+relief-r.slack
 		}
 	}
+	if harmed != nil {
+		m.relieve(w, harmed, missing)
+	}
 }
 
-// relieve stops the fillers that disturb a serving image most, until the excess is gone.
-func (m *Machine) relieve(w *worker, v *victim, excess float64) {
+// relieve stops the fillers that disturb a serving image most, until the missing slack is back.
+func (m *Machine) relieve(w *worker, v *victim, missing float64) {
 	fillers := make([]*run, 0, len(w.runs))
 	for _, r := range w.sortedRuns() {
 		if r.filler > 0 && r.state == running {
@@ -197,10 +204,10 @@
 		return cmp.Compare(v.cost(b.step.spec.Image)*float64(b.filler), v.cost(a.step.spec.Image)*float64(a.filler))
 	})
 	for _, r := range fillers {
-		if excess <= 0 {
+		if missing <= 0 {
 			break
 		}
-		excess -= max(minRelief, v.cost(r.step.spec.Image)*w.share(r.filler))
+		missing -= max(minRelief, v.cost(r.step.spec.Image)*w.share(r.filler))
 		m.counts.Relieved++
 		w.relievedAt = m.now
 		m.stop(r, "disturbs a serving task")
--- a/coord/flow/worker.go
+++ b/coord/flow/worker.go
@@ -50,8 +50,8 @@
 	stopAt    time.Time
 	reason    string
 	pace      int
-	// level is the smoothed logarithm of the tail latency, and over when it rose above the target.
-	level float64
+	// slack is the smoothed target / tail of a serving task, and over is when it fell below 1.
+	slack float64
 	over  time.Time
 }
 
@@ -74,8 +74,10 @@
 
 	used   fleet.Resources
 	filler int64
-	// serving holds the runs with a tail latency target, by image; reserves is the processor time that they reserve.
-	serving  map[string]target
+	// serving counts the runs with a tail latency target, by step, and images by image; reserves is the processor time that
+	// they reserve.
+	serving  map[*step]int
+	images   map[string]int
 	reserves int64
 	// fillers is the share of the processors that fillers ask for, by image, and settled the same as it shows in the tails.
 	fillers   map[string]float64
@@ -186,23 +188,18 @@
 	}
 	if r.serves() {
 		image := r.step.spec.Image
-		t := w.serving[image]
-		t.runs += sign
-		t.log = logTarget(&r.step.spec)
-		w.serving[image] = t
-		if t.runs == 0 {
-			delete(w.serving, image)
+		w.images[image] += sign
+		if w.images[image] == 0 {
+			delete(w.images, image)
+		}
+		w.serving[r.step] += sign
+		if w.serving[r.step] == 0 {
+			delete(w.serving, r.step)
 		}
 		w.reserves += int64(sign) * r.size.MilliCPU
 	}
 }
 
-// target is a serving image on a worker: its runs and the logarithm of its target.
-type target struct {
-	runs int
-	log  float64
-}
-
 // minShare is below the share of any task; what is less comes from rounding.
 const minShare = 1e-6
 
