--- a/coord/flow/press.go
+++ b/coord/flow/press.go
@@ -36,6 +36,10 @@
 	trendNoise = 0.1
 	// lookAhead is about how long a filler runs.
 	lookAhead = 2500 * time.Millisecond
+	// quietPress is how much slack fillers may take from a task whose reports count for the lowest slack, and lowStep how far
+	// one report lowers it.
+	quietPress = 0.2
+	lowStep    = 0.1
 	// lowRecovery is how fast the lowest slack seen is forgotten, in a second.
 	lowRecovery = 0.02
 )
@@ -172,7 +176,18 @@
 			v.cov[i][j] -= gain[i] * gain[j] / variance
 		}
 	}
-	v.low = min(v.low, p.slack)
+	if -v.lift(x) < quietPress && p.slack < v.low {
+		v.low += lowStep * (p.slack - v.low)
+	}
+}
+
+// lift returns what fillers with the given shares add to the slack, which is less than 0.
+func (v *victim) lift(x []float64) float64 {
+	sum := 0.0
+	for i := range x {
+		sum -= v.weight[i] * x[i]
+	}
+	return sum
 }
 
 // drift lets the weights become less certain with time.
--- a/coord/flow/tend.go
+++ b/coord/flow/tend.go
@@ -58,7 +58,9 @@
 	// settleTime is how long a start or stop takes to show in the tails: a report is about the last half second.
 	settleTime = 700 * time.Millisecond
 	// settleLag is the mean age of what a report is about.
-	settleLag = 300 * time.Millisecond
+	settleLag = 450 * time.Millisecond
+	// figureEach is how often a worker takes a new figure; the same one is not learnt from twice.
+	figureEach = 480 * time.Millisecond
 	// levelStep smooths the slack of a task.
 	levelStep = 0.5
 )
@@ -82,6 +84,10 @@
 		if !r.serves() || r.figure <= 0 || m.now.Sub(r.since) < settleTime {
 			continue
 		}
+		if r.figure == r.learnt && m.now.Sub(r.learntAt) < figureEach {
+			continue
+		}
+		r.learnt, r.learntAt = r.figure, m.now
 		slack := float64(r.step.spec.TailTarget.Milliseconds()) / r.figure
 		if r.step.pulse == nil {
 			r.step.pulse = newPulse(m.now)
--- a/coord/flow/worker.go
+++ b/coord/flow/worker.go
@@ -50,6 +50,9 @@
 	stopAt    time.Time
 	reason    string
 	pace      int
+	// learnt is the last figure that was learnt from, and when.
+	learnt   float64
+	learntAt time.Time
 	// slack is the smoothed target / tail of a serving task, and over is when it fell below 1.
 	slack float64
 	over  time.Time
