flow: workers of the stored roster may take tasks; platform: watches skip nothing

Cause of LOST and of the lost work after each takeover: workers that a scheduler read from the stored roster were never marked as enrolled, so it started nothing on them.

--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -227,9 +227,11 @@
 	for _, e := range ev.Roster {
 		m.roster[e.Worker] = e.Address
 		m.unsettled[e.Worker] = struct{}{}
-		if m.workers[e.Worker] == nil {
-			m.addWorker(infra.Worker{ID: e.Worker, Address: e.Address})
+		w := m.workers[e.Worker]
+		if w == nil {
+			w = m.addWorker(infra.Worker{ID: e.Worker, Address: e.Address})
 		}
+		w.enrolled = true
 	}
 	m.unsettledTill = m.now.Add(m.opts.horizon + time.Duration(float64(m.opts.hold)*(1+2*clockSlack)) + clockMargin)
 	m.freshFrom = m.now.Add(m.opts.former)
--- a/entryd/leader/group.go
+++ b/entryd/leader/group.go
@@ -178,10 +178,11 @@
 		if err == nil {
 			err = g.store.Watch(ctx, groupPrefix, after, g.apply)
 		}
-		if ctx.Err() == nil && err != nil {
-			g.log.Warn("group: watch ended", "error", err)
-			sleep(ctx, retryFirst+rand.N(retryFirst))
+		if ctx.Err() != nil || historyGone(err) {
+			continue
 		}
+		g.log.Warn("group: watch ended", "error", err)
+		sleep(ctx, retryFirst+rand.N(retryFirst))
 	}
 }
 
