--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -24,6 +24,10 @@
 	runsPerTerm = 1000
 	// maxBatch bounds the jobs of one durable batch; a transaction of the platform has 32 entries.
 	maxBatch = 24
+	// sweepEach and placeEach bound how often all workers and all waiting steps are gone through, which costs a millisecond
+	// or two of an entry host's processor.
+	sweepEach = 20 * time.Millisecond
+	placeEach = 9 * time.Millisecond
 	// wallJump is a change of the time of day against steady time that is taken for a jump of the clock.
 	wallJump = 500 * time.Millisecond
 )
@@ -104,6 +108,9 @@
 	wallAt    time.Time
 	effects   []Effect
 	placeNext bool
+	misfits   []misfit
+	sweptAt   time.Time
+	placedAt  time.Time
 	victims   map[string]*victim
 	ghosts    map[fleet.WorkerID][]ghost
 	// unknown are cancellations of jobs that are not known yet.
@@ -391,6 +398,19 @@
 	if !m.restored {
 		return
 	}
+	if m.now.Sub(m.sweptAt) >= sweepEach {
+		m.sweptAt = m.now
+		m.sweep()
+	}
+	if m.placeNext && m.now.Sub(m.placedAt) >= placeEach {
+		m.placedAt = m.now
+		m.place()
+	}
+	m.save()
+}
+
+// sweep looks at everything that time alone changes.
+func (m *Machine) sweep() {
 	for _, j := range m.timed {
 		m.createDue(j)
 	}
@@ -404,10 +424,6 @@
 	}
 	m.expire()
 	m.tend()
-	if m.placeNext {
-		m.place()
-	}
-	m.save()
 }
 
 func (m *Machine) tickWorker(w *worker) {
--- a/coord/flow/place.go
+++ b/coord/flow/place.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"lovagefork.example/coord/fleet"
 	"lovagefork.example/coord/infra"
 )
 
@@ -80,6 +81,7 @@
 		ready = append(ready, r)
 	}
 	slices.SortFunc(ready, compareReady)
+	m.misfits = m.misfits[:0]
 	for _, r := range ready {
 		if r.step.spec.Gang {
 			m.placeGang(r)
@@ -89,6 +91,28 @@
 	}
 }
 
+// misfit is a plain task that no worker could take in this round.
+type misfit struct {
+	service string
+	image   string
+	filler  bool
+	size    fleet.Resources
+}
+
+// hopeless reports whether a step asks for at least as much as one that no worker could take in this round.
+func (m *Machine) hopeless(r *readyStep) bool {
+	for _, f := range m.misfits {
+		if f.service == r.queue.Service && f.filler == r.step.spec.Filler && (!f.filler || f.image == r.step.spec.Image) &&
+			f.size.Fits(r.step.spec.Size) {
+			return true
+		}
+	}
+	return false
+}
+
+// isPlain reports whether only its size decides where a task of the step fits.
+func isPlain(s *infra.Step) bool { return s.Label == "" && s.DataRack == "" && s.MaxPerWorker == 0 }
+
 func (m *Machine) rank(r *readyStep) rank {
 	j := r.occ.job
 	due := j.arrived
@@ -106,6 +130,9 @@
 
 func (m *Machine) placeStep(r *readyStep) {
 	s := r.step
+	if m.hopeless(r) {
+		return
+	}
 	for i := s.next; i < len(s.tasks) && s.waiting > 0; i++ {
 		t := &s.tasks[i]
 		if t.phase != waiting {
@@ -120,6 +147,9 @@
 		}
 		w := m.pick(r, t)
 		if w == nil {
+			if isPlain(&s.spec) {
+				m.misfits = append(m.misfits, misfit{r.queue.Service, s.spec.Image, s.spec.Filler, s.spec.Size})
+			}
 			break
 		}
 		m.start(r, i, w, t.lastRun+1)
--- a/coord/flow/press.go
+++ b/coord/flow/press.go
@@ -128,6 +128,8 @@
 }
 
 // pressed returns the slack that fillers with the given shares take.
+//
+// It is asked for each worker and placement, so that each image is looked up once.
 func (v *victim) pressed(shares map[string]float64) float64 {
 	sum := 0.0
 	for image, share := range shares {
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -500,6 +500,7 @@
 		m.release(old)
 	}
 	if t == nil {
+		r.size = m.sizeOf(w, row.Task)
 		w.add(m.now, r)
 		m.stop(r, "task of no known job")
 		return
@@ -530,6 +531,15 @@
 	m.emit(Note{Text: "run taken over", Task: row.Task, Run: row.Run, Worker: w.ID})
 }
 
+// sizeOf returns what a run holds whose task is not scheduled any more; a run of an unknown job may hold the whole worker.
+func (m *Machine) sizeOf(w *worker, id infra.Task) fleet.Resources {
+	j := m.jobs[id.Job]
+	if j == nil || id.Step < 0 || id.Step >= len(j.spec.Steps) {
+		return w.Capacity
+	}
+	return j.spec.Steps[id.Step].Reserved()
+}
+
 func (m *Machine) startAnswered(ev StartAnswered) {
 	w := m.workers[ev.Worker]
 	if w == nil {
--- a/coord/flow/tend.go
+++ b/coord/flow/tend.go
@@ -133,12 +133,47 @@
 	return v.ahead(s.pulse, m.now)
 }
 
+// tolerance is the slack that fillers may still take from the tasks of one serving image on a worker.
+type tolerance struct {
+	victim *victim
+	slack  float64
+}
+
+// tolerances returns how much each serving image on a worker tolerates; it is computed again after each change.
+func (m *Machine) tolerances(w *worker) []tolerance {
+	if w.tolerated && m.now.Sub(w.toleratedAt) < sweepEach {
+		return w.tolerance
+	}
+	w.tolerated, w.toleratedAt = true, m.now
+	w.tolerance = w.tolerance[:0]
+	for s := range w.serving {
+		v := m.victim(s.spec.Image)
+		slack := m.ahead(s) - 1 - headroom
+		known := false
+		for i := range w.tolerance {
+			if w.tolerance[i].victim == v {
+				w.tolerance[i].slack = min(w.tolerance[i].slack, slack)
+				known = true
+			}
+		}
+		if !known {
+			w.tolerance = append(w.tolerance, tolerance{victim: v, slack: slack})
+		}
+	}
+	for i := range w.tolerance {
+		w.tolerance[i].slack -= w.tolerance[i].victim.pressed(w.fillers)
+	}
+	return w.tolerance
+}
+
 // tolerates reports whether all serving tasks of a worker are expected to keep their target beside one more filler.
 func (m *Machine) tolerates(w *worker, filler *infra.Step) bool {
+	if len(w.serving) == 0 {
+		return true
+	}
 	share := w.share(filler.Size.MilliCPU)
-	for s := range w.serving {
-		v := m.victim(s.spec.Image)
-		if m.ahead(s)-v.pressed(w.fillers)-v.cost(filler.Image)*share < 1+headroom {
+	for _, t := range m.tolerances(w) {
+		if t.victim.cost(filler.Image)*share > t.slack {
 			return false
 		}
 	}
@@ -147,10 +182,13 @@
 
 // strain is how much slack one more filler takes from the serving tasks of a worker.
 func (m *Machine) strain(w *worker, filler *infra.Step) float64 {
+	if len(w.serving) == 0 {
+		return 0
+	}
 	worst := 0.0
 	share := w.share(filler.Size.MilliCPU)
-	for s := range w.serving {
-		worst = max(worst, m.victim(s.spec.Image).cost(filler.Image)*share)
+	for _, t := range m.tolerances(w) {
+		worst = max(worst, t.victim.cost(filler.Image)*share)
 	}
 	return worst
 }
@@ -175,6 +213,7 @@
 	if m.now.Sub(w.relievedAt) < settleTime {
 		return
 	}
+	// Runs are looked at in any order: the most harmed one is the same.
 	var harmed *victim
 	missing := 0.0
 	for s := range w.serving {
@@ -188,7 +227,7 @@
 			harmed, missing = v, 1+relief-slack
 		}
 	}
-	for _, r := range w.sortedRuns() {
+	for _, r := range w.runs {
 		if r.serves() && r.state == running && !r.over.IsZero() && m.now.Sub(r.over) >= overPatience && 1+relief-r.slack > missing {
 			harmed, missing = m.victim(r.step.spec.Image), 1+relief-r.slack
 		}
--- a/coord/flow/worker.go
+++ b/coord/flow/worker.go
@@ -91,7 +91,12 @@
 	seen    int64
 	durable int64
 	// unsaved is the place among the jobs to be saved that makes the ends up to seen durable; 0 if none is needed.
-	unsaved  int64
+	unsaved int64
+	// tolerance holds what the serving images on the worker tolerate, as of toleratedAt, unless a run has changed since.
+	tolerance   []tolerance
+	tolerated   bool
+	toleratedAt time.Time
+
 	holding  bool
 	holdAt   time.Time
 	lastHold time.Time
@@ -178,6 +183,7 @@
 
 // count adds or takes away what a run does to its neighbours.
 func (w *worker) count(now time.Time, r *run, sign int) {
+	w.tolerated = false
 	if r.filler > 0 {
 		w.settle(now)
 	}
--- a/entryd/leader/scheduler.go
+++ b/entryd/leader/scheduler.go
@@ -17,7 +17,7 @@
 
 const (
 	// tickEach is the pace of the scheduler while nothing happens; it bounds how late a repeated stop or a placement is.
-	tickEach = 25 * time.Millisecond
+	tickEach = 10 * time.Millisecond
 	// eventQueue holds the answers of several seconds of orders.
 	eventQueue = 8192
 	// orderTimeout bounds a start or stop, which takes a round trip of up to 10 ms between zones.
