flow: failed runs counted by number; jobs in time before late ones; slower trend of load

Under overload the order by slack alone makes every job late. A load that swings in 14 to 20 s changes its trend slowly; the filter followed noise. Processes had too little time left to end within the grace period.

--- a/coord/flow/job.go
+++ b/coord/flow/job.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"slices"
 	"time"
 
 	"lovagefork.example/coord/fleet"
@@ -21,10 +22,10 @@
 	phase phase
 	// lastRun is the highest run number that any scheduler may have used.
 	lastRun infra.Run
-	// fails counts the runs that ended as failed, up to failRun.
-	fails   int
-	failRun infra.Run
-	saved   string
+	// failed are the runs that ended as failed. The ends of several workers can become known in any order, also a second
+	// time after a takeover.
+	failed []infra.Run
+	saved  string
 	// avoid is the worker of the last run that did not complete.
 	avoid fleet.WorkerID
 	// runs are the runs that may be present at workers.
@@ -193,11 +194,11 @@
 
 // TaskRecord is what is known of a task that is not done.
 type TaskRecord struct {
-	Index      int       `cbor:"index"`
-	Run        infra.Run `cbor:"run,omitempty"`
-	Fails      int       `cbor:"fails,omitempty"`
-	FailRun    infra.Run `cbor:"fail_run,omitempty"`
-	Checkpoint string    `cbor:"checkpoint,omitempty"`
+	Index int       `cbor:"index"`
+	Run   infra.Run `cbor:"run,omitempty"`
+	// Failed are the runs that ended as failed.
+	Failed     []infra.Run `cbor:"failed,omitempty"`
+	Checkpoint string      `cbor:"checkpoint,omitempty"`
 }
 
 // record returns the progress of a job; a job in a final state needs no more than that state.
@@ -239,7 +240,7 @@
 			}
 			r.Done[i/8] |= 1 << (i % 8)
 		case t.lastRun > 0:
-			r.Tasks = append(r.Tasks, TaskRecord{Index: i, Run: t.lastRun, Fails: t.fails, FailRun: t.failRun, Checkpoint: t.saved})
+			r.Tasks = append(r.Tasks, TaskRecord{Index: i, Run: t.lastRun, Failed: slices.Clone(t.failed), Checkpoint: t.saved})
 		}
 	}
 	return r
@@ -297,7 +298,7 @@
 	for _, t := range r.Tasks {
 		if t.Index >= 0 && t.Index < len(s.tasks) {
 			known := &s.tasks[t.Index]
-			known.lastRun, known.fails, known.failRun, known.saved = t.Run, t.Fails, t.FailRun, t.Checkpoint
+			known.lastRun, known.failed, known.saved = t.Run, t.Failed, t.Checkpoint
 		}
 	}
 }
--- a/coord/flow/place.go
+++ b/coord/flow/place.go
@@ -29,11 +29,27 @@
 	rank  rank
 }
 
+func (r *readyStep) task(index int) infra.Task {
+	return infra.Task{Job: r.occ.job.spec.ID, Occurrence: r.occ.number, Step: r.index, Index: index}
+}
+
+// chance is how likely a job is still worth its work.
+type chance uint8
+
+const (
+	inTime chance = iota
+	late
+	hopeless
+)
+
 // rank orders ready steps: lower values first, field by field.
 type rank struct {
 	hopeless bool
 	priority int
-	slack    time.Duration
+	chance   chance
+	// slack orders jobs in time, and work late ones.
+	slack time.Duration
+	work  float64
 }
 
 func compareReady(a, b *readyStep) int {
@@ -45,6 +61,8 @@
 	}
 	return cmp.Or(
 		cmp.Compare(a.rank.priority, b.rank.priority),
+		cmp.Compare(a.rank.chance, b.rank.chance),
+		cmp.Compare(a.rank.work, b.rank.work),
 		cmp.Compare(a.rank.slack, b.rank.slack),
 		cmp.Compare(a.occ.job.spec.ID, b.occ.job.spec.ID),
 		cmp.Compare(a.occ.number, b.occ.number),
@@ -121,11 +139,17 @@
 	}
 	remaining := r.occ.remaining()
 	objective := max(j.objective, time.Millisecond)
-	return rank{
-		hopeless: m.now.Add(remaining).After(due.Add(lateFactor*objective)) && !r.step.spec.LongRunning,
-		priority: r.queue.Priority,
-		slack:    due.Add(objective).Sub(m.now) - remaining,
+	out := rank{priority: r.queue.Priority, slack: due.Add(objective).Sub(m.now) - remaining}
+	switch {
+	case r.step.spec.LongRunning:
+	case out.slack < -(lateFactor-1)*objective:
+		out.hopeless, out.chance = true, hopeless
+		out.work = j.work
+	case out.slack < 0:
+		out.chance = late
+		out.work = j.work
 	}
+	return out
 }
 
 func (m *Machine) placeStep(r *readyStep) {
@@ -145,6 +169,9 @@
 			m.placeNext = true
 			continue
 		}
+		if len(t.failed) > 0 && m.checkAttempts(r.occ.job, t, r.task(i)) {
+			return
+		}
 		w := m.pick(r, t)
 		if w == nil {
 			if isPlain(&s.spec) {
@@ -337,7 +364,7 @@
 func (m *Machine) start(r *readyStep, index int, w *worker, number infra.Run) {
 	s := r.step
 	t := &s.tasks[index]
-	id := infra.Task{Job: r.occ.job.spec.ID, Occurrence: r.occ.number, Step: r.index, Index: index}
+	id := r.task(index)
 	n := &run{
 		id: id, number: number, worker: w, step: s, occ: r.occ, state: starting, size: s.spec.Reserved(),
 		since: m.now, moved: m.now, pace: 100,
--- a/coord/flow/press.go
+++ b/coord/flow/press.go
@@ -33,7 +33,7 @@
 	loadVariance  = 1
 	trendVariance = 0.1
 	// trendNoise is how fast the trend changes: the load swings by a third within 4 s.
-	trendNoise = 0.1
+	trendNoise = 0.02
 	// lookAhead is about how long a filler runs.
 	lookAhead = 2500 * time.Millisecond
 	// quietPress is how much slack fillers may take from a task whose reports count for the lowest slack, and lowStep how far
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"lovagefork.example/coord/fleet"
@@ -303,7 +304,7 @@
 		return
 	case infra.Failed:
 		m.counts.Failed++
-		m.fail(w, o, t, e)
+		m.fail(o, t, e)
 	default:
 		m.counts.Stopped++
 	}
@@ -387,25 +388,30 @@
 }
 
 // fail counts a failed run; a task that failed too often fails its job.
-func (m *Machine) fail(w *worker, o *occurrence, t *task, e infra.End) {
+func (m *Machine) fail(o *occurrence, t *task, e infra.End) {
 	j := o.job
 	m.markDirty(j)
 	j.begun = true
-	if e.Run <= t.failRun {
-		return
-	}
-	t.failRun = e.Run
-	t.fails++
 	s := &o.steps[e.Task.Step]
-	if s.spec.LongRunning || !j.live() || t.fails < m.attempts(j) {
+	if s.spec.LongRunning || slices.Contains(t.failed, e.Run) {
 		return
 	}
+	t.failed = append(t.failed, e.Run)
+	m.checkAttempts(j, t, e.Task)
+}
+
+// checkAttempts fails a job if one of its tasks has failed too often, and reports whether it has.
+func (m *Machine) checkAttempts(j *job, t *task, id infra.Task) bool {
+	if !j.live() || len(t.failed) < m.attempts(j) {
+		return false
+	}
 	j.failed = true
-	m.emit(Note{Text: "job failed", Job: j.spec.ID, Task: e.Task, Run: e.Run, Worker: w.ID, Reason: "attempts used up"})
+	m.emit(Note{Text: "job failed", Job: j.spec.ID, Task: id, Run: t.lastRun, Reason: "attempts used up"})
 	m.closeJob(j, "job failed")
+	return true
 }
 
-// defaultAttempts holds for a queue that the configuration no longer names.
+// defaultAttempts holds for a job that was stored without a bound.
 const defaultAttempts = 4
 
 func (m *Machine) attempts(j *job) int {
@@ -414,6 +420,9 @@
 			return q.MaxAttempts
 		}
 	}
+	if j.spec.MaxAttempts > 0 {
+		return j.spec.MaxAttempts
+	}
 	return defaultAttempts
 }
 
--- a/coord/flow/tend.go
+++ b/coord/flow/tend.go
@@ -48,10 +48,10 @@
 
 const (
 	// headroom is the slack over 1 that is left when fillers are placed, for errors of the model.
-	headroom = 0.12
+	headroom = 0.25
 	// alarm is the slack over 1 below which fillers are moved away, and relief what the others must leave then.
-	alarm  = 0.03
-	relief = 0.1
+	alarm  = 0.12
+	relief = 0.25
 	// overPatience is how long a serving task may miss its target against the model before fillers beside it are moved,
 	// well below the time after which callers are harmed.
 	overPatience = 1200 * time.Millisecond
--- a/entryd/hosted/app.go
+++ b/entryd/hosted/app.go
@@ -49,7 +49,7 @@
 	// one on its way.
 	balancerNotice = 3 * time.Second
 	// stopMargin is left between the last answer and the end of the grace period.
-	stopMargin = 700 * time.Millisecond
+	stopMargin = 1500 * time.Millisecond
 	// headerTimeout and idleTimeout hold where the configuration has no limits.
 	headerTimeout = 3 * time.Second
 	idleTimeout   = 15 * time.Second
--- a/entryd/hosted/intake.go
+++ b/entryd/hosted/intake.go
@@ -67,7 +67,7 @@
 // Submit implements [infra.Jobs].
 func (i *Intake) Submit(ctx context.Context, q infra.Queue, j infra.Job) error {
 	began := time.Now()
-	j.Submitted = time.Now().UnixMilli()
+	j.Submitted, j.MaxAttempts = time.Now().UnixMilli(), q.MaxAttempts
 	data, err := leader.EncodeJob(j)
 	if err != nil {
 		return &infra.InvalidJobError{Job: j.ID, Reason: err.Error()}
