--- a/coord/flow/event.go
+++ b/coord/flow/event.go
@@ -88,8 +88,12 @@
 // Saved reports that the batch of a [Save] is durable.
 type Saved struct{ Batch int64 }
 
-// Tick lets time pass; Wall is the time of day.
-type Tick struct{ Wall time.Time }
+// Tick lets time pass; Wall is the time of day. Doubted is set while the store has not confirmed this scheduler for the
+// time of its lease.
+type Tick struct {
+	Wall    time.Time
+	Doubted bool
+}
 
 func (Restored) event()        {}
 func (Configured) event()      {}
--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -28,6 +28,8 @@
 	// or two of an entry host's processor.
 	sweepEach = 20 * time.Millisecond
 	placeEach = 9 * time.Millisecond
+	// retryEach is how often placement is tried without a cause, because rests end and tolerances change with time.
+	retryEach = 100 * time.Millisecond
 	// wallJump is a change of the time of day against steady time that is taken for a jump of the clock.
 	wallJump = 500 * time.Millisecond
 )
@@ -83,6 +85,8 @@
 	unsettled     map[fleet.WorkerID]struct{}
 	unsettledTill time.Time
 	restored      bool
+	// doubted is set while another scheduler may have been elected.
+	doubted bool
 	// freshFrom is when jobs that become known cannot have been started by a former scheduler.
 	freshFrom   time.Time
 	roster      map[fleet.WorkerID]string
@@ -181,6 +185,7 @@
 	case Saved:
 		m.saved(ev.Batch)
 	case Tick:
+		m.doubted = ev.Doubted
 		m.tick(ev.Wall)
 	}
 	out := m.effects
@@ -424,9 +429,16 @@
 	}
 	m.expire()
 	m.tend()
+	if len(m.ready) > 0 && m.now.Sub(m.placedAt) >= retryEach {
+		m.placeNext = true
+	}
 }
 
 func (m *Machine) tickWorker(w *worker) {
+	if w.fenced && !w.trusted && !m.doubted {
+		w.trusted = true
+		m.placeNext = true
+	}
 	if !w.holding && !m.now.Before(w.holdAt) && (w.listed || len(w.runs) > 0 || m.isUnsettled(w)) {
 		m.hold(w)
 	}
@@ -434,11 +446,13 @@
 		m.emit(Note{Text: "lease lapsed", Worker: w.ID, Reason: "worker not reachable"})
 		m.clearWorker(w, "lease lapsed")
 	}
-	for _, r := range w.runs {
+	for _, r := range w.sortedRuns() {
 		if r.state == stopping && !m.now.Before(r.stopAt) {
 			m.sendStop(r)
 		}
-		if r.state == fencing && w.fenced && !m.now.Before(r.stopAt) {
+		if r.state == fencing && m.now.Sub(r.since) > lateOrders {
+			m.vanish(r, "start to a former life is too old to happen")
+		} else if r.state == fencing && w.fenced && !m.now.Before(r.stopAt) {
 			m.sendStop(r)
 		}
 	}
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -15,7 +15,7 @@
 func (m *Machine) addWorker(info infra.Worker) *worker {
 	w := &worker{
 		Worker: info, runs: make(map[infra.Task]*run), reachable: true, speed: 1, decayAt: m.now,
-		serving: make(map[*step]int), images: make(map[string]int), fillers: make(map[string]float64), settled: make(map[string]float64), settledAt: m.now,
+		serving: make(map[*step]int), images: make(map[string]int), failed: make(map[fleet.JobID]float64), fillers: make(map[string]float64), settled: make(map[string]float64), settledAt: m.now,
 	}
 	m.workers[info.ID] = w
 	at := len(m.order)
@@ -88,15 +88,19 @@
 func (m *Machine) reborn(w *worker, born int64) {
 	m.emit(Note{Text: "worker has started again", Worker: w.ID})
 	for _, r := range w.sortedRuns() {
-		if r.confirmed == 0 {
-			// The start may still reach the new life, which is there to be told otherwise.
-			r.state, r.stopAt, r.reason = fencing, m.now, "worker started again"
+		if r.listed > 0 {
+			m.counts.Vanished++
+			m.vanish(r, "worker started again")
+			continue
 		}
+		// The start may have reached the new life, or still reach it, which is there to be told otherwise.
+		r.state, r.stopAt, r.reason = fencing, m.now, "worker started again"
 	}
-	m.clearWorker(w, "worker started again")
 	w.Born = born
-	w.fenced, w.clock, w.leaseEnd, w.seen, w.durable, w.unsaved = false, 0, 0, 0, 0, 0
-	w.fails, w.ends, w.stalls = 0, 0, 0
+	w.fenced, w.trusted = false, false
+	w.clock, w.leaseEnd, w.seen, w.durable, w.unsaved = 0, 0, 0, 0, 0
+	w.ends, w.stalls = 0, 0
+	clear(w.failed)
 	w.restUntil = time.Time{}
 	if !w.holding {
 		w.holdAt = m.now
@@ -108,10 +112,7 @@
 // later life of the worker.
 func (m *Machine) clearWorker(w *worker, reason string) {
 	for _, r := range w.sortedRuns() {
-		if r.state == fencing {
-			continue
-		}
-		if r.confirmed == 0 {
+		if r.confirmed == 0 || r.state == fencing {
 			m.ghosts[w.ID] = append(m.ghosts[w.ID], ghost{task: r.id, run: r.number, until: m.now.Add(lateOrders)})
 		}
 		m.counts.Vanished++
@@ -158,7 +159,8 @@
 // hold asks a worker for its report and renews its lease.
 func (m *Machine) hold(w *worker) {
 	order := infra.HoldOrder{Token: m.token, Seen: w.durable}
-	if w.clock > 0 {
+	// A worker that does not answer is not renewed, so that its lease ends at a known time.
+	if w.clock > 0 && w.reachable {
 		order.Deadline = w.estimate(m.now) + m.opts.hold.Milliseconds()
 		w.leaseEnd = max(w.leaseEnd, order.Deadline)
 	}
@@ -234,7 +236,7 @@
 	}
 	w.observeClock(m.now, ev.Report.Clock)
 	if !w.fenced {
-		w.fenced = true
+		w.fenced, w.trusted = true, !m.doubted
 		m.settle(w)
 		m.fenceGhosts(w)
 	}
@@ -487,7 +489,7 @@
 	if r.state == starting || r.state == fencing {
 		r.state = running
 	}
-	r.confirmed = max(r.confirmed, clock)
+	r.confirmed, r.listed = max(r.confirmed, clock), clock
 	r.figure = row.Figure
 	if row.Percent > r.percent {
 		r.percent, r.moved = row.Percent, m.now
@@ -500,7 +502,7 @@
 // adopt takes over a run that this scheduler did not start, or stops it if the task must not run there.
 func (m *Machine) adopt(w *worker, row infra.Running, clock int64) {
 	s, t := m.lookup(row.Task)
-	r := &run{id: row.Task, number: row.Run, worker: w, state: running, since: m.now, moved: m.now, confirmed: clock, percent: row.Percent, figure: row.Figure, pace: 100}
+	r := &run{id: row.Task, number: row.Run, worker: w, state: running, since: m.now, moved: m.now, confirmed: clock, listed: clock, percent: row.Percent, figure: row.Figure, pace: 100}
 	if old := w.runs[row.Task]; old != nil {
 		if old.number > row.Run {
 			m.emit(Stop{To: w.address(), Order: infra.StopOrder{Task: row.Task, Run: row.Run, Token: m.token}})
--- a/coord/flow/tend.go
+++ b/coord/flow/tend.go
@@ -12,7 +12,7 @@
 // decay is the time in which a worker's record of ends loses weight by a factor e.
 const decay = 5 * time.Second
 
-// measureEnd updates the record of the worker and the image of a run.
+// measureEnd updates the record of the worker of a run.
 func (m *Machine) measureEnd(r *run, outcome infra.Outcome) {
 	w := r.worker
 	w.decay(m.now)
@@ -21,28 +21,44 @@
 		w.ends++
 	case infra.Failed:
 		w.ends++
-		w.fails++
-		if w.fails >= failsOfBadWorker && w.fails > shareOfBadWorker*w.ends {
-			w.restUntil = m.now.Add(badWorkerRest)
-			m.emit(Note{Text: "worker rests", Worker: w.ID, Reason: "most runs fail there"})
-		}
+		w.failed[r.id.Job]++
+		m.judge(w)
 	default:
 	}
 }
 
 const (
-	// failsOfBadWorker and shareOfBadWorker tell a worker that fails what it starts from jobs that fail anywhere: 2 to 5 %
-	// of runs fail by their own fault.
-	failsOfBadWorker = 2.5
+	// jobsOfBadWorker and shareOfBadWorker tell a worker that fails what it starts from jobs that fail anywhere: 2 to 5 % of
+	// runs fail by their own fault, and all runs of a job that can never be done.
+	jobsOfBadWorker  = 3
 	shareOfBadWorker = 0.6
-	// badWorkerRest keeps new work away; after it one more failure renews it.
+	// badWorkerRest keeps new work away from such a worker; after it one more failure renews it.
 	badWorkerRest = 4 * time.Second
+	// leastWeight is when a failure has been forgotten.
+	leastWeight = 0.3
 )
 
+// judge gives a worker a rest where the runs of several jobs fail.
+func (m *Machine) judge(w *worker) {
+	fails := 0.0
+	for _, weight := range w.failed {
+		fails += weight
+	}
+	if len(w.failed) >= jobsOfBadWorker && fails > shareOfBadWorker*w.ends && !m.now.Before(w.restUntil) {
+		w.restUntil = m.now.Add(badWorkerRest)
+		m.emit(Note{Text: "worker rests", Worker: w.ID, Reason: "the runs of several jobs fail there"})
+	}
+}
+
 func (w *worker) decay(now time.Time) {
 	factor := math.Exp(-float64(now.Sub(w.decayAt)) / float64(decay))
-	w.fails *= factor
 	w.ends *= factor
+	for id, weight := range w.failed {
+		w.failed[id] = weight * factor
+		if w.failed[id] < leastWeight {
+			delete(w.failed, id)
+		}
+	}
 	w.decayAt = now
 }
 
--- a/coord/flow/worker.go
+++ b/coord/flow/worker.go
@@ -47,9 +47,11 @@
 	deadline int64
 	// confirmed is the worker's clock at which the run was present.
 	confirmed int64
-	stopAt    time.Time
-	reason    string
-	pace      int
+	// listed is the same for the last report that listed the run.
+	listed int64
+	stopAt time.Time
+	reason string
+	pace   int
 	// learnt is the last figure that was learnt from, and when.
 	learnt   float64
 	learntAt time.Time
@@ -66,6 +68,9 @@
 	enrolled bool
 	// fenced workers have answered under this scheduler's token.
 	fenced bool
+	// trusted workers were fenced while the store confirmed this scheduler. A successor takes a worker that has started again
+	// for one on which nothing of a former scheduler runs, so that no task may be started on other ones.
+	trusted bool
 	// reachable is whether the last call of a hold was answered.
 	reachable bool
 	refusals  int
@@ -101,8 +106,8 @@
 	holdAt   time.Time
 	lastHold time.Time
 
-	// fails and ends decay; a worker at which most runs fail takes no new ones.
-	fails   float64
+	// failed, by job, and ends decay; a worker at which most runs fail takes no new ones.
+	failed  map[fleet.JobID]float64
 	ends    float64
 	decayAt time.Time
 	// restUntil keeps new work away after the worker was found to fail or to stand still.
@@ -139,7 +144,7 @@
 
 // usable reports whether new tasks may be started on the worker.
 func (w *worker) usable(now time.Time) bool {
-	return w.listed && w.enrolled && w.fenced && w.reachable && !w.Draining && w.clock > 0 && !now.Before(w.restUntil) && !now.Before(w.unhealthyUntil)
+	return w.listed && w.enrolled && w.trusted && w.reachable && !w.Draining && w.clock > 0 && !now.Before(w.restUntil) && !now.Before(w.unhealthyUntil)
 }
 
 func (w *worker) free() fleet.Resources { return w.Capacity.Sub(w.used) }
--- a/entryd/leader/scheduler.go
+++ b/entryd/leader/scheduler.go
@@ -296,7 +296,7 @@
 			l.handle(ctx, ev)
 			l.drain(ctx)
 		}
-		l.handle(ctx, flow.Tick{Wall: time.Now()})
+		l.handle(ctx, flow.Tick{Wall: time.Now(), Doubted: !l.reign.Proven()})
 	}
 	go l.discard()
 	feeds.Wait()
