--- a/coord/flow/event.go
+++ b/coord/flow/event.go
@@ -48,18 +48,20 @@
 // WorkerGone reports that the platform no longer lists a worker.
 type WorkerGone struct{ Worker fleet.WorkerID }
 
-// Held brings the answer to a [Hold].
+// Held brings the answer to a [Hold]; Sequence is that of the hold.
 type Held struct {
-	Worker fleet.WorkerID
-	Order  infra.HoldOrder
-	Report infra.Report
+	Worker   fleet.WorkerID
+	Sequence int64
+	Order    infra.HoldOrder
+	Report   infra.Report
 }
 
 // HoldFailed reports a [Hold] without a report.
 type HoldFailed struct {
-	Worker fleet.WorkerID
-	Order  infra.HoldOrder
-	Err    error
+	Worker   fleet.WorkerID
+	Sequence int64
+	Order    infra.HoldOrder
+	Err      error
 }
 
 // StartAnswered brings the outcome of a [Start]; Clock is the worker's clock in milliseconds.
@@ -112,10 +114,11 @@
 // Effect is something that the runtime does for the scheduler.
 type Effect interface{ effect() }
 
-// Hold renews the lease of a worker and asks for its report.
+// Hold renews the lease of a worker and asks for its report. Only the answer to the last hold of a worker counts.
 type Hold struct {
-	To    infra.Address
-	Order infra.HoldOrder
+	To       infra.Address
+	Sequence int64
+	Order    infra.HoldOrder
 }
 
 // Start starts a task.
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -102,10 +102,8 @@
 	w.ends, w.stalls = 0, 0
 	clear(w.failed)
 	w.restUntil = time.Time{}
-	if !w.holding {
-		w.holdAt = m.now
-	}
-	delete(m.unsettled, w.ID)
+	// The answer to a hold of the former life may take until its timeout.
+	w.holding, w.holdAt = false, m.now
 }
 
 // clearWorker frees everything on a worker on which nothing runs any more. A start without an answer may still reach a
@@ -170,13 +168,14 @@
 			order.Wait = holdWatch
 		}
 	}
-	w.holding, w.lastHold = true, m.now
-	m.emit(Hold{To: w.address(), Order: order})
+	w.holding = true
+	w.holds++
+	m.emit(Hold{To: w.address(), Sequence: w.holds, Order: order})
 }
 
 func (m *Machine) holdFailed(ev HoldFailed) {
 	w := m.workers[ev.Worker]
-	if w == nil {
+	if w == nil || ev.Sequence != w.holds {
 		return
 	}
 	w.holding = false
@@ -215,7 +214,7 @@
 // held takes up a worker's report.
 func (m *Machine) held(ev Held) {
 	w := m.workers[ev.Worker]
-	if w == nil {
+	if w == nil || ev.Sequence != w.holds {
 		return
 	}
 	w.holding, w.holdAt, w.refusals = false, m.now, 0
--- a/coord/flow/worker.go
+++ b/coord/flow/worker.go
@@ -102,9 +102,9 @@
 	tolerated   bool
 	toleratedAt time.Time
 
-	holding  bool
-	holdAt   time.Time
-	lastHold time.Time
+	holding bool
+	holds   int64
+	holdAt  time.Time
 
 	// failed, by job, and ends decay; a worker at which most runs fail takes no new ones.
 	failed  map[fleet.JobID]float64
--- a/coord/flow/world_test.go
+++ b/coord/flow/world_test.go
@@ -62,6 +62,8 @@
 	alive bool
 	// silent owners are cut off from the store.
 	silent bool
+	// lives are the lives of the workers that the owner knows of, which its orders name.
+	lives map[fleet.WorkerID]int64
 }
 
 type timer struct {
@@ -123,6 +125,7 @@
 
 type hold struct {
 	o     *owner
+	seq   int64
 	order infra.HoldOrder
 	until time.Time
 }
@@ -189,7 +192,7 @@
 		}
 	}
 	w.token += infra.Token(1 + w.rng.IntN(5))
-	o := &owner{token: w.token, alive: true, m: flow.New(w.token, flow.WithHold(maxHold), flow.WithHorizon(horizon))}
+	o := &owner{lives: make(map[fleet.WorkerID]int64), token: w.token, alive: true, m: flow.New(w.token, flow.WithHold(maxHold), flow.WithHorizon(horizon))}
 	w.leader = o
 	restored := flow.Restored{Term: w.term, Roster: append([]flow.RosterEntry(nil), w.roster...)}
 	w.term++
@@ -225,14 +228,23 @@
 	if !o.alive {
 		return
 	}
+	switch ev := ev.(type) {
+	case flow.Held:
+		o.lives[ev.Worker] = ev.Report.Born
+	case flow.WorkerSeen:
+		o.lives[ev.Worker.ID] = ev.Worker.Born
+	default:
+	}
 	for _, e := range o.m.Step(w.now, ev) {
 		if w.trace != nil {
 			w.trace(o, ev, e)
 		}
 		switch e := e.(type) {
 		case flow.Hold:
-			w.send(o, e.To.Worker, false, func(f *fakeWorker) { f.hold(o, e.Order) },
-				func(err error) flow.Event { return flow.HoldFailed{Worker: e.To.Worker, Order: e.Order, Err: err} })
+			w.send(o, e.To.Worker, false, func(f *fakeWorker) { f.hold(o, e.Sequence, e.Order) },
+				func(err error) flow.Event {
+					return flow.HoldFailed{Worker: e.To.Worker, Sequence: e.Sequence, Order: e.Order, Err: err}
+				})
 		case flow.Start:
 			w.send(o, e.To.Worker, true, func(f *fakeWorker) { f.start(o, e.Order) },
 				func(err error) flow.Event { return flow.StartAnswered{Worker: e.To.Worker, Order: e.Order, Err: err} })
@@ -268,12 +280,15 @@
 		}
 		return
 	}
+	life := o.lives[id]
 	w.after(w.delay(), func() {
 		switch {
 		case !f.reachable:
 			w.after(1500*time.Millisecond, func() { w.step(o, fail(&infra.LostError{Worker: id})) })
 		case !f.up:
 			w.step(o, fail(&infra.UnsentError{Worker: id, Refused: true}))
+		case losable && life != f.born.UnixMilli():
+			w.step(o, fail(&infra.RefusedError{Worker: id, Reason: infra.ReasonInstance}))
 		default:
 			carry(f)
 		}
@@ -368,7 +383,7 @@
 	err := &infra.LostError{Worker: f.info.ID}
 	switch ev := ev.(type) {
 	case flow.Held:
-		return flow.HoldFailed{Worker: ev.Worker, Order: ev.Order, Err: err}
+		return flow.HoldFailed{Worker: ev.Worker, Sequence: ev.Sequence, Order: ev.Order, Err: err}
 	case flow.StartAnswered:
 		ev.Err = err
 		return ev
@@ -548,9 +563,9 @@
 	f.reply(o, flow.StopAnswered{Worker: f.info.ID, Order: s, Clock: f.clock()})
 }
 
-func (f *fakeWorker) hold(o *owner, s infra.HoldOrder) {
+func (f *fakeWorker) hold(o *owner, seq int64, s infra.HoldOrder) {
 	if !f.fence(s.Token) {
-		f.reply(o, flow.HoldFailed{Worker: f.info.ID, Order: s, Err: f.refuse(infra.ReasonFenced)})
+		f.reply(o, flow.HoldFailed{Worker: f.info.ID, Sequence: seq, Order: s, Err: f.refuse(infra.ReasonFenced)})
 		return
 	}
 	if s.Deadline > 0 {
@@ -566,7 +581,7 @@
 		}
 		f.ended = f.ended[1:]
 	}
-	h := &hold{o: o, order: s, until: f.w.now.Add(s.Wait)}
+	h := &hold{o: o, seq: seq, order: s, until: f.w.now.Add(s.Wait)}
 	if len(f.ended) > 0 || s.Wait == 0 {
 		f.report(h)
 		return
@@ -586,7 +601,7 @@
 	for id, run := range f.runs {
 		r.Running = append(r.Running, infra.Running{Task: id, Run: run.number, Checkpoint: run.saved, Percent: 50})
 	}
-	f.reply(h.o, flow.Held{Worker: f.info.ID, Order: h.order, Report: r})
+	f.reply(h.o, flow.Held{Worker: f.info.ID, Sequence: h.seq, Order: h.order, Report: r})
 }
 
 // checkAttempts finds starts after as many failed runs as a queue allows, of those that were taken note of.
@@ -624,7 +639,7 @@
 	if h := f.waiting; h != nil {
 		f.waiting = nil
 		w.after(answerTime, func() {
-			w.step(h.o, flow.HoldFailed{Worker: id, Order: h.order, Err: &infra.LostError{Worker: id}})
+			w.step(h.o, flow.HoldFailed{Worker: id, Sequence: h.seq, Order: h.order, Err: &infra.LostError{Worker: id}})
 		})
 	}
 	if dark {
--- a/entryd/leader/scheduler.go
+++ b/entryd/leader/scheduler.go
@@ -381,17 +381,17 @@
 
 func (l *loop) hold(ctx context.Context, e flow.Hold) {
 	if !l.reign.Valid() {
-		l.post(flow.HoldFailed{Worker: e.To.Worker, Order: e.Order, Err: errOver(e.To.Worker)})
+		l.post(flow.HoldFailed{Worker: e.To.Worker, Sequence: e.Sequence, Order: e.Order, Err: errOver(e.To.Worker)})
 		return
 	}
 	callCtx, cancel := context.WithTimeout(ctx, e.Order.Wait+holdSlack)
 	defer cancel()
 	report, err := l.agents.Hold(callCtx, e.To, e.Order)
 	if err != nil {
-		l.post(flow.HoldFailed{Worker: e.To.Worker, Order: e.Order, Err: err})
+		l.post(flow.HoldFailed{Worker: e.To.Worker, Sequence: e.Sequence, Order: e.Order, Err: err})
 		return
 	}
-	l.post(flow.Held{Worker: e.To.Worker, Order: e.Order, Report: report})
+	l.post(flow.Held{Worker: e.To.Worker, Sequence: e.Sequence, Order: e.Order, Report: report})
 }
 
 func (l *loop) start(ctx context.Context, e flow.Start) {
