--- a/coord/flow/place.go
+++ b/coord/flow/place.go
@@ -326,9 +326,12 @@
 
 const (
 	// companyBonus packs serving tasks of one image together, because each filler image disturbs some images and not others.
-	companyBonus = 1
+	// It and emptyBonus outweigh how well a task fits, which is at most 2.
+	companyBonus = 6
 	// emptyBonus prefers a worker without serving tasks to one with tasks of another image.
-	emptyBonus = 0.5
+	emptyBonus = 3
+	// contrastPenalty prefers, among workers with other images, those that the same fillers disturb.
+	contrastPenalty = 0.3
 	// pressPenalty keeps serving tasks from workers whose fillers would push them over their target.
 	pressPenalty = 2
 	// speedWeight prefers workers where tasks progress as expected.
@@ -342,7 +345,7 @@
 	switch {
 	case serves(spec):
 		free := w.share(w.free().MilliCPU)
-		return score - 2*free + company(w, spec.Image) - pressPenalty*max(0, m.excess(w, spec))
+		return score - 2*free + m.company(w, spec.Image) - pressPenalty*max(0, m.excess(w, spec))
 	case spec.Filler:
 		return score - m.strain(w, spec)
 	default:
@@ -350,15 +353,21 @@
 	}
 }
 
-func company(w *worker, image string) float64 {
-	switch {
-	case len(w.images) == 0:
+// company is higher for a worker whose serving tasks the same fillers disturb as the image.
+func (m *Machine) company(w *worker, image string) float64 {
+	if len(w.images) == 0 {
 		return emptyBonus
-	case len(w.images) == 1 && w.images[image] > 0:
-		return companyBonus
-	default:
-		return 0
 	}
+	contrast := 0.0
+	for other := range w.images {
+		if other != image {
+			contrast += 1 + m.victim(image).contrast(m.victim(other))
+		}
+	}
+	if w.images[image] > 0 {
+		return companyBonus - contrastPenalty*contrast
+	}
+	return -contrastPenalty * contrast
 }
 
 func (m *Machine) start(r *readyStep, index int, w *worker, number infra.Run) {
--- a/coord/flow/press.go
+++ b/coord/flow/press.go
@@ -36,12 +36,10 @@
 	trendNoise = 0.02
 	// lookAhead is about how long a filler runs.
 	lookAhead = 2500 * time.Millisecond
-	// quietPress is how much slack fillers may take from a task whose reports count for the lowest slack, and lowStep how far
-	// one report lowers it.
-	quietPress = 0.2
-	lowStep    = 0.1
-	// lowRecovery is how fast the lowest slack seen is forgotten, in a second.
-	lowRecovery = 0.02
+	// lowQuantile is the share of reports with a lower slack than the one that counts as low, and lowStep how far one report
+	// moves it.
+	lowQuantile = 0.1
+	lowStep     = 0.03
 )
 
 // pulse follows the load of one serving step: the slack of its tasks without fillers, and its trend in a second.
@@ -93,7 +91,7 @@
 	weight []float64
 	cov    [][]float64
 	at     time.Time
-	// low is the lowest slack without fillers of late; the load comes back to it.
+	// low is a low slack without fillers, which the load comes back to.
 	low float64
 }
 
@@ -138,6 +136,18 @@
 	return sum
 }
 
+// contrast is the mean difference between how much the fillers that are known to both disturb two images.
+func (v *victim) contrast(other *victim) float64 {
+	sum, known := 0.0, 0
+	for image, i := range v.index {
+		if j, found := other.index[image]; found {
+			sum += math.Abs(v.weight[i] - other.weight[j])
+			known++
+		}
+	}
+	return sum / float64(max(1, known))
+}
+
 // ahead returns the lowest slack without fillers that is to be expected while a filler runs.
 func (v *victim) ahead(p *pulse, now time.Time) float64 {
 	slack := p.now(now)
@@ -178,18 +188,11 @@
 			v.cov[i][j] -= gain[i] * gain[j] / variance
 		}
 	}
-	if -v.lift(x) < quietPress && p.slack < v.low {
-		v.low += lowStep * (p.slack - v.low)
-	}
-}
-
-// lift returns what fillers with the given shares add to the slack, which is less than 0.
-func (v *victim) lift(x []float64) float64 {
-	sum := 0.0
-	for i := range x {
-		sum -= v.weight[i] * x[i]
+	if p.slack < v.low {
+		v.low -= lowStep * (1 - lowQuantile)
+	} else {
+		v.low += lowStep * lowQuantile
 	}
-	return sum
 }
 
 // drift lets the weights become less certain with time.
@@ -199,7 +202,6 @@
 		return
 	}
 	v.at = now
-	v.low += lowRecovery * passed
 	for i := range v.cov {
 		v.cov[i][i] = min(v.cov[i][i]+pairDrift*passed, pairVariance)
 	}
