--- a/coord/flow/job.go
+++ b/coord/flow/job.go
@@ -46,6 +46,9 @@
 	perWorker map[fleet.WorkerID]int
 	// pulse follows the load of a serving step; nil before its first report.
 	pulse *pulse
+	// rate is the usual progress of the step's tasks in percent a second, from as many measurements.
+	rate     float64
+	measured int
 }
 
 // occurrence is one repetition of a job's steps.
--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -116,7 +116,9 @@
 	sweptAt   time.Time
 	placedAt  time.Time
 	victims   map[string]*victim
-	ghosts    map[fleet.WorkerID][]ghost
+	// paces is how fast the tasks of each queue progress, as a multiple of their estimate.
+	paces  map[string]float64
+	ghosts map[fleet.WorkerID][]ghost
 	// unknown are cancellations of jobs that are not known yet.
 	unknown map[fleet.JobID]struct{}
 	counts  Counts
@@ -446,6 +448,7 @@
 		m.emit(Note{Text: "lease lapsed", Worker: w.ID, Reason: "worker not reachable"})
 		m.clearWorker(w, "lease lapsed")
 	}
+	w.recoverSpeed(m.now)
 	for _, r := range w.sortedRuns() {
 		if r.state == stopping && !m.now.Before(r.stopAt) {
 			m.sendStop(r)
--- a/coord/flow/place.go
+++ b/coord/flow/place.go
@@ -301,6 +301,9 @@
 	if !spec.Reserved().Fits(w.free()) {
 		return false
 	}
+	if w.isSlow(spec) {
+		return false
+	}
 	if spec.Filler && (w.spare() < spec.Size.MilliCPU || !m.tolerates(w, spec)) {
 		return false
 	}
@@ -376,7 +379,7 @@
 	id := r.task(index)
 	n := &run{
 		id: id, number: number, worker: w, step: s, occ: r.occ, state: starting, size: s.spec.Reserved(),
-		since: m.now, moved: m.now, pace: 100,
+		since: m.now, markAt: m.now, pace: 100,
 	}
 	if s.spec.Filler {
 		n.filler = s.spec.Size.MilliCPU
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -99,7 +99,7 @@
 	w.Born = born
 	w.fenced, w.trusted = false, false
 	w.clock, w.leaseEnd, w.seen, w.durable, w.unsaved = 0, 0, 0, 0, 0
-	w.ends, w.stalls = 0, 0
+	w.ends, w.speed = 0, 1
 	clear(w.failed)
 	w.restUntil = time.Time{}
 	// The answer to a hold of the former life may take until its timeout.
@@ -242,6 +242,7 @@
 	fresh := m.takeEnds(w, ev.Report.Ended)
 	m.takeRunning(w, ev.Report)
 	m.measure(w)
+	m.measureSpeed(w)
 	if fresh {
 		w.unsaved = m.dirtySeq
 		if m.savedSeq >= m.dirtySeq {
@@ -490,9 +491,7 @@
 	}
 	r.confirmed, r.listed = max(r.confirmed, clock), clock
 	r.figure = row.Figure
-	if row.Percent > r.percent {
-		r.percent, r.moved = row.Percent, m.now
-	}
+	r.percent = max(r.percent, row.Percent)
 	if _, t := m.lookup(r.id); t != nil && row.Checkpoint != "" {
 		t.saved = row.Checkpoint
 	}
@@ -501,7 +500,7 @@
 // adopt takes over a run that this scheduler did not start, or stops it if the task must not run there.
 func (m *Machine) adopt(w *worker, row infra.Running, clock int64) {
 	s, t := m.lookup(row.Task)
-	r := &run{id: row.Task, number: row.Run, worker: w, state: running, since: m.now, moved: m.now, confirmed: clock, listed: clock, percent: row.Percent, figure: row.Figure, pace: 100}
+	r := &run{id: row.Task, number: row.Run, worker: w, state: running, since: m.now, mark: row.Percent, markAt: m.now, confirmed: clock, listed: clock, percent: row.Percent, figure: row.Figure, pace: 100}
 	if old := w.runs[row.Task]; old != nil {
 		if old.number > row.Run {
 			m.emit(Stop{To: w.address(), Order: infra.StopOrder{Task: row.Task, Run: row.Run, Token: m.token}})
--- /dev/null
+++ b/coord/flow/speed.go
@@ -0,0 +1,112 @@
+package flow
+
+import (
+	"math"
+	"time"
+
+	"lovagefork.example/coord/infra"
+)
+
+const (
+	// markEach is the least time over which progress is measured, because reports give whole percents.
+	markEach = 350 * time.Millisecond
+	// rateStep and speedStep smooth how fast tasks of a step and on a worker progress.
+	rateStep  = 0.25
+	speedStep = 0.15
+	// rateFloor keeps tasks that hardly progress out of the usual rate of their step, once it is known from leastMeasured
+	// measurements.
+	rateFloor     = 0.4
+	leastMeasured = 3
+	// fastest bounds what one measurement adds to the speed of a worker.
+	fastest = 1.5
+	// stillTime is how long a task may show no progress at all; the longest tasks take 70 ms for a percent.
+	stillTime = 700 * time.Millisecond
+	// stillRest keeps new work away from a worker on which a task stands still.
+	stillRest = 2500 * time.Millisecond
+	// slowWorker is the speed below which a worker takes no new work, and speedRecovery the time in which that is forgotten.
+	slowWorker    = 0.5
+	speedRecovery = 6 * time.Second
+	// moveGain is how many times sooner a task must be done elsewhere to be moved from a slow worker.
+	moveGain = 1.6
+	// moveCost is what a move takes: the stop, the start, and the restoring of a checkpoint.
+	moveCost = 500 * time.Millisecond
+)
+
+// measureSpeed compares the progress of the runs on a worker with that of the other tasks of their steps, because
+// estimates are off by half and more.
+func (m *Machine) measureSpeed(w *worker) {
+	for _, r := range w.sortedRuns() {
+		if r.step == nil || r.step.spec.LongRunning || r.state != running {
+			continue
+		}
+		passed := m.now.Sub(r.markAt)
+		if passed < markEach {
+			continue
+		}
+		rate := float64(r.percent-r.mark) / passed.Seconds()
+		r.mark, r.markAt = r.percent, m.now
+		relative := r.step.compare(rate)
+		if r.step.measured > leastMeasured {
+			w.speed += speedStep * (min(relative, fastest) - w.speed)
+		}
+		m.judgeProgress(w, r, rate, relative, passed)
+	}
+}
+
+// compare returns a rate of progress as a multiple of what is usual for the step, and learns from it.
+func (s *step) compare(rate float64) float64 {
+	if s.measured == 0 {
+		s.rate = rate
+	}
+	relative := 1.0
+	if s.rate > 0 {
+		relative = rate / s.rate
+	}
+	s.measured++
+	if relative > rateFloor || s.measured <= leastMeasured {
+		s.rate += rateStep * (rate - s.rate)
+	}
+	return relative
+}
+
+// judgeProgress moves a run that stands still or would be done much sooner elsewhere; rate is in percent a second.
+func (m *Machine) judgeProgress(w *worker, r *run, rate, relative float64, passed time.Duration) {
+	if rate > 0 {
+		r.still = 0
+	} else {
+		r.still += passed
+	}
+	if r.still >= stillTime {
+		m.counts.Stalled++
+		w.restUntil = m.now.Add(stillRest)
+		m.stop(r, "stands still")
+		return
+	}
+	if w.speed >= slowWorker || relative >= slowWorker || rate <= 0 || r.step.rate <= 0 {
+		return
+	}
+	left := float64(100 - r.percent)
+	again := 100.0
+	if _, t := m.lookup(r.id); r.step.spec.Checkpoints && t != nil && t.saved != "" {
+		again = left
+	}
+	if left/rate > moveGain*(again/r.step.rate+moveCost.Seconds()) {
+		m.counts.Stalled++
+		m.stop(r, "is slow here")
+	}
+}
+
+// recoverSpeed lets a worker's record of slowness fade, so that it is tried again.
+func (w *worker) recoverSpeed(now time.Time) {
+	if w.speedAt.IsZero() {
+		w.speedAt = now
+	}
+	left := math.Exp(-float64(now.Sub(w.speedAt)) / float64(speedRecovery))
+	w.speedAt = now
+	w.speed = 1 + (w.speed-1)*left
+}
+
+// isSlow reports whether a worker takes no new work because tasks progress slowly there.
+func (w *worker) isSlow(s *infra.Step) bool {
+	return w.speed < slowWorker && !s.LongRunning
+}
--- a/coord/flow/worker.go
+++ b/coord/flow/worker.go
@@ -40,8 +40,10 @@
 	filler  int64
 	since   time.Time
 	percent int
-	// moved is when percent last rose.
-	moved  time.Time
+	// mark is the percent of the last measurement of progress, at markAt, and still how long there has been none.
+	mark   int
+	markAt time.Time
+	still  time.Duration
 	figure float64
 	// deadline is the worker's clock after which the start can no longer happen.
 	deadline int64
@@ -112,9 +114,9 @@
 	decayAt time.Time
 	// restUntil keeps new work away after the worker was found to fail or to stand still.
 	restUntil time.Time
-	stalls    int
-	// speed is the share of the expected speed at which tasks progress here; it decays towards 1.
-	speed float64
+	// speed is the share of the usual speed at which tasks progress here; it fades towards 1.
+	speed   float64
+	speedAt time.Time
 
 	unhealthyUntil time.Time
 	// relievedAt is when fillers were last moved away from serving tasks.
