--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -132,7 +132,7 @@
 
 // Counts are totals since the scheduler was elected.
 type Counts struct {
-	Starts, Refused, Lost, Done, Failed, Stopped, Vanished, Stalled, Relieved int64
+	Starts, Refused, Lost, Done, Failed, Stopped, Vanished, Stalled, Relieved, Paced int64
 }
 
 // New returns the scheduler that holds a fencing token.
--- a/coord/flow/place.go
+++ b/coord/flow/place.go
@@ -379,7 +379,7 @@
 	id := r.task(index)
 	n := &run{
 		id: id, number: number, worker: w, step: s, occ: r.occ, state: starting, size: s.spec.Reserved(),
-		since: m.now, markAt: m.now, pace: 100,
+		since: m.now, markAt: m.now, pace: fullPace,
 	}
 	if s.spec.Filler {
 		n.filler = s.spec.Size.MilliCPU
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -500,7 +500,7 @@
 // adopt takes over a run that this scheduler did not start, or stops it if the task must not run there.
 func (m *Machine) adopt(w *worker, row infra.Running, clock int64) {
 	s, t := m.lookup(row.Task)
-	r := &run{id: row.Task, number: row.Run, worker: w, state: running, since: m.now, mark: row.Percent, markAt: m.now, confirmed: clock, listed: clock, percent: row.Percent, figure: row.Figure, pace: 100}
+	r := &run{id: row.Task, number: row.Run, worker: w, state: running, since: m.now, mark: row.Percent, markAt: m.now, confirmed: clock, listed: clock, percent: row.Percent, figure: row.Figure, pace: fullPace}
 	if old := w.runs[row.Task]; old != nil {
 		if old.number > row.Run {
 			m.emit(Stop{To: w.address(), Order: infra.StopOrder{Task: row.Task, Run: row.Run, Token: m.token}})
@@ -662,8 +662,8 @@
 	if w == nil || ev.Err == nil {
 		return
 	}
-	if r := w.runs[ev.Order.Task]; r != nil && r.number == ev.Order.Run {
-		// The speed is unknown now; the next look at interference sets it again.
-		r.pace = -1
+	if r := w.runs[ev.Order.Task]; r != nil && r.number == ev.Order.Run && r.pace == ev.Order.Percent {
+		// Whether the order was carried out is not known; full speed is assumed, and the next look slows the run again.
+		m.assumePace(r, fullPace)
 	}
 }
--- a/coord/flow/speed.go
+++ b/coord/flow/speed.go
@@ -36,7 +36,7 @@
 // estimates are off by half and more.
 func (m *Machine) measureSpeed(w *worker) {
 	for _, r := range w.sortedRuns() {
-		if r.step == nil || r.step.spec.LongRunning || r.state != running {
+		if r.step == nil || r.step.spec.LongRunning || r.state != running || r.pace != fullPace {
 			continue
 		}
 		passed := m.now.Sub(r.markAt)
--- a/coord/flow/tend.go
+++ b/coord/flow/tend.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"strconv"
 	"time"
 
 	"lovagefork.example/coord/infra"
@@ -218,18 +219,20 @@
 // tend looks after what runs beside each other.
 func (m *Machine) tend() {
 	for _, w := range m.order {
-		if len(w.serving) > 0 && w.filler > 0 {
-			m.protect(w)
+		if w.filler == 0 || m.now.Sub(w.relievedAt) < reliefEach {
+			continue
+		}
+		switch {
+		case len(w.serving) > 0 && m.protect(w):
+			w.relievedAt = m.now
+		case m.speedUp(w):
+			w.relievedAt = m.now
 		}
 	}
 }
 
-// protect moves fillers away from serving tasks that miss their target or are about to, the most disturbing first.
-func (m *Machine) protect(w *worker) {
-	if m.now.Sub(w.relievedAt) < settleTime {
-		return
-	}
-	// Runs are looked at in any order: the most harmed one is the same.
+// protect slows fillers down, or moves them away, where serving tasks miss their target or are about to.
+func (m *Machine) protect(w *worker) bool {
 	var harmed *victim
 	missing := 0.0
 	for s := range w.serving {
@@ -243,37 +246,97 @@
 			harmed, missing = v, 1+relief-slack
 		}
 	}
+	// The most harmed run is the same in whichever order they are looked at.
 	for _, r := range w.runs {
 		if r.serves() && r.state == running && !r.over.IsZero() && m.now.Sub(r.over) >= overPatience && 1+relief-r.slack > missing {
 			harmed, missing = m.victim(r.step.spec.Image), 1+relief-r.slack
 		}
 	}
-	if harmed != nil {
-		m.relieve(w, harmed, missing)
+	if harmed == nil {
+		return false
 	}
+	m.relieve(w, harmed, missing)
+	return true
 }
 
-// relieve stops the fillers that disturb a serving image most, until the missing slack is back.
+const (
+	// reliefEach is the pause between two looks at the fillers of a worker: what one has changed shows after that time.
+	reliefEach = 500 * time.Millisecond
+	// paceUnit is what the pace of a filler is a multiple of, and leastPace the pace below which it is better moved.
+	paceUnit  = 10
+	leastPace = 40
+	// minRelief lets a few orders be enough where the model sees no cause.
+	minRelief = 0.1
+)
+
+// relieve slows down the fillers that disturb a serving image most, until the missing slack is back.
 func (m *Machine) relieve(w *worker, v *victim, missing float64) {
-	fillers := make([]*run, 0, len(w.runs))
-	for _, r := range w.sortedRuns() {
-		if r.filler > 0 && r.state == running {
-			fillers = append(fillers, r)
-		}
-	}
+	fillers := w.fillerRuns()
 	slices.SortStableFunc(fillers, func(a, b *run) int {
 		return cmp.Compare(v.cost(b.step.spec.Image)*float64(b.filler), v.cost(a.step.spec.Image)*float64(a.filler))
 	})
 	for _, r := range fillers {
 		if missing <= 0 {
-			break
+			return
 		}
-		missing -= max(minRelief, v.cost(r.step.spec.Image)*w.share(r.filler))
-		m.counts.Relieved++
-		w.relievedAt = m.now
-		m.stop(r, "disturbs a serving task")
+		whole := max(minRelief, v.cost(r.step.spec.Image)*w.share(r.filler))
+		keep := r.speed() - missing/whole
+		percent := int(keep*fullPace) / paceUnit * paceUnit
+		if percent < leastPace {
+			missing -= whole * r.speed()
+			m.counts.Relieved++
+			m.stop(r, "disturbs a serving task")
+			continue
+		}
+		missing -= whole * (r.speed() - float64(percent)/fullPace)
+		m.setPace(r, percent)
 	}
 }
 
-// minRelief lets a few stops be enough where the model sees no cause.
-const minRelief = 0.1
+// speedUp lets slowed fillers work faster where serving tasks tolerate it, the least disturbing first.
+func (m *Machine) speedUp(w *worker) bool {
+	released := false
+	for _, r := range w.fillerRuns() {
+		if r.pace == fullPace {
+			continue
+		}
+		room := 1.0
+		for _, t := range m.tolerances(w) {
+			if cost := t.victim.cost(r.step.spec.Image) * w.share(r.filler); cost > 0 {
+				room = min(room, t.slack/cost)
+			}
+		}
+		percent := min(fullPace, int((r.speed()+room)*fullPace)/paceUnit*paceUnit)
+		if percent > r.pace {
+			m.setPace(r, percent)
+			released = true
+		}
+	}
+	return released
+}
+
+func (w *worker) fillerRuns() []*run {
+	fillers := make([]*run, 0, len(w.runs))
+	for _, r := range w.sortedRuns() {
+		if r.filler > 0 && r.state == running {
+			fillers = append(fillers, r)
+		}
+	}
+	return fillers
+}
+
+// setPace lets a filler work at a share of its full speed, in percent.
+func (m *Machine) setPace(r *run, percent int) {
+	m.counts.Paced++
+	m.assumePace(r, percent)
+	m.emit(Note{Text: "pace", Task: r.id, Run: r.number, Worker: r.worker.ID, Reason: strconv.Itoa(percent) + " %"})
+	m.emit(Pace{To: r.worker.address(), Order: infra.PaceOrder{Task: r.id, Run: r.number, Percent: percent, Token: m.token}})
+}
+
+// assumePace counts a filler at a share of its full speed, in percent.
+func (m *Machine) assumePace(r *run, percent int) {
+	r.worker.count(m.now, r, -1)
+	r.pace = percent
+	r.mark, r.markAt, r.still = r.percent, m.now, 0
+	r.worker.count(m.now, r, 1)
+}
--- a/coord/flow/worker.go
+++ b/coord/flow/worker.go
@@ -53,7 +53,8 @@
 	listed int64
 	stopAt time.Time
 	reason string
-	pace   int
+	// pace is the share of its full speed at which a filler works, in percent.
+	pace int
 	// learnt is the last figure that was learnt from, and when.
 	learnt   float64
 	learntAt time.Time
@@ -197,7 +198,7 @@
 	w.filler += int64(sign) * r.filler
 	if r.filler > 0 {
 		image := r.step.spec.Image
-		w.fillers[image] += float64(sign) * w.share(r.filler)
+		w.fillers[image] += float64(sign) * w.share(r.filler) * r.speed()
 		if w.fillers[image] < minShare {
 			delete(w.fillers, image)
 		}
@@ -216,6 +217,12 @@
 	}
 }
 
+// fullPace is the pace of a run that is not slowed down, in percent.
+const fullPace = 100
+
+// speed returns the share of its full speed at which a run works, and disturbs others.
+func (r *run) speed() float64 { return float64(r.pace) / fullPace }
+
 // minShare is below the share of any task; what is less comes from rounding.
 const minShare = 1e-6
 
