--- a/coord/flow/event.go
+++ b/coord/flow/event.go
@@ -31,6 +31,8 @@
 type RosterEntry struct {
 	Worker  fleet.WorkerID `cbor:"worker"`
 	Address string         `cbor:"address"`
+	// Draining workers that the platform no longer lists have left.
+	Draining bool `cbor:"draining,omitempty"`
 }
 
 // Configured brings the operator's configuration; a version that is not newer changes nothing.
@@ -90,6 +92,9 @@
 // Saved reports that the batch of a [Save] is durable.
 type Saved struct{ Batch int64 }
 
+// FormerOver reports that the former scheduler sends no more orders.
+type FormerOver struct{}
+
 // Tick lets time pass; Wall is the time of day. Doubted is set while the store has not confirmed this scheduler for the
 // time of its lease.
 type Tick struct {
@@ -109,6 +114,7 @@
 func (StopAnswered) event()    {}
 func (PaceAnswered) event()    {}
 func (Saved) event()           {}
+func (FormerOver) event()      {}
 func (Tick) event()            {}
 
 // Effect is something that the runtime does for the scheduler.
--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -186,6 +186,8 @@
 		m.paceAnswered(ev)
 	case Saved:
 		m.saved(ev.Batch)
+	case FormerOver:
+		m.formerOver()
 	case Tick:
 		m.doubted = ev.Doubted
 		m.tick(ev.Wall)
@@ -246,6 +248,7 @@
 			w = m.addWorker(infra.Worker{ID: e.Worker, Address: e.Address})
 		}
 		w.enrolled = true
+		w.Draining = w.Draining || e.Draining
 	}
 	m.unsettledTill = m.now.Add(m.opts.horizon + time.Duration(float64(m.opts.hold)*(1+2*clockSlack)) + clockMargin)
 	m.freshFrom = m.now.Add(m.opts.former)
@@ -253,6 +256,14 @@
 	m.placeNext = true
 }
 
+// formerOver shortens the wait for workers that cannot be reached to a lease from now.
+func (m *Machine) formerOver() {
+	till := m.now.Add(time.Duration(float64(m.opts.hold)*(1+2*clockSlack)) + clockMargin)
+	if till.Before(m.unsettledTill) {
+		m.unsettledTill = till
+	}
+}
+
 // raise lifts the run numbers of open tasks over those of former schedulers.
 func (o *occurrence) raise(base infra.Run) {
 	for i := range o.steps {
@@ -522,7 +533,7 @@
 		s.Roster = make([]RosterEntry, 0, len(m.roster))
 		for _, w := range m.order {
 			if address, found := m.roster[w.ID]; found {
-				s.Roster = append(s.Roster, RosterEntry{Worker: w.ID, Address: address})
+				s.Roster = append(s.Roster, RosterEntry{Worker: w.ID, Address: address, Draining: w.Draining})
 				m.inRoster = append(m.inRoster, w.ID)
 			}
 		}
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -59,6 +59,7 @@
 	}
 	if info.Draining && !w.Draining {
 		m.emit(Note{Text: "worker drains", Worker: info.ID})
+		m.rosterDirty = true
 	}
 	if !w.listed {
 		w.holdAt = m.now
@@ -81,6 +82,17 @@
 	}
 	w.listed = false
 	m.emit(Note{Text: "worker no longer listed", Worker: id})
+	m.checkLeft(w)
+}
+
+// checkLeft frees what a worker ran that drained and is neither listed nor reachable any more: it has left.
+func (m *Machine) checkLeft(w *worker) {
+	if !w.Draining || w.listed || w.reachable {
+		return
+	}
+	m.clearWorker(w, "worker has left")
+	delete(m.unsettled, w.ID)
+	m.placeNext = true
 }
 
 // reborn takes note of a new life of a worker: nothing of the former one runs any more, but an order without an answer
@@ -199,6 +211,7 @@
 		m.emit(Note{Text: "worker not reachable", Worker: w.ID, Reason: ev.Err.Error()})
 	}
 	w.reachable = false
+	m.checkLeft(w)
 	if !errors.As(ev.Err, &unsent) || !unsent.Refused {
 		w.refusals = 0
 		return
--- a/coord/wire/hosted.go
+++ b/coord/wire/hosted.go
@@ -22,6 +22,8 @@
 	AskNotice AskKind = "notice"
 	// AskCancelNotice tells the scheduler of a cancellation that has been stored.
 	AskCancelNotice AskKind = "cancel_notice"
+	// AskOver asks whether no reign with a lower token than Token goes on.
+	AskOver AskKind = "over"
 	// AskStatus asks for what the scheduler does, for operators.
 	AskStatus AskKind = "status"
 )
@@ -33,6 +35,7 @@
 	Queue       string      `cbor:"queue"`
 	Data        []byte      `cbor:"data,omitempty"`
 	RemainingMS int64       `cbor:"remaining_ms"`
+	Token       infra.Token `cbor:"token,omitempty"`
 }
 
 // ReplyStatus is the outcome of an [Ask].
--- a/entryd/hosted/app.go
+++ b/entryd/hosted/app.go
@@ -66,6 +66,7 @@
 			newLogger,
 			metrics.NewRegistry,
 			newMesh,
+			func() *overseer { return &overseer{} },
 			newCatalogs,
 			newScheduler,
 			newGroup,
@@ -90,12 +91,21 @@
 	return peers.New(self, map[fleet.EntryHostID]string{}, log, peers.WithMetrics(r), peers.WithOpenRoster())
 }
 
-func newScheduler(p Platform, r metrics.Registry, log *slog.Logger) *leader.Scheduler {
+func newScheduler(p Platform, r metrics.Registry, log *slog.Logger, o *overseer) *leader.Scheduler {
 	return leader.NewScheduler(leader.Deps{
-		Store: p.Store, Agents: p.Agents, Format: p.Format, Bounds: p.Settings.Bounds, Log: log, Metrics: r,
+		Store: p.Store, Agents: p.Agents, Format: p.Format, Bounds: p.Settings.Bounds, Log: log, Metrics: r, Over: o.over,
 	})
 }
 
+// overseer lets the scheduler ask peers, which are reached through the intake that is built after it.
+type overseer struct {
+	intake *Intake
+}
+
+func (o *overseer) over(ctx context.Context, host fleet.EntryHostID, token infra.Token) bool {
+	return o.intake.Over(ctx, host, token)
+}
+
 func newCatalogs(p Platform, mesh *peers.Mesh, s *leader.Scheduler, log *slog.Logger) *Catalogs {
 	c := &Catalogs{store: p.Store, format: p.Format, mesh: mesh, log: log}
 	c.onNewer = func(next *infra.Catalog) {
@@ -150,7 +160,8 @@
 }
 
 // connect joins the parts that talk to each other over the links.
-func connect(mesh *peers.Mesh, group *leader.Group, intake *Intake, c *Catalogs) {
+func connect(mesh *peers.Mesh, group *leader.Group, intake *Intake, c *Catalogs, o *overseer) {
+	o.intake = intake
 	mesh.Handle(intake.Answer)
 	mesh.Handle(c.Answer)
 	mesh.Handle(func(_ context.Context, _ fleet.EntryHostID, m wire.Message) wire.Message {
--- a/entryd/hosted/intake.go
+++ b/entryd/hosted/intake.go
@@ -26,8 +26,9 @@
 	askTimeout = 400 * time.Millisecond
 	// helpTimeout bounds a call that a peer makes of the store for this process.
 	helpTimeout = 900 * time.Millisecond
-	// retryAfter is when a caller should come back while the store is out of reach; its outages last 4 to 9 s.
-	retryAfter = time.Second
+	// retryAfter is when a caller should come back while the store is out of reach; its outages last 4 to 9 s, and callers
+	// repeat four times.
+	retryAfter = 2 * time.Second
 	// pendingAge is how old a count may be that is given while the scheduler cannot be asked; callers allow 2 s.
 	pendingAge = 1500 * time.Millisecond
 	// tryPause is the pause between two tries of the store within one call.
@@ -234,6 +235,16 @@
 	return reply, nil
 }
 
+// Over asks an entry host whether no reign with a lower token goes on there.
+func (i *Intake) Over(ctx context.Context, host fleet.EntryHostID, token infra.Token) bool {
+	if host == i.self {
+		// This process was elected after the former one had ended.
+		return true
+	}
+	reply, err := i.call(ctx, host, wire.Ask{Kind: wire.AskOver, Token: token}, askTimeout)
+	return err == nil && reply.Status == wire.ReplyOK
+}
+
 // notify tells the scheduler of a change before it finds it in the store; a lost notice costs only that time.
 func (i *Intake) notify(ask wire.Ask) {
 	seat, known := i.group.Seat()
@@ -389,6 +400,11 @@
 	case wire.AskNotice, wire.AskCancelNotice:
 		i.takeNotice(ask)
 		return wire.Ack{}
+	case wire.AskOver:
+		if i.group.Over(ask.Token) {
+			return wire.Reply{Status: wire.ReplyOK}
+		}
+		return wire.Reply{Status: wire.ReplyNotRun, Reason: "the reign is being ended"}
 	case wire.AskState, wire.AskPending:
 		reply, asked := i.answerLocally(ctx, ask)
 		if !asked {
--- a/entryd/leader/group.go
+++ b/entryd/leader/group.go
@@ -39,6 +39,14 @@
 	EntryHost fleet.EntryHostID `cbor:"entry_host"`
 	Token     infra.Token       `cbor:"-"`
 	Term      int64             `cbor:"term"`
+	// Former is the entry host of the scheduler before this one; empty for the first.
+	Former fleet.EntryHostID `cbor:"-"`
+}
+
+// termEntry is what the store keeps of the last scheduler.
+type termEntry struct {
+	Term      int64             `cbor:"term"`
+	EntryHost fleet.EntryHostID `cbor:"entry_host"`
 }
 
 // hostEntry is where an entry process accepts links.
@@ -91,13 +99,34 @@
 	if newer {
 		g.seat = s
 	}
+	reigning := g.reigning
 	g.mu.Unlock()
+	if reigning != nil && s.Token > reigning.seat.Token {
+		reigning.end("a peer knows a newer scheduler")
+	}
 	if newer {
 		g.log.Info("group: scheduler", "entry_host", s.EntryHost, "token", s.Token)
 		g.onSeat(s)
 	}
 }
 
+// Over reports whether no reign of this process with a lower token goes on, and ends one that does.
+func (g *Group) Over(token infra.Token) bool {
+	g.mu.Lock()
+	r := g.reigning
+	g.mu.Unlock()
+	if r == nil || r.seat.Token >= token {
+		return true
+	}
+	r.end("a peer has been elected")
+	select {
+	case <-r.released:
+		return true
+	default:
+		return false
+	}
+}
+
 // Run takes part in the group until ctx ends.
 func (g *Group) Run(ctx context.Context) {
 	var wg sync.WaitGroup
@@ -299,10 +328,11 @@
 			g.applyOne(store.Change{Entry: e})
 			return nil, nil
 		case termKey:
-			if err := cbor.Unmarshal(e.Value, &seat.Term); err != nil {
+			var last termEntry
+			if err := cbor.Unmarshal(e.Value, &last); err != nil {
 				return nil, err
 			}
-			seat.Term++
+			seat.Term, seat.Former = last.Term+1, last.EntryHost
 			termAt = store.Unchanged{Key: termKey, ModRevision: e.ModRevision}
 		}
 	}
@@ -319,7 +349,7 @@
 	if err != nil {
 		return nil, err
 	}
-	term, err := cbor.Marshal(seat.Term)
+	term, err := cbor.Marshal(termEntry{Term: seat.Term, EntryHost: seat.EntryHost})
 	if err != nil {
 		return nil, err
 	}
--- a/entryd/leader/scheduler.go
+++ b/entryd/leader/scheduler.go
@@ -35,6 +35,7 @@
 	format infra.Format
 	bounds infra.Bounds
 	log    *slog.Logger
+	over   func(ctx context.Context, host fleet.EntryHostID, token infra.Token) bool
 	starts metrics.Timer
 	holds  metrics.Counter
 	orders metrics.Counter
@@ -53,12 +54,14 @@
 	Bounds  infra.Bounds
 	Log     *slog.Logger
 	Metrics metrics.Registry
+	// Over asks an entry host whether no reign with a lower token goes on there.
+	Over func(ctx context.Context, host fleet.EntryHostID, token infra.Token) bool
 }
 
 // NewScheduler returns a scheduler that waits for its reign.
 func NewScheduler(d Deps) *Scheduler {
 	return &Scheduler{
-		store: d.Store, agents: d.Agents, format: d.Format, bounds: d.Bounds, log: d.Log,
+		store: d.Store, agents: d.Agents, format: d.Format, bounds: d.Bounds, log: d.Log, over: d.Over,
 		starts: metrics.GetOrRegisterTimer("scheduler.start_seconds", d.Metrics),
 		holds:  metrics.GetOrRegisterCounter("scheduler.holds.total", d.Metrics),
 		orders: metrics.GetOrRegisterCounter("scheduler.orders.total", d.Metrics),
@@ -282,6 +285,7 @@
 	var feeds sync.WaitGroup
 	feeds.Go(func() { l.watchInputs(ctx) })
 	feeds.Go(func() { l.watchWorkers(ctx) })
+	feeds.Go(func() { l.awaitFormer(ctx) })
 	ticker := time.NewTicker(tickEach)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
@@ -304,6 +308,23 @@
 	l.log.Info("scheduler: stopped", "counts", l.machine.Counts())
 }
 
+// formerEach is the pace at which the former scheduler's entry host is asked whether its reign is over.
+const formerEach = 150 * time.Millisecond
+
+// awaitFormer finds out that the former scheduler sends no more orders, which shortens the wait for workers that cannot
+// be reached.
+func (l *loop) awaitFormer(ctx context.Context) {
+	seat := l.reign.seat
+	for ctx.Err() == nil && seat.Former != "" {
+		if l.over(ctx, seat.Former, seat.Token) {
+			l.log.Info("scheduler: former scheduler is over", "former", seat.Former)
+			l.post(flow.FormerOver{})
+			return
+		}
+		sleep(ctx, formerEach)
+	}
+}
+
 func (l *loop) drain(ctx context.Context) {
 	for range maxEventsPerTick {
 		select {
