flow: a task is moved for its progress twice at most

Cause: a task whose progress is not reported would be moved for ever (found by the property test, whose workers reported no progress); the stand-in reports progress now, and the former scheduler's end is part of the plans.

--- a/coord/flow/job.go
+++ b/coord/flow/job.go
@@ -30,8 +30,8 @@
 	avoid fleet.WorkerID
 	// runs are the runs that may be present at workers.
 	runs []*run
-	// retryAt delays the next start.
-	retryAt time.Time
+	// moves counts how often the task was moved because of its progress.
+	moves int
 }
 
 // step is one step of one occurrence.
--- a/coord/flow/place.go
+++ b/coord/flow/place.go
@@ -12,8 +12,6 @@
 const (
 	// lateFactor times the objective is when a job is worth nothing any more, by the users' pages.
 	lateFactor = 3
-	// retryRest is the pause before a task is started again after its run did not complete.
-	retryRest = 20 * time.Millisecond
 	// remotePatience is the share of a step's estimate that a task waits for a worker near its data.
 	remotePatience = 0.5
 )
@@ -165,10 +163,6 @@
 			}
 			continue
 		}
-		if m.now.Before(t.retryAt) {
-			m.placeNext = true
-			continue
-		}
 		if len(t.failed) > 0 && m.checkAttempts(r.occ.job, t, r.task(i)) {
 			return
 		}
--- a/coord/flow/speed.go
+++ b/coord/flow/speed.go
@@ -28,6 +28,8 @@
 	speedRecovery = 6 * time.Second
 	// moveGain is how many times sooner a task must be done elsewhere to be moved from a slow worker.
 	moveGain = 1.6
+	// mostMoves bounds how often a task is moved because of its progress: one that shows none anywhere must still run.
+	mostMoves = 2
 	// moveCost is what a move takes: the stop, the start, and the restoring of a checkpoint.
 	moveCost = 500 * time.Millisecond
 )
@@ -76,8 +78,13 @@
 	} else {
 		r.still += passed
 	}
+	_, t := m.lookup(r.id)
+	if t == nil || t.moves >= mostMoves {
+		return
+	}
 	if r.still >= stillTime {
 		m.counts.Stalled++
+		t.moves++
 		w.restUntil = m.now.Add(stillRest)
 		m.stop(r, "stands still")
 		return
@@ -87,11 +94,12 @@
 	}
 	left := float64(100 - r.percent)
 	again := 100.0
-	if _, t := m.lookup(r.id); r.step.spec.Checkpoints && t != nil && t.saved != "" {
+	if r.step.spec.Checkpoints && t.saved != "" {
 		again = left
 	}
 	if left/rate > moveGain*(again/r.step.rate+moveCost.Seconds()) {
 		m.counts.Stalled++
+		t.moves++
 		m.stop(r, "is slow here")
 	}
 }
--- a/coord/flow/world_test.go
+++ b/coord/flow/world_test.go
@@ -183,7 +183,8 @@
 
 // elect starts a new scheduler from what the store holds; the former one goes on if it only lost the store.
 func (w *world) elect(cut bool) {
-	if old := w.leader; old != nil {
+	old := w.leader
+	if old != nil {
 		if cut {
 			old.silent = true
 			w.after(horizon-time.Second, func() { old.alive = false })
@@ -214,6 +215,13 @@
 		}
 	}
 	w.after(10*time.Millisecond, func() { w.tick(o) })
+	if old != nil && w.rng.IntN(2) == 0 {
+		// The former scheduler's entry host tells that its reign is over, which also ends it.
+		w.after(time.Duration(10+w.rng.IntN(2000))*time.Millisecond, func() {
+			old.alive = false
+			w.step(o, flow.FormerOver{})
+		})
+	}
 }
 
 func (w *world) tick(o *owner) {
@@ -599,7 +607,8 @@
 func (f *fakeWorker) report(h *hold) {
 	r := infra.Report{Clock: f.clock(), Born: f.born.UnixMilli(), Ended: append([]infra.End(nil), f.ended...)}
 	for id, run := range f.runs {
-		r.Running = append(r.Running, infra.Running{Task: id, Run: run.number, Checkpoint: run.saved, Percent: 50})
+		percent := int(100 * f.w.now.Sub(run.began) / max(1, run.ends.Sub(run.began)))
+		r.Running = append(r.Running, infra.Running{Task: id, Run: run.number, Checkpoint: run.saved, Percent: min(99, percent)})
 	}
 	f.reply(h.o, flow.Held{Worker: f.info.ID, Sequence: h.seq, Order: h.order, Report: r})
 }
