--- a/entryd/hosted/app.go
+++ b/entryd/hosted/app.go
@@ -64,6 +64,7 @@
 		fx.Provide(
 			func() *logs.Writer { return logs.New(out) },
 			newLogger,
+			newDecisions,
 			metrics.NewRegistry,
 			newMesh,
 			func() *overseer { return &overseer{} },
@@ -86,14 +87,24 @@
 	return slog.New(slog.NewJSONHandler(w, &slog.HandlerOptions{Level: slog.LevelInfo})).With("entry_host", s.EntryHost)
 }
 
+// decisions is the logger of lines about single tasks and calls.
+type decisions struct{ *slog.Logger }
+
+// decisionsPerSecond bounds the lines about single tasks: a takeover alone tells of each running task.
+const decisionsPerSecond = 2000
+
+func newDecisions(s infra.Settings, w *logs.Writer) decisions {
+	return decisions{newLogger(s, w.Beside(logs.WithLimit(decisionsPerSecond)))}
+}
+
 func newMesh(s infra.Settings, r metrics.Registry, log *slog.Logger) *peers.Mesh {
 	self := wire.Hello{EntryHost: s.EntryHost, Boot: fleet.BootID(rand.Text()), Zone: s.Zone}
 	return peers.New(self, map[fleet.EntryHostID]string{}, log, peers.WithMetrics(r), peers.WithOpenRoster())
 }
 
-func newScheduler(p Platform, r metrics.Registry, log *slog.Logger, o *overseer) *leader.Scheduler {
+func newScheduler(p Platform, r metrics.Registry, log *slog.Logger, d decisions, o *overseer) *leader.Scheduler {
 	return leader.NewScheduler(leader.Deps{
-		Store: p.Store, Agents: p.Agents, Format: p.Format, Bounds: p.Settings.Bounds, Log: log, Metrics: r, Over: o.over,
+		Store: p.Store, Agents: p.Agents, Format: p.Format, Bounds: p.Settings.Bounds, Log: log, Decisions: d.Logger, Metrics: r, Over: o.over,
 	})
 }
 
--- a/entryd/leader/scheduler.go
+++ b/entryd/leader/scheduler.go
@@ -35,6 +35,7 @@
 	format infra.Format
 	bounds infra.Bounds
 	log    *slog.Logger
+	notes  *slog.Logger
 	over   func(ctx context.Context, host fleet.EntryHostID, token infra.Token) bool
 	starts metrics.Timer
 	holds  metrics.Counter
@@ -48,12 +49,14 @@
 
 // Deps are what a [Scheduler] works with.
 type Deps struct {
-	Store   store.Client
-	Agents  infra.Agents
-	Format  infra.Format
-	Bounds  infra.Bounds
-	Log     *slog.Logger
-	Metrics metrics.Registry
+	Store  store.Client
+	Agents infra.Agents
+	Format infra.Format
+	Bounds infra.Bounds
+	Log    *slog.Logger
+	// Decisions takes a line for each start, end and move of a task, which under load are many.
+	Decisions *slog.Logger
+	Metrics   metrics.Registry
 	// Over asks an entry host whether no reign with a lower token goes on there.
 	Over func(ctx context.Context, host fleet.EntryHostID, token infra.Token) bool
 }
@@ -61,7 +64,7 @@
 // NewScheduler returns a scheduler that waits for its reign.
 func NewScheduler(d Deps) *Scheduler {
 	return &Scheduler{
-		store: d.Store, agents: d.Agents, format: d.Format, bounds: d.Bounds, log: d.Log, over: d.Over,
+		store: d.Store, agents: d.Agents, format: d.Format, bounds: d.Bounds, log: d.Log, notes: d.Decisions, over: d.Over,
 		starts: metrics.GetOrRegisterTimer("scheduler.start_seconds", d.Metrics),
 		holds:  metrics.GetOrRegisterCounter("scheduler.holds.total", d.Metrics),
 		orders: metrics.GetOrRegisterCounter("scheduler.orders.total", d.Metrics),
@@ -113,6 +116,7 @@
 func (s *Scheduler) Reign(ctx context.Context, r *Reign) {
 	l := &loop{
 		Scheduler: s, reign: r, log: s.log.With("token", int64(r.seat.Token)),
+		notes:  s.notes.With("token", int64(r.seat.Token)),
 		events: make(chan flow.Event, eventQueue), asks: make(chan question), gone: make(chan struct{}),
 		machine: flow.New(r.seat.Token,
 			flow.WithHold(s.bounds.Hold), flow.WithHorizon(leaderTTL+horizon), flow.WithFormerLease(leaderTTL),
@@ -145,6 +149,7 @@
 	*Scheduler
 	reign   *Reign
 	log     *slog.Logger
+	notes   *slog.Logger
 	machine *flow.Machine
 	events  chan flow.Event
 	asks    chan question
@@ -392,7 +397,12 @@
 	if n.Reason != "" {
 		attrs = append(attrs, "reason", n.Reason)
 	}
-	l.log.Info("scheduler: "+n.Text, attrs...)
+	log := l.notes
+	if n.Task.Job == "" && n.Job == "" {
+		// Lines about workers and the reign itself are few, and explain many others.
+		log = l.log
+	}
+	log.Info("scheduler: "+n.Text, attrs...)
 }
 
 // errOver answers an order that was not sent because the reign is over.
--- a/entryd/logs/logs.go
+++ b/entryd/logs/logs.go
@@ -10,21 +10,26 @@
 const (
 	// queueLines is the burst that is kept while the output is slow, about a megabyte.
 	queueLines = 4096
-	// linesPerSecond bounds the volume under load; a start, an end and a save of each of 160 tasks a second take about half.
+	// linesPerSecond bounds the volume under load; a start and an end of each of 160 tasks a second take a third.
 	linesPerSecond = 1000
 )
 
 // Writer passes lines to an output from a goroutine of its own; lines over the bound are dropped and counted.
 type Writer struct {
+	*queue
+	window atomic.Int64
+	inside atomic.Int64
+	limit  int64
+}
+
+// queue is what several writers to one output share.
+type queue struct {
 	lines   chan []byte
 	stop    chan struct{}
 	done    chan struct{}
 	closing sync.Once
 	dropped atomic.Int64
 	written atomic.Int64
-	window  atomic.Int64
-	inside  atomic.Int64
-	limit   int64
 }
 
 // Option changes a [Writer] under construction.
@@ -35,11 +40,19 @@
 
 // New returns a writer to out; it is closed with [Writer.Close].
 func New(out io.Writer, opts ...Option) *Writer {
-	w := &Writer{lines: make(chan []byte, queueLines), stop: make(chan struct{}), done: make(chan struct{}), limit: linesPerSecond}
+	q := &queue{lines: make(chan []byte, queueLines), stop: make(chan struct{}), done: make(chan struct{})}
+	go q.run(out)
+	return q.writer(opts)
+}
+
+// Beside returns a writer to the same output with a bound of its own, so that one kind of lines cannot crowd out another.
+func (w *Writer) Beside(opts ...Option) *Writer { return w.writer(opts) }
+
+func (q *queue) writer(opts []Option) *Writer {
+	w := &Writer{queue: q, limit: linesPerSecond}
 	for _, opt := range opts {
 		opt(w)
 	}
-	go w.run(out)
 	return w
 }
 
@@ -63,45 +76,45 @@
 }
 
 // Dropped counts the lines that were not written.
-func (w *Writer) Dropped() int64 { return w.dropped.Load() }
+func (q *queue) Dropped() int64 { return q.dropped.Load() }
 
 // Written counts the lines that were written.
-func (w *Writer) Written() int64 { return w.written.Load() }
+func (q *queue) Written() int64 { return q.written.Load() }
 
 // Close writes what is queued and stops; later lines are dropped.
-func (w *Writer) Close() {
-	w.closing.Do(func() { close(w.stop) })
-	<-w.done
+func (q *queue) Close() {
+	q.closing.Do(func() { close(q.stop) })
+	<-q.done
 }
 
-func (w *Writer) run(out io.Writer) {
-	defer close(w.done)
+func (q *queue) run(out io.Writer) {
+	defer close(q.done)
 	for {
 		select {
-		case line := <-w.lines:
-			w.put(out, line)
-		case <-w.stop:
-			w.flush(out)
+		case line := <-q.lines:
+			q.put(out, line)
+		case <-q.stop:
+			q.flush(out)
 			return
 		}
 	}
 }
 
-func (w *Writer) flush(out io.Writer) {
+func (q *queue) flush(out io.Writer) {
 	for {
 		select {
-		case line := <-w.lines:
-			w.put(out, line)
+		case line := <-q.lines:
+			q.put(out, line)
 		default:
 			return
 		}
 	}
 }
 
-func (w *Writer) put(out io.Writer, line []byte) {
+func (q *queue) put(out io.Writer, line []byte) {
 	if _, err := out.Write(line); err != nil {
-		w.dropped.Add(1)
+		q.dropped.Add(1)
 		return
 	}
-	w.written.Add(1)
+	q.written.Add(1)
 }
