--- a/coord/flow/event.go
+++ b/coord/flow/event.go
@@ -92,6 +92,15 @@
 // Saved reports that the batch of a [Save] is durable.
 type Saved struct{ Batch int64 }
 
+// Advised brings the answer to an [Advise], which was sent at Sent.
+type Advised struct {
+	Step     infra.StepID
+	Workers  []fleet.WorkerID
+	Sent     time.Time
+	Approval infra.Approval
+	Err      error
+}
+
 // FormerOver reports that the former scheduler sends no more orders.
 type FormerOver struct{}
 
@@ -114,6 +123,7 @@
 func (StopAnswered) event()    {}
 func (PaceAnswered) event()    {}
 func (Saved) event()           {}
+func (Advised) event()         {}
 func (FormerOver) event()      {}
 func (Tick) event()            {}
 
@@ -145,6 +155,12 @@
 	Order infra.PaceOrder
 }
 
+// Advise asks the policy service which of the workers may run a step.
+type Advise struct {
+	Step    infra.StepID
+	Workers []fleet.WorkerID
+}
+
 // Save makes progress durable; one batch is on its way at a time.
 type Save struct {
 	Batch  int64
@@ -177,6 +193,7 @@
 func (Start) effect()  {}
 func (Stop) effect()   {}
 func (Pace) effect()   {}
+func (Advise) effect() {}
 func (Save) effect()   {}
 func (Resign) effect() {}
 func (Note) effect()   {}
--- a/coord/flow/flow_test.go
+++ b/coord/flow/flow_test.go
@@ -284,3 +284,35 @@
 	assert.Equal(t, len(starts), 1)
 	assert.Equal(t, starts[0].Order.Task.Occurrence, int64(1))
 }
+
+// A queue with a policy starts a step only on workers for which the policy service gave a ticket, and only while it is
+// valid (409 ticket, which is priced).
+func TestTickets(t *testing.T) {
+	b := newBench(t, flow.Restored{}, poolWorker("a"), poolWorker("b"))
+	b.report("a", infra.Report{})
+	b.report("b", infra.Report{})
+	b.step(flow.Configured{Catalog: &infra.Catalog{
+		Version: 2, Queues: []infra.Queue{{Name: "batch", Service: "pool", MaxAttempts: 3, Advice: &infra.Advice{}}},
+		Services: []infra.Service{{Name: "pool"}},
+	}})
+	b.step(flow.Submitted{Job: oneStep("j", small(1))})
+	b.pass(50 * time.Millisecond)
+	var asked []flow.Advise
+	for _, e := range b.out {
+		if a, ok := e.(flow.Advise); ok {
+			asked = append(asked, a)
+		}
+	}
+	assert.Equal(t, len(b.starts()), 0)
+	assert.Equal(t, len(asked), 1)
+	assert.Equal(t, len(asked[0].Workers), 2)
+	b.step(flow.Advised{
+		Step: asked[0].Step, Workers: asked[0].Workers, Sent: b.now,
+		Approval: infra.Approval{Tickets: map[fleet.WorkerID]string{"b": "t1"}, Valid: time.Second},
+	})
+	b.pass(50 * time.Millisecond)
+	starts := b.starts()
+	assert.Equal(t, len(starts), 1)
+	assert.Equal(t, starts[0].To.Worker, fleet.WorkerID("b"))
+	assert.Equal(t, starts[0].Order.Ticket, "t1")
+}
--- a/coord/flow/job.go
+++ b/coord/flow/job.go
@@ -49,6 +49,8 @@
 	// rate is the usual progress of the step's tasks in percent a second, from as many measurements.
 	rate     float64
 	measured int
+	// approval is nil before the policy service was asked about the step.
+	approval *approval
 }
 
 // occurrence is one repetition of a job's steps.
--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -113,9 +113,11 @@
 	effects   []Effect
 	placeNext bool
 	misfits   []misfit
-	sweptAt   time.Time
-	placedAt  time.Time
-	victims   map[string]*victim
+	// asking counts the calls that wait at the policy service.
+	asking   int
+	sweptAt  time.Time
+	placedAt time.Time
+	victims  map[string]*victim
 	// paces is how fast the tasks of each queue progress, as a multiple of their estimate.
 	paces  map[string]float64
 	ghosts map[fleet.WorkerID][]ghost
@@ -186,6 +188,8 @@
 		m.paceAnswered(ev)
 	case Saved:
 		m.saved(ev.Batch)
+	case Advised:
+		m.advised(ev)
 	case FormerOver:
 		m.formerOver()
 	case Tick:
--- a/coord/flow/place.go
+++ b/coord/flow/place.go
@@ -152,7 +152,7 @@
 
 func (m *Machine) placeStep(r *readyStep) {
 	s := r.step
-	if m.hopeless(r) {
+	if r.queue.Advice == nil && m.hopeless(r) {
 		return
 	}
 	for i := s.next; i < len(s.tasks) && s.waiting > 0; i++ {
@@ -168,7 +168,9 @@
 		}
 		w := m.pick(r, t)
 		if w == nil {
-			if isPlain(&s.spec) {
+			if r.queue.Advice != nil {
+				m.ask(r)
+			} else if isPlain(&s.spec) {
 				m.misfits = append(m.misfits, misfit{r.queue.Service, s.spec.Image, s.spec.Filler, s.spec.Size})
 			}
 			break
@@ -213,6 +215,9 @@
 		delete(m.ready, s)
 		return
 	}
+	if r.queue.Advice != nil {
+		m.ask(r)
+	}
 }
 
 func (m *Machine) racks() []string {
@@ -288,8 +293,21 @@
 }
 
 func (m *Machine) fits(r *readyStep, w *worker, rack string) bool {
+	if rack != "" && !w.hasLabel(rack) {
+		return false
+	}
+	if r.queue.Advice != nil {
+		if _, approved := m.ticketFor(r.step, w); !approved {
+			return false
+		}
+	}
+	return m.fitsSize(r, w)
+}
+
+// fitsSize reports whether a worker could run a task of a step, whatever the policy of its queue says.
+func (m *Machine) fitsSize(r *readyStep, w *worker) bool {
 	spec := &r.step.spec
-	if w.Service != r.queue.Service || !w.usable(m.now) || (rack != "" && !w.hasLabel(rack)) {
+	if w.Service != r.queue.Service || !w.usable(m.now) {
 		return false
 	}
 	if !spec.Reserved().Fits(w.free()) {
@@ -390,7 +408,8 @@
 	r.occ.job.begun = true
 	m.counts.Starts++
 	m.emit(Note{Text: "start", Task: id, Run: number, Worker: w.ID, Reason: r.queue.Name})
+	ticket, _ := m.ticketFor(s, w)
 	m.emit(Start{To: w.address(), Order: infra.StartOrder{
-		Task: id, Run: number, Spec: r.occ.job.spec.Spec, Checkpoint: t.saved, Deadline: n.deadline, Token: m.token,
+		Task: id, Run: number, Ticket: ticket, Spec: r.occ.job.spec.Spec, Checkpoint: t.saved, Deadline: n.deadline, Token: m.token,
 	}})
 }
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -610,7 +610,9 @@
 		w.reachable = false
 	case infra.ReasonInvalid:
 		w.restUntil = m.now.Add(unhealthyRest)
-	case infra.ReasonSuperseded, infra.ReasonExpired, infra.ReasonTicket:
+	case infra.ReasonTicket:
+		m.dropTicket(r)
+	case infra.ReasonSuperseded, infra.ReasonExpired:
 	}
 	if r.confirmed > 0 {
 		return
--- a/coord/infra/settings.go
+++ b/coord/infra/settings.go
@@ -11,8 +11,8 @@
 	EntryHost fleet.EntryHostID
 	Zone      fleet.AvailabilityZone
 	IP        string
-	// Front takes callers' requests, Ready the balancer's probes, and Peer links from other entry processes; each is
-	// "ip:port". Metrics serves counters and is empty if there is no port left for it.
+	// Front takes callers' requests, Ready the balancer's probes, Peer links from other entry processes, and Metrics serves
+	// counters; each is "ip:port".
 	Front   string
 	Ready   string
 	Peer    string
--- a/entryd/hosted/app.go
+++ b/entryd/hosted/app.go
@@ -37,7 +37,9 @@
 	Reload func() (infra.Settings, error)
 	Store  store.Client
 	Agents infra.Agents
-	Format infra.Format
+	// Advisor is asked only for queues that have a policy.
+	Advisor infra.Advisor
+	Format  infra.Format
 	// Ingress serves callers in the platform's format.
 	Ingress func(jobs infra.Jobs, log *slog.Logger) http.Handler
 	// Ready serves the balancer's probes.
@@ -104,7 +106,7 @@
 
 func newScheduler(p Platform, r metrics.Registry, log *slog.Logger, d decisions, o *overseer) *leader.Scheduler {
 	return leader.NewScheduler(leader.Deps{
-		Store: p.Store, Agents: p.Agents, Format: p.Format, Bounds: p.Settings.Bounds, Log: log, Decisions: d.Logger, Metrics: r, Over: o.over,
+		Store: p.Store, Agents: p.Agents, Advisor: p.Advisor, Format: p.Format, Bounds: p.Settings.Bounds, Log: log, Decisions: d.Logger, Metrics: r, Over: o.over,
 	})
 }
 
@@ -247,8 +249,9 @@
 		p.listen(s.Peer, &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout}),
 		p.listen(s.Front, p.front),
 	)
-	if s.Metrics != "" {
-		err = errors.Join(err, p.listen(s.Metrics, p.server(observe)))
+	if notServed := p.listen(s.Metrics, p.server(observe)); notServed != nil {
+		// The process is of use without its metrics.
+		p.Log.Warn("process: metrics not served", "address", s.Metrics, "error", notServed)
 	}
 	if err != nil {
 		cancel()
--- a/entryd/leader/scheduler.go
+++ b/entryd/leader/scheduler.go
@@ -32,6 +32,7 @@
 type Scheduler struct {
 	store  store.Client
 	agents infra.Agents
+	advice infra.Advisor
 	format infra.Format
 	bounds infra.Bounds
 	log    *slog.Logger
@@ -51,9 +52,11 @@
 type Deps struct {
 	Store  store.Client
 	Agents infra.Agents
-	Format infra.Format
-	Bounds infra.Bounds
-	Log    *slog.Logger
+	// Advisor is asked only for queues that have a policy.
+	Advisor infra.Advisor
+	Format  infra.Format
+	Bounds  infra.Bounds
+	Log     *slog.Logger
 	// Decisions takes a line for each start, end and move of a task, which under load are many.
 	Decisions *slog.Logger
 	Metrics   metrics.Registry
@@ -64,7 +67,7 @@
 // NewScheduler returns a scheduler that waits for its reign.
 func NewScheduler(d Deps) *Scheduler {
 	return &Scheduler{
-		store: d.Store, agents: d.Agents, format: d.Format, bounds: d.Bounds, log: d.Log, notes: d.Decisions, over: d.Over,
+		store: d.Store, agents: d.Agents, advice: d.Advisor, format: d.Format, bounds: d.Bounds, log: d.Log, notes: d.Decisions, over: d.Over,
 		starts: metrics.GetOrRegisterTimer("scheduler.start_seconds", d.Metrics),
 		holds:  metrics.GetOrRegisterCounter("scheduler.holds.total", d.Metrics),
 		orders: metrics.GetOrRegisterCounter("scheduler.orders.total", d.Metrics),
@@ -374,6 +377,8 @@
 	case flow.Pace:
 		l.orders.Inc(1)
 		l.effects.Go(func() { l.pace(ctx, e) })
+	case flow.Advise:
+		l.effects.Go(func() { l.advise(ctx, e) })
 	case flow.Save:
 		l.writes.Inc(1)
 		l.effects.Go(func() { l.save(ctx, e) })
@@ -457,3 +462,14 @@
 	err := l.agents.Pace(callCtx, e.To, e.Order)
 	l.post(flow.PaceAnswered{Worker: e.To.Worker, Order: e.Order, Err: err})
 }
+
+// adviceTimeout bounds a call of the policy service, which takes its time for each worker and handles one call at a time.
+const adviceTimeout = 5 * time.Second
+
+func (l *loop) advise(ctx context.Context, e flow.Advise) {
+	callCtx, cancel := context.WithTimeout(ctx, adviceTimeout)
+	defer cancel()
+	sent := Now()
+	approval, err := l.advice.Advise(callCtx, e.Step, e.Workers)
+	l.post(flow.Advised{Step: e.Step, Workers: e.Workers, Sent: sent, Approval: approval, Err: err})
+}
--- a/entryd/main.go
+++ b/entryd/main.go
@@ -43,6 +43,7 @@
 		Reload:   read,
 		Store:    platform.NewStore(settings.Store),
 		Agents:   platform.NewAgents(),
+		Advisor:  platform.NewAdvisor(settings.Advice),
 		Format:   platform.Format{},
 		Ingress: func(jobs infra.Jobs, log *slog.Logger) http.Handler {
 			return platform.NewIngress(jobs, log)
