--- a/coord/flow/event.go
+++ b/coord/flow/event.go
@@ -187,6 +187,10 @@
 	Worker fleet.WorkerID
 	Run    infra.Run
 	Reason string
+	// Slack is the time that a job had left when a task of it was started, and ReportAge the age of what was known of the
+	// worker; both are 0 for other decisions.
+	Slack     time.Duration
+	ReportAge time.Duration
 }
 
 func (Hold) effect()   {}
--- a/coord/flow/place.go
+++ b/coord/flow/place.go
@@ -407,7 +407,10 @@
 	s.setPhase(index, active)
 	r.occ.job.begun = true
 	m.counts.Starts++
-	m.emit(Note{Text: "start", Task: id, Run: number, Worker: w.ID, Reason: r.queue.Name})
+	m.emit(Note{
+		Text: "start", Task: id, Run: number, Worker: w.ID, Reason: r.queue.Name, Slack: r.rank.slack,
+		ReportAge: m.now.Sub(w.clockAt),
+	})
 	ticket, _ := m.ticketFor(s, w)
 	m.emit(Start{To: w.address(), Order: infra.StartOrder{
 		Task: id, Run: number, Ticket: ticket, Spec: r.occ.job.spec.Spec, Checkpoint: t.saved, Deadline: n.deadline, Token: m.token,
--- a/entryd/leader/scheduler.go
+++ b/entryd/leader/scheduler.go
@@ -390,7 +390,7 @@
 }
 
 func (l *loop) note(n flow.Note) {
-	attrs := make([]any, 0, 12)
+	attrs := make([]any, 0, 18)
 	if n.Task.Job != "" {
 		attrs = append(attrs, "job", n.Task.Job, "occurrence", n.Task.Occurrence, "step", n.Task.Step, "index", n.Task.Index, "run", n.Run)
 	} else if n.Job != "" {
@@ -402,6 +402,9 @@
 	if n.Reason != "" {
 		attrs = append(attrs, "reason", n.Reason)
 	}
+	if n.Text == "start" {
+		attrs = append(attrs, "slack_ms", n.Slack.Milliseconds(), "report_age_ms", n.ReportAge.Milliseconds())
+	}
 	log := l.notes
 	if n.Task.Job == "" && n.Job == "" {
 		// Lines about workers and the reign itself are few, and explain many others.
