--- a/coord/flow/event.go
+++ b/coord/flow/event.go
@@ -17,6 +17,8 @@
 	Roster []RosterEntry
 	// Term counts the schedulers before this one.
 	Term int64
+	// Learnt is what a former scheduler knew of the interference of images.
+	Learnt []ImageRecord
 }
 
 // StoredJob is a job as the store holds it.
@@ -168,6 +170,8 @@
 	Forget []fleet.JobID
 	// Roster replaces the stored roster unless it is nil.
 	Roster []RosterEntry
+	// Learnt replaces what is stored of the interference of images unless it is nil.
+	Learnt []ImageRecord
 }
 
 // JobRecord is the progress of one job.
--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -30,6 +30,9 @@
 	placeEach = 9 * time.Millisecond
 	// retryEach is how often placement is tried without a cause, because rests end and tolerances change with time.
 	retryEach = 100 * time.Millisecond
+	// learntEach is how often what was learnt of images is stored, so that a successor need not disturb serving tasks to
+	// learn it again.
+	learntEach = 3 * time.Second
 	// wallJump is a change of the time of day against steady time that is taken for a jump of the clock.
 	wallJump = 500 * time.Millisecond
 )
@@ -113,6 +116,9 @@
 	effects   []Effect
 	placeNext bool
 	misfits   []misfit
+	// learntDirty is set when what was learnt of images is to be stored, which was last done at learntAt.
+	learntDirty bool
+	learntAt    time.Time
 	// asking counts the calls that wait at the policy service.
 	asking   int
 	sweptAt  time.Time
@@ -244,6 +250,9 @@
 			o.raise(base)
 		}
 	}
+	for _, r := range ev.Learnt {
+		m.victims[r.Image] = r.victim(m.now)
+	}
 	for _, e := range ev.Roster {
 		m.roster[e.Worker] = e.Address
 		m.unsettled[e.Worker] = struct{}{}
@@ -446,6 +455,7 @@
 	}
 	m.expire()
 	m.tend()
+	m.learntDirty = m.learntDirty || len(m.victims) > 0 && m.now.Sub(m.learntAt) >= learntEach
 	if len(m.ready) > 0 && m.now.Sub(m.placedAt) >= retryEach {
 		m.placeNext = true
 	}
@@ -513,7 +523,7 @@
 
 // save starts a durable batch unless one is on its way.
 func (m *Machine) save() {
-	if m.inFlight || (len(m.dirty) == 0 && len(m.forget) == 0 && !m.rosterDirty) {
+	if m.inFlight || (len(m.dirty) == 0 && len(m.forget) == 0 && !m.rosterDirty && !m.learntDirty) {
 		return
 	}
 	m.batch++
@@ -542,6 +552,10 @@
 			}
 		}
 	}
+	if m.learntDirty {
+		m.learntDirty, m.learntAt = false, m.now
+		s.Learnt = m.imageRecords()
+	}
 	m.inFlight = true
 	m.emit(s)
 }
--- a/coord/flow/press.go
+++ b/coord/flow/press.go
@@ -2,6 +2,8 @@
 
 import (
 	"math"
+	"slices"
+	"strings"
 	"time"
 )
 
@@ -206,3 +208,46 @@
 		v.cov[i][i] = min(v.cov[i][i]+pairDrift*passed, pairVariance)
 	}
 }
+
+// ImageRecord is what is known of how fillers disturb a serving image.
+type ImageRecord struct {
+	Image string       `cbor:"image"`
+	Low   float64      `cbor:"low"`
+	Pairs []PairRecord `cbor:"pairs"`
+}
+
+// PairRecord is the slack that a filler image takes at a share of 1, and the variance of that figure.
+type PairRecord struct {
+	Image    string  `cbor:"image"`
+	Weight   float64 `cbor:"weight"`
+	Variance float64 `cbor:"variance"`
+}
+
+// agedVariance is added to the variance of a weight that a former scheduler has learnt.
+const agedVariance = 0.3
+
+func (m *Machine) imageRecords() []ImageRecord {
+	records := make([]ImageRecord, 0, len(m.victims))
+	for image, v := range m.victims {
+		r := ImageRecord{Image: image, Low: v.low, Pairs: make([]PairRecord, 0, len(v.index))}
+		for filler, i := range v.index {
+			r.Pairs = append(r.Pairs, PairRecord{Image: filler, Weight: v.weight[i], Variance: v.cov[i][i]})
+		}
+		slices.SortFunc(r.Pairs, func(a, b PairRecord) int { return strings.Compare(a.Image, b.Image) })
+		records = append(records, r)
+	}
+	slices.SortFunc(records, func(a, b ImageRecord) int { return strings.Compare(a.Image, b.Image) })
+	return records
+}
+
+// victim returns a model that starts from what a former scheduler has learnt.
+func (r ImageRecord) victim(now time.Time) *victim {
+	v := newVictim(now)
+	v.low = r.Low
+	for _, p := range r.Pairs {
+		i := v.feature(p.Image)
+		v.weight[i] = p.Weight
+		v.cov[i][i] = min(pairVariance, p.Variance+agedVariance)
+	}
+	return v
+}
--- a/coord/flow/world_test.go
+++ b/coord/flow/world_test.go
@@ -25,6 +25,7 @@
 
 	records map[fleet.JobID]flow.Record
 	roster  []flow.RosterEntry
+	learnt  []flow.ImageRecord
 	term    int64
 	token   infra.Token
 	leader  *owner
@@ -195,7 +196,7 @@
 	w.token += infra.Token(1 + w.rng.IntN(5))
 	o := &owner{lives: make(map[fleet.WorkerID]int64), token: w.token, alive: true, m: flow.New(w.token, flow.WithHold(maxHold), flow.WithHorizon(horizon))}
 	w.leader = o
-	restored := flow.Restored{Term: w.term, Roster: append([]flow.RosterEntry(nil), w.roster...)}
+	restored := flow.Restored{Term: w.term, Roster: append([]flow.RosterEntry(nil), w.roster...), Learnt: w.learnt}
 	w.term++
 	for _, id := range w.ids {
 		j := w.jobs[id]
@@ -323,6 +324,9 @@
 		if s.Roster != nil {
 			w.roster = s.Roster
 		}
+		if s.Learnt != nil {
+			w.learnt = s.Learnt
+		}
 		w.step(o, flow.Saved{Batch: s.Batch})
 	})
 }
--- a/entryd/leader/keys.go
+++ b/entryd/leader/keys.go
@@ -24,6 +24,8 @@
 	sequenceKey = "lovagefork/sequence"
 	// rosterKey holds the workers on which tasks may run.
 	rosterKey = "lovagefork/roster"
+	// learntKey holds what was learnt of the interference of images.
+	learntKey = "lovagefork/learnt"
 )
 
 // JobKey is where a job is stored.
--- a/entryd/leader/save.go
+++ b/entryd/leader/save.go
@@ -76,6 +76,12 @@
 		}
 		txn.Then = append(txn.Then, store.Put{Key: rosterKey, Value: value})
 	}
+	if s.Learnt != nil {
+		if value, err = cbor.Marshal(s.Learnt); err != nil {
+			return txn, err
+		}
+		txn.Then = append(txn.Then, store.Put{Key: learntKey, Value: value})
+	}
 	return txn, nil
 }
 
--- a/entryd/leader/scheduler.go
+++ b/entryd/leader/scheduler.go
@@ -254,9 +254,9 @@
 	return out, l.readControl(ctx, &out)
 }
 
-// readControl reads the roster and the sequence of batches.
+// readControl reads the roster, the sequence of batches, and what was learnt of images.
 func (l *loop) readControl(ctx context.Context, out *flow.Restored) error {
-	for _, key := range []string{rosterKey, sequenceKey} {
+	for _, key := range []string{rosterKey, sequenceKey, learntKey} {
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		found, err := l.store.Range(callCtx, store.Get{Key: key})
 		cancel()
@@ -267,12 +267,17 @@
 			continue
 		}
 		e := found.Entries[0]
-		if key == sequenceKey {
+		var unreadable error
+		switch key {
+		case sequenceKey:
 			l.sequence = e.ModRevision
-			continue
+		case rosterKey:
+			unreadable = cbor.Unmarshal(e.Value, &out.Roster)
+		case learntKey:
+			unreadable = cbor.Unmarshal(e.Value, &out.Learnt)
 		}
-		if err := cbor.Unmarshal(e.Value, &out.Roster); err != nil {
-			l.log.Error("scheduler: unreadable roster", "error", err)
+		if unreadable != nil {
+			l.log.Error("scheduler: unreadable entry", "key", key, "error", unreadable)
 		}
 	}
 	return nil
