--- a/coord/flow/press.go
+++ b/coord/flow/press.go
@@ -212,7 +212,6 @@
 // ImageRecord is what is known of how fillers disturb a serving image.
 type ImageRecord struct {
 	Image string       `cbor:"image"`
-	Low   float64      `cbor:"low"`
 	Pairs []PairRecord `cbor:"pairs"`
 }
 
@@ -223,13 +222,17 @@
 	Variance float64 `cbor:"variance"`
 }
 
-// agedVariance is added to the variance of a weight that a former scheduler has learnt.
-const agedVariance = 0.3
+const (
+	// agedVariance is added to the variance of a weight that a former scheduler has learnt, and agedTrust the part of its
+	// distance from an unknown pair that is kept: a pair that was wrongly learnt to be harmful must be tried again.
+	agedVariance = 0.5
+	agedTrust    = 0.9
+)
 
 func (m *Machine) imageRecords() []ImageRecord {
 	records := make([]ImageRecord, 0, len(m.victims))
 	for image, v := range m.victims {
-		r := ImageRecord{Image: image, Low: v.low, Pairs: make([]PairRecord, 0, len(v.index))}
+		r := ImageRecord{Image: image, Pairs: make([]PairRecord, 0, len(v.index))}
 		for filler, i := range v.index {
 			r.Pairs = append(r.Pairs, PairRecord{Image: filler, Weight: v.weight[i], Variance: v.cov[i][i]})
 		}
@@ -243,10 +246,9 @@
 // victim returns a model that starts from what a former scheduler has learnt.
 func (r ImageRecord) victim(now time.Time) *victim {
 	v := newVictim(now)
-	v.low = r.Low
 	for _, p := range r.Pairs {
 		i := v.feature(p.Image)
-		v.weight[i] = p.Weight
+		v.weight[i] = pairPrior + agedTrust*(p.Weight-pairPrior)
 		v.cov[i][i] = min(pairVariance, p.Variance+agedVariance)
 	}
 	return v
