--- a/entryd/hosted/app.go
+++ b/entryd/hosted/app.go
@@ -161,15 +161,12 @@
 
 func newIntake(
 	p Platform, group *leader.Group, sched *leader.Scheduler, mesh *peers.Mesh, c *Catalogs, r metrics.Registry, log *slog.Logger,
+	d decisions,
 ) *Intake {
-	return &Intake{
-		self: p.Settings.EntryHost, store: p.Store, health: &health{store: p.Store, log: log}, group: group, scheduler: sched,
-		mesh: mesh, catalogs: c, log: log, pending: make(map[string]count),
-		submits: metrics.GetOrRegisterTimer("intake.submit_seconds", r),
-		states:  metrics.GetOrRegisterTimer("intake.state_seconds", r),
-		refused: metrics.GetOrRegisterCounter("intake.not_run.total", r),
-		unclear: metrics.GetOrRegisterCounter("intake.unclear.total", r),
-	}
+	i := NewIntake(p.Settings.EntryHost, p.Store, d.Logger, WithMetrics(r))
+	i.health.log = log
+	i.group, i.scheduler, i.mesh, i.catalogs = group, sched, mesh, c
+	return i
 }
 
 // connect joins the parts that talk to each other over the links.
--- a/entryd/hosted/intake.go
+++ b/entryd/hosted/intake.go
@@ -62,6 +62,49 @@
 
 var _ infra.Jobs = (*Intake)(nil)
 
+// Option changes an [Intake] under construction.
+type Option func(*Intake)
+
+// WithMetrics records times and refusals in a registry.
+func WithMetrics(r metrics.Registry) Option {
+	return func(i *Intake) { i.measure(r) }
+}
+
+// NewIntake returns an intake that stores jobs in a store; without peers and a group it answers from the store alone.
+func NewIntake(self fleet.EntryHostID, client store.Client, log *slog.Logger, opts ...Option) *Intake {
+	i := &Intake{
+		self: self, store: client, health: &health{store: client, log: log}, log: log, pending: make(map[string]count),
+	}
+	i.measure(metrics.NewRegistry())
+	for _, opt := range opts {
+		opt(i)
+	}
+	return i
+}
+
+func (i *Intake) measure(r metrics.Registry) {
+	i.submits = metrics.GetOrRegisterTimer("intake.submit_seconds", r)
+	i.states = metrics.GetOrRegisterTimer("intake.state_seconds", r)
+	i.refused = metrics.GetOrRegisterCounter("intake.not_run.total", r)
+	i.unclear = metrics.GetOrRegisterCounter("intake.unclear.total", r)
+}
+
+// seat returns who the scheduler is, as far as this process knows.
+func (i *Intake) seat() (leader.Seat, bool) {
+	if i.group == nil {
+		return leader.Seat{}, false
+	}
+	return i.group.Seat()
+}
+
+// peers lists the peers with a working link.
+func (i *Intake) peers() []fleet.EntryHostID {
+	if i.mesh == nil {
+		return nil
+	}
+	return i.mesh.Up()
+}
+
 // Catalog implements [infra.Jobs].
 func (i *Intake) Catalog() *infra.Catalog { return i.catalogs.Current() }
 
@@ -187,8 +230,8 @@
 
 // viaPeers lets a peer make a change durable; the scheduler is asked first because it renews its lease all the time.
 func (i *Intake) viaPeers(ctx context.Context, ask wire.Ask) error {
-	candidates := i.mesh.Up()
-	if seat, known := i.group.Seat(); known {
+	candidates := i.peers()
+	if seat, known := i.seat(); known {
 		for n, peer := range candidates {
 			if peer == seat.EntryHost {
 				candidates[0], candidates[n] = candidates[n], candidates[0]
@@ -247,7 +290,7 @@
 
 // notify tells the scheduler of a change before it finds it in the store; a lost notice costs only that time.
 func (i *Intake) notify(ask wire.Ask) {
-	seat, known := i.group.Seat()
+	seat, known := i.seat()
 	if !known {
 		return
 	}
@@ -290,7 +333,7 @@
 
 // askScheduler asks the scheduler, here or at a peer; it returns false if there was no answer.
 func (i *Intake) askScheduler(ctx context.Context, ask wire.Ask) (wire.Reply, bool) {
-	seat, known := i.group.Seat()
+	seat, known := i.seat()
 	if !known {
 		return wire.Reply{}, false
 	}
--- a/entryd/leader/group.go
+++ b/entryd/leader/group.go
@@ -68,7 +68,6 @@
 
 	mu       sync.Mutex
 	seat     Seat
-	known    bool
 	campaign chan struct{}
 	barred   bool
 	reigning *Reign
