--- a/coord/flow/flow_test.go
+++ b/coord/flow/flow_test.go
@@ -89,8 +89,8 @@
 	return infra.Step{Count: count, Size: fleet.Resources{MilliCPU: 1000, MemoryBytes: 1 << 30}, Estimate: time.Second}
 }
 
-// After a takeover the ends of a task come from several workers in any order; each failed run counts once (BUDGET in
-// scale-1 of gehegewerk-alpen).
+// After a takeover the ends of a task come from several workers in any order; each failed run counts once (seen as a
+// start after the last attempt).
 func TestFailedRunsCountInAnyOrder(t *testing.T) {
 	roster := []flow.RosterEntry{{Worker: "a", Address: "a:1"}, {Worker: "b", Address: "b:1"}}
 	b := newBench(t, flow.Restored{Jobs: []flow.StoredJob{{Job: oneStep("j", small(1))}}, Roster: roster, Term: 1},
@@ -107,8 +107,8 @@
 	assert.Equal(t, state, infra.Abandoned)
 }
 
-// What a finished job still runs on a worker must be counted, or the worker gets more than it holds (LIMIT in scale-1 of
-// llinos-hire after the takeover).
+// What a finished job still runs on a worker must be counted, or the worker gets more than it holds (seen after a
+// takeover).
 func TestRunsOfFinishedJobsHoldTheirSize(t *testing.T) {
 	big := infra.Step{Count: 1, Size: fleet.Resources{MilliCPU: 8000, MemoryBytes: 1 << 30}, Estimate: time.Second}
 	b := newBench(t, flow.Restored{
@@ -129,8 +129,8 @@
 	assert.Assert(t, starts[0].Order.Run > 1000, "the run number must be above those of former schedulers")
 }
 
-// A worker that does not answer is not renewed, so that its tasks are started elsewhere when its lease has ended (LOST in
-// the hunts of gehegewerk-alpen).
+// A worker that does not answer is not renewed, so that its tasks are started elsewhere when its lease has ended (seen when
+// workers were lost for good).
 func TestASilentWorkerLapses(t *testing.T) {
 	b := newBench(t, flow.Restored{}, poolWorker("a"))
 	b.report("a", infra.Report{})
@@ -155,8 +155,8 @@
 	assert.Equal(t, starts[0].Order.Run, infra.Run(2))
 }
 
-// After a takeover the workers of the stored roster must take work again (LOST and most of the lost work in the first
-// score of both sites).
+// After a takeover the workers of the stored roster must take work again (seen as a
+// scheduler that started nothing).
 func TestStoredRosterTakesWork(t *testing.T) {
 	b := newBench(t, flow.Restored{
 		Jobs: []flow.StoredJob{{Job: oneStep("j", small(2))}}, Roster: []flow.RosterEntry{{Worker: "a", Address: "a:1"}}, Term: 1,
@@ -175,7 +175,7 @@
 }
 
 // Serving tasks of one image go together, because the fillers that disturb one image may not disturb another; spread over
-// all workers they leave none for any filler (scale-1 of llinos-hire).
+// all workers they leave none for any filler.
 func TestServingImagesArePacked(t *testing.T) {
 	b := newBench(t, flow.Restored{}, poolWorker("a"), poolWorker("b"), poolWorker("c"))
 	for _, id := range []fleet.WorkerID{"a", "b", "c"} {
@@ -197,7 +197,7 @@
 }
 
 // A filler image that pushes a serving task over its target is moved or slowed within the time that callers allow, and is
-// not placed beside it again (HARM 92 in the first run of llinos-hire).
+// not placed beside it again.
 func TestFillersThatDisturbAreKeptAway(t *testing.T) {
 	b := newBench(t, flow.Restored{}, poolWorker("a"))
 	b.report("a", infra.Report{})
--- a/entryd/hosted/intake_test.go
+++ b/entryd/hosted/intake_test.go
@@ -66,7 +66,7 @@
 	assert.Assert(t, lost.calls > 1, "an unclear write is repeated while there is time")
 }
 
-// A cancellation is written with a value (a null one was rejected: UNASKED 43 in the first run), and an unknown job is told
+// A cancellation is written with a value (the store rejects a null one), and an unknown job is told
 // from a store that does not answer.
 func TestCancel(t *testing.T) {
 	var none *infra.NoJobError
