Remove what the read-through found unused

Two options of the scheduler that nothing read, a parameter that was always 0, a kind of question that nobody asks, a log attribute that told nothing; the count of open steps stood twice.

--- a/coord/flow/job.go
+++ b/coord/flow/job.go
@@ -132,6 +132,16 @@
 	return true
 }
 
+// countOpen counts the steps that are not complete.
+func (o *occurrence) countOpen() {
+	o.open = 0
+	for i := range o.steps {
+		if !o.steps[i].complete() {
+			o.open++
+		}
+	}
+}
+
 func (s *step) complete() bool { return s.done == len(s.tasks) }
 
 // setPhase keeps the counts of the step.
@@ -251,9 +261,8 @@
 	return r
 }
 
-// restore takes up the durable progress of a job; runBase is added to the last known run numbers, because a former
-// scheduler may have used some that it did not record.
-func (j *job) restore(r *Record, runBase infra.Run) {
+// restore takes up the durable progress of a job.
+func (j *job) restore(r *Record) {
 	j.cancelled = r.State == infra.Cancelled
 	j.failed = r.State == infra.Abandoned
 	j.durable = r.State
@@ -267,9 +276,6 @@
 		o.restore(or)
 		j.begun = true
 	}
-	for _, o := range j.occurrences {
-		o.bump(runBase)
-	}
 }
 
 func (o *occurrence) restore(r OccurrenceRecord) {
@@ -283,12 +289,7 @@
 	for i := range min(len(r.Steps), len(o.steps)) {
 		o.steps[i].restore(r.Steps[i])
 	}
-	o.open = 0
-	for i := range o.steps {
-		if !o.steps[i].complete() {
-			o.open++
-		}
-	}
+	o.countOpen()
 	if o.open == 0 {
 		o.job.closed++
 	}
@@ -307,12 +308,3 @@
 		}
 	}
 }
-
-// bump raises the last run number of every open task.
-func (o *occurrence) bump(by infra.Run) {
-	for i := range o.steps {
-		for t := range o.steps[i].tasks {
-			o.steps[i].tasks[t].lastRun += by
-		}
-	}
-}
--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -40,9 +40,6 @@
 	hold    time.Duration
 	horizon time.Duration
 	retain  time.Duration
-	early   time.Duration
-	harm    time.Duration
-	remote  float64
 	former  time.Duration
 }
 
@@ -63,12 +60,6 @@
 // WithRetention sets how long the state of a finished job is kept.
 func WithRetention(d time.Duration) Option { return func(o *options) { o.retain = d } }
 
-// WithHarm sets how long a serving task may miss its target because of fillers.
-func WithHarm(d time.Duration) Option { return func(o *options) { o.harm = d } }
-
-// WithRemoteFactor sets how many times slower a task runs away from its data.
-func WithRemoteFactor(x float64) Option { return func(o *options) { o.remote = x } }
-
 // Machine is the scheduler: a reducer over [Event] that returns [Effect]. It is not safe for concurrent use.
 type Machine struct {
 	opts  options
@@ -142,7 +133,7 @@
 func New(token infra.Token, opts ...Option) *Machine {
 	m := &Machine{
 		opts: options{
-			hold: 6 * time.Second, horizon: 5 * time.Second, retain: 10 * time.Minute, early: 0, harm: 4 * time.Second, remote: 3,
+			hold: 6 * time.Second, horizon: 5 * time.Second, retain: 10 * time.Minute,
 		},
 		token:     token,
 		jobs:      make(map[fleet.JobID]*job),
@@ -234,7 +225,7 @@
 		}
 		j := m.newJob(s.Job)
 		if s.Record != nil {
-			j.restore(s.Record, 0)
+			j.restore(s.Record)
 		}
 		j.cancelled = j.cancelled || s.Cancelled
 		if j.cancelled {
@@ -322,7 +313,7 @@
 	for j.created < j.total() {
 		due := time.UnixMilli(j.spec.Schedule.Start).Add(time.Duration(j.created) * j.spec.Schedule.Interval)
 		wait := due.Sub(m.wallNow())
-		if wait > m.opts.early {
+		if wait > 0 {
 			return
 		}
 		o := j.occurrence(j.created)
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -201,12 +201,7 @@
 	if !s.complete() {
 		return
 	}
-	o.open = 0
-	for i := range o.steps {
-		if !o.steps[i].complete() {
-			o.open++
-		}
-	}
+	o.countOpen()
 	if o.open == 0 {
 		m.closeOccurrence(o)
 		return
--- a/coord/wire/hosted.go
+++ b/coord/wire/hosted.go
@@ -24,8 +24,6 @@
 	AskCancelNotice AskKind = "cancel_notice"
 	// AskOver asks whether no reign with a lower token than Token goes on.
 	AskOver AskKind = "over"
-	// AskStatus asks for what the scheduler does, for operators.
-	AskStatus AskKind = "status"
 )
 
 // Ask is a question about jobs to another entry process. Data is an encoded job for [AskStore] and [AskNotice].
--- a/entryd/leader/save.go
+++ b/entryd/leader/save.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 
 	"github.com/fxamacker/cbor/v2"
@@ -46,8 +45,7 @@
 			l.reign.end("the store has newer progress")
 			return
 		}
-		var tooLarge *store.RejectedError
-		l.log.Warn("scheduler: progress not stored yet", "batch", s.Batch, "error", err, "rejected", errors.As(err, &tooLarge))
+		l.log.Warn("scheduler: progress not stored yet", "batch", s.Batch, "error", err)
 		sleep(ctx, backoff.Next())
 	}
 }
--- a/entryd/leader/scheduler.go
+++ b/entryd/leader/scheduler.go
@@ -123,8 +123,7 @@
 		events: make(chan flow.Event, eventQueue), asks: make(chan question), gone: make(chan struct{}),
 		machine: flow.New(r.seat.Token,
 			flow.WithHold(s.bounds.Hold), flow.WithHorizon(leaderTTL+horizon), flow.WithFormerLease(leaderTTL),
-			flow.WithRetention(retainFactor*s.bounds.Status), flow.WithHarm(s.bounds.Harm),
-			flow.WithRemoteFactor(s.bounds.RemoteFactor)),
+			flow.WithRetention(retainFactor*s.bounds.Status)),
 	}
 	defer close(l.gone)
 	if !l.load(ctx) {
