batch: TestFaultsInAnyOrder waits for jobs whose submission had no answer

Change: every job that exists must come to its end and is checked, whether or not its caller knows; a job whose caller was told not_run must not exist; the checks begin one session lease after the last fault.

--- a/entryd/batch/faults_test.go
+++ b/entryd/batch/faults_test.go
@@ -14,6 +14,7 @@
 
 	"lovagefork.example/coord/fleet"
 	"lovagefork.example/coord/jobs"
+	"lovagefork.example/coord/lease"
 )
 
 var (
@@ -91,14 +92,21 @@
 
 // trial runs a plan and collects what went wrong.
 type trial struct {
-	world     *world
-	plan      plan
-	mu        sync.Mutex
+	world *world
+	plan  plan
+	// submits counts the submissions on their way, which can outlast the fault that holds them up.
+	submits sync.WaitGroup
+	mu      sync.Mutex
+	// accepted jobs were acknowledged; possible ones may exist, because not every submission was told that it has not run.
 	accepted  map[int]bool
+	possible  map[int]bool
 	cancelled map[int]bool
 	problems  []string
 }
 
+// ownerTime is within how long after the last fault every partition must have an owner: the time to live of a session.
+const ownerTime = lease.TTL
+
 func (r *trial) any() *proc {
 	r.world.mu.Lock()
 	defer r.world.mu.Unlock()
@@ -127,10 +135,14 @@
 	if r.plan.bad[i] {
 		body = `{"kind":"bad",` + body[1:]
 	}
-	if code, _ := p.do(http.MethodPost, "/v1/jobs", body); code == http.StatusCreated || code == http.StatusOK {
-		r.mu.Lock()
+	code, text := p.raw(http.MethodPost, "/v1/jobs", body)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if code == http.StatusCreated || code == http.StatusOK {
 		r.accepted[i] = true
-		r.mu.Unlock()
+	}
+	if !strings.Contains(text, `"outcome":"not_run"`) {
+		r.possible[i] = true
 	}
 }
 
@@ -180,7 +192,7 @@
 	case "reboot":
 		fleet.reboot(a.box)
 	case "resubmit":
-		go r.submit(a.job)
+		r.submits.Go(func() { r.submit(a.job) })
 	default:
 		r.change(a)
 	}
@@ -231,13 +243,15 @@
 	}
 }
 
-func (r *trial) final(i int) (jobs.View, bool) {
+// final returns a job and the status of the answer, and whether the job has come to its end.
+func (r *trial) final(i int) (jobs.View, int, bool) {
 	p := r.any()
 	if p == nil {
-		return jobs.View{}, false
+		return jobs.View{}, http.StatusServiceUnavailable, false
 	}
 	code, v := p.do(http.MethodGet, "/v1/jobs/"+jobName(i)+"/explain", "")
-	return v, code == http.StatusOK && slices.Contains([]jobs.State{jobs.Succeeded, jobs.Failed, jobs.Cancelled}, v.State)
+	ended := slices.Contains([]jobs.State{jobs.Succeeded, jobs.Failed, jobs.Cancelled}, v.State)
+	return v, code, code == http.StatusOK && ended
 }
 
 func (r *trial) run() {
@@ -256,21 +270,24 @@
 		r.act(a)
 	}
 	time.Sleep(r.plan.quiet())
+	r.submits.Wait()
+	time.Sleep(ownerTime)
 	// A failing job may take five runs of two minutes, each of them interrupted.
 	deadline := time.Now().Add(testHorizon + 20*time.Minute)
 	for i := range r.plan.tasks {
-		r.mu.Lock()
-		accepted := r.accepted[i]
-		r.mu.Unlock()
-		if !accepted {
-			continue
-		}
-		v, done := r.final(i)
-		for !done && time.Now().Before(deadline) {
+		v, code, done := r.final(i)
+		for !done && code != http.StatusNotFound && time.Now().Before(deadline) {
 			time.Sleep(time.Second)
-			v, done = r.final(i)
+			v, code, done = r.final(i)
+		}
+		// A job that its caller could not be told of runs like any other, and takes room until it ends.
+		exists := code != http.StatusNotFound
+		if exists || r.accepted[i] {
+			r.check(i, v, done)
+		}
+		if exists && !r.possible[i] {
+			r.problems = append(r.problems, fmt.Sprintf("job %d exists, but its caller was told that it has not run", i))
 		}
-		r.check(i, v, done)
 	}
 	r.probe()
 	w.fleet.mu.Lock()
@@ -321,7 +338,7 @@
 		synctest.Test(t, func(*testing.T) {
 			w := newWorld(2)
 			w.fleet.failing["bad"] = true
-			r := &trial{world: w, plan: p, accepted: map[int]bool{}, cancelled: map[int]bool{}}
+			r := &trial{world: w, plan: p, accepted: map[int]bool{}, possible: map[int]bool{}, cancelled: map[int]bool{}}
 			r.run()
 			w.stop()
 			problems, logs = r.problems, w.logs.String()
