flow: the order of ready steps is kept between rounds of placement

Change: ranks are computed every 100 ms and new steps are put in their place; runs are kept sorted; the workers that may take tasks are listed once a round; at most 128 starts wait for an answer; queues are found by name in a map.

--- a/coord/flow/advise.go
+++ b/coord/flow/advise.go
@@ -64,7 +64,7 @@
 		score float64
 	}
 	var candidates []candidate
-	for _, w := range m.order {
+	for _, w := range m.usable(r.queue.Service) {
 		_, denied := a.denied[w.ID]
 		if _, has := m.ticketFor(s, w); denied || has || !m.fitsSize(r, w) {
 			continue
--- a/coord/flow/answer.go
+++ b/coord/flow/answer.go
@@ -8,6 +8,8 @@
 )
 
 func (m *Machine) startAnswered(ev StartAnswered) {
+	m.placeNext = m.placeNext || m.unanswered >= maxUnanswered
+	m.unanswered--
 	w := m.workers[ev.Worker]
 	if w == nil {
 		return
--- a/coord/flow/life.go
+++ b/coord/flow/life.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"slices"
 	"time"
 
 	"lovagefork.example/coord/fleet"
@@ -155,11 +156,5 @@
 	m.requeue(r, "")
 }
 
-func (w *worker) sortedRuns() []*run {
-	all := make([]*run, 0, len(w.runs))
-	for _, r := range w.runs {
-		all = append(all, r)
-	}
-	sortRuns(all)
-	return all
-}
+// sortedRuns returns the runs by task, for loops that may end some of them.
+func (w *worker) sortedRuns() []*run { return slices.Clone(w.sorted) }
--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -83,8 +83,18 @@
 	roster      map[fleet.WorkerID]string
 	rosterDirty bool
 
-	// ready are the steps that are released and have waiting tasks.
-	ready map[*step]*readyStep
+	// queues are those of the catalog by name.
+	queues map[string]infra.Queue
+	// ready are the steps that are released and have waiting tasks; ranked lists them in the order of their rank as of
+	// rankedAt, and unranked those that became ready since.
+	ready    map[*step]*readyStep
+	ranked   []*readyStep
+	rankedAt time.Time
+	unranked []*readyStep
+	// candidates are the workers of a service that may take tasks in this round of placement.
+	candidates map[string][]*worker
+	// unanswered counts the starts that have no answer yet.
+	unanswered int
 	// timed are the jobs with occurrences that are not created yet.
 	timed map[fleet.JobID]*job
 
@@ -141,10 +151,12 @@
 		unsettled: make(map[fleet.WorkerID]struct{}),
 		roster:    make(map[fleet.WorkerID]string),
 		ready:     make(map[*step]*readyStep),
-		timed:     make(map[fleet.JobID]*job),
-		victims:   make(map[string]*victim),
-		ghosts:    make(map[fleet.WorkerID][]ghost),
-		unknown:   make(map[fleet.JobID]struct{}),
+
+		candidates: make(map[string][]*worker),
+		timed:      make(map[fleet.JobID]*job),
+		victims:    make(map[string]*victim),
+		ghosts:     make(map[fleet.WorkerID][]ghost),
+		unknown:    make(map[fleet.JobID]struct{}),
 	}
 	for _, opt := range opts {
 		opt(&m.opts)
@@ -200,16 +212,18 @@
 		return
 	}
 	m.catalog = c
+	m.queues = make(map[string]infra.Queue, len(c.Queues))
+	for _, q := range c.Queues {
+		m.queues[q.Name] = q
+	}
+	m.rankedAt = time.Time{}
 	for _, j := range m.jobs {
 		m.setObjective(j)
 	}
 }
 
 func (m *Machine) setObjective(j *job) {
-	if m.catalog == nil {
-		return
-	}
-	q, found := m.catalog.Queue(j.spec.Queue)
+	q, found := m.queues[j.spec.Queue]
 	if !found {
 		return
 	}
@@ -334,15 +348,25 @@
 		s := &o.steps[i]
 		if s.waiting > 0 && o.job.live() && o.released(i) {
 			if m.ready[s] == nil {
-				m.ready[s] = &readyStep{occ: o, index: i, step: s, since: m.now}
+				r := &readyStep{occ: o, index: i, step: s, since: m.now}
+				m.ready[s] = r
+				m.unranked = append(m.unranked, r)
 			}
 			m.placeNext = true
 		} else {
-			delete(m.ready, s)
+			m.unready(s)
 		}
 	}
 }
 
+// unready takes a step out of the ready set.
+func (m *Machine) unready(s *step) {
+	if r := m.ready[s]; r != nil {
+		r.gone = true
+		delete(m.ready, s)
+	}
+}
+
 func (m *Machine) submit(spec infra.Job) {
 	if m.jobs[spec.ID] != nil {
 		return
@@ -382,7 +406,7 @@
 func (m *Machine) closeJob(j *job, reason string) {
 	for _, o := range j.occurrences {
 		for i := range o.steps {
-			delete(m.ready, &o.steps[i])
+			m.unready(&o.steps[i])
 			for t := range o.steps[i].tasks {
 				for _, r := range o.steps[i].tasks[t].runs {
 					m.stop(r, reason)
--- a/coord/flow/place.go
+++ b/coord/flow/place.go
@@ -12,6 +12,11 @@
 const (
 	// lateFactor times the objective is when a job is worth nothing any more, by the users' pages.
 	lateFactor = 3
+	// rankEach is how old the order of ready steps may be; a change of rank matters within the objectives of seconds.
+	rankEach = 100 * time.Millisecond
+	// maxUnanswered bounds the starts without an answer. At 750 starts a second it lets an answer take 170 ms, so that a
+	// process that falls behind sends fewer starts instead of starts that come too late.
+	maxUnanswered = 128
 	// remotePatience is the share of a step's estimate that a task waits for a worker near its data.
 	remotePatience = 0.5
 )
@@ -25,6 +30,8 @@
 
 	queue infra.Queue
 	rank  rank
+	// gone steps are not in the ready set any more.
+	gone bool
 }
 
 func (r *readyStep) task(index int) infra.Task {
@@ -68,13 +75,11 @@
 	)
 }
 
-func sortRuns(all []*run) {
-	slices.SortFunc(all, func(a, b *run) int {
-		return cmp.Or(
-			cmp.Compare(a.id.Job, b.id.Job), cmp.Compare(a.id.Occurrence, b.id.Occurrence),
-			cmp.Compare(a.id.Step, b.id.Step), cmp.Compare(a.id.Index, b.id.Index),
-		)
-	})
+func compareRuns(a, b *run) int {
+	return cmp.Or(
+		cmp.Compare(a.id.Job, b.id.Job), cmp.Compare(a.id.Occurrence, b.id.Occurrence),
+		cmp.Compare(a.id.Step, b.id.Step), cmp.Compare(a.id.Index, b.id.Index),
+	)
 }
 
 // place starts waiting tasks in the order of their rank.
@@ -83,28 +88,70 @@
 	if !m.restored || m.catalog == nil {
 		return
 	}
-	ready := make([]*readyStep, 0, len(m.ready))
-	for _, r := range m.ready {
-		if !r.occ.job.fresh && len(m.unsettled) > 0 {
-			continue
+	m.rankReady()
+	m.misfits = m.misfits[:0]
+	clear(m.candidates)
+	for _, r := range m.ranked {
+		switch {
+		case m.unanswered >= maxUnanswered:
+			return
+		case r.gone || !r.occ.job.fresh && len(m.unsettled) > 0:
+		case r.step.spec.Gang:
+			m.placeGang(r)
+		default:
+			m.placeStep(r)
 		}
-		queue, found := m.catalog.Queue(r.occ.job.spec.Queue)
-		if !found {
-			queue = infra.Queue{Service: r.queue.Service}
+	}
+}
+
+// rankReady orders the ready steps. Ranks change with time only slowly, so that all are computed again at intervals and
+// the steps that became ready since are put in their places.
+func (m *Machine) rankReady() {
+	if m.now.Sub(m.rankedAt) < rankEach {
+		m.ranked = slices.DeleteFunc(m.ranked, func(r *readyStep) bool { return r.gone })
+		for _, r := range m.unranked {
+			if r.gone {
+				continue
+			}
+			m.setRank(r)
+			at, _ := slices.BinarySearchFunc(m.ranked, r, compareReady)
+			m.ranked = slices.Insert(m.ranked, at, r)
 		}
-		r.queue = queue
-		r.rank = m.rank(r)
-		ready = append(ready, r)
+		m.unranked = m.unranked[:0]
+		return
 	}
-	slices.SortFunc(ready, compareReady)
-	m.misfits = m.misfits[:0]
-	for _, r := range ready {
-		if r.step.spec.Gang {
-			m.placeGang(r)
-			continue
+	m.rankedAt = m.now
+	m.unranked = m.unranked[:0]
+	m.ranked = m.ranked[:0]
+	for _, r := range m.ready {
+		m.setRank(r)
+		m.ranked = append(m.ranked, r)
+	}
+	slices.SortFunc(m.ranked, compareReady)
+}
+
+func (m *Machine) setRank(r *readyStep) {
+	queue, found := m.queues[r.occ.job.spec.Queue]
+	if !found {
+		queue = infra.Queue{Service: r.queue.Service}
+	}
+	r.queue = queue
+	r.rank = m.rank(r)
+}
+
+// usable lists the workers of a service that may take new tasks in this round.
+func (m *Machine) usable(service string) []*worker {
+	if found, known := m.candidates[service]; known {
+		return found
+	}
+	var found []*worker
+	for _, w := range m.order {
+		if w.Service == service && w.usable(m.now) {
+			found = append(found, w)
 		}
-		m.placeStep(r)
 	}
+	m.candidates[service] = found
+	return found
 }
 
 // misfit is a plain task that no worker could take in this round.
@@ -126,6 +173,14 @@
 	return false
 }
 
+// addMisfit remembers a task that no worker could take, in place of those that ask for at least as much.
+func (m *Machine) addMisfit(f misfit) {
+	m.misfits = slices.DeleteFunc(m.misfits, func(o misfit) bool {
+		return o.service == f.service && o.filler == f.filler && o.image == f.image && f.size.Fits(o.size)
+	})
+	m.misfits = append(m.misfits, f)
+}
+
 // isPlain reports whether only its size decides where a task of the step fits.
 func isPlain(s *infra.Step) bool { return s.Label == "" && s.DataRack == "" && s.MaxPerWorker == 0 }
 
@@ -171,14 +226,17 @@
 			if r.queue.Advice != nil {
 				m.ask(r)
 			} else if isPlain(&s.spec) {
-				m.misfits = append(m.misfits, misfit{r.queue.Service, s.spec.Image, s.spec.Filler, s.spec.Size})
+				m.addMisfit(misfit{r.queue.Service, s.spec.Image, s.spec.Filler, s.spec.Size})
 			}
 			break
 		}
 		m.start(r, i, w, t.lastRun+1)
+		if m.unanswered >= maxUnanswered {
+			break
+		}
 	}
 	if s.waiting == 0 {
-		delete(m.ready, s)
+		m.unready(s)
 	}
 }
 
@@ -212,7 +270,7 @@
 			s.tasks[i].saved = saved
 			m.start(r, i, w, number)
 		}
-		delete(m.ready, s)
+		m.unready(s)
 		return
 	}
 	if r.queue.Advice != nil {
@@ -277,7 +335,7 @@
 func (m *Machine) best(r *readyStep, t *task, rack string) *worker {
 	var best *worker
 	bestScore := 0.0
-	for _, w := range m.order {
+	for _, w := range m.usable(r.queue.Service) {
 		if !m.fits(r, w, rack) {
 			continue
 		}
@@ -307,9 +365,6 @@
 // fitsSize reports whether a worker could run a task of a step, whatever the policy of its queue says.
 func (m *Machine) fitsSize(r *readyStep, w *worker) bool {
 	spec := &r.step.spec
-	if w.Service != r.queue.Service || !w.usable(m.now) {
-		return false
-	}
 	if !spec.Reserved().Fits(w.free()) {
 		return false
 	}
@@ -406,6 +461,7 @@
 	}
 	s.setPhase(index, active)
 	r.occ.job.begun = true
+	m.unanswered++
 	m.counts.Starts++
 	m.emit(Note{
 		Text: "start", Task: id, Run: number, Worker: w.ID, Reason: r.queue.Name, Slack: r.rank.slack,
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -220,7 +220,7 @@
 		m.stop(r, "task is done")
 	}
 	if s.waiting == 0 {
-		delete(m.ready, s)
+		m.unready(s)
 	}
 }
 
@@ -231,7 +231,7 @@
 	}
 	j.closed++
 	for i := range o.steps {
-		delete(m.ready, &o.steps[i])
+		m.unready(&o.steps[i])
 	}
 	if j.complete() {
 		m.emit(Note{Text: "job complete", Job: j.spec.ID})
@@ -267,10 +267,8 @@
 const defaultAttempts = 4
 
 func (m *Machine) attempts(j *job) int {
-	if m.catalog != nil {
-		if q, found := m.catalog.Queue(j.spec.Queue); found && q.MaxAttempts > 0 {
-			return q.MaxAttempts
-		}
+	if q, found := m.queues[j.spec.Queue]; found && q.MaxAttempts > 0 {
+		return q.MaxAttempts
 	}
 	if j.spec.MaxAttempts > 0 {
 		return j.spec.MaxAttempts
@@ -385,7 +383,7 @@
 	}
 	s.setPhase(row.Task.Index, active)
 	if s.waiting == 0 {
-		delete(m.ready, s)
+		m.unready(s)
 	}
 	m.emit(Note{Text: "run taken over", Task: row.Task, Run: row.Run, Worker: w.ID})
 }
--- a/coord/flow/worker.go
+++ b/coord/flow/worker.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"slices"
 	"time"
 
 	"lovagefork.example/coord/fleet"
@@ -95,6 +96,8 @@
 	settled   map[string]float64
 	settledAt time.Time
 	runs      map[infra.Task]*run
+	// sorted lists the runs by task, so that a run of the scheduler repeats.
+	sorted []*run
 
 	seen    int64
 	durable int64
@@ -176,6 +179,8 @@
 
 func (w *worker) add(now time.Time, r *run) {
 	w.runs[r.id] = r
+	at, _ := slices.BinarySearchFunc(w.sorted, r, compareRuns)
+	w.sorted = slices.Insert(w.sorted, at, r)
 	w.used = w.used.Add(r.size)
 	w.count(now, r, 1)
 }
@@ -185,6 +190,7 @@
 		return
 	}
 	delete(w.runs, r.id)
+	w.sorted = slices.DeleteFunc(w.sorted, func(o *run) bool { return o == r })
 	w.used = w.used.Sub(r.size)
 	w.count(now, r, -1)
 }
