leader: larger entry hosts are preferred as scheduler

Cause: grown sites have entry hosts with 0.192 and with 0.8 of a core. After a loss of power the seat fell to a small one, which read the state for 2.3 s and lost its lease under load at 49 s. Change: entries of processes tell the processor time of their host; a vacant seat is left to hosts with 1.5 times as much for 400 ms, and a small host that reigns hands over once a larger one has been registered for 8 s. Hosts of one size are not affected.

--- a/coord/infra/settings.go
+++ b/coord/infra/settings.go
@@ -25,6 +25,8 @@
 	Policies []string
 	Bounds   Bounds
 	Quota    StoreLimits
+	// MilliCPU is the processor time of the entry host in thousandths of a core.
+	MilliCPU int64
 	// MemoryBytes is the limit above which the platform kills the process.
 	MemoryBytes int64
 }
--- a/entryd/hosted/app.go
+++ b/entryd/hosted/app.go
@@ -156,7 +156,7 @@
 		mesh.Broadcast(wire.Elected{EntryHost: seat.EntryHost, Token: seat.Token})
 	}
 	s := p.Settings
-	return leader.NewGroup(s.EntryHost, s.Peer, p.Store, log, sched.Reign, members.onHost, onSeat), members
+	return leader.NewGroup(s.EntryHost, s.Peer, p.Store, log, sched.Reign, members.onHost, onSeat, leader.WithProcessor(s.MilliCPU)), members
 }
 
 func newIntake(
--- a/entryd/leader/group.go
+++ b/entryd/leader/group.go
@@ -49,9 +49,10 @@
 	EntryHost fleet.EntryHostID `cbor:"entry_host"`
 }
 
-// hostEntry is where an entry process accepts links.
+// hostEntry is where an entry process accepts links, and the processor time of its entry host.
 type hostEntry struct {
-	Address string `cbor:"address"`
+	Address  string `cbor:"address"`
+	MilliCPU int64  `cbor:"milli_cpu,omitempty"`
 }
 
 // Group follows who the scheduler is and which entry processes run, and campaigns while there is no scheduler.
@@ -60,6 +61,7 @@
 	address string
 	store   store.Client
 	log     *slog.Logger
+	hosts   *hosts
 	// reign runs the scheduler until ctx ends.
 	reign func(ctx context.Context, r *Reign)
 	// onHost is told of entry processes that come and go; the address is empty for one that has gone.
@@ -76,14 +78,26 @@
 // NewGroup returns the group as seen by the process self, which listens at address.
 func NewGroup(
 	self fleet.EntryHostID, address string, client store.Client, log *slog.Logger,
-	reign func(ctx context.Context, r *Reign), onHost func(fleet.EntryHostID, string), onSeat func(Seat),
+	reign func(ctx context.Context, r *Reign), onHost func(fleet.EntryHostID, string), onSeat func(Seat), opts ...Option,
 ) *Group {
-	return &Group{
-		self: self, address: address, store: client, log: log, reign: reign, onHost: onHost, onSeat: onSeat,
+	g := &Group{
+		hosts: &hosts{known: make(map[fleet.EntryHostID]registered)},
+		self:  self, address: address, store: client, log: log, reign: reign, onHost: onHost, onSeat: onSeat,
 		campaign: make(chan struct{}, 1),
 	}
+	for _, opt := range opts {
+		opt(g)
+	}
+	return g
 }
 
+// Option changes a [Group] under construction.
+type Option func(*Group)
+
+// WithProcessor sets the processor time of this process's entry host in thousandths of a core, so that the largest entry
+// hosts are preferred for the scheduler.
+func WithProcessor(milliCPU int64) Option { return func(g *Group) { g.hosts.own = milliCPU } }
+
 // Seat returns who the scheduler is, as far as this process knows.
 func (g *Group) Seat() (Seat, bool) {
 	g.mu.Lock()
@@ -175,7 +189,7 @@
 	if err != nil {
 		return 0, err
 	}
-	value, err := cbor.Marshal(hostEntry{Address: g.address})
+	value, err := cbor.Marshal(hostEntry{Address: g.address, MilliCPU: g.hosts.own})
 	if err != nil {
 		return 0, err
 	}
@@ -259,6 +273,7 @@
 		return
 	}
 	if c.Deleted {
+		g.hosts.leave(host)
 		g.onHost(host, "")
 		return
 	}
@@ -267,6 +282,7 @@
 		g.log.Error("group: unreadable entry", "key", c.Entry.Key, "error", err)
 		return
 	}
+	g.hosts.join(host, entry.MilliCPU)
 	g.onHost(host, entry.Address)
 }
 
@@ -287,6 +303,9 @@
 		case <-g.campaign:
 		}
 		sleep(ctx, rand.N(campaignSpread))
+		if g.hosts.larger(0) {
+			sleep(ctx, deferTime)
+		}
 		r, err := g.run(ctx)
 		var rejected *store.RejectedError
 		switch {
@@ -392,6 +411,7 @@
 	defer cancel()
 	var wg sync.WaitGroup
 	wg.Go(func() { r.renew(reignCtx, g.log) })
+	wg.Go(func() { g.hosts.yield(reignCtx, r) })
 	wg.Go(func() {
 		select {
 		case <-r.ended:
--- a/entryd/leader/group_test.go
+++ b/entryd/leader/group_test.go
@@ -21,7 +21,7 @@
 	stop  context.CancelFunc
 }
 
-func join(t *testing.T, m *memory, name string) *member {
+func join(t *testing.T, m *memory, name string, opts ...leader.Option) *member {
 	p := &member{begun: make(chan leader.Seat, 9), ended: make(chan string, 9)}
 	reign := func(ctx context.Context, r *leader.Reign) {
 		p.begun <- r.Seat()
@@ -30,7 +30,7 @@
 	}
 	log := slog.New(slog.DiscardHandler)
 	p.group = leader.NewGroup(fleet.EntryHostID(name), name+":1", client{m, name}, log, reign,
-		func(fleet.EntryHostID, string) {}, func(leader.Seat) {})
+		func(fleet.EntryHostID, string) {}, func(leader.Seat) {}, opts...)
 	ctx, cancel := context.WithCancel(t.Context())
 	p.stop = cancel
 	done := make(chan struct{})
@@ -115,3 +115,32 @@
 	time.Sleep(2 * time.Millisecond)
 	assert.Assert(t, leader.Now().After(before))
 }
+
+// The scheduler on a small entry host falls behind under load: a vacant seat is left to a larger one, and a small host
+// that reigns hands over once a larger one has been there for a while.
+func TestLargerHostReigns(t *testing.T) {
+	t.Run("vacant seat", func(t *testing.T) {
+		m := newMemory()
+		first := join(t, m, "first", leader.WithProcessor(200))
+		wait(t, "reign of the first host", first.begun)
+		small := join(t, m, "small", leader.WithProcessor(200))
+		large := join(t, m, "large", leader.WithProcessor(800))
+		time.Sleep(500 * time.Millisecond)
+		first.group.Resign()
+		wait(t, "reign of the large host", large.begun)
+		assert.Equal(t, len(small.begun), 0)
+	})
+	t.Run("hand over", func(t *testing.T) {
+		m := newMemory()
+		small := join(t, m, "small", leader.WithProcessor(200))
+		wait(t, "reign of the small host", small.begun)
+		large := join(t, m, "large", leader.WithProcessor(800))
+		select {
+		case <-large.begun:
+			t.Fatal("the seat is handed over to a host that may be gone already")
+		case <-time.After(6 * time.Second):
+		}
+		wait(t, "reign of the large host", large.begun)
+		assert.Equal(t, wait(t, "end of the small host's reign", small.ended), "a larger entry host can take over")
+	})
+}
