upkeep: machines go through waves of maintenance, draining workers are emptied

Cause: waves of upkeep were decoded nowhere, so that each tenth of a wave would be late; and a draining worker kept what it could not finish until it left, which lost that work. Change: coord/upkeep plans a wave: at most cap machines are emptied or down at once, an order is recorded before it is sent, and a wave is completed only when a later reading of the list shows each machine up again. coord/flow empties workers by a time: it moves what would not end, keeps may_miss, and reports when a machine may be taken down. entryd/leader runs the planner beside the scheduler under the same reign; platform/ has the calls. Not built: moves between pools and standby services.

--- a/coord/flow/event.go
+++ b/coord/flow/event.go
@@ -37,6 +37,15 @@
 	Draining bool `cbor:"draining,omitempty"`
 }
 
+// Vacate asks for a worker to be emptied by a time, because its machine is to be taken down.
+type Vacate struct {
+	Worker fleet.WorkerID
+	By     time.Time
+}
+
+// Reinstate ends a [Vacate].
+type Reinstate struct{ Worker fleet.WorkerID }
+
 // Configured brings the operator's configuration; a version that is not newer changes nothing.
 type Configured struct{ Catalog *infra.Catalog }
 
@@ -128,6 +137,8 @@
 func (Advised) event()         {}
 func (FormerOver) event()      {}
 func (Tick) event()            {}
+func (Vacate) event()          {}
+func (Reinstate) event()       {}
 
 // Effect is something that the runtime does for the scheduler.
 type Effect interface{ effect() }
@@ -183,6 +194,9 @@
 // Resign reports that another scheduler has taken over.
 type Resign struct{ Worker fleet.WorkerID }
 
+// Vacated reports that the machine of a worker may be taken down.
+type Vacated struct{ Worker fleet.WorkerID }
+
 // Note is a line for the log: a decision, what it is about, and what decided it.
 type Note struct {
 	Text   string
@@ -197,11 +211,12 @@
 	ReportAge time.Duration
 }
 
-func (Hold) effect()   {}
-func (Start) effect()  {}
-func (Stop) effect()   {}
-func (Pace) effect()   {}
-func (Advise) effect() {}
-func (Save) effect()   {}
-func (Resign) effect() {}
-func (Note) effect()   {}
+func (Hold) effect()    {}
+func (Start) effect()   {}
+func (Stop) effect()    {}
+func (Pace) effect()    {}
+func (Advise) effect()  {}
+func (Save) effect()    {}
+func (Resign) effect()  {}
+func (Vacated) effect() {}
+func (Note) effect()    {}
--- a/coord/flow/flow_test.go
+++ b/coord/flow/flow_test.go
@@ -316,3 +316,15 @@
 	assert.Equal(t, starts[0].To.Worker, fleet.WorkerID("b"))
 	assert.Equal(t, starts[0].Order.Ticket, "t1")
 }
+
+// stops lists the runs that were stopped, and forgets all effects.
+func (b *bench) stops() []infra.StopOrder {
+	var stops []infra.StopOrder
+	for _, e := range b.out {
+		if s, ok := e.(flow.Stop); ok {
+			stops = append(stops, s.Order)
+		}
+	}
+	b.out = nil
+	return stops
+}
--- a/coord/flow/life.go
+++ b/coord/flow/life.go
@@ -31,6 +31,9 @@
 }
 
 func (m *Machine) removeWorker(w *worker) {
+	if w.cordoned && !w.vacated {
+		m.emit(Vacated{Worker: w.ID})
+	}
 	delete(m.workers, w.ID)
 	for i, o := range m.order {
 		if o == w {
@@ -63,6 +66,13 @@
 	if !w.listed {
 		w.holdAt = m.now
 	}
+	switch {
+	case w.cordoned:
+	case !info.Draining:
+		w.leavesAt = time.Time{}
+	case w.leavesAt.IsZero() && info.Remaining > 0:
+		w.leavesAt = m.now.Add(info.Remaining)
+	}
 	born := max(w.Born, info.Born)
 	w.Worker, w.listed = info, true
 	w.Born = born
--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -136,7 +136,7 @@
 
 // Counts are totals since the scheduler was elected.
 type Counts struct {
-	Starts, Refused, Lost, Done, Failed, Stopped, Vanished, Stalled, Relieved, Paced int64
+	Starts, Refused, Lost, Done, Failed, Stopped, Vanished, Stalled, Relieved, Paced, Copied int64
 }
 
 // New returns the scheduler that holds a fencing token.
@@ -190,6 +190,10 @@
 		m.stopAnswered(ev)
 	case PaceAnswered:
 		m.paceAnswered(ev)
+	case Vacate:
+		m.vacate(ev)
+	case Reinstate:
+		m.reinstate(ev.Worker)
 	case Saved:
 		m.saved(ev.Batch)
 	case Advised:
@@ -483,6 +487,7 @@
 		m.emit(Note{Text: "lease lapsed", Worker: w.ID, Reason: "worker not reachable"})
 		m.clearWorker(w, "lease lapsed")
 	}
+	m.evacuate(w)
 	w.recoverSpeed(m.now)
 	for _, r := range w.sortedRuns() {
 		if r.state == stopping && !m.now.Before(r.stopAt) {
--- a/coord/flow/property_test.go
+++ b/coord/flow/property_test.go
@@ -36,6 +36,8 @@
 			s.Filler, s.Image = true, "f"
 		case 2:
 			poison = append(poison, i)
+		case 3, 4:
+			s.Speculative = true
 		}
 		j.Steps = append(j.Steps, s)
 	}
@@ -59,7 +61,7 @@
 		at := time.Duration(rapid.IntRange(0, 10000).Draw(t, "fault_at")) * time.Millisecond
 		span := time.Duration(rapid.IntRange(300, 9000).Draw(t, "span")) * time.Millisecond
 		id := w.order[rapid.IntRange(0, len(w.order)-1).Draw(t, "worker")]
-		switch rapid.IntRange(0, 8).Draw(t, "fault") {
+		switch rapid.IntRange(0, 9).Draw(t, "fault") {
 		case 0:
 			w.after(at, func() { w.crash(id, span, false) })
 		case 1:
@@ -80,6 +82,8 @@
 			w.after(at, func() { w.replace(id) })
 		case 8:
 			w.after(at, func() { w.kill(span) })
+		case 9:
+			w.after(at, func() { w.drain(id, span) })
 		}
 	}
 }
--- a/coord/flow/worker.go
+++ b/coord/flow/worker.go
@@ -54,6 +54,8 @@
 	listed int64
 	stopAt time.Time
 	reason string
+	// lost is set when the start had no answer.
+	lost bool
 	// pace is the share of its full speed at which a filler works, in percent.
 	pace int
 	// learnt is the last figure that was learnt from, and when.
@@ -123,6 +125,15 @@
 	speedAt time.Time
 
 	unhealthyUntil time.Time
+	// cordoned workers take no new tasks, because their machine is to be taken down at leavesAt; vacated is set once that has
+	// been reported.
+	cordoned bool
+	vacated  bool
+	// leavesAt is the earliest time at which a draining worker leaves; zero if it is not known.
+	leavesAt    time.Time
+	evacuatedAt time.Time
+	// lookedAt is when a report was last asked for at once.
+	lookedAt time.Time
 	// relievedAt is when fillers were last moved away from serving tasks.
 	relievedAt time.Time
 }
@@ -150,7 +161,7 @@
 
 // usable reports whether new tasks may be started on the worker.
 func (w *worker) usable(now time.Time) bool {
-	return w.listed && w.enrolled && w.trusted && w.reachable && !w.Draining && w.clock > 0 && !now.Before(w.restUntil) && !now.Before(w.unhealthyUntil)
+	return w.listed && w.enrolled && w.trusted && w.reachable && !w.Draining && !w.cordoned && w.clock > 0 && !now.Before(w.restUntil) && !now.Before(w.unhealthyUntil)
 }
 
 func (w *worker) free() fleet.Resources { return w.Capacity.Sub(w.used) }
--- a/coord/flow/world_test.go
+++ b/coord/flow/world_test.go
@@ -120,6 +120,8 @@
 	highest   map[infra.Task]infra.Run
 	waiting   *hold
 	failures  map[int64]*failure
+	// drains is when the worker told that it leaves; it takes no start later than drainTime after it.
+	drains time.Time
 	// voided is the last end before a lease lapsed.
 	voided int64
 }
@@ -362,6 +364,7 @@
 func (f *fakeWorker) reset() {
 	f.born = f.w.now
 	f.token, f.lease, f.ends, f.voided = 0, 0, 0, 0
+	f.drains, f.info.Draining, f.info.Remaining = time.Time{}, false, 0
 	f.runs, f.highest = make(map[infra.Task]*fakeRun), make(map[infra.Task]infra.Run)
 	f.ended, f.waiting, f.failures = nil, nil, make(map[int64]*failure)
 }
@@ -513,6 +516,9 @@
 	if at, noted := j.noted[s.Task]; noted && w.now.Sub(at) > time.Second && !spec.Speculative {
 		w.breach("%v started after its end was noted", s.Task)
 	}
+	if !f.drains.IsZero() && w.now.Sub(f.drains) > drainTime && w.lost == 0 {
+		w.breach("%v started on %s %v after it told that it leaves", s.Task, f.info.ID, w.now.Sub(f.drains))
+	}
 	j.begins[s.Task] = append(j.begins[s.Task], w.now)
 	used := spec.Reserved()
 	same := 1
@@ -670,6 +676,25 @@
 	})
 }
 
+// drainTime is how long after its notice a draining worker may still be given tasks.
+const drainTime = 2 * time.Second
+
+// drain lets a worker tell that it leaves, and leave; it is back a while later as another life.
+func (w *world) drain(id fleet.WorkerID, stays time.Duration) {
+	f := w.workers[id]
+	if !f.up || !f.reachable || !f.drains.IsZero() {
+		return
+	}
+	f.drains, f.info.Draining, f.info.Remaining = w.now, true, stays
+	w.tell(flow.WorkerSeen{Worker: f.describe()})
+	born := f.born
+	w.after(stays, func() {
+		if f.born == born {
+			w.crash(id, 5*time.Second, false)
+		}
+	})
+}
+
 // replace loses a worker for good and adds another one, with no scheduler having been told.
 func (w *world) replace(id fleet.WorkerID) {
 	f := w.workers[id]
--- a/entryd/hosted/app.go
+++ b/entryd/hosted/app.go
@@ -39,7 +39,9 @@
 	Agents infra.Agents
 	// Advisor is asked only for queues that have a policy.
 	Advisor infra.Advisor
-	Format  infra.Format
+	// Machines takes machines down for their upkeep; it is nil where the platform has no such service.
+	Machines infra.Machines
+	Format   infra.Format
 	// Ingress serves callers in the platform's format.
 	Ingress func(jobs infra.Jobs, log *slog.Logger) http.Handler
 	// Ready serves the balancer's probes.
@@ -106,7 +108,7 @@
 
 func newScheduler(p Platform, r metrics.Registry, log *slog.Logger, d decisions, o *overseer) *leader.Scheduler {
 	return leader.NewScheduler(leader.Deps{
-		Store: p.Store, Agents: p.Agents, Advisor: p.Advisor, Format: p.Format, Bounds: p.Settings.Bounds, Log: log, Decisions: d.Logger, Metrics: r, Over: o.over,
+		Store: p.Store, Agents: p.Agents, Advisor: p.Advisor, Machines: p.Machines, Format: p.Format, Bounds: p.Settings.Bounds, Log: log, Decisions: d.Logger, Metrics: r, Over: o.over,
 	})
 }
 
--- a/entryd/leader/keys.go
+++ b/entryd/leader/keys.go
@@ -24,6 +24,8 @@
 	sequenceKey = "lovagefork/sequence"
 	// rosterKey holds the workers on which tasks may run.
 	rosterKey = "lovagefork/roster"
+	// wavePrefix starts the progress of waves of upkeep.
+	wavePrefix = "lovagefork/wave/"
 	// learntKey holds what was learnt of the interference of images.
 	learntKey = "lovagefork/learnt"
 )
--- a/entryd/leader/scheduler.go
+++ b/entryd/leader/scheduler.go
@@ -13,6 +13,7 @@
 	"lovagefork.example/coord/flow"
 	"lovagefork.example/coord/infra"
 	"lovagefork.example/coord/store"
+	"lovagefork.example/coord/upkeep"
 )
 
 const (
@@ -20,8 +21,9 @@
 	tickEach = 10 * time.Millisecond
 	// eventQueue holds the answers of several seconds of orders.
 	eventQueue = 8192
-	// orderTimeout bounds a start or stop, which takes a round trip of up to 10 ms between zones.
-	orderTimeout = 900 * time.Millisecond
+	// orderTimeout bounds a start or stop, which takes a round trip of up to 10 ms between zones; it allows for one packet
+	// to be sent again.
+	orderTimeout = 400 * time.Millisecond
 	// holdSlack is how much longer than its wait a hold may take.
 	holdSlack = 700 * time.Millisecond
 	// maxEventsPerTick lets a tick happen while events arrive faster than they are handled.
@@ -33,6 +35,8 @@
 	store  store.Client
 	agents infra.Agents
 	advice infra.Advisor
+	// fleet is nil where the platform takes no machines down.
+	fleet  infra.Machines
 	format infra.Format
 	bounds infra.Bounds
 	log    *slog.Logger
@@ -54,9 +58,11 @@
 	Agents infra.Agents
 	// Advisor is asked only for queues that have a policy.
 	Advisor infra.Advisor
-	Format  infra.Format
-	Bounds  infra.Bounds
-	Log     *slog.Logger
+	// Machines takes machines down for their upkeep; it is nil where the platform has no such service.
+	Machines infra.Machines
+	Format   infra.Format
+	Bounds   infra.Bounds
+	Log      *slog.Logger
 	// Decisions takes a line for each start, end and move of a task, which under load are many.
 	Decisions *slog.Logger
 	Metrics   metrics.Registry
@@ -67,7 +73,7 @@
 // NewScheduler returns a scheduler that waits for its reign.
 func NewScheduler(d Deps) *Scheduler {
 	return &Scheduler{
-		store: d.Store, agents: d.Agents, advice: d.Advisor, format: d.Format, bounds: d.Bounds, log: d.Log, notes: d.Decisions, over: d.Over,
+		store: d.Store, agents: d.Agents, advice: d.Advisor, fleet: d.Machines, format: d.Format, bounds: d.Bounds, log: d.Log, notes: d.Decisions, over: d.Over,
 		starts: metrics.GetOrRegisterTimer("scheduler.start_seconds", d.Metrics),
 		holds:  metrics.GetOrRegisterCounter("scheduler.holds.total", d.Metrics),
 		orders: metrics.GetOrRegisterCounter("scheduler.orders.total", d.Metrics),
@@ -163,6 +169,8 @@
 	listed   map[fleet.WorkerID]struct{}
 	effects  sync.WaitGroup
 	badEntry map[string]struct{}
+	// waves is nil where the platform takes no machines down.
+	waves *waves
 }
 
 type question struct {
@@ -298,6 +306,13 @@
 	feeds.Go(func() { l.watchInputs(ctx) })
 	feeds.Go(func() { l.watchWorkers(ctx) })
 	feeds.Go(func() { l.awaitFormer(ctx) })
+	var plans chan upkeep.Event
+	if l.fleet != nil {
+		l.waves = newWaves(l, l.fleet)
+		plans = l.waves.events
+		feeds.Go(func() { l.waves.follow(ctx) })
+		feeds.Go(func() { l.waves.record(ctx) })
+	}
 	ticker := time.NewTicker(tickEach)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
@@ -308,10 +323,15 @@
 			q.ask(l.machine)
 			close(q.done)
 			continue
+		case ev := <-plans:
+			l.waves.handle(ctx, ev)
 		case ev := <-l.events:
 			l.handle(ctx, ev)
 			l.drain(ctx)
 		}
+		if l.waves != nil {
+			l.waves.handle(ctx, upkeep.Tick{})
+		}
 		l.handle(ctx, flow.Tick{Wall: time.Now(), Doubted: !l.reign.Proven()})
 	}
 	go l.discard()
@@ -388,6 +408,8 @@
 		l.effects.Go(func() { l.save(ctx, e) })
 	case flow.Resign:
 		l.reign.end("a worker knows a newer scheduler")
+	case flow.Vacated:
+		l.waves.vacated(ctx, e.Worker)
 	case flow.Note:
 		l.note(e)
 	}
--- a/entryd/main.go
+++ b/entryd/main.go
@@ -38,7 +38,12 @@
 	if err != nil {
 		fail(err)
 	}
+	var machines infra.Machines
+	if settings.Machines != "" {
+		machines = platform.NewMachines(settings.Machines)
+	}
 	hosted.New(hosted.Platform{
+		Machines: machines,
 		Settings: settings,
 		Reload:   read,
 		Store:    platform.NewStore(settings.Store),
