flow: starts without an answer are settled early, speculative tasks are copied

A speculative task is copied instead of waiting, and instead of being moved when it stands still or is slow.

--- a/coord/flow/answer.go
+++ b/coord/flow/answer.go
@@ -33,9 +33,12 @@
 		w.reachable = w.reachable && !unsent.Refused
 		m.notStarted(r, "worker not reachable")
 	default:
-		// The start may still happen; a report after its deadline tells.
+		// The start may have happened, or may still: a report tells of the first, and a stop prevents the second.
 		m.emit(Note{Text: "start without an answer", Task: r.id, Run: r.number, Worker: w.ID, Reason: ev.Err.Error()})
 		w.unhealthyUntil = m.now.Add(lostRest)
+		r.lost = true
+		m.copyRun(r, "start without an answer")
+		m.look(w)
 	}
 }
 
@@ -111,9 +114,22 @@
 	if r.confirmed == 0 {
 		// A run that was not there yet is rejected from now on; a report after this moment tells whether it was there.
 		r.confirmed = ev.Clock
+		m.look(w)
 	}
 }
 
+// lookEach is the least pause between two reports of a worker that are asked for at once; each is priced.
+const lookEach = 50 * time.Millisecond
+
+// look asks a worker for its report at once, because whether a start has happened cannot be told without it.
+func (m *Machine) look(w *worker) {
+	if !w.reachable || m.now.Sub(w.lookedAt) < lookEach {
+		return
+	}
+	w.lookedAt = m.now
+	m.hold(w)
+}
+
 func (m *Machine) paceAnswered(ev PaceAnswered) {
 	var refused *infra.RefusedError
 	if errors.As(ev.Err, &refused) && refused.Reason == infra.ReasonFenced {
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -16,7 +16,7 @@
 		order.Deadline = w.estimate(m.now) + m.opts.hold.Milliseconds()
 		w.leaseEnd = max(w.leaseEnd, order.Deadline)
 	}
-	if w.unsaved == 0 && w.fenced && w.reachable {
+	if w.unsaved == 0 && w.fenced && w.reachable && !m.now.Equal(w.lookedAt) {
 		order.Wait = holdWait
 		if len(w.serving) > 0 && w.filler > 0 {
 			order.Wait = holdWatch
@@ -325,6 +325,8 @@
 		case r.confirmed == 0 && report.Clock > r.deadline:
 			m.counts.Lost++
 			m.vanish(r, "start without an answer did not happen")
+		case r.lost && r.state == starting && r.confirmed == 0:
+			m.stop(r, "start without an answer")
 		case r.confirmed > 0 && report.Clock > r.confirmed:
 			m.counts.Vanished++
 			m.vanish(r, "not listed by the worker")
--- a/coord/flow/speed.go
+++ b/coord/flow/speed.go
@@ -86,7 +86,9 @@
 		m.counts.Stalled++
 		t.moves++
 		w.restUntil = m.now.Add(stillRest)
-		m.stop(r, "stands still")
+		if !m.copyRun(r, "stands still") {
+			m.stop(r, "stands still")
+		}
 		return
 	}
 	if w.speed >= slowWorker || relative >= slowWorker || rate <= 0 || r.step.rate <= 0 {
@@ -100,7 +102,9 @@
 	if left/rate > moveGain*(again/r.step.rate+moveCost.Seconds()) {
 		m.counts.Stalled++
 		t.moves++
-		m.stop(r, "is slow here")
+		if !m.copyRun(r, "is slow here") {
+			m.stop(r, "is slow here")
+		}
 	}
 }
 
