lovctl: the scheduler of a hosted deployment can be looked at

Cause: an on-call engineer had only logs to tell why a task waits, and no command showed the scheduler, its workers or a job. Change: every entry process answers on its metrics address for the scheduler, wherever it runs; lovctl scheduler status, workers and job print it, with the reasons for which each worker cannot take a waiting task.

--- a/coord/flow/view.go
+++ b/coord/flow/view.go
@@ -35,3 +35,229 @@
 
 // Counts returns totals since the scheduler was elected.
 func (m *Machine) Counts() Counts { return m.counts }
+
+// Overview is the state of the scheduler for operators.
+type Overview struct {
+	Token   infra.Token `json:"token"`
+	Term    int64       `json:"term"`
+	Catalog int64       `json:"catalog_version"`
+	// Jobs counts the known jobs by state, and Ready the steps that wait for workers.
+	Jobs    map[infra.State]int `json:"jobs"`
+	Ready   int                 `json:"ready_steps"`
+	Workers int                 `json:"workers"`
+	// Unreachable, Draining and Resting workers take no new tasks.
+	Unreachable int `json:"unreachable_workers"`
+	Draining    int `json:"draining_workers"`
+	Resting     int `json:"resting_workers"`
+	// Unsettled workers may run tasks of a former scheduler that are not known yet; Unanswered counts starts without an answer,
+	// and Unsaved the jobs whose progress is not durable.
+	Unsettled  int    `json:"unsettled_workers"`
+	Unanswered int    `json:"unanswered_starts"`
+	Unsaved    int    `json:"unsaved_jobs"`
+	Counts     Counts `json:"counts"`
+}
+
+// Overview returns the state of the scheduler.
+func (m *Machine) Overview() Overview {
+	o := Overview{
+		Token: m.token, Term: m.term, Jobs: make(map[infra.State]int), Ready: len(m.ready), Workers: len(m.workers),
+		Unsettled: len(m.unsettled), Unanswered: m.unanswered, Unsaved: len(m.dirty), Counts: m.counts,
+	}
+	if m.catalog != nil {
+		o.Catalog = m.catalog.Version
+	}
+	for _, j := range m.jobs {
+		o.Jobs[j.state()]++
+	}
+	for _, w := range m.order {
+		switch {
+		case !w.reachable:
+			o.Unreachable++
+		case w.Draining || w.cordoned:
+			o.Draining++
+		case m.now.Before(w.restUntil) || m.now.Before(w.unhealthyUntil):
+			o.Resting++
+		}
+	}
+	return o
+}
+
+// WorkerView is a worker for operators; the age of its last report is in milliseconds.
+type WorkerView struct {
+	Worker    fleet.WorkerID         `json:"worker"`
+	Service   string                 `json:"service"`
+	Zone      fleet.AvailabilityZone `json:"availability_zone"`
+	Capacity  fleet.Resources        `json:"capacity"`
+	Used      fleet.Resources        `json:"used"`
+	Fillers   int64                  `json:"filler_milli_cpu"`
+	Runs      int                    `json:"runs"`
+	ReportAge int64                  `json:"report_age_ms"`
+	// Speed is the share of the usual speed at which tasks progress.
+	Speed float64 `json:"speed"`
+	// Refuses tells why the worker takes no new tasks; empty if it takes some.
+	Refuses string `json:"refuses,omitempty"`
+}
+
+// Workers returns all workers in the order of their ids.
+func (m *Machine) Workers() []WorkerView {
+	views := make([]WorkerView, 0, len(m.order))
+	for _, w := range m.order {
+		views = append(views, WorkerView{
+			Worker: w.ID, Service: w.Service, Zone: w.Zone, Capacity: w.Capacity, Used: w.used, Fillers: w.filler, Runs: len(w.runs),
+			ReportAge: m.now.Sub(w.clockAt).Milliseconds(), Speed: w.speed, Refuses: m.refuses(w),
+		})
+	}
+	return views
+}
+
+// refuses tells why a worker takes no new tasks at all.
+func (m *Machine) refuses(w *worker) string {
+	switch {
+	case !w.listed:
+		return "not listed"
+	case !w.reachable:
+		return "not reachable"
+	case w.Draining:
+		return "drains"
+	case w.cordoned:
+		return "is taken out of service"
+	case !w.enrolled:
+		return "not in the stored roster yet"
+	case !w.fenced || w.clock == 0:
+		return "has not answered this scheduler yet"
+	case !w.trusted:
+		return "first held while the store was silent"
+	case m.now.Before(w.restUntil):
+		return "rests because its tasks failed or stood still"
+	case m.now.Before(w.unhealthyUntil):
+		return "was unhealthy or left an order unanswered"
+	default:
+		return ""
+	}
+}
+
+// JobView is a job for operators; Slack is the time left until its objective cannot be met, in milliseconds.
+type JobView struct {
+	Job   fleet.JobID `json:"job"`
+	Queue string      `json:"queue"`
+	State infra.State `json:"state"`
+	// Durable is the state that callers are shown.
+	Durable infra.State `json:"durable_state"`
+	Age     int64       `json:"age_ms"`
+	Slack   int64       `json:"slack_ms"`
+	Steps   []StepView  `json:"steps"`
+}
+
+// StepView is one step of an occurrence that is not complete.
+type StepView struct {
+	Occurrence int64 `json:"occurrence"`
+	Step       int   `json:"step"`
+	Waiting    int   `json:"waiting"`
+	Active     int   `json:"active"`
+	Done       int   `json:"done"`
+	Failed     int   `json:"failed_runs"`
+	// Blocked tells why the step is not to run yet, and Workers how many workers cannot take a waiting task, by reason.
+	Blocked string         `json:"blocked,omitempty"`
+	Workers map[string]int `json:"workers,omitempty"`
+	Runs    []RunView      `json:"runs,omitempty"`
+}
+
+// RunView is a run of a task; its age is in milliseconds.
+type RunView struct {
+	Index   int            `json:"index"`
+	Run     infra.Run      `json:"run"`
+	Worker  fleet.WorkerID `json:"worker"`
+	State   string         `json:"state"`
+	Percent int            `json:"percent"`
+	Age     int64          `json:"age_ms"`
+}
+
+// runStates names the states of a run for operators.
+var runStates = map[runState]string{starting: "starting", running: "running", stopping: "stopping", fencing: "fencing"}
+
+// Job returns a job with its open steps and why they wait; it returns false for a job that is not known.
+func (m *Machine) Job(id fleet.JobID) (JobView, bool) {
+	j := m.jobs[id]
+	if j == nil {
+		return JobView{}, false
+	}
+	durable, _ := m.State(id)
+	v := JobView{
+		Job: id, Queue: j.spec.Queue, State: j.state(), Durable: durable, Age: m.now.Sub(j.arrived).Milliseconds(),
+		Slack: j.arrived.Add(j.objective).Sub(m.now).Milliseconds(),
+	}
+	for n := range j.created {
+		o := j.occurrences[n]
+		if o == nil {
+			continue
+		}
+		for i := range o.steps {
+			if s := &o.steps[i]; !s.complete() && j.live() {
+				v.Steps = append(v.Steps, m.viewStep(o, i, s))
+			}
+		}
+	}
+	return v, true
+}
+
+func (m *Machine) viewStep(o *occurrence, index int, s *step) StepView {
+	v := StepView{
+		Occurrence: o.number, Step: index, Waiting: s.waiting, Done: s.done, Active: len(s.tasks) - s.waiting - s.done,
+	}
+	for i := range s.tasks {
+		v.Failed += len(s.tasks[i].failed)
+		for _, r := range s.tasks[i].runs {
+			v.Runs = append(v.Runs, RunView{
+				Index: i, Run: r.number, Worker: r.worker.ID, State: runStates[r.state], Percent: r.percent,
+				Age: m.now.Sub(r.since).Milliseconds(),
+			})
+		}
+	}
+	if s.waiting == 0 {
+		return v
+	}
+	ready := m.ready[s]
+	switch {
+	case !o.released(index):
+		v.Blocked = "earlier steps are not done"
+	case ready == nil:
+		v.Blocked = "not released"
+	case !o.job.fresh && len(m.unsettled) > 0:
+		v.Blocked = "workers of the former scheduler have not answered yet"
+	default:
+		m.setRank(ready)
+		v.Workers = m.obstacles(ready)
+	}
+	return v
+}
+
+// obstacles counts the workers of a step's service by why they cannot take a task of it; those that can are counted as
+// "has room", and wait for their turn in the order of placement.
+func (m *Machine) obstacles(r *readyStep) map[string]int {
+	counts := make(map[string]int)
+	spec := &r.step.spec
+	for _, w := range m.order {
+		reason := m.refuses(w)
+		switch {
+		case w.Service != r.queue.Service:
+			continue
+		case reason != "":
+		case !spec.Reserved().Fits(w.free()):
+			reason = "no room for its size"
+		case w.isSlow(spec):
+			reason = "is slow"
+		case spec.Filler && w.spare() < spec.Size.MilliCPU:
+			reason = "no processor time to spare"
+		case spec.Filler && !m.tolerates(w, spec):
+			reason = "serving tasks would miss their target"
+		case spec.Label != "" && !w.hasLabel(spec.Label):
+			reason = "lacks the label"
+		case spec.MaxPerWorker > 0 && r.step.perWorker[w.ID] >= spec.MaxPerWorker:
+			reason = "runs as many tasks of the step as allowed"
+		default:
+			reason = "has room"
+		}
+		counts[reason]++
+	}
+	return counts
+}
--- a/coord/wire/hosted.go
+++ b/coord/wire/hosted.go
@@ -18,6 +18,10 @@
 	AskState AskKind = "state"
 	// AskPending asks the scheduler for the number of jobs of a queue of which no task has started.
 	AskPending AskKind = "pending"
+	// AskOverview, AskWorkers and AskJob ask for the scheduler's state for operators, as JSON.
+	AskOverview AskKind = "overview"
+	AskWorkers  AskKind = "workers"
+	AskJob      AskKind = "job"
 	// AskNotice tells the scheduler of a job that has been stored.
 	AskNotice AskKind = "notice"
 	// AskCancelNotice tells the scheduler of a cancellation that has been stored.
--- a/entryd/hosted/app.go
+++ b/entryd/hosted/app.go
@@ -243,6 +243,7 @@
 	router.Handle("/peer/v1", p.Mesh)
 	observe := mux.NewRouter()
 	observe.Handle("/metrics", stats.Handler(p.Registry)).Methods(http.MethodGet)
+	inspection{p.Intake}.register(observe)
 	err := errors.Join(
 		p.listen(s.Ready, p.server(p.Platform.Ready(p.ready))),
 		p.listen(s.Peer, &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout}),
--- a/entryd/hosted/help.go
+++ b/entryd/hosted/help.go
@@ -81,7 +81,7 @@
 			return wire.Reply{Status: wire.ReplyOK}
 		}
 		return wire.Reply{Status: wire.ReplyNotRun, Reason: "the reign is being ended"}
-	case wire.AskState, wire.AskPending:
+	case wire.AskState, wire.AskPending, wire.AskOverview, wire.AskWorkers, wire.AskJob:
 		reply, asked := i.answerLocally(ctx, ask)
 		if !asked {
 			return wire.Reply{Status: wire.ReplyNotRun, Reason: "this process is not the scheduler"}
--- a/entryd/hosted/intake.go
+++ b/entryd/hosted/intake.go
@@ -308,6 +308,8 @@
 			}
 		case wire.AskPending:
 			reply = wire.Reply{Status: wire.ReplyOK, Count: m.Pending(ask.Queue)}
+		case wire.AskOverview, wire.AskWorkers, wire.AskJob:
+			reply = inspect(m, ask)
 		default:
 		}
 	})
--- a/lovctl/cmds/cmds.go
+++ b/lovctl/cmds/cmds.go
@@ -106,7 +106,7 @@
 func (a *app) parser(version string) *flaggy.Parser {
 	p := flaggy.NewParser("lovctl")
 	p.Version = version
-	p.Description = "Configures services and runs batch jobs on lovagefork."
+	p.Description = "Configures services, runs batch jobs, and shows the scheduler of lovagefork."
 	p.AdditionalHelpAppend = helpAppend
 	p.StringSlice(&a.entries, "e", "entry", "Address ip:port or URL of an entry process; repeat it for failover, in the order given.")
 	p.Bool(&a.json, "j", "json", "Print answers as JSON.")
@@ -114,6 +114,7 @@
 	p.AttachSubcommand(a.configCommands(), 1)
 	p.AttachSubcommand(a.serviceCommands(), 1)
 	p.AttachSubcommand(a.jobCommands(), 1)
+	p.AttachSubcommand(a.schedulerCommands(), 1)
 	return p
 }
 
