--- a/coord/flow/flow_test.go
+++ b/coord/flow/flow_test.go
@@ -328,3 +328,43 @@
 	b.out = nil
 	return stops
 }
+
+// A filler that disturbs a serving task is moved only where another worker has room: elsewhere it would lose its progress
+// and wait. It is slowed down instead, as far as it must be.
+func TestFillerIsNotMovedToNowhere(t *testing.T) {
+	b := newBench(t, flow.Restored{}, poolWorker("a"))
+	b.report("a", infra.Report{})
+	b.step(flow.Submitted{Job: oneStep("s", serving("x"))})
+	b.pass(50 * time.Millisecond)
+	filler := infra.Step{
+		Count: 1, Size: fleet.Resources{MilliCPU: 3000, MemoryBytes: 1 << 30}, Estimate: 20 * time.Second, Filler: true, Image: "f",
+	}
+	serves := infra.Running{Task: infra.Task{Job: "s"}, Run: 1, Percent: 100, Figure: 20}
+	for range 6 {
+		b.report("a", infra.Report{Running: []infra.Running{serves}})
+		b.pass(500 * time.Millisecond)
+	}
+	b.out = nil
+	b.step(flow.Submitted{Job: oneStep("f", filler)})
+	b.pass(100 * time.Millisecond)
+	assert.Equal(t, len(b.starts()), 1)
+	fills := infra.Running{Task: infra.Task{Job: "f"}, Run: 1, Percent: 1}
+	serves.Figure = 300
+	slowest := 100
+	for range 10 {
+		fills.Percent++
+		b.report("a", infra.Report{Running: []infra.Running{serves, fills}})
+		b.pass(500 * time.Millisecond)
+		for _, e := range b.out {
+			switch e := e.(type) {
+			case flow.Stop:
+				t.Fatalf("the filler is stopped, and no other worker has room for it")
+			case flow.Pace:
+				slowest = min(slowest, e.Order.Percent)
+			default:
+			}
+		}
+		b.out = nil
+	}
+	assert.Assert(t, slowest < 40, "slowed down to %d %%", slowest)
+}
--- a/coord/flow/tend.go
+++ b/coord/flow/tend.go
@@ -265,6 +265,8 @@
 	// paceUnit is what the pace of a filler is a multiple of, and leastPace the pace below which it is better moved.
 	paceUnit  = 10
 	leastPace = 40
+	// slowestPace is that of a filler that no other worker has room for: a moved one would only wait, without its progress.
+	slowestPace = 10
 	// minRelief lets a few orders be enough where the model sees no cause.
 	minRelief = 0.1
 )
@@ -282,17 +284,29 @@
 		whole := max(minRelief, v.cost(r.step.spec.Image)*w.share(r.filler))
 		keep := r.speed() - missing/whole
 		percent := int(keep*fullPace) / paceUnit * paceUnit
-		if percent < leastPace {
+		if percent < leastPace && m.hasRoomElsewhere(r) {
 			missing -= whole * r.speed()
 			m.counts.Relieved++
 			m.stop(r, "disturbs a serving task")
 			continue
 		}
+		if percent = max(percent, slowestPace); percent >= r.pace {
+			continue
+		}
 		missing -= whole * (r.speed() - float64(percent)/fullPace)
 		m.setPace(r, percent)
 	}
 }
 
+// hasRoomElsewhere reports whether another worker could take the task of a run now.
+func (m *Machine) hasRoomElsewhere(r *run) bool {
+	clear(m.candidates)
+	ready := m.readyFor(r)
+	return slices.ContainsFunc(m.usable(ready.queue.Service), func(w *worker) bool {
+		return w != r.worker && m.fits(ready, w, "")
+	})
+}
+
 // speedUp lets slowed fillers work faster where serving tasks tolerate it, the least disturbing first.
 func (m *Machine) speedUp(w *worker) bool {
 	released := false
