flow: run times are learnt from estimates and progress

Change: a regression of run times on estimates for each queue, corrected by the progress and the ends of a step's own tasks, gives the chain of a job and its objective. The service of a queue is stored with a job, which otherwise never ran after a takeover if its queue had been removed.

--- a/coord/flow/drain.go
+++ b/coord/flow/drain.go
@@ -72,7 +72,7 @@
 	clear(m.candidates)
 	left := w.leavesAt.Sub(m.now) - evacuateMargin
 	for _, r := range w.sortedRuns() {
-		if r.state != running || r.step == nil || r.step.spec.Gang || !r.occ.job.live() || r.timeLeft() <= left {
+		if r.state != running || r.step == nil || r.step.spec.Gang || !r.occ.job.live() || m.timeLeft(r) <= left {
 			continue
 		}
 		if spec := &r.step.spec; spec.LongRunning && spec.MayMiss > 0 && r.step.away() >= spec.MayMiss {
@@ -100,15 +100,11 @@
 const forever = 24 * time.Hour
 
 // timeLeft estimates how much longer a run takes.
-func (r *run) timeLeft() time.Duration {
-	switch {
-	case r.step.spec.LongRunning:
+func (m *Machine) timeLeft(r *run) time.Duration {
+	if r.step.spec.LongRunning {
 		return forever
-	case r.step.rate > 0:
-		return time.Duration(float64(100-r.percent) / r.step.rate * float64(time.Second))
-	default:
-		return r.step.spec.Estimate * time.Duration(100-r.percent) / 100
 	}
+	return m.length(r.occ.job, r.step) * time.Duration(100-r.percent) / 100
 }
 
 // away counts the tasks of a step that are not at work.
--- a/coord/flow/flow_test.go
+++ b/coord/flow/flow_test.go
@@ -368,3 +368,13 @@
 	}
 	assert.Assert(t, slowest < 40, "slowed down to %d %%", slowest)
 }
+
+// A job whose queue was removed from the configuration was accepted and must still run, also after a takeover (LOST).
+func TestJobOfARemovedQueueRuns(t *testing.T) {
+	j := oneStep("j", small(1))
+	j.Queue, j.Service = "removed", "pool"
+	b := newBench(t, flow.Restored{Jobs: []flow.StoredJob{{Job: j}}, Term: 1}, poolWorker("a"))
+	b.report("a", infra.Report{})
+	b.pass(100 * time.Millisecond)
+	assert.Equal(t, len(b.starts()), 1)
+}
--- a/coord/flow/job.go
+++ b/coord/flow/job.go
@@ -49,6 +49,9 @@
 	// rate is the usual progress of the step's tasks in percent a second, from as many measurements.
 	rate     float64
 	measured int
+	// took is the time of as many runs as timed, which were done without interruption at full speed.
+	took  time.Duration
+	timed int
 	// approval is nil before the policy service was asked about the step.
 	approval *approval
 }
@@ -66,10 +69,10 @@
 type job struct {
 	spec infra.Job
 	// fresh jobs were accepted after this scheduler was elected, so no former one can have started them.
-	fresh       bool
-	arrived     time.Time
-	objective   time.Duration
-	work        float64
+	fresh   bool
+	arrived time.Time
+	// queue is the job's queue as last configured.
+	queue       infra.Queue
 	cancelled   bool
 	failed      bool
 	begun       bool
@@ -168,24 +171,6 @@
 	t.phase = p
 }
 
-// remaining returns the longest chain of estimated work that is left, counted from the steps that are not complete.
-func (o *occurrence) remaining() time.Duration {
-	ends := make([]time.Duration, len(o.steps))
-	longest := time.Duration(0)
-	for i := range o.steps {
-		start := time.Duration(0)
-		for _, a := range o.steps[i].spec.After {
-			start = max(start, ends[a])
-		}
-		ends[i] = start
-		if !o.steps[i].complete() {
-			ends[i] += o.steps[i].spec.Estimate
-		}
-		longest = max(longest, ends[i])
-	}
-	return longest
-}
-
 // Record is the durable progress of a job.
 type Record struct {
 	State       infra.State        `cbor:"state"`
--- /dev/null
+++ b/coord/flow/length_test.go
@@ -0,0 +1,48 @@
+package flow_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lovagefork.example/coord/fleet"
+	"lovagefork.example/coord/flow"
+	"lovagefork.example/coord/infra"
+)
+
+// Estimates that are off by two and a half must not decide which job is late: the scheduler learns how much the estimates of
+// a queue say, and takes the work of a job from that (seen as jobs given up that would have been in time).
+func TestUselessEstimatesAreNotTrusted(t *testing.T) {
+	b := newBench(t, flow.Restored{}, poolWorker("a"))
+	b.report("a", infra.Report{})
+	rng := rand.New(rand.NewPCG(7, 7))
+	const usual = 2 * time.Second
+	ends := int64(0)
+	for n := range 60 {
+		id := fmt.Sprintf("j%02d", n)
+		s := small(1)
+		s.Estimate = time.Duration(float64(usual) * math.Exp(0.9*rng.NormFloat64()))
+		b.step(flow.Submitted{Job: oneStep(id, s)})
+		b.pass(50 * time.Millisecond)
+		b.pass(usual)
+		ends++
+		b.report("a", infra.Report{Ended: []infra.End{{Number: ends, Task: infra.Task{Job: fleet.JobID(id)}, Run: 1, Outcome: infra.Done}}})
+		b.report("a", infra.Report{})
+	}
+	for _, estimate := range []time.Duration{usual / 5, usual, 5 * usual} {
+		s := small(1)
+		s.Estimate = estimate
+		id := fleet.JobID(fmt.Sprint("probe", estimate))
+		b.step(flow.Submitted{Job: infra.Job{ID: id, Queue: "batch", Steps: []infra.Step{s}}})
+		b.pass(25 * time.Millisecond)
+		v, found := b.m.Job(id)
+		assert.Assert(t, found)
+		// The queue stretches the chain by 2 and adds a second; one chain is left to run.
+		slack := time.Duration(v.Slack) * time.Millisecond
+		assert.Assert(t, slack > 2*time.Second && slack < 4500*time.Millisecond, "estimate %v leaves %v", estimate, slack)
+	}
+}
--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -83,6 +83,8 @@
 	roster      map[fleet.WorkerID]string
 	rosterDirty bool
 
+	// lengths is what is known of run times, by queue.
+	lengths map[string]*lengths
 	// queues are those of the catalog by name.
 	queues map[string]infra.Queue
 	// ready are the steps that are released and have waiting tasks; ranked lists them in the order of their rank as of
@@ -153,6 +155,7 @@
 		ready:     make(map[*step]*readyStep),
 
 		candidates: make(map[string][]*worker),
+		lengths:    make(map[string]*lengths),
 		timed:      make(map[fleet.JobID]*job),
 		victims:    make(map[string]*victim),
 		ghosts:     make(map[fleet.WorkerID][]ghost),
@@ -222,16 +225,19 @@
 	}
 	m.rankedAt = time.Time{}
 	for _, j := range m.jobs {
-		m.setObjective(j)
+		m.setQueue(j)
 	}
 }
 
-func (m *Machine) setObjective(j *job) {
+// setQueue takes up the configuration of a job's queue; a queue that was removed stays as it was.
+func (m *Machine) setQueue(j *job) {
 	q, found := m.queues[j.spec.Queue]
-	if !found {
-		return
+	switch {
+	case found:
+		j.queue = q
+	case j.queue.Service == "":
+		j.queue = infra.Queue{Name: j.spec.Queue, Service: j.spec.Service, MaxAttempts: j.spec.MaxAttempts}
 	}
-	j.objective = time.Duration(float64(j.spec.Chain())*q.Stretch) + q.Objective
 }
 
 func (m *Machine) restore(ev Restored) {
@@ -297,10 +303,7 @@
 		age := m.wall.Sub(time.UnixMilli(spec.Submitted))
 		j.arrived = m.now.Add(-min(max(0, age), m.opts.retain))
 	}
-	for _, s := range spec.Steps {
-		j.work += float64(s.Count) * float64(s.Size.MilliCPU) * s.Estimate.Seconds()
-	}
-	m.setObjective(j)
+	m.setQueue(j)
 	m.jobs[spec.ID] = j
 	return j
 }
--- a/coord/flow/place.go
+++ b/coord/flow/place.go
@@ -131,11 +131,7 @@
 }
 
 func (m *Machine) setRank(r *readyStep) {
-	queue, found := m.queues[r.occ.job.spec.Queue]
-	if !found {
-		queue = infra.Queue{Service: r.queue.Service}
-	}
-	r.queue = queue
+	r.queue = r.occ.job.queue
 	r.rank = m.rank(r)
 }
 
@@ -190,17 +186,17 @@
 	if !r.occ.due.IsZero() {
 		due = r.occ.due
 	}
-	remaining := r.occ.remaining()
-	objective := max(j.objective, time.Millisecond)
-	out := rank{priority: r.queue.Priority, slack: due.Add(objective).Sub(m.now) - remaining}
+	whole, left := m.chains(r.occ)
+	objective := max(j.objective(whole), time.Millisecond)
+	out := rank{priority: r.queue.Priority, slack: due.Add(objective).Sub(m.now) - left}
 	switch {
 	case r.step.spec.LongRunning:
 	case out.slack < -(lateFactor-1)*objective:
 		out.hopeless, out.chance = true, hopeless
-		out.work = j.work
+		out.work = m.workLeft(r.occ)
 	case out.slack < 0:
 		out.chance = late
-		out.work = j.work
+		out.work = m.workLeft(r.occ)
 	}
 	return out
 }
@@ -446,7 +442,7 @@
 	id := r.task(index)
 	n := &run{
 		id: id, number: number, worker: w, step: s, occ: r.occ, state: starting, size: s.spec.Reserved(),
-		since: m.now, markAt: m.now, pace: fullPace,
+		since: m.now, markAt: m.now, pace: fullPace, atypical: t.saved != "",
 	}
 	if s.spec.Filler {
 		n.filler = s.spec.Size.MilliCPU
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -267,8 +267,8 @@
 const defaultAttempts = 4
 
 func (m *Machine) attempts(j *job) int {
-	if q, found := m.queues[j.spec.Queue]; found && q.MaxAttempts > 0 {
-		return q.MaxAttempts
+	if j.queue.MaxAttempts > 0 {
+		return j.queue.MaxAttempts
 	}
 	if j.spec.MaxAttempts > 0 {
 		return j.spec.MaxAttempts
--- a/coord/flow/tend.go
+++ b/coord/flow/tend.go
@@ -20,6 +20,7 @@
 	switch outcome {
 	case infra.Done:
 		w.ends++
+		m.measureLength(r)
 	case infra.Failed:
 		w.ends++
 		w.failed[r.id.Job]++
@@ -351,6 +352,7 @@
 func (m *Machine) assumePace(r *run, percent int) {
 	r.worker.count(m.now, r, -1)
 	r.pace = percent
+	r.atypical = true
 	r.mark, r.markAt, r.still = r.percent, m.now, 0
 	r.worker.count(m.now, r, 1)
 }
--- a/coord/flow/view.go
+++ b/coord/flow/view.go
@@ -184,7 +184,10 @@
 	durable, _ := m.State(id)
 	v := JobView{
 		Job: id, Queue: j.spec.Queue, State: j.state(), Durable: durable, Age: m.now.Sub(j.arrived).Milliseconds(),
-		Slack: j.arrived.Add(j.objective).Sub(m.now).Milliseconds(),
+	}
+	if o := j.occurrences[0]; o != nil {
+		whole, left := m.chains(o)
+		v.Slack = (j.arrived.Add(j.objective(whole)).Sub(m.now) - left).Milliseconds()
 	}
 	for n := range j.created {
 		o := j.occurrences[n]
--- a/coord/flow/worker.go
+++ b/coord/flow/worker.go
@@ -54,6 +54,8 @@
 	listed int64
 	stopAt time.Time
 	reason string
+	// atypical runs were resumed from a checkpoint or slowed down, so that their time tells nothing of others.
+	atypical bool
 	// lost is set when the start had no answer.
 	lost bool
 	// pace is the share of its full speed at which a filler works, in percent.
--- a/coord/infra/job.go
+++ b/coord/infra/job.go
@@ -60,8 +60,10 @@
 	Spec     string      `cbor:"spec"`
 	Steps    []Step      `cbor:"steps"`
 	Schedule Schedule    `cbor:"schedule"`
-	// MaxAttempts is that of the queue when the job was accepted; it holds if the queue is no longer configured.
-	MaxAttempts int `cbor:"max_attempts,omitempty"`
+	// MaxAttempts and Service are those of the queue when the job was accepted; they hold if the queue is no longer
+	// configured.
+	MaxAttempts int    `cbor:"max_attempts,omitempty"`
+	Service     string `cbor:"service,omitempty"`
 	// Submitted is when an entry process accepted the job, in Unix milliseconds.
 	Submitted int64 `cbor:"submitted"`
 }
--- a/entryd/hosted/intake.go
+++ b/entryd/hosted/intake.go
@@ -111,7 +111,7 @@
 // Submit implements [infra.Jobs].
 func (i *Intake) Submit(ctx context.Context, q infra.Queue, j infra.Job) error {
 	began := time.Now()
-	j.Submitted, j.MaxAttempts = time.Now().UnixMilli(), q.MaxAttempts
+	j.Submitted, j.MaxAttempts, j.Service = time.Now().UnixMilli(), q.MaxAttempts, q.Service
 	data, err := leader.EncodeJob(j)
 	if err != nil {
 		return &infra.InvalidJobError{Job: j.ID, Reason: err.Error()}
