flow: jobs in time go by the work that is left for their credit

Cause: while more work waits than the workers can run, jobs in time went by their slack, so that each got its workers when it was about to be late, and all of them were. Change: within a priority, jobs that can still be in time go by the work that is left of them for each unit of credit (0.3 and 0.7 times their work against the mean, at most 4), then by slack; so do late and hopeless ones.

--- a/coord/flow/length.go
+++ b/coord/flow/length.go
@@ -24,6 +24,8 @@
 // logarithms. Estimates that say little are drawn to the usual run time of the queue.
 type lengths struct {
 	n, x, y, xx, xy float64
+	// work is the mean work of a job, in core-seconds.
+	work float64
 }
 
 // observe takes up a step whose tasks took a time.
@@ -129,6 +131,43 @@
 	return length * time.Duration(100-least) / 100
 }
 
+const (
+	// creditFloor is the part of a job's credit that does not grow with its work, and mostCredit bounds the credit of a large
+	// job as a multiple of the mean, both by the users' pages.
+	creditFloor = 0.3
+	mostCredit  = 4
+	// workStep smooths the mean work of a queue's jobs.
+	workStep = 0.05
+)
+
+// expect takes up the work of a new job in the mean of its queue.
+func (m *Machine) expect(j *job) {
+	l := m.lengthsOf(j.spec.Queue)
+	work := 0.0
+	for i := range j.spec.Steps {
+		s := &j.spec.Steps[i]
+		work += float64(s.Count) * coreSeconds(s, l.predict(s.Estimate))
+	}
+	if l.work == 0 {
+		l.work = work
+	}
+	l.work += workStep * (work - l.work)
+}
+
+// credit returns what a job earns in time, as a multiple of what a job of mean work earns.
+func (m *Machine) credit(o *occurrence) float64 {
+	work := 0.0
+	for i := range o.steps {
+		s := &o.steps[i]
+		work += float64(len(s.tasks)) * coreSeconds(&s.spec, m.length(o.job, s))
+	}
+	mean := max(m.lengthsOf(o.job.spec.Queue).work, leastWork)
+	return min(mostCredit, creditFloor+(1-creditFloor)*work/mean)
+}
+
+// leastWork keeps jobs without work from dividing by zero, in core-seconds.
+const leastWork = 1e-3
+
 // workLeft returns the work of an occurrence's tasks that are not done, in core-seconds.
 func (m *Machine) workLeft(o *occurrence) float64 {
 	sum := 0.0
--- a/coord/flow/length_test.go
+++ b/coord/flow/length_test.go
@@ -46,3 +46,25 @@
 		assert.Assert(t, slack > 2*time.Second && slack < 4500*time.Millisecond, "estimate %v leaves %v", estimate, slack)
 	}
 }
+
+// While more work waits than the workers can run, the jobs that earn most for the work that is left of them go first, of
+// those that are still in time: most urgent first lets all of them be late.
+func TestOverloadRunsTheCheapestCreditFirst(t *testing.T) {
+	b := newBench(t, flow.Restored{}, poolWorker("a"))
+	b.report("a", infra.Report{})
+	fill := infra.Step{Count: 1, Size: fleet.Resources{MilliCPU: 10000, MemoryBytes: 1 << 30}, Estimate: time.Second}
+	b.step(flow.Submitted{Job: oneStep("now", fill)})
+	b.pass(50 * time.Millisecond)
+	b.out = nil
+	large, little := fill, fill
+	large.Count, large.Estimate = 8, 2*time.Second
+	b.step(flow.Submitted{Job: oneStep("large", large)})
+	b.pass(500 * time.Millisecond)
+	b.step(flow.Submitted{Job: oneStep("little", little)})
+	b.pass(500 * time.Millisecond)
+	b.report("a", infra.Report{Ended: []infra.End{{Number: 1, Task: infra.Task{Job: "now"}, Run: 1, Outcome: infra.Done}}})
+	b.pass(50 * time.Millisecond)
+	starts := b.starts()
+	assert.Equal(t, len(starts), 1)
+	assert.Equal(t, starts[0].Order.Task.Job, fleet.JobID("little"), "the large job is older and has less slack")
+}
--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -304,6 +304,7 @@
 		j.arrived = m.now.Add(-min(max(0, age), m.opts.retain))
 	}
 	m.setQueue(j)
+	m.expect(j)
 	m.jobs[spec.ID] = j
 	return j
 }
--- a/coord/flow/place.go
+++ b/coord/flow/place.go
@@ -52,9 +52,9 @@
 	hopeless bool
 	priority int
 	chance   chance
-	// slack orders jobs in time, and work late ones.
+	// cost is the work that is left for each unit of credit; slack orders long-running jobs and equals.
+	cost  float64
 	slack time.Duration
-	work  float64
 }
 
 func compareReady(a, b *readyStep) int {
@@ -67,7 +67,7 @@
 	return cmp.Or(
 		cmp.Compare(a.rank.priority, b.rank.priority),
 		cmp.Compare(a.rank.chance, b.rank.chance),
-		cmp.Compare(a.rank.work, b.rank.work),
+		cmp.Compare(a.rank.cost, b.rank.cost),
 		cmp.Compare(a.rank.slack, b.rank.slack),
 		cmp.Compare(a.occ.job.spec.ID, b.occ.job.spec.ID),
 		cmp.Compare(a.occ.number, b.occ.number),
@@ -189,14 +189,15 @@
 	whole, left := m.chains(r.occ)
 	objective := max(j.objective(whole), time.Millisecond)
 	out := rank{priority: r.queue.Priority, slack: due.Add(objective).Sub(m.now) - left}
+	if r.step.spec.LongRunning {
+		return out
+	}
+	out.cost = m.workLeft(r.occ) / m.credit(r.occ)
 	switch {
-	case r.step.spec.LongRunning:
 	case out.slack < -(lateFactor-1)*objective:
 		out.hopeless, out.chance = true, hopeless
-		out.work = m.workLeft(r.occ)
 	case out.slack < 0:
 		out.chance = late
-		out.work = m.workLeft(r.occ)
 	}
 	return out
 }
