flow: jobs in time go before lasting tasks of their priority

For its cores a lasting task earns a quarter of what a booking-check in time does, and more than a late one. Change: the order within a priority is jobs in time, lasting tasks, late jobs. Free cores are never held back from lasting tasks.

--- a/coord/flow/length_test.go
+++ b/coord/flow/length_test.go
@@ -68,3 +68,33 @@
 	assert.Equal(t, len(starts), 1)
 	assert.Equal(t, starts[0].Order.Task.Job, fleet.JobID("little"), "the large job is older and has less slack")
 }
+
+// On a fleet that lasting tasks fill, short urgent jobs in time get the cores that become free, or none of them ever runs
+// (grown fleets: 257 of 626 quick checks failed while trackers waited in front of them).
+func TestJobsInTimeGoBeforeLastingTasks(t *testing.T) {
+	b := newBench(t, flow.Restored{}, poolWorker("a"))
+	b.report("a", infra.Report{})
+	fill := infra.Step{Count: 1, Size: fleet.Resources{MilliCPU: 10000, MemoryBytes: 1 << 30}, Estimate: time.Second}
+	b.step(flow.Submitted{Job: oneStep("now", fill)})
+	b.pass(50 * time.Millisecond)
+	b.out = nil
+	lasting := fill
+	lasting.LongRunning = true
+	b.step(flow.Submitted{Job: oneStep("lasting", lasting)})
+	b.pass(200 * time.Millisecond)
+	b.step(flow.Submitted{Job: oneStep("quick", fill)})
+	b.pass(200 * time.Millisecond)
+	end := func(n int64, job fleet.JobID) infra.Report {
+		return infra.Report{Ended: []infra.End{{Number: n, Task: infra.Task{Job: job}, Run: 1, Outcome: infra.Done}}}
+	}
+	b.report("a", end(1, "now"))
+	b.pass(50 * time.Millisecond)
+	starts := b.starts()
+	assert.Equal(t, len(starts), 1)
+	assert.Equal(t, starts[0].Order.Task.Job, fleet.JobID("quick"))
+	b.report("a", end(2, "quick"))
+	b.pass(50 * time.Millisecond)
+	starts = b.starts()
+	assert.Equal(t, len(starts), 1)
+	assert.Equal(t, starts[0].Order.Task.Job, fleet.JobID("lasting"), "free cores are not held back from lasting tasks")
+}
--- a/coord/flow/place.go
+++ b/coord/flow/place.go
@@ -43,6 +43,8 @@
 
 const (
 	inTime chance = iota
+	// lasting work earns less for its cores than jobs in time, and more than late ones.
+	lasting
 	late
 	hopeless
 )
@@ -190,6 +192,7 @@
 	objective := max(j.objective(whole), time.Millisecond)
 	out := rank{priority: r.queue.Priority, slack: due.Add(objective).Sub(m.now) - left}
 	if r.step.spec.LongRunning {
+		out.chance = lasting
 		return out
 	}
 	out.cost = m.workLeft(r.occ) / m.credit(r.occ)
