--- /dev/null
+++ b/coord/flow/press_test.go
@@ -0,0 +1,195 @@
+package flow_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lovagefork.example/coord/fleet"
+	"lovagefork.example/coord/flow"
+	"lovagefork.example/coord/infra"
+)
+
+// mixed is a fleet on which serving tasks and fillers of many images run beside each other, with tails that follow a known
+// law.
+type mixed struct {
+	m     *flow.Machine
+	rng   *rand.Rand
+	now   time.Time
+	seq   map[fleet.WorkerID]int64
+	ends  map[fleet.WorkerID]int64
+	runs  map[fleet.WorkerID][]mixedRun
+	steps map[fleet.JobID]infra.Step
+	jobs  int
+	last  []flow.ImageRecord
+	// weight is how much slack a filler image takes from a serving image at a share of 1.
+	weight map[[2]string]float64
+}
+
+type mixedRun struct {
+	task infra.Task
+	run  infra.Run
+	from time.Time
+	ends time.Time
+	pace int
+}
+
+const (
+	servingImages = 4
+	fillerImages  = 18
+	mixedWorkers  = 24
+)
+
+func (x *mixed) step(ev flow.Event) {
+	for _, e := range x.m.Step(x.now, ev) {
+		switch e := e.(type) {
+		case flow.Hold:
+			x.seq[e.To.Worker] = e.Sequence
+		case flow.Save:
+			if e.Learnt != nil {
+				x.last = e.Learnt
+			}
+			x.step(flow.Saved{Batch: e.Batch})
+		case flow.Start:
+			id := e.To.Worker
+			length := time.Duration(500+x.rng.IntN(2500)) * time.Millisecond
+			if x.steps[e.Order.Task.Job].LongRunning {
+				length = time.Hour
+			}
+			x.runs[id] = append(x.runs[id], mixedRun{e.Order.Task, e.Order.Run, x.now, x.now.Add(length), 100})
+			x.step(flow.StartAnswered{Worker: id, Order: e.Order, Clock: x.now.UnixMilli()})
+		case flow.Stop:
+			x.end(e.To.Worker, func(r mixedRun) bool { return r.task == e.Order.Task }, infra.Stopped)
+		case flow.Pace:
+			for i, r := range x.runs[e.To.Worker] {
+				if r.task == e.Order.Task {
+					x.runs[e.To.Worker][i].pace = e.Order.Percent
+				}
+			}
+		default:
+		}
+	}
+}
+
+// end reports the runs that match as ended.
+func (x *mixed) end(id fleet.WorkerID, match func(mixedRun) bool, how infra.Outcome) []infra.End {
+	var ended []infra.End
+	kept := x.runs[id][:0:0]
+	for _, r := range x.runs[id] {
+		if !match(r) {
+			kept = append(kept, r)
+			continue
+		}
+		x.ends[id]++
+		ended = append(ended, infra.End{Number: x.ends[id], Task: r.task, Run: r.run, Outcome: how})
+	}
+	x.runs[id] = kept
+	return ended
+}
+
+func (x *mixed) submit(s infra.Step) {
+	x.jobs++
+	j := oneStep(fmt.Sprintf("%016x", x.jobs), s)
+	x.steps[j.ID] = s
+	x.step(flow.Submitted{Job: j})
+}
+
+// tail returns the tail of a serving run in milliseconds.
+func (x *mixed) tail(id fleet.WorkerID, r mixedRun) float64 {
+	s := x.steps[r.task.Job]
+	phase := float64(len(r.task.Job)) + 2*math.Pi*x.now.Sub(time.Unix(1000, 0)).Seconds()/14
+	slack := 2.5 + math.Sin(phase)
+	for _, o := range x.runs[id] {
+		if f := x.steps[o.task.Job]; f.Filler {
+			// A figure is about the last half second.
+			seen := min(1, x.now.Sub(o.from).Seconds()/0.5)
+			slack -= x.weight[[2]string{s.Image, f.Image}] * float64(f.Size.MilliCPU) / 64000 * float64(o.pace) / 100 * seen
+		}
+	}
+	slack = max(0.1, slack*(1+0.1*x.rng.NormFloat64()))
+	return 50 / slack
+}
+
+func (x *mixed) report(id fleet.WorkerID) {
+	r := infra.Report{Clock: x.now.UnixMilli()}
+	r.Ended = x.end(id, func(r mixedRun) bool { return !x.now.Before(r.ends) }, infra.Done)
+	for _, run := range x.runs[id] {
+		row := infra.Running{Task: run.task, Run: run.run, Percent: 100, Figure: 7000}
+		if s := x.steps[run.task.Job]; s.TailTarget > 0 {
+			row.Figure = x.tail(id, run)
+		} else {
+			row.Percent = int(100 * x.now.Sub(run.from) / run.ends.Sub(run.from))
+		}
+		r.Running = append(r.Running, row)
+	}
+	x.step(flow.Held{Worker: id, Sequence: x.seq[id], Report: r})
+}
+
+// What is learnt of pairs of images must stay a possible figure however many reports there are: with 2,700 serving tasks the
+// weights grew without bound, and every filler was moved each half second (20,500 of 49,500 runs).
+func TestLearntWeightsStayBounded(t *testing.T) {
+	x := &mixed{
+		m: flow.New(7), rng: rand.New(rand.NewPCG(3, 5)), now: time.Unix(1000, 0), seq: make(map[fleet.WorkerID]int64),
+		ends: make(map[fleet.WorkerID]int64), runs: make(map[fleet.WorkerID][]mixedRun), steps: make(map[fleet.JobID]infra.Step),
+		weight: make(map[[2]string]float64),
+	}
+	for s := range servingImages {
+		for f := range fillerImages {
+			w := 0.5
+			if x.rng.Float64() < 0.6 {
+				w = 4.5
+			}
+			x.weight[[2]string{fmt.Sprint("s", s), fmt.Sprint("f", f)}] = w
+		}
+	}
+	x.step(flow.Tick{Wall: x.now})
+	x.step(flow.Restored{})
+	x.step(flow.Configured{Catalog: &infra.Catalog{
+		Version: 1, Services: []infra.Service{{Name: "pool"}},
+		Queues: []infra.Queue{{Name: "batch", Service: "pool", MaxAttempts: 3, Stretch: 2, Objective: time.Second}},
+	}})
+	var ids []fleet.WorkerID
+	for i := range mixedWorkers {
+		w := poolWorker(fmt.Sprintf("w%02d", i))
+		w.Capacity = fleet.Resources{MilliCPU: 64000, MemoryBytes: 250 << 30}
+		ids = append(ids, w.ID)
+		x.step(flow.WorkerSeen{Worker: w})
+	}
+	x.now = x.now.Add(50 * time.Millisecond)
+	x.step(flow.Tick{Wall: x.now})
+	for _, id := range ids {
+		x.report(id)
+	}
+	for n := range 16 {
+		x.submit(infra.Step{
+			Count: 6, Size: fleet.Resources{MilliCPU: 13000, MemoryBytes: 1 << 30}, LongRunning: true, Image: fmt.Sprint("s", n%servingImages),
+			TailTarget: 50 * time.Millisecond, Estimate: time.Second,
+		})
+	}
+	for tick := range 8000 {
+		x.now = x.now.Add(25 * time.Millisecond)
+		if tick%3 == 0 {
+			x.submit(infra.Step{
+				Count: 6, Size: fleet.Resources{MilliCPU: 7000, MemoryBytes: 1 << 30}, Filler: true, Estimate: time.Second,
+				Image: fmt.Sprint("f", x.rng.IntN(fillerImages)),
+			})
+		}
+		x.step(flow.Tick{Wall: x.now})
+		x.report(ids[tick%mixedWorkers])
+	}
+	assert.Equal(t, len(x.last), servingImages)
+	wrong := 0
+	for _, image := range x.last {
+		for _, p := range image.Pairs {
+			assert.Assert(t, p.Variance >= 0 && p.Weight > -2 && p.Weight < 12, "%s beside %s: weight %v, variance %v", image.Image, p.Image, p.Weight, p.Variance)
+			if truth := x.weight[[2]string{image.Image, p.Image}]; (p.Weight > 2.5) != (truth > 2.5) {
+				wrong++
+			}
+		}
+	}
+	assert.Assert(t, wrong <= servingImages*fillerImages/5, "%d pairs are on the wrong side", wrong)
+}
