--- a/coord/flow/worker.go
+++ b/coord/flow/worker.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -68,6 +69,13 @@
 	over  time.Time
 }
 
+func compareRuns(a, b *run) int {
+	return cmp.Or(
+		cmp.Compare(a.id.Job, b.id.Job), cmp.Compare(a.id.Occurrence, b.id.Occurrence),
+		cmp.Compare(a.id.Step, b.id.Step), cmp.Compare(a.id.Index, b.id.Index),
+	)
+}
+
 // worker is one life of a worker.
 type worker struct {
 	infra.Worker
