hosted: a configuration is fetched from one peer instead of sent to all

Change: peers tell only the version that they hold; a process that the store has not brought it within 0.4 s asks one of them, and the next if that gives no answer within 1 s.

--- a/coord/wire/codec.go
+++ b/coord/wire/codec.go
@@ -55,6 +55,8 @@
 	Reply{}.kind():         decodeAs[Reply],
 	Elected{}.kind():       decodeAs[Elected],
 	CatalogDoc{}.kind():    decodeAs[CatalogDoc],
+	CatalogHave{}.kind():   decodeAs[CatalogHave],
+	CatalogWant{}.kind():   decodeAs[CatalogWant],
 }
 
 func decodeAs[T Message](data []byte) (Message, error) {
--- a/coord/wire/hosted.go
+++ b/coord/wire/hosted.go
@@ -74,7 +74,17 @@
 	Data    []byte `cbor:"data"`
 }
 
-func (Ask) kind() string        { return "ask" }
-func (Reply) kind() string      { return "reply" }
-func (Elected) kind() string    { return "elected" }
-func (CatalogDoc) kind() string { return "catalog_doc" }
+// CatalogHave tells which version of the operator's configuration a process holds.
+type CatalogHave struct {
+	Version int64 `cbor:"version"`
+}
+
+// CatalogWant asks for the configuration that a process holds, which answers with [CatalogDoc].
+type CatalogWant struct{}
+
+func (Ask) kind() string         { return "ask" }
+func (Reply) kind() string       { return "reply" }
+func (Elected) kind() string     { return "elected" }
+func (CatalogDoc) kind() string  { return "catalog_doc" }
+func (CatalogHave) kind() string { return "catalog_have" }
+func (CatalogWant) kind() string { return "catalog_want" }
--- a/entryd/hosted/app.go
+++ b/entryd/hosted/app.go
@@ -122,14 +122,7 @@
 }
 
 func newCatalogs(p Platform, mesh *peers.Mesh, s *leader.Scheduler, log *slog.Logger) *Catalogs {
-	c := &Catalogs{store: p.Store, format: p.Format, mesh: mesh, log: log}
-	c.onNewer = func(next *infra.Catalog) {
-		s.Configure(next)
-		for _, peer := range mesh.Up() {
-			c.Offer(peer)
-		}
-	}
-	return c
+	return NewCatalogs(p.Store, p.Format, mesh, log, s.Configure)
 }
 
 // membership gives the group what it tells of; the context is that of the running process.
@@ -188,7 +181,7 @@
 		if !up {
 			return
 		}
-		c.Offer(peer)
+		c.Announce(peer)
 		if seat, known := group.Seat(); known {
 			if err := mesh.Send(peer, wire.Elected{EntryHost: seat.EntryHost, Token: seat.Token}); err != nil {
 				return
--- a/entryd/hosted/catalog.go
+++ b/entryd/hosted/catalog.go
@@ -12,23 +12,44 @@
 	"lovagefork.example/coord/infra"
 	"lovagefork.example/coord/store"
 	"lovagefork.example/coord/wire"
-	"lovagefork.example/entryd/peers"
 )
 
-// catalogPause is the pause before the configuration is read again after a watch has ended.
-const catalogPause = 100 * time.Millisecond
+const (
+	// catalogPause is the pause before the configuration is read again after a watch has ended.
+	catalogPause = 100 * time.Millisecond
+	// fetchDelay is how long the store has to bring a version before a peer is asked for it; the bound for a version to be in
+	// force is 2 s.
+	fetchDelay = 400 * time.Millisecond
+	// fetchTimeout bounds a call for a configuration of half a megabyte over a link of 10 Mbit/s.
+	fetchTimeout = time.Second
+)
+
+// links are the connections to the other entry processes.
+type links interface {
+	Send(to fleet.EntryHostID, msg wire.Message) error
+	Broadcast(msg wire.Message)
+	Call(ctx context.Context, to fleet.EntryHostID, msg wire.Message) (wire.Message, error)
+}
 
 // Catalogs holds the operator's configuration; its version only rises within one process.
 type Catalogs struct {
 	store   store.Client
 	format  infra.Format
-	mesh    *peers.Mesh
+	links   links
 	log     *slog.Logger
 	onNewer func(*infra.Catalog)
 
 	mu      sync.Mutex
 	current *infra.Catalog
 	data    []byte
+	// holders are the peers that have told of a newer version, while fetching is set.
+	holders  []holder
+	fetching bool
+}
+
+// NewCatalogs returns the configuration as followed in a store and over links; onNewer is told of each newer version.
+func NewCatalogs(client store.Client, format infra.Format, l links, log *slog.Logger, onNewer func(*infra.Catalog)) *Catalogs {
+	return &Catalogs{store: client, format: format, links: l, log: log, onNewer: onNewer}
 }
 
 // Current returns the configuration in force, or nil before the first one.
@@ -74,7 +95,7 @@
 	return page.Revision, nil
 }
 
-// apply takes up a configuration that is newer than the one in force, and passes it on to the peers.
+// apply takes up a configuration that is newer than the one in force, and tells the peers of it.
 func (c *Catalogs) apply(data []byte, source string) {
 	next, err := c.format.Catalog(data)
 	if err != nil {
@@ -90,29 +111,96 @@
 	c.mu.Unlock()
 	c.log.Info("catalog: in force", "version", next.Version, "queues", len(next.Queues), "source", source)
 	c.onNewer(next)
+	c.links.Broadcast(wire.CatalogHave{Version: next.Version})
 }
 
-// Answer handles configurations that peers pass on.
+// Answer handles what peers tell of their configuration and ask for.
 func (c *Catalogs) Answer(_ context.Context, from fleet.EntryHostID, m wire.Message) wire.Message {
-	doc, ok := m.(wire.CatalogDoc)
-	if !ok {
+	switch m := m.(type) {
+	case wire.CatalogHave:
+		c.hear(from, m.Version)
+		return wire.Ack{}
+	case wire.CatalogWant:
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.current == nil {
+			return wire.CatalogDoc{}
+		}
+		return wire.CatalogDoc{Version: c.current.Version, Data: c.data}
+	default:
 		return nil
 	}
-	if current := c.Current(); current == nil || doc.Version > current.Version {
-		c.apply(doc.Data, "peer "+string(from))
+}
+
+// Announce tells a peer which version is in force here.
+func (c *Catalogs) Announce(to fleet.EntryHostID) {
+	current := c.Current()
+	if current == nil {
+		return
+	}
+	if err := c.links.Send(to, wire.CatalogHave{Version: current.Version}); err != nil {
+		c.log.Debug("catalog: peer not told", "peer", to, "error", err)
 	}
-	return wire.Ack{}
 }
 
-// Offer sends the configuration in force to a peer.
-func (c *Catalogs) Offer(to fleet.EntryHostID) {
+// hear takes note of a peer's version. A newer one is fetched from that peer if the store has not brought it soon: a
+// configuration may have half a megabyte, which takes a small entry host half a second for each copy.
+func (c *Catalogs) hear(from fleet.EntryHostID, version int64) {
 	c.mu.Lock()
-	current, data := c.current, c.data
-	c.mu.Unlock()
-	if current == nil {
+	defer c.mu.Unlock()
+	if c.current != nil && version <= c.current.Version {
 		return
 	}
-	if err := c.mesh.Send(to, wire.CatalogDoc{Version: current.Version, Data: data}); err != nil {
-		c.log.Debug("catalog: not passed on", "peer", to, "error", err)
+	c.holders = append(c.holders, holder{peer: from, version: version})
+	if c.fetching {
+		return
+	}
+	c.fetching = true
+	wait := fetchDelay
+	if c.current == nil {
+		wait = 0
+	}
+	go c.fetch(wait)
+}
+
+// holder is a peer that has told of a version.
+type holder struct {
+	peer    fleet.EntryHostID
+	version int64
+}
+
+// fetch asks the peers that hold a newer version for it, one after the other, until it is in force.
+func (c *Catalogs) fetch(wait time.Duration) {
+	pause(context.Background(), wait)
+	for {
+		peer, found := c.nextHolder()
+		if !found {
+			return
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+		answer, err := c.links.Call(ctx, peer, wire.CatalogWant{})
+		cancel()
+		doc, ok := answer.(wire.CatalogDoc)
+		switch {
+		case err != nil:
+			c.log.Warn("catalog: not fetched", "peer", peer, "error", err)
+		case ok && doc.Version > 0:
+			c.apply(doc.Data, "peer "+string(peer))
+		}
+	}
+}
+
+// nextHolder takes a peer that holds a newer version than the one in force; without one the fetch is over.
+func (c *Catalogs) nextHolder() (fleet.EntryHostID, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for len(c.holders) > 0 {
+		h := c.holders[0]
+		c.holders = c.holders[1:]
+		if c.current == nil || h.version > c.current.Version {
+			return h.peer, true
+		}
 	}
+	c.fetching = false
+	return "", false
 }
