--- a/coord/flow/flow_test.go
+++ b/coord/flow/flow_test.go
@@ -196,9 +196,8 @@
 	assert.Equal(t, len(placed["y"]), 1)
 }
 
-// A filler image that pushes a serving task over its target is moved or slowed within the time that callers allow, and is
-// not placed beside it again.
-func TestFillersThatDisturbAreKeptAway(t *testing.T) {
+// besideServing returns a worker with a serving task that is well under its target, and a filler that has not started yet.
+func besideServing(t *testing.T) (*bench, infra.Running, infra.Step) {
 	b := newBench(t, flow.Restored{}, poolWorker("a"))
 	b.report("a", infra.Report{})
 	b.step(flow.Submitted{Job: oneStep("s", serving("x"))})
@@ -211,6 +210,14 @@
 		b.report("a", infra.Report{Running: []infra.Running{serves}})
 		b.pass(500 * time.Millisecond)
 	}
+	b.out = nil
+	return b, serves, filler
+}
+
+// A filler image that pushes a serving task over its target is moved or slowed within the time that callers allow, and is
+// not placed beside it again.
+func TestFillersThatDisturbAreKeptAway(t *testing.T) {
+	b, serves, filler := besideServing(t)
 	b.step(flow.Submitted{Job: oneStep("f", filler)})
 	b.pass(100 * time.Millisecond)
 	b.starts()
@@ -332,19 +339,7 @@
 // A filler that disturbs a serving task is moved only where another worker has room: elsewhere it would lose its progress
 // and wait. It is slowed down instead, as far as it must be.
 func TestFillerIsNotMovedToNowhere(t *testing.T) {
-	b := newBench(t, flow.Restored{}, poolWorker("a"))
-	b.report("a", infra.Report{})
-	b.step(flow.Submitted{Job: oneStep("s", serving("x"))})
-	b.pass(50 * time.Millisecond)
-	filler := infra.Step{
-		Count: 1, Size: fleet.Resources{MilliCPU: 3000, MemoryBytes: 1 << 30}, Estimate: 20 * time.Second, Filler: true, Image: "f",
-	}
-	serves := infra.Running{Task: infra.Task{Job: "s"}, Run: 1, Percent: 100, Figure: 20}
-	for range 6 {
-		b.report("a", infra.Report{Running: []infra.Running{serves}})
-		b.pass(500 * time.Millisecond)
-	}
-	b.out = nil
+	b, serves, filler := besideServing(t)
 	b.step(flow.Submitted{Job: oneStep("f", filler)})
 	b.pass(100 * time.Millisecond)
 	assert.Equal(t, len(b.starts()), 1)
--- a/coord/infra/job.go
+++ b/coord/infra/job.go
@@ -68,21 +68,6 @@
 	Submitted int64 `cbor:"submitted"`
 }
 
-// Chain returns the longest chain of estimated work of one occurrence.
-func (j Job) Chain() time.Duration {
-	ends := make([]time.Duration, len(j.Steps))
-	longest := time.Duration(0)
-	for i, s := range j.Steps {
-		start := time.Duration(0)
-		for _, a := range s.After {
-			start = max(start, ends[a])
-		}
-		ends[i] = start + s.Estimate
-		longest = max(longest, ends[i])
-	}
-	return longest
-}
-
 // InvalidJobError reports a job that can never run.
 type InvalidJobError struct {
 	Job    fleet.JobID
