flow: fillers that no other worker has room for are slowed down to a stand

Change: the slowest pace is 0, at which a filler keeps its memory and does not disturb. Measured: TestFillerIsNotMovedToNowhere failed with 10 %. Also: the stand-in for workers in TestPromisesHold answers each of several holds that wait.

--- a/coord/flow/flow_test.go
+++ b/coord/flow/flow_test.go
@@ -361,7 +361,7 @@
 		}
 		b.out = nil
 	}
-	assert.Assert(t, slowest < 40, "slowed down to %d %%", slowest)
+	assert.Equal(t, slowest, 0, "a filler that goes on working beside a task over its target harms it (HARM)")
 }
 
 // A job whose queue was removed from the configuration was accepted and must still run, also after a takeover (LOST).
--- a/coord/flow/tend.go
+++ b/coord/flow/tend.go
@@ -267,7 +267,8 @@
 	paceUnit  = 10
 	leastPace = 40
 	// slowestPace is that of a filler that no other worker has room for: a moved one would only wait, without its progress.
-	slowestPace = 10
+	// Several fillers at a tenth of their speed still push a serving task over its target at the peak of its load.
+	slowestPace = 0
 	// minRelief lets a few orders be enough where the model sees no cause.
 	minRelief = 0.1
 )
--- a/coord/flow/world_test.go
+++ b/coord/flow/world_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"lovagefork.example/coord/fleet"
@@ -118,7 +119,7 @@
 	ended     []infra.End
 	ends      int64
 	highest   map[infra.Task]infra.Run
-	waiting   *hold
+	waiting   []*hold
 	failures  map[int64]*failure
 	// drains is when the worker told that it leaves; it takes no start later than drainTime after it.
 	drains time.Time
@@ -557,8 +558,10 @@
 		f.failures[f.ends] = j.failures[id][len(j.failures[id])-1]
 	default:
 	}
-	if h := f.waiting; h != nil {
-		f.waiting = nil
+	// Holds can overtake each other, so that several wait; each is answered.
+	waiting := f.waiting
+	f.waiting = nil
+	for _, h := range waiting {
 		f.report(h)
 	}
 }
@@ -604,11 +607,11 @@
 		f.report(h)
 		return
 	}
-	f.waiting = h
+	f.waiting = append(f.waiting, h)
 	born := f.born
 	f.w.after(s.Wait, func() {
-		if f.up && f.born == born && f.waiting == h {
-			f.waiting = nil
+		if at := slices.Index(f.waiting, h); f.up && f.born == born && at >= 0 {
+			f.waiting = slices.Delete(f.waiting, at, at+1)
 			f.report(h)
 		}
 	})
@@ -655,8 +658,9 @@
 	}
 	f.up = false
 	f.runs = make(map[infra.Task]*fakeRun)
-	if h := f.waiting; h != nil {
-		f.waiting = nil
+	waiting := f.waiting
+	f.waiting = nil
+	for _, h := range waiting {
 		w.after(answerTime, func() {
 			w.step(h.o, flow.HoldFailed{Worker: id, Sequence: h.seq, Order: h.order, Err: &infra.LostError{Worker: id}})
 		})
