flow: count the load of fillers in processor time instead of shares

Cause: after a takeover a worker reports its runs before it is listed with its capacity. The share of an adopted filler was computed with the unknown capacity, up to a million times too large, and never released, because the release used the capacity of the listing.

Change: loads are kept in thousandths of a core and divided by the capacity when they are used. Nothing is learned from a worker whose capacity is unknown.

--- a/coord/flow/colocation.go
+++ b/coord/flow/colocation.go
@@ -97,10 +97,11 @@
 
 // learnInterference updates the models from the tail latencies that a worker has reported.
 func (m *Machine) learnInterference(w *worker) {
-	if len(w.servingSteps) == 0 {
+	if len(w.servingSteps) == 0 || w.Capacity.MilliCPU <= 0 {
 		return
 	}
-	w.updateLaggedShares(m.now)
+	w.updateLaggedLoad(m.now)
+	shares := w.shares(w.laggedLoad)
 	for _, r := range w.sortedRuns() {
 		if !r.isServing() || r.measurement <= 0 || m.now.Sub(r.startedAt) < latencySettleTime {
 			continue
@@ -113,7 +114,7 @@
 		if r.step.load == nil {
 			r.step.load = newLoadModel(m.now)
 		}
-		m.interferenceOf(r.step.spec.Image).update(m.now, r.step.load, w.laggedShares, headroom)
+		m.interferenceOf(r.step.spec.Image).update(m.now, r.step.load, shares, headroom)
 		m.updateHeadroom(r, headroom)
 	}
 }
@@ -130,19 +131,38 @@
 	}
 }
 
-// updateLaggedShares moves the lagged filler shares, which the tail latencies reflect, towards the current ones.
-func (w *worker) updateLaggedShares(now time.Time) {
+// updateLaggedLoad moves the lagged filler load, which the tail latencies reflect, towards the current one.
+func (w *worker) updateLaggedLoad(now time.Time) {
 	factor := math.Exp(-float64(now.Sub(w.laggedAt)) / float64(latencyLag))
 	w.laggedAt = now
-	for image, share := range w.laggedShares {
-		w.laggedShares[image] = share * factor
-		if w.laggedShares[image] < shareEpsilon {
-			delete(w.laggedShares, image)
+	for image, load := range w.laggedLoad {
+		w.laggedLoad[image] = load * factor
+		if w.laggedLoad[image] < loadEpsilon {
+			delete(w.laggedLoad, image)
 		}
 	}
-	for image, share := range w.fillerShares {
-		w.laggedShares[image] += share * (1 - factor)
+	for image, load := range w.fillerLoad {
+		w.laggedLoad[image] += load * (1 - factor)
+	}
+}
+
+// shares returns loads as fractions of the worker's capacity.
+func (w *worker) shares(loads map[string]float64) map[string]float64 {
+	shares := make(map[string]float64, len(loads))
+	for image, load := range loads {
+		shares[image] = w.shareOf(load)
+	}
+	return shares
+}
+
+// headroomLoss returns the headroom that the fillers of a worker take from the tasks of a serving image. It is called for
+// each worker and placement, so it looks up each image only once.
+func (w *worker) headroomLoss(model *interferenceModel) float64 {
+	loss := 0.0
+	for image, load := range w.fillerLoad {
+		loss += model.headroomCost(image) * load
 	}
+	return w.shareOf(loss)
 }
 
 // expectedMinHeadroom returns the lowest headroom without fillers that is expected of a serving step in the near
@@ -184,7 +204,7 @@
 		}
 	}
 	for i := range w.headroomBudgets {
-		w.headroomBudgets[i].headroom -= w.headroomBudgets[i].model.headroomLoss(w.fillerShares)
+		w.headroomBudgets[i].headroom -= w.headroomLoss(w.headroomBudgets[i].model)
 	}
 	return w.headroomBudgets
 }
@@ -220,7 +240,7 @@
 // missingHeadroom returns the headroom that a new serving task is expected to lack beside the fillers of a worker.
 func (m *Machine) missingHeadroom(w *worker, serving *infra.Step) float64 {
 	model := m.interferenceOf(serving.Image)
-	return 1 + placementMargin + model.headroomLoss(w.fillerShares) - model.lowHeadroom
+	return 1 + placementMargin + w.headroomLoss(model) - model.lowHeadroom
 }
 
 // adjustFillers slows down, moves or speeds up the fillers on all workers.
@@ -245,7 +265,7 @@
 	missing := 0.0
 	for s := range w.servingSteps {
 		model := m.interferenceOf(s.spec.Image)
-		loss := model.headroomLoss(w.fillerShares)
+		loss := w.headroomLoss(model)
 		if s.load == nil || loss == 0 {
 			continue
 		}
@@ -364,9 +384,9 @@
 
 // applySpeed accounts for a filler at a percentage of its full speed.
 func (m *Machine) applySpeed(r *run, percent int) {
-	r.worker.countShares(m.now, r, -1)
+	r.worker.countLoad(m.now, r, -1)
 	r.speedPercent = percent
 	r.excludeRunTime = true
 	r.measuredPercent, r.measuredAt, r.stalledFor = r.percent, m.now, 0
-	r.worker.countShares(m.now, r, 1)
+	r.worker.countLoad(m.now, r, 1)
 }
--- a/coord/flow/interference.go
+++ b/coord/flow/interference.go
@@ -134,16 +134,6 @@
 	return max(0, im.weights[i]+cautionDeviations*math.Sqrt(max(0, im.covariance[i][i])))
 }
 
-// headroomLoss returns the headroom that fillers with the given shares take. It is called for each worker and
-// placement, so it looks up each image only once.
-func (im *interferenceModel) headroomLoss(shares map[string]float64) float64 {
-	sum := 0.0
-	for image, share := range shares {
-		sum += im.headroomCost(image) * share
-	}
-	return sum
-}
-
 // meanDifference returns the mean difference between the weights of the filler images that both models contain.
 func (im *interferenceModel) meanDifference(other *interferenceModel) float64 {
 	sum, known := 0.0, 0
--- a/coord/flow/worker.go
+++ b/coord/flow/worker.go
@@ -109,11 +109,12 @@
 	servingSteps  map[*step]int
 	servingImages map[string]int
 	servingCPU    int64
-	// fillerShares is the share of the processors that fillers request, by image. laggedShares is its low-pass
-	// filtered value, which the reported tail latencies reflect.
-	fillerShares map[string]float64
-	laggedShares map[string]float64
-	laggedAt     time.Time
+	// fillerLoad is the processor time that fillers request at their current speed, by image. laggedLoad is its low-pass
+	// filtered value, which the reported tail latencies reflect. Both are in thousandths of a core, because the capacity
+	// of a worker is unknown until it is listed.
+	fillerLoad map[string]float64
+	laggedLoad map[string]float64
+	laggedAt   time.Time
 	runs         map[infra.TaskID]*run
 	// runsByTask is sorted by task, so that iteration is deterministic.
 	runsByTask []*run
@@ -214,7 +215,7 @@
 	at, _ := slices.BinarySearchFunc(w.runsByTask, r, compareRuns)
 	w.runsByTask = slices.Insert(w.runsByTask, at, r)
 	w.used = w.used.Add(r.size)
-	w.countShares(now, r, 1)
+	w.countLoad(now, r, 1)
 }
 
 func (w *worker) remove(now time.Time, r *run) {
@@ -224,21 +225,19 @@
 	delete(w.runs, r.id)
 	w.runsByTask = slices.DeleteFunc(w.runsByTask, func(o *run) bool { return o == r })
 	w.used = w.used.Sub(r.size)
-	w.countShares(now, r, -1)
+	w.countLoad(now, r, -1)
 }
 
-// countShares adds or removes the effect of a run on other runs; sign is 1 or -1.
-func (w *worker) countShares(now time.Time, r *run, sign int) {
+// countLoad adds or removes the effect of a run on other runs; sign is 1 or -1.
+func (w *worker) countLoad(now time.Time, r *run, sign int) {
 	w.budgetsValid = false
 	if r.fillerCPU > 0 {
-		w.updateLaggedShares(now)
-	}
-	w.fillerCPU += int64(sign) * r.fillerCPU
-	if r.fillerCPU > 0 {
+		w.updateLaggedLoad(now)
+		w.fillerCPU += int64(sign) * r.fillerCPU
 		image := r.step.spec.Image
-		w.fillerShares[image] += float64(sign) * w.share(r.fillerCPU) * r.speedFraction()
-		if w.fillerShares[image] < shareEpsilon {
-			delete(w.fillerShares, image)
+		w.fillerLoad[image] += float64(sign) * float64(r.fillerCPU) * r.speedFraction()
+		if w.fillerLoad[image] < loadEpsilon {
+			delete(w.fillerLoad, image)
 		}
 	}
 	if r.isServing() {
@@ -261,12 +260,17 @@
 // speedFraction returns the fraction of its full speed at which a run works and disturbs others.
 func (r *run) speedFraction() float64 { return float64(r.speedPercent) / fullSpeedPercent }
 
-// shareEpsilon is smaller than the share of any task. Smaller values are rounding errors.
-const shareEpsilon = 1e-6
+// loadEpsilon is less than the load of any task, in thousandths of a core. Smaller values are rounding errors.
+const loadEpsilon = 0.01
 
-// share returns processor time as a fraction of the worker's capacity.
-func (w *worker) share(milliCPU int64) float64 {
-	return float64(milliCPU) / float64(max(1, w.Capacity.MilliCPU))
+// share returns processor time as a fraction of the worker's capacity, and 0 while that is unknown.
+func (w *worker) share(milliCPU int64) float64 { return w.shareOf(float64(milliCPU)) }
+
+func (w *worker) shareOf(milliCPU float64) float64 {
+	if w.Capacity.MilliCPU <= 0 {
+		return 0
+	}
+	return milliCPU / float64(w.Capacity.MilliCPU)
 }
 
 // isServing reports whether the run has a tail latency target.
