--- a/coord/flow/worker.go
+++ b/coord/flow/worker.go
@@ -115,7 +115,7 @@
 	fillerLoad map[string]float64
 	laggedLoad map[string]float64
 	laggedAt   time.Time
-	runs         map[infra.TaskID]*run
+	runs       map[infra.TaskID]*run
 	// runsByTask is sorted by task, so that iteration is deterministic.
 	runsByTask []*run
 
