flow: slow fillers when a target has been missed for long, not on a forecast, and do not move them

Cause: fillers were slowed or stopped whenever the model predicted a headroom below 1.12.

Change: fillers are slowed once the smoothed headroom has been below 1 for half of the permitted time, and all fillers of the worker are paused once the measurements have been below 1 for three quarters of it; the permitted time is the platform's bound, which was not used. Fillers are no longer moved.

--- a/coord/flow/colocation.go
+++ b/coord/flow/colocation.go
@@ -68,13 +68,13 @@
 const (
 	// placementMargin is the headroom above 1 that must remain when a filler is placed, to cover model errors.
 	placementMargin = 0.25
-	// adjustMargin is the headroom above 1 below which fillers are slowed down or moved, and restoredMargin the
-	// headroom above 1 that this must restore.
-	adjustMargin   = 0.12
-	restoredMargin = 0.25
-	// overTargetTimeout is how long a serving task may miss its target contrary to the model before the fillers beside
-	// it are adjusted. It is well below the time after which callers are affected.
-	overTargetTimeout = 1200 * time.Millisecond
+	// slowMissShare is the share of the permitted time for which the smoothed headroom of a serving task may be too low
+	// before fillers are slowed down, and pauseMissShare that for which its measurements may be too low before all fillers
+	// beside it are paused.
+	slowMissShare  = 0.5
+	pauseMissShare = 0.75
+	// restoredMargin is the headroom above 1 that slowing down fillers must restore.
+	restoredMargin = 0.4
 	// latencySettleTime is the delay until a start or stop is visible in the tail latencies. A report covers about the
 	// last half second.
 	latencySettleTime = 700 * time.Millisecond
@@ -119,11 +119,18 @@
 	}
 }
 
+// updateHeadroom adds a measured headroom to the smoothed one, and updates since when the target is missed.
 func (m *Machine) updateHeadroom(r *run, headroom float64) {
 	if r.headroom == 0 {
 		r.headroom = headroom
 	}
 	r.headroom += headroomSmoothing * (headroom - r.headroom)
+	switch {
+	case headroom < 1 && r.missSince.IsZero():
+		r.missSince = m.now
+	case headroom >= 1 && r.headroom >= 1:
+		r.missSince = time.Time{}
+	}
 	if r.headroom >= 1 {
 		r.overTargetSince = time.Time{}
 	} else if r.overTargetSince.IsZero() {
@@ -243,7 +250,7 @@
 	return 1 + placementMargin + w.headroomLoss(model) - model.lowHeadroom
 }
 
-// adjustFillers slows down, moves or speeds up the fillers on all workers.
+// adjustFillers slows down or speeds up the fillers on all workers.
 func (m *Machine) adjustFillers() {
 	for _, w := range m.workersByID {
 		if w.fillerCPU == 0 || m.now.Sub(w.adjustedAt) < adjustInterval {
@@ -258,25 +265,21 @@
 	}
 }
 
-// protectServing slows down or moves fillers if serving tasks miss their target or are about to, and reports whether
-// they do.
+// protectServing slows down fillers if serving tasks have missed their target for too long, and reports whether they have.
+// Most misses are short, and a slowed filler delays all later steps of its job.
 func (m *Machine) protectServing(w *worker) bool {
 	var disturbed *interferenceModel
 	missing := 0.0
-	for s := range w.servingSteps {
-		model := m.interferenceOf(s.spec.Image)
-		loss := w.headroomLoss(model)
-		if s.load == nil || loss == 0 {
+	// The result does not depend on the iteration order, because the largest deficit wins.
+	for _, r := range w.runs {
+		if !r.isServing() || r.state != running {
 			continue
 		}
-		headroom := s.load.headroomAt(m.now) - loss
-		if headroom < 1+adjustMargin && 1+restoredMargin-headroom > missing {
-			disturbed, missing = model, 1+restoredMargin-headroom
+		if m.lasts(r.missSince, pauseMissShare) {
+			m.pauseFillers(w)
+			return true
 		}
-	}
-	// The result does not depend on the iteration order, because the largest deficit wins.
-	for _, r := range w.runs {
-		if r.isServing() && r.state == running && !r.overTargetSince.IsZero() && m.now.Sub(r.overTargetSince) >= overTargetTimeout && 1+restoredMargin-r.headroom > missing {
+		if m.lasts(r.overTargetSince, slowMissShare) && 1+restoredMargin-r.headroom > missing {
 			disturbed, missing = m.interferenceOf(r.step.spec.Image), 1+restoredMargin-r.headroom
 		}
 	}
@@ -287,25 +290,34 @@
 	return true
 }
 
+// lasts reports whether a miss of a target that began at some time has lasted for a share of the permitted time.
+func (m *Machine) lasts(since time.Time, share float64) bool {
+	return !since.IsZero() && m.now.Sub(since) >= time.Duration(share*float64(m.opts.maxTargetMiss))
+}
+
+// pauseFillers pauses all fillers of a worker, whatever the model attributes to them.
+func (m *Machine) pauseFillers(w *worker) {
+	for _, r := range w.fillerRuns() {
+		if r.speedPercent > minSpeedPercent {
+			m.setSpeed(r, minSpeedPercent)
+		}
+	}
+}
+
 const (
 	// adjustInterval is the pause between two adjustments of the fillers on a worker. The effect of one is visible
 	// after that time.
 	adjustInterval = 500 * time.Millisecond
-	// speedStepPercent is the granularity of a filler's speed, and moveBelowPercent the speed below which a filler is
-	// moved if another worker has room.
+	// speedStepPercent is the granularity of a filler's speed, and minSpeedPercent the lowest speed. A filler is not moved
+	// to another worker instead: it would disturb the serving tasks there.
 	speedStepPercent = 10
-	moveBelowPercent = 40
-	// minSpeedPercent is the lowest speed of a filler for which no other worker has room: if moved, it would only wait
-	// and lose its progress. Several fillers at a tenth of their speed still push a serving task over its target at its
-	// peak load.
-	minSpeedPercent = 0
+	minSpeedPercent  = 0
 	// minRecoveredHeadroom is the least headroom that pausing a filler is assumed to recover, so that a few orders
 	// suffice where the model attributes no headroom loss to the fillers.
 	minRecoveredHeadroom = 0.1
 )
 
-// reduceInterference slows down or moves the fillers that disturb a serving image most, until the missing headroom is
-// restored.
+// reduceInterference slows down the fillers that disturb a serving image most, until the missing headroom is restored.
 func (m *Machine) reduceInterference(w *worker, model *interferenceModel, missing float64) {
 	fillers := w.fillerRuns()
 	slices.SortStableFunc(fillers, func(a, b *run) int {
@@ -317,30 +329,14 @@
 		}
 		cost := max(minRecoveredHeadroom, model.headroomCost(r.step.spec.Image)*w.share(r.fillerCPU))
 		speed := r.speedFraction() - missing/cost
-		percent := int(speed*fullSpeedPercent) / speedStepPercent * speedStepPercent
-		if percent < moveBelowPercent && m.hasRoomElsewhere(r) {
-			missing -= cost * r.speedFraction()
-			m.counts.Relieved++
-			m.stop(r, "disturbs a serving task")
-			continue
-		}
-		if percent = max(percent, minSpeedPercent); percent >= r.speedPercent {
-			continue
+		percent := max(int(speed*fullSpeedPercent)/speedStepPercent*speedStepPercent, minSpeedPercent)
+		if percent < r.speedPercent {
+			missing -= cost * (r.speedFraction() - float64(percent)/fullSpeedPercent)
+			m.setSpeed(r, percent)
 		}
-		missing -= cost * (r.speedFraction() - float64(percent)/fullSpeedPercent)
-		m.setSpeed(r, percent)
 	}
 }
 
-// hasRoomElsewhere reports whether another worker could take the task of a run now.
-func (m *Machine) hasRoomElsewhere(r *run) bool {
-	clear(m.candidates)
-	ready := m.readyStepOf(r)
-	return slices.ContainsFunc(m.candidatesOf(ready.queue.Service), func(w *worker) bool {
-		return w != r.worker && m.fits(ready, w, "")
-	})
-}
-
 // raiseSpeeds raises the speed of slowed fillers, in the order of their tasks, as far as the serving tasks tolerate it.
 // It reports whether it has raised any.
 func (m *Machine) raiseSpeeds(w *worker) bool {
--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -45,6 +45,7 @@
 	leadershipTimeout time.Duration
 	retention         time.Duration
 	predecessorLease  time.Duration
+	maxTargetMiss     time.Duration
 }
 
 // Option configures a [Machine] in [New].
@@ -66,6 +67,9 @@
 // WithRetention sets how long the state of a finished job is kept.
 func WithRetention(d time.Duration) Option { return func(o *options) { o.retention = d } }
 
+// WithMaxTargetMiss sets how long fillers may keep a serving task over its target without interruption.
+func WithMaxTargetMiss(d time.Duration) Option { return func(o *options) { o.maxTargetMiss = d } }
+
 // Machine is the scheduler's state machine: [Machine.Step] applies an [Event] and returns a list of [Effect]. It is
 // not safe for concurrent use.
 type Machine struct {
@@ -148,11 +152,10 @@
 }
 
 // Counts are totals since the scheduler was elected. Lost counts unanswered starts that were not carried out, Vanished
-// runs that disappeared from a worker without an end, Stalled runs without progress or with slow progress, Relieved
-// runs that were stopped because they disturbed serving tasks, Paced changes of the speed of fillers, and Copied copies
-// of speculative tasks.
+// runs that disappeared from a worker without an end, Stalled runs without progress or with slow progress, Paced changes
+// of the speed of fillers, and Copied copies of speculative tasks.
 type Counts struct {
-	Starts, Refused, Lost, Done, Failed, Stopped, Vanished, Stalled, Relieved, Paced, Copied int64
+	Starts, Refused, Lost, Done, Failed, Stopped, Vanished, Stalled, Paced, Copied int64
 }
 
 // New returns a scheduler that issues its orders under a fencing token.
@@ -160,6 +163,7 @@
 	m := &Machine{
 		opts: options{
 			taskLease: 6 * time.Second, leadershipTimeout: 5 * time.Second, retention: 10 * time.Minute,
+			maxTargetMiss: 4 * time.Second,
 		},
 		token:               token,
 		jobs:                make(map[fleet.JobID]*job),
--- a/entryd/leader/scheduler.go
+++ b/entryd/leader/scheduler.go
@@ -134,7 +134,7 @@
 		events:    make(chan flow.Event, eventQueueSize), queries: make(chan query), stopped: make(chan struct{}),
 		machine: flow.New(leadership.leader.Token,
 			flow.WithTaskLease(s.bounds.MaxLease), flow.WithLeadershipTimeout(leaderTTL+outageTolerance), flow.WithPredecessorLease(leaderTTL),
-			flow.WithRetention(retentionFactor*s.bounds.StatusRetention)),
+			flow.WithRetention(retentionFactor*s.bounds.StatusRetention), flow.WithMaxTargetMiss(s.bounds.MaxTargetMiss)),
 	}
 	defer close(l.stopped)
 	if !l.load(ctx) {
