flow: pause fillers after half of the permitted miss, and drop the stage that slowed them

Hypothesis: the stage that slowed fillers by the model's weights is worth nothing beside the pause. Conclusion: kept for being simpler.

--- a/coord/flow/colocation.go
+++ b/coord/flow/colocation.go
@@ -1,7 +1,6 @@
 package flow
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"strconv"
@@ -68,13 +67,9 @@
 const (
 	// placementMargin is the headroom above 1 that must remain when a filler is placed, to cover model errors.
 	placementMargin = 0.25
-	// slowMissShare is the share of the permitted time for which the smoothed headroom of a serving task may be too low
-	// before fillers are slowed down, and pauseMissShare that for which its measurements may be too low before all fillers
-	// beside it are paused.
-	slowMissShare  = 0.5
-	pauseMissShare = 0.75
-	// restoredMargin is the headroom above 1 that slowing down fillers must restore.
-	restoredMargin = 0.4
+	// pauseMissShare is the share of the permitted time for which a serving task may miss its target before the fillers
+	// beside it are paused. The rest covers the age of the measurements and the time until an order takes effect.
+	pauseMissShare = 0.5
 	// latencySettleTime is the delay until a start or stop is visible in the tail latencies. A report covers about the
 	// last half second.
 	latencySettleTime = 700 * time.Millisecond
@@ -131,11 +126,6 @@
 	case headroom >= 1 && r.headroom >= 1:
 		r.missSince = time.Time{}
 	}
-	if r.headroom >= 1 {
-		r.overTargetSince = time.Time{}
-	} else if r.overTargetSince.IsZero() {
-		r.overTargetSince = m.now
-	}
 }
 
 // updateLaggedLoad moves the lagged filler load, which the tail latencies reflect, towards the current one.
@@ -250,7 +240,7 @@
 	return 1 + placementMargin + w.headroomLoss(model) - model.lowHeadroom
 }
 
-// adjustFillers slows down or speeds up the fillers on all workers.
+// adjustFillers pauses or speeds up the fillers on all workers.
 func (m *Machine) adjustFillers() {
 	for _, w := range m.workersByID {
 		if w.fillerCPU == 0 || m.now.Sub(w.adjustedAt) < adjustInterval {
@@ -265,78 +255,31 @@
 	}
 }
 
-// protectServing slows down fillers if serving tasks have missed their target for too long, and reports whether they have.
-// Most misses are short, and a slowed filler delays all later steps of its job.
+// protectServing pauses the fillers beside a serving task that has missed its target for too long, and reports whether there
+// is such a task. Most misses are short, and a paused filler delays all later steps of its job.
 func (m *Machine) protectServing(w *worker) bool {
-	var disturbed *interferenceModel
-	missing := 0.0
-	// The result does not depend on the iteration order, because the largest deficit wins.
-	for _, r := range w.runs {
-		if !r.isServing() || r.state != running {
-			continue
-		}
-		if m.lasts(r.missSince, pauseMissShare) {
-			m.pauseFillers(w)
-			return true
-		}
-		if m.lasts(r.overTargetSince, slowMissShare) && 1+restoredMargin-r.headroom > missing {
-			disturbed, missing = m.interferenceOf(r.step.spec.Image), 1+restoredMargin-r.headroom
-		}
-	}
-	if disturbed == nil {
+	limit := time.Duration(pauseMissShare * float64(m.opts.maxTargetMiss))
+	if !slices.ContainsFunc(w.runsByTask, func(r *run) bool {
+		return r.isServing() && r.state == running && !r.missSince.IsZero() && m.now.Sub(r.missSince) >= limit
+	}) {
 		return false
 	}
-	m.reduceInterference(w, disturbed, missing)
-	return true
-}
-
-// lasts reports whether a miss of a target that began at some time has lasted for a share of the permitted time.
-func (m *Machine) lasts(since time.Time, share float64) bool {
-	return !since.IsZero() && m.now.Sub(since) >= time.Duration(share*float64(m.opts.maxTargetMiss))
-}
-
-// pauseFillers pauses all fillers of a worker, whatever the model attributes to them.
-func (m *Machine) pauseFillers(w *worker) {
 	for _, r := range w.fillerRuns() {
-		if r.speedPercent > minSpeedPercent {
-			m.setSpeed(r, minSpeedPercent)
+		if r.speedPercent > 0 {
+			m.setSpeed(r, 0)
 		}
 	}
+	return true
 }
 
 const (
 	// adjustInterval is the pause between two adjustments of the fillers on a worker. The effect of one is visible
 	// after that time.
 	adjustInterval = 500 * time.Millisecond
-	// speedStepPercent is the granularity of a filler's speed, and minSpeedPercent the lowest speed. A filler is not moved
-	// to another worker instead: it would disturb the serving tasks there.
+	// speedStepPercent is the granularity of a filler's speed.
 	speedStepPercent = 10
-	minSpeedPercent  = 0
-	// minRecoveredHeadroom is the least headroom that pausing a filler is assumed to recover, so that a few orders
-	// suffice where the model attributes no headroom loss to the fillers.
-	minRecoveredHeadroom = 0.1
 )
 
-// reduceInterference slows down the fillers that disturb a serving image most, until the missing headroom is restored.
-func (m *Machine) reduceInterference(w *worker, model *interferenceModel, missing float64) {
-	fillers := w.fillerRuns()
-	slices.SortStableFunc(fillers, func(a, b *run) int {
-		return cmp.Compare(model.headroomCost(b.step.spec.Image)*float64(b.fillerCPU), model.headroomCost(a.step.spec.Image)*float64(a.fillerCPU))
-	})
-	for _, r := range fillers {
-		if missing <= 0 {
-			return
-		}
-		cost := max(minRecoveredHeadroom, model.headroomCost(r.step.spec.Image)*w.share(r.fillerCPU))
-		speed := r.speedFraction() - missing/cost
-		percent := max(int(speed*fullSpeedPercent)/speedStepPercent*speedStepPercent, minSpeedPercent)
-		if percent < r.speedPercent {
-			missing -= cost * (r.speedFraction() - float64(percent)/fullSpeedPercent)
-			m.setSpeed(r, percent)
-		}
-	}
-}
-
 // raiseSpeeds raises the speed of slowed fillers, in the order of their tasks, as far as the serving tasks tolerate it.
 // It reports whether it has raised any.
 func (m *Machine) raiseSpeeds(w *worker) bool {
--- a/coord/flow/colocation_test.go
+++ b/coord/flow/colocation_test.go
@@ -84,9 +84,10 @@
 }
 
 // Fillers must not keep a serving task over its target until the permitted time is over.
-func TestLastingTargetMissSlowsFillers(t *testing.T) {
+func TestLastingTargetMissPausesFillers(t *testing.T) {
 	c := newColocated(t, 2)
 	c.reportTail(3750*time.Millisecond, tailTarget*5/4)
-	lowest, _ := c.slowed()
-	assert.Assert(t, lowest < 100)
+	lowest, fillers := c.slowed()
+	assert.Equal(t, lowest, 0)
+	assert.Equal(t, fillers, 2)
 }
--- a/coord/flow/worker.go
+++ b/coord/flow/worker.go
@@ -69,11 +69,10 @@
 	// learnedMeasurement is the last measurement that the interference model was updated from, at learnedAt.
 	learnedMeasurement float64
 	learnedAt          time.Time
-	// headroom is the smoothed target / tail latency of a serving task, and overTargetSince when it fell below 1. missSince
-	// is when the measurements fell below 1; it ends when the smoothed headroom has also recovered.
-	headroom        float64
-	overTargetSince time.Time
-	missSince       time.Time
+	// headroom is the smoothed target / tail latency of a serving task. missSince is when its measurements fell below 1; a
+	// miss ends when the smoothed headroom has also recovered.
+	headroom  float64
+	missSince time.Time
 }
 
 func compareRuns(a, b *run) int {
