flow: learn weights from the differences between the tasks of a step

Cause: the weights of a serving image were corrected together with the load of the step, from one residual.

Change: an observation is compared with the mean of the other tasks of its step on other workers, at most 500 ms old. Weights are not negative. Only a step without other tasks is still compared with the predicted load.

--- a/coord/flow/colocation.go
+++ b/coord/flow/colocation.go
@@ -109,11 +109,31 @@
 		if r.step.load == nil {
 			r.step.load = newLoadModel(m.now)
 		}
-		m.interferenceOf(r.step.spec.Image).update(m.now, r.step.load, shares, headroom)
+		r.observation = observation{at: m.now, headroom: headroom, shares: shares}
+		others, alone := m.comparable(r)
+		m.interferenceOf(r.step.spec.Image).learn(m.now, r.step.load, r.observation, others, alone)
 		m.updateHeadroom(r, headroom)
 	}
 }
 
+// comparable returns the recent observations of other tasks of a run's step on other workers. alone reports whether there
+// are no such tasks.
+func (m *Machine) comparable(r *run) (recent []observation, alone bool) {
+	alone = true
+	for i := range r.step.tasks {
+		for _, other := range r.step.tasks[i].runs {
+			if other.worker == r.worker {
+				continue
+			}
+			alone = false
+			if m.now.Sub(other.observation.at) <= comparisonWindow && !other.observation.saturated() {
+				recent = append(recent, other.observation)
+			}
+		}
+	}
+	return recent, alone
+}
+
 // updateHeadroom adds a measured headroom to the smoothed one, and updates since when the target is missed.
 func (m *Machine) updateHeadroom(r *run, headroom float64) {
 	if r.headroom == 0 {
--- a/coord/flow/interference.go
+++ b/coord/flow/interference.go
@@ -26,11 +26,15 @@
 	cautionDeviations = 0.3
 
 	// reportNoise is the relative standard error of a report, and minHeadroomError the minimum error of a headroom.
+	// comparisonNoise replaces reportNoise between two tasks, whose interference also varies from second to second.
 	reportNoise      = 0.1
+	comparisonNoise  = 0.25
 	minHeadroomError = 0.05
 	// saturatedHeadroom is the headroom below which tail latencies saturate and no longer indicate how much capacity is
 	// missing.
 	saturatedHeadroom = 0.25
+	// comparisonWindow is the maximum age of an observation that is compared with a new one.
+	comparisonWindow = 500 * time.Millisecond
 
 	// initialHeadroom is the assumed headroom of a step without reports.
 	initialHeadroom = 2
@@ -152,45 +156,111 @@
 	return min(headroom, max(im.lowHeadroom, headroom+load.trend*lookAhead.Seconds()))
 }
 
-// update corrects the weights of a serving image and the load model of a step from a headroom that was observed beside
-// fillers with the given shares.
-func (im *interferenceModel) update(now time.Time, load *loadModel, shares map[string]float64, headroom float64) {
-	for image := range shares {
-		im.imageIndex(image)
+// observation is the headroom of a serving task beside fillers with the given shares of its worker's processors.
+type observation struct {
+	at       time.Time
+	headroom float64
+	shares   map[string]float64
+}
+
+// variance returns the variance of the observed headroom for a relative standard error.
+func (o observation) variance(noise float64) float64 {
+	deviation := minHeadroomError + noise*o.headroom
+	return deviation * deviation
+}
+
+func (o observation) saturated() bool { return o.headroom < saturatedHeadroom }
+
+// reference is the headroom, its variance and the mean filler shares with which an observation is compared.
+type reference struct {
+	headroom, variance float64
+	shares             map[string]float64
+}
+
+// meanOf returns the mean of observations. It must not be called without any.
+func meanOf(observations []observation) reference {
+	n := float64(len(observations))
+	mean := reference{shares: make(map[string]float64)}
+	for _, o := range observations {
+		mean.headroom += o.headroom / n
+		mean.variance += o.variance(comparisonNoise) / (n * n)
+		for image, share := range o.shares {
+			mean.shares[image] += share / n
+		}
 	}
+	return mean
+}
+
+// learn updates the load model of a step and the weights of its image from an observation of one of its tasks. The tasks of
+// a step have the same load, so the difference to the mean of the others is due to their fillers. If the step has no other
+// tasks, the observation is compared with the load that the model predicts; that is less reliable, because an error of the
+// load then appears as interference.
+func (im *interferenceModel) learn(now time.Time, load *loadModel, o observation, others []observation, alone bool) {
 	im.addDrift(now)
 	load.advance(now)
-	x := make([]float64, len(im.weights))
-	for image, share := range shares {
-		x[im.imageIndex(image)] += share
+	own := im.vector(o.shares)
+	expected, variance := load.headroom, o.variance(reportNoise)+load.covariance[0][0]
+	for i := range own {
+		expected -= im.weights[i] * own[i]
+		for j := range own {
+			variance += own[i] * im.covariance[i][j] * own[j]
+		}
+	}
+	if o.saturated() {
+		if expected >= saturatedHeadroom {
+			load.correct(o.headroom-expected, variance)
+		}
+		return
+	}
+	switch {
+	case len(others) > 0:
+		im.compare(o, meanOf(others))
+	case alone:
+		im.compare(o, reference{headroom: load.headroom, variance: load.covariance[0][0]})
+	}
+	load.correct(o.headroom-expected, variance)
+	if load.headroom < im.lowHeadroom {
+		im.lowHeadroom -= lowHeadroomStep * (1 - lowQuantile)
+	} else {
+		im.lowHeadroom += lowHeadroomStep * lowQuantile
 	}
-	predicted := load.headroom
-	noise := minHeadroomError + reportNoise*headroom
-	variance := noise*noise + load.covariance[0][0]
+}
+
+// compare corrects the weights from the difference between an observation and a reference.
+func (im *interferenceModel) compare(o observation, against reference) {
+	im.vector(against.shares)
+	x := im.vector(o.shares)
+	for image, share := range against.shares {
+		x[im.imageIndex(image)] -= share
+	}
+	residual := o.headroom - against.headroom
+	variance := o.variance(comparisonNoise) + against.variance
 	gain := make([]float64, len(x))
 	for i := range x {
-		predicted -= im.weights[i] * x[i]
+		residual += im.weights[i] * x[i]
 		for j := range x {
 			gain[i] += im.covariance[i][j] * x[j]
 		}
 		variance += gain[i] * x[i]
 	}
-	if headroom < saturatedHeadroom && predicted < saturatedHeadroom {
-		return
-	}
-	residual := headroom - predicted
-	load.correct(residual, variance)
 	for i := range x {
-		im.weights[i] -= gain[i] / variance * residual
+		im.weights[i] = max(0, im.weights[i]-gain[i]/variance*residual)
 		for j := range x {
 			im.covariance[i][j] -= gain[i] * gain[j] / variance
 		}
 	}
-	if load.headroom < im.lowHeadroom {
-		im.lowHeadroom -= lowHeadroomStep * (1 - lowQuantile)
-	} else {
-		im.lowHeadroom += lowHeadroomStep * lowQuantile
+}
+
+// vector returns shares in the order of the weights, and adds the images that are new.
+func (im *interferenceModel) vector(shares map[string]float64) []float64 {
+	for image := range shares {
+		im.imageIndex(image)
+	}
+	x := make([]float64, len(im.weights))
+	for image, share := range shares {
+		x[im.imageIndex(image)] += share
 	}
+	return x
 }
 
 // addDrift increases the uncertainty of the weights with time.
--- a/coord/flow/interference_test.go
+++ b/coord/flow/interference_test.go
@@ -193,3 +193,52 @@
 	}
 	assert.Assert(t, wrong <= servingImages*fillerImages/5, "%d weights are on the wrong side of the prior", wrong)
 }
+
+// Tasks of one step have the same load. When it rises faster than the model of the load predicts, the fillers beside the
+// tasks must not be blamed for it.
+func TestRisingLoadIsNotAttributedToFillers(t *testing.T) {
+	h := newHarness(t, flow.Restored{}, newPoolWorker("a"), newPoolWorker("b"))
+	h.report("a", infra.Report{})
+	h.report("b", infra.Report{})
+	h.step(flow.Submitted{Job: singleStepJob("serving", infra.Step{
+		Count: 2, Size: fleet.Resources{MilliCPU: 6000, MemoryBytes: 1 << 30}, LongRunning: true, Image: "serving", TailTarget: tailTarget,
+		Estimate: time.Second,
+	})})
+	h.step(flow.Submitted{Job: singleStepJob("filler", infra.Step{
+		Count: 2, Size: fleet.Resources{MilliCPU: 1000, MemoryBytes: 1 << 30}, Filler: true, Image: "filler", Estimate: time.Hour,
+	})})
+	h.advance(50 * time.Millisecond)
+	running := make(map[fleet.WorkerID][]infra.ActiveRun)
+	for _, s := range h.starts() {
+		h.step(flow.StartAnswered{Worker: s.To.Worker, Order: s.Order, Clock: h.now.UnixMilli()})
+		running[s.To.Worker] = append(running[s.To.Worker], infra.ActiveRun{Task: s.Order.Task, Run: s.Order.Run})
+	}
+	assert.Equal(t, len(running), 2)
+	for n := range 10 {
+		h.advance(500 * time.Millisecond)
+		tail := 12 * math.Pow(1.14, float64(n))
+		for id, runs := range running {
+			for i := range runs {
+				runs[i].Progress++
+				if runs[i].Task.Job == "serving" {
+					runs[i].Measurement = tail
+				}
+			}
+			h.report(id, infra.Report{Running: runs})
+		}
+	}
+	saved := false
+	for _, e := range h.effects {
+		s, ok := e.(flow.Save)
+		if !ok {
+			continue
+		}
+		for _, image := range s.Interference {
+			for _, p := range image.Pairs {
+				saved = true
+				assert.Assert(t, p.Weight < 2.6, "weight %v", p.Weight)
+			}
+		}
+	}
+	assert.Assert(t, saved)
+}
--- a/coord/flow/worker.go
+++ b/coord/flow/worker.go
@@ -69,6 +69,8 @@
 	// learnedMeasurement is the last measurement that the interference model was updated from, at learnedAt.
 	learnedMeasurement float64
 	learnedAt          time.Time
+	// observation is the last one that the interference model has learned from.
+	observation observation
 	// headroom is the smoothed target / tail latency of a serving task. missSince is when its measurements fell below 1; a
 	// miss ends when the smoothed headroom has also recovered.
 	headroom  float64
