flow: resume fillers that a predecessor paused

Cause: an adopted run was assumed to work at full speed.

Change: an adopted filler that uses less than half of its processor time counts as paused, and is raised like any other.

--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -347,6 +347,9 @@
 	}
 }
 
+// pausedUseShare is the share of its requested processor time below which an adopted filler is assumed to be paused.
+const pausedUseShare = 0.5
+
 // adopt takes over a run that this scheduler did not start, or stops it if the task must not run there.
 func (m *Machine) adopt(w *worker, row infra.ActiveRun, clock int64) {
 	s, t := m.lookupTask(row.Task)
@@ -368,6 +371,9 @@
 	r.step, r.occ, r.size = s, o, s.spec.Reserved()
 	if s.spec.Filler {
 		r.fillerCPU = s.spec.Size.MilliCPU
+		if row.Measurement < pausedUseShare*float64(r.fillerCPU) {
+			r.speedPercent = 0
+		}
 	}
 	t.lastRun = max(t.lastRun, row.Run)
 	if row.Checkpoint != "" {
--- a/coord/flow/takeover_test.go
+++ b/coord/flow/takeover_test.go
@@ -51,3 +51,30 @@
 	assert.Equal(t, len(started), 1)
 	assert.Equal(t, started[0].Order.Task.Job, fleet.JobID("new"))
 }
+
+// A filler that a predecessor paused makes no progress until a successor resumes it. It was taken for a stalled one, which
+// lost its work and kept new tasks from its worker.
+func TestPausedFillersAreResumedAfterTakeover(t *testing.T) {
+	filler := infra.Step{
+		Count: 1, Size: fleet.Resources{MilliCPU: 1000, MemoryBytes: 1 << 30}, Filler: true, Image: "filler", Estimate: time.Second,
+	}
+	h := newHarness(t, flow.Restored{
+		Jobs: []flow.StoredJob{{Job: singleStepJob("j", filler)}}, Roster: []flow.RosterEntry{{Worker: "a", Address: "a:1"}}, Term: 1,
+	}, newPoolWorker("a"))
+	paused := infra.ActiveRun{Task: infra.TaskID{Job: "j"}, Run: 1, Progress: 50}
+	for range 6 {
+		h.report("a", infra.Report{Running: []infra.ActiveRun{paused}})
+		h.advance(250 * time.Millisecond)
+	}
+	resumed := false
+	for _, e := range h.effects {
+		switch e := e.(type) {
+		case flow.Throttle:
+			resumed = resumed || e.Order.SpeedPercent == 100
+		case flow.Stop:
+			assert.Assert(t, resumed, "stopped: %v", e)
+		default:
+		}
+	}
+	assert.Assert(t, resumed)
+}
