--- a/bench/plays/report.go
+++ b/bench/plays/report.go
@@ -2,14 +2,16 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"os"
 	"regexp"
 	"strconv"
 )
 
-// Result is the outcome of one play of a day. Worth and the shares in ByClass are fractions of what callers are owed;
-// Stopped and Runs count runs of tasks.
+// Result is the outcome of one play of a day. Worth and the shares in ByClass are fractions of what callers are owed; Runs
+// and Stopped count runs of tasks, Throttles orders that changed the speed of one, and LateS is the time for which serving
+// tasks were over their target, in seconds.
 type Result struct {
 	Site      string             `json:"site"`
 	Day       string             `json:"day"`
@@ -92,21 +94,26 @@
 		}
 	}
 	for _, h := range in.Hints {
-		if m := runsPattern.FindStringSubmatch(h); m != nil {
-			r.Runs, r.Stopped = number(m[1]), number(m[2])
-		}
-		if m := throttlesPattern.FindStringSubmatch(h); m != nil {
-			r.Throttles, r.LateS = number(m[1]), number(m[2])
+		if err := r.addHint(h); err != nil {
+			return &ReportError{r.Day, r.Seed, err}
 		}
 	}
 	return nil
 }
 
-// number converts digits that a pattern has matched.
-func number(digits string) int {
-	n, err := strconv.Atoi(digits)
-	if err != nil {
-		return 0
+// addHint adds the figures of a line of the report that is written for people.
+func (r *Result) addHint(line string) error {
+	var err error
+	read := func(digits string) int {
+		n, convErr := strconv.Atoi(digits)
+		err = errors.Join(err, convErr)
+		return n
+	}
+	if m := runsPattern.FindStringSubmatch(line); m != nil {
+		r.Runs, r.Stopped = read(m[1]), read(m[2])
+	}
+	if m := throttlesPattern.FindStringSubmatch(line); m != nil {
+		r.Throttles, r.LateS = read(m[1]), read(m[2])
 	}
-	return n
+	return err
 }
