flow: resume fillers when their pause has not helped

Cause: fillers were paused as long as a serving task beside them missed its target, also if it missed it by itself, as on a slow worker. They were no longer moved either, so that their jobs could wait without end.

Change: a pause that has not ended the miss after half of the permitted time is followed by as long a time at full speed. Fillers never work for the whole permitted time of a miss.

--- a/coord/flow/colocation.go
+++ b/coord/flow/colocation.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"strconv"
 	"time"
 
@@ -275,21 +274,40 @@
 	}
 }
 
-// protectServing pauses the fillers beside a serving task that has missed its target for too long, and reports whether there
-// is such a task. Most misses are short, and a paused filler delays all later steps of its job.
+// protectServing pauses the fillers beside a serving task that has missed its target for too long, and reports whether it has
+// changed or must keep their speed. Most misses are short, and a paused filler delays all later steps of its job. If a pause
+// does not help, the fillers work for as long as they were paused; otherwise they would never complete beside a task that
+// misses its target by itself.
 func (m *Machine) protectServing(w *worker) bool {
 	limit := time.Duration(pauseMissShare * float64(m.opts.maxTargetMiss))
-	if !slices.ContainsFunc(w.runsByTask, func(r *run) bool {
-		return r.isServing() && r.state == running && !r.missSince.IsZero() && m.now.Sub(r.missSince) >= limit
-	}) {
-		return false
+	missed, helpless := false, false
+	for _, r := range w.runsByTask {
+		if !r.isServing() || r.state != running || r.missSince.IsZero() {
+			continue
+		}
+		switch miss := m.now.Sub(r.missSince); {
+		case miss >= 2*limit:
+			r.missSince, helpless = m.now, true
+		case miss >= limit:
+			missed = true
+		}
+	}
+	switch {
+	case missed:
+		m.setSpeeds(w, 0)
+	case helpless:
+		m.setSpeeds(w, fullSpeedPercent)
 	}
+	return missed || helpless
+}
+
+// setSpeeds orders all fillers of a worker to run at a percentage of their full speed.
+func (m *Machine) setSpeeds(w *worker, percent int) {
 	for _, r := range w.fillerRuns() {
-		if r.speedPercent > 0 {
-			m.setSpeed(r, 0)
+		if r.speedPercent != percent {
+			m.setSpeed(r, percent)
 		}
 	}
-	return true
 }
 
 const (
--- a/coord/flow/colocation_test.go
+++ b/coord/flow/colocation_test.go
@@ -91,3 +91,20 @@
 	assert.Equal(t, lowest, 0)
 	assert.Equal(t, fillers, 2)
 }
+
+// A serving task may miss its target by itself, for example on a slow worker. The fillers beside it must still complete.
+func TestFillersProgressBesideTaskThatMissesItsTargetByItself(t *testing.T) {
+	c := newColocated(t, 1)
+	speed, working, total := 100, 0, 0
+	for range 80 {
+		c.effects = nil
+		c.reportTail(250*time.Millisecond, tailTarget*5/4)
+		for _, e := range c.effects {
+			if e, ok := e.(flow.Throttle); ok {
+				speed = e.Order.SpeedPercent
+			}
+		}
+		working, total = working+speed, total+100
+	}
+	assert.Assert(t, working > total/4 && working < total*3/4, "%d of %d", working, total)
+}
