--- a/bench/plays/plays.go
+++ b/bench/plays/plays.go
@@ -10,11 +10,12 @@
 	"path/filepath"
 	"strconv"
 	"strings"
-	"sync"
+
+	"lovagefork.example/bench/table"
 )
 
-// Plan says what to play. Bench is the path of the bench, Repository that of the checkout to play, and Seeds a range such as
-// 21-24. Parallel is the number of plays at a time. Reason is recorded in the journal of the bench.
+// Plan says what to play. Bench is the path of the bench, Repository that of the checkout to play, and Seeds a range
+// such as 21-24. Parallel is the number of plays at a time. Reason is recorded in the journal of the bench.
 type Plan struct {
 	Bench      string
 	Repository string
@@ -94,25 +95,17 @@
 	defer func() { _ = os.RemoveAll(reports) }()
 
 	var results []Result
-	var failures []error
 	for _, site := range p.Sites {
 		for _, day := range p.Days {
 			for _, seed := range seeds {
 				results = append(results, Result{Site: site, Day: day, Seed: seed})
-				failures = append(failures, nil)
 			}
 		}
 	}
-	slots := make(chan struct{}, p.Parallel)
-	var plays sync.WaitGroup
-	for i := range results {
-		slots <- struct{}{}
-		plays.Go(func() {
-			defer func() { <-slots }()
-			failures[i] = p.play(bench, filepath.Join(reports, strconv.Itoa(i)), &results[i])
-		})
-	}
-	plays.Wait()
+	failures := make([]error, len(results))
+	table.Parallel(len(results), p.Parallel, func(i int) {
+		failures[i] = p.play(bench, filepath.Join(reports, strconv.Itoa(i)), &results[i])
+	})
 	var played []Result
 	for i := range results {
 		if failures[i] == nil {
--- a/bench/plays/report.go
+++ b/bench/plays/report.go
@@ -9,9 +9,9 @@
 	"strconv"
 )
 
-// Result is the outcome of one play of a day. Worth and the shares in ByClass are fractions of what callers are owed; Runs
-// and Stopped count runs of tasks, Throttles orders that changed the speed of one, and LateS is the time for which serving
-// tasks were over their target, in seconds.
+// Result is the outcome of one play of a day. Worth and the shares in ByClass are fractions of what callers are owed;
+// Runs and Stopped count runs of tasks, Throttles orders that changed the speed of one, and LateS is the time for which
+// serving tasks were over their target, in seconds.
 type Result struct {
 	Site      string             `json:"site"`
 	Day       string             `json:"day"`
--- a/coord/flow/colocation.go
+++ b/coord/flow/colocation.go
@@ -100,10 +100,10 @@
 		if !r.isServing() || r.measurement <= 0 || m.now.Sub(r.startedAt) < latencySettleTime {
 			continue
 		}
-		if r.measurement == r.learnedMeasurement && m.now.Sub(r.learnedAt) < latencyInterval {
+		if r.measurement == r.learnedMeasurement && m.now.Sub(r.observation.at) < latencyInterval {
 			continue
 		}
-		r.learnedMeasurement, r.learnedAt = r.measurement, m.now
+		r.learnedMeasurement = r.measurement
 		headroom := float64(r.step.spec.TailTarget.Milliseconds()) / r.measurement
 		if r.step.load == nil {
 			r.step.load = newLoadModel(m.now)
@@ -115,8 +115,8 @@
 	}
 }
 
-// comparable returns the recent observations of other tasks of a run's step on other workers. alone reports whether there
-// are no such tasks.
+// comparable returns the recent observations of other tasks of a run's step on other workers. alone reports whether
+// there are no such tasks.
 func (m *Machine) comparable(r *run) (recent []observation, alone bool) {
 	alone = true
 	for i := range r.step.tasks {
@@ -171,8 +171,8 @@
 	return shares
 }
 
-// headroomLoss returns the headroom that the fillers of a worker take from the tasks of a serving image. It is called for
-// each worker and placement, so it looks up each image only once.
+// headroomLoss returns the headroom that the fillers of a worker take from the tasks of a serving image. It is called
+// for each worker and placement, so it looks up each image only once.
 func (w *worker) headroomLoss(model *interferenceModel) float64 {
 	loss := 0.0
 	for image, load := range w.fillerLoad {
@@ -274,10 +274,10 @@
 	}
 }
 
-// protectServing pauses the fillers beside a serving task that has missed its target for too long, and reports whether it has
-// changed or must keep their speed. Most misses are short, and a paused filler delays all later steps of its job. If a pause
-// does not help, the fillers work for as long as they were paused; otherwise they would never complete beside a task that
-// misses its target by itself.
+// protectServing pauses the fillers beside a serving task that has missed its target for too long, and reports whether
+// it has changed or must keep their speed. Most misses are short, and a paused filler delays all later steps of its
+// job. If a pause does not help, the fillers work for as long as they were paused; otherwise they would never complete
+// beside a task that misses its target by itself.
 func (m *Machine) protectServing(w *worker) bool {
 	limit := time.Duration(pauseMissShare * float64(m.opts.maxTargetMiss))
 	missed, helpless := false, false
--- a/coord/flow/colocation_test.go
+++ b/coord/flow/colocation_test.go
@@ -60,7 +60,8 @@
 	}
 }
 
-// slowed returns the lowest speed that was ordered for a filler, in percent, and the number of fillers that were slowed.
+// slowed returns the lowest speed that was ordered for a filler, in percent, and the number of fillers that were
+// slowed.
 func (c *colocated) slowed() (lowest, fillers int) {
 	lowest = 100
 	seen := make(map[infra.TaskID]bool)
@@ -73,8 +74,8 @@
 	return lowest, len(seen)
 }
 
-// A serving task whose load swings misses its target for a moment at each peak. Fillers that were slowed on a forecast of
-// such a moment held back the steps of their jobs, and most of them had disturbed nothing.
+// A serving task whose load swings misses its target for a moment at each peak. Fillers that were slowed on a forecast
+// of such a moment held back the steps of their jobs, and most of them had disturbed nothing.
 func TestShortTargetMissDoesNotSlowFillers(t *testing.T) {
 	c := newColocated(t, 2)
 	c.reportTail(1500*time.Millisecond, tailTarget*5/4)
@@ -92,7 +93,8 @@
 	assert.Equal(t, fillers, 2)
 }
 
-// A serving task may miss its target by itself, for example on a slow worker. The fillers beside it must still complete.
+// A serving task may miss its target by itself, for example on a slow worker. The fillers beside it must still
+// complete.
 func TestFillersProgressBesideTaskThatMissesItsTargetByItself(t *testing.T) {
 	c := newColocated(t, 1)
 	speed, working, total := 100, 0, 0
--- a/coord/flow/interference.go
+++ b/coord/flow/interference.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -191,10 +192,10 @@
 	return mean
 }
 
-// learn updates the load model of a step and the weights of its image from an observation of one of its tasks. The tasks of
-// a step have the same load, so the difference to the mean of the others is due to their fillers. If the step has no other
-// tasks, the observation is compared with the load that the model predicts; that is less reliable, because an error of the
-// load then appears as interference.
+// learn updates the load model of a step and the weights of its image from an observation of one of its tasks. The
+// tasks of a step have the same load, so the difference to the mean of the others is due to their fillers. If the step
+// has no other tasks, the observation is compared with the load that the model predicts; that is less reliable, because
+// an error of the load then appears as interference.
 func (im *interferenceModel) learn(now time.Time, load *loadModel, o observation, others []observation, alone bool) {
 	im.addDrift(now)
 	load.advance(now)
@@ -228,11 +229,11 @@
 
 // compare corrects the weights from the difference between an observation and a reference.
 func (im *interferenceModel) compare(o observation, against reference) {
-	im.vector(against.shares)
-	x := im.vector(o.shares)
+	difference := maps.Clone(o.shares)
 	for image, share := range against.shares {
-		x[im.imageIndex(image)] -= share
+		difference[image] -= share
 	}
+	x := im.vector(difference)
 	residual := o.headroom - against.headroom
 	variance := o.variance(comparisonNoise) + against.variance
 	gain := make([]float64, len(x))
--- a/coord/flow/interference_test.go
+++ b/coord/flow/interference_test.go
@@ -194,8 +194,8 @@
 	assert.Assert(t, wrong <= servingImages*fillerImages/5, "%d weights are on the wrong side of the prior", wrong)
 }
 
-// Tasks of one step have the same load. When it rises faster than the model of the load predicts, the fillers beside the
-// tasks must not be blamed for it.
+// Tasks of one step have the same load. When it rises faster than the model of the load predicts, the fillers beside
+// the tasks must not be blamed for it.
 func TestRisingLoadIsNotAttributedToFillers(t *testing.T) {
 	h := newHarness(t, flow.Restored{}, newPoolWorker("a"), newPoolWorker("b"))
 	h.report("a", infra.Report{})
--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -152,8 +152,8 @@
 }
 
 // Counts are totals since the scheduler was elected. Lost counts unanswered starts that were not carried out, Vanished
-// runs that disappeared from a worker without an end, Stalled runs without progress or with slow progress, Paced changes
-// of the speed of fillers, and Copied copies of speculative tasks.
+// runs that disappeared from a worker without an end, Stalled runs without progress or with slow progress, Paced
+// changes of the speed of fillers, and Copied copies of speculative tasks.
 type Counts struct {
 	Starts, Refused, Lost, Done, Failed, Stopped, Vanished, Stalled, Paced, Copied int64
 }
--- a/coord/flow/takeover_test.go
+++ b/coord/flow/takeover_test.go
@@ -12,8 +12,8 @@
 )
 
 // After a takeover a worker may report its runs before it is listed with its capacity. The load of its fillers was then
-// counted against an unknown capacity and never released. The weights that were learned from this load were close to zero,
-// and fillers were then placed beside every serving task.
+// counted against an unknown capacity and never released. The weights that were learned from this load were close to
+// zero, and fillers were then placed beside every serving task.
 func TestFillersAdoptedBeforeListing(t *testing.T) {
 	serving := infra.Step{
 		Count: 1, Size: fleet.Resources{MilliCPU: 2000, MemoryBytes: 1 << 30}, LongRunning: true, Image: "serving",
@@ -52,8 +52,8 @@
 	assert.Equal(t, started[0].Order.Task.Job, fleet.JobID("new"))
 }
 
-// A filler that a predecessor paused makes no progress until a successor resumes it. It was taken for a stalled one, which
-// lost its work and kept new tasks from its worker.
+// A filler that a predecessor paused makes no progress until a successor resumes it. It was taken for a stalled one,
+// which lost its work and kept new tasks from its worker.
 func TestPausedFillersAreResumedAfterTakeover(t *testing.T) {
 	filler := infra.Step{
 		Count: 1, Size: fleet.Resources{MilliCPU: 1000, MemoryBytes: 1 << 30}, Filler: true, Image: "filler", Estimate: time.Second,
--- a/coord/flow/worker.go
+++ b/coord/flow/worker.go
@@ -66,13 +66,12 @@
 	startUnanswered bool
 	// speedPercent is the speed of a filler in percent of its full speed.
 	speedPercent int
-	// learnedMeasurement is the last measurement that the interference model was updated from, at learnedAt.
+	// observation is the last one that the interference model has learned from, and learnedMeasurement the measurement
+	// behind it.
+	observation        observation
 	learnedMeasurement float64
-	learnedAt          time.Time
-	// observation is the last one that the interference model has learned from.
-	observation observation
-	// headroom is the smoothed target / tail latency of a serving task. missSince is when its measurements fell below 1; a
-	// miss ends when the smoothed headroom has also recovered.
+	// headroom is the smoothed target / tail latency of a serving task. missSince is when its measurements fell below
+	// 1; a miss ends when the smoothed headroom has also recovered.
 	headroom  float64
 	missSince time.Time
 }
@@ -112,9 +111,9 @@
 	servingSteps  map[*step]int
 	servingImages map[string]int
 	servingCPU    int64
-	// fillerLoad is the processor time that fillers request at their current speed, by image. laggedLoad is its low-pass
-	// filtered value, which the reported tail latencies reflect. Both are in thousandths of a core, because the capacity
-	// of a worker is unknown until it is listed.
+	// fillerLoad is the processor time that fillers request at their current speed, by image. laggedLoad is its
+	// low-pass filtered value, which the reported tail latencies reflect. Both are in thousandths of a core, because
+	// the capacity of a worker is unknown until it is listed.
 	fillerLoad map[string]float64
 	laggedLoad map[string]float64
 	laggedAt   time.Time
--- a/entryd/leader/group_test.go
+++ b/entryd/leader/group_test.go
@@ -31,15 +31,20 @@
 	log := slog.New(slog.DiscardHandler)
 	p.group = leader.NewGroup(fleet.EntryHostID(name), name+":1", client{m, name}, log, onElected,
 		func(fleet.EntryHostID, string) {}, func(leader.Leader) {}, opts...)
+	p.stop = runGroup(t, p.group)
+	return p
+}
+
+// runGroup runs a group until the returned function is called or the test ends.
+func runGroup(t *testing.T, g *leader.Group) context.CancelFunc {
 	ctx, cancel := context.WithCancel(t.Context())
-	p.stop = cancel
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		p.group.Run(ctx)
+		g.Run(ctx)
 	}()
 	t.Cleanup(func() { cancel(); <-done })
-	return p
+	return cancel
 }
 
 func receive[T any](t *testing.T, what string, c <-chan T) T {
--- a/entryd/leader/scheduler.go
+++ b/entryd/leader/scheduler.go
@@ -229,51 +229,25 @@
 	return false
 }
 
-// storedState is what a new leader reads from the store. The reads run in parallel, because a slow store takes 400 ms for
-// each. They need no common revision: writes of a predecessor are conditional on its leadership, and jobs that callers
-// add are covered by the watch that follows.
-type storedState struct {
-	inputs, records []store.Entry
-	revision        store.Revision
-	// control holds the entries of the roster, the sequence key and the interference models; nil if absent.
-	control [len(controlKeys)]*store.Entry
-}
-
-var controlKeys = [...]string{rosterKey, sequenceKey, interferenceKey}
-
-func (l *loop) readStored(ctx context.Context) (storedState, error) {
-	var out storedState
-	var reads sync.WaitGroup
-	var errs [2 + len(controlKeys)]error
-	reads.Go(func() { out.inputs, out.revision, errs[0] = readAll(ctx, l.store, inputPrefix) })
-	reads.Go(func() { out.records, _, errs[1] = readAll(ctx, l.store, recordPrefix) })
-	for i, key := range controlKeys {
-		reads.Go(func() { out.control[i], errs[2+i] = l.readKey(ctx, key) })
-	}
-	reads.Wait()
-	return out, errors.Join(errs[:]...)
-}
-
-// readKey returns the entry of a key, or nil if there is none.
-func (l *loop) readKey(ctx context.Context, key string) (*store.Entry, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	found, err := l.store.Range(ctx, store.Get{Key: key})
-	if err != nil || len(found.Entries) == 0 {
-		return nil, err
-	}
-	return &found.Entries[0], nil
-}
-
+// readState reads what earlier leaders and the entry processes stored. The reads run in parallel, because a slow store
+// takes 400 ms for each. They need no common revision: writes of a predecessor are conditional on its leadership, and
+// jobs that callers add are covered by the watch that follows.
 func (l *loop) readState(ctx context.Context) (flow.Restored, error) {
 	out := flow.Restored{Term: l.leadership.leader.Term}
-	stored, err := l.readStored(ctx)
-	if err != nil {
+	var inputs, records []store.Entry
+	var reads sync.WaitGroup
+	var errs [5]error
+	reads.Go(func() { inputs, l.inputsRevision, errs[0] = readAll(ctx, l.store, inputPrefix) })
+	reads.Go(func() { records, _, errs[1] = readAll(ctx, l.store, recordPrefix) })
+	reads.Go(func() { _, errs[2] = l.readKey(ctx, rosterKey, &out.Roster) })
+	reads.Go(func() { _, errs[3] = l.readKey(ctx, interferenceKey, &out.Interference) })
+	reads.Go(func() { l.sequenceRevision, errs[4] = l.readKey(ctx, sequenceKey, nil) })
+	reads.Wait()
+	if err := errors.Join(errs[:]...); err != nil {
 		return out, err
 	}
-	l.inputsRevision = stored.revision
-	progress := make(map[fleet.JobID]*flow.Record, len(stored.records))
-	for _, e := range stored.records {
+	progress := make(map[fleet.JobID]*flow.Record, len(records))
+	for _, e := range records {
 		var record flow.Record
 		if err := cbor.Unmarshal(e.Value, &record); err != nil {
 			l.log.Error("scheduler: cannot decode record", "key", e.Key, "error", err)
@@ -282,12 +256,12 @@
 		progress[fleet.JobID(e.Key[len(recordPrefix):])] = &record
 	}
 	cancelled := make(map[fleet.JobID]bool)
-	for _, e := range stored.inputs {
+	for _, e := range inputs {
 		if id, isCancel := parseInput(e.Key); isCancel {
 			cancelled[id] = true
 		}
 	}
-	for _, e := range stored.inputs {
+	for _, e := range inputs {
 		id, isCancel := parseInput(e.Key)
 		if isCancel {
 			continue
@@ -299,29 +273,26 @@
 		}
 		out.Jobs = append(out.Jobs, flow.StoredJob{Job: job, Cancelled: cancelled[id], Record: progress[id]})
 	}
-	l.decodeControl(stored, &out)
 	return out, nil
 }
 
-// decodeControl decodes the roster, the sequence key and the learned interference between images.
-func (l *loop) decodeControl(stored storedState, out *flow.Restored) {
-	for i, e := range stored.control {
-		if e == nil {
-			continue
-		}
-		var err error
-		switch controlKeys[i] {
-		case sequenceKey:
-			l.sequenceRevision = e.ModRevision
-		case rosterKey:
-			err = cbor.Unmarshal(e.Value, &out.Roster)
-		case interferenceKey:
-			err = cbor.Unmarshal(e.Value, &out.Interference)
-		}
-		if err != nil {
-			l.log.Error("scheduler: cannot decode entry", "key", controlKeys[i], "error", err)
-		}
+// readKey decodes the value of a key into a variable, if that is not nil, and returns the revision of the key; 0 if
+// there is none. A value that cannot be decoded is logged and ignored.
+func (l *loop) readKey(ctx context.Context, key string, into any) (store.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	found, err := l.store.Range(ctx, store.Get{Key: key})
+	if err != nil || len(found.Entries) == 0 {
+		return 0, err
+	}
+	e := found.Entries[0]
+	if into == nil {
+		return e.ModRevision, nil
+	}
+	if err := cbor.Unmarshal(e.Value, into); err != nil {
+		l.log.Error("scheduler: cannot decode entry", "key", key, "error", err)
 	}
+	return e.ModRevision, nil
 }
 
 // EncodeJob returns the stored form of a job.
--- a/entryd/leader/store_test.go
+++ b/entryd/leader/store_test.go
@@ -20,7 +20,8 @@
 	changes  []store.Change
 	// unreachable holds the clients that get no answer.
 	unreachable map[string]bool
-	// readDelay is how long a read takes; reading and maxReading are the current and the largest number of reads at a time.
+	// readDelay is how long a read takes; reading and maxReading are the current and the largest number of reads at a
+	// time.
 	readDelay           time.Duration
 	reading, maxReading int
 	// loseAnswers makes transactions take effect but return no answer.
--- a/entryd/leader/takeover_test.go
+++ b/entryd/leader/takeover_test.go
@@ -13,8 +13,8 @@
 	"lovagefork.example/entryd/leader"
 )
 
-// A takeover while the store is slow must not wait for one read after the other, because no task starts until the state is
-// read.
+// A takeover while the store is slow must not wait for one read after the other, because no task starts until the state
+// is read.
 func TestTakeoverReadsInParallel(t *testing.T) {
 	m := newMemStore()
 	log := slog.New(slog.DiscardHandler)
@@ -30,13 +30,7 @@
 		s.Run(ctx, l)
 	}
 	g := leader.NewGroup("a", "a:1", client{m, "a"}, log, onElected, func(fleet.EntryHostID, string) {}, func(leader.Leader) {})
-	ctx, cancel := context.WithCancel(t.Context())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		g.Run(ctx)
-	}()
-	t.Cleanup(func() { cancel(); <-done })
+	runGroup(t, g)
 	// The state consists of jobs, records, the roster, the sequence key and the interference models.
 	waitFor(t, "parallel reads", func() bool { m.mu.Lock(); defer m.mu.Unlock(); return m.maxReading >= 5 })
 }
--- a/entryd/leader/waves_test.go
+++ b/entryd/leader/waves_test.go
@@ -95,13 +95,7 @@
 		})
 		g := leader.NewGroup(fleet.EntryHostID(name), name+":1", client{m, name}, log, s.Run,
 			func(fleet.EntryHostID, string) {}, func(leader.Leader) {})
-		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
-			g.Run(ctx)
-		}()
-		t.Cleanup(func() { cancel(); <-done })
+		runGroup(t, g)
 		return g
 	}
 	first := run("a")
