--- a/bench/main.go
+++ b/bench/main.go
@@ -1,7 +1,9 @@
-// Command bench compares policies with baselines and measures capacity, in virtual time.
+// Command bench compares policies with baselines and measures capacity in virtual time, and plays days on an external
+// bench.
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -11,6 +13,7 @@
 	"github.com/integrii/flaggy"
 
 	"lovagefork.example/bench/colo"
+	"lovagefork.example/bench/plays"
 	"lovagefork.example/bench/reqs"
 	"lovagefork.example/bench/slope"
 	"lovagefork.example/bench/table"
@@ -26,6 +29,10 @@
 	metrics  []string
 	csv      bool
 	svg      string
+
+	plan    plays.Plan
+	out     string
+	against string
 }
 
 func main() {
@@ -45,6 +52,7 @@
 	capacity.Description = "measure processor time, memory and bytes of the parts at several sizes"
 	capacity.Bool(&s.csv, "c", "csv", "write CSV instead of Markdown")
 	flaggy.AttachSubcommand(capacity, 1)
+	days := s.addPlays()
 	flaggy.Parse()
 	var err error
 	switch {
@@ -54,6 +62,8 @@
 		err = slope.CSV(os.Stdout, slope.Measure())
 	case capacity.Used:
 		err = slope.Markdown(os.Stdout, slope.Measure())
+	case days.Used:
+		err = playDays(s)
 	default:
 		flaggy.ShowHelpAndExit("a subcommand is needed")
 	}
@@ -63,6 +73,45 @@
 	}
 }
 
+// addPlays adds the subcommand that plays days on an external bench.
+func (s *options) addPlays() *flaggy.Subcommand {
+	s.plan = plays.Plan{Repository: ".", Seeds: "21-24", Parallel: s.parallel}
+	c := flaggy.NewSubcommand("plays")
+	c.Description = "play days of fault injection on an external bench, and summarize or pair them"
+	c.String(&s.plan.Bench, "b", "fleetbench", "path of the bench")
+	c.String(&s.plan.Repository, "r", "repository", "checkout to play")
+	c.StringSlice(&s.plan.Sites, "", "site", "site file; may be repeated")
+	c.StringSlice(&s.plan.Days, "d", "day", "name of a day; may be repeated")
+	c.String(&s.plan.Seeds, "n", "seeds", "a seed or a range of seeds")
+	c.Int(&s.plan.Parallel, "p", "parallel", "plays at a time")
+	c.String(&s.plan.Reason, "w", "why", "reason, for the journal of the bench")
+	c.Bool(&s.plan.ChargeProcessorTime, "c", "cpu", "charge processor time")
+	c.String(&s.out, "o", "out", "save the results in this file")
+	c.String(&s.against, "a", "against", "also compare with the results in this file")
+	flaggy.AttachSubcommand(c, 1)
+	return c
+}
+
+func playDays(s options) error {
+	results, playErr := s.plan.Run()
+	if s.out != "" {
+		if err := plays.Save(s.out, results); err != nil {
+			return errors.Join(playErr, err)
+		}
+	}
+	if err := plays.Summarize(os.Stdout, results); err != nil {
+		return errors.Join(playErr, err)
+	}
+	if s.against == "" {
+		return playErr
+	}
+	before, err := plays.Load(s.against)
+	if err != nil {
+		return errors.Join(playErr, err)
+	}
+	return errors.Join(playErr, plays.Compare(os.Stdout, before, results))
+}
+
 func comparePolicies(s options) error {
 	experiments := []struct {
 		name string
