entryd: close connections of callers after a response when the process stops

Callers on an open connection could see a request broken at a graceful shutdown: Shutdown and SetKeepAlivesEnabled(false) close idle connections at once, also when a request is on its way. This is the suspected cause of TestDrainUnderLoad ("1 bookings were broken", twice in 41 runs).

From SIGTERM on, each response now announces the end of its connection, and idle connections stay open until the drain has finished.

Both daemons use it: the own interface, which relied on Shutdown, and the hosted one, which used SetKeepAlivesEnabled.

--- a/entryd/daemon/run.go
+++ b/entryd/daemon/run.go
@@ -13,6 +13,7 @@
 	"lovagefork.example/coord/fleet"
 	"lovagefork.example/entryd/admin"
 	"lovagefork.example/entryd/batch"
+	"lovagefork.example/entryd/drain"
 	"lovagefork.example/entryd/front"
 	"lovagefork.example/entryd/hosts"
 	"lovagefork.example/entryd/peers"
@@ -72,7 +73,8 @@
 // registerHooks starts the components with the application. At shutdown it drains the daemon before it closes the
 // listeners and the peer links, so that requests in flight can complete.
 func registerHooks(lc fx.Lifecycle, c components) {
-	callerServer := newServer("listen", c.Settings.Listen, c.Router, c.TLS.callers, c.Log)
+	var callers drain.Connections
+	callerServer := newServer("listen", c.Settings.Listen, callers.Handler(c.Router), c.TLS.callers, c.Log)
 	peerServer := newPeerServer(c.Settings, c.Mesh, c.TLS, c.Log)
 	debugServer := newDebugServer(c.Settings, c.Log)
 	r := &runner{log: c.Log}
@@ -102,8 +104,9 @@
 		},
 		OnStop: func(ctx context.Context) error {
 			c.Health.Fail("drain", "shutting down")
+			callers.CloseAfterResponse()
 			c.Log.Info("daemon: draining", "notice", c.Settings.DrainNotice, "timeout", c.Settings.DrainTimeout)
-			err := drain(ctx, c)
+			err := finishWork(ctx, c)
 			stopCtx, cancel := context.WithTimeout(ctx, shutdownMargin/2)
 			defer cancel()
 			err = errors.Join(err, callerServer.stop(stopCtx))
@@ -147,9 +150,9 @@
 	return nil
 }
 
-// drain waits for the requests in flight before it hands over the partitions, because requests do not depend on
+// finishWork waits for the requests in flight before it hands over the partitions, because requests do not depend on
 // partitions.
-func drain(ctx context.Context, c components) error {
+func finishWork(ctx context.Context, c components) error {
 	limit := c.Settings.DrainNotice + c.Settings.DrainTimeout
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
--- a/entryd/hosted/app.go
+++ b/entryd/hosted/app.go
@@ -24,6 +24,7 @@
 	"lovagefork.example/coord/infra"
 	"lovagefork.example/coord/store"
 	"lovagefork.example/coord/wire"
+	"lovagefork.example/entryd/drain"
 	"lovagefork.example/entryd/leader"
 	"lovagefork.example/entryd/logs"
 	"lovagefork.example/entryd/peers"
@@ -216,6 +217,7 @@
 	cancel   context.CancelFunc
 	wg       sync.WaitGroup
 	front    *http.Server
+	callers  drain.Connections
 	servers  []*http.Server
 }
 
@@ -232,7 +234,7 @@
 	p.Updater.mu.Unlock()
 	s := p.Platform.Settings
 	p.Log.Info("process: starting", "zone", s.Zone, "front", s.FrontAddr, "peer", s.PeerAddr, "store", s.StoreAddr)
-	p.front = p.server(p.Platform.Ingress(p.Intake, p.Log))
+	p.front = p.server(p.callers.Handler(p.Platform.Ingress(p.Intake, p.Log)))
 	peerRouter := mux.NewRouter()
 	peerRouter.Handle("/peer/v1", p.Mesh)
 	metricsRouter := mux.NewRouter()
@@ -322,7 +324,7 @@
 func (p *process) stop(ctx context.Context) error {
 	p.stopping.Store(true)
 	p.Log.Info("process: stopping")
-	p.front.SetKeepAlivesEnabled(false)
+	p.callers.CloseAfterResponse()
 	p.Group.Resign()
 	grace := p.Platform.Settings.Bounds.GracePeriod - stopMargin
 	sleep(ctx, min(balancerDelay, grace/2))
