flow: log why tasks wait and what load fillers are counted with

An adopted run whose worker was not listed yet looked like any other, and such a worker is not logged when it is listed. So a wrong count, a learned refusal and a full fleet could not be told apart afterwards.

Every 2 s the scheduler now logs, for up to 16 queues, the waiting tasks and why workers cannot take the first of them, and the processor time that all fillers reserve and request. Adopted runs of workers that are not listed are marked, and the view of a worker shows the load of its fillers.

--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -138,6 +138,7 @@
 	approvalsInFlight  int
 	sweptAt            time.Time
 	placedAt           time.Time
+	summarizedAt       time.Time
 	interferenceModels map[string]*interferenceModel
 	lateStarts         map[fleet.WorkerID][]lateStart
 	// earlyCancels are the cancellations of jobs that are not known yet.
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -393,7 +393,15 @@
 	if s.waiting == 0 {
 		m.removeReady(s)
 	}
-	m.emit(Log{Text: "run adopted", Task: row.Task, Run: row.Run, Worker: w.ID})
+	m.emit(Log{Text: "run adopted", Task: row.Task, Run: row.Run, Worker: w.ID, Reason: w.adoptionNote()})
+}
+
+// adoptionNote returns what is not known yet about a worker whose runs are adopted.
+func (w *worker) adoptionNote() string {
+	if !w.listed {
+		return "before the worker was listed"
+	}
+	return ""
 }
 
 // sizeOf returns the resources held by a run whose task is no longer scheduled. A run of an unknown job may occupy the
--- a/coord/flow/view.go
+++ b/coord/flow/view.go
@@ -1,6 +1,13 @@
 package flow
 
 import (
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
 	"lovagefork.example/coord/fleet"
 	"lovagefork.example/coord/infra"
 )
@@ -85,14 +92,17 @@
 
 // WorkerView describes a worker for operators. ReportAge is the age of its last report in milliseconds.
 type WorkerView struct {
-	Worker         fleet.WorkerID         `json:"worker"`
-	Service        string                 `json:"service"`
-	Zone           fleet.AvailabilityZone `json:"availability_zone"`
-	Capacity       fleet.Resources        `json:"capacity"`
-	Used           fleet.Resources        `json:"used"`
-	FillerMilliCPU int64                  `json:"filler_milli_cpu"`
-	Runs           int                    `json:"runs"`
-	ReportAge      int64                  `json:"report_age_ms"`
+	Worker   fleet.WorkerID         `json:"worker"`
+	Service  string                 `json:"service"`
+	Zone     fleet.AvailabilityZone `json:"availability_zone"`
+	Capacity fleet.Resources        `json:"capacity"`
+	Used     fleet.Resources        `json:"used"`
+	// FillerMilliCPU is the processor time that the fillers on the worker reserve, and FillerLoad what they request at
+	// their current speed, which is never more.
+	FillerMilliCPU int64 `json:"filler_milli_cpu"`
+	FillerLoad     int64 `json:"filler_load_milli_cpu"`
+	Runs           int   `json:"runs"`
+	ReportAge      int64 `json:"report_age_ms"`
 	// Speed is the progress of the worker's tasks relative to the usual rate.
 	Speed float64 `json:"speed"`
 	// UnusableReason is why the worker takes no new tasks; empty if it does.
@@ -104,13 +114,23 @@
 	views := make([]WorkerView, 0, len(m.workersByID))
 	for _, w := range m.workersByID {
 		views = append(views, WorkerView{
-			Worker: w.ID, Service: w.Service, Zone: w.Zone, Capacity: w.Capacity, Used: w.used, FillerMilliCPU: w.fillerCPU, Runs: len(w.runs),
+			Worker: w.ID, Service: w.Service, Zone: w.Zone, Capacity: w.Capacity, Used: w.used, FillerMilliCPU: w.fillerCPU,
+			FillerLoad: w.totalFillerLoad(), Runs: len(w.runs),
 			ReportAge: m.now.Sub(w.clockAt).Milliseconds(), Speed: w.speed, UnusableReason: m.unusableReason(w),
 		})
 	}
 	return views
 }
 
+// totalFillerLoad returns the load of all fillers of a worker in thousandths of a core.
+func (w *worker) totalFillerLoad() int64 {
+	sum := 0.0
+	for _, load := range w.fillerLoad {
+		sum += load
+	}
+	return int64(math.Round(sum))
+}
+
 // unusableReason returns why a worker takes no new tasks, or "" if it does.
 func (m *Machine) unusableReason(w *worker) string {
 	switch {
@@ -267,3 +287,74 @@
 	}
 	return counts
 }
+
+const (
+	// summaryInterval is the interval between two summaries of the waiting tasks and of the fillers.
+	summaryInterval = 2 * time.Second
+	// maxSummaryQueues limits the lines of a summary. The queues whose tasks rank highest are included.
+	maxSummaryQueues = 16
+)
+
+// logSummary logs, for queues with waiting tasks, how many there are and why the workers cannot take the first of
+// them, and for all workers the processor time that fillers reserve and request. The lines show afterwards why the
+// tasks of a queue waited, which the views show only at the time.
+func (m *Machine) logSummary() {
+	if m.catalog == nil || m.now.Sub(m.summarizedAt) < summaryInterval {
+		return
+	}
+	m.summarizedAt = m.now
+	type backlog struct {
+		first        *readyStep
+		steps, tasks int
+	}
+	backlogs := make(map[string]*backlog)
+	for _, r := range m.rankedSteps {
+		if r.removed || r.step.waiting == 0 {
+			continue
+		}
+		b := backlogs[r.queue.Name]
+		if b == nil && len(backlogs) >= maxSummaryQueues {
+			continue
+		}
+		if b == nil {
+			b = &backlog{first: r}
+			backlogs[r.queue.Name] = b
+		}
+		b.steps++
+		b.tasks += r.step.waiting
+	}
+	for _, queue := range slices.Sorted(maps.Keys(backlogs)) {
+		b := backlogs[queue]
+		m.emit(Log{Text: "tasks waiting", Reason: fmt.Sprintf("queue %s: %d tasks of %d steps; workers: %s", queue, b.tasks, b.steps, formatCounts(m.placementObstacles(b.first)))})
+	}
+	var reserved, load int64
+	paused, fillers := 0, 0
+	for _, w := range m.workersByID {
+		if w.fillerCPU == 0 {
+			continue
+		}
+		reserved += w.fillerCPU
+		load += w.totalFillerLoad()
+		for _, r := range w.runsByTask {
+			if r.fillerCPU == 0 {
+				continue
+			}
+			fillers++
+			if r.speedPercent == 0 {
+				paused++
+			}
+		}
+	}
+	if fillers > 0 {
+		m.emit(Log{Text: "fillers", Reason: fmt.Sprintf("%d running, %d of them paused; they reserve %dm and request %dm", fillers, paused, reserved, load)})
+	}
+}
+
+// formatCounts formats counts by name, in the order of the names.
+func formatCounts(counts map[string]int) string {
+	parts := make([]string, 0, len(counts))
+	for _, name := range slices.Sorted(maps.Keys(counts)) {
+		parts = append(parts, fmt.Sprintf("%s %d", name, counts[name]))
+	}
+	return strings.Join(parts, ", ")
+}
--- a/coord/flow/view_test.go
+++ b/coord/flow/view_test.go
@@ -45,3 +45,25 @@
 	_, found = h.m.Job("other")
 	assert.Assert(t, !found)
 }
+
+// The log must show afterwards why tasks waited, and whether the load that is counted for fillers can be right.
+func TestSummaryExplainsWaiting(t *testing.T) {
+	filler := infra.Step{
+		Count: 12, Size: fleet.Resources{MilliCPU: 1000, MemoryBytes: 1 << 30}, Filler: true, Image: "filler", Estimate: time.Second,
+	}
+	h := newHarness(t, flow.Restored{}, newPoolWorker("a"), newPoolWorker("b"))
+	h.report("a", infra.Report{})
+	h.step(flow.Submitted{Job: singleStepJob("j", filler)})
+	h.advance(5 * time.Second)
+	var reasons []string
+	for _, e := range h.effects {
+		if e, ok := e.(flow.Log); ok && (e.Text == "tasks waiting" || e.Text == "fillers") {
+			reasons = append(reasons, e.Reason)
+		}
+	}
+	assert.Assert(t, len(reasons) >= 4 && len(reasons) <= 6, "%q", reasons)
+	assert.DeepEqual(t, reasons[len(reasons)-2:], []string{
+		"queue batch: 2 tasks of 1 steps; workers: has not answered this scheduler yet 1, no processor time to spare 1",
+		"10 running, 0 of them paused; they reserve 10000m and request 10000m",
+	})
+}
--- a/lovctl/show/hosted.go
+++ b/lovctl/show/hosted.go
@@ -26,7 +26,7 @@
 	rows := [][]string{{"WORKER", "ZONE", "CAPACITY", "USED", "FILLERS", "RUNS", "REPORT", "SPEED", "REFUSES"}}
 	for _, v := range all {
 		rows = append(rows, []string{
-			string(v.Worker), string(v.Zone), v.Capacity.String(), v.Used.String(), fmt.Sprintf("%dm", v.FillerMilliCPU), fmt.Sprint(v.Runs),
+			string(v.Worker), string(v.Zone), v.Capacity.String(), v.Used.String(), fmt.Sprintf("%dm of %dm", v.FillerLoad, v.FillerMilliCPU), fmt.Sprint(v.Runs),
 			fmt.Sprintf("%d ms", v.ReportAge), fmt.Sprintf("%.2f", v.Speed), v.UnusableReason,
 		})
 	}
