flow: test that wide fillers are served after a takeover

The cause ended with: fillers adopted from workers that are not listed yet were counted against an unknown capacity.

--- a/coord/flow/takeover_test.go
+++ b/coord/flow/takeover_test.go
@@ -1,6 +1,10 @@
 package flow_test
 
 import (
+	"maps"
+	"math"
+	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -78,3 +82,95 @@
 	}
 	assert.Assert(t, resumed)
 }
+
+// sharedWorkers is a pool in which each worker runs a serving task.
+type sharedWorkers struct {
+	*harness
+	running map[fleet.WorkerID][]infra.ActiveRun
+	ends    map[fleet.WorkerID]int64
+	done    map[fleet.JobID]int
+}
+
+// fillerLength is the number of reports in which a filler of [sharedWorkers] completes.
+const fillerLength = 4
+
+// tail returns the tail latency of a serving task in milliseconds: about half of [tailTarget], with the swing of its load
+// and the noise of a measurement.
+func (s *sharedWorkers) tail(index int) float64 {
+	const swingPeriod = 12 * time.Second
+	interval := int(s.now.UnixMilli() / reportInterval.Milliseconds())
+	swing := math.Sin(2 * math.Pi * float64(s.now.UnixMilli()) / float64(swingPeriod.Milliseconds()))
+	return 25 + 8*swing + float64((7*index+3*interval)%5)
+}
+
+// runReports advances time by one interval of reports at each turn, in which all workers report.
+func (s *sharedWorkers) runReports(turns int) {
+	for range turns {
+		for _, o := range s.starts() {
+			s.step(flow.StartAnswered{Worker: o.To.Worker, Order: o.Order, Clock: s.now.UnixMilli()})
+			s.running[o.To.Worker] = append(s.running[o.To.Worker], infra.ActiveRun{Task: o.Order.Task, Run: o.Order.Run, Measurement: 1000})
+		}
+		s.advance(reportInterval)
+		for _, id := range slices.Sorted(maps.Keys(s.running)) {
+			var report infra.Report
+			for _, r := range s.running[id] {
+				if r.Task.Job != "serving" {
+					r.Progress += 100 / fillerLength
+				} else {
+					r.Measurement = s.tail(r.Task.Index)
+				}
+				if r.Progress < 100 || r.Task.Job == "serving" {
+					report.Running = append(report.Running, r)
+					continue
+				}
+				s.ends[id]++
+				s.done[r.Task.Job]++
+				report.Ended = append(report.Ended, infra.EndedRun{Number: s.ends[id], Task: r.Task, Run: r.Run, Outcome: infra.OutcomeDone})
+			}
+			s.running[id] = report.Running
+			s.report(id, report)
+		}
+	}
+}
+
+// Loads that were counted against an unknown capacity at a takeover kept fillers away from all workers with serving
+// tasks. Too little of their queue was served, and least of its widest jobs, which come last.
+func TestWideFillersAreServedAfterTakeover(t *testing.T) {
+	const (
+		workers = 10
+		wide    = 20
+	)
+	serving := infra.Step{
+		Count: workers, Size: fleet.Resources{MilliCPU: 2000, MemoryBytes: 1 << 30}, LongRunning: true, Image: "serving",
+		TailTarget: tailTarget, Estimate: time.Second,
+	}
+	filler := infra.Step{
+		Count: workers, Size: fleet.Resources{MilliCPU: 1000, MemoryBytes: 1 << 30}, Filler: true, Image: "filler", Estimate: 2 * time.Second,
+	}
+	restored := flow.Restored{Jobs: []flow.StoredJob{{Job: singleStepJob("serving", serving)}, {Job: singleStepJob("old", filler)}}, Term: 1}
+	s := &sharedWorkers{
+		running: make(map[fleet.WorkerID][]infra.ActiveRun), ends: make(map[fleet.WorkerID]int64), done: make(map[fleet.JobID]int),
+	}
+	for i := range workers {
+		id := fleet.WorkerID("w" + strconv.Itoa(i))
+		restored.Roster = append(restored.Roster, flow.RosterEntry{Worker: id, Address: string(id) + ":1"})
+		s.running[id] = []infra.ActiveRun{
+			{Task: infra.TaskID{Job: "serving", Index: i}, Run: 1, Progress: 100, Measurement: 25},
+			{Task: infra.TaskID{Job: "old", Index: i}, Run: 1, Progress: 25, Measurement: 1000},
+		}
+	}
+	s.harness = newHarness(t, restored)
+	s.runReports(1)
+	for _, id := range slices.Sorted(maps.Keys(s.running)) {
+		s.step(flow.WorkerListed{Worker: newPoolWorker(string(id))})
+	}
+	filler.Count = wide
+	for i := range 6 {
+		filler.Image = "filler" + strconv.Itoa(i%3)
+		s.step(flow.Submitted{Job: singleStepJob("wide"+strconv.Itoa(i), filler)})
+	}
+	s.runReports(30)
+	for i := range 6 {
+		assert.Equal(t, s.done[fleet.JobID("wide"+strconv.Itoa(i))], wide, "wide%d", i)
+	}
+}
