flow: do not time runs that a predecessor started

Callers would see jobs of a queue come late or not at all after a takeover, the widest first: an adopted run was timed from its adoption, so a run of 4 s that ended 0.2 s after the takeover was recorded as one of 0.2 s. The model of the queue and the mean of the step then predicted run times that were much too short, objectives shrank with them, and jobs counted as late or expired that were not. A step with some adopted tasks was hit most, which is likeliest for a wide one.

Adopted runs are now left out of the run times, like resumed and slowed ones.

--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -353,7 +353,11 @@
 // adopt takes over a run that this scheduler did not start, or stops it if the task must not run there.
 func (m *Machine) adopt(w *worker, row infra.ActiveRun, clock int64) {
 	s, t := m.lookupTask(row.Task)
-	r := &run{id: row.Task, number: row.Run, worker: w, state: running, startedAt: m.now, measuredPercent: row.Progress, measuredAt: m.now, confirmedClock: clock, listedClock: clock, percent: row.Progress, measurement: row.Measurement, speedPercent: fullSpeedPercent}
+	r := &run{
+		id: row.Task, number: row.Run, worker: w, state: running, startedAt: m.now, measuredPercent: row.Progress, measuredAt: m.now,
+		confirmedClock: clock, listedClock: clock, percent: row.Progress, measurement: row.Measurement, speedPercent: fullSpeedPercent,
+		excludeRunTime: true,
+	}
 	if old := w.runs[row.Task]; old != nil {
 		if old.number > row.Run {
 			m.emit(Stop{To: w.address(), Order: infra.StopOrder{Task: row.Task, Run: row.Run, Token: m.token}})
--- a/coord/flow/takeover_test.go
+++ b/coord/flow/takeover_test.go
@@ -83,6 +83,32 @@
 	assert.Assert(t, resumed)
 }
 
+// A run that a predecessor started was timed from the takeover. The run times that were learned from such runs were close
+// to zero, so that later jobs, and wide jobs with some tasks of a predecessor most of all, were taken for late and waited
+// behind all others.
+func TestAdoptedRunsAreNotTimed(t *testing.T) {
+	const tasks = 8
+	slow := infra.Step{Count: tasks, Size: fleet.Resources{MilliCPU: 1000, MemoryBytes: 1 << 30}, Estimate: 4 * time.Second}
+	restored := flow.Restored{Roster: []flow.RosterEntry{{Worker: "a", Address: "a:1"}}, Term: 1}
+	var report infra.Report
+	for i := range 6 {
+		j := singleStepJob("old"+strconv.Itoa(i), slow)
+		j.Steps[0].Count = 1
+		task := infra.TaskID{Job: j.ID}
+		restored.Jobs = append(restored.Jobs, flow.StoredJob{Job: j})
+		report.Running = append(report.Running, infra.ActiveRun{Task: task, Run: 1, Progress: 95, Measurement: 1000})
+		report.Ended = append(report.Ended, infra.EndedRun{Number: int64(i + 1), Task: task, Run: 1, Outcome: infra.OutcomeDone})
+	}
+	h := newHarness(t, restored, newPoolWorker("a"))
+	h.report("a", infra.Report{Running: report.Running})
+	h.advance(200 * time.Millisecond)
+	h.report("a", infra.Report{Ended: report.Ended})
+	h.step(flow.Submitted{Job: singleStepJob("new", slow)})
+	v, found := h.m.Job("new")
+	assert.Assert(t, found)
+	assert.Equal(t, time.Duration(v.Slack)*time.Millisecond, 5*time.Second)
+}
+
 // sharedWorkers is a pool in which each worker runs a serving task.
 type sharedWorkers struct {
 	*harness
--- a/coord/flow/worker.go
+++ b/coord/flow/worker.go
@@ -59,8 +59,8 @@
 	listedClock int64
 	nextStop    time.Time
 	stopReason  string
-	// excludeRunTime keeps the run out of the run time statistics, because it was resumed from a checkpoint or slowed
-	// down and its run time is not comparable to that of other runs.
+	// excludeRunTime keeps the run out of the run time statistics, because it was adopted, resumed from a checkpoint or
+	// slowed down and its run time is unknown or not comparable to that of other runs.
 	excludeRunTime bool
 	// startUnanswered is set when the start was not answered in time.
 	startUnanswered bool
