flow: count runs of unknown jobs with the capacity of workers that are listed later

Callers could see tasks started beyond a worker's capacity (LIMIT) after a takeover: a run of a job that the scheduler does not know occupies the whole worker until it has been stopped, and was counted with the worker's capacity at its adoption. A worker that reports before it is listed has none yet, so the run occupied nothing, and tasks were started over it as soon as the worker was listed.

TestRunsOfUnknownJobsOccupyWorkersListedLater fails before: 1 start over such a run, 0 are allowed.

Each listing now counts these runs with the capacity that it names, so a later change of the capacity is followed too.

--- a/coord/flow/takeover_test.go
+++ b/coord/flow/takeover_test.go
@@ -109,6 +109,22 @@
 	assert.Equal(t, time.Duration(v.Slack)*time.Millisecond, 5*time.Second)
 }
 
+// A run of an unknown job occupied nothing if its worker was not listed yet, because it is counted with the worker's
+// capacity. Tasks were started over it, beyond the capacity of the worker.
+func TestRunsOfUnknownJobsOccupyWorkersListedLater(t *testing.T) {
+	h := newHarness(t, flow.Restored{
+		Jobs: []flow.StoredJob{{Job: singleStepJob("new", smallStep(1))}}, Roster: []flow.RosterEntry{{Worker: "a", Address: "a:1"}}, Term: 1,
+	})
+	unknown := infra.ActiveRun{Task: infra.TaskID{Job: "unknown"}, Run: 1}
+	h.report("a", infra.Report{Running: []infra.ActiveRun{unknown}})
+	h.step(flow.WorkerListed{Worker: newPoolWorker("a")})
+	h.advance(300 * time.Millisecond)
+	assert.Equal(t, len(h.starts()), 0)
+	h.report("a", infra.Report{Ended: []infra.EndedRun{{Number: 1, Task: unknown.Task, Run: 1, Outcome: infra.OutcomeStopped}}})
+	h.advance(100 * time.Millisecond)
+	assert.Equal(t, len(h.starts()), 1)
+}
+
 // sharedWorkers is a pool in which each worker runs a serving task.
 type sharedWorkers struct {
 	*harness
--- a/coord/flow/worker_lifecycle.go
+++ b/coord/flow/worker_lifecycle.go
@@ -78,6 +78,7 @@
 	startedAt := max(w.StartedAt, info.StartedAt)
 	w.Worker, w.listed = info, true
 	w.StartedAt = startedAt
+	m.resizeUnknownRuns(w)
 	if m.roster[w.ID] != info.Address {
 		m.roster[w.ID] = info.Address
 		m.rosterDirty = true
@@ -86,6 +87,18 @@
 	m.placementDue = true
 }
 
+// resizeUnknownRuns counts the runs of unknown jobs with the present capacity of their worker. It was unknown if they
+// were adopted before the worker was listed.
+func (m *Machine) resizeUnknownRuns(w *worker) {
+	for _, r := range w.runsByTask {
+		if r.step == nil {
+			size := m.sizeOf(w, r.id)
+			w.used = w.used.Sub(r.size).Add(size)
+			r.size = size
+		}
+	}
+}
+
 func (m *Machine) workerUnlisted(id fleet.WorkerID) {
 	w := m.workers[id]
 	if w == nil || !w.listed {
