flow: let long-running tasks use slow workers beside other waiting tasks

Cause: one round of placement remembers the shapes that no worker could take. A timed task of 4 cores is refused by all slow workers (isSlow), and its shape then also kept long-running tasks of 4 cores or more from them, which isSlow exempts. The task waited as long as any such timed task did, beside workers that were empty.

Evidence: TestLongRunningTaskUsesSlowWorkerBesideWaitingTask fails before (0 starts, the slow worker is empty) and passes after.

--- a/coord/flow/place.go
+++ b/coord/flow/place.go
@@ -59,14 +59,16 @@
 	service string
 	image   string
 	filler  bool
-	size    fleet.Resources
+	// longRunning is set if slow workers could not take the task either, see [worker.isSlow].
+	longRunning bool
+	size        fleet.Resources
 }
 
 // isUnplaceable reports whether a step requires at least as much as a task that no worker could take in this round.
 func (m *Machine) isUnplaceable(r *readyStep) bool {
 	for _, u := range m.unplaceableShapes {
 		if u.service == r.queue.Service && u.filler == r.step.spec.Filler && (!u.filler || u.image == r.step.spec.Image) &&
-			u.size.Fits(r.step.spec.Size) {
+			(u.longRunning || !r.step.spec.LongRunning) && u.size.Fits(r.step.spec.Size) {
 			return true
 		}
 	}
@@ -76,7 +78,7 @@
 // addUnplaceable records a task that no worker could take. It replaces the entries that require at least as much.
 func (m *Machine) addUnplaceableShape(u unplaceableShape) {
 	m.unplaceableShapes = slices.DeleteFunc(m.unplaceableShapes, func(o unplaceableShape) bool {
-		return o.service == u.service && o.filler == u.filler && o.image == u.image && u.size.Fits(o.size)
+		return o.service == u.service && o.filler == u.filler && o.image == u.image && (u.longRunning || !o.longRunning) && u.size.Fits(o.size)
 	})
 	m.unplaceableShapes = append(m.unplaceableShapes, u)
 }
@@ -107,7 +109,7 @@
 			if r.queue.ApprovalCost != nil {
 				m.requestApproval(r)
 			} else if isUnconstrained(&s.spec) {
-				m.addUnplaceableShape(unplaceableShape{r.queue.Service, s.spec.Image, s.spec.Filler, s.spec.Size})
+				m.addUnplaceableShape(unplaceableShape{r.queue.Service, s.spec.Image, s.spec.Filler, s.spec.LongRunning, s.spec.Size})
 			}
 			break
 		}
--- /dev/null
+++ b/coord/flow/placement_test.go
@@ -0,0 +1,56 @@
+package flow_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lovagefork.example/coord/fleet"
+	"lovagefork.example/coord/flow"
+	"lovagefork.example/coord/infra"
+)
+
+func lastingStep(count int, milliCPU int64) infra.Step {
+	s := smallStep(count)
+	s.LongRunning, s.Size.MilliCPU = true, milliCPU
+	return s
+}
+
+// A waiting task that needs a worker of normal speed must not keep a long-running task, which does not, from the room
+// on slow workers.
+func TestLongRunningTaskUsesSlowWorkerBesideWaitingTask(t *testing.T) {
+	h := newHarness(t, flow.Restored{}, newPoolWorker("a"), newPoolWorker("b"))
+	h.report("a", infra.Report{})
+	h.report("b", infra.Report{})
+	probes := smallStep(2)
+	probes.MaxPerWorker, probes.Estimate, probes.Size.MilliCPU = 1, 10*time.Second, 7000
+	h.step(flow.Submitted{Job: singleStepJob("probes", probes)})
+	h.advance(50 * time.Millisecond)
+	on := make(map[fleet.WorkerID]infra.TaskID)
+	for _, s := range h.starts() {
+		on[s.To.Worker] = s.Order.Task
+	}
+	assert.Equal(t, len(on), 2)
+	for n := 1; ; n++ {
+		assert.Assert(t, n < 20, "the task on the slow worker was not moved")
+		h.report("a", infra.Report{Running: []infra.ActiveRun{{Task: on["a"], Run: 1, Progress: 7 * n}}})
+		h.report("b", infra.Report{Running: []infra.ActiveRun{{Task: on["b"], Run: 1, Progress: n}}})
+		if len(h.stops()) > 0 {
+			break
+		}
+		h.advance(375 * time.Millisecond)
+	}
+	// The stop of the task shows that the worker is slow.
+	h.report("b", infra.Report{Ended: []infra.EndedRun{{Number: 1, Task: on["b"], Run: 1, Outcome: infra.OutcomeStopped}}})
+	h.starts()
+	timed := smallStep(1)
+	timed.Size.MilliCPU = 4000
+	h.step(flow.Submitted{Job: singleStepJob("timed", timed)})
+	h.step(flow.Submitted{Job: singleStepJob("lasting", lastingStep(1, 4000))})
+	h.advance(50 * time.Millisecond)
+	starts := h.starts()
+	assert.Equal(t, len(starts), 1, "%+v", h.m.Workers())
+	assert.Equal(t, starts[0].Order.Task.Job, fleet.JobID("lasting"))
+	assert.Equal(t, starts[0].To.Worker, fleet.WorkerID("b"))
+}
