flow: start overdue long-running tasks on quarantined workers

A long-running task may be down for 6 s after its last run, and then for less than 3 s if there is room for it.

Cause: a quarantine of 2.5 to 4 s excludes a worker for every task. Failures of long-running tasks cause quarantines themselves, and each further failure or stalled task on the worker prolongs them. A task whose only room is there waits, although nothing is known against that task, and although it is better off on a worker that may fail it than without one.

Evidence: TestQuarantineDoesNotHoldLongRunningTasks fails before (0 of 3 tasks run 3 s after their failure).

A long-running step that has waited for 2 s now uses quarantined workers, if no other worker can take its task.

--- a/coord/flow/place.go
+++ b/coord/flow/place.go
@@ -61,14 +61,16 @@
 	filler  bool
 	// longRunning is set if slow workers could not take the task either, see [worker.isSlow].
 	longRunning bool
-	size        fleet.Resources
+	// overdue is set if quarantined workers could not take the task either, see [Machine.isOverdue].
+	overdue bool
+	size    fleet.Resources
 }
 
 // isUnplaceable reports whether a step requires at least as much as a task that no worker could take in this round.
 func (m *Machine) isUnplaceable(r *readyStep) bool {
 	for _, u := range m.unplaceableShapes {
 		if u.service == r.queue.Service && u.filler == r.step.spec.Filler && (!u.filler || u.image == r.step.spec.Image) &&
-			(u.longRunning || !r.step.spec.LongRunning) && u.size.Fits(r.step.spec.Size) {
+			(u.longRunning || !r.step.spec.LongRunning) && (u.overdue || !m.isOverdue(r)) && u.size.Fits(r.step.spec.Size) {
 			return true
 		}
 	}
@@ -78,7 +80,8 @@
 // addUnplaceable records a task that no worker could take. It replaces the entries that require at least as much.
 func (m *Machine) addUnplaceableShape(u unplaceableShape) {
 	m.unplaceableShapes = slices.DeleteFunc(m.unplaceableShapes, func(o unplaceableShape) bool {
-		return o.service == u.service && o.filler == u.filler && o.image == u.image && (u.longRunning || !o.longRunning) && u.size.Fits(o.size)
+		return o.service == u.service && o.filler == u.filler && o.image == u.image &&
+			(u.longRunning || !o.longRunning) && (u.overdue || !o.overdue) && u.size.Fits(o.size)
 	})
 	m.unplaceableShapes = append(m.unplaceableShapes, u)
 }
@@ -109,7 +112,9 @@
 			if r.queue.ApprovalCost != nil {
 				m.requestApproval(r)
 			} else if isUnconstrained(&s.spec) {
-				m.addUnplaceableShape(unplaceableShape{r.queue.Service, s.spec.Image, s.spec.Filler, s.spec.LongRunning, s.spec.Size})
+				m.addUnplaceableShape(unplaceableShape{
+					r.queue.Service, s.spec.Image, s.spec.Filler, s.spec.LongRunning, m.isOverdue(r), s.spec.Size,
+				})
 			}
 			break
 		}
@@ -229,6 +234,9 @@
 		if t != nil && t.avoidWorker == w.ID {
 			score -= avoidPenalty
 		}
+		if w.isQuarantined(m.now) {
+			score -= avoidPenalty
+		}
 		if best == nil || score > bestScore {
 			best, bestScore = w, score
 		}
@@ -254,7 +262,7 @@
 	if !spec.Reserved().Fits(w.free()) {
 		return false
 	}
-	if w.isSlow(spec) {
+	if w.isSlow(spec) || w.isQuarantined(m.now) && !m.isOverdue(r) {
 		return false
 	}
 	if spec.Filler && (w.spareMilliCPU() < spec.Size.MilliCPU || !m.acceptsFiller(w, spec)) {
@@ -269,6 +277,16 @@
 	return true
 }
 
+// overdueTime is how long a long-running step waits for a worker that is not quarantined. Quarantines last longer and can
+// be prolonged, and a long-running task must run again 6 s after its last run.
+const overdueTime = 2 * time.Second
+
+// isOverdue reports whether a step uses quarantined workers too. A long-running task that fails there loses little; any
+// other task would lose its work.
+func (m *Machine) isOverdue(r *readyStep) bool {
+	return r.step.spec.LongRunning && m.now.Sub(r.readySince) >= overdueTime
+}
+
 // servingUtilization is the assumed average utilization of the processor time reserved by serving tasks. The rest is
 // available to fillers.
 const servingUtilization = 0.5
--- a/coord/flow/placement_test.go
+++ b/coord/flow/placement_test.go
@@ -54,3 +54,26 @@
 	assert.Equal(t, starts[0].Order.Task.Job, fleet.JobID("lasting"))
 	assert.Equal(t, starts[0].To.Worker, fleet.WorkerID("b"))
 }
+
+// Long-running tasks must not wait for the end of a quarantine if there is no room on other workers: each of their
+// failures can prolong it.
+func TestQuarantineDoesNotHoldLongRunningTasks(t *testing.T) {
+	h := newHarness(t, flow.Restored{}, newPoolWorker("a"))
+	h.report("a", infra.Report{})
+	jobs := []string{"j0", "j1", "j2"}
+	var running []infra.ActiveRun
+	var ended []infra.EndedRun
+	for i, id := range jobs {
+		h.step(flow.Submitted{Job: singleStepJob(id, lastingStep(1, 1000))})
+		task := infra.TaskID{Job: fleet.JobID(id)}
+		running = append(running, infra.ActiveRun{Task: task, Run: 1, Progress: 100})
+		ended = append(ended, infra.EndedRun{Number: int64(i + 1), Task: task, Run: 1, Outcome: infra.OutcomeFailed})
+	}
+	h.advance(50 * time.Millisecond)
+	assert.Equal(t, len(h.starts()), len(jobs))
+	h.report("a", infra.Report{Running: running})
+	h.advance(200 * time.Millisecond)
+	h.report("a", infra.Report{Ended: ended})
+	h.advance(3 * time.Second)
+	assert.Equal(t, len(h.starts()), len(jobs))
+}
--- a/coord/flow/view.go
+++ b/coord/flow/view.go
@@ -76,7 +76,7 @@
 			o.Unreachable++
 		case w.Draining || w.cordoned:
 			o.Draining++
-		case m.now.Before(w.quarantinedUntil) || m.now.Before(w.unhealthyUntil):
+		case w.isQuarantined(m.now) || m.now.Before(w.unhealthyUntil):
 			o.Resting++
 		}
 	}
@@ -128,7 +128,7 @@
 		return "has not answered this scheduler yet"
 	case !w.leadershipConfirmed:
 		return "first held while the store was silent"
-	case m.now.Before(w.quarantinedUntil):
+	case w.isQuarantined(m.now):
 		return "rests because its tasks failed or stood still"
 	case m.now.Before(w.unhealthyUntil):
 		return "was unhealthy or left an order unanswered"
@@ -244,6 +244,9 @@
 	spec := &r.step.spec
 	for _, w := range m.workersByID {
 		reason := m.unusableReason(w)
+		if w.isQuarantined(m.now) && w.usable(m.now) && m.isOverdue(r) {
+			reason = ""
+		}
 		switch {
 		case w.Service != r.queue.Service:
 			continue
--- a/coord/flow/worker.go
+++ b/coord/flow/worker.go
@@ -183,11 +183,13 @@
 	return false
 }
 
-// usable reports whether new tasks may be started on the worker.
+// usable reports whether new tasks may be started on the worker, apart from a quarantine.
 func (w *worker) usable(now time.Time) bool {
-	return w.listed && w.inStoredRoster && w.leadershipConfirmed && w.reachable && !w.Draining && !w.cordoned && w.clock > 0 && !now.Before(w.quarantinedUntil) && !now.Before(w.unhealthyUntil)
+	return w.listed && w.inStoredRoster && w.leadershipConfirmed && w.reachable && !w.Draining && !w.cordoned && w.clock > 0 && !now.Before(w.unhealthyUntil)
 }
 
+func (w *worker) isQuarantined(now time.Time) bool { return now.Before(w.quarantinedUntil) }
+
 func (w *worker) free() fleet.Resources { return w.Capacity.Sub(w.used) }
 
 // maxClock returns an upper bound for the worker's clock, which may run slower than local time by up to maxClockDrift.
