procs: check that a backend server that returned is used again when it is needed

TestLeavingBackendServer failed now and then with "new requests at b-w0: not seen in 1m30s". It asked for requests at a server that had returned, though its replica had been moved away and stays where it is, and it passed only on requests that were sent before the mark "leaving" had arrived: its first comparison was made without a pause.

The test now waits for two seconds without a request, and then lets all other servers of the availability zone leave, so that requests have to go to the one that returned.

--- a/entryd/procs/failure_test.go
+++ b/entryd/procs/failure_test.go
@@ -90,7 +90,9 @@
 	assert.Assert(t, r.outcomes("bookings")["good"] > 0)
 }
 
-// Guards against requests that are still routed to a leaving backend server, or not routed to it after its return.
+// Guards against requests that are still routed to a leaving backend server, and against a server that is not used again
+// after its return. Replicas that were moved do not return by themselves, so the other servers of the availability zone
+// leave then, which leaves them only this one.
 func TestLeavingBackendServer(t *testing.T) {
 	c := startCluster(t)
 	requests := func() int64 {
@@ -105,14 +107,13 @@
 	c.runLoad(20, func() {
 		c.await("requests at b-w0", func() bool { return requests() > 0 })
 		c.postControl(portWorkersControl, `{"workers": {"b-w0": {"list_state": "leaving"}}}`)
-		before := requests()
+		var before int64
 		c.await("b-w0 to get no more requests", func() bool {
-			last := before
 			before = requests()
 			time.Sleep(2 * time.Second)
-			return before == last
+			return requests() == before
 		})
-		c.postControl(portWorkersControl, `{"workers": {"b-w0": {}}}`)
+		c.postControl(portWorkersControl, `{"workers": {"b-w0": {}, "b-w1": {"list_state": "leaving"}, "b-w2": {"list_state": "leaving"}, "b-w3": {"list_state": "leaving"}}}`)
 		c.await("new requests at b-w0", func() bool { return requests() > before })
 	})
 }
