flow: pause adopted fillers that look paused instead of assuming it

A worker measures over half a second, so a filler that has just started looks the same. It was then neither counted as a load nor paused while a serving task missed its target, because it counted as paused already.

TestAdoptedFillersWithoutMeasurementArePaused fails before: no order to pause the filler in 3.75 s over the target.

The assumption is now made true by an order. The next adjustment, half a second later, resumes the filler as far as the serving tasks tolerate it, as before.

--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -375,9 +375,6 @@
 	r.step, r.occ, r.size = s, o, s.spec.Reserved()
 	if s.spec.Filler {
 		r.fillerCPU = s.spec.Size.MilliCPU
-		if row.Measurement < pausedUseShare*float64(r.fillerCPU) {
-			r.speedPercent = 0
-		}
 	}
 	t.lastRun = max(t.lastRun, row.Run)
 	if row.Checkpoint != "" {
@@ -398,6 +395,12 @@
 		m.removeReady(s)
 	}
 	m.emit(Log{Text: "run adopted", Task: row.Task, Run: row.Run, Worker: w.ID, Reason: w.adoptionNote()})
+	if row.Measurement < pausedUseShare*float64(r.fillerCPU) {
+		// A run that has just started is not measured yet and looks like a paused one. The order makes it one, and the
+		// next adjustment may resume it.
+		m.setSpeed(r, 0)
+		w.adjustedAt = m.now
+	}
 }
 
 // adoptionNote returns what is not known yet about a worker whose runs are adopted.
--- a/coord/flow/takeover_test.go
+++ b/coord/flow/takeover_test.go
@@ -125,6 +125,36 @@
 	assert.Equal(t, len(h.starts()), 1)
 }
 
+// A worker that has just started a filler has not measured it yet. After a takeover the filler was taken for a paused one,
+// so that it was neither counted as a load nor paused while a serving task beside it missed its target.
+func TestAdoptedFillersWithoutMeasurementArePaused(t *testing.T) {
+	serving := infra.Step{
+		Count: 1, Size: fleet.Resources{MilliCPU: 2000, MemoryBytes: 1 << 30}, LongRunning: true, Image: "serving",
+		TailTarget: tailTarget, Estimate: time.Second,
+	}
+	filler := infra.Step{
+		Count: 1, Size: fleet.Resources{MilliCPU: 1000, MemoryBytes: 1 << 30}, Filler: true, Image: "filler", Estimate: 4 * time.Second,
+	}
+	h := newHarness(t, flow.Restored{
+		Jobs:         []flow.StoredJob{{Job: singleStepJob("serving", serving)}, {Job: singleStepJob("filler", filler)}},
+		Roster:       []flow.RosterEntry{{Worker: "a", Address: "a:1"}},
+		Interference: []flow.InterferenceRecord{{Image: "serving", Pairs: []flow.PairWeightRecord{{Image: "filler", Weight: 100}}}},
+		Term:         1,
+	}, newPoolWorker("a"))
+	c := &colocated{harness: h, running: []infra.ActiveRun{
+		{Task: infra.TaskID{Job: "serving"}, Run: 1, Progress: 100, Measurement: 100}, {Task: infra.TaskID{Job: "filler"}, Run: 1},
+	}}
+	c.report("a", infra.Report{Running: c.running})
+	c.reportTail(3750*time.Millisecond, 4*tailTarget)
+	paused := false
+	for _, e := range c.effects {
+		if e, ok := e.(flow.Throttle); ok {
+			paused = e.Order.SpeedPercent == 0
+		}
+	}
+	assert.Assert(t, paused)
+}
+
 // sharedWorkers is a pool in which each worker runs a serving task.
 type sharedWorkers struct {
 	*harness
