flow: restart adopted tasks while a worker of the predecessor is silent

Cause: after a takeover no task of an earlier job was started until every worker in the stored roster had answered, up to 13.1 s after the election, because a silent worker may run tasks that the predecessor started. That also held up tasks that this scheduler had seen on another worker since. Such a task cannot be on the silent worker: its own worker takes no orders of the predecessor any more.

Evidence: TestAdoptedTaskRestartsBesideSilentWorker fails before (no start 100 ms after the end of an adopted run) and passes after.

A task that this scheduler has started or adopted no longer waits for silent workers.

--- a/coord/flow/job.go
+++ b/coord/flow/job.go
@@ -28,6 +28,9 @@
 	checkpoint string
 	// avoidWorker is the worker of the last run that did not complete.
 	avoidWorker fleet.WorkerID
+	// located is set once this scheduler has started the task or seen it running. From then on no worker can run it on
+	// behalf of a predecessor without being known.
+	located bool
 	// runs are the runs that may exist on workers.
 	runs []*run
 	// moves counts how often the task was moved because of its progress.
--- a/coord/flow/place.go
+++ b/coord/flow/place.go
@@ -30,7 +30,7 @@
 		switch {
 		case m.unansweredStarts >= maxUnansweredStarts:
 			return
-		case r.removed || !r.occ.job.acceptedAfterTakeover && len(m.unreconciledWorkers) > 0:
+		case r.removed:
 		case r.step.spec.Gang:
 			m.placeGang(r)
 		default:
@@ -39,6 +39,22 @@
 	}
 }
 
+// mayRunUnseen reports whether a worker that this scheduler has not heard from may run a task, which a predecessor
+// started there.
+func (m *Machine) mayRunUnseen(j *job, t *task) bool {
+	return len(m.unreconciledWorkers) > 0 && !j.acceptedAfterTakeover && !t.located
+}
+
+// mayAllRunUnseen reports whether no waiting task of a step can be started because of [Machine.mayRunUnseen].
+func (m *Machine) mayAllRunUnseen(r *readyStep) bool {
+	for i := range r.step.tasks {
+		if t := &r.step.tasks[i]; t.phase == waiting && !m.mayRunUnseen(r.occ.job, t) {
+			return false
+		}
+	}
+	return true
+}
+
 // candidatesOf returns the workers of a service that accept new tasks in this round of placement.
 func (m *Machine) candidatesOf(service string) []*worker {
 	if found, known := m.candidates[service]; known {
@@ -104,6 +120,9 @@
 			}
 			continue
 		}
+		if m.mayRunUnseen(r.occ.job, t) {
+			continue
+		}
 		if len(t.failedRuns) > 0 && m.checkAttempts(r.occ.job, t, r.task(i)) {
 			return
 		}
@@ -136,6 +155,9 @@
 	}
 	number := infra.Run(0)
 	for i := range s.tasks {
+		if m.mayRunUnseen(r.occ.job, &s.tasks[i]) {
+			return
+		}
 		number = max(number, s.tasks[i].lastRun)
 	}
 	number++
@@ -360,7 +382,7 @@
 	}
 	newRun.deadline = w.maxClock(m.now) + startWindow.Milliseconds()
 	w.leaseEnd = max(w.leaseEnd, newRun.deadline)
-	t.lastRun = number
+	t.lastRun, t.located = number, true
 	t.runs = append(t.runs, newRun)
 	w.add(m.now, newRun)
 	if s.runsPerWorker != nil {
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -375,7 +375,7 @@
 			r.speedPercent = 0
 		}
 	}
-	t.lastRun = max(t.lastRun, row.Run)
+	t.lastRun, t.located = max(t.lastRun, row.Run), true
 	if row.Checkpoint != "" {
 		t.checkpoint = row.Checkpoint
 	}
--- a/coord/flow/view.go
+++ b/coord/flow/view.go
@@ -228,7 +228,7 @@
 		v.BlockedReason = "earlier steps are not done"
 	case ready == nil:
 		v.BlockedReason = "not released"
-	case !o.job.acceptedAfterTakeover && len(m.unreconciledWorkers) > 0:
+	case m.mayAllRunUnseen(ready):
 		v.BlockedReason = "workers of the former scheduler have not answered yet"
 	default:
 		m.setRank(ready)
