--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -376,7 +376,7 @@
 	if s.spec.Filler {
 		r.fillerCPU = s.spec.Size.MilliCPU
 	}
-	t.lastRun = max(t.lastRun, row.Run)
+	t.lastRun, t.located = max(t.lastRun, row.Run), true
 	if row.Checkpoint != "" {
 		t.checkpoint = row.Checkpoint
 	}
