flow: wait for the registration of a restarted worker

What callers saw: nothing yet; found while looking for starts beyond the capacity of a worker that has shrunk. A worker may start again under its ID with another service, kind or capacity. Its report shows the restart up to a heartbeat before its registration is read, and seconds before during an outage of the store. In that time the scheduler started tasks on it by the registration of its previous incarnation (LIMIT, ROUTE).

Cause: a registration was applied to the worker's ID, not to the incarnation that wrote it.

--- a/coord/flow/simulation_test.go
+++ b/coord/flow/simulation_test.go
@@ -32,6 +32,10 @@
 	leader       *simScheduler
 	// storeDown delays all saves.
 	storeDown bool
+	// storeDownAt and storeUpAt are the start and the end of the last [simulation.storeOutage].
+	storeDownAt, storeUpAt time.Time
+	// listingDelay is the longest time until a new scheduler has read the registrations.
+	listingDelay time.Duration
 	// lostShare is the share of orders without an answer. Half of those are carried out late, the others never.
 	lostShare  float64
 	violations []string
@@ -127,6 +131,8 @@
 	drainStarted time.Time
 	// voidedEnd is the number of the last end before a lease expired.
 	voidedEnd int64
+	// capacities are the capacities of this incarnation in order; empty if the capacity has never changed.
+	capacities []capacityChange
 }
 
 type pendingRenewal struct {
@@ -217,8 +223,10 @@
 	sim.step(sched, restored)
 	sim.step(sched, flow.Configured{Catalog: sim.catalog})
 	for _, id := range sim.workerIDs {
-		if f := sim.workers[id]; f.up {
+		if f := sim.workers[id]; f.up && sim.listingDelay == 0 {
 			sim.step(sched, flow.WorkerListed{Worker: f.describe()})
+		} else if f.up {
+			sim.after(time.Duration(sim.rng.Int64N(int64(sim.listingDelay))), func() { sim.register(f, f.startedAt) })
 		}
 	}
 	sim.after(10*time.Millisecond, func() { sim.tick(sched) })
@@ -372,7 +380,7 @@
 	f.token, f.lease, f.endCount, f.voidedEnd = 0, 0, 0, 0
 	f.drainStarted, f.info.Draining, f.info.Remaining = time.Time{}, false, 0
 	f.runs, f.highestRun = make(map[infra.TaskID]*fakeRun), make(map[infra.TaskID]infra.Run)
-	f.ended, f.waitingRenewals, f.failures = nil, nil, make(map[int64]*failedRun)
+	f.ended, f.waitingRenewals, f.failures, f.capacities = nil, nil, make(map[int64]*failedRun), nil
 }
 
 func (f *fakeWorker) describe() infra.Worker {
@@ -534,8 +542,8 @@
 			same++
 		}
 	}
-	if !used.Fits(f.info.Capacity) {
-		sim.violation("%v on %s raises use to %v of %v", s.Task, f.info.ID, used, f.info.Capacity)
+	if limit := f.capacityLimit(); !used.Fits(limit) {
+		sim.violation("%v on %s raises use to %v of %v", s.Task, f.info.ID, used, limit)
 	}
 	if spec.MaxPerWorker > 0 && same > spec.MaxPerWorker {
 		sim.violation("%v is run %d of its step on %s, which exceeds MaxPerWorker", s.Task, same, f.info.ID)
@@ -741,7 +749,7 @@
 	})
 	sim.after(d, func() {
 		if f.startedAt == startedAt {
-			f.reachable = true
+			f.reachable, f.info.Capacity = true, f.capacity()
 			sim.notifyLeader(flow.WorkerListed{Worker: f.describe()})
 		}
 	})
--- a/coord/flow/view.go
+++ b/coord/flow/view.go
@@ -116,6 +116,8 @@
 	switch {
 	case !w.listed:
 		return "not listed"
+	case w.restartedSinceListing:
+		return "not listed since its restart"
 	case !w.reachable:
 		return "not reachable"
 	case w.Draining:
--- a/coord/flow/worker.go
+++ b/coord/flow/worker.go
@@ -87,6 +87,9 @@
 type worker struct {
 	infra.Worker
 	listed bool
+	// restartedSinceListing is set while the registration is that of a previous incarnation, whose service, labels and
+	// capacity may differ.
+	restartedSinceListing bool
 	// inStoredRoster is set once the stored roster lists the worker, so that a later scheduler expects tasks on it.
 	inStoredRoster bool
 	// tokenAccepted is set once the worker has accepted this scheduler's fencing token.
@@ -185,7 +188,7 @@
 
 // usable reports whether new tasks may be started on the worker.
 func (w *worker) usable(now time.Time) bool {
-	return w.listed && w.inStoredRoster && w.leadershipConfirmed && w.reachable && !w.Draining && !w.cordoned && w.clock > 0 && !now.Before(w.quarantinedUntil) && !now.Before(w.unhealthyUntil)
+	return w.listed && !w.restartedSinceListing && w.inStoredRoster && w.leadershipConfirmed && w.reachable && !w.Draining && !w.cordoned && w.clock > 0 && !now.Before(w.quarantinedUntil) && !now.Before(w.unhealthyUntil)
 }
 
 func (w *worker) free() fleet.Resources { return w.Capacity.Sub(w.used) }
--- a/coord/flow/worker_lifecycle.go
+++ b/coord/flow/worker_lifecycle.go
@@ -76,7 +76,7 @@
 		w.leavesAt = m.now.Add(info.Remaining)
 	}
 	startedAt := max(w.StartedAt, info.StartedAt)
-	w.Worker, w.listed = info, true
+	w.Worker, w.listed, w.restartedSinceListing = info, true, false
 	w.StartedAt = startedAt
 	if m.roster[w.ID] != info.Address {
 		m.roster[w.ID] = info.Address
@@ -119,7 +119,7 @@
 		// The start may have reached the new incarnation or may still reach it, so the new incarnation must reject it.
 		r.state, r.nextStop, r.stopReason = fencing, m.now, "worker restarted"
 	}
-	w.StartedAt = startedAt
+	w.StartedAt, w.restartedSinceListing = startedAt, true
 	w.tokenAccepted, w.leadershipConfirmed = false, false
 	w.clock, w.leaseEnd, w.seenEnd, w.durableEnd, w.unsavedSeq = 0, 0, 0, 0, 0
 	w.endWeight, w.speed = 0, 1
