--- a/coord/flow/simulation_test.go
+++ b/coord/flow/simulation_test.go
@@ -133,6 +133,8 @@
 	voidedEnd int64
 	// capacities are the capacities of this incarnation in order; empty if the capacity has never changed.
 	capacities []capacityChange
+	// listedAt is when the last registration has reached the scheduler.
+	listedAt time.Time
 }
 
 type pendingRenewal struct {
