flow: give a worker that runs a task of an unknown job no new tasks

What callers saw: nothing yet; found by reading what counts a capacity that changes. After a takeover a worker may run a task of a job that this scheduler does not know, and runs it until the stop has taken effect. The run was counted with the worker's capacity at its adoption. That is 0 before the worker is listed, and too little if the worker has shrunk since the run was started and grows again, so that tasks were started beside it (LIMIT: what is being stopped counts).

Evidence: TestRunOfUnknownJobOccupiesWholeWorker, one start instead of none in both cases.

Why it works: the run has no size; a worker that has such a run takes no new tasks until the run has ended.

--- a/coord/flow/capacity_test.go
+++ b/coord/flow/capacity_test.go
@@ -293,3 +293,24 @@
 	h.advance(100 * time.Millisecond)
 	assert.Equal(t, len(h.starts()), 2)
 }
+
+// A run of an unknown job may hold any part of its worker. It was counted with the capacity at its adoption, which is
+// unknown before the worker is listed and may have shrunk since the run was started (LIMIT).
+func TestRunOfUnknownJobOccupiesWholeWorker(t *testing.T) {
+	shrunk := newPoolWorker("a")
+	shrunk.Capacity = fleet.Resources{MilliCPU: 2000, MemoryBytes: 2 << 30}
+	for name, listed := range map[string][]infra.Worker{"not listed": nil, "shrunk": {shrunk}} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, flow.Restored{Roster: []flow.RosterEntry{{Worker: "a", Address: "a:1"}}, Term: 1}, listed...)
+			unknown := infra.TaskID{Job: "unknown"}
+			h.report("a", infra.Report{Running: []infra.ActiveRun{{Task: unknown, Run: 1}}})
+			h.step(flow.WorkerListed{Worker: newPoolWorker("a")})
+			h.step(flow.Submitted{Job: singleStepJob("j", smallStep(1))})
+			h.advance(300 * time.Millisecond)
+			assert.Equal(t, len(h.starts()), 0)
+			h.report("a", infra.Report{Ended: []infra.EndedRun{{Number: 1, Task: unknown, Run: 1, Outcome: infra.OutcomeStopped}}})
+			h.advance(300 * time.Millisecond)
+			assert.Equal(t, len(h.starts()), 1)
+		})
+	}
+}
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -362,7 +362,7 @@
 		m.releaseRun(old)
 	}
 	if t == nil {
-		r.size = m.sizeOf(w, row.Task)
+		r.size, r.sizeUnknown = m.sizeOf(row.Task)
 		w.add(m.now, r)
 		m.stop(r, "task of an unknown job")
 		return
@@ -396,12 +396,11 @@
 	m.emit(Log{Text: "run adopted", Task: row.Task, Run: row.Run, Worker: w.ID})
 }
 
-// sizeOf returns the resources held by a run whose task is no longer scheduled. A run of an unknown job may occupy the
-// whole worker.
-func (m *Machine) sizeOf(w *worker, id infra.TaskID) fleet.Resources {
+// sizeOf returns the resources held by a run whose task is no longer scheduled. They are unknown if its job is.
+func (m *Machine) sizeOf(id infra.TaskID) (size fleet.Resources, unknown bool) {
 	j := m.jobs[id.Job]
 	if j == nil || id.Step < 0 || id.Step >= len(j.spec.Steps) {
-		return w.Capacity
+		return fleet.Resources{}, true
 	}
-	return j.spec.Steps[id.Step].Reserved()
+	return j.spec.Steps[id.Step].Reserved(), false
 }
--- a/coord/flow/view.go
+++ b/coord/flow/view.go
@@ -134,6 +134,8 @@
 		return "rests because its tasks failed or stood still"
 	case m.now.Before(w.unhealthyUntil):
 		return "was unhealthy or left an order unanswered"
+	case w.unknownSizes > 0:
+		return "runs a task of an unknown job"
 	default:
 		return ""
 	}
--- a/coord/flow/worker.go
+++ b/coord/flow/worker.go
@@ -34,16 +34,18 @@
 
 // run is one start of a task on a worker. It occupies capacity until its end is known.
 type run struct {
-	id        infra.TaskID
-	number    infra.Run
-	worker    *worker
-	step      *step
-	occ       *occurrence
-	state     runState
-	size      fleet.Resources
-	fillerCPU int64
-	startedAt time.Time
-	percent   int
+	id     infra.TaskID
+	number infra.Run
+	worker *worker
+	step   *step
+	occ    *occurrence
+	state  runState
+	size   fleet.Resources
+	// sizeUnknown marks a run of an unknown job, which may hold all resources of its worker.
+	sizeUnknown bool
+	fillerCPU   int64
+	startedAt   time.Time
+	percent     int
 	// measuredPercent is the progress at the last measurement, at measuredAt, and stalledFor how long there has been
 	// no progress.
 	measuredPercent int
@@ -109,6 +111,8 @@
 
 	used      fleet.Resources
 	fillerCPU int64
+	// unknownSizes counts the runs of unknown size.
+	unknownSizes int
 	// servingSteps and servingImages count the runs with a tail latency target by step and by image; servingCPU is the
 	// processor time that they reserve.
 	servingSteps  map[*step]int
@@ -188,7 +192,7 @@
 
 // usable reports whether new tasks may be started on the worker.
 func (w *worker) usable(now time.Time) bool {
-	return w.listed && !w.restartedSinceListing && w.inStoredRoster && w.leadershipConfirmed && w.reachable && !w.Draining && !w.cordoned && w.clock > 0 && !now.Before(w.quarantinedUntil) && !now.Before(w.unhealthyUntil)
+	return w.listed && !w.restartedSinceListing && w.unknownSizes == 0 && w.inStoredRoster && w.leadershipConfirmed && w.reachable && !w.Draining && !w.cordoned && w.clock > 0 && !now.Before(w.quarantinedUntil) && !now.Before(w.unhealthyUntil)
 }
 
 func (w *worker) free() fleet.Resources { return w.Capacity.Sub(w.used) }
@@ -220,6 +224,9 @@
 	at, _ := slices.BinarySearchFunc(w.runsByTask, r, compareRuns)
 	w.runsByTask = slices.Insert(w.runsByTask, at, r)
 	w.used = w.used.Add(r.size)
+	if r.sizeUnknown {
+		w.unknownSizes++
+	}
 	w.countLoad(now, r, 1)
 }
 
@@ -230,6 +237,9 @@
 	delete(w.runs, r.id)
 	w.runsByTask = slices.DeleteFunc(w.runsByTask, func(o *run) bool { return o == r })
 	w.used = w.used.Sub(r.size)
+	if r.sizeUnknown {
+		w.unknownSizes--
+	}
 	w.countLoad(now, r, -1)
 }
 
