--- a/coord/flow/view.go
+++ b/coord/flow/view.go
@@ -136,6 +136,8 @@
 	switch {
 	case !w.listed:
 		return "not listed"
+	case w.restartedSinceListing:
+		return "not listed since its restart"
 	case !w.reachable:
 		return "not reachable"
 	case w.Draining:
@@ -152,6 +154,8 @@
 		return "rests because its tasks failed or stood still"
 	case m.now.Before(w.unhealthyUntil):
 		return "was unhealthy or left an order unanswered"
+	case w.unknownSizes > 0:
+		return "runs a task of an unknown job"
 	default:
 		return ""
 	}
--- a/coord/flow/worker_lifecycle.go
+++ b/coord/flow/worker_lifecycle.go
@@ -76,9 +76,8 @@
 		w.leavesAt = m.now.Add(info.Remaining)
 	}
 	startedAt := max(w.StartedAt, info.StartedAt)
-	w.Worker, w.listed = info, true
+	w.Worker, w.listed, w.restartedSinceListing = info, true, false
 	w.StartedAt = startedAt
-	m.resizeUnknownRuns(w)
 	if m.roster[w.ID] != info.Address {
 		m.roster[w.ID] = info.Address
 		m.rosterDirty = true
@@ -87,18 +86,6 @@
 	m.placementDue = true
 }
 
-// resizeUnknownRuns counts the runs of unknown jobs with the present capacity of their worker. It was unknown if they
-// were adopted before the worker was listed.
-func (m *Machine) resizeUnknownRuns(w *worker) {
-	for _, r := range w.runsByTask {
-		if r.step == nil {
-			size := m.sizeOf(w, r.id)
-			w.used = w.used.Sub(r.size).Add(size)
-			r.size = size
-		}
-	}
-}
-
 func (m *Machine) workerUnlisted(id fleet.WorkerID) {
 	w := m.workers[id]
 	if w == nil || !w.listed {
@@ -132,7 +119,7 @@
 		// The start may have reached the new incarnation or may still reach it, so the new incarnation must reject it.
 		r.state, r.nextStop, r.stopReason = fencing, m.now, "worker restarted"
 	}
-	w.StartedAt = startedAt
+	w.StartedAt, w.restartedSinceListing = startedAt, true
 	w.tokenAccepted, w.leadershipConfirmed = false, false
 	w.clock, w.leaseEnd, w.seenEnd, w.durableEnd, w.unsavedSeq = 0, 0, 0, 0, 0
 	w.endWeight, w.speed = 0, 1
