place: recompute shares when the capacity of a worker changes

Callers could see urgent tasks slowed after the capacity of a worker had shrunk: the loads of the kinds on a worker are cached as shares of its processors, and a new listing did not drop the cache. Until the next report of the worker, tasks were placed beside loads that looked smaller than they were, or larger after the capacity had grown.

A listing now drops the cached loads, as a report does.

--- a/coord/place/machine.go
+++ b/coord/place/machine.go
@@ -102,7 +102,7 @@
 func (m *Machine) updateWorker(w fleet.Worker) {
 	h := m.host(w.ID)
 	m.countCapacity(h, -1)
-	h.worker, h.listed = w, true
+	h.worker, h.listed, h.kindLoads = w, true, nil
 	m.countCapacity(h, 1)
 	h.resolvePending()
 }
