--- a/coord/flow/view.go
+++ b/coord/flow/view.go
@@ -90,7 +90,11 @@
 	return o
 }
 
-// WorkerView describes a worker for operators. ReportAge is the age of its last report in milliseconds.
+// noReport is the age of the last report of a worker that has sent none.
+const noReport = -1
+
+// WorkerView describes a worker for operators. ReportAge is the age of its last report in milliseconds, -1 before its
+// first one.
 type WorkerView struct {
 	Worker   fleet.WorkerID         `json:"worker"`
 	Service  string                 `json:"service"`
@@ -116,12 +120,19 @@
 		views = append(views, WorkerView{
 			Worker: w.ID, Service: w.Service, Zone: w.Zone, Capacity: w.Capacity, Used: w.used, FillerMilliCPU: w.fillerCPU,
 			FillerLoad: w.totalFillerLoad(), Runs: len(w.runs),
-			ReportAge: m.now.Sub(w.clockAt).Milliseconds(), Speed: w.speed, UnusableReason: m.unusableReason(w),
+			ReportAge: w.reportAge(m.now), Speed: w.speed, UnusableReason: m.unusableReason(w),
 		})
 	}
 	return views
 }
 
+func (w *worker) reportAge(now time.Time) int64 {
+	if w.clockAt.IsZero() {
+		return noReport
+	}
+	return now.Sub(w.clockAt).Milliseconds()
+}
+
 // totalFillerLoad returns the load of all fillers of a worker in thousandths of a core.
 func (w *worker) totalFillerLoad() int64 {
 	sum := 0.0
--- a/coord/flow/view_test.go
+++ b/coord/flow/view_test.go
@@ -67,3 +67,13 @@
 		"10 running, 0 of them paused; they reserve 10000m and request 10000m",
 	})
 }
+
+// The age of the last report of a worker that has sent none was shown as 292 years.
+func TestReportAgeBeforeFirstReport(t *testing.T) {
+	h := newHarness(t, flow.Restored{}, newPoolWorker("a"), newPoolWorker("b"))
+	h.report("b", infra.Report{})
+	h.advance(100 * time.Millisecond)
+	views := h.m.Workers()
+	assert.Equal(t, views[0].ReportAge, int64(-1))
+	assert.Equal(t, views[1].ReportAge, int64(100))
+}
--- a/lovctl/show/hosted.go
+++ b/lovctl/show/hosted.go
@@ -27,12 +27,20 @@
 	for _, v := range all {
 		rows = append(rows, []string{
 			string(v.Worker), string(v.Zone), v.Capacity.String(), v.Used.String(), fmt.Sprintf("%dm of %dm", v.FillerLoad, v.FillerMilliCPU), fmt.Sprint(v.Runs),
-			fmt.Sprintf("%d ms", v.ReportAge), fmt.Sprintf("%.2f", v.Speed), v.UnusableReason,
+			formatReportAge(v.ReportAge), fmt.Sprintf("%.2f", v.Speed), v.UnusableReason,
 		})
 	}
 	printTable(w, rows)
 }
 
+// formatReportAge formats the age of a worker's last report in milliseconds.
+func formatReportAge(age int64) string {
+	if age < 0 {
+		return "none"
+	}
+	return fmt.Sprintf("%d ms", age)
+}
+
 // HostedJob prints a job of a hosted deployment with its runs and the reasons why its other tasks wait.
 func HostedJob(w io.Writer, v flow.JobView) {
 	_, _ = fmt.Fprintf(w, "job %s of %s: %s (durable: %s), %d ms old, %d ms left\n", v.Job, v.Queue, v.State, v.DurableState, v.Age, v.Slack)
