flow: report which long-running tasks wait, and why

Neither logs nor metrics could tell why a given long-running task does not run: only /v1/scheduler/jobs/JOB states reasons, of the present moment, to whoever asks while it lasts. The hypotheses for the reported lost task (no room, quarantined workers, silent workers of a predecessor, job not known) could not be told apart afterwards.

Once a second the scheduler counts the long-running steps that have waited for 4 s, as the gauge lovagefork_scheduler_waiting_long_running_steps and in /v1/scheduler, and logs for up to four of them the number of workers by why they cannot take a task.

--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -143,6 +143,9 @@
 	// earlyCancels are the cancellations of jobs that are not known yet.
 	earlyCancels map[fleet.JobID]struct{}
 	counts       Counts
+	// longWaits is the number of long-running steps that had waited for longer than waitReportTime at waitsCheckedAt.
+	longWaits      int
+	waitsCheckedAt time.Time
 }
 
 type batchJob struct {
--- a/coord/flow/rank.go
+++ b/coord/flow/rank.go
@@ -22,6 +22,8 @@
 	index      int
 	step       *step
 	readySince time.Time
+	// waitReportedAt is when the wait of a long-running step was last reported.
+	waitReportedAt time.Time
 
 	queue infra.Queue
 	rank  rank
--- a/coord/flow/sweep.go
+++ b/coord/flow/sweep.go
@@ -37,6 +37,7 @@
 	}
 	m.expire()
 	m.adjustFillers()
+	m.reportWaits()
 	m.interferenceDirty = m.interferenceDirty || len(m.interferenceModels) > 0 && m.now.Sub(m.interferenceSavedAt) >= interferenceSaveInterval
 	if len(m.readySteps) > 0 && m.now.Sub(m.placedAt) >= placeRetryInterval {
 		m.placementDue = true
--- a/coord/flow/view.go
+++ b/coord/flow/view.go
@@ -45,6 +45,8 @@
 	Jobs    map[infra.State]int `json:"jobs"`
 	Ready   int                 `json:"ready_steps"`
 	Workers int                 `json:"workers"`
+	// LongWaits counts the long-running steps that have waited for several seconds.
+	LongWaits int `json:"waiting_long_running_steps"`
 	// Unreachable, Draining and Resting workers take no new tasks. Resting workers are quarantined or were unhealthy a
 	// moment ago.
 	Unreachable int `json:"unreachable_workers"`
@@ -61,7 +63,7 @@
 // Overview returns a summary of the scheduler's state.
 func (m *Machine) Overview() Overview {
 	o := Overview{
-		Token: m.token, Term: m.term, Jobs: make(map[infra.State]int), Ready: len(m.readySteps), Workers: len(m.workers),
+		Token: m.token, Term: m.term, Jobs: make(map[infra.State]int), Ready: len(m.readySteps), Workers: len(m.workers), LongWaits: m.longWaits,
 		Unsettled: len(m.unreconciledWorkers), Unanswered: m.unansweredStarts, Unsaved: len(m.dirtyJobs), Counts: m.counts,
 	}
 	if m.catalog != nil {
--- a/entryd/leader/scheduler.go
+++ b/entryd/leader/scheduler.go
@@ -48,6 +48,7 @@
 	renewals       metrics.Counter
 	orders         metrics.Counter
 	saves          metrics.Counter
+	longWaits      metrics.Gauge
 
 	mu      sync.Mutex
 	catalog *infra.Catalog
@@ -81,6 +82,7 @@
 		renewals:     metrics.GetOrRegisterCounter("scheduler.holds.total", d.Metrics),
 		orders:       metrics.GetOrRegisterCounter("scheduler.orders.total", d.Metrics),
 		saves:        metrics.GetOrRegisterCounter("scheduler.saves.total", d.Metrics),
+		longWaits:    metrics.GetOrRegisterGauge("scheduler.waiting_long_running_steps", d.Metrics),
 	}
 }
 
@@ -338,7 +340,9 @@
 			l.waves.handle(ctx, upkeep.Tick{})
 		}
 		l.handle(ctx, flow.Tick{Wall: time.Now(), LeaseUnconfirmed: !l.leadership.LeaseConfirmed()})
+		l.longWaits.Update(int64(l.machine.LongWaits()))
 	}
+	l.longWaits.Update(0)
 	go l.discard()
 	sources.Wait()
 	l.effects.Wait()
