--- a/coord/flow/view.go
+++ b/coord/flow/view.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"math"
@@ -52,6 +53,8 @@
 	Jobs    map[infra.State]int `json:"jobs"`
 	Ready   int                 `json:"ready_steps"`
 	Workers int                 `json:"workers"`
+	// LongWaits counts the long-running steps that have waited for several seconds.
+	LongWaits int `json:"waiting_long_running_steps"`
 	// Unreachable, Draining and Resting workers take no new tasks. Resting workers are quarantined or were unhealthy a
 	// moment ago.
 	Unreachable int `json:"unreachable_workers"`
@@ -68,7 +71,7 @@
 // Overview returns a summary of the scheduler's state.
 func (m *Machine) Overview() Overview {
 	o := Overview{
-		Token: m.token, Term: m.term, Jobs: make(map[infra.State]int), Ready: len(m.readySteps), Workers: len(m.workers),
+		Token: m.token, Term: m.term, Jobs: make(map[infra.State]int), Ready: len(m.readySteps), Workers: len(m.workers), LongWaits: m.longWaits,
 		Unsettled: len(m.unreconciledWorkers), Unanswered: m.unansweredStarts, Unsaved: len(m.dirtyJobs), Counts: m.counts,
 	}
 	if m.catalog != nil {
@@ -368,11 +371,14 @@
 	}
 }
 
-// formatCounts formats counts by name, in the order of the names.
+// formatCounts formats counts by name, the highest first.
 func formatCounts(counts map[string]int) string {
-	parts := make([]string, 0, len(counts))
-	for _, name := range slices.Sorted(maps.Keys(counts)) {
-		parts = append(parts, fmt.Sprintf("%s %d", name, counts[name]))
+	names := slices.SortedFunc(maps.Keys(counts), func(a, b string) int {
+		return cmp.Or(-cmp.Compare(counts[a], counts[b]), cmp.Compare(a, b))
+	})
+	parts := make([]string, 0, len(names))
+	for _, name := range names {
+		parts = append(parts, fmt.Sprintf("%d %s", counts[name], name))
 	}
 	return strings.Join(parts, ", ")
 }
