flow: let the simulation list workers after their first reports

The simulation listed all workers at each election before any of them could report.

Each worker is now listed up to half a second after the election.

--- a/coord/flow/simulation_test.go
+++ b/coord/flow/simulation_test.go
@@ -57,6 +57,9 @@
 	acknowledged bool
 }
 
+// maxListingDelay is the time in milliseconds until a new scheduler has read the list of workers.
+const maxListingDelay = 500
+
 // simScheduler is one scheduler. If it is cut off from the store, it remains active for some time after the election
 // of another.
 type simScheduler struct {
@@ -217,9 +220,12 @@
 	sim.step(sched, restored)
 	sim.step(sched, flow.Configured{Catalog: sim.catalog})
 	for _, id := range sim.workerIDs {
-		if f := sim.workers[id]; f.up {
-			sim.step(sched, flow.WorkerListed{Worker: f.describe()})
-		}
+		// The workers of the roster report without being listed, so that some of them report first.
+		sim.after(time.Duration(sim.rng.IntN(2)*sim.rng.IntN(maxListingDelay))*time.Millisecond, func() {
+			if f := sim.workers[id]; f.up && sched.alive && !sched.cutOff {
+				sim.step(sched, flow.WorkerListed{Worker: f.describe()})
+			}
+		})
 	}
 	sim.after(10*time.Millisecond, func() { sim.tick(sched) })
 	if old != nil && sim.rng.IntN(2) == 0 {
