--- a/coord/flow/simulation_test.go
+++ b/coord/flow/simulation_test.go
@@ -61,6 +61,9 @@
 	acknowledged bool
 }
 
+// maxFirstListingDelay is the time in milliseconds until a new scheduler has read the list of workers.
+const maxFirstListingDelay = 500
+
 // simScheduler is one scheduler. If it is cut off from the store, it remains active for some time after the election
 // of another.
 type simScheduler struct {
@@ -225,11 +228,18 @@
 	sim.step(sched, restored)
 	sim.step(sched, flow.Configured{Catalog: sim.catalog})
 	for _, id := range sim.workerIDs {
-		if f := sim.workers[id]; f.up && sim.listingDelay == 0 {
-			sim.step(sched, flow.WorkerListed{Worker: f.describe()})
-		} else if f.up {
+		if f := sim.workers[id]; f.up && sim.listingDelay > 0 {
 			sim.after(time.Duration(sim.rng.Int64N(int64(sim.listingDelay))), func() { sim.register(f, f.startedAt) })
 		}
+		if sim.listingDelay > 0 {
+			continue
+		}
+		// The workers of the roster report without being listed, so that some of them report first.
+		sim.after(time.Duration(sim.rng.IntN(2)*sim.rng.IntN(maxFirstListingDelay))*time.Millisecond, func() {
+			if f := sim.workers[id]; f.up && sched.alive && !sched.cutOff {
+				sim.step(sched, flow.WorkerListed{Worker: f.describe()})
+			}
+		})
 	}
 	sim.after(10*time.Millisecond, func() { sim.tick(sched) })
 	if old != nil && sim.rng.IntN(2) == 0 {
