flow: check long-running tasks on a full fleet, with slow and unhealthy workers

Plans of both tests now have workers that refuse orders for a time, and workers that are always slow.

--- a/coord/flow/lasting_test.go
+++ b/coord/flow/lasting_test.go
@@ -55,6 +55,13 @@
 	return c
 }
 
+// slowDown makes the first n workers slow. That does not affect long-running tasks.
+func (c *lastingCheck) slowDown(n int) {
+	for _, id := range c.workerIDs[:n] {
+		c.workers[id].slowdown = 6
+	}
+}
+
 // impair marks a fault that lasts for d.
 func (c *lastingCheck) impair(d time.Duration) {
 	c.impairments++
@@ -214,6 +221,7 @@
 // scheduleLastingEvents schedules long-running jobs beside other jobs, and faults whose effects the check allows for.
 func scheduleLastingEvents(t *rapid.T, c *lastingCheck) {
 	c.failuresPerMinute = float64(rapid.IntRange(0, 30).Draw(t, "failures"))
+	c.slowDown(rapid.IntRange(0, 2).Draw(t, "slow_workers"))
 	c.elect(false)
 	c.run(time.Second)
 	for n := range rapid.IntRange(1, 4).Draw(t, "lasting_jobs") {
@@ -226,14 +234,17 @@
 	}
 	// TestLongRunningTasksAfterTakeoverBesideLostWorker covers plans with both.
 	kinds := rapid.SampledFrom([][]faultKind{
-		{refusingCrash, silentCrash, cut, takeover, cutOffScheduler, storeOutage, lostOrders, schedulerCrash, flapping},
-		{refusingCrash, silentCrash, cut, storeOutage, lostOrders, replacement, flapping},
+		faultsWithTakeovers, {refusingCrash, silentCrash, cut, storeOutage, lostOrders, replacement, flapping, unhealthy},
 	}).Draw(t, "kinds")
 	for range rapid.IntRange(0, 5).Draw(t, "faults") {
-		c.scheduleFault(t, rapid.SampledFrom(kinds).Draw(t, "fault"))
+		c.schedule(drawFault(t, kinds, len(c.workerIDs)))
 	}
 }
 
+var faultsWithTakeovers = []faultKind{
+	refusingCrash, silentCrash, cut, takeover, cutOffScheduler, storeOutage, lostOrders, schedulerCrash, flapping, unhealthy,
+}
+
 // faultKind is a kind of fault in a plan. Connections to a crashed worker are refused, or it does not answer.
 type faultKind int
 
@@ -248,19 +259,33 @@
 	replacement
 	schedulerCrash
 	flapping
+	unhealthy
 )
 
-func (c *lastingCheck) scheduleFault(t *rapid.T, kind faultKind) {
-	at := time.Duration(rapid.IntRange(0, 15000).Draw(t, "fault_at")) * time.Millisecond
-	span := time.Duration(rapid.IntRange(300, 9000).Draw(t, "span")) * time.Millisecond
-	id := c.workerIDs[rapid.IntRange(0, len(c.workerIDs)-1).Draw(t, "worker")]
+// fault is a fault in a plan. Not all kinds use span and worker.
+type fault struct {
+	kind     faultKind
+	at, span time.Duration
+	worker   int
+}
+
+func drawFault(t *rapid.T, kinds []faultKind, workers int) fault {
+	return fault{
+		kind: rapid.SampledFrom(kinds).Draw(t, "fault"),
+		at:   time.Duration(rapid.IntRange(0, 15000).Draw(t, "fault_at")) * time.Millisecond,
+		span: time.Duration(rapid.IntRange(300, 9000).Draw(t, "span")) * time.Millisecond, worker: rapid.IntRange(0, workers-1).Draw(t, "worker"),
+	}
+}
+
+func (c *lastingCheck) schedule(f fault) {
+	at, span, id := f.at, f.span, c.workerIDs[f.worker]
 	fault := func(d time.Duration, do func()) {
 		c.after(at, func() {
 			c.impair(d)
 			do()
 		})
 	}
-	switch kind {
+	switch f.kind {
 	case refusingCrash:
 		fault(span, func() { c.crash(id, span, false) })
 	case silentCrash:
@@ -287,6 +312,9 @@
 		for n := range 3 {
 			c.after(at+time.Duration(2*n)*down, func() { c.crash(id, down, n%2 == 1) })
 		}
+	case unhealthy:
+		fault(span, func() { c.workers[id].refusesOrders = true })
+		c.after(at+span, func() { c.workers[id].refusesOrders = false })
 	}
 }
 
@@ -310,6 +338,36 @@
 	})
 }
 
+// On a fleet that is full of work, long-running tasks must get the room that becomes free, before and after faults.
+func TestLongRunningTasksKeepRunningOnFullFleet(t *testing.T) {
+	const workers, faults = 30, 6
+	for seed := range 2 {
+		c := newLastingCheck(newSimulation(uint64(seed), workers))
+		c.failuresPerMinute = 2
+		c.slowDown(workers / 4)
+		c.elect(false)
+		c.run(time.Second)
+		for n := range 6 {
+			j := rapid.Custom(func(t *rapid.T) infra.Job { return drawLastingJob(t, n) }).Example(100*seed + n)
+			j.Steps[0].Count = 14
+			c.after(time.Duration(4*n)*time.Second, func() { c.submit(j) })
+		}
+		for n := range 800 {
+			j := rapid.Custom(func(t *rapid.T) infra.Job {
+				j, _ := drawJob(t, n)
+				return j
+			}).Example(1000*seed + n)
+			c.after(time.Duration(n)*35*time.Millisecond, func() { c.submit(j) })
+		}
+		for n := range faults {
+			f := rapid.Custom(func(t *rapid.T) fault { return drawFault(t, faultsWithTakeovers, workers) }).Example(100*seed + n)
+			c.schedule(f)
+		}
+		c.run(40 * time.Second)
+		assert.Assert(t, len(c.violations) == 0, "seed %d: %q", seed, c.violations)
+	}
+}
+
 // A worker that is lost just before its scheduler must not hold up the long-running tasks that have room elsewhere.
 func TestLongRunningTasksAfterTakeoverBesideLostWorker(t *testing.T) {
 	c := newLastingCheck(newSimulation(1, 3))
--- a/coord/flow/simulation_test.go
+++ b/coord/flow/simulation_test.go
@@ -112,8 +112,10 @@
 	info            infra.Worker
 	up              bool
 	reachable       bool
+	refusesOrders   bool
 	startedAt       time.Time
 	rate            float64
+	slowdown        float64
 	token           infra.Token
 	lease           int64
 	runs            map[infra.TaskID]*fakeRun
@@ -304,6 +306,8 @@
 			sim.after(1500*time.Millisecond, func() { sim.step(sched, fail(&infra.NoAnswerError{Worker: id})) })
 		case !f.up:
 			sim.step(sched, fail(&infra.NotSentError{Worker: id, ConnRefused: true}))
+		case f.refusesOrders:
+			sim.step(sched, fail(&infra.RefusedError{Worker: id, Reason: infra.ReasonUnhealthy}))
 		case canBeLost && incarnation != f.startedAt.UnixMilli():
 			sim.step(sched, fail(&infra.RefusedError{Worker: id, Reason: infra.ReasonInstance}))
 		default:
@@ -488,7 +492,7 @@
 	j := sim.jobs[s.Task.Job]
 	spec := j.spec.Steps[s.Task.Step]
 	sim.checkStart(f, j, s, spec)
-	length := time.Duration(float64(spec.Estimate) * (0.7 + 0.6*sim.rng.Float64()))
+	length := time.Duration(float64(spec.Estimate) * max(1, f.slowdown) * (0.7 + 0.6*sim.rng.Float64()))
 	r := &fakeRun{number: s.Run, spec: spec, startedAt: sim.now, endsAt: sim.now.Add(length), alive: true}
 	r.fails = j.failingSteps[s.Task.Step]
 	f.runs[s.Task] = r
