hosted: read a job's state from the store while the own scheduler is busy

Cause: a status request asks the scheduler first, then the store. On another entry host the first part ends after 400 ms; on the scheduler's own it had no limit but the caller's deadline, after which the store was not read either.

The query of the own scheduler has the same limit now.

--- a/entryd/hosted/app.go
+++ b/entryd/hosted/app.go
@@ -159,9 +159,9 @@
 	p Platform, group *leader.Group, sched *leader.Scheduler, mesh *peers.Mesh, c *CatalogWatcher, r metrics.Registry, log *slog.Logger,
 	tasks taskLogger,
 ) *Intake {
-	i := NewIntake(p.Settings.EntryHost, p.Store, tasks.Logger, WithMetrics(r))
+	i := NewIntake(p.Settings.EntryHost, p.Store, tasks.Logger, WithMetrics(r), WithScheduler(group, sched))
 	i.health.log = log
-	i.group, i.scheduler, i.mesh, i.catalog = group, sched, mesh, c
+	i.mesh, i.catalog = mesh, c
 	return i
 }
 
--- a/entryd/hosted/intake.go
+++ b/entryd/hosted/intake.go
@@ -72,6 +72,11 @@
 	return func(i *Intake) { i.registerMetrics(r) }
 }
 
+// WithScheduler sets the group that elects the scheduler, and the scheduler of this process.
+func WithScheduler(g *leader.Group, s *leader.Scheduler) Option {
+	return func(i *Intake) { i.group, i.scheduler = g, s }
+}
+
 // NewIntake returns an intake that stores jobs in a store. Without peers and a group it uses the store only.
 func NewIntake(self fleet.EntryHostID, client store.Client, log *slog.Logger, opts ...Option) *Intake {
 	i := &Intake{
@@ -306,6 +311,9 @@
 }
 
 func (i *Intake) queryLocalScheduler(ctx context.Context, req wire.HostedRequest) (wire.HostedResponse, bool) {
+	// A busy scheduler must leave time to read the answer from the store.
+	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
+	defer cancel()
 	resp := wire.HostedResponse{Status: wire.ResponseNoJob}
 	answered := i.scheduler.Query(ctx, func(m *flow.Machine) {
 		switch req.Kind {
