jobs: give up a batch task under which three workers crashed

A task that crashes each worker on which it starts was retried without end, server after server, whatever its max_attempts.

Cause: only attempts that end "failed" count as failures. An attempt that is lost with its worker ended "lost", and one whose worker died before it answered the start ended "not_started"; neither counted, and both were retried at once.

Evidence: TestTaskThatCrashesWorkersIsGivenUp on the code before: 602 attempts of one task in 20 min if the worker crashes a second after the start, over 280 if it crashes before it answers. Now at most 4, three of which count: the test replaces the owner in between. TestSimultaneousCrashesAreNoEvidence: 16 workers restart together twelve times, and all 24 jobs succeed; without the delay of the verdict one job was given up, since the first two workers of each outage looked like single crashes.

Why it works: the loss is recorded as "crashed" in the ledger, so that the count survives a takeover; suspects share no worker, so that tasks that are lost beside the cause do not collect its losses; and losses of many workers at once count only for a job that ran on all of them.

--- a/coord/jobs/attempt.go
+++ b/coord/jobs/attempt.go
@@ -50,7 +50,7 @@
 
 func (m *Machine) sendStart(now time.Time, t *task) {
 	w := m.worker(t.worker)
-	t.startSent, t.startInFlight, t.startEpoch = true, true, m.workerEpoch(w)
+	t.startSent, t.startInFlight, t.startEpoch, t.startSentAt = true, true, m.workerEpoch(w), now
 	spec := t.job.spec
 	m.emit(Start{Worker: w.info, Start: plat.StartRequest{
 		TaskRef: t.ref(), Epoch: t.startEpoch, LeaseMS: TaskLeaseTTL.Milliseconds(), Resources: spec.Resources,
@@ -251,6 +251,8 @@
 		return backoffMin
 	case o == ledger.OutcomeFailed:
 		return min(backoffMin<<min(t.failures-1, 10), backoffMax)
+	case o == ledger.OutcomeCrashed:
+		return min(backoffMin<<min(t.crashes-1, 10), backoffMax)
 	case o == ledger.OutcomeNotStarted:
 		return notStartedBackoff
 	}
--- a/coord/jobs/machine.go
+++ b/coord/jobs/machine.go
@@ -31,7 +31,9 @@
 	queues        [len(fleet.Classes)][]*queue
 	byShape       map[shape]*queue
 	// pendingStarts and awaitingEvictions are checked by every tick, which drops the tasks that are done.
-	pendingStarts      []*task
+	pendingStarts []*task
+	// losses are the workers that were lost within crashWindow.
+	losses             []workerLoss
 	awaitingEvictions  []*task
 	pendingSubmissions map[fleet.JobID]*submission
 	pendingReceived    map[fleet.JobID]bool
--- a/coord/jobs/queue.go
+++ b/coord/jobs/queue.go
@@ -239,5 +239,6 @@
 		Customer:  t.job.spec.Customer,
 		Resources: t.job.spec.Resources,
 		Avoid:     sets.Of(t.failedOn...),
+		Suspect:   t.crashes > 0 && t.job.serviceID == "",
 	}
 }
--- a/coord/jobs/state.go
+++ b/coord/jobs/state.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"fmt"
 	"slices"
 	"strconv"
 	"strings"
@@ -62,6 +63,7 @@
 	worker     fleet.WorkerID
 	failures   int
 	failedOn   []fleet.WorkerID
+	crashes    int // attempts that may have crashed their worker
 	checkpoint []byte
 	reason     string
 	retired    bool // a replica that the configuration no longer has
@@ -70,6 +72,7 @@
 	startSent        bool
 	startInFlight    bool
 	startEpoch       fleet.Epoch
+	startSentAt      time.Time
 	confirmedAt      time.Time
 	startUnanswered  bool // the start got no answer
 	inherited        bool // claimed under a former owner and not confirmed since
@@ -93,7 +96,7 @@
 func (t *task) resetAttempt() {
 	t.recordPending, t.startSent, t.startInFlight, t.startUnanswered, t.inherited = false, false, false, false, false
 	t.stopInFlight, t.checkpointOnStop = false, false
-	t.confirmedAt, t.mayRunUntil, t.nextStopAt = time.Time{}, time.Time{}, time.Time{}
+	t.confirmedAt, t.mayRunUntil, t.nextStopAt, t.startSentAt = time.Time{}, time.Time{}, time.Time{}, time.Time{}
 	t.startEpoch, t.reservedOn, t.placementReason, t.victims = 0, "", "", nil
 }
 
@@ -111,6 +114,7 @@
 	nextRenewAt    time.Time
 	renewInFlight  bool
 	failingSince   time.Time // zero unless the worker is suspect
+	failedAt       time.Time // the last failed call
 }
 
 // suspect reports whether a call to the worker failed and no status read has succeeded since.
@@ -201,6 +205,14 @@
 		m.finishTask(t, StateCancelled, r.AtMS)
 	case service && t.retired:
 		m.removeTask(t)
+	case r.Outcome == ledger.OutcomeCrashed:
+		t.crashes++
+		t.addFailedOn(t.worker)
+		t.state = StateWaiting
+		if t.crashes >= maxCrashes && !service {
+			t.reason = fmt.Sprintf("given up: %d workers crashed while they ran it", t.crashes)
+			m.finishTask(t, StateFailed, r.AtMS)
+		}
 	case service && r.Outcome == ledger.OutcomeFailed:
 		t.failures++
 		t.state = StateWaiting
@@ -208,9 +220,7 @@
 		m.finishTask(t, StateSucceeded, r.AtMS)
 	case r.Outcome == ledger.OutcomeFailed:
 		t.failures++
-		if !slices.Contains(t.failedOn, t.worker) {
-			t.failedOn = append(t.failedOn, t.worker)
-		}
+		t.addFailedOn(t.worker)
 		t.state = StateWaiting
 		if t.failures >= t.job.spec.MaxAttempts {
 			m.finishTask(t, StateFailed, r.AtMS)
@@ -221,6 +231,12 @@
 	return true
 }
 
+func (t *task) addFailedOn(id fleet.WorkerID) {
+	if !slices.Contains(t.failedOn, id) {
+		t.failedOn = append(t.failedOn, id)
+	}
+}
+
 // finishTask sets a final state, and ends the job with its last unfinished task.
 func (m *Machine) finishTask(t *task, s State, atMS int64) {
 	t.state = s
@@ -274,7 +290,7 @@
 		m.tasks[t.id] = t
 	}
 	t.state, t.attempt, t.worker = State(r.State), r.Attempt, r.Worker
-	t.failures, t.failedOn = r.Failures, r.FailedOn
+	t.failures, t.failedOn, t.crashes = r.Failures, r.FailedOn, r.Crashes
 	t.checkpoint, t.reason = r.Checkpoint, r.Reason
 	if t.attempt > 0 {
 		t.job.attempted = true
--- a/coord/jobs/view.go
+++ b/coord/jobs/view.go
@@ -30,6 +30,7 @@
 	Attempt    fleet.Attempt  `json:"attempt"`
 	Worker     fleet.WorkerID `json:"worker,omitempty"`
 	Failures   int            `json:"failures,omitempty"`
+	Crashes    int            `json:"crashes,omitempty"`
 	Reason     string         `json:"reason,omitempty"`
 	WaitReason string         `json:"why,omitempty"`
 }
@@ -186,7 +187,7 @@
 		}
 		records = append(records, ledger.TaskSnapshot{
 			Task: t.id, State: string(state), Attempt: t.attempt, Worker: t.worker, Failures: t.failures,
-			FailedOn: t.failedOn, Checkpoint: t.checkpoint, Reason: t.reason, EndedMS: j.endedMS,
+			FailedOn: t.failedOn, Crashes: t.crashes, Checkpoint: t.checkpoint, Reason: t.reason, EndedMS: j.endedMS,
 		})
 	}
 	return records
--- a/coord/jobs/worker.go
+++ b/coord/jobs/worker.go
@@ -121,6 +121,7 @@
 }
 
 func (m *Machine) markSuspect(now time.Time, w *worker) {
+	w.failedAt = now
 	if w.failingSince.IsZero() {
 		w.failingSince = now
 		w.nextStatusAt = now.Add(suspectStatusInterval)
@@ -156,12 +157,15 @@
 // next status decides.
 func (m *Machine) checkAbsent(now time.Time, w *worker, reported map[plat.TaskRef]bool, ev StatusDone) {
 	raise := false
+	var crashed []*task
 	for _, id := range sortedIDs(w.tasks) {
 		t := w.tasks[id]
 		if reported[t.ref()] || t.recordPending || !t.startSent {
 			continue
 		}
 		switch {
+		case t.startEpoch < ev.Epoch && (!t.confirmedAt.IsZero() || t.startUnanswered && w.failedAt.After(t.startSentAt)):
+			crashed = append(crashed, t)
 		case t.startEpoch < ev.Epoch && t.confirmedAt.IsZero() && !t.inherited:
 			m.recordEnd(now, t, ledger.OutcomeNotStarted, nil, "the worker has not started it")
 		case t.startEpoch < ev.Epoch:
@@ -170,6 +174,7 @@
 			raise = true
 		}
 	}
+	m.workerLost(now, w, crashed, "the worker does not have it")
 	if raise {
 		m.raiseFence(now, w)
 	}
@@ -234,13 +239,19 @@
 	if !m.permit.Write || w.renewInFlight {
 		return
 	}
+	const reason = "the worker is unreachable and the task lease has run out"
+	var lost []*task
 	for _, id := range sortedIDs(w.tasks) {
 		t := w.tasks[id]
-		if !t.startSent || t.startInFlight || t.recordPending || t.mayRunUntil.IsZero() || now.Before(t.mayRunUntil) {
-			continue
+		switch {
+		case !t.startSent || t.startInFlight || t.recordPending || t.mayRunUntil.IsZero() || now.Before(t.mayRunUntil):
+		case t.confirmedAt.IsZero():
+			m.recordEnd(now, t, ledger.OutcomeLost, nil, reason)
+		default:
+			lost = append(lost, t)
 		}
-		m.recordEnd(now, t, ledger.OutcomeLost, nil, "the worker is unreachable and the task lease has run out")
 	}
+	m.workerLost(now, w, lost, reason)
 }
 
 func (m *Machine) sendAcks(w *worker) {
--- a/coord/ledger/records.go
+++ b/coord/ledger/records.go
@@ -26,10 +26,12 @@
 
 // The outcomes of attempts.
 const (
-	OutcomeSucceeded  Outcome = "succeeded"
-	OutcomeFailed     Outcome = "failed"
-	OutcomeEvicted    Outcome = "evicted"
-	OutcomeLost       Outcome = "lost"
+	OutcomeSucceeded Outcome = "succeeded"
+	OutcomeFailed    Outcome = "failed"
+	OutcomeEvicted   Outcome = "evicted"
+	OutcomeLost      Outcome = "lost"
+	// OutcomeCrashed means that the worker may have crashed because of the attempt.
+	OutcomeCrashed    Outcome = "crashed"
 	OutcomeNotStarted Outcome = "not_started"
 )
 
@@ -88,6 +90,7 @@
 		Worker     fleet.WorkerID   `cbor:"worker,omitempty"`
 		Failures   int              `cbor:"failures,omitempty"`
 		FailedOn   []fleet.WorkerID `cbor:"failed_on,omitempty"`
+		Crashes    int              `cbor:"crashes,omitempty"`
 		Checkpoint []byte           `cbor:"checkpoint,omitempty"`
 		Reason     string           `cbor:"reason,omitempty"`
 		EndedMS    int64            `cbor:"ended_ms,omitempty"`
--- a/coord/place/errors.go
+++ b/coord/place/errors.go
@@ -37,6 +37,8 @@
 	Avoided int
 	// Probation counts workers on probation that already run a task; such a worker runs one task at a time.
 	Probation int
+	// Suspects counts workers that already run a suspect, if the task is one.
+	Suspects int
 	// Interference counts workers whose urgent tasks are predicted to exceed the slowdown limit.
 	Interference int
 	// Unmeasured counts workers that run tasks without measured size, which may need the memory that appears free.
@@ -50,6 +52,6 @@
 // Error returns a message with the task, its size and the counts.
 func (e *NoRoomError) Error() string {
 	return fmt.Sprintf("task %s attempt %d: no room for %v on %d workers: %d unavailable, %d avoided, %d on probation, "+
-		"%d disturbed, %d with unmeasured tasks, %d lack processors, %d lack memory, %d lack accelerators", e.Task.Task, e.Task.Attempt, e.Need, e.Workers,
-		e.Unavailable, e.Avoided, e.Probation, e.Interference, e.Unmeasured, e.MilliCPU, e.Memory, e.Accelerators)
+		"%d with another suspect, %d disturbed, %d with unmeasured tasks, %d lack processors, %d lack memory, %d lack accelerators", e.Task.Task, e.Task.Attempt, e.Need, e.Workers,
+		e.Unavailable, e.Avoided, e.Probation, e.Suspects, e.Interference, e.Unmeasured, e.MilliCPU, e.Memory, e.Accelerators)
 }
--- a/coord/place/host.go
+++ b/coord/place/host.go
@@ -36,6 +36,16 @@
 // available reports whether the worker is listed as live.
 func (h *host) available() bool { return h.listed && h.worker.State == fleet.HostLive }
 
+// SuspicionTTL is the time after which an attempt that has not crashed its worker is not expected to.
+const SuspicionTTL = 10 * time.Minute
+
+// hasSuspect reports whether the worker runs a suspect at a time.
+func (h *host) hasSuspect(at time.Time) bool {
+	return slices.ContainsFunc(h.reservations, func(r *reservation) bool {
+		return r.task.Suspect && at.Sub(r.reservedAt) < SuspicionTTL
+	})
+}
+
 // resize changes the size of a reservation and updates the sums of its host.
 func (r *reservation) resize(size fleet.Resources) {
 	delta := size.Sub(r.size)
--- a/coord/place/place.go
+++ b/coord/place/place.go
@@ -107,6 +107,9 @@
 	case h.history.probation && len(h.byRef) > 0:
 		noRoom.Probation++
 		return false
+	case t.task.Suspect && h.hasSuspect(t.reservedAt):
+		noRoom.Suspects++
+		return false
 	}
 	free := h.free()
 	if t.size.Fits(free) {
@@ -138,7 +141,7 @@
 	var best *host
 	var bestVictims []*reservation
 	for _, h := range m.hostsByID {
-		if !h.available() || h.history.probation || avoid && t.task.Avoid.Has(h.worker.ID) {
+		if !h.available() || h.history.probation || t.task.Suspect && h.hasSuspect(t.reservedAt) || avoid && t.task.Avoid.Has(h.worker.ID) {
 			continue
 		}
 		victims, ok := victimsOn(h, t.size)
--- a/coord/place/task.go
+++ b/coord/place/task.go
@@ -8,7 +8,8 @@
 	"lovagefork.example/coord/sets"
 )
 
-// Task is an attempt to be placed; Avoid lists the workers on which the task has failed.
+// Task is an attempt to be placed; Avoid lists the workers on which the task has failed. A task is a suspect if a worker
+// crashed while it ran it. Two suspects do not share a worker, so that another crash shows which of them is the cause.
 type Task struct {
 	Ref       plat.TaskRef
 	Kind      string
@@ -16,6 +17,7 @@
 	Customer  fleet.CustomerID
 	Resources fleet.Resources
 	Avoid     sets.Set[fleet.WorkerID]
+	Suspect   bool
 }
 
 // Decision is the worker chosen for a task.
--- a/entryd/batch/fleet_test.go
+++ b/entryd/batch/fleet_test.go
@@ -43,6 +43,10 @@
 	unreachableWorkers map[fleet.WorkerID]bool
 	loseNext           int
 	failingKinds       map[string]bool
+	// crashingKinds holds the kinds of tasks that crash their worker after the time given, or before the start is
+	// answered if that is zero.
+	crashingKinds map[string]time.Duration
+	startsByTask  map[fleet.TaskID]int
 	// lateBy delays the delivery of starts whose response is lost.
 	lateBy time.Duration
 	starts int
@@ -51,7 +55,7 @@
 func newFakeWorkers(workers []fleet.Worker) *fakeWorkers {
 	f := &fakeWorkers{
 		byID: map[fleet.WorkerID]*fakeWorker{}, startCounts: map[plat.TaskRef]int{}, checkpoints: map[fleet.TaskID]string{},
-		failingKinds: map[string]bool{}, unreachableWorkers: map[fleet.WorkerID]bool{},
+		failingKinds: map[string]bool{}, crashingKinds: map[string]time.Duration{}, startsByTask: map[fleet.TaskID]int{}, unreachableWorkers: map[fleet.WorkerID]bool{},
 	}
 	for _, w := range workers {
 		f.byID[w.ID] = &fakeWorker{info: w, attempts: map[plat.TaskRef]*attempt{}}
@@ -117,6 +121,12 @@
 	if err := f.startAttempt(w, s); err != nil {
 		return err
 	}
+	if after, crashes := f.crashingKinds[s.Kind]; crashes && after == 0 {
+		clear(f.byID[w.ID].attempts)
+		f.byID[w.ID].cut = true
+		time.AfterFunc(3*time.Second, func() { f.setCut(w.ID, false) })
+		return &plat.OutcomeUnknownError{Worker: w.ID, Op: "start", Cause: errFake}
+	}
 	return f.loseResponse(w.ID, "start")
 }
 
@@ -150,6 +160,10 @@
 		f.violation("attempt %v resumes from %q, want %q", s.TaskRef, s.Checkpoint, want)
 	}
 	f.starts++
+	f.startsByTask[s.Task]++
+	if after := f.crashingKinds[s.Kind]; after > 0 {
+		time.AfterFunc(after, func() { f.reboot(w.ID) })
+	}
 	now := time.Now()
 	if s.RunMS == 0 {
 		s.RunMS = (1000 * time.Hour).Milliseconds() // a service replica runs until it is stopped
