jobs: give up tasks that crash their workers at the same time

Several deadly jobs at once look like a power failure: more than two workers are lost within 10 s, no job ran on all of them, so that no loss counted, and each task was retried without end.

Cause: the exemption for a common cause had no bound of its own.

Evidence: TestManyTasksThatCrashWorkersAreGivenUp, 12 deadly jobs beside 12 sound ones on 16 workers: on the code before, attempt 434 of deadly0 after 20 min. Now each ends as failed within 10 starts, and the sound jobs succeed.

Why it works: losses with a likely common cause are counted apart, also in the ledger, and a task is given up after ten losses of both kinds. Nine restarts of all workers, 40 s apart, still fail no job.

--- a/coord/jobs/attempt.go
+++ b/coord/jobs/attempt.go
@@ -197,13 +197,16 @@
 
 // recordEnd appends the record that ends an attempt. Call it only if the attempt has provably ended.
 func (m *Machine) recordEnd(now time.Time, t *task, o ledger.Outcome, checkpoint []byte, reason string) {
+	m.appendEnd(now, t, ledger.AttemptEnded{Outcome: o, Checkpoint: checkpoint, Reason: reason})
+}
+
+func (m *Machine) appendEnd(now time.Time, t *task, end ledger.AttemptEnded) {
 	if t.recordPending || !m.permit.Write || !t.state.live() {
 		return
 	}
 	t.recordPending = true
-	m.emit(Append{Records: []ledger.Record{ledger.AttemptEnded{
-		Task: t.id, Attempt: t.attempt, Outcome: o, Checkpoint: checkpoint, Reason: reason, AtMS: now.UnixMilli(),
-	}}})
+	end.Task, end.Attempt, end.AtMS = t.id, t.attempt, now.UnixMilli()
+	m.emit(Append{Records: []ledger.Record{end}})
 }
 
 func (m *Machine) attemptEnded(now time.Time, r ledger.AttemptEnded) {
@@ -252,7 +255,7 @@
 	case o == ledger.OutcomeFailed:
 		return min(backoffMin<<min(t.failures-1, 10), backoffMax)
 	case o == ledger.OutcomeCrashed:
-		return min(backoffMin<<min(t.crashes-1, 10), backoffMax)
+		return min(backoffMin<<min(max(0, t.crashes-1), 10), backoffMax)
 	case o == ledger.OutcomeNotStarted:
 		return notStartedBackoff
 	}
--- a/coord/jobs/crash.go
+++ b/coord/jobs/crash.go
@@ -10,8 +10,11 @@
 )
 
 const (
-	// maxCrashes is the number of crashes of its workers after which a batch task is given up.
-	maxCrashes = 3
+	// maxCrashes is the number of crashes of single workers after which a batch task that they ran is given up.
+	// maxSharedCrashes bounds all its crashes: several tasks that crash their workers at the same time look like a common
+	// cause.
+	maxCrashes       = 3
+	maxSharedCrashes = 10
 	// crashWindow is how long the loss of a worker counts as simultaneous with that of another, and maxSingleCrashes the
 	// number of simultaneous losses that do not suggest a common cause such as a power failure.
 	crashWindow      = 10 * time.Second
@@ -47,19 +50,26 @@
 		return
 	}
 	for _, t := range lost {
-		outcome := ledger.OutcomeLost
-		if now.Sub(t.startSentAt) < place.SuspicionTTL && m.mayHaveCrashed(t.job) {
-			outcome = ledger.OutcomeCrashed
+		end := ledger.AttemptEnded{Outcome: ledger.OutcomeLost, Reason: reason}
+		if now.Sub(t.startSentAt) < place.SuspicionTTL {
+			end.Outcome, end.Shared = ledger.OutcomeCrashed, m.hasCommonCause(t.job)
 		}
-		m.recordEnd(now, t, outcome, nil, reason)
+		m.appendEnd(now, t, end)
 	}
 }
 
-// mayHaveCrashed reports whether the recent losses of workers can be due to tasks of a job. If many workers are lost at
-// once, only a job that ran on all of them is a possible cause.
-func (m *Machine) mayHaveCrashed(j *job) bool {
-	if len(m.losses) <= maxSingleCrashes {
-		return true
+// hasCommonCause reports whether the recent losses of workers are too many to be due to tasks of a job that did not run
+// on all of them.
+func (m *Machine) hasCommonCause(j *job) bool {
+	return len(m.losses) > maxSingleCrashes && slices.ContainsFunc(m.losses, func(l workerLoss) bool { return !l.jobs[j] })
+}
+
+// countCrash counts a crash of the task's worker, and avoids that worker if the task may be the cause.
+func (t *task) countCrash(shared bool) {
+	if shared {
+		t.sharedCrashes++
+		return
 	}
-	return !slices.ContainsFunc(m.losses, func(l workerLoss) bool { return !l.jobs[j] })
+	t.crashes++
+	t.addFailedOn(t.worker)
 }
--- a/coord/jobs/state.go
+++ b/coord/jobs/state.go
@@ -56,17 +56,18 @@
 
 // task holds the recorded state of a task, followed by the state that is not recorded and that a new owner lacks.
 type task struct {
-	id         fleet.TaskID
-	job        *job
-	state      State
-	attempt    fleet.Attempt
-	worker     fleet.WorkerID
-	failures   int
-	failedOn   []fleet.WorkerID
-	crashes    int // attempts that may have crashed their worker
-	checkpoint []byte
-	reason     string
-	retired    bool // a replica that the configuration no longer has
+	id            fleet.TaskID
+	job           *job
+	state         State
+	attempt       fleet.Attempt
+	worker        fleet.WorkerID
+	failures      int
+	failedOn      []fleet.WorkerID
+	crashes       int // attempts that may have crashed their worker
+	sharedCrashes int // attempts that were lost while many workers crashed
+	checkpoint    []byte
+	reason        string
+	retired       bool // a replica that the configuration no longer has
 
 	recordPending    bool // the record of a claim or an end is not durable yet
 	startSent        bool
@@ -206,11 +207,10 @@
 	case service && t.retired:
 		m.removeTask(t)
 	case r.Outcome == ledger.OutcomeCrashed:
-		t.crashes++
-		t.addFailedOn(t.worker)
+		t.countCrash(r.Shared)
 		t.state = StateWaiting
-		if t.crashes >= maxCrashes && !service {
-			t.reason = fmt.Sprintf("given up: %d workers crashed while they ran it", t.crashes)
+		if !service && (t.crashes >= maxCrashes || t.crashes+t.sharedCrashes >= maxSharedCrashes) {
+			t.reason = fmt.Sprintf("given up: %d workers crashed while they ran it", t.crashes+t.sharedCrashes)
 			m.finishTask(t, StateFailed, r.AtMS)
 		}
 	case service && r.Outcome == ledger.OutcomeFailed:
@@ -290,7 +290,7 @@
 		m.tasks[t.id] = t
 	}
 	t.state, t.attempt, t.worker = State(r.State), r.Attempt, r.Worker
-	t.failures, t.failedOn, t.crashes = r.Failures, r.FailedOn, r.Crashes
+	t.failures, t.failedOn, t.crashes, t.sharedCrashes = r.Failures, r.FailedOn, r.Crashes, r.SharedCrashes
 	t.checkpoint, t.reason = r.Checkpoint, r.Reason
 	if t.attempt > 0 {
 		t.job.attempted = true
--- a/coord/jobs/view.go
+++ b/coord/jobs/view.go
@@ -187,7 +187,7 @@
 		}
 		records = append(records, ledger.TaskSnapshot{
 			Task: t.id, State: string(state), Attempt: t.attempt, Worker: t.worker, Failures: t.failures,
-			FailedOn: t.failedOn, Crashes: t.crashes, Checkpoint: t.checkpoint, Reason: t.reason, EndedMS: j.endedMS,
+			FailedOn: t.failedOn, Crashes: t.crashes, SharedCrashes: t.sharedCrashes, Checkpoint: t.checkpoint, Reason: t.reason, EndedMS: j.endedMS,
 		})
 	}
 	return records
--- a/coord/ledger/records.go
+++ b/coord/ledger/records.go
@@ -53,7 +53,8 @@
 		Attempt fleet.Attempt  `cbor:"attempt"`
 		Worker  fleet.WorkerID `cbor:"worker"`
 	}
-	// AttemptEnded ends an attempt. The next one resumes from Checkpoint.
+	// AttemptEnded ends an attempt. The next one resumes from Checkpoint. Shared is set if the attempt crashed while many
+	// workers crashed, so that a common cause is likely.
 	AttemptEnded struct {
 		Task       fleet.TaskID  `cbor:"task_id"`
 		Attempt    fleet.Attempt `cbor:"attempt"`
@@ -61,6 +62,7 @@
 		Checkpoint []byte        `cbor:"checkpoint,omitempty"`
 		Reason     string        `cbor:"reason,omitempty"`
 		AtMS       int64         `cbor:"at_ms"`
+		Shared     bool          `cbor:"shared,omitempty"`
 	}
 	// JobCancelled cancels a job. It has no effect if the job has already ended.
 	JobCancelled struct {
@@ -84,16 +86,17 @@
 	}
 	// TaskSnapshot is the state of a task in a snapshot or in the record of a moved job.
 	TaskSnapshot struct {
-		Task       fleet.TaskID     `cbor:"task_id"`
-		State      string           `cbor:"state"`
-		Attempt    fleet.Attempt    `cbor:"attempt"`
-		Worker     fleet.WorkerID   `cbor:"worker,omitempty"`
-		Failures   int              `cbor:"failures,omitempty"`
-		FailedOn   []fleet.WorkerID `cbor:"failed_on,omitempty"`
-		Crashes    int              `cbor:"crashes,omitempty"`
-		Checkpoint []byte           `cbor:"checkpoint,omitempty"`
-		Reason     string           `cbor:"reason,omitempty"`
-		EndedMS    int64            `cbor:"ended_ms,omitempty"`
+		Task          fleet.TaskID     `cbor:"task_id"`
+		State         string           `cbor:"state"`
+		Attempt       fleet.Attempt    `cbor:"attempt"`
+		Worker        fleet.WorkerID   `cbor:"worker,omitempty"`
+		Failures      int              `cbor:"failures,omitempty"`
+		FailedOn      []fleet.WorkerID `cbor:"failed_on,omitempty"`
+		Crashes       int              `cbor:"crashes,omitempty"`
+		SharedCrashes int              `cbor:"shared_crashes,omitempty"`
+		Checkpoint    []byte           `cbor:"checkpoint,omitempty"`
+		Reason        string           `cbor:"reason,omitempty"`
+		EndedMS       int64            `cbor:"ended_ms,omitempty"`
 	}
 )
 
