serve: stop sending a request that crashes backend servers

An attempt that is broken off is retried on another server, three times in all. A caller that repeats the request, at the same process or at another one, had it tried on three more servers each time, without end.

Cause: attempts are counted by arrival, and nothing is remembered about a request after its response.

Evidence: TestRequestThatCrashesServersIsRejected. TestRequestsAreServedAfterOutage: after an outage of 3 s in which every server breaks off everything, equal and different requests are all served.

Why it works: each process counts the breaks of equal requests since the last answer to one, by a hash of method, path and body. After three (ten if servers broke off other requests at the time) they are rejected with 422, which clients do not repeat elsewhere, and a single request tests the end of each pause. Requests that were queued or on their way to a peer are rejected too.

--- a/coord/serve/attempt.go
+++ b/coord/serve/attempt.go
@@ -21,7 +21,12 @@
 		if !ok {
 			return effects
 		}
-		effects = append(effects, m.sendOrRequeue(now, m.requests[it.ID])...)
+		r := m.requests[it.ID]
+		if rejected, paused := m.rejectPaused(now, r); paused {
+			effects = append(effects, rejected...)
+			continue
+		}
+		effects = append(effects, m.sendOrRequeue(now, r)...)
 	}
 }
 
@@ -107,6 +112,13 @@
 	}
 	m.grants.Step(now, grant.Release{Ticket: r.ID, Aborted: ev.Result == ResultInterrupted})
 	effects := m.recordAttempt(now, r, ev)
+	switch {
+	case ev.Result == ResultCompleted:
+		m.crashes.answered(r.Request)
+	case ev.Result == ResultInterrupted && !r.callerDone && now.Before(r.Deadline):
+		m.crashes.brokenOff(now, r)
+		r.tests = false
+	}
 	m.unblock()
 	switch ev.Result {
 	case ResultCompleted:
--- a/coord/serve/machine.go
+++ b/coord/serve/machine.go
@@ -31,12 +31,13 @@
 	retryBudget  retryBudget
 	costs        costs
 	blockedFlows map[admit.Flow]bool
+	crashes      crashes
 	draining     bool
 }
 
 // request is the state of one request. attempt is the number of the latest attempt, sends counts the attempts except
 // those that a peer refused, and mayHaveRun is set once a byte may have reached a backend server. callerDone is set
-// once the caller has its response or has disconnected.
+// once the caller has its response or has disconnected. tests is set for the one request that may be sent after a pause.
 type request struct {
 	Request
 	phase      phase
@@ -47,6 +48,7 @@
 	mayHaveRun bool
 	claimed    bool
 	callerDone bool
+	tests      bool
 }
 
 type phase int
@@ -115,6 +117,7 @@
 		retryBudget:  newRetryBudget(),
 		costs:        make(costs),
 		blockedFlows: make(map[admit.Flow]bool),
+		crashes:      crashes{suspects: make(map[content]*suspicion)},
 		otherHosts:   otherHosts(c),
 	}
 }
@@ -189,10 +192,14 @@
 
 func (m *Machine) requestArrived(now time.Time, in Request) []Effect {
 	r := &request{Request: in}
-	switch {
-	case m.draining:
+	if m.draining {
 		return []Effect{notRunResponse(r.ID, "draining", http.StatusServiceUnavailable, time.Second)}
-	case r.Forwarded:
+	}
+	r.tests = m.crashes.test(now, in)
+	if effects, paused := m.rejectPaused(now, r); paused {
+		return effects
+	}
+	if r.Forwarded {
 		return m.forwardedArrived(now, r)
 	}
 	if rejected, ok := m.admission.Step(now, admit.Check{Item: m.item(now, in)})[0].(admit.Rejected); ok {
--- a/coord/serve/overflow.go
+++ b/coord/serve/overflow.go
@@ -303,6 +303,9 @@
 		return nil
 	}
 	r := m.requests[it.ID]
+	if rejected, paused := m.rejectPaused(now, r); paused {
+		return rejected
+	}
 	r.phase, r.peer = forwarding, id
 	r.attempt++
 	r.sends++
--- a/coord/serve/serve.go
+++ b/coord/serve/serve.go
@@ -31,6 +31,8 @@
 	Class         fleet.Class
 	Deadline      time.Time
 	NonIdempotent bool
+	// Content is a hash that is equal for equal requests.
+	Content uint64
 	// Forwarded is set if another entry process has admitted and claimed the request. It is sent immediately or refused,
 	// and never queued here.
 	Forwarded bool
--- a/coord/serve/sim_test.go
+++ b/coord/serve/sim_test.go
@@ -73,6 +73,8 @@
 	// nonIdempotentPermille is the share of non-idempotent requests.
 	deadlineMS, latencyMS, nonIdempotentPermille int
 	opts                                         []serve.Option
+	// crashing reports whether a request crashes the server to which it is sent.
+	crashing func(serve.Request) bool
 	// pendingBorrows maps calls to the functions that deliver the loan to the borrower.
 	pendingBorrows map[uint64]func(wire.Loan)
 }
@@ -207,7 +209,7 @@
 		s.afterUnlessRestarted(p, e.Request.Deadline.Sub(s.now), func() { s.step(p, ended) })
 		return
 	}
-	if s.chance(s.faults.interrupted) {
+	if s.chance(s.faults.interrupted) || s.crashing != nil && s.crashing(e.Request) {
 		ended.Result = serve.ResultInterrupted
 	}
 	s.afterUnlessRestarted(p, ended.Latency, func() {
--- a/entryd/front/call.go
+++ b/entryd/front/call.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"hash/maphash"
 	"io"
 	"net/http"
 	"strconv"
@@ -91,6 +92,7 @@
 		})
 		return
 	}
+	c.request.Content = c.contentHash()
 	f.addCall(c)
 	defer f.removeCall(c)
 	f.step(serve.Arrived{Request: c.request})
@@ -250,6 +252,18 @@
 	return release, nil
 }
 
+// contentSeed makes the hashes of requests unpredictable.
+var contentSeed = maphash.MakeSeed()
+
+// contentHash returns a hash of what a backend server gets to see of a request, without its headers.
+func (c *call) contentHash() uint64 {
+	var h maphash.Hash
+	h.SetSeed(contentSeed)
+	_, _ = h.WriteString(c.method + " " + c.path + "\n")
+	_, _ = h.Write(c.body)
+	return h.Sum64()
+}
+
 // wouldReject reports whether admission rejects the request at present, and with which response.
 func (f *Front) wouldReject(r serve.Request) (serve.Response, bool) {
 	f.mu.Lock()
--- a/entryd/front/peer.go
+++ b/entryd/front/peer.go
@@ -161,6 +161,7 @@
 		},
 		method: m.Method, path: m.Path, header: m.Header, body: m.Body,
 	}
+	c.request.Content = c.contentHash()
 	f.addCall(c)
 	defer f.removeCall(c)
 	f.step(serve.Arrived{Request: c.request})
