leader: ignore changes older than the registration that was read

What callers saw: nothing yet; found by tracing how a registration reaches the scheduler. After a read of all registrations in several pages, a worker that had shrunk could have its former capacity again for a moment (LIMIT).

Cause: the watch continues from the revision of the first page, and so repeats changes that a later page has already shown. Each of them was applied as if it were new.

Why it works: the revision of each registration is kept, and a change with a lower one is dropped, removals included.

--- a/entryd/leader/scheduler.go
+++ b/entryd/leader/scheduler.go
@@ -173,8 +173,9 @@
 	sequenceRevision store.Revision
 	inputsRevision   store.Revision
 	workersRevision  store.Revision
-	listedWorkers    map[fleet.WorkerID]struct{}
-	effects          sync.WaitGroup
+	// listedWorkers holds the revision of each registration.
+	listedWorkers map[fleet.WorkerID]store.Revision
+	effects       sync.WaitGroup
 	// invalidKeys holds the worker keys whose decoding error has been logged.
 	invalidKeys map[string]struct{}
 	// waves is nil if the platform has no machine maintenance.
--- a/entryd/leader/watch.go
+++ b/entryd/leader/watch.go
@@ -77,7 +77,7 @@
 
 // watchWorkers posts the registrations of workers and their changes, until ctx ends.
 func (l *loop) watchWorkers(ctx context.Context) {
-	l.listedWorkers = make(map[fleet.WorkerID]struct{})
+	l.listedWorkers = make(map[fleet.WorkerID]store.Revision)
 	l.invalidKeys = make(map[string]struct{})
 	for ctx.Err() == nil {
 		err := l.readWorkers(ctx)
@@ -128,6 +128,10 @@
 
 func (l *loop) applyWorker(c store.Change) {
 	id := fleet.WorkerID(c.Entry.Key[len(l.format.WorkersPrefix()):])
+	// The watch repeats changes that a read in several pages has already shown.
+	if c.Entry.ModRevision < l.listedWorkers[id] {
+		return
+	}
 	if c.Deleted {
 		l.removeWorker(id)
 		return
@@ -141,6 +145,6 @@
 		l.removeWorker(id)
 		return
 	}
-	l.listedWorkers[info.ID] = struct{}{}
+	l.listedWorkers[info.ID] = c.Entry.ModRevision
 	l.post(flow.WorkerListed{Worker: info})
 }
