--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -138,11 +138,15 @@
 	approvalsInFlight  int
 	sweptAt            time.Time
 	placedAt           time.Time
+	summarizedAt       time.Time
 	interferenceModels map[string]*interferenceModel
 	lateStarts         map[fleet.WorkerID][]lateStart
 	// earlyCancels are the cancellations of jobs that are not known yet.
 	earlyCancels map[fleet.JobID]struct{}
 	counts       Counts
+	// longWaits is the number of long-running steps that had waited for longer than waitReportTime at waitsCheckedAt.
+	longWaits      int
+	waitsCheckedAt time.Time
 }
 
 type batchJob struct {
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -353,7 +353,11 @@
 // adopt takes over a run that this scheduler did not start, or stops it if the task must not run there.
 func (m *Machine) adopt(w *worker, row infra.ActiveRun, clock int64) {
 	s, t := m.lookupTask(row.Task)
-	r := &run{id: row.Task, number: row.Run, worker: w, state: running, startedAt: m.now, measuredPercent: row.Progress, measuredAt: m.now, confirmedClock: clock, listedClock: clock, percent: row.Progress, measurement: row.Measurement, speedPercent: fullSpeedPercent}
+	r := &run{
+		id: row.Task, number: row.Run, worker: w, state: running, startedAt: m.now, measuredPercent: row.Progress, measuredAt: m.now,
+		confirmedClock: clock, listedClock: clock, percent: row.Progress, measurement: row.Measurement, speedPercent: fullSpeedPercent,
+		excludeRunTime: true,
+	}
 	if old := w.runs[row.Task]; old != nil {
 		if old.number > row.Run {
 			m.emit(Stop{To: w.address(), Order: infra.StopOrder{Task: row.Task, Run: row.Run, Token: m.token}})
@@ -362,7 +366,7 @@
 		m.releaseRun(old)
 	}
 	if t == nil {
-		r.size = m.sizeOf(w, row.Task)
+		r.size, r.sizeUnknown = m.sizeOf(row.Task)
 		w.add(m.now, r)
 		m.stop(r, "task of an unknown job")
 		return
@@ -371,11 +375,8 @@
 	r.step, r.occ, r.size = s, o, s.spec.Reserved()
 	if s.spec.Filler {
 		r.fillerCPU = s.spec.Size.MilliCPU
-		if row.Measurement < pausedUseShare*float64(r.fillerCPU) {
-			r.speedPercent = 0
-		}
 	}
-	t.lastRun = max(t.lastRun, row.Run)
+	t.lastRun, t.located = max(t.lastRun, row.Run), true
 	if row.Checkpoint != "" {
 		t.checkpoint = row.Checkpoint
 	}
@@ -393,15 +394,28 @@
 	if s.waiting == 0 {
 		m.removeReady(s)
 	}
-	m.emit(Log{Text: "run adopted", Task: row.Task, Run: row.Run, Worker: w.ID})
+	m.emit(Log{Text: "run adopted", Task: row.Task, Run: row.Run, Worker: w.ID, Reason: w.adoptionNote()})
+	if row.Measurement < pausedUseShare*float64(r.fillerCPU) {
+		// A run that has just started is not measured yet and looks like a paused one. The order makes it one, and the
+		// next adjustment may resume it.
+		m.setSpeed(r, 0)
+		w.adjustedAt = m.now
+	}
+}
+
+// adoptionNote returns what is not known yet about a worker whose runs are adopted.
+func (w *worker) adoptionNote() string {
+	if !w.listed {
+		return "before the worker was listed"
+	}
+	return ""
 }
 
-// sizeOf returns the resources held by a run whose task is no longer scheduled. A run of an unknown job may occupy the
-// whole worker.
-func (m *Machine) sizeOf(w *worker, id infra.TaskID) fleet.Resources {
+// sizeOf returns the resources held by a run whose task is no longer scheduled. They are unknown if its job is.
+func (m *Machine) sizeOf(id infra.TaskID) (size fleet.Resources, unknown bool) {
 	j := m.jobs[id.Job]
 	if j == nil || id.Step < 0 || id.Step >= len(j.spec.Steps) {
-		return w.Capacity
+		return fleet.Resources{}, true
 	}
-	return j.spec.Steps[id.Step].Reserved()
+	return j.spec.Steps[id.Step].Reserved(), false
 }
--- a/coord/flow/view.go
+++ b/coord/flow/view.go
@@ -1,6 +1,14 @@
 package flow
 
 import (
+	"cmp"
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
 	"lovagefork.example/coord/fleet"
 	"lovagefork.example/coord/infra"
 )
@@ -45,6 +53,8 @@
 	Jobs    map[infra.State]int `json:"jobs"`
 	Ready   int                 `json:"ready_steps"`
 	Workers int                 `json:"workers"`
+	// LongWaits counts the long-running steps that have waited for several seconds.
+	LongWaits int `json:"waiting_long_running_steps"`
 	// Unreachable, Draining and Resting workers take no new tasks. Resting workers are quarantined or were unhealthy a
 	// moment ago.
 	Unreachable int `json:"unreachable_workers"`
@@ -61,7 +71,7 @@
 // Overview returns a summary of the scheduler's state.
 func (m *Machine) Overview() Overview {
 	o := Overview{
-		Token: m.token, Term: m.term, Jobs: make(map[infra.State]int), Ready: len(m.readySteps), Workers: len(m.workers),
+		Token: m.token, Term: m.term, Jobs: make(map[infra.State]int), Ready: len(m.readySteps), Workers: len(m.workers), LongWaits: m.longWaits,
 		Unsettled: len(m.unreconciledWorkers), Unanswered: m.unansweredStarts, Unsaved: len(m.dirtyJobs), Counts: m.counts,
 	}
 	if m.catalog != nil {
@@ -76,23 +86,30 @@
 			o.Unreachable++
 		case w.Draining || w.cordoned:
 			o.Draining++
-		case m.now.Before(w.quarantinedUntil) || m.now.Before(w.unhealthyUntil):
+		case w.isQuarantined(m.now) || m.now.Before(w.unhealthyUntil):
 			o.Resting++
 		}
 	}
 	return o
 }
 
-// WorkerView describes a worker for operators. ReportAge is the age of its last report in milliseconds.
+// noReport is the age of the last report of a worker that has sent none.
+const noReport = -1
+
+// WorkerView describes a worker for operators. ReportAge is the age of its last report in milliseconds, -1 before its
+// first one.
 type WorkerView struct {
-	Worker         fleet.WorkerID         `json:"worker"`
-	Service        string                 `json:"service"`
-	Zone           fleet.AvailabilityZone `json:"availability_zone"`
-	Capacity       fleet.Resources        `json:"capacity"`
-	Used           fleet.Resources        `json:"used"`
-	FillerMilliCPU int64                  `json:"filler_milli_cpu"`
-	Runs           int                    `json:"runs"`
-	ReportAge      int64                  `json:"report_age_ms"`
+	Worker   fleet.WorkerID         `json:"worker"`
+	Service  string                 `json:"service"`
+	Zone     fleet.AvailabilityZone `json:"availability_zone"`
+	Capacity fleet.Resources        `json:"capacity"`
+	Used     fleet.Resources        `json:"used"`
+	// FillerMilliCPU is the processor time that the fillers on the worker reserve, and FillerLoad what they request at
+	// their current speed, which is never more.
+	FillerMilliCPU int64 `json:"filler_milli_cpu"`
+	FillerLoad     int64 `json:"filler_load_milli_cpu"`
+	Runs           int   `json:"runs"`
+	ReportAge      int64 `json:"report_age_ms"`
 	// Speed is the progress of the worker's tasks relative to the usual rate.
 	Speed float64 `json:"speed"`
 	// UnusableReason is why the worker takes no new tasks; empty if it does.
@@ -104,18 +121,37 @@
 	views := make([]WorkerView, 0, len(m.workersByID))
 	for _, w := range m.workersByID {
 		views = append(views, WorkerView{
-			Worker: w.ID, Service: w.Service, Zone: w.Zone, Capacity: w.Capacity, Used: w.used, FillerMilliCPU: w.fillerCPU, Runs: len(w.runs),
-			ReportAge: m.now.Sub(w.clockAt).Milliseconds(), Speed: w.speed, UnusableReason: m.unusableReason(w),
+			Worker: w.ID, Service: w.Service, Zone: w.Zone, Capacity: w.Capacity, Used: w.used, FillerMilliCPU: w.fillerCPU,
+			FillerLoad: w.totalFillerLoad(), Runs: len(w.runs),
+			ReportAge: w.reportAge(m.now), Speed: w.speed, UnusableReason: m.unusableReason(w),
 		})
 	}
 	return views
 }
 
+func (w *worker) reportAge(now time.Time) int64 {
+	if w.clockAt.IsZero() {
+		return noReport
+	}
+	return now.Sub(w.clockAt).Milliseconds()
+}
+
+// totalFillerLoad returns the load of all fillers of a worker in thousandths of a core.
+func (w *worker) totalFillerLoad() int64 {
+	sum := 0.0
+	for _, load := range w.fillerLoad {
+		sum += load
+	}
+	return int64(math.Round(sum))
+}
+
 // unusableReason returns why a worker takes no new tasks, or "" if it does.
 func (m *Machine) unusableReason(w *worker) string {
 	switch {
 	case !w.listed:
 		return "not listed"
+	case w.restartedSinceListing:
+		return "not listed since its restart"
 	case !w.reachable:
 		return "not reachable"
 	case w.Draining:
@@ -128,10 +164,12 @@
 		return "has not answered this scheduler yet"
 	case !w.leadershipConfirmed:
 		return "first held while the store was silent"
-	case m.now.Before(w.quarantinedUntil):
+	case w.isQuarantined(m.now):
 		return "rests because its tasks failed or stood still"
 	case m.now.Before(w.unhealthyUntil):
 		return "was unhealthy or left an order unanswered"
+	case w.unknownSizes > 0:
+		return "runs a task of an unknown job"
 	default:
 		return ""
 	}
@@ -228,7 +266,7 @@
 		v.BlockedReason = "earlier steps are not done"
 	case ready == nil:
 		v.BlockedReason = "not released"
-	case !o.job.acceptedAfterTakeover && len(m.unreconciledWorkers) > 0:
+	case m.mayAllRunUnseen(ready):
 		v.BlockedReason = "workers of the former scheduler have not answered yet"
 	default:
 		m.setRank(ready)
@@ -244,6 +282,9 @@
 	spec := &r.step.spec
 	for _, w := range m.workersByID {
 		reason := m.unusableReason(w)
+		if w.isQuarantined(m.now) && w.usable(m.now) && m.isOverdue(r) {
+			reason = ""
+		}
 		switch {
 		case w.Service != r.queue.Service:
 			continue
@@ -267,3 +308,77 @@
 	}
 	return counts
 }
+
+const (
+	// summaryInterval is the interval between two summaries of the waiting tasks and of the fillers.
+	summaryInterval = 2 * time.Second
+	// maxSummaryQueues limits the lines of a summary. The queues whose tasks rank highest are included.
+	maxSummaryQueues = 16
+)
+
+// logSummary logs, for queues with waiting tasks, how many there are and why the workers cannot take the first of
+// them, and for all workers the processor time that fillers reserve and request. The lines show afterwards why the
+// tasks of a queue waited, which the views show only at the time.
+func (m *Machine) logSummary() {
+	if m.catalog == nil || m.now.Sub(m.summarizedAt) < summaryInterval {
+		return
+	}
+	m.summarizedAt = m.now
+	type backlog struct {
+		first        *readyStep
+		steps, tasks int
+	}
+	backlogs := make(map[string]*backlog)
+	for _, r := range m.rankedSteps {
+		if r.removed || r.step.waiting == 0 {
+			continue
+		}
+		b := backlogs[r.queue.Name]
+		if b == nil && len(backlogs) >= maxSummaryQueues {
+			continue
+		}
+		if b == nil {
+			b = &backlog{first: r}
+			backlogs[r.queue.Name] = b
+		}
+		b.steps++
+		b.tasks += r.step.waiting
+	}
+	for _, queue := range slices.Sorted(maps.Keys(backlogs)) {
+		b := backlogs[queue]
+		m.emit(Log{Text: "tasks waiting", Reason: fmt.Sprintf("queue %s: %d tasks of %d steps; workers: %s", queue, b.tasks, b.steps, formatCounts(m.placementObstacles(b.first)))})
+	}
+	var reserved, load int64
+	paused, fillers := 0, 0
+	for _, w := range m.workersByID {
+		if w.fillerCPU == 0 {
+			continue
+		}
+		reserved += w.fillerCPU
+		load += w.totalFillerLoad()
+		for _, r := range w.runsByTask {
+			if r.fillerCPU == 0 {
+				continue
+			}
+			fillers++
+			if r.speedPercent == 0 {
+				paused++
+			}
+		}
+	}
+	if fillers > 0 {
+		m.emit(Log{Text: "fillers", Reason: fmt.Sprintf("%d running, %d of them paused; they reserve %dm and request %dm", fillers, paused, reserved, load)})
+	}
+}
+
+// formatCounts formats counts by name, the highest first.
+func formatCounts(counts map[string]int) string {
+	names := slices.SortedFunc(maps.Keys(counts), func(a, b string) int {
+		return cmp.Or(-cmp.Compare(counts[a], counts[b]), cmp.Compare(a, b))
+	})
+	parts := make([]string, 0, len(names))
+	for _, name := range names {
+		parts = append(parts, fmt.Sprintf("%d %s", counts[name], name))
+	}
+	return strings.Join(parts, ", ")
+}
--- a/coord/flow/worker.go
+++ b/coord/flow/worker.go
@@ -34,16 +34,18 @@
 
 // run is one start of a task on a worker. It occupies capacity until its end is known.
 type run struct {
-	id        infra.TaskID
-	number    infra.Run
-	worker    *worker
-	step      *step
-	occ       *occurrence
-	state     runState
-	size      fleet.Resources
-	fillerCPU int64
-	startedAt time.Time
-	percent   int
+	id     infra.TaskID
+	number infra.Run
+	worker *worker
+	step   *step
+	occ    *occurrence
+	state  runState
+	size   fleet.Resources
+	// sizeUnknown marks a run of an unknown job, which may hold all resources of its worker.
+	sizeUnknown bool
+	fillerCPU   int64
+	startedAt   time.Time
+	percent     int
 	// measuredPercent is the progress at the last measurement, at measuredAt, and stalledFor how long there has been
 	// no progress.
 	measuredPercent int
@@ -59,8 +61,8 @@
 	listedClock int64
 	nextStop    time.Time
 	stopReason  string
-	// excludeRunTime keeps the run out of the run time statistics, because it was resumed from a checkpoint or slowed
-	// down and its run time is not comparable to that of other runs.
+	// excludeRunTime keeps the run out of the run time statistics, because it was adopted, resumed from a checkpoint or
+	// slowed down and its run time is unknown or not comparable to that of other runs.
 	excludeRunTime bool
 	// startUnanswered is set when the start was not answered in time.
 	startUnanswered bool
@@ -87,6 +89,9 @@
 type worker struct {
 	infra.Worker
 	listed bool
+	// restartedSinceListing is set while the registration is that of a previous incarnation, whose service, labels and
+	// capacity may differ.
+	restartedSinceListing bool
 	// inStoredRoster is set once the stored roster lists the worker, so that a later scheduler expects tasks on it.
 	inStoredRoster bool
 	// tokenAccepted is set once the worker has accepted this scheduler's fencing token.
@@ -106,6 +111,8 @@
 
 	used      fleet.Resources
 	fillerCPU int64
+	// unknownSizes counts the runs of unknown size.
+	unknownSizes int
 	// servingSteps and servingImages count the runs with a tail latency target by step and by image; servingCPU is the
 	// processor time that they reserve.
 	servingSteps  map[*step]int
@@ -183,11 +190,14 @@
 	return false
 }
 
-// usable reports whether new tasks may be started on the worker.
+// usable reports whether new tasks may be started on the worker, apart from a quarantine.
 func (w *worker) usable(now time.Time) bool {
-	return w.listed && w.inStoredRoster && w.leadershipConfirmed && w.reachable && !w.Draining && !w.cordoned && w.clock > 0 && !now.Before(w.quarantinedUntil) && !now.Before(w.unhealthyUntil)
+	return w.listed && !w.restartedSinceListing && w.unknownSizes == 0 && w.inStoredRoster && w.leadershipConfirmed && w.reachable &&
+		!w.Draining && !w.cordoned && w.clock > 0 && !now.Before(w.unhealthyUntil)
 }
 
+func (w *worker) isQuarantined(now time.Time) bool { return now.Before(w.quarantinedUntil) }
+
 func (w *worker) free() fleet.Resources { return w.Capacity.Sub(w.used) }
 
 // maxClock returns an upper bound for the worker's clock, which may run slower than local time by up to maxClockDrift.
@@ -217,6 +227,9 @@
 	at, _ := slices.BinarySearchFunc(w.runsByTask, r, compareRuns)
 	w.runsByTask = slices.Insert(w.runsByTask, at, r)
 	w.used = w.used.Add(r.size)
+	if r.sizeUnknown {
+		w.unknownSizes++
+	}
 	w.countLoad(now, r, 1)
 }
 
@@ -227,6 +240,9 @@
 	delete(w.runs, r.id)
 	w.runsByTask = slices.DeleteFunc(w.runsByTask, func(o *run) bool { return o == r })
 	w.used = w.used.Sub(r.size)
+	if r.sizeUnknown {
+		w.unknownSizes--
+	}
 	w.countLoad(now, r, -1)
 }
 
