Log the suspects of a worker's crash

A job whose task crashes each worker that starts it stayed in state running while workers were lost one by one. The log had a line 'run lost' for each run on such a worker and none that tells the task that had just started from those that had run for seconds. There are now a line and a counter for each crash, and lines that name its suspects: runs that had not lasted for half a second by the worker's reports.

The worker refuses connections at once, the scheduler drops its runs after 0.3 s, and the machine is back under another worker id after 3.2 s.

--- a/coord/flow/answer.go
+++ b/coord/flow/answer.go
@@ -26,6 +26,7 @@
 			r.state = running
 		}
 		r.confirmedClock = max(r.confirmedClock, ev.Clock)
+		m.observeRun(r, ev.Clock)
 		return
 	case errors.As(ev.Err, &refused):
 		m.startRefused(w, r, refused)
--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -153,9 +153,10 @@
 
 // Counts are totals since the scheduler was elected. Lost counts unanswered starts that were not carried out, Vanished
 // runs that disappeared from a worker without an end, Stalled runs without progress or with slow progress, Paced
-// changes of the speed of fillers, and Copied copies of speculative tasks.
+// changes of the speed of fillers, Copied copies of speculative tasks, and Crashes workers whose process ended while they
+// had runs.
 type Counts struct {
-	Starts, Refused, Lost, Done, Failed, Stopped, Vanished, Stalled, Paced, Copied int64
+	Starts, Refused, Lost, Done, Failed, Stopped, Vanished, Stalled, Paced, Copied, Crashes int64
 }
 
 // New returns a scheduler that issues its orders under a fencing token.
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -41,6 +41,7 @@
 		m.emit(Resign{Worker: w.ID})
 		return
 	case errors.As(ev.Err, &refused) && refused.Reason == infra.ReasonInstance:
+		m.workerCrashed(w, "address belongs to another worker")
 		m.clearWorker(w, "address belongs to another worker")
 		delete(m.unreconciledWorkers, w.ID)
 		w.reachable = false
@@ -60,6 +61,7 @@
 	}
 	w.connRefusals++
 	if w.connRefusals >= connRefusalsUntilGone {
+		m.workerCrashed(w, "connections to the worker's address are refused")
 		m.clearWorker(w, "connections to the worker's address are refused")
 		delete(m.unreconciledWorkers, w.ID)
 		m.placementDue = true
@@ -340,6 +342,7 @@
 		r.state = running
 	}
 	r.confirmedClock, r.listedClock = max(r.confirmedClock, clock), clock
+	m.observeRun(r, clock)
 	r.measurement = row.Measurement
 	r.percent = max(r.percent, row.Progress)
 	if _, t := m.lookupTask(r.id); t != nil && row.Checkpoint != "" {
@@ -353,7 +356,7 @@
 // adopt takes over a run that this scheduler did not start, or stops it if the task must not run there.
 func (m *Machine) adopt(w *worker, row infra.ActiveRun, clock int64) {
 	s, t := m.lookupTask(row.Task)
-	r := &run{id: row.Task, number: row.Run, worker: w, state: running, startedAt: m.now, measuredPercent: row.Progress, measuredAt: m.now, confirmedClock: clock, listedClock: clock, percent: row.Progress, measurement: row.Measurement, speedPercent: fullSpeedPercent}
+	r := &run{id: row.Task, number: row.Run, worker: w, state: running, startedAt: m.now, measuredPercent: row.Progress, measuredAt: m.now, confirmedClock: clock, listedClock: clock, firstClock: clock, percent: row.Progress, measurement: row.Measurement, speedPercent: fullSpeedPercent}
 	if old := w.runs[row.Task]; old != nil {
 		if old.number > row.Run {
 			m.emit(Stop{To: w.address(), Order: infra.StopOrder{Task: row.Task, Run: row.Run, Token: m.token}})
--- a/coord/flow/worker.go
+++ b/coord/flow/worker.go
@@ -57,8 +57,12 @@
 	confirmedClock int64
 	// listedClock is the worker clock of the last report that listed the run.
 	listedClock int64
-	nextStop    time.Time
-	stopReason  string
+	// firstClock is the earliest worker clock at which the run is known to have existed, 0 if it may never have started.
+	firstClock int64
+	// sound is set once the run has lasted for soundRunTime.
+	sound      bool
+	nextStop   time.Time
+	stopReason string
 	// excludeRunTime keeps the run out of the run time statistics, because it was resumed from a checkpoint or slowed
 	// down and its run time is not comparable to that of other runs.
 	excludeRunTime bool
--- a/coord/flow/worker_lifecycle.go
+++ b/coord/flow/worker_lifecycle.go
@@ -110,6 +110,7 @@
 // without an answer may still reach the new one.
 func (m *Machine) workerRestarted(w *worker, startedAt int64) {
 	m.emit(Log{Text: "worker restarted", Worker: w.ID})
+	m.workerCrashed(w, "worker restarted")
 	for _, r := range w.sortedRuns() {
 		if r.listedClock > 0 {
 			m.counts.Vanished++
