Give up tasks that crash the workers that start them

The loss of a run with its worker was recorded nowhere, so that the task went back to the queue at once and without a bound.

When a worker's process ends unannounced, its runs that have not lasted half a second are suspects. Their crashes are counted in the task's record and are durable before the next start. A suspect starts on a worker without recent starts, nothing starts beside it until it is sound, and it is not copied. Two confirmed crashes, the last of them in such a trial, or three otherwise, fail the job. Racks and power cuts are told apart by crashes at the same moment; workers that drain, are cordoned or were only cut off do not count.

--- a/coord/flow/answer.go
+++ b/coord/flow/answer.go
@@ -31,7 +31,9 @@
 	case errors.As(ev.Err, &refused):
 		m.startRefused(w, r, refused)
 	case errors.As(ev.Err, &unsent):
-		w.reachable = w.reachable && !unsent.ConnRefused
+		if w.reachable && unsent.ConnRefused {
+			w.reachable, w.unreachableSince = false, m.now
+		}
 		m.notStarted(r, "worker unreachable")
 	default:
 		// The start may have been carried out or may still be. A report shows the former, and a stop prevents the
@@ -60,7 +62,7 @@
 	case infra.ReasonUnhealthy, infra.ReasonNoRoom:
 		w.unhealthyUntil = m.now.Add(unhealthyPause)
 	case infra.ReasonInstance:
-		w.reachable = false
+		w.reachable, w.unreachableSince = false, m.now
 	case infra.ReasonInvalid:
 		w.quarantinedUntil = m.now.Add(unhealthyPause)
 	case infra.ReasonTicket:
--- a/coord/flow/copy.go
+++ b/coord/flow/copy.go
@@ -10,6 +10,9 @@
 	if t == nil || !s.spec.Speculative || s.spec.Gang || t.phase != active || !r.occ.job.live() {
 		return false
 	}
+	if t.crashes > 0 {
+		return false
+	}
 	if len(t.runs) >= maxParallelRuns {
 		return true
 	}
--- a/coord/flow/crash.go
+++ b/coord/flow/crash.go
@@ -2,40 +2,124 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
+
+	"lovagefork.example/coord/fleet"
+	"lovagefork.example/coord/infra"
 )
 
 const (
 	// soundRunTime is how long a run must have lasted on its worker to be no suspect when the worker crashes.
 	soundRunTime = 500 * time.Millisecond
+	// maxNoticeTime is the maximum time from a start until its worker is found unreachable for the crash to be confirmed. It
+	// covers the report that ends a trial.
+	maxNoticeTime = time.Second
 	// maxLoggedSuspects limits the log lines about one crash.
 	maxLoggedSuspects = 8
+	// maxTrialWait is how long a suspect task waits for a worker without other recent runs. Jobs without a run for 3 s
+	// count as lost.
+	maxTrialWait = 2 * time.Second
+	// trialRetryPause is the pause between two searches for a worker for a trial.
+	trialRetryPause = 40 * time.Millisecond
+	// maxReservedShare is the share of a service's workers that may be reserved for trials at a time.
+	maxReservedShare = 0.25
+	// maxCrashes is the number of crashes after which a task is given up. One less is enough if the last one happened in
+	// an isolated trial. At least minConfirmedCrashes must be confirmed, unless there were more than maxCrashes.
+	maxCrashes          = 3
+	minConfirmedCrashes = 2
+	// freshReport is the maximum age of a worker's report when a trial is started on it.
+	freshReport = 50 * time.Millisecond
+	// correlationWindow is the maximum distance between the crashes that a failure of a rack or of the power supply causes.
+	// That many crashes in it without a task that was suspected before are taken for such a failure.
+	correlationWindow    = 300 * time.Millisecond
+	minCorrelatedCrashes = 3
 )
 
+// crashRecord counts the workers that crashed under recent runs of a task, and those of them that had confirmed the start
+// and became unreachable soon after it.
+type crashRecord struct{ crashes, confirmed int }
+
+// exceedsCrashes reports whether the task has to be given up however the last crash happened.
+func (c crashRecord) exceedsCrashes() bool {
+	return c.crashes > maxCrashes || c.crashes == maxCrashes && c.confirmed >= minConfirmedCrashes
+}
+
 // observeRun records that a run existed at a time of its worker's clock.
 func (m *Machine) observeRun(r *run, clock int64) {
 	if r.firstClock == 0 {
 		r.firstClock = clock
 	}
 	if !r.sound && clock-r.firstClock >= soundRunTime.Milliseconds() {
-		r.sound = true
+		m.markSound(r)
 	}
 }
 
+// markSound clears a task and its step of the suspicion of crashing workers.
+func (m *Machine) markSound(r *run) {
+	r.sound = true
+	if r.worker.trial == r {
+		r.worker.trial = nil
+		m.placementDue = true
+	}
+	s, t := m.lookupTask(r.id)
+	if t == nil {
+		return
+	}
+	if s.crashes > 0 {
+		s.crashes = 0
+		m.placementDue = true
+	}
+	if t.crashes == 0 {
+		return
+	}
+	m.emit(Log{Text: "no longer suspected of a crash", Task: r.id, Run: r.number, Worker: r.worker.ID})
+	t.crashRecord, t.verdictDue = crashRecord{}, false
+	m.markDirty(r.occ.job)
+}
+
 // workerCrashed handles the unplanned end of a worker's process. The runs that had not lasted long are suspected of
-// having caused it.
+// having caused it; in an isolated trial only the run on trial is.
 func (m *Machine) workerCrashed(w *worker, reason string) {
 	if len(w.runs) == 0 || w.Draining || w.cordoned {
 		return
 	}
 	m.counts.Crashes++
 	suspects := w.suspects()
+	if w.trial != nil && w.trial.excludesOthers() && slices.Contains(suspects, w.trial) {
+		suspects = []*run{w.trial}
+	} else {
+		m.recentCrashes = slices.DeleteFunc(m.recentCrashes, func(c time.Time) bool { return m.now.Sub(c) > 4*correlationWindow })
+		m.recentCrashes = append(m.recentCrashes, m.now)
+	}
+	steps := make(map[*step]struct{})
+	for _, r := range suspects {
+		steps[r.step] = struct{}{}
+	}
+	for s := range steps {
+		s.crashes++
+	}
 	m.emit(Log{Text: "worker crashed", Worker: w.ID, Reason: fmt.Sprintf("%s; %d suspects of %d runs", reason, len(suspects), len(w.runs))})
-	for _, r := range suspects[:min(len(suspects), maxLoggedSuspects)] {
-		m.emit(Log{Text: "run suspected of a crash", Task: r.id, Run: r.number, Worker: w.ID, Reason: reason})
+	for i, r := range suspects {
+		m.suspect(r.id, r.number, w.ID, w.crashedSoonAfter(r, m.now), r.isolated, i < maxLoggedSuspects)
+	}
+}
+
+// crashedSoonAfter reports whether the worker had confirmed the start and became unreachable soon after it. The run of a
+// worker that crashed without notice may have ended before.
+func (w *worker) crashedSoonAfter(r *run, now time.Time) bool {
+	noticed := now
+	if !w.reachable {
+		noticed = w.unreachableSince
 	}
+	isAdopted := r.deadline == 0
+	return r.firstClock > 0 && !isAdopted && noticed.Sub(r.startedAt) < maxNoticeTime
 }
 
+// excludesOthers reports whether a crash of the worker cannot have been caused by its other runs, because it had survived
+// them until the run started.
+func (r *run) excludesOthers() bool { return r.isolated && (r.firstClock > 0 || r.fresh) }
+
 // suspects returns the runs that may have crashed the worker.
 func (w *worker) suspects() []*run {
 	var suspects []*run
@@ -46,3 +130,244 @@
 	}
 	return suspects
 }
+
+// suspect counts a crash of a worker against a task.
+func (m *Machine) suspect(id infra.TaskID, number infra.Run, on fleet.WorkerID, confirmed, isolated, logged bool) {
+	j := m.jobs[id.Job]
+	_, t := m.lookupTask(id)
+	t.crashes++
+	if confirmed {
+		t.confirmed++
+	}
+	j.crashed = true
+	m.markDirty(j)
+	t.crashSeq, t.crashedAt = j.dirtySeq, m.now
+	t.verdictDue = t.exceedsCrashes() || t.confirmed >= minConfirmedCrashes && confirmed && isolated
+	if logged {
+		m.emit(Log{
+			Text: "run suspected of a crash", Task: id, Run: number, Worker: on,
+			Reason: fmt.Sprintf("crash %d, %d confirmed, isolated %t", t.crashes, t.confirmed, isolated),
+		})
+	}
+}
+
+// giveUpOnCrashes fails the job of a task that crashes its workers, and reports whether it did. The verdict on a task
+// with fewer than maxCrashes crashes waits until other crashes at the same time would have been noticed.
+func (m *Machine) giveUpOnCrashes(r *readyStep, t *task, index int) bool {
+	if !t.verdictDue {
+		return false
+	}
+	if !t.exceedsCrashes() {
+		if m.now.Sub(t.crashedAt) < correlationWindow {
+			return false
+		}
+		if m.isCorrelated(t.crashedAt) {
+			t.verdictDue = false
+			return false
+		}
+	}
+	j := r.occ.job
+	j.failed = true
+	m.counts.GivenUp++
+	m.emit(Log{Text: "job failed", Job: j.spec.ID, Task: r.task(index), Run: t.lastRun, Reason: fmt.Sprintf("task crashes its workers: %d crashes", t.crashes)})
+	m.stopJob(j, "job failed")
+	return true
+}
+
+// isCorrelated reports whether several workers crashed at about the given time.
+func (m *Machine) isCorrelated(at time.Time) bool {
+	count := 0
+	for _, c := range m.recentCrashes {
+		if c.Sub(at).Abs() <= correlationWindow {
+			count++
+		}
+	}
+	return count >= minCorrelatedCrashes
+}
+
+// mayStart reports whether a task may be started now as far as crashes are concerned. A crash must be durable first, so
+// that a successor counts on from it. The tasks of a step behave alike: while several workers crashed under it, they start
+// one at a time.
+func (m *Machine) mayStart(s *step, t *task) bool {
+	if t.crashSeq > m.savedSeq || t.verdictDue || m.now.Before(t.trialRetryAt) {
+		return false
+	}
+	return s.crashes < 2 || s.spec.Gang || !s.hasRecentRun()
+}
+
+func (s *step) hasRecentRun() bool {
+	for i := range s.tasks {
+		for _, r := range s.tasks[i].runs {
+			if !r.sound {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// mostSuspected returns the task itself, or for a gang, which is suspected as a whole, the member with the most crashes.
+func (s *step) mostSuspected(t *task) *task {
+	if !s.spec.Gang {
+		return t
+	}
+	t = &s.tasks[0]
+	for i := range s.tasks {
+		if s.tasks[i].crashes > t.crashes {
+			t = &s.tasks[i]
+		}
+	}
+	return t
+}
+
+// needsIsolation reports whether a task must be placed on a worker without recent runs, so that a crash can have no other
+// cause; t may be nil for a gang.
+func (m *Machine) needsIsolation(s *step, t *task) bool {
+	t = s.mostSuspected(t)
+	if t == nil || t.crashes == 0 {
+		return false
+	}
+	return t.trialSince.IsZero() || m.now.Sub(t.trialSince) < maxTrialWait
+}
+
+// accepts reports whether a worker takes a task, as far as trials are concerned.
+func (w *worker) accepts(now time.Time, isolated bool) bool {
+	if isolated {
+		return now.Sub(w.lastStart) >= soundRunTime
+	}
+	return !now.Before(w.reservedUntil)
+}
+
+func (w *worker) hasFreshReport(now time.Time) bool { return now.Sub(w.clockAt) <= freshReport }
+
+// awaitReport reports whether the trial of a task has to wait until the worker has reported. Otherwise the worker may have
+// crashed already.
+func (m *Machine) awaitReport(r *readyStep, t *task, w *worker) bool {
+	if !m.needsIsolation(r.step, t) || w.hasFreshReport(m.now) {
+		return false
+	}
+	if t.trialSince.IsZero() {
+		t.trialSince = m.now
+	}
+	w.probed = true
+	m.sendImmediateRenewal(w)
+	return true
+}
+
+// reserve keeps new tasks away from a worker, so that it can run a trial of the task soon. The wait for a trial is bounded
+// from when a worker has room for the task.
+func (m *Machine) reserve(r *readyStep, t *task) {
+	t = r.step.mostSuspected(t)
+	if t == nil || !m.needsIsolation(r.step, t) {
+		return
+	}
+	t.trialRetryAt = m.now.Add(trialRetryPause)
+	if m.now.Before(t.reservedUntil) {
+		return
+	}
+	candidates := m.candidatesOf(r.queue.Service)
+	reserved := 0
+	var best *worker
+	for _, w := range candidates {
+		isReserved := m.now.Before(w.reservedUntil)
+		if isReserved {
+			reserved++
+		}
+		if !m.fits(r, w, "") {
+			continue
+		}
+		if t.trialSince.IsZero() {
+			t.trialSince = m.now
+		}
+		if !isReserved && (best == nil || w.lossOnCrash() < best.lossOnCrash()) {
+			best = w
+		}
+	}
+	if best == nil || reserved > int(maxReservedShare*float64(len(candidates))) {
+		return
+	}
+	t.reservedUntil = m.now.Add(soundRunTime + placeRetryInterval)
+	best.reservedUntil = t.reservedUntil
+}
+
+// beginTrial records the start of a run on its worker.
+func (m *Machine) beginTrial(r *run, t *task) {
+	w := r.worker
+	r.fresh = w.hasFreshReport(m.now)
+	t.trialSince = time.Time{}
+	if r.step.mostSuspected(t).crashes > 0 {
+		r.isolated = m.now.Sub(w.lastStart) >= soundRunTime
+		w.trial, w.reservedUntil = r, time.Time{}
+		m.counts.Trials++
+	}
+	w.lastStart = m.now
+}
+
+// probeTrial requests a report as soon as a trial may have been passed.
+func (m *Machine) probeTrial(w *worker) {
+	if w.trial == nil || w.trial.firstClock == 0 || w.minClock(m.now) < w.trial.firstClock+soundRunTime.Milliseconds() {
+		return
+	}
+	if !w.renewalInFlight || m.now.Sub(w.immediateRenewalAt) >= soundRunTime {
+		m.sendImmediateRenewal(w)
+	}
+}
+
+// lossPenalty weighs what a crash would cost against all other terms of the score, and freshReportBonus exceeds it for any
+// number of runs on a worker.
+const (
+	lossPenalty      = 100
+	freshReportBonus = 1e6
+)
+
+// longRunningLoss is the number of other runs that a long-running one outweighs in a crash.
+const longRunningLoss = 3
+
+// lossOnCrash rates what a crash of the worker would end.
+func (w *worker) lossOnCrash() float64 {
+	return float64(len(w.runs) + longRunningLoss*w.longRunning)
+}
+
+// silencedWorker is a worker whose leases expired while it could not be reached.
+type silencedWorker struct {
+	startedAt int64
+	runs      []silencedRun
+}
+
+type silencedRun struct {
+	task   infra.TaskID
+	number infra.Run
+}
+
+// silence remembers the recent runs of an unreachable worker. Only its return shows whether it had crashed.
+func (m *Machine) silence(w *worker) {
+	if w.Draining || w.cordoned || w.StartedAt == 0 {
+		return
+	}
+	s := silencedWorker{startedAt: w.StartedAt}
+	for _, r := range w.suspects() {
+		s.runs = append(s.runs, silencedRun{r.id, r.number})
+	}
+	if len(s.runs) > 0 {
+		m.silenced[w.ID] = s
+	}
+}
+
+// blameSilencedRuns counts the crash of a worker that returns as a new incarnation after its leases had expired. A task
+// that has run soundly elsewhere since is not blamed.
+func (m *Machine) blameSilencedRuns(info infra.Worker) {
+	s, found := m.silenced[info.ID]
+	if !found || info.StartedAt <= s.startedAt {
+		return
+	}
+	delete(m.silenced, info.ID)
+	m.counts.Crashes++
+	for i, r := range s.runs {
+		j := m.jobs[r.task.Job]
+		_, t := m.lookupTask(r.task)
+		if t == nil || t.phase == done || !j.live() || slices.ContainsFunc(t.runs, func(r *run) bool { return r.sound }) {
+			continue
+		}
+		m.suspect(r.task, r.number, info.ID, false, false, i < maxLoggedSuspects)
+	}
+}
--- a/coord/flow/crash_test.go
+++ b/coord/flow/crash_test.go
@@ -1,10 +1,12 @@
 package flow_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"lovagefork.example/coord/fleet"
 	"lovagefork.example/coord/flow"
@@ -56,3 +58,298 @@
 	assert.Equal(t, suspects[0].Task.Job, fleet.JobID("new"))
 	assert.Equal(t, h.m.Counts().Crashes, int64(1))
 }
+
+// crashModel lets some tasks crash the workers that start them, and counts the crashes of workers under all tasks.
+type crashModel struct {
+	deadly  map[infra.TaskID]bool
+	unheard bool
+	resets  bool
+	crashed map[infra.TaskID][]time.Time
+	started map[infra.TaskID][]time.Time
+}
+
+// noticeTime is how long a call to a worker that crashes remains open. Connections of a process that ends are usually reset.
+func (c *crashModel) noticeTime(sim *simulation, unreachable bool) time.Duration {
+	if c.resets && !unreachable {
+		return sim.delay()
+	}
+	return answerTimeout
+}
+
+// begin lets a worker crash soon after it has started a deadly task.
+func (c *crashModel) begin(f *fakeWorker, id infra.TaskID) {
+	if c.started == nil {
+		c.started, c.crashed = make(map[infra.TaskID][]time.Time), make(map[infra.TaskID][]time.Time)
+	}
+	sim := f.sim
+	c.started[id] = append(c.started[id], sim.now)
+	if !c.deadly[id] {
+		return
+	}
+	r, startedAt := f.runs[id], f.startedAt
+	sim.after(time.Duration(1+sim.rng.IntN(40))*time.Millisecond, func() {
+		if f.up && f.startedAt == startedAt && f.runs[id] == r {
+			sim.crash(f.info.ID, time.Duration(2500+sim.rng.IntN(1500))*time.Millisecond, c.unheard && sim.rng.IntN(2) == 0)
+		}
+	})
+}
+
+// record counts the crash of a worker under all tasks on it.
+func (c *crashModel) record(f *fakeWorker) {
+	for id := range f.runs {
+		c.crashed[id] = append(c.crashed[id], f.sim.now)
+	}
+}
+
+const (
+	// maxStartsAfterCrashes limits the starts of a deadly task after maxCrashesUnderTask workers have crashed under it.
+	maxStartsAfterCrashes = 2
+	maxCrashesUnderTask   = 3
+	// minCrashesUnderTask workers must have crashed under a task that is given up.
+	minCrashesUnderTask = 2
+)
+
+// check finds deadly tasks that were started too often.
+func (c *crashModel) check(sim *simulation) {
+	for id := range c.deadly {
+		crashes := c.crashed[id]
+		if len(crashes) < maxCrashesUnderTask {
+			continue
+		}
+		count := 0
+		for _, at := range c.started[id] {
+			if at.After(crashes[maxCrashesUnderTask-1]) {
+				count++
+			}
+		}
+		if count > maxStartsAfterCrashes {
+			sim.violation("%v was started %d times after %d workers had crashed under it: starts %v, crashes %v", id, count, maxCrashesUnderTask, c.started[id], crashes)
+		}
+	}
+}
+
+// quietTime is long after the last fault of a plan.
+const quietTime = 40 * time.Second
+
+// checkLasting finds tasks of a long-running job that have no run, unless the job has failed.
+func (c *crashModel) checkLasting(sim *simulation, j *infra.Job) {
+	if state, _ := sim.leader.m.State(j.ID); state == infra.StateFailed {
+		return
+	}
+	for i := range j.Steps[0].Count {
+		id := infra.TaskID{Job: j.ID, Index: i}
+		if !slices.ContainsFunc(sim.workerIDs, func(w fleet.WorkerID) bool { return sim.workers[w].runs[id] != nil }) {
+			sim.violation("%v is long-running and does not run", id)
+		}
+	}
+}
+
+// mayFail reports whether a job may be shown as failed because workers have crashed under one of its tasks.
+func (c *crashModel) mayFail(j *simJob) bool {
+	for id, crashes := range c.crashed {
+		if id.Job == j.spec.ID && len(crashes) >= minCrashesUnderTask {
+			return true
+		}
+	}
+	return false
+}
+
+// scheduleCrashes schedules jobs of which some crash their workers, and other failures of workers and schedulers.
+func scheduleCrashes(t *rapid.T, sim *simulation) {
+	sim.crashes.deadly = make(map[infra.TaskID]bool)
+	sim.crashes.unheard = rapid.Bool().Draw(t, "unheard")
+	sim.crashes.resets = rapid.IntRange(0, 3).Draw(t, "resets") > 0
+	sim.elect(false)
+	sim.run(time.Second)
+	for n := range rapid.IntRange(3, 20).Draw(t, "jobs") {
+		j, _ := drawJob(t, n)
+		if rapid.IntRange(0, 9).Draw(t, "gang") == 0 {
+			// The simulation does not end the members of a gang together, so no step may depend on it.
+			last := &j.Steps[len(j.Steps)-1]
+			last.Gang, last.Filler, last.Speculative, last.Count, last.Size.MilliCPU = true, false, false, 2, 1000
+		}
+		lasts := rapid.IntRange(0, 7).Draw(t, "lasts") == 0
+		if lasts {
+			j.Steps = []infra.Step{{Count: 2, Size: fleet.Resources{MilliCPU: 1000, MemoryBytes: 1 << 28}, LongRunning: true, Estimate: time.Second}}
+		}
+		if rapid.IntRange(0, 3).Draw(t, "deadly") == 0 {
+			s := rapid.IntRange(0, len(j.Steps)-1).Draw(t, "deadly_step")
+			all := rapid.IntRange(0, 3).Draw(t, "deadly_all") == 0 || j.Steps[s].Gang
+			for i := range j.Steps[s].Count {
+				if all || i == 0 {
+					sim.crashes.deadly[infra.TaskID{Job: j.ID, Step: s, Index: i}] = true
+				}
+			}
+		}
+		sim.after(time.Duration(rapid.IntRange(0, 8000).Draw(t, "at"))*time.Millisecond, func() { sim.submit(j) })
+		if lasts {
+			sim.after(quietTime, func() {
+				sim.crashes.checkLasting(sim, &j)
+				sim.cancel(j.ID)
+			})
+		}
+	}
+	for range rapid.IntRange(0, 5).Draw(t, "faults") {
+		at := time.Duration(rapid.IntRange(0, 12000).Draw(t, "fault_at")) * time.Millisecond
+		span := time.Duration(rapid.IntRange(300, 6000).Draw(t, "span")) * time.Millisecond
+		id := sim.workerIDs[rapid.IntRange(0, len(sim.workerIDs)-1).Draw(t, "worker")]
+		first := rapid.IntRange(0, len(sim.workerIDs)/2).Draw(t, "first")
+		crashMany := func(ids []fleet.WorkerID) {
+			for _, id := range ids {
+				sim.after(time.Duration(sim.rng.IntN(50))*time.Millisecond, func() { sim.crash(id, span, false) })
+			}
+		}
+		switch rapid.IntRange(0, 9).Draw(t, "fault") {
+		case 0:
+			sim.after(at, func() { sim.crash(id, span, false) })
+		case 1:
+			sim.after(at, func() { sim.crash(id, span, true) })
+		case 2:
+			sim.after(at, func() { sim.partition(id, span) })
+		case 3:
+			sim.after(at, func() { sim.elect(sim.rng.IntN(2) == 0) })
+		case 4:
+			sim.after(at, func() { crashMany(sim.workerIDs[first:min(first+4, len(sim.workerIDs))]) })
+		case 5:
+			sim.after(at, func() { sim.storeDown = true })
+			sim.after(at+span, func() { sim.storeDown = false })
+		case 6:
+			sim.after(at, func() { sim.lostShare = 0.1 })
+			sim.after(at+span, func() { sim.lostShare = 0 })
+		case 7:
+			sim.after(at, func() { crashMany(sim.workerIDs) })
+		case 8:
+			sim.after(at, func() { sim.killScheduler(span) })
+		case 9:
+			sim.after(at, func() { sim.drain(id, span) })
+		}
+	}
+}
+
+// A task that crashed each worker that started it was started without end, and took the other tasks of those workers with
+// it. It is given up, and other jobs complete unless several workers crash under one of their tasks.
+func TestTaskThatCrashesItsWorkersIsGivenUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sim := newSimulation(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(6, 20).Draw(t, "workers"))
+		sim.trace = func(sched *simScheduler, _ flow.Event, e flow.Effect) {
+			if n, ok := e.(flow.Log); ok {
+				t.Logf("%v token %d: %+v", sim.now.Sub(time.Unix(1000, 0)), sched.token, n)
+			}
+		}
+		scheduleCrashes(t, sim)
+		sim.run(20*time.Second + settleTime)
+		sim.crashes.check(sim)
+		assert.Assert(t, len(sim.violations) == 0, "%q", sim.violations)
+		for _, id := range sim.jobIDs {
+			state, found := sim.leader.m.State(id)
+			assert.Assert(t, found && state.Final(), "job %s has not ended, it is %s: %+v", id, state, sim.jobs[id].spec)
+			if state == infra.StateFailed {
+				assert.Assert(t, sim.crashes.mayFail(sim.jobs[id]), "job %s failed without cause", id)
+			}
+			for task := range sim.crashes.deadly {
+				if task.Job == id {
+					assert.Equal(t, state, infra.StateFailed, "job %s", id)
+				}
+			}
+		}
+	})
+}
+
+// savedCrashes returns the number of crashes in the last saved record of a job with one task.
+func (h *harness) savedCrashes(id fleet.JobID) int {
+	crashes := 0
+	for _, e := range h.effects {
+		s, ok := e.(flow.Save)
+		if !ok {
+			continue
+		}
+		for _, j := range s.Jobs {
+			if j.Job == id {
+				crashes = 0
+				for _, o := range j.Record.Occurrences {
+					for _, step := range o.Steps {
+						for _, t := range step.Tasks {
+							crashes += t.Crashes
+						}
+					}
+				}
+			}
+		}
+	}
+	return crashes
+}
+
+// A successor that started to count anew would let a task crash three more workers after each takeover.
+func TestSuccessorContinuesTheCountOfCrashes(t *testing.T) {
+	stored := flow.Record{State: infra.StateRunning, Occurrences: []flow.OccurrenceRecord{{
+		Steps: []flow.StepRecord{{Tasks: []flow.TaskRecord{{Run: 5, Crashes: 2, Confirmed: 2}}}},
+	}}}
+	h := newHarness(t, flow.Restored{Jobs: []flow.StoredJob{{Job: singleStepJob("j", smallStep(1)), Record: &stored}}, Term: 1}, newPoolWorker("a"), newPoolWorker("b"))
+	h.report("a", infra.Report{})
+	h.advance(200 * time.Millisecond)
+	assert.Equal(t, len(h.answerStarts()), 1)
+	h.refuse("a")
+	h.report("b", infra.Report{})
+	h.advance(time.Second)
+	assert.Equal(t, len(h.starts()), 0)
+	state, _ := h.m.State("j")
+	assert.Equal(t, state, infra.StateFailed)
+	assert.Equal(t, h.m.Counts().GivenUp, int64(1))
+}
+
+// A worker that was only cut off while its leases expired has not crashed, but one that returns as another incarnation has.
+func TestOnlyANewIncarnationProvesASilentCrash(t *testing.T) {
+	for _, restarted := range []bool{false, true} {
+		a := newPoolWorker("a")
+		a.StartedAt = 1
+		h := newHarness(t, flow.Restored{}, a)
+		h.report("a", infra.Report{StartedAt: 1})
+		h.step(flow.Submitted{Job: singleStepJob("j", smallStep(1))})
+		h.advance(200 * time.Millisecond)
+		assert.Equal(t, len(h.answerStarts()), 1)
+		for range 30 {
+			h.step(flow.RenewFailed{Worker: "a", Sequence: h.seq["a"], Err: &infra.NoAnswerError{Worker: "a"}})
+			h.advance(300 * time.Millisecond)
+		}
+		h.step(flow.WorkerUnlisted{Worker: "a"})
+		h.advance(50 * time.Millisecond)
+		want := 0
+		if restarted {
+			a.StartedAt, want = 2, 1
+		}
+		h.step(flow.WorkerListed{Worker: a})
+		h.advance(50 * time.Millisecond)
+		h.report("a", infra.Report{StartedAt: a.StartedAt})
+		h.advance(50 * time.Millisecond)
+		assert.Equal(t, h.savedCrashes("j"), want)
+		for range 10 {
+			h.report("a", infra.Report{StartedAt: a.StartedAt})
+			h.advance(50 * time.Millisecond)
+		}
+		assert.Equal(t, len(h.starts()), 1)
+	}
+}
+
+// Two deadly tasks that start together on one worker shared the blame, so that each hid the other. A trial begins on a
+// worker without recent starts, and nothing else starts there meanwhile.
+func TestSuspectsAreIsolated(t *testing.T) {
+	h := newHarness(t, flow.Restored{}, newPoolWorker("a"), newPoolWorker("b"))
+	h.report("a", infra.Report{})
+	h.step(flow.Submitted{Job: singleStepJob("j", smallStep(2))})
+	h.advance(200 * time.Millisecond)
+	assert.Equal(t, len(h.answerStarts()), 2)
+	h.refuse("a")
+	h.advance(500 * time.Millisecond)
+	h.report("b", infra.Report{})
+	h.advance(50 * time.Millisecond)
+	first := h.answerStarts()
+	assert.Equal(t, len(first), 1)
+	h.step(flow.Submitted{Job: singleStepJob("k", smallStep(1))})
+	h.advance(300 * time.Millisecond)
+	assert.Equal(t, len(h.starts()), 0)
+	h.report("b", infra.Report{Running: []infra.ActiveRun{{Task: first[0].Order.Task, Run: first[0].Order.Run, Progress: 10}}})
+	h.advance(300 * time.Millisecond)
+	h.report("b", infra.Report{Running: []infra.ActiveRun{{Task: first[0].Order.Task, Run: first[0].Order.Run, Progress: 40}}})
+	h.advance(100 * time.Millisecond)
+	assert.Equal(t, len(h.starts()), 1)
+}
--- a/coord/flow/job.go
+++ b/coord/flow/job.go
@@ -32,6 +32,17 @@
 	runs []*run
 	// moves counts how often the task was moved because of its progress.
 	moves int
+	crashRecord
+	// crashSeq is the sequence number of the save that makes the last crash durable, and crashedAt its time.
+	crashSeq  int64
+	crashedAt time.Time
+	// trialSince is when the task began to wait for a trial, trialRetryAt when a worker is searched for it again, and
+	// reservedUntil the end of the reservation of a worker for it.
+	trialSince    time.Time
+	trialRetryAt  time.Time
+	reservedUntil time.Time
+	// verdictDue is set when the next placement has to decide whether the task is given up.
+	verdictDue bool
 }
 
 // step is the state of one step of an occurrence. waiting and done count its tasks in these phases.
@@ -55,6 +66,8 @@
 	timedRuns    int
 	// approval holds the decisions of the policy service; nil before the first call about the step.
 	approval *approval
+	// crashes counts the workers that crashed under recent runs of the step since one of its runs was sound.
+	crashes int
 }
 
 // occurrence is one repetition of a job's steps. openSteps counts the steps that are not complete.
@@ -74,9 +87,11 @@
 	acceptedAfterTakeover bool
 	arrivedAt             time.Time
 	// queue is the latest configuration of the job's queue.
-	queue                infra.Queue
-	cancelled            bool
-	failed               bool
+	queue     infra.Queue
+	cancelled bool
+	failed    bool
+	// crashed is set once a worker has crashed under a recent run of the job.
+	crashed              bool
 	started              bool
 	occurrences          map[int64]*occurrence
 	createdOccurrences   int64
@@ -201,6 +216,10 @@
 	// Failed lists the numbers of the failed runs.
 	Failed     []infra.Run `cbor:"failed,omitempty"`
 	Checkpoint string      `cbor:"checkpoint,omitempty"`
+	// Crashes counts the workers that crashed under recent runs of the task, and Confirmed those of them that are known to
+	// have started it just before.
+	Crashes   int `cbor:"crashes,omitempty"`
+	Confirmed int `cbor:"confirmed,omitempty"`
 }
 
 // record returns the durable form of a job's progress. A job in a final state is represented by its state alone.
@@ -242,7 +261,7 @@
 			}
 			r.Done[i/8] |= 1 << (i % 8)
 		case t.lastRun > 0:
-			r.Tasks = append(r.Tasks, TaskRecord{Index: i, Run: t.lastRun, Failed: slices.Clone(t.failedRuns), Checkpoint: t.checkpoint})
+			r.Tasks = append(r.Tasks, TaskRecord{Index: i, Run: t.lastRun, Failed: slices.Clone(t.failedRuns), Checkpoint: t.checkpoint, Crashes: t.crashes, Confirmed: t.confirmed})
 		}
 	}
 	return r
@@ -292,6 +311,8 @@
 		if record.Index >= 0 && record.Index < len(s.tasks) {
 			t := &s.tasks[record.Index]
 			t.lastRun, t.failedRuns, t.checkpoint = record.Run, record.Failed, record.Checkpoint
+			t.crashRecord = crashRecord{crashes: record.Crashes, confirmed: record.Confirmed}
+			t.verdictDue = t.exceedsCrashes()
 		}
 	}
 }
--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -142,7 +142,10 @@
 	lateStarts         map[fleet.WorkerID][]lateStart
 	// earlyCancels are the cancellations of jobs that are not known yet.
 	earlyCancels map[fleet.JobID]struct{}
-	counts       Counts
+	// recentCrashes are the crashes without a suspect that was suspected before.
+	recentCrashes []time.Time
+	silenced      map[fleet.WorkerID]silencedWorker
+	counts        Counts
 }
 
 type batchJob struct {
@@ -153,10 +156,11 @@
 
 // Counts are totals since the scheduler was elected. Lost counts unanswered starts that were not carried out, Vanished
 // runs that disappeared from a worker without an end, Stalled runs without progress or with slow progress, Paced
-// changes of the speed of fillers, Copied copies of speculative tasks, and Crashes workers whose process ended while they
-// had runs.
+// changes of the speed of fillers, Copied copies of speculative tasks, Crashes workers whose process ended while they
+// had runs, Trials starts of tasks that are suspected of a crash, and GivenUp jobs that failed because a task crashes its
+// workers.
 type Counts struct {
-	Starts, Refused, Lost, Done, Failed, Stopped, Vanished, Stalled, Paced, Copied, Crashes int64
+	Starts, Refused, Lost, Done, Failed, Stopped, Vanished, Stalled, Paced, Copied, Crashes, Trials, GivenUp int64
 }
 
 // New returns a scheduler that issues its orders under a fencing token.
@@ -179,6 +183,7 @@
 		interferenceModels: make(map[string]*interferenceModel),
 		lateStarts:         make(map[fleet.WorkerID][]lateStart),
 		earlyCancels:       make(map[fleet.JobID]struct{}),
+		silenced:           make(map[fleet.WorkerID]silencedWorker),
 	}
 	for _, opt := range opts {
 		opt(&m.opts)
--- a/coord/flow/place.go
+++ b/coord/flow/place.go
@@ -102,15 +102,29 @@
 		if len(t.failedRuns) > 0 && m.checkAttempts(r.occ.job, t, r.task(i)) {
 			return
 		}
+		if m.giveUpOnCrashes(r, t, i) {
+			return
+		}
+		if !m.mayStart(s, t) {
+			continue
+		}
 		w := m.pickWorker(r, t)
 		if w == nil {
 			if r.queue.ApprovalCost != nil {
 				m.requestApproval(r)
-			} else if isUnconstrained(&s.spec) {
+			}
+			if t.crashes > 0 {
+				m.reserve(r, t)
+				continue
+			}
+			if r.queue.ApprovalCost == nil && isUnconstrained(&s.spec) {
 				m.addUnplaceableShape(unplaceableShape{r.queue.Service, s.spec.Image, s.spec.Filler, s.spec.Size})
 			}
 			break
 		}
+		if m.awaitReport(r, t, w) {
+			continue
+		}
 		m.start(r, i, w, t.lastRun+1)
 		if m.unansweredStarts >= maxUnansweredStarts {
 			break
@@ -129,6 +143,9 @@
 	}
 	number := infra.Run(0)
 	for i := range s.tasks {
+		if m.giveUpOnCrashes(r, &s.tasks[i], i) || !m.mayStart(s, &s.tasks[i]) {
+			return
+		}
 		number = max(number, s.tasks[i].lastRun)
 	}
 	number++
@@ -154,6 +171,7 @@
 		m.removeReady(s)
 		return
 	}
+	m.reserve(r, nil)
 	if r.queue.ApprovalCost != nil {
 		m.requestApproval(r)
 	}
@@ -219,11 +237,18 @@
 func (m *Machine) bestWorker(r *readyStep, t *task, rack string) *worker {
 	var best *worker
 	bestScore := 0.0
+	isolated := m.needsIsolation(r.step, t)
 	for _, w := range m.candidatesOf(r.queue.Service) {
-		if !m.fits(r, w, rack) {
+		if !m.fits(r, w, rack) || !w.accepts(m.now, isolated) {
 			continue
 		}
 		score := m.score(r, w)
+		if isolated {
+			score -= lossPenalty * w.lossOnCrash()
+			if w.hasFreshReport(m.now) {
+				score += freshReportBonus
+			}
+		}
 		if t != nil && t.avoidWorker == w.ID {
 			score -= avoidPenalty
 		}
@@ -249,7 +274,7 @@
 // fitsWithoutPolicy reports whether a worker could run a task of a step, ignoring the policy of its queue.
 func (m *Machine) fitsWithoutPolicy(r *readyStep, w *worker) bool {
 	spec := &r.step.spec
-	if !spec.Reserved().Fits(w.free()) {
+	if w.trial != nil || !spec.Reserved().Fits(w.free()) {
 		return false
 	}
 	if w.isSlow(spec) {
@@ -338,6 +363,7 @@
 	if s.spec.Filler {
 		newRun.fillerCPU = s.spec.Size.MilliCPU
 	}
+	m.beginTrial(newRun, t)
 	newRun.deadline = w.maxClock(m.now) + startWindow.Milliseconds()
 	w.leaseEnd = max(w.leaseEnd, newRun.deadline)
 	t.lastRun = number
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -44,13 +44,14 @@
 		m.workerCrashed(w, "address belongs to another worker")
 		m.clearWorker(w, "address belongs to another worker")
 		delete(m.unreconciledWorkers, w.ID)
-		w.reachable = false
+		w.reachable, w.unreachableSince = false, m.now
 		return
 	case errors.As(ev.Err, &refused):
 		w.unhealthyUntil = m.now.Add(renewRetryPause)
 		return
 	}
 	if w.reachable {
+		w.unreachableSince = m.now
 		m.emit(Log{Text: "worker unreachable", Worker: w.ID, Reason: ev.Err.Error()})
 	}
 	w.reachable = false
@@ -87,6 +88,7 @@
 	}
 	if !w.reachable {
 		m.emit(Log{Text: "worker reachable", Worker: w.ID})
+		delete(m.silenced, w.ID)
 		w.reachable = true
 		m.placementDue = true
 	}
@@ -96,6 +98,8 @@
 		m.markReconciled(w)
 		m.fenceLateStarts(w)
 	}
+	m.placementDue = m.placementDue || w.probed
+	w.probed = false
 	hasNew := m.applyEnds(w, ev.Report.Ended)
 	m.reconcileRuns(w, ev.Report)
 	m.learnInterference(w)
@@ -146,6 +150,9 @@
 	m.placementDue = true
 	if isCurrent {
 		m.measureEnd(r, e.Outcome)
+		if e.Outcome == infra.OutcomeDone {
+			m.markSound(r)
+		}
 		m.releaseRun(r)
 	}
 	if t == nil {
@@ -281,6 +288,10 @@
 // releaseRun frees the capacity of a run that no longer exists on its worker.
 func (m *Machine) releaseRun(r *run) {
 	r.worker.remove(m.now, r)
+	if r.worker.trial == r {
+		r.worker.trial = nil
+		m.placementDue = true
+	}
 	s, t := m.lookupTask(r.id)
 	if t == nil {
 		return
--- a/coord/flow/save.go
+++ b/coord/flow/save.go
@@ -78,6 +78,7 @@
 			b.job.durableState = b.state
 		}
 		m.savedSeq = max(m.savedSeq, b.seq)
+		m.placementDue = m.placementDue || b.job.crashed
 	}
 	for _, id := range m.batchRoster {
 		if w := m.workers[id]; w != nil && !w.inStoredRoster {
--- a/coord/flow/simulation_test.go
+++ b/coord/flow/simulation_test.go
@@ -36,6 +36,7 @@
 	lostShare  float64
 	violations []string
 	starts     int
+	crashes    crashModel
 	// trace is called for every effect, for debugging.
 	trace func(*simScheduler, flow.Event, flow.Effect)
 }
@@ -493,6 +494,7 @@
 	r.fails = j.failingSteps[s.Task.Step]
 	f.runs[s.Task] = r
 	f.highestRun[s.Task] = s.Run - 1
+	sim.crashes.begin(f, s.Task)
 	if spec.LongRunning {
 		return
 	}
@@ -662,11 +664,12 @@
 		return
 	}
 	f.up = false
+	sim.crashes.record(f)
 	f.runs = make(map[infra.TaskID]*fakeRun)
 	waiting := f.waitingRenewals
 	f.waitingRenewals = nil
 	for _, h := range waiting {
-		sim.after(answerTimeout, func() {
+		sim.after(sim.crashes.noticeTime(sim, unreachable), func() {
 			sim.step(h.sched, flow.RenewFailed{Worker: id, Sequence: h.seq, Order: h.order, Err: &infra.NoAnswerError{Worker: id}})
 		})
 	}
--- a/coord/flow/sweep.go
+++ b/coord/flow/sweep.go
@@ -53,8 +53,10 @@
 	}
 	if !w.reachable && len(w.runs) > 0 && w.leaseExpired(m.now) {
 		m.emit(Log{Text: "lease expired", Worker: w.ID, Reason: "worker unreachable"})
+		m.silence(w)
 		m.clearWorker(w, "lease expired")
 	}
+	m.probeTrial(w)
 	m.evacuate(w)
 	w.decaySpeed(m.now)
 	for _, r := range w.sortedRuns() {
--- a/coord/flow/worker.go
+++ b/coord/flow/worker.go
@@ -60,7 +60,11 @@
 	// firstClock is the earliest worker clock at which the run is known to have existed, 0 if it may never have started.
 	firstClock int64
 	// sound is set once the run has lasted for soundRunTime.
-	sound      bool
+	sound bool
+	// fresh is set if the worker had reported just before the start.
+	fresh bool
+	// isolated is set for a trial that began when no other run on the worker was recent.
+	isolated   bool
 	nextStop   time.Time
 	stopReason string
 	// excludeRunTime keeps the run out of the run time statistics, because it was resumed from a checkpoint or slowed
@@ -100,8 +104,9 @@
 	// been replaced must not start tasks on such a worker.
 	leadershipConfirmed bool
 	// reachable reports whether the last renewal was answered.
-	reachable    bool
-	connRefusals int
+	reachable        bool
+	unreachableSince time.Time
+	connRefusals     int
 	// clock is the last known worker clock in milliseconds, and clockAt the local time at which it was read.
 	clockAt time.Time
 	clock   int64
@@ -115,6 +120,8 @@
 	servingSteps  map[*step]int
 	servingImages map[string]int
 	servingCPU    int64
+	// longRunning counts the runs of long-running tasks.
+	longRunning int
 	// fillerLoad is the processor time that fillers request at their current speed, by image. laggedLoad is its
 	// low-pass filtered value, which the reported tail latencies reflect. Both are in thousandths of a core, because
 	// the capacity of a worker is unknown until it is listed.
@@ -122,6 +129,13 @@
 	laggedLoad map[string]float64
 	laggedAt   time.Time
 	runs       map[infra.TaskID]*run
+	// trial is the run of a suspect task that is not sound yet; the worker takes no other tasks meanwhile. lastStart is
+	// when the last start was sent, and until reservedUntil the worker takes only trials.
+	trial         *run
+	lastStart     time.Time
+	reservedUntil time.Time
+	// probed is set while a trial waits for the worker's report.
+	probed bool
 	// runsByTask is sorted by task, so that iteration is deterministic.
 	runsByTask []*run
 
@@ -237,6 +251,9 @@
 // countLoad adds or removes the effect of a run on other runs; sign is 1 or -1.
 func (w *worker) countLoad(now time.Time, r *run, sign int) {
 	w.budgetsValid = false
+	if r.step != nil && r.step.spec.LongRunning {
+		w.longRunning += sign
+	}
 	if r.fillerCPU > 0 {
 		w.updateLaggedLoad(now)
 		w.fillerCPU += int64(sign) * r.fillerCPU
--- a/coord/flow/worker_lifecycle.go
+++ b/coord/flow/worker_lifecycle.go
@@ -53,6 +53,7 @@
 	w := m.workers[info.ID]
 	if w == nil {
 		w = m.addWorker(info)
+		m.blameSilencedRuns(info)
 		m.emit(Log{Text: "worker listed", Worker: info.ID, Reason: info.Service})
 	}
 	if w.StartedAt != 0 && info.StartedAt != 0 && info.StartedAt < w.StartedAt {
@@ -110,6 +111,7 @@
 // without an answer may still reach the new one.
 func (m *Machine) workerRestarted(w *worker, startedAt int64) {
 	m.emit(Log{Text: "worker restarted", Worker: w.ID})
+	m.blameSilencedRuns(infra.Worker{ID: w.ID, StartedAt: startedAt})
 	m.workerCrashed(w, "worker restarted")
 	for _, r := range w.sortedRuns() {
 		if r.listedClock > 0 {
