--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -41,15 +41,17 @@
 		m.emit(Resign{Worker: w.ID})
 		return
 	case errors.As(ev.Err, &refused) && refused.Reason == infra.ReasonInstance:
+		m.workerCrashed(w, "address belongs to another worker")
 		m.clearWorker(w, "address belongs to another worker")
 		delete(m.unreconciledWorkers, w.ID)
-		w.reachable = false
+		w.reachable, w.unreachableSince = false, m.now
 		return
 	case errors.As(ev.Err, &refused):
 		w.unhealthyUntil = m.now.Add(renewRetryPause)
 		return
 	}
 	if w.reachable {
+		w.unreachableSince = m.now
 		m.emit(Log{Text: "worker unreachable", Worker: w.ID, Reason: ev.Err.Error()})
 	}
 	w.reachable = false
@@ -60,6 +62,7 @@
 	}
 	w.connRefusals++
 	if w.connRefusals >= connRefusalsUntilGone {
+		m.workerCrashed(w, "connections to the worker's address are refused")
 		m.clearWorker(w, "connections to the worker's address are refused")
 		delete(m.unreconciledWorkers, w.ID)
 		m.placementDue = true
@@ -85,6 +88,7 @@
 	}
 	if !w.reachable {
 		m.emit(Log{Text: "worker reachable", Worker: w.ID})
+		delete(m.silenced, w.ID)
 		w.reachable = true
 		m.placementDue = true
 	}
@@ -94,6 +98,8 @@
 		m.markReconciled(w)
 		m.fenceLateStarts(w)
 	}
+	m.placementDue = m.placementDue || w.probed
+	w.probed = false
 	hasNew := m.applyEnds(w, ev.Report.Ended)
 	m.reconcileRuns(w, ev.Report)
 	m.learnInterference(w)
@@ -144,6 +150,9 @@
 	m.placementDue = true
 	if isCurrent {
 		m.measureEnd(r, e.Outcome)
+		if e.Outcome == infra.OutcomeDone {
+			m.markSound(r)
+		}
 		m.releaseRun(r)
 	}
 	if t == nil {
@@ -279,6 +288,10 @@
 // releaseRun frees the capacity of a run that no longer exists on its worker.
 func (m *Machine) releaseRun(r *run) {
 	r.worker.remove(m.now, r)
+	if r.worker.trial == r {
+		r.worker.trial = nil
+		m.placementDue = true
+	}
 	s, t := m.lookupTask(r.id)
 	if t == nil {
 		return
@@ -340,6 +353,7 @@
 		r.state = running
 	}
 	r.confirmedClock, r.listedClock = max(r.confirmedClock, clock), clock
+	m.observeRun(r, clock)
 	r.measurement = row.Measurement
 	r.percent = max(r.percent, row.Progress)
 	if _, t := m.lookupTask(r.id); t != nil && row.Checkpoint != "" {
@@ -355,7 +369,7 @@
 	s, t := m.lookupTask(row.Task)
 	r := &run{
 		id: row.Task, number: row.Run, worker: w, state: running, startedAt: m.now, measuredPercent: row.Progress, measuredAt: m.now,
-		confirmedClock: clock, listedClock: clock, percent: row.Progress, measurement: row.Measurement, speedPercent: fullSpeedPercent,
+		confirmedClock: clock, listedClock: clock, firstClock: clock, percent: row.Progress, measurement: row.Measurement, speedPercent: fullSpeedPercent,
 		excludeRunTime: true,
 	}
 	if old := w.runs[row.Task]; old != nil {
