flow: bound the losses of a task that crashes its workers late

Callers could see a job in state running while its task crashed one worker after the other, each more than half a second after the start (BUDGET): the run counted as sound by then, and its loss as nobody's fault.

TestTaskThatCrashesItsWorkersLateIsGivenUp, a task that crashes each of six workers 1.1 s after its start, fails before: the job is still running after six crashes.

Each crash of a worker now counts as a loss for all tasks that were known to run on it, durably. A long-running task that has lasted for 10 s starts again at none, so that rare crashes over a long life do not add up. Such tasks are not isolated: their neighbours are lost with them until then.

--- a/coord/flow/crash.go
+++ b/coord/flow/crash.go
@@ -12,6 +12,8 @@
 const (
 	// soundRunTime is how long a run must have lasted on its worker to be no suspect when the worker crashes.
 	soundRunTime = 500 * time.Millisecond
+	// provenRunTime is how long a long-running task must have lasted for earlier losses to count no more.
+	provenRunTime = 10 * time.Second
 	// maxNoticeTime is the maximum time from a start until its worker is found unreachable for the crash to be confirmed. It
 	// covers the report that ends a trial.
 	maxNoticeTime = time.Second
@@ -25,8 +27,8 @@
 	// maxReservedShare is the share of a service's workers that may be reserved for trials at a time.
 	maxReservedShare = 0.25
 	// maxCrashes is the number of crashes after which a task is given up. One less is enough if the last one happened in
-	// an isolated trial on another worker. At least minConfirmedCrashes must be confirmed, unless there were more than
-	// maxCrashes.
+	// an isolated trial on another worker. At least minConfirmedCrashes must be confirmed. A task is also given up after
+	// the loss of more than maxCrashes workers, however long it had run on them.
 	maxCrashes          = 3
 	minConfirmedCrashes = 2
 	// freshReport is the maximum age of a worker's report when a trial is started on it.
@@ -41,13 +43,14 @@
 // and became unreachable soon after it.
 type crashRecord struct {
 	crashes, confirmed int
-	// crashedOn is the last worker that made the task a suspect.
+	// losses counts all workers that crashed under the task, and crashedOn is the last one that made it a suspect.
+	losses    int
 	crashedOn fleet.WorkerID
 }
 
 // exceedsCrashes reports whether the task has to be given up however the last crash happened.
 func (c crashRecord) exceedsCrashes() bool {
-	return c.crashes > maxCrashes || c.crashes == maxCrashes && c.confirmed >= minConfirmedCrashes
+	return c.losses > maxCrashes || c.crashes > maxCrashes || c.crashes == maxCrashes && c.confirmed >= minConfirmedCrashes
 }
 
 // observeRun records that a run existed at a time of its worker's clock.
@@ -58,6 +61,10 @@
 	if !r.sound && clock-r.firstClock >= soundRunTime.Milliseconds() {
 		m.markSound(r)
 	}
+	if _, t := m.lookupTask(r.id); t != nil && t.losses > 0 && r.step.spec.LongRunning && clock-r.firstClock >= provenRunTime.Milliseconds() {
+		t.losses = 0
+		m.markDirty(r.occ.job)
+	}
 }
 
 // markSound clears a task and its step of the suspicion of crashing workers.
@@ -79,7 +86,7 @@
 		return
 	}
 	m.emit(Log{Text: "no longer suspected of a crash", Task: r.id, Run: r.number, Worker: r.worker.ID})
-	t.crashRecord, t.verdictDue = crashRecord{}, false
+	t.crashRecord, t.verdictDue = crashRecord{losses: t.losses}, false
 	m.markDirty(r.occ.job)
 }
 
@@ -105,11 +112,27 @@
 		s.crashes++
 	}
 	m.emit(Log{Text: "worker crashed", Worker: w.ID, Reason: fmt.Sprintf("%s; %d suspects of %d runs", reason, len(suspects), len(w.runs))})
+	m.countLosses(w)
 	for i, r := range suspects {
 		m.suspect(r.id, r.number, w.ID, w.crashedSoonAfter(r, m.now), r.isolated, i < maxLoggedSuspects)
 	}
 }
 
+// countLosses counts the crash of a worker for all tasks on it. It bounds the crashes by a task that is not found as a
+// suspect, because it crashes its workers late.
+func (m *Machine) countLosses(w *worker) {
+	for _, r := range w.runsByTask {
+		_, t := m.lookupTask(r.id)
+		if t == nil || r.firstClock == 0 || !r.occ.job.live() {
+			continue
+		}
+		t.losses++
+		t.verdictDue = t.verdictDue || t.exceedsCrashes()
+		r.occ.job.crashed = true
+		m.markDirty(r.occ.job)
+	}
+}
+
 // crashedSoonAfter reports whether the worker had confirmed the start and became unreachable soon after it. The run of a
 // worker that crashed without notice may have ended before.
 func (w *worker) crashedSoonAfter(r *run, now time.Time) bool {
--- a/coord/flow/crash_test.go
+++ b/coord/flow/crash_test.go
@@ -297,6 +297,34 @@
 	assert.Equal(t, h.m.Counts().GivenUp, int64(1))
 }
 
+// A task that crashed its workers only some time after its start was no suspect, and was started without end.
+func TestTaskThatCrashesItsWorkersLateIsGivenUp(t *testing.T) {
+	ids := []fleet.WorkerID{"a", "b", "c", "d", "e", "f"}
+	h := newHarness(t, flow.Restored{})
+	for _, id := range ids {
+		h.step(flow.WorkerListed{Worker: newPoolWorker(string(id))})
+		h.report(id, infra.Report{})
+	}
+	h.step(flow.Submitted{Job: singleStepJob("j", smallStep(1))})
+	starts := 0
+	for range ids {
+		h.advance(2 * time.Second)
+		for _, s := range h.answerStarts() {
+			starts++
+			running := infra.Report{Running: []infra.ActiveRun{{Task: s.Order.Task, Run: s.Order.Run, Progress: 10}}}
+			h.advance(100 * time.Millisecond)
+			h.report(s.To.Worker, running)
+			h.advance(time.Second)
+			running.Running[0].Progress = 60
+			h.report(s.To.Worker, running)
+			h.refuse(s.To.Worker)
+		}
+	}
+	state, _ := h.m.State("j")
+	assert.Equal(t, state, infra.StateFailed)
+	assert.Assert(t, starts <= maxCrashesUnderTask+maxStartsAfterCrashes, "%d starts", starts)
+}
+
 // Two crashes of the same worker soon after it had started a task failed the job, although the worker may be to blame.
 func TestCrashesOfOneWorkerDoNotFailAJob(t *testing.T) {
 	h := newHarness(t, flow.Restored{}, newPoolWorker("a"))
--- a/coord/flow/job.go
+++ b/coord/flow/job.go
@@ -220,10 +220,11 @@
 	Failed     []infra.Run `cbor:"failed,omitempty"`
 	Checkpoint string      `cbor:"checkpoint,omitempty"`
 	// Crashes counts the workers that crashed under recent runs of the task, CrashedOn is the last of them, and Confirmed
-	// counts those that are known to have started it just before.
+	// counts those that are known to have started it just before. Losses counts the workers that crashed under any run.
 	Crashes   int            `cbor:"crashes,omitempty"`
 	Confirmed int            `cbor:"confirmed,omitempty"`
 	CrashedOn fleet.WorkerID `cbor:"crashed_on,omitempty"`
+	Losses    int            `cbor:"losses,omitempty"`
 }
 
 // record returns the durable form of a job's progress. A job in a final state is represented by its state alone.
@@ -267,7 +268,7 @@
 		case t.lastRun > 0:
 			r.Tasks = append(r.Tasks, TaskRecord{
 				Index: i, Run: t.lastRun, Failed: slices.Clone(t.failedRuns), Checkpoint: t.checkpoint,
-				Crashes: t.crashes, Confirmed: t.confirmed, CrashedOn: t.crashedOn,
+				Crashes: t.crashes, Confirmed: t.confirmed, CrashedOn: t.crashedOn, Losses: t.losses,
 			})
 		}
 	}
@@ -319,7 +320,7 @@
 			t := &s.tasks[record.Index]
 			t.lastRun, t.failedRuns, t.checkpoint = record.Run, record.Failed, record.Checkpoint
 			t.crashRecord = crashRecord{
-				crashes: record.Crashes, confirmed: record.Confirmed, crashedOn: record.CrashedOn,
+				crashes: record.Crashes, confirmed: record.Confirmed, crashedOn: record.CrashedOn, losses: record.Losses,
 			}
 			t.verdictDue = t.exceedsCrashes()
 		}
