flow: request one report for each trial of a suspect

Callers could see a task that does not run, with room for it: a worker that became silent during the trial of a suspect was never found unreachable. A report was requested again every 0.5 s; each request replaced the one before, which would have failed after 0.7 s, and the failure of a replaced request is ignored. So neither the lease of the worker was judged nor its tasks started elsewhere.

TestSilentWorkerIsNoticedDuringATrial fails before with no start in 10 s.

A trial, and the wait for a fresh report before it, now request one report until it is answered or has failed.

--- a/coord/flow/crash.go
+++ b/coord/flow/crash.go
@@ -279,8 +279,10 @@
 	if t.trialSince.IsZero() {
 		t.trialSince = m.now
 	}
-	w.probed = true
-	m.sendImmediateRenewal(w)
+	if !w.probed {
+		w.probed = true
+		m.sendImmediateRenewal(w)
+	}
 	return true
 }
 
@@ -333,14 +335,15 @@
 	w.lastStart = m.now
 }
 
-// probeTrial requests a report as soon as a trial may have been passed.
+// probeTrial requests a report once a trial may have been passed. It does so once for each trial: a renewal that replaced
+// one without an answer before that had failed would hide that the worker is unreachable.
 func (m *Machine) probeTrial(w *worker) {
-	if w.trial == nil || w.trial.firstClock == 0 || w.minClock(m.now) < w.trial.firstClock+soundRunTime.Milliseconds() {
+	r := w.trial
+	if r == nil || r.probed || r.firstClock == 0 || w.minClock(m.now) < r.firstClock+soundRunTime.Milliseconds() {
 		return
 	}
-	if !w.renewalInFlight || m.now.Sub(w.immediateRenewalAt) >= soundRunTime {
-		m.sendImmediateRenewal(w)
-	}
+	r.probed = true
+	m.sendImmediateRenewal(w)
 }
 
 // lossPenalty weighs what a crash would cost against all other terms of the score, and freshReportBonus exceeds it for any
--- a/coord/flow/crash_test.go
+++ b/coord/flow/crash_test.go
@@ -13,6 +13,21 @@
 	"lovagefork.example/coord/infra"
 )
 
+// pendingEvent is an event that happens at a time.
+type pendingEvent struct {
+	at    time.Time
+	event flow.Event
+}
+
+// deliver lets the pending events that are due happen.
+func (h *harness) deliver() {
+	due := slices.DeleteFunc(slices.Clone(h.pending), func(e pendingEvent) bool { return e.at.After(h.now) })
+	h.pending = slices.DeleteFunc(h.pending, func(e pendingEvent) bool { return !e.at.After(h.now) })
+	for _, e := range due {
+		h.step(e.event)
+	}
+}
+
 // refuse lets the connections of a worker be refused until the scheduler considers its process gone.
 func (h *harness) refuse(id fleet.WorkerID) {
 	for range 2 {
@@ -345,6 +360,37 @@
 	assert.Equal(t, state, infra.StateRunning)
 }
 
+// The requests for a report that ends a trial replaced each other before any of them had failed. A worker that became
+// silent during a trial was never found unreachable, and its tasks were not started elsewhere.
+func TestSilentWorkerIsNoticedDuringATrial(t *testing.T) {
+	const callTime = 700 * time.Millisecond
+	stored := flow.Record{State: infra.StateRunning, Occurrences: []flow.OccurrenceRecord{{
+		Steps: []flow.StepRecord{{Tasks: []flow.TaskRecord{{Run: 5, Crashes: 1, Confirmed: 1}}}},
+	}}}
+	h := newHarness(t, flow.Restored{Jobs: []flow.StoredJob{{Job: singleStepJob("j", smallStep(1)), Record: &stored}}, Term: 1}, newPoolWorker("a"))
+	h.report("a", infra.Report{})
+	h.advance(600 * time.Millisecond)
+	h.report("a", infra.Report{})
+	h.advance(50 * time.Millisecond)
+	assert.Equal(t, len(h.answerStarts()), 1)
+	h.step(flow.WorkerListed{Worker: newPoolWorker("b")})
+	// All calls to the worker fail after their timeout from now on.
+	handled := 0
+	for range 400 {
+		h.advance(25 * time.Millisecond)
+		for _, e := range h.effects[handled:] {
+			if r, ok := e.(flow.Renew); ok && r.To.Worker == "a" {
+				failed := flow.RenewFailed{Worker: "a", Sequence: r.Sequence, Order: r.Order, Err: &infra.NoAnswerError{Worker: "a"}}
+				h.pending = append(h.pending, pendingEvent{at: h.now.Add(callTime + r.Order.Wait), event: failed})
+			}
+		}
+		handled = len(h.effects)
+		h.deliver()
+		h.report("b", infra.Report{})
+	}
+	assert.Assert(t, len(h.starts()) > 0)
+}
+
 // A worker that was only cut off while its leases expired has not crashed, but one that returns as another incarnation has.
 func TestOnlyANewIncarnationProvesASilentCrash(t *testing.T) {
 	for _, restarted := range []bool{false, true} {
--- a/coord/flow/flow_test.go
+++ b/coord/flow/flow_test.go
@@ -19,6 +19,7 @@
 	now     time.Time
 	effects []flow.Effect
 	seq     map[fleet.WorkerID]int64
+	pending []pendingEvent
 }
 
 func newHarness(t *testing.T, restored flow.Restored, workers ...infra.Worker) *harness {
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -32,7 +32,7 @@
 	if w == nil || ev.Sequence != w.renewalSequence {
 		return
 	}
-	w.renewalInFlight = false
+	w.renewalInFlight, w.probed = false, false
 	w.nextRenewal = m.now.Add(renewRetryPause)
 	var refused *infra.RefusedError
 	var unsent *infra.NotSentError
--- a/coord/flow/worker.go
+++ b/coord/flow/worker.go
@@ -66,7 +66,9 @@
 	// fresh is set if the worker had reported just before the start.
 	fresh bool
 	// isolated is set for a trial that began when no other run on the worker was recent.
-	isolated   bool
+	isolated bool
+	// probed is set once a report has been requested to end the trial.
+	probed     bool
 	nextStop   time.Time
 	stopReason string
 	// excludeRunTime keeps the run out of the run time statistics, because it was adopted, resumed from a checkpoint or
