flow: count leases as expired only while the leadership is confirmed

A task could run in two places (TWICE): a scheduler that is cut off from the store and from most workers, but not from one, sees the leases of the others expire 6.2 s after its last renewals and starts their tasks on that one. Its successor has renewed the leases meanwhile. The former scheduler may act for 6.8 s after its last confirmation, so that there is a window of half a second.

The simulation could not show it: a worker that was cut off was cut off from all schedulers. It can now be cut off from one.

An expired lease proves that a run has ended only if nobody else can have renewed it. The tasks of a worker that is lost while the store is away wait for the store.

--- /dev/null
+++ b/coord/flow/partition_test.go
@@ -0,0 +1,88 @@
+package flow_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lovagefork.example/coord/fleet"
+	"lovagefork.example/coord/flow"
+	"lovagefork.example/coord/infra"
+)
+
+// partitionPlan is a scheduler that is cut off from the store, and a successor that does not reach the worker w02.
+type partitionPlan struct {
+	// zone is set if the former scheduler reaches w02 only, as in the partition of an availability zone.
+	zone bool
+	// failAfter is when the runs on the workers that the successor reaches fail, 0 for never.
+	failAfter time.Duration
+}
+
+// electedAfter is the time from the cut until the election of a successor.
+const electedAfter = 2500 * time.Millisecond
+
+func (p partitionPlan) run(seed uint64) []string {
+	sim := newSimulation(seed, 3)
+	sim.elect(false)
+	sim.run(time.Second)
+	step := lastingStep(4, 1000)
+	step.MaxPerWorker = 3
+	sim.submit(singleStepJob("lasting", step))
+	sim.run(3 * time.Second)
+	former := sim.leader
+	former.cutOff = true
+	sim.blocked = func(sched *simScheduler, id fleet.WorkerID) bool {
+		if sched == former {
+			return p.zone && id != "w02"
+		}
+		return id == "w02"
+	}
+	sim.after(leadershipTimeout-100*time.Millisecond, func() { former.alive = false })
+	sim.after(electedAfter, func() {
+		// The former scheduler does not confirm that it has stopped.
+		sim.leader = nil
+		sim.elect(false)
+	})
+	if p.failAfter > 0 {
+		sim.after(p.failAfter, func() {
+			for _, id := range []fleet.WorkerID{"w00", "w01"} {
+				for _, task := range sortedTasks(sim.workers[id].runs) {
+					sim.workers[id].endRun(task, infra.OutcomeFailed)
+				}
+			}
+		})
+	}
+	sim.run(9 * time.Second)
+	return sim.violations
+}
+
+// A scheduler that was cut off with one worker started tasks there when the leases of the other workers had expired by its
+// count, while its successor had renewed them.
+func TestUnconfirmedSchedulerDoesNotCountLeases(t *testing.T) {
+	for seed := range uint64(20) {
+		violations := partitionPlan{zone: true}.run(seed)
+		assert.Assert(t, len(violations) == 0, "seed %d: %q", seed, violations)
+	}
+}
+
+// A scheduler whose leadership is not confirmed cannot know whether a successor has renewed the lease of a worker that it
+// does not reach.
+func TestLeasesExpireOnlyWhileLeadershipIsConfirmed(t *testing.T) {
+	for _, confirmed := range []bool{false, true} {
+		h := newHarness(t, flow.Restored{}, newPoolWorker("a"))
+		h.report("a", infra.Report{})
+		h.step(flow.Submitted{Job: singleStepJob("j", lastingStep(1, 1000))})
+		h.advance(50 * time.Millisecond)
+		assert.Equal(t, len(h.answerStarts()), 1)
+		h.report("a", infra.Report{Running: []infra.ActiveRun{{Task: infra.TaskID{Job: "j"}, Run: 1, Progress: 100}}})
+		h.step(flow.WorkerListed{Worker: newPoolWorker("b")})
+		for range 400 {
+			h.now = h.now.Add(25 * time.Millisecond)
+			h.step(flow.Tick{Wall: h.now, LeaseUnconfirmed: !confirmed && h.now.Sub(time.Unix(1000, 0)) > time.Second})
+			h.step(flow.RenewFailed{Worker: "a", Sequence: h.seq["a"], Err: &infra.NoAnswerError{Worker: "a"}})
+			h.report("b", infra.Report{})
+		}
+		assert.Equal(t, len(h.starts()) > 0, confirmed)
+	}
+}
--- a/coord/flow/simulation_test.go
+++ b/coord/flow/simulation_test.go
@@ -30,6 +30,8 @@
 	term         int64
 	token        infra.Token
 	leader       *simScheduler
+	// blocked reports whether a scheduler cannot reach a worker; nil means that each reaches all.
+	blocked func(*simScheduler, fleet.WorkerID) bool
 	// storeDown delays all saves.
 	storeDown bool
 	// storeDownAt and storeUpAt are the start and the end of the last [simulation.storeOutage].
@@ -323,7 +325,7 @@
 	incarnation := sched.incarnations[id]
 	sim.after(sim.delay(), func() {
 		switch {
-		case !f.reachable:
+		case !f.reachable || sim.blocked != nil && sim.blocked(sched, id):
 			sim.after(1500*time.Millisecond, func() { sim.step(sched, fail(&infra.NoAnswerError{Worker: id})) })
 		case !f.up:
 			sim.step(sched, fail(&infra.NotSentError{Worker: id, ConnRefused: true}))
@@ -414,7 +416,7 @@
 func (f *fakeWorker) reply(sched *simScheduler, ev flow.Event) {
 	sim := f.sim
 	sim.after(sim.delay(), func() {
-		if f.reachable {
+		if f.reachable && (sim.blocked == nil || !sim.blocked(sched, f.info.ID)) {
 			sim.step(sched, ev)
 			return
 		}
--- a/coord/flow/sweep.go
+++ b/coord/flow/sweep.go
@@ -53,7 +53,8 @@
 	if !w.renewalInFlight && !m.now.Before(w.nextRenewal) && (w.listed || len(w.runs) > 0 || m.isUnreconciled(w)) {
 		m.sendRenewal(w)
 	}
-	if !w.reachable && len(w.runs) > 0 && w.leaseExpired(m.now) {
+	// While another scheduler may have been elected, it may also have renewed the lease.
+	if !w.reachable && !m.leaseUnconfirmed && len(w.runs) > 0 && w.leaseExpired(m.now) {
 		m.emit(Log{Text: "lease expired", Worker: w.ID, Reason: "worker unreachable"})
 		m.silence(w)
 		m.clearWorker(w, "lease expired")
