flow: take a task for located only if it runs after the predecessor's last order

A run proves where its task is only if it is reported after the predecessor has stopped: when that is confirmed, or the time has passed for which it can act. Runs that end before wait for the silent workers, as they did before.

--- a/coord/flow/job.go
+++ b/coord/flow/job.go
@@ -28,8 +28,8 @@
 	checkpoint string
 	// avoidWorker is the worker of the last run that did not complete.
 	avoidWorker fleet.WorkerID
-	// located is set once this scheduler has started the task or seen it running. From then on no worker can run it on
-	// behalf of a predecessor without being known.
+	// located is set once this scheduler has started the task, or has seen it running after the predecessor's last order.
+	// From then on no worker can run it on behalf of a predecessor without being known.
 	located bool
 	// runs are the runs that may exist on workers.
 	runs []*run
--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -87,6 +87,8 @@
 	// seen yet. Such tasks have ended by unreconciledUntil, when their leases have expired.
 	unreconciledWorkers map[fleet.WorkerID]struct{}
 	unreconciledUntil   time.Time
+	// predecessorEnd is the time from which a predecessor sends no more orders.
+	predecessorEnd time.Time
 	restored            bool
 	// leaseUnconfirmed is set while another scheduler may have been elected.
 	leaseUnconfirmed bool
@@ -304,12 +306,16 @@
 	}
 	m.unreconciledUntil = m.now.Add(m.opts.leadershipTimeout + time.Duration(float64(m.opts.taskLease)*(1+2*maxClockDrift)) + clockMargin)
 	m.predecessorLeaseEnd = m.now.Add(m.opts.predecessorLease)
+	m.predecessorEnd = m.now.Add(m.opts.leadershipTimeout)
 	m.restored = true
 	m.placementDue = true
 }
 
 // predecessorStopped shortens the wait for unreachable workers to one task lease from now.
 func (m *Machine) predecessorStopped() {
+	if m.now.Before(m.predecessorEnd) {
+		m.predecessorEnd = m.now
+	}
 	until := m.now.Add(time.Duration(float64(m.opts.taskLease)*(1+2*maxClockDrift)) + clockMargin)
 	if until.Before(m.unreconciledUntil) {
 		m.unreconciledUntil = until
--- a/coord/flow/partition_test.go
+++ b/coord/flow/partition_test.go
@@ -66,6 +66,19 @@
 	}
 }
 
+// A successor restarted a task that it had adopted and that had failed, while its predecessor could still start it on a
+// worker that the successor does not reach.
+func TestAdoptedTaskWaitsForPredecessor(t *testing.T) {
+	for seed := range uint64(10) {
+		violations := partitionPlan{zone: true, failAfter: 4 * time.Second}.run(seed)
+		assert.Assert(t, len(violations) == 0, "seed %d: %q", seed, violations)
+		for failAfter := electedAfter; failAfter < electedAfter+200*time.Millisecond; failAfter += 10 * time.Millisecond {
+			violations := partitionPlan{failAfter: failAfter}.run(seed)
+			assert.Assert(t, len(violations) == 0, "seed %d, failure after %v: %q", seed, failAfter, violations)
+		}
+	}
+}
+
 // A scheduler whose leadership is not confirmed cannot know whether a successor has renewed the lease of a worker that it
 // does not reach.
 func TestLeasesExpireOnlyWhileLeadershipIsConfirmed(t *testing.T) {
--- a/coord/flow/placement_test.go
+++ b/coord/flow/placement_test.go
@@ -79,18 +79,28 @@
 }
 
 // A worker that does not answer after a takeover may run tasks of the predecessor, but none that this scheduler has
-// seen on another worker since. Such a task must not wait for the silent worker when it ends.
+// seen on another worker after the predecessor had stopped. Such a task must not wait for the silent worker when it ends.
 func TestAdoptedTaskRestartsBesideSilentWorker(t *testing.T) {
-	h := newHarness(t, flow.Restored{
-		Jobs:   []flow.StoredJob{{Job: singleStepJob("lasting", lastingStep(2, 1000))}},
-		Roster: []flow.RosterEntry{{Worker: "a", Address: "a:1"}, {Worker: "silent", Address: "silent:1"}}, Term: 1,
-	}, newPoolWorker("a"))
-	task := infra.TaskID{Job: "lasting", Index: 1}
-	h.report("a", infra.Report{Running: []infra.ActiveRun{{Task: task, Run: 1, Progress: 100}}})
-	h.advance(time.Second)
-	h.report("a", infra.Report{Ended: []infra.EndedRun{{Number: 1, Task: task, Run: 1, Outcome: infra.OutcomeFailed}}})
-	h.advance(100 * time.Millisecond)
-	starts := h.starts()
-	assert.Equal(t, len(starts), 1, "the other task may run on the silent worker")
-	assert.Equal(t, starts[0].Order.Task, task)
+	for _, stopped := range []bool{false, true} {
+		h := newHarness(t, flow.Restored{
+			Jobs:   []flow.StoredJob{{Job: singleStepJob("lasting", lastingStep(2, 1000))}},
+			Roster: []flow.RosterEntry{{Worker: "a", Address: "a:1"}, {Worker: "silent", Address: "silent:1"}}, Term: 1,
+		}, newPoolWorker("a"))
+		if stopped {
+			h.step(flow.PredecessorStopped{})
+		}
+		h.advance(50 * time.Millisecond)
+		task := infra.TaskID{Job: "lasting", Index: 1}
+		h.report("a", infra.Report{Running: []infra.ActiveRun{{Task: task, Run: 1, Progress: 100}}})
+		h.advance(time.Second)
+		h.report("a", infra.Report{Ended: []infra.EndedRun{{Number: 1, Task: task, Run: 1, Outcome: infra.OutcomeFailed}}})
+		h.advance(100 * time.Millisecond)
+		starts := h.starts()
+		if !stopped {
+			assert.Equal(t, len(starts), 0, "the predecessor may have started the task on the silent worker")
+			continue
+		}
+		assert.Equal(t, len(starts), 1, "the other task may run on the silent worker")
+		assert.Equal(t, starts[0].Order.Task, task)
+	}
 }
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -356,7 +356,12 @@
 	m.observeRun(r, clock)
 	r.measurement = row.Measurement
 	r.percent = max(r.percent, row.Progress)
-	if _, t := m.lookupTask(r.id); t != nil && row.Checkpoint != "" {
+	_, t := m.lookupTask(r.id)
+	if t == nil {
+		return
+	}
+	t.located = t.located || m.now.After(m.predecessorEnd)
+	if row.Checkpoint != "" {
 		t.checkpoint = row.Checkpoint
 	}
 }
@@ -390,7 +395,8 @@
 	if s.spec.Filler {
 		r.fillerCPU = s.spec.Size.MilliCPU
 	}
-	t.lastRun, t.located = max(t.lastRun, row.Run), true
+	t.lastRun = max(t.lastRun, row.Run)
+	t.located = t.located || m.now.After(m.predecessorEnd)
 	if row.Checkpoint != "" {
 		t.checkpoint = row.Checkpoint
 	}
