flow: do not evacuate long-running tasks to quarantined workers

After 2 s of running it counted as overdue, so that a quarantined worker counted as room; the stopped task then waited for 2 s until the worker was used.

Found by a reviewer. TestTasksAreNotEvacuatedToQuarantinedWorkers fails before with a stop. Only steps that really wait are overdue now.

--- a/coord/flow/evacuation_test.go
+++ b/coord/flow/evacuation_test.go
@@ -114,3 +114,39 @@
 		assert.Assert(t, !evacuated(h), "both tasks would be down at once")
 	})
 }
+
+// A long-running task that had run for 2 s counted as one that had waited for 2 s, so that it was evacuated although the
+// only other worker was quarantined and did not take it until it had waited.
+func TestTasksAreNotEvacuatedToQuarantinedWorkers(t *testing.T) {
+	a := newPoolWorker("a")
+	a.Capacity.MilliCPU = 1000
+	h := newHarness(t, flow.Restored{}, a)
+	h.report("a", infra.Report{})
+	h.step(flow.Submitted{Job: singleStepJob("lasting", lastingStep(1, 1000))})
+	h.advance(50 * time.Millisecond)
+	assert.Equal(t, len(h.starts()), 1)
+	running := []infra.ActiveRun{{Task: infra.TaskID{Job: "lasting"}, Run: 1, Progress: 100}}
+	h.report("a", infra.Report{Running: running})
+	h.step(flow.WorkerListed{Worker: newPoolWorker("b")})
+	h.advance(3 * time.Second)
+	h.report("b", infra.Report{})
+	var failing []infra.ActiveRun
+	var failed []infra.EndedRun
+	for i, id := range []fleet.JobID{"f0", "f1", "f2"} {
+		h.step(flow.Submitted{Job: singleStepJob(string(id), lastingStep(1, 1000))})
+		task := infra.TaskID{Job: id}
+		failing = append(failing, infra.ActiveRun{Task: task, Run: 1, Progress: 100})
+		failed = append(failed, infra.EndedRun{Number: int64(i + 1), Task: task, Run: 1, Outcome: infra.OutcomeFailed})
+	}
+	h.advance(50 * time.Millisecond)
+	assert.Equal(t, len(h.starts()), len(failed))
+	h.report("b", infra.Report{Running: failing})
+	h.advance(200 * time.Millisecond)
+	h.report("b", infra.Report{Ended: failed})
+	a.Draining, a.Remaining = true, 10*time.Second
+	h.step(flow.WorkerListed{Worker: a})
+	h.report("a", infra.Report{Running: running})
+	h.effects = nil
+	h.advance(500 * time.Millisecond)
+	assert.Equal(t, len(h.stops()), 0)
+}
--- a/coord/flow/place.go
+++ b/coord/flow/place.go
@@ -325,7 +325,7 @@
 // isOverdue reports whether a step uses quarantined workers too. A long-running task that fails there loses little; any
 // other task would lose its work.
 func (m *Machine) isOverdue(r *readyStep) bool {
-	return r.step.spec.LongRunning && m.now.Sub(r.readySince) >= overdueTime
+	return r.step.spec.LongRunning && m.readySteps[r.step] == r && m.now.Sub(r.readySince) >= overdueTime
 }
 
 // servingUtilization is the assumed average utilization of the processor time reserved by serving tasks. The rest is
