flow: resume fillers only on workers whose capacity is known

Serving tasks could miss their target after a takeover: the cost of a filler is its share of the capacity, which is unknown until the worker is listed. A paused filler there seemed to cost nothing and was resumed at full speed.

TestFillersAreNotResumedBeforeListing fails before with an order for 100 %.

Fillers of a worker that is not listed keep their speed until it is.

--- a/coord/flow/colocation.go
+++ b/coord/flow/colocation.go
@@ -321,6 +321,10 @@
 // raiseSpeeds raises the speed of slowed fillers, in the order of their tasks, as far as the serving tasks tolerate it.
 // It reports whether it has raised any.
 func (m *Machine) raiseSpeeds(w *worker) bool {
+	if !w.listed {
+		// The cost of a filler is unknown, because it is relative to the capacity.
+		return false
+	}
 	raised := false
 	for _, r := range w.fillerRuns() {
 		if r.speedPercent == fullSpeedPercent {
--- a/coord/flow/takeover_test.go
+++ b/coord/flow/takeover_test.go
@@ -155,6 +155,40 @@
 	assert.Assert(t, paused)
 }
 
+// A paused filler on a worker that was not listed yet seemed to cost nothing, because its share of the capacity was
+// unknown. After a takeover it was resumed at full speed beside a serving task that it disturbs.
+func TestFillersAreNotResumedBeforeListing(t *testing.T) {
+	for _, listed := range []bool{false, true} {
+		serving := infra.Step{
+			Count: 1, Size: fleet.Resources{MilliCPU: 2000, MemoryBytes: 1 << 30}, LongRunning: true, Image: "serving",
+			TailTarget: tailTarget, Estimate: time.Second,
+		}
+		filler := infra.Step{
+			Count: 1, Size: fleet.Resources{MilliCPU: 1000, MemoryBytes: 1 << 30}, Filler: true, Image: "filler", Estimate: 4 * time.Second,
+		}
+		h := newHarness(t, flow.Restored{
+			Jobs:         []flow.StoredJob{{Job: singleStepJob("serving", serving)}, {Job: singleStepJob("filler", filler)}},
+			Roster:       []flow.RosterEntry{{Worker: "a", Address: "a:1"}},
+			Interference: []flow.InterferenceRecord{{Image: "serving", Pairs: []flow.PairWeightRecord{{Image: "filler", Weight: 100}}}},
+			Term:         1,
+		})
+		if listed {
+			h.step(flow.WorkerListed{Worker: newPoolWorker("a")})
+		}
+		for range 6 {
+			h.report("a", infra.Report{Running: []infra.ActiveRun{
+				{Task: infra.TaskID{Job: "serving"}, Run: 1, Progress: 100, Measurement: 45}, {Task: infra.TaskID{Job: "filler"}, Run: 1},
+			}})
+			h.advance(300 * time.Millisecond)
+		}
+		for _, e := range h.effects {
+			if e, ok := e.(flow.Throttle); ok {
+				assert.Equal(t, e.Order.SpeedPercent, 0, "listed %t", listed)
+			}
+		}
+	}
+}
+
 // sharedWorkers is a pool in which each worker runs a serving task.
 type sharedWorkers struct {
 	*harness
