--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -89,7 +89,7 @@
 	unreconciledUntil   time.Time
 	// predecessorEnd is the time from which a predecessor sends no more orders.
 	predecessorEnd time.Time
-	restored            bool
+	restored       bool
 	// leaseUnconfirmed is set while another scheduler may have been elected.
 	leaseUnconfirmed bool
 	// predecessorLeaseEnd is the time after which a predecessor cannot have started a newly submitted job.
