--- a/coord/flow/crash_test.go
+++ b/coord/flow/crash_test.go
@@ -76,11 +76,11 @@
 
 // crashModel lets some tasks crash the workers that start them, and counts the crashes of workers under all tasks.
 type crashModel struct {
-	deadly  map[infra.TaskID]bool
-	unheard bool
-	resets  bool
-	crashed map[infra.TaskID][]time.Time
-	started map[infra.TaskID][]time.Time
+	crashing map[infra.TaskID]bool
+	unheard  bool
+	resets   bool
+	crashed  map[infra.TaskID][]time.Time
+	started  map[infra.TaskID][]time.Time
 }
 
 // noticeTime is how long a call to a worker that crashes remains open. Connections of a process that ends are usually reset.
@@ -91,14 +91,14 @@
 	return answerTimeout
 }
 
-// begin lets a worker crash soon after it has started a deadly task.
+// begin lets a worker crash soon after it has started a crashing task.
 func (c *crashModel) begin(f *fakeWorker, id infra.TaskID) {
 	if c.started == nil {
 		c.started, c.crashed = make(map[infra.TaskID][]time.Time), make(map[infra.TaskID][]time.Time)
 	}
 	sim := f.sim
 	c.started[id] = append(c.started[id], sim.now)
-	if !c.deadly[id] {
+	if !c.crashing[id] {
 		return
 	}
 	r, startedAt := f.runs[id], f.startedAt
@@ -117,16 +117,16 @@
 }
 
 const (
-	// maxStartsAfterCrashes limits the starts of a deadly task after maxCrashesUnderTask workers have crashed under it.
+	// maxStartsAfterCrashes limits the starts of a crashing task after maxCrashesUnderTask workers have crashed under it.
 	maxStartsAfterCrashes = 2
 	maxCrashesUnderTask   = 3
 	// minCrashesUnderTask workers must have crashed under a task that is given up.
 	minCrashesUnderTask = 2
 )
 
-// check finds deadly tasks that were started too often.
+// check finds crashing tasks that were started too often.
 func (c *crashModel) check(sim *simulation) {
-	for id := range c.deadly {
+	for id := range c.crashing {
 		crashes := c.crashed[id]
 		if len(crashes) < maxCrashesUnderTask {
 			continue
@@ -171,7 +171,7 @@
 
 // scheduleCrashes schedules jobs of which some crash their workers, and other failures of workers and schedulers.
 func scheduleCrashes(t *rapid.T, sim *simulation) {
-	sim.crashes.deadly = make(map[infra.TaskID]bool)
+	sim.crashes.crashing = make(map[infra.TaskID]bool)
 	sim.crashes.unheard = rapid.Bool().Draw(t, "unheard")
 	sim.crashes.resets = rapid.IntRange(0, 3).Draw(t, "resets") > 0
 	sim.elect(false)
@@ -187,12 +187,12 @@
 		if lasts {
 			j.Steps = []infra.Step{{Count: 2, Size: fleet.Resources{MilliCPU: 1000, MemoryBytes: 1 << 28}, LongRunning: true, Estimate: time.Second}}
 		}
-		if rapid.IntRange(0, 3).Draw(t, "deadly") == 0 {
-			s := rapid.IntRange(0, len(j.Steps)-1).Draw(t, "deadly_step")
-			all := rapid.IntRange(0, 3).Draw(t, "deadly_all") == 0 || j.Steps[s].Gang
+		if rapid.IntRange(0, 3).Draw(t, "crashing") == 0 {
+			s := rapid.IntRange(0, len(j.Steps)-1).Draw(t, "crashing_step")
+			all := rapid.IntRange(0, 3).Draw(t, "crashing_all") == 0 || j.Steps[s].Gang
 			for i := range j.Steps[s].Count {
 				if all || i == 0 {
-					sim.crashes.deadly[infra.TaskID{Job: j.ID, Step: s, Index: i}] = true
+					sim.crashes.crashing[infra.TaskID{Job: j.ID, Step: s, Index: i}] = true
 				}
 			}
 		}
@@ -261,7 +261,7 @@
 			if state == infra.StateFailed {
 				assert.Assert(t, sim.crashes.mayFail(sim.jobs[id]), "job %s failed without cause", id)
 			}
-			for task := range sim.crashes.deadly {
+			for task := range sim.crashes.crashing {
 				if task.Job == id {
 					assert.Equal(t, state, infra.StateFailed, "job %s", id)
 				}
@@ -424,7 +424,7 @@
 	}
 }
 
-// Two deadly tasks that start together on one worker shared the blame, so that each hid the other. A trial begins on a
+// Two crashing tasks that start together on one worker shared the blame, so that each hid the other. A trial begins on a
 // worker without recent starts, and nothing else starts there meanwhile.
 func TestSuspectsAreIsolated(t *testing.T) {
 	h := newHarness(t, flow.Restored{}, newPoolWorker("a"), newPoolWorker("b"))
--- a/coord/flow/takeover_test.go
+++ b/coord/flow/takeover_test.go
@@ -125,9 +125,9 @@
 	assert.Equal(t, len(h.starts()), 1)
 }
 
-// A worker that has just started a filler has not measured it yet. After a takeover the filler was taken for a paused one,
-// so that it was neither counted as a load nor paused while a serving task beside it missed its target.
-func TestAdoptedFillersWithoutMeasurementArePaused(t *testing.T) {
+// newTakeover returns a scheduler that takes over a serving task and a filler that disturbs it, both on the worker a of
+// the stored roster.
+func newTakeover(t *testing.T, listed ...infra.Worker) *harness {
 	serving := infra.Step{
 		Count: 1, Size: fleet.Resources{MilliCPU: 2000, MemoryBytes: 1 << 30}, LongRunning: true, Image: "serving",
 		TailTarget: tailTarget, Estimate: time.Second,
@@ -135,12 +135,18 @@
 	filler := infra.Step{
 		Count: 1, Size: fleet.Resources{MilliCPU: 1000, MemoryBytes: 1 << 30}, Filler: true, Image: "filler", Estimate: 4 * time.Second,
 	}
-	h := newHarness(t, flow.Restored{
+	return newHarness(t, flow.Restored{
 		Jobs:         []flow.StoredJob{{Job: singleStepJob("serving", serving)}, {Job: singleStepJob("filler", filler)}},
 		Roster:       []flow.RosterEntry{{Worker: "a", Address: "a:1"}},
 		Interference: []flow.InterferenceRecord{{Image: "serving", Pairs: []flow.PairWeightRecord{{Image: "filler", Weight: 100}}}},
 		Term:         1,
-	}, newPoolWorker("a"))
+	}, listed...)
+}
+
+// A worker that has just started a filler has not measured it yet. After a takeover the filler was taken for a paused one,
+// so that it was neither counted as a load nor paused while a serving task beside it missed its target.
+func TestAdoptedFillersWithoutMeasurementArePaused(t *testing.T) {
+	h := newTakeover(t, newPoolWorker("a"))
 	c := &colocated{harness: h, running: []infra.ActiveRun{
 		{Task: infra.TaskID{Job: "serving"}, Run: 1, Progress: 100, Measurement: 100}, {Task: infra.TaskID{Job: "filler"}, Run: 1},
 	}}
@@ -159,19 +165,7 @@
 // unknown. After a takeover it was resumed at full speed beside a serving task that it disturbs.
 func TestFillersAreNotResumedBeforeListing(t *testing.T) {
 	for _, listed := range []bool{false, true} {
-		serving := infra.Step{
-			Count: 1, Size: fleet.Resources{MilliCPU: 2000, MemoryBytes: 1 << 30}, LongRunning: true, Image: "serving",
-			TailTarget: tailTarget, Estimate: time.Second,
-		}
-		filler := infra.Step{
-			Count: 1, Size: fleet.Resources{MilliCPU: 1000, MemoryBytes: 1 << 30}, Filler: true, Image: "filler", Estimate: 4 * time.Second,
-		}
-		h := newHarness(t, flow.Restored{
-			Jobs:         []flow.StoredJob{{Job: singleStepJob("serving", serving)}, {Job: singleStepJob("filler", filler)}},
-			Roster:       []flow.RosterEntry{{Worker: "a", Address: "a:1"}},
-			Interference: []flow.InterferenceRecord{{Image: "serving", Pairs: []flow.PairWeightRecord{{Image: "filler", Weight: 100}}}},
-			Term:         1,
-		})
+		h := newTakeover(t)
 		if listed {
 			h.step(flow.WorkerListed{Worker: newPoolWorker("a")})
 		}
--- a/coord/serve/crash_test.go
+++ b/coord/serve/crash_test.go
@@ -10,8 +10,8 @@
 	"lovagefork.example/coord/serve"
 )
 
-// deadlyContent is the content of a request that crashes each server to which it is sent.
-const deadlyContent = 7
+// crashingContent is the content of a request that crashes each server to which it is sent.
+const crashingContent = 7
 
 // newCrashSim returns a simulation of one entry process with many servers.
 func newCrashSim(t *testing.T) *sim {
@@ -39,11 +39,11 @@
 // it. It must be rejected after three crashes, except for a rare test, while other requests are served.
 func TestRequestThatCrashesServersIsRejected(t *testing.T) {
 	s := newCrashSim(t)
-	s.crashing = func(r serve.Request) bool { return r.Content == deadlyContent }
+	s.crashing = func(r serve.Request) bool { return r.Content == crashingContent }
 	runs := 0
 	for i := range 240 {
 		// A request ends before the next one arrives, so that none is on its way when it is given up.
-		c := s.arrive(deadlyContent)
+		c := s.arrive(crashingContent)
 		sound := s.arrive(uint64(100 + i))
 		s.run(250*time.Millisecond, 0)
 		runs += c.backendRuns
--- a/entryd/batch/crash_test.go
+++ b/entryd/batch/crash_test.go
@@ -29,19 +29,19 @@
 
 func testCrashingTask(t *testing.T, after time.Duration) {
 	withCluster(t, 4, func(t *testing.T, c *cluster) {
-		c.workers.crashingKinds["deadly"] = after
+		c.workers.crashingKinds["crashing"] = after
 		p := c.start("e1", "a")
 		other := c.start("e2", "b")
 		time.Sleep(5 * time.Second)
-		deadly := `{"kind":"deadly","max_attempts":5,` + jobBody("deadly", "standard", 2, 10_000)[1:]
-		p.requestJob(http.MethodPost, "/v1/jobs", deadly)
+		crashing := `{"kind":"crashing","max_attempts":5,` + jobBody("crashing", "standard", 2, 10_000)[1:]
+		p.requestJob(http.MethodPost, "/v1/jobs", crashing)
 		for i := range 4 {
 			p.requestJob(http.MethodPost, "/v1/jobs", jobBody(fmt.Sprintf("j%d", i), "standard", 5, 60_000))
 		}
 		time.Sleep(6 * time.Second)
 		c.kill("e1")
 		time.Sleep(20 * time.Minute)
-		_, v := other.requestJob(http.MethodGet, "/v1/jobs/deadly/explain", "")
+		_, v := other.requestJob(http.MethodGet, "/v1/jobs/crashing/explain", "")
 		assert.Equal(t, v.State, jobs.StateFailed, "%+v\n%s", v, c.logs)
 		for _, task := range v.Tasks {
 			assert.Assert(t, strings.Contains(task.Reason, "workers crashed"), "%+v", task)
@@ -59,17 +59,17 @@
 // up all the same, after ten crashes at the latest.
 func TestManyTasksThatCrashWorkersAreGivenUp(t *testing.T) {
 	withCluster(t, 8, func(t *testing.T, c *cluster) {
-		c.workers.crashingKinds["deadly"] = time.Second
+		c.workers.crashingKinds["crashing"] = time.Second
 		p := c.start("e1", "a")
 		time.Sleep(5 * time.Second)
 		const n = 12
 		for i := range n {
-			p.requestJob(http.MethodPost, "/v1/jobs", `{"kind":"deadly",`+jobBody(fmt.Sprintf("deadly%d", i), "standard", 1, 10_000)[1:])
+			p.requestJob(http.MethodPost, "/v1/jobs", `{"kind":"crashing",`+jobBody(fmt.Sprintf("crashing%d", i), "standard", 1, 10_000)[1:])
 			p.requestJob(http.MethodPost, "/v1/jobs", jobBody(fmt.Sprintf("j%d", i), "standard", 2, 20_000))
 		}
 		time.Sleep(20 * time.Minute)
 		for i := range n {
-			_, v := p.requestJob(http.MethodGet, fmt.Sprintf("/v1/jobs/deadly%d/explain", i), "")
+			_, v := p.requestJob(http.MethodGet, fmt.Sprintf("/v1/jobs/crashing%d/explain", i), "")
 			assert.Equal(t, v.State, jobs.StateFailed, "%+v", v)
 			starts := c.workers.startsByTask[v.Tasks[0].Task]
 			assert.Assert(t, starts <= maxSharedCrashes, "%d starts of %s", starts, v.Tasks[0].Task)
