--- a/coord/flow/crash.go
+++ b/coord/flow/crash.go
@@ -19,8 +19,8 @@
 	maxNoticeTime = time.Second
 	// maxLoggedSuspects limits the log lines about one crash.
 	maxLoggedSuspects = 8
-	// maxTrialWait is how long a suspect task waits for a worker without other recent runs. Jobs without a run for 3 s
-	// count as lost.
+	// maxTrialWait is how long a suspect waits for a worker without other recent runs. A task should not wait for much
+	// longer while there is room for it.
 	maxTrialWait = 2 * time.Second
 	// trialRetryPause is the pause between two searches for a worker for a trial.
 	trialRetryPause = 40 * time.Millisecond
