flow: do not let a step wait for a run on a worker that does not answer

Long-running tasks could stay down for 13 s with room for them, since: after two crashes under a step its tasks start one at a time, and a run that is not sound yet held up the others, also one on a silent worker, which can become neither sound nor lost for long.

TestStepDoesNotWaitForARunOnASilentWorker fails before with no restart in 3 s, beside three free workers.

Only runs on workers that answer hold up a step.

--- a/coord/flow/crash.go
+++ b/coord/flow/crash.go
@@ -225,10 +225,11 @@
 	return s.crashes < 2 || s.spec.Gang || !s.hasRecentRun()
 }
 
+// hasRecentRun reports whether a run of the step on a worker that answers may still turn out to be a crash.
 func (s *step) hasRecentRun() bool {
 	for i := range s.tasks {
 		for _, r := range s.tasks[i].runs {
-			if !r.sound {
+			if !r.sound && r.state != fencing && r.worker.reachable {
 				return true
 			}
 		}
--- a/coord/flow/crash_test.go
+++ b/coord/flow/crash_test.go
@@ -391,6 +391,43 @@
 	assert.Assert(t, len(h.starts()) > 0)
 }
 
+// After two crashes under a step its tasks start one at a time. They waited for a run that could not be found sound, because
+// its worker did not answer.
+func TestStepDoesNotWaitForARunOnASilentWorker(t *testing.T) {
+	a, b, c := newPoolWorker("a"), newPoolWorker("b"), newPoolWorker("c")
+	c.StartedAt = 1
+	h := newHarness(t, flow.Restored{}, a, b, c)
+	h.report("a", infra.Report{})
+	h.report("b", infra.Report{})
+	h.report("c", infra.Report{StartedAt: 1})
+	h.step(flow.Submitted{Job: singleStepJob("j", lastingStep(3, 6000))})
+	h.advance(200 * time.Millisecond)
+	assert.Equal(t, len(h.answerStarts()), 3)
+	free := []fleet.WorkerID{"d", "e", "f"}
+	for _, id := range free {
+		h.step(flow.WorkerListed{Worker: newPoolWorker(string(id))})
+	}
+	h.advance(50 * time.Millisecond)
+	// The worker c is listed as another incarnation, which does not answer.
+	c.StartedAt = 2
+	h.step(flow.WorkerListed{Worker: c})
+	h.refuse("a")
+	h.refuse("b")
+	running := make(map[fleet.WorkerID][]infra.ActiveRun)
+	restarts := 0
+	for range 120 {
+		for _, id := range free {
+			h.report(id, infra.Report{Running: running[id]})
+		}
+		h.advance(25 * time.Millisecond)
+		for _, s := range h.answerStarts() {
+			restarts++
+			running[s.To.Worker] = append(running[s.To.Worker], infra.ActiveRun{Task: s.Order.Task, Run: s.Order.Run, Progress: 10})
+		}
+	}
+	assert.Equal(t, restarts, 2)
+}
+
 // A worker that was only cut off while its leases expired has not crashed, but one that returns as another incarnation has.
 func TestOnlyANewIncarnationProvesASilentCrash(t *testing.T) {
 	for _, restarted := range []bool{false, true} {
