flow: count a lost run once

A sound job could be shown as failed although one worker had crashed under it: a run stays listed until a stop to the new incarnation is answered, and each further restart of the worker counted it as another loss.

TestLostRunCountsOnce fails before: the job has failed after one crash and three restarts. Runs that wait for their stop are no losses of the new incarnation.

--- a/coord/flow/crash.go
+++ b/coord/flow/crash.go
@@ -123,7 +123,7 @@
 func (m *Machine) countLosses(w *worker) {
 	for _, r := range w.runsByTask {
 		_, t := m.lookupTask(r.id)
-		if t == nil || r.firstClock == 0 || !r.occ.job.live() {
+		if t == nil || r.firstClock == 0 || r.state == fencing || !r.occ.job.live() {
 			continue
 		}
 		t.losses++
--- a/coord/flow/crash_test.go
+++ b/coord/flow/crash_test.go
@@ -428,6 +428,30 @@
 	assert.Equal(t, restarts, 2)
 }
 
+// A run whose worker has crashed was counted again with each further restart of that worker, until its job failed, while a
+// stop to the new incarnation was not answered.
+func TestLostRunCountsOnce(t *testing.T) {
+	a := newPoolWorker("a")
+	a.StartedAt = 1
+	h := newHarness(t, flow.Restored{}, a)
+	h.report("a", infra.Report{StartedAt: 1})
+	h.step(flow.Submitted{Job: singleStepJob("j", smallStep(1))})
+	h.advance(200 * time.Millisecond)
+	assert.Equal(t, len(h.answerStarts()), 1)
+	for n := range 4 {
+		h.advance(time.Second)
+		h.report("a", infra.Report{StartedAt: int64(n + 2)})
+	}
+	a.StartedAt = 5
+	h.step(flow.WorkerListed{Worker: a})
+	for range 70 {
+		h.advance(200 * time.Millisecond)
+		h.report("a", infra.Report{StartedAt: 5})
+	}
+	state, _ := h.m.State("j")
+	assert.Equal(t, state, infra.StateRunning)
+}
+
 // A worker that was only cut off while its leases expired has not crashed, but one that returns as another incarnation has.
 func TestOnlyANewIncarnationProvesASilentCrash(t *testing.T) {
 	for _, restarted := range []bool{false, true} {
