flow: count the loss of a worker that crashed without a refused connection

A task that crashes its workers silently, after it had run for half a second, was started without end: only recent runs were remembered when the leases of a silent worker expired, and the return of the worker as another incarnation added no loss.

TestSilentCrashesAreLosses fails before: the job is still running after eight crashes. All runs are remembered, and each counts as a loss when the worker returns under its ID.

--- a/coord/flow/crash.go
+++ b/coord/flow/crash.go
@@ -123,16 +123,22 @@
 func (m *Machine) countLosses(w *worker) {
 	for _, r := range w.runsByTask {
 		_, t := m.lookupTask(r.id)
-		if t == nil || r.firstClock == 0 || r.state == fencing || !r.occ.job.live() {
-			continue
+		if t != nil && r.existed() && r.occ.job.live() {
+			m.countLoss(r.occ.job, t)
 		}
-		t.losses++
-		t.verdictDue = t.verdictDue || t.exceedsCrashes()
-		r.occ.job.crashed = true
-		m.markDirty(r.occ.job)
 	}
 }
 
+func (m *Machine) countLoss(j *job, t *task) {
+	t.losses++
+	t.verdictDue = t.verdictDue || t.exceedsCrashes()
+	j.crashed = true
+	m.markDirty(j)
+}
+
+// existed reports whether the run is known to have existed in the present life of its worker.
+func (r *run) existed() bool { return r.firstClock > 0 && r.state != fencing }
+
 // crashedSoonAfter reports whether the worker had confirmed the start and became unreachable soon after it. The run of a
 // worker that crashed without notice may have ended before.
 func (w *worker) crashedSoonAfter(r *run, now time.Time) bool {
@@ -381,19 +387,24 @@
 	runs      []silencedRun
 }
 
+// silencedRun is a run on a silenced worker; suspect is set if the run was recent.
 type silencedRun struct {
-	task   infra.TaskID
-	number infra.Run
+	task    infra.TaskID
+	number  infra.Run
+	suspect bool
 }
 
-// silence remembers the recent runs of an unreachable worker. Only its return shows whether it had crashed.
+// silence remembers the runs of an unreachable worker. Only its return shows whether it had crashed.
 func (m *Machine) silence(w *worker) {
 	if w.Draining || w.cordoned || w.StartedAt == 0 {
 		return
 	}
 	s := silencedWorker{startedAt: w.StartedAt}
-	for _, r := range w.suspects() {
-		s.runs = append(s.runs, silencedRun{r.id, r.number})
+	suspects := w.suspects()
+	for _, r := range w.runsByTask {
+		if suspect := slices.Contains(suspects, r); suspect || r.existed() {
+			s.runs = append(s.runs, silencedRun{r.id, r.number, suspect})
+		}
 	}
 	if len(s.runs) > 0 {
 		m.silenced[w.ID] = s
@@ -415,6 +426,9 @@
 		if t == nil || t.phase == done || !j.live() || slices.ContainsFunc(t.runs, func(r *run) bool { return r.sound }) {
 			continue
 		}
-		m.suspect(r.task, r.number, info.ID, false, false, i < maxLoggedSuspects)
+		m.countLoss(j, t)
+		if r.suspect {
+			m.suspect(r.task, r.number, info.ID, false, false, i < maxLoggedSuspects)
+		}
 	}
 }
--- a/coord/flow/crash_test.go
+++ b/coord/flow/crash_test.go
@@ -452,6 +452,37 @@
 	assert.Equal(t, state, infra.StateRunning)
 }
 
+// A worker that crashed without a refused connection was no loss for the task that it ran, so that a task which crashes
+// its workers in this way was started without end.
+func TestSilentCrashesAreLosses(t *testing.T) {
+	h := newHarness(t, flow.Restored{})
+	h.step(flow.Submitted{Job: singleStepJob("j", smallStep(1))})
+	starts := 0
+	for n := range 8 {
+		a := newPoolWorker("a")
+		a.StartedAt = int64(n + 1)
+		h.step(flow.WorkerListed{Worker: a})
+		report := infra.Report{StartedAt: a.StartedAt}
+		for range 10 {
+			h.report("a", report)
+			h.advance(200 * time.Millisecond)
+			for _, s := range h.answerStarts() {
+				starts++
+				report.Running = []infra.ActiveRun{{Task: s.Order.Task, Run: s.Order.Run, Progress: 10}}
+			}
+		}
+		for range 30 {
+			h.step(flow.RenewFailed{Worker: "a", Sequence: h.seq["a"], Err: &infra.NoAnswerError{Worker: "a"}})
+			h.advance(300 * time.Millisecond)
+		}
+		h.step(flow.WorkerUnlisted{Worker: "a"})
+		h.advance(50 * time.Millisecond)
+	}
+	state, _ := h.m.State("j")
+	assert.Equal(t, state, infra.StateFailed)
+	assert.Assert(t, starts <= maxCrashesUnderTask+maxStartsAfterCrashes, "%d starts", starts)
+}
+
 // A worker that was only cut off while its leases expired has not crashed, but one that returns as another incarnation has.
 func TestOnlyANewIncarnationProvesASilentCrash(t *testing.T) {
 	for _, restarted := range []bool{false, true} {
