flow: suspect runs that were adopted just before a trial

After a takeover a sound task could be blamed for the crash of another one: an adopted run is no start of this scheduler, so that a trial beside it counted as isolated although the run may have been started a moment before.

TestAdoptedRunIsSuspectedBesideATrial fails before: no crash is counted for the adopted run. An adoption counts as a start now.

--- a/coord/flow/crash_test.go
+++ b/coord/flow/crash_test.go
@@ -483,6 +483,24 @@
 	assert.Assert(t, starts <= maxCrashesUnderTask+maxStartsAfterCrashes, "%d starts", starts)
 }
 
+// A run that had just been adopted was no suspect beside a trial, so that the crash that it caused was blamed on the task
+// on trial alone.
+func TestAdoptedRunIsSuspectedBesideATrial(t *testing.T) {
+	suspect := flow.Record{State: infra.StateRunning, Occurrences: []flow.OccurrenceRecord{{
+		Steps: []flow.StepRecord{{Tasks: []flow.TaskRecord{{Run: 5, Crashes: 1, Confirmed: 1, CrashedOn: "z"}}}},
+	}}}
+	h := newHarness(t, flow.Restored{
+		Jobs:   []flow.StoredJob{{Job: singleStepJob("suspect", smallStep(1)), Record: &suspect}, {Job: singleStepJob("adopted", smallStep(1))}},
+		Roster: []flow.RosterEntry{{Worker: "a", Address: "a:1"}}, Term: 1,
+	}, newPoolWorker("a"))
+	h.report("a", infra.Report{Running: []infra.ActiveRun{{Task: infra.TaskID{Job: "adopted"}, Run: 7, Progress: 1}}})
+	h.advance(50 * time.Millisecond)
+	h.answerStarts()
+	h.refuse("a")
+	h.advance(50 * time.Millisecond)
+	assert.Equal(t, h.savedCrashes("adopted"), 1)
+}
+
 // A worker that was only cut off while its leases expired has not crashed, but one that returns as another incarnation has.
 func TestOnlyANewIncarnationProvesASilentCrash(t *testing.T) {
 	for _, restarted := range []bool{false, true} {
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -399,6 +399,8 @@
 		t.checkpoint = row.Checkpoint
 	}
 	w.add(m.now, r)
+	// The run may have been started just now.
+	w.lastStart = m.now
 	t.runs = append(t.runs, r)
 	if s.runsPerWorker != nil {
 		s.runsPerWorker[w.ID]++
