flow: start overdue long-running suspects beside trials

Long-running tasks could stay down for over 10 s with room for them, since: each suspect starts in a trial of its own, nothing else starts on a worker meanwhile, and the wait for a trial was bounded only from when a worker without one had room. 20 tasks that were lost together restarted one at a time on the only free worker, one each 0.53 s.

Found by a reviewer of the crash rule. TestManyLongRunningSuspectsRestartSoon fails before: 10 of 20 run after 5 s.

After 2 s with room a long-running suspect starts beside a trial, which then is not isolated any more.

--- a/coord/flow/crash.go
+++ b/coord/flow/crash.go
@@ -267,12 +267,24 @@
 	return t.trialSince.IsZero() || m.now.Sub(t.trialSince) < maxTrialWait
 }
 
+// ignoresTrials reports whether a task has waited so long for a trial that it starts beside others. Only a long-running task
+// does: a task with an end can wait, and would be blamed for the crashes of others.
+func (m *Machine) ignoresTrials(s *step, t *task) bool {
+	t = s.mostSuspected(t)
+	return s.spec.LongRunning && t != nil && t.crashes > 0 && !m.needsIsolation(s, t)
+}
+
 // accepts reports whether a worker takes a task, as far as trials are concerned.
-func (w *worker) accepts(now time.Time, isolated bool) bool {
-	if isolated {
-		return now.Sub(w.lastStart) >= soundRunTime
+func (m *Machine) accepts(w *worker, s *step, t *task) bool {
+	switch {
+	case m.ignoresTrials(s, t):
+		return true
+	case w.trial != nil:
+		return false
+	case m.needsIsolation(s, t):
+		return m.now.Sub(w.lastStart) >= soundRunTime
 	}
-	return !now.Before(w.reservedUntil)
+	return !m.now.Before(w.reservedUntil)
 }
 
 func (w *worker) hasFreshReport(now time.Time) bool { return now.Sub(w.clockAt) <= freshReport }
@@ -335,7 +347,10 @@
 	r.fresh = w.hasFreshReport(m.now)
 	t.trialSince = time.Time{}
 	if r.step.mostSuspected(t).crashes > 0 {
-		r.isolated = m.now.Sub(w.lastStart) >= soundRunTime
+		r.isolated = w.trial == nil && m.now.Sub(w.lastStart) >= soundRunTime
+		if w.trial != nil {
+			w.trial.isolated = false
+		}
 		w.trial, w.reservedUntil = r, time.Time{}
 		m.counts.Trials++
 	}
--- a/coord/flow/crash_test.go
+++ b/coord/flow/crash_test.go
@@ -501,6 +501,30 @@
 	assert.Equal(t, h.savedCrashes("adopted"), 1)
 }
 
+// Many long-running tasks that were lost in one crash soon after their start were started one at a time on the only worker
+// with room, each in a trial of its own.
+func TestManyLongRunningSuspectsRestartSoon(t *testing.T) {
+	const tasks = 20
+	h := newHarness(t, flow.Restored{}, newPoolWorker("a"))
+	h.report("a", infra.Report{})
+	h.step(flow.Submitted{Job: singleStepJob("j", lastingStep(tasks, 250))})
+	h.advance(200 * time.Millisecond)
+	assert.Equal(t, len(h.answerStarts()), tasks)
+	h.step(flow.WorkerListed{Worker: newPoolWorker("b")})
+	h.advance(50 * time.Millisecond)
+	h.report("b", infra.Report{})
+	h.refuse("a")
+	var running []infra.ActiveRun
+	for range 200 {
+		h.advance(25 * time.Millisecond)
+		for _, s := range h.answerStarts() {
+			running = append(running, infra.ActiveRun{Task: s.Order.Task, Run: s.Order.Run, Progress: 10})
+		}
+		h.report("b", infra.Report{Running: running})
+	}
+	assert.Equal(t, len(running), tasks)
+}
+
 // A worker that was only cut off while its leases expired has not crashed, but one that returns as another incarnation has.
 func TestOnlyANewIncarnationProvesASilentCrash(t *testing.T) {
 	for _, restarted := range []bool{false, true} {
--- a/coord/flow/place.go
+++ b/coord/flow/place.go
@@ -265,7 +265,7 @@
 	bestScore := 0.0
 	isolated := m.needsIsolation(r.step, t)
 	for _, w := range m.candidatesOf(r.queue.Service) {
-		if !m.fits(r, w, rack) || !w.accepts(m.now, isolated) {
+		if !m.fits(r, w, rack) || !m.accepts(w, r.step, t) {
 			continue
 		}
 		score := m.score(r, w)
@@ -300,7 +300,7 @@
 // fitsWithoutPolicy reports whether a worker could run a task of a step, ignoring the policy of its queue.
 func (m *Machine) fitsWithoutPolicy(r *readyStep, w *worker) bool {
 	spec := &r.step.spec
-	if w.trial != nil || !spec.Reserved().Fits(w.free()) {
+	if !spec.Reserved().Fits(w.free()) {
 		return false
 	}
 	if w.isSlow(spec) || w.isQuarantined(m.now) && !m.isOverdue(r) {
