--- a/coord/flow/crash.go
+++ b/coord/flow/crash.go
@@ -409,8 +409,8 @@
 	suspect bool
 }
 
-// silence remembers the runs of an unreachable worker. Only its return shows whether it had crashed.
-func (m *Machine) silence(w *worker) {
+// rememberRuns keeps the runs of an unreachable worker. Only its return shows whether it had crashed.
+func (m *Machine) rememberRuns(w *worker) {
 	if w.Draining || w.cordoned || w.StartedAt == 0 {
 		return
 	}
