flow: survive a crash under a run that was adopted before its job was known

The scheduler's process ended with a nil pointer, since: a run that is adopted before its job is known belongs to no step, also when the job arrives later, and the count of losses took it for one that does.

TestCrashUnderARunThatWasAdoptedBeforeItsJob panics before.

Such runs are left out of the counts, as they already were out of the suspects.

--- a/coord/flow/crash.go
+++ b/coord/flow/crash.go
@@ -58,6 +58,10 @@
 	if r.firstClock == 0 {
 		r.firstClock = clock
 	}
+	if r.step == nil {
+		// The job was unknown when the run was adopted.
+		return
+	}
 	if !r.sound && clock-r.firstClock >= soundRunTime.Milliseconds() {
 		m.markSound(r)
 	}
@@ -75,7 +79,7 @@
 		m.placementDue = true
 	}
 	s, t := m.lookupTask(r.id)
-	if t == nil {
+	if t == nil || r.step == nil {
 		return
 	}
 	if s.crashes > 0 {
@@ -123,7 +127,7 @@
 func (m *Machine) countLosses(w *worker) {
 	for _, r := range w.runsByTask {
 		_, t := m.lookupTask(r.id)
-		if t != nil && r.existed() && r.occ.job.live() {
+		if t != nil && r.step != nil && r.existed() && r.occ.job.live() {
 			m.countLoss(r.occ.job, t)
 		}
 	}
--- a/coord/flow/crash_test.go
+++ b/coord/flow/crash_test.go
@@ -525,6 +525,25 @@
 	assert.Equal(t, len(running), tasks)
 }
 
+// A run that was adopted before its job was known belongs to no step. The crash of its worker after the job had arrived ended
+// the scheduler's process.
+func TestCrashUnderARunThatWasAdoptedBeforeItsJob(t *testing.T) {
+	h := newHarness(t, flow.Restored{Roster: []flow.RosterEntry{{Worker: "a", Address: "a:1"}}, Term: 1}, newPoolWorker("a"))
+	running := infra.Report{Running: []infra.ActiveRun{{Task: infra.TaskID{Job: "j"}, Run: 7, Progress: 10}}}
+	h.report("a", running)
+	h.step(flow.Submitted{Job: singleStepJob("j", lastingStep(1, 1000))})
+	for range 30 {
+		h.advance(500 * time.Millisecond)
+		h.report("a", running)
+	}
+	h.refuse("a")
+	h.step(flow.WorkerListed{Worker: newPoolWorker("b")})
+	h.advance(50 * time.Millisecond)
+	h.report("b", infra.Report{})
+	h.advance(50 * time.Millisecond)
+	assert.Equal(t, len(h.starts()), 1)
+}
+
 // A worker that was only cut off while its leases expired has not crashed, but one that returns as another incarnation has.
 func TestOnlyANewIncarnationProvesASilentCrash(t *testing.T) {
 	for _, restarted := range []bool{false, true} {
