flow: share the failure of a job, the log of simulations, and the check of trials

Cause: a second reading of the change. checkAttempts and giveUpOnCrashes failed a job in the same three lines; four property tests carried the same closure for the log; and each candidate worker of a placement asked again whether its task needs a trial, which looks at all members of a gang.

Change: failJob and logTo serve both places each, and bestWorker asks once for each task. Behaviour, bounds and assertions are unchanged.

--- a/coord/flow/capacity_test.go
+++ b/coord/flow/capacity_test.go
@@ -142,11 +142,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		sim := newSimulation(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(2, 4).Draw(t, "workers"))
 		sim.listingDelay = maxListingDelay
-		sim.trace = func(sched *simScheduler, _ flow.Event, e flow.Effect) {
-			if n, ok := e.(flow.Log); ok {
-				t.Logf("%v token %d: %+v", sim.now.Sub(time.Unix(1000, 0)), sched.token, n)
-			}
-		}
+		sim.logTo(t)
 		sim.elect(false)
 		sim.run(time.Second)
 		for n := range rapid.IntRange(2, 12).Draw(t, "jobs") {
--- a/coord/flow/crash.go
+++ b/coord/flow/crash.go
@@ -206,11 +206,8 @@
 			return false
 		}
 	}
-	j := r.occ.job
-	j.failed = true
 	m.counts.GivenUp++
-	m.emit(Log{Text: "job failed", Job: j.spec.ID, Task: r.task(index), Run: t.lastRun, Reason: fmt.Sprintf("task crashes its workers: %d crashes", t.crashes)})
-	m.stopJob(j, "job failed")
+	m.failJob(r.occ.job, t, r.task(index), fmt.Sprintf("task crashes its workers: %d crashes", t.crashes))
 	return true
 }
 
@@ -278,17 +275,18 @@
 	return s.spec.LongRunning && t != nil && t.crashes > 0 && !m.needsIsolation(s, t)
 }
 
-// accepts reports whether a worker takes a task, as far as trials are concerned.
-func (m *Machine) accepts(w *worker, s *step, t *task) bool {
+// accepts reports whether a worker takes a task, as far as trials are concerned. isolated and ignoresTrials are the results
+// of [Machine.needsIsolation] and [Machine.ignoresTrials] for the task.
+func (w *worker) accepts(now time.Time, isolated, ignoresTrials bool) bool {
 	switch {
-	case m.ignoresTrials(s, t):
+	case ignoresTrials:
 		return true
 	case w.trial != nil:
 		return false
-	case m.needsIsolation(s, t):
-		return m.now.Sub(w.lastStart) >= soundRunTime
+	case isolated:
+		return now.Sub(w.lastStart) >= soundRunTime
 	}
-	return !m.now.Before(w.reservedUntil)
+	return !now.Before(w.reservedUntil)
 }
 
 func (w *worker) hasFreshReport(now time.Time) bool { return now.Sub(w.clockAt) <= freshReport }
--- a/coord/flow/crash_test.go
+++ b/coord/flow/crash_test.go
@@ -246,11 +246,7 @@
 func TestTaskThatCrashesItsWorkersIsGivenUp(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		sim := newSimulation(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(6, 20).Draw(t, "workers"))
-		sim.trace = func(sched *simScheduler, _ flow.Event, e flow.Effect) {
-			if n, ok := e.(flow.Log); ok {
-				t.Logf("%v token %d: %+v", sim.now.Sub(time.Unix(1000, 0)), sched.token, n)
-			}
-		}
+		sim.logTo(t)
 		scheduleCrashes(t, sim)
 		sim.run(20*time.Second + settleTime)
 		sim.crashes.check(sim)
--- a/coord/flow/lasting_test.go
+++ b/coord/flow/lasting_test.go
@@ -12,7 +12,6 @@
 	"pgregory.net/rapid"
 
 	"lovagefork.example/coord/fleet"
-	"lovagefork.example/coord/flow"
 	"lovagefork.example/coord/infra"
 )
 
@@ -326,11 +325,7 @@
 func TestLongRunningTasksKeepRunning(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		c := newLastingCheck(newSimulation(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(2, 8).Draw(t, "workers")))
-		c.trace = func(sched *simScheduler, _ flow.Event, e flow.Effect) {
-			if n, ok := e.(flow.Log); ok {
-				t.Logf("%v token %d: %+v", c.now.Sub(time.Unix(1000, 0)), sched.token, n)
-			}
-		}
+		c.logTo(t)
 		scheduleLastingEvents(t, c)
 		c.run(40 * time.Second)
 		assert.Assert(t, c.checks > 0)
--- a/coord/flow/place.go
+++ b/coord/flow/place.go
@@ -263,9 +263,9 @@
 func (m *Machine) bestWorker(r *readyStep, t *task, rack string) *worker {
 	var best *worker
 	bestScore := 0.0
-	isolated := m.needsIsolation(r.step, t)
+	isolated, ignoresTrials := m.needsIsolation(r.step, t), m.ignoresTrials(r.step, t)
 	for _, w := range m.candidatesOf(r.queue.Service) {
-		if !m.fits(r, w, rack) || !m.accepts(w, r.step, t) {
+		if !m.fits(r, w, rack) || !w.accepts(m.now, isolated, ignoresTrials) {
 			continue
 		}
 		score := m.score(r, w)
--- a/coord/flow/property_test.go
+++ b/coord/flow/property_test.go
@@ -44,6 +44,15 @@
 	return j, failing
 }
 
+// logTo writes the log of all schedulers to a test's log.
+func (sim *simulation) logTo(t *rapid.T) {
+	sim.trace = func(sched *simScheduler, _ flow.Event, e flow.Effect) {
+		if n, ok := e.(flow.Log); ok {
+			t.Logf("%v token %d: %+v", sim.now.Sub(time.Unix(1000, 0)), sched.token, n)
+		}
+	}
+}
+
 // scheduleEvents schedules a random mix of jobs and faults.
 func scheduleEvents(t *rapid.T, sim *simulation) {
 	sim.elect(false)
@@ -97,11 +106,7 @@
 func TestInvariantsUnderFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		sim := newSimulation(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(2, 5).Draw(t, "workers"))
-		sim.trace = func(sched *simScheduler, _ flow.Event, e flow.Effect) {
-			if n, ok := e.(flow.Log); ok {
-				t.Logf("%v token %d: %+v", sim.now.Sub(time.Unix(1000, 0)), sched.token, n)
-			}
-		}
+		sim.logTo(t)
 		scheduleEvents(t, sim)
 		sim.run(20*time.Second + settleTime)
 		sim.checkMaxAttempts()
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -264,10 +264,15 @@
 	if !j.live() || len(t.failedRuns) < m.maxAttempts(j) {
 		return false
 	}
+	m.failJob(j, t, id, "attempts exhausted")
+	return true
+}
+
+// failJob fails a job because of one of its tasks.
+func (m *Machine) failJob(j *job, t *task, id infra.TaskID, reason string) {
 	j.failed = true
-	m.emit(Log{Text: "job failed", Job: j.spec.ID, Task: id, Run: t.lastRun, Reason: "attempts exhausted"})
+	m.emit(Log{Text: "job failed", Job: j.spec.ID, Task: id, Run: t.lastRun, Reason: reason})
 	m.stopJob(j, "job failed")
-	return true
 }
 
 // defaultMaxAttempts applies to a job that was stored without a limit.
