--- /dev/null
+++ b/entryd/hosted/distribution_test.go
@@ -0,0 +1,227 @@
+package hosted_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lovagefork.example/coord/fleet"
+	"lovagefork.example/coord/infra"
+	"lovagefork.example/coord/store"
+	"lovagefork.example/coord/vnet"
+	"lovagefork.example/coord/wire"
+	"lovagefork.example/entryd/hosted"
+	"lovagefork.example/entryd/peers"
+	"lovagefork.example/platform"
+)
+
+// headFormat decodes only the version of a configuration, which is its first field.
+type headFormat struct{ platform.Format }
+
+func (headFormat) Catalog(value []byte) (*infra.Catalog, error) {
+	d := json.NewDecoder(io.LimitReader(bytes.NewReader(value), 64))
+	for range 2 {
+		if _, err := d.Token(); err != nil {
+			return nil, err
+		}
+	}
+	out := &infra.Catalog{}
+	return out, d.Decode(&out.Version)
+}
+
+// routesOf returns a configuration of a version with a number of routes, which have random names.
+func routesOf(version int64, routes int) []byte {
+	random := rand.New(rand.NewPCG(uint64(version), uint64(routes)))
+	var out bytes.Buffer
+	fmt.Fprintf(&out, `{"version":%d,"routes":[`, version)
+	for i := range routes {
+		if i > 0 {
+			out.WriteByte(',')
+		}
+		fmt.Fprintf(&out, `{"name":"r-%x","host":"host%d.example","prefix":"/%08x/","timeout_ms":3000,"service":"orderdesk",`+
+			`"priority":2,"max_attempts":4,"stretch_factor":2,"target_latency_ms":1000}`, random.Uint32(), random.IntN(20), random.Uint32())
+	}
+	out.WriteString(`],"services":[],"limits":{}}`)
+	return out.Bytes()
+}
+
+// storedItem is an entry in the store's format.
+type storedItem struct {
+	Key      string `json:"key"`
+	Value    []byte `json:"value"`
+	Revision int64  `json:"revision"`
+	Created  int64  `json:"created"`
+	Lease    int64  `json:"lease"`
+}
+
+// catalogStore is a stand-in for the store that holds the configuration. It answers each call after latency.
+type catalogStore struct {
+	latency time.Duration
+
+	mu      sync.Mutex
+	changes []storedItem
+	changed chan struct{}
+}
+
+func newCatalogStore(latency time.Duration) *catalogStore {
+	return &catalogStore{latency: latency, changed: make(chan struct{})}
+}
+
+func (s *catalogStore) put(value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.changes = append(s.changes, storedItem{Key: platform.CatalogKey, Value: value, Revision: int64(len(s.changes) + 1), Created: 1})
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// since returns the changes after a revision, and a channel that is closed with the next one.
+func (s *catalogStore) since(revision int64) ([]storedItem, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changes[min(int(revision), len(s.changes)):], s.changed
+}
+
+// ServeHTTP implements [http.Handler].
+func (s *catalogStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	time.Sleep(s.latency)
+	all, _ := s.since(0)
+	response := map[string]any{"current_rev": len(all)}
+	if r.URL.Path == "/-/kv-range" {
+		response["items"] = all[max(0, len(all)-1):]
+	} else {
+		response["events"] = s.await(r)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(response)
+}
+
+// await returns the changes that a watch requests as soon as there is one, or none when its wait has ended.
+func (s *catalogStore) await(r *http.Request) []storedItem {
+	after, _ := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+	wait, _ := strconv.ParseInt(r.URL.Query().Get("wait_ms"), 10, 64)
+	timeout := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		found, changed := s.since(after)
+		if len(found) > 0 {
+			return found
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			return nil
+		case <-r.Context().Done():
+			return nil
+		}
+	}
+}
+
+// catalogHosts are entry hosts that keep the configuration.
+type catalogHosts struct {
+	store    *catalogStore
+	watchers []*hosted.CatalogWatcher
+	meshes   []*peers.Mesh
+}
+
+// startCatalogHosts starts a host for each of the links, in bits per second, and returns when all are connected. The
+// hosts end with the test.
+func startCatalogHosts(t *testing.T, storeLatency time.Duration, links []float64) *catalogHosts {
+	t.Helper()
+	network := vnet.New(vnet.WithLatency(4 * time.Millisecond))
+	ctx, cancel := context.WithCancel(t.Context())
+	h := &catalogHosts{store: newCatalogStore(storeLatency)}
+	h.store.put(routesOf(1, 245))
+	servers := []*http.Server{{Handler: h.store}}
+	storeListener := network.AddHost(1e9).Listen("store:1")
+	go func() { _ = servers[0].Serve(storeListener) }()
+	log := slog.New(slog.DiscardHandler)
+	roster := make(map[fleet.EntryHostID]string)
+	for i := range links {
+		roster[hostName(i)] = string(hostName(i)) + ":1"
+	}
+	var wg sync.WaitGroup
+	for i, rate := range links {
+		end := network.AddHost(rate)
+		transport := &http.Transport{DialContext: end.DialContext}
+		mesh := peers.New(
+			wire.Hello{EntryHost: hostName(i)}, roster, log, peers.WithClient(&http.Client{Transport: transport}, "ws"), peers.WithUnlistedPeers(),
+		)
+		client := platform.NewStore("store:1", platform.WithDialer(end.DialContext))
+		watcher := hosted.NewCatalogWatcher(client, headFormat{}, mesh, log, func(*infra.Catalog) {})
+		mesh.AddHandler(watcher.HandleMessage)
+		mesh.OnLinkChange(func(peer fleet.EntryHostID, up bool) {
+			if up {
+				watcher.Announce(peer)
+			}
+		})
+		server := &http.Server{Handler: mesh}
+		servers = append(servers, server)
+		h.watchers, h.meshes = append(h.watchers, watcher), append(h.meshes, mesh)
+		listener := end.Listen(roster[hostName(i)])
+		go func() { _ = server.Serve(listener) }()
+		wg.Go(func() { mesh.Run(ctx) })
+		wg.Go(func() { watcher.Run(ctx) })
+	}
+	t.Cleanup(func() {
+		cancel()
+		for _, m := range h.meshes {
+			m.Close()
+		}
+		network.Close()
+		for _, s := range servers {
+			_ = s.Close()
+		}
+		wg.Wait()
+	})
+	time.Sleep(2 * time.Second)
+	for i, m := range h.meshes {
+		assert.Equal(t, len(m.LinkedPeers()), len(links)-1, "host %d", i)
+	}
+	return h
+}
+
+func hostName(i int) fleet.EntryHostID { return fleet.EntryHostID(fmt.Sprintf("e%02d", i)) }
+
+// behind returns the hosts that have not applied a version.
+func (h *catalogHosts) behind(version int64) []fleet.EntryHostID {
+	var behind []fleet.EntryHostID
+	for i, w := range h.watchers {
+		if c := w.Current(); c == nil || c.Version < version {
+			behind = append(behind, hostName(i))
+		}
+	}
+	return behind
+}
+
+// applyTime is how soon a configuration must be in force everywhere.
+const applyTime = 3 * time.Second
+
+// Guards against a configuration that never arrives at hosts with small links. A value of 1 MB takes 1.1 s on a link of
+// 10 Mbit/s, and calls of the store and of peers gave up after 0.7 and 1 s and began again, without end, while their
+// transfers shared the link (rule CONFIG).
+func TestLargeConfigurationReachesSmallLinks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		links := []float64{200e6, 200e6, 200e6, 10e6, 10e6, 10e6, 10e6, 10e6, 10e6, 10e6, 10e6, 10e6}
+		h := startCatalogHosts(t, 4*time.Millisecond, links)
+		for version, routes := range []int{1645, 3045, 4445, 5500, 5501} {
+			value := routesOf(int64(version+2), routes)
+			assert.Assert(t, len(value) <= store.MaxValueBytes)
+			h.store.put(value)
+			time.Sleep(applyTime)
+			t.Logf("%d routes, %d bytes", routes, len(value))
+			assert.DeepEqual(t, h.behind(int64(version+2)), []fleet.EntryHostID(nil))
+		}
+	})
+}
