--- a/coord/store/store.go
+++ b/coord/store/store.go
@@ -104,7 +104,8 @@
 	Deleted bool
 }
 
-// Client is a client of the store; its errors are [*NotSentError], [*OutcomeUnknownError] or [*RejectedError].
+// Client is a client of the store; its errors are [*NotSentError], [*OutcomeUnknownError] or [*RejectedError]. A call ends
+// when its context does. A client may end it earlier if the store is silent, but not because a value is large.
 type Client interface {
 	// Range reads the entries that get selects.
 	Range(ctx context.Context, get Get) (RangeResult, error)
--- a/entryd/hosted/catalog.go
+++ b/entryd/hosted/catalog.go
@@ -84,8 +84,6 @@
 }
 
 func (c *CatalogWatcher) read(ctx context.Context) (store.Revision, error) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
 	page, err := c.store.Range(ctx, store.Get{Key: c.format.CatalogKey(), Prefix: true})
 	if err != nil {
 		return 0, err
--- a/entryd/leader/group.go
+++ b/entryd/leader/group.go
@@ -462,9 +462,7 @@
 	var revision store.Revision
 	after := ""
 	for {
-		pageCtx, cancel := context.WithTimeout(ctx, 2*callTimeout)
-		page, err := client.Range(pageCtx, store.Get{Key: prefix, Prefix: true, After: after})
-		cancel()
+		page, err := client.Range(ctx, store.Get{Key: prefix, Prefix: true, After: after})
 		if err != nil {
 			return nil, 0, err
 		}
--- a/entryd/leader/save.go
+++ b/entryd/leader/save.go
@@ -30,9 +30,7 @@
 	}
 	backoff := retry.NewBackoff(retryMinDelay, retryMaxDelay, rand.New(rand.NewPCG(uint64(id.Token), uint64(id.Batch))))
 	for ctx.Err() == nil && l.leadership.Valid() {
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		result, err := l.store.Txn(callCtx, txn)
-		cancel()
+		result, err := l.store.Txn(ctx, txn)
 		switch {
 		case err == nil && result.Committed:
 			l.sequenceRevision = result.Revision
--- a/entryd/leader/scheduler.go
+++ b/entryd/leader/scheduler.go
@@ -282,8 +282,6 @@
 // readKey decodes the value of a key into a variable, if that is not nil, and returns the revision of the key; 0 if
 // there is none. A value that cannot be decoded is logged and ignored.
 func (l *loop) readKey(ctx context.Context, key string, into any) (store.Revision, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	found, err := l.store.Range(ctx, store.Get{Key: key})
 	if err != nil || len(found.Entries) == 0 {
 		return 0, err
