hosted: fetch configurations from peers compressed, in parts and from a random peer

Cause: a copy was one message of up to 1 MB, which takes 0.8 s on a link of 10 Mbit/s, within a limit of 1 s for the whole call. All hosts called the peers in the order of their announcements, so that one link carried most copies, and pings behind a copy broke the links.

Change: peers send the compressed configuration (0.8 MB in about 0.2 MB) in parts of 16 KB that the receiver requests one at a time and keeps if its source fails. The source is drawn from those that announced the version. Processes of earlier releases still get and send whole configurations.

TestConfigurationIsFetchedFromOnePeer checks that any one of the announcers is called, and a second one after silence; before it fixed their order.

--- a/coord/wire/hosted.go
+++ b/coord/wire/hosted.go
@@ -72,10 +72,20 @@
 	Token     infra.Token       `cbor:"token"`
 }
 
-// CatalogDoc holds the operator's configuration as stored; Version is 0 if the sender has none.
+// CatalogDoc holds the operator's configuration as stored, or a part of its compressed form; Version is 0 if the sender
+// has none.
 type CatalogDoc struct {
-	Version int64  `cbor:"version"`
-	Data    []byte `cbor:"data"`
+	Version int64        `cbor:"version"`
+	Data    []byte       `cbor:"data"`
+	Part    *CatalogPart `cbor:"part,omitempty"`
+}
+
+// CatalogPart says which part of the compressed configuration a [CatalogDoc] holds. Digest identifies the compressed
+// configuration and Size is its length in bytes; two processes can compress the same version differently.
+type CatalogPart struct {
+	Offset int    `cbor:"offset"`
+	Size   int    `cbor:"size"`
+	Digest uint64 `cbor:"digest"`
 }
 
 // CatalogVersion announces the version of the operator's configuration that the sender holds.
@@ -83,8 +93,12 @@
 	Version int64 `cbor:"version"`
 }
 
-// CatalogRequest requests the operator's configuration that the receiver holds; the response is a [CatalogDoc].
-type CatalogRequest struct{}
+// CatalogRequest requests the operator's configuration that the receiver holds; the response is a [CatalogDoc]. If
+// Compressed is set, it is the part of the compressed configuration that begins at Offset.
+type CatalogRequest struct {
+	Compressed bool `cbor:"compressed,omitempty"`
+	Offset     int  `cbor:"offset,omitempty"`
+}
 
 func (HostedRequest) kind() string    { return "ask" }
 func (HostedResponse) kind() string   { return "reply" }
--- a/entryd/hosted/catalog.go
+++ b/entryd/hosted/catalog.go
@@ -17,11 +17,6 @@
 const (
 	// watchRetryDelay is the delay before the configuration is read again after its watch has ended.
 	watchRetryDelay = 100 * time.Millisecond
-	// fetchDelay is how long to wait for a new version from the store before fetching it from a peer. A version must
-	// be in effect within 2 s.
-	fetchDelay = 400 * time.Millisecond
-	// fetchTimeout is enough for a configuration of 0.5 MB over a link of 10 Mbit/s.
-	fetchTimeout = time.Second
 )
 
 // links sends messages to the other entry processes.
@@ -43,16 +38,21 @@
 	mu      sync.Mutex
 	current *infra.Catalog
 	data    []byte
-	// sources lists the peers that have announced a newer version and have not been called yet. fetching is set while
-	// a goroutine runs fetch.
-	sources  []source
+	// sources holds the newest version that each peer has announced, if it is newer than the one in effect. fetching is
+	// set while a goroutine runs fetch.
+	sources  map[fleet.EntryHostID]int64
 	fetching bool
+
+	compressMu sync.Mutex
+	compressed compressedCatalog
 }
 
 // NewCatalogWatcher returns a watcher of the configuration in a store and of its announcements by peers. It calls
 // onUpdate with each newer version.
 func NewCatalogWatcher(client store.Client, format infra.Format, l links, log *slog.Logger, onUpdate func(*infra.Catalog)) *CatalogWatcher {
-	return &CatalogWatcher{store: client, format: format, links: l, log: log, onUpdate: onUpdate}
+	return &CatalogWatcher{
+		store: client, format: format, links: l, log: log, onUpdate: onUpdate, sources: make(map[fleet.EntryHostID]int64),
+	}
 }
 
 // Current returns the configuration in effect, or nil before the first one.
@@ -123,12 +123,7 @@
 		c.handleAnnouncement(from, m.Version)
 		return wire.Ack{}
 	case wire.CatalogRequest:
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		if c.current == nil {
-			return wire.CatalogDoc{}
-		}
-		return wire.CatalogDoc{Version: c.current.Version, Data: c.data}
+		return c.document(m)
 	default:
 		return nil
 	}
@@ -145,67 +140,3 @@
 	}
 }
 
-// handleAnnouncement fetches a newer version from the peer unless it arrives from the store within [fetchDelay]. Only
-// one fetch runs at a time, because a configuration can have 0.5 MB, and receiving one copy takes a small entry host
-// 0.5 s.
-func (c *CatalogWatcher) handleAnnouncement(from fleet.EntryHostID, version int64) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.current != nil && version <= c.current.Version {
-		return
-	}
-	c.sources = append(c.sources, source{peer: from, version: version})
-	if c.fetching {
-		return
-	}
-	c.fetching = true
-	wait := fetchDelay
-	if c.current == nil {
-		wait = 0
-	}
-	go c.fetch(wait)
-}
-
-// source is a peer that has announced a version.
-type source struct {
-	peer    fleet.EntryHostID
-	version int64
-}
-
-// fetch waits, and then requests the configuration from the sources one at a time, until none of them has a newer
-// version than the one in effect.
-func (c *CatalogWatcher) fetch(wait time.Duration) {
-	sleep(context.Background(), wait)
-	for {
-		peer, found := c.nextSource()
-		if !found {
-			return
-		}
-		ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
-		answer, err := c.links.Call(ctx, peer, wire.CatalogRequest{})
-		cancel()
-		doc, ok := answer.(wire.CatalogDoc)
-		switch {
-		case err != nil:
-			c.log.Warn("catalog: cannot fetch the configuration", "peer", peer, "error", err)
-		case ok && doc.Version > 0:
-			c.apply(doc.Data, "peer "+string(peer))
-		}
-	}
-}
-
-// nextSource removes and returns the next peer with a newer version than the one in effect. If there is none, it ends
-// the fetch.
-func (c *CatalogWatcher) nextSource() (fleet.EntryHostID, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for len(c.sources) > 0 {
-		s := c.sources[0]
-		c.sources = c.sources[1:]
-		if c.current == nil || s.version > c.current.Version {
-			return s.peer, true
-		}
-	}
-	c.fetching = false
-	return "", false
-}
