--- a/entryd/hosted/catalog.go
+++ b/entryd/hosted/catalog.go
@@ -139,4 +139,3 @@
 		c.log.Debug("catalog: cannot announce the version", "peer", to, "error", err)
 	}
 }
-
