leader: measure what the event loop spends its time with

Change: a line scheduler: load each 2 s, and the timers scheduler.event_wait_seconds and scheduler.tick_seconds.

--- /dev/null
+++ b/entryd/leader/load.go
@@ -0,0 +1,119 @@
+package leader
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sys/unix"
+
+	"lovagefork.example/coord/flow"
+)
+
+// loadInterval is the interval of the log lines about the load of the event loop.
+const loadInterval = 2 * time.Second
+
+// activity is what the event loop spends its time with.
+type activity int
+
+// The activities of the event loop. A tick contains sweeps and placement, and orders are the effects of all others.
+const (
+	activityReport activity = iota
+	activityAnswer
+	activityInput
+	activityTick
+	activityQuery
+	activityOrders
+	activities
+)
+
+var activityNames = [activities]string{"report", "answer", "input", "tick", "query", "orders"}
+
+func activityOf(ev flow.Event) activity {
+	switch ev.(type) {
+	case flow.RenewAnswered, flow.RenewFailed:
+		return activityReport
+	case flow.StartAnswered, flow.StopAnswered, flow.ThrottleAnswered:
+		return activityAnswer
+	case flow.Tick:
+		return activityTick
+	default:
+		return activityInput
+	}
+}
+
+// loadMeter measures how the event loop spends its time and how long events wait for it. It belongs to the loop's goroutine.
+type loadMeter struct {
+	waits metrics.Timer
+	ticks metrics.Timer
+
+	since   time.Time
+	cpu     time.Duration
+	spent   [activities]time.Duration
+	count   [activities]int
+	longest [activities]time.Duration
+	// longestWait is that of an event, and longestTransit the time of a job from its submission to this process.
+	longestWait    time.Duration
+	longestTransit time.Duration
+}
+
+func newLoadMeter(r metrics.Registry) *loadMeter {
+	return &loadMeter{
+		waits: metrics.GetOrRegisterTimer("scheduler.event_wait_seconds", r),
+		ticks: metrics.GetOrRegisterTimer("scheduler.tick_seconds", r),
+		since: time.Now(), cpu: processorTime(),
+	}
+}
+
+// spend adds the time since began to an activity, and returns the present time.
+func (l *loadMeter) spend(a activity, began time.Time) time.Time {
+	now := time.Now()
+	took := now.Sub(began)
+	l.spent[a] += took
+	l.count[a]++
+	l.longest[a] = max(l.longest[a], took)
+	if a == activityTick {
+		l.ticks.Update(took)
+	}
+	return now
+}
+
+// waited notes how long an event has waited in the queue.
+func (l *loadMeter) waited(ev queuedEvent) {
+	wait := time.Since(ev.queuedAt)
+	l.waits.Update(wait)
+	l.longestWait = max(l.longestWait, wait)
+	if job, ok := ev.event.(flow.Submitted); ok && job.Job.Submitted > 0 {
+		l.longestTransit = max(l.longestTransit, time.Since(time.UnixMilli(job.Job.Submitted)))
+	}
+}
+
+// report logs the load once in each loadInterval and begins a new measurement.
+func (l *loadMeter) report(log *slog.Logger, queued int) {
+	now := time.Now()
+	elapsed := now.Sub(l.since)
+	if elapsed < loadInterval {
+		return
+	}
+	cpu := processorTime()
+	attrs := []any{
+		"over_ms", elapsed.Milliseconds(), "processor_ms", (cpu - l.cpu).Milliseconds(), "queued", queued,
+		"longest_wait_ms", l.longestWait.Milliseconds(), "longest_transit_ms", l.longestTransit.Milliseconds(),
+	}
+	for a, name := range activityNames {
+		attrs = append(attrs, slog.Group(
+			name, "count", l.count[a], "ms", l.spent[a].Milliseconds(), "longest_ms", l.longest[a].Milliseconds(),
+		))
+	}
+	log.Info("scheduler: load", attrs...)
+	*l = loadMeter{waits: l.waits, ticks: l.ticks, since: now, cpu: cpu}
+}
+
+// processorTime returns the processor time that this process has used, or 0 if it is not known.
+func processorTime() time.Duration {
+	var usage unix.Rusage
+	if err := unix.Getrusage(unix.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
--- a/entryd/leader/scheduler.go
+++ b/entryd/leader/scheduler.go
@@ -49,6 +49,7 @@
 	orders         metrics.Counter
 	saves          metrics.Counter
 	longWaits      metrics.Gauge
+	registry       metrics.Registry
 
 	mu      sync.Mutex
 	catalog *infra.Catalog
@@ -78,6 +79,7 @@
 func NewScheduler(d Deps) *Scheduler {
 	return &Scheduler{
 		store: d.Store, agents: d.Agents, policy: d.Policy, machineService: d.Machines, format: d.Format, bounds: d.Bounds, log: d.Log, decisions: d.Decisions, supersede: d.Supersede,
+		registry:     d.Metrics,
 		startLatency: metrics.GetOrRegisterTimer("scheduler.start_seconds", d.Metrics),
 		renewals:     metrics.GetOrRegisterCounter("scheduler.holds.total", d.Metrics),
 		orders:       metrics.GetOrRegisterCounter("scheduler.orders.total", d.Metrics),
@@ -134,7 +136,8 @@
 	l := &loop{
 		Scheduler: s, leadership: leadership, log: s.log.With("token", int64(leadership.leader.Token)),
 		decisions: s.decisions.With("token", int64(leadership.leader.Token)),
-		events:    make(chan flow.Event, eventQueueSize), queries: make(chan query), stopped: make(chan struct{}),
+		meter:     newLoadMeter(s.registry),
+		events:    make(chan queuedEvent, eventQueueSize), queries: make(chan query), stopped: make(chan struct{}),
 		machine: flow.New(leadership.leader.Token,
 			flow.WithTaskLease(s.bounds.MaxLease), flow.WithLeadershipTimeout(leaderTTL+outageTolerance), flow.WithPredecessorLease(leaderTTL),
 			flow.WithRetention(retentionFactor*s.bounds.StatusRetention), flow.WithMaxTargetMiss(s.bounds.MaxTargetMiss)),
@@ -167,7 +170,8 @@
 	log        *slog.Logger
 	decisions  *slog.Logger
 	machine    *flow.Machine
-	events     chan flow.Event
+	events     chan queuedEvent
+	meter      *loadMeter
 	queries    chan query
 	// stopped is closed when the loop has ended and handles no more events.
 	stopped chan struct{}
@@ -184,6 +188,12 @@
 	waves *waveRunner
 }
 
+// queuedEvent is an event with the time at which it was queued.
+type queuedEvent struct {
+	event    flow.Event
+	queuedAt time.Time
+}
+
 // query is a call of [Scheduler.Query]; done is closed when run has returned.
 type query struct {
 	run  func(*flow.Machine)
@@ -210,7 +220,7 @@
 // post queues an event. It blocks while the queue is full, because no answer of a worker may be dropped.
 func (l *loop) post(ev flow.Event) {
 	select {
-	case l.events <- ev:
+	case l.events <- queuedEvent{event: ev, queuedAt: time.Now()}:
 	case <-l.stopped:
 	}
 }
@@ -326,13 +336,15 @@
 		case <-ctx.Done():
 		case <-ticker.C:
 		case q := <-l.queries:
+			began := time.Now()
 			q.run(l.machine)
 			close(q.done)
+			l.meter.spend(activityQuery, began)
 			continue
 		case ev := <-waveEvents:
 			l.waves.handle(ctx, ev)
 		case ev := <-l.events:
-			l.handle(ctx, ev)
+			l.handleEvent(ctx, ev)
 			l.handleQueued(ctx)
 		}
 		if l.waves != nil {
@@ -340,6 +352,7 @@
 		}
 		l.handle(ctx, flow.Tick{Wall: time.Now(), LeaseUnconfirmed: !l.leadership.LeaseConfirmed()})
 		l.longWaits.Update(int64(l.machine.LongWaits()))
+		l.meter.report(l.log, len(l.events))
 	}
 	l.longWaits.Update(0)
 	go l.discard()
@@ -370,7 +383,7 @@
 	for range maxEventsPerTick {
 		select {
 		case ev := <-l.events:
-			l.handle(ctx, ev)
+			l.handleEvent(ctx, ev)
 		default:
 			return
 		}
@@ -388,10 +401,22 @@
 	}
 }
 
+// handleEvent handles an event from the queue.
+func (l *loop) handleEvent(ctx context.Context, ev queuedEvent) {
+	l.meter.waited(ev)
+	l.handle(ctx, ev.event)
+}
+
 func (l *loop) handle(ctx context.Context, ev flow.Event) {
-	for _, e := range l.machine.Step(Now(), ev) {
+	began := time.Now()
+	effects := l.machine.Step(Now(), ev)
+	began = l.meter.spend(activityOf(ev), began)
+	for _, e := range effects {
 		l.perform(ctx, e)
 	}
+	if len(effects) > 0 {
+		l.meter.spend(activityOrders, began)
+	}
 }
 
 // perform executes an effect of the state machine. Every order checks the leadership again before it is sent, because
