--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -164,9 +164,9 @@
 // runs that disappeared from a worker without an end, Stalled runs without progress or with slow progress, Paced
 // changes of the speed of fillers, Copied copies of speculative tasks, Crashes workers whose process ended while they
 // had runs, Trials starts of tasks that are suspected of a crash, and GivenUp jobs that failed because a task crashes its
-// workers.
+// workers. Examined counts how often a worker was considered for a task, which is most of the work of placement.
 type Counts struct {
-	Starts, Refused, Lost, Done, Failed, Stopped, Vanished, Stalled, Paced, Copied, Crashes, Trials, GivenUp int64
+	Starts, Refused, Lost, Done, Failed, Stopped, Vanished, Stalled, Paced, Copied, Crashes, Trials, GivenUp, Examined int64
 }
 
 // New returns a scheduler that issues its orders under a fencing token.
--- a/coord/flow/overload_bench_test.go
+++ b/coord/flow/overload_bench_test.go
@@ -18,7 +18,7 @@
 	}
 }
 
-// overloadSim is a scheduler with busy workers on which each run takes runTime.
+// overloadSim is a scheduler with busy workers on which serving tasks run all the time, and any other run takes runTime.
 type overloadSim struct {
 	m         *flow.Machine
 	now       time.Time
@@ -28,6 +28,8 @@
 	workerIDs []fleet.WorkerID
 	jobs      int
 	started   []flow.Start
+	// serving holds the jobs whose tasks do not end.
+	serving map[fleet.JobID]bool
 }
 
 type busyRun struct {
@@ -36,7 +38,7 @@
 	startedAt time.Time
 }
 
-// runTime is the duration of each run of an [overloadSim], and reportInterval the interval between two reports of a
+// runTime is the duration of each run of an [overloadSim] that ends, and reportInterval the interval between two reports of a
 // worker.
 const (
 	runTime        = 2 * time.Second
@@ -59,19 +61,22 @@
 
 func (o *overloadSim) submit(queue string, steps ...infra.Step) {
 	o.jobs++
+	if steps[0].LongRunning {
+		o.serving[fleet.JobID(fmt.Sprintf("%016x", o.jobs))] = true
+	}
 	o.step(flow.Submitted{Job: infra.Job{ID: fleet.JobID(fmt.Sprintf("%016x", o.jobs)), Queue: queue, Spec: "s", Steps: steps}})
 }
 
 func (o *overloadSim) submitLoad(size int) {
-	for n := range size / 6 {
+	for n := range size / 4 {
 		o.submit("urgent", infra.Step{
-			Count: 6, Size: fleet.Resources{MilliCPU: 13000, MemoryBytes: 1 << 30}, LongRunning: true, Image: fmt.Sprintf("s%d", n%5),
+			Count: 14, Size: fleet.Resources{MilliCPU: 9000, MemoryBytes: 1 << 30}, LongRunning: true, Image: fmt.Sprintf("s%d", n%10),
 			TailTarget: 50 * time.Millisecond, Estimate: time.Hour,
 		})
 	}
 	for n := range 4 * size {
 		o.submit("batch", infra.Step{
-			Count: 20, Size: fleet.Resources{MilliCPU: 7000 + int64(n%9)*100, MemoryBytes: 1 << 30}, Filler: true, Image: fmt.Sprintf("f%d", n%9),
+			Count: 20, Size: fleet.Resources{MilliCPU: 7000 + int64(n%9)*100, MemoryBytes: 1 << 30}, Filler: true, Image: fmt.Sprintf("f%d", n%18),
 			Estimate: runTime,
 		})
 	}
@@ -105,8 +110,10 @@
 	r := infra.Report{Clock: o.now.UnixMilli()}
 	kept := o.runs[id][:0]
 	for _, b := range o.runs[id] {
-		if age := o.now.Sub(b.startedAt); age < runTime {
-			r.Running = append(r.Running, infra.ActiveRun{Task: b.task, Run: b.run, Progress: int(100 * age / runTime), Measurement: 30})
+		if age := o.now.Sub(b.startedAt); age < runTime || o.serving[b.task.Job] {
+			r.Running = append(r.Running, infra.ActiveRun{
+				Task: b.task, Run: b.run, Progress: int(min(100, 100*age/runTime)), Measurement: 25 + float64((b.task.Index*7+o.jobs)%20),
+			})
 			kept = append(kept, b)
 			continue
 		}
@@ -120,7 +127,7 @@
 func benchOverload(b *testing.B, size int) {
 	o := &overloadSim{
 		m: flow.New(7), now: time.Unix(1000, 0), seq: make(map[fleet.WorkerID]int64), ends: make(map[fleet.WorkerID]int64),
-		runs: make(map[fleet.WorkerID][]busyRun),
+		runs: make(map[fleet.WorkerID][]busyRun), serving: make(map[fleet.JobID]bool),
 	}
 	o.step(flow.Tick{Wall: o.now})
 	o.step(flow.Restored{})
--- a/coord/flow/place.go
+++ b/coord/flow/place.go
@@ -265,6 +265,7 @@
 	bestScore := 0.0
 	isolated, ignoresTrials := m.needsIsolation(r.step, t), m.ignoresTrials(r.step, t)
 	for _, w := range m.candidatesOf(r.queue.Service) {
+		m.counts.Examined++
 		if !m.fits(r, w, rack) || !w.accepts(m.now, isolated, ignoresTrials) {
 			continue
 		}
