flow: consider the workers once for all tasks of a step

Each task of a step went through all workers, and each round of placement through all workers for each size and image that waits, on a full fleet too.

Change: the workers that can take an ordinary task of a step are put in a heap once, and only the one that was chosen is rated again. A task that is larger than the largest room is not searched for.

--- a/coord/flow/approval.go
+++ b/coord/flow/approval.go
@@ -65,7 +65,7 @@
 		score float64
 	}
 	var candidates []candidate
-	for _, w := range m.candidatesOf(r.queue.Service) {
+	for _, w := range m.candidatesOf(r.queue.Service).workers {
 		_, denied := a.denied[w.ID]
 		if _, has := m.ticketFor(s, w); denied || has || !m.fitsWithoutPolicy(r, w) {
 			continue
--- a/coord/flow/crash.go
+++ b/coord/flow/crash.go
@@ -318,7 +318,7 @@
 	if m.now.Before(t.reservedUntil) {
 		return
 	}
-	candidates := m.candidatesOf(r.queue.Service)
+	candidates := m.candidatesOf(r.queue.Service).workers
 	reserved := 0
 	var best *worker
 	for _, w := range candidates {
--- a/coord/flow/examine_test.go
+++ b/coord/flow/examine_test.go
@@ -57,4 +57,3 @@
 	assert.Equal(t, h.m.Counts().Starts, int64(size))
 	assert.Assert(t, h.m.Counts().Examined == before, "%d workers were examined", h.m.Counts().Examined-before)
 }
-
--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -108,7 +108,9 @@
 	rankedAt      time.Time
 	unrankedSteps []*readyStep
 	// candidates caches, for one round of placement, the workers of each service that accept new tasks.
-	candidates map[string][]*worker
+	candidates map[string]*candidateSet
+	// rankedWorkers is the memory of the last [ranking].
+	rankedWorkers rankedWorkers
 	// unansweredStarts counts the starts without an answer.
 	unansweredStarts int
 	// scheduledJobs holds the jobs with occurrences that are not created yet.
@@ -183,7 +185,7 @@
 		roster:              make(map[fleet.WorkerID]string),
 		readySteps:          make(map[*step]*readyStep),
 
-		candidates:         make(map[string][]*worker),
+		candidates:         make(map[string]*candidateSet),
 		runTimes:           make(map[string]*runTimeModel),
 		scheduledJobs:      make(map[fleet.JobID]*job),
 		interferenceModels: make(map[string]*interferenceModel),
--- a/coord/flow/overload_bench_test.go
+++ b/coord/flow/overload_bench_test.go
@@ -28,6 +28,8 @@
 	workerIDs []fleet.WorkerID
 	jobs      int
 	started   []flow.Start
+	// arrivals is the number of quick jobs, and of batch jobs, that arrive in a second.
+	arrivals int
 	// serving holds the jobs whose tasks do not end.
 	serving map[fleet.JobID]bool
 }
@@ -67,13 +69,16 @@
 	o.step(flow.Submitted{Job: infra.Job{ID: fleet.JobID(fmt.Sprintf("%016x", o.jobs)), Queue: queue, Spec: "s", Steps: steps}})
 }
 
-func (o *overloadSim) submitLoad(size int) {
+func (o *overloadSim) submitServing(size int) {
 	for n := range size / 4 {
 		o.submit("urgent", infra.Step{
 			Count: 14, Size: fleet.Resources{MilliCPU: 9000, MemoryBytes: 1 << 30}, LongRunning: true, Image: fmt.Sprintf("s%d", n%10),
 			TailTarget: 50 * time.Millisecond, Estimate: time.Hour,
 		})
 	}
+}
+
+func (o *overloadSim) submitBacklog(size int) {
 	for n := range 4 * size {
 		o.submit("batch", infra.Step{
 			Count: 20, Size: fleet.Resources{MilliCPU: 7000 + int64(n%9)*100, MemoryBytes: 1 << 30}, Filler: true, Image: fmt.Sprintf("f%d", n%18),
@@ -82,6 +87,20 @@
 	}
 }
 
+// submitArrivals submits the jobs that arrive in one tick of a second.
+func (o *overloadSim) submitArrivals(tick int) {
+	if o.arrivals == 0 || tick%max(1, 100/o.arrivals) != 0 {
+		return
+	}
+	o.submit("urgent", infra.Step{Count: 10, Size: fleet.Resources{MilliCPU: 11000, MemoryBytes: 1 << 30}, Estimate: time.Second})
+	filler := infra.Step{
+		Count: 20, Size: fleet.Resources{MilliCPU: 7000, MemoryBytes: 1 << 30}, Filler: true, Image: fmt.Sprintf("f%d", o.jobs%18), Estimate: runTime,
+	}
+	second := filler
+	second.After = []int{0}
+	o.submit("batch", filler, second)
+}
+
 // runSecond simulates one second of ticks, starts, reports and urgent jobs.
 func (o *overloadSim) runSecond() {
 	const tick = 10 * time.Millisecond
@@ -90,6 +109,7 @@
 		if n%5 == 0 {
 			o.submit("urgent", infra.Step{Count: 6, Size: fleet.Resources{MilliCPU: 6300, MemoryBytes: 1 << 30}, Estimate: time.Second})
 		}
+		o.submitArrivals(n)
 		o.step(flow.Tick{Wall: o.now})
 		for _, s := range o.started {
 			id := s.To.Worker
@@ -124,7 +144,28 @@
 	o.step(flow.RenewAnswered{Worker: id, Sequence: o.seq[id], Report: r})
 }
 
+// BenchmarkSteadyLoad measures the processor time of one second of scheduling without a backlog: serving tasks, fillers
+// beside them, and new jobs that keep most of the workers busy.
+func BenchmarkSteadyLoad(b *testing.B) {
+	for _, size := range []int{66, 490} {
+		b.Run(fmt.Sprintf("workers=%d", size), func(b *testing.B) {
+			o := newOverloadSim(size)
+			o.submitServing(size)
+			o.arrivals = size / 25
+			o.measure(b)
+		})
+	}
+}
+
 func benchOverload(b *testing.B, size int) {
+	o := newOverloadSim(size)
+	o.submitServing(size)
+	o.submitBacklog(size)
+	o.measure(b)
+}
+
+// newOverloadSim returns a scheduler with a number of workers that have reported.
+func newOverloadSim(size int) *overloadSim {
 	o := &overloadSim{
 		m: flow.New(7), now: time.Unix(1000, 0), seq: make(map[fleet.WorkerID]int64), ends: make(map[fleet.WorkerID]int64),
 		runs: make(map[fleet.WorkerID][]busyRun), serving: make(map[fleet.JobID]bool),
@@ -149,7 +190,11 @@
 	for _, id := range o.workerIDs {
 		o.step(flow.RenewAnswered{Worker: id, Sequence: o.seq[id], Report: infra.Report{Clock: o.now.UnixMilli()}})
 	}
-	o.submitLoad(size)
+	return o
+}
+
+// measure measures seconds of the simulation, after some that warm it up.
+func (o *overloadSim) measure(b *testing.B) {
 	for range 3 {
 		o.runSecond()
 	}
--- a/coord/flow/place.go
+++ b/coord/flow/place.go
@@ -55,21 +55,36 @@
 	return true
 }
 
+// candidateSet holds the workers of a service that accept new tasks in this round of placement. maxFree and maxSpare are
+// upper bounds of their free resources and spare processor time, which only fall during a round.
+type candidateSet struct {
+	workers  []*worker
+	maxFree  fleet.Resources
+	maxSpare int64
+}
+
 // candidatesOf returns the workers of a service that accept new tasks in this round of placement.
-func (m *Machine) candidatesOf(service string) []*worker {
+func (m *Machine) candidatesOf(service string) *candidateSet {
 	if found, known := m.candidates[service]; known {
 		return found
 	}
-	var found []*worker
+	found := &candidateSet{}
 	for _, w := range m.workersByID {
 		if w.Service == service && w.usable(m.now) {
-			found = append(found, w)
+			found.workers = append(found.workers, w)
+			found.maxFree = found.maxFree.Max(w.free())
+			found.maxSpare = max(found.maxSpare, w.spareMilliCPU())
 		}
 	}
 	m.candidates[service] = found
 	return found
 }
 
+// mayFit reports whether a task of a step could fit on a worker by its size alone.
+func (c *candidateSet) mayFit(s *infra.Step) bool {
+	return s.Reserved().Fits(c.maxFree) && (!s.Filler || s.Size.MilliCPU <= c.maxSpare)
+}
+
 // unplaceableShape is the size of an unconstrained task that no worker could take in this round of placement.
 type unplaceableShape struct {
 	service string
@@ -112,6 +127,8 @@
 	if r.queue.ApprovalCost == nil && m.isUnplaceable(r) {
 		return
 	}
+	ordinary := ranking{workers: m.rankedWorkers[:0]}
+	defer func() { m.rankedWorkers = ordinary.workers[:0] }()
 	for i := s.firstWaiting; i < len(s.tasks) && s.waiting > 0; i++ {
 		t := &s.tasks[i]
 		if t.phase != waiting {
@@ -132,7 +149,13 @@
 		if !m.mayStart(s, t) {
 			continue
 		}
-		w := m.pickWorker(r, t)
+		var w *worker
+		if t.isOrdinary() && s.spec.DataRack == "" && (ordinary.built || s.waiting > 1) {
+			w = ordinary.best(m, r)
+		} else {
+			w = m.pickWorker(r, t)
+			ordinary.reset()
+		}
 		if w == nil {
 			if r.queue.ApprovalCost != nil {
 				m.requestApproval(r)
@@ -152,6 +175,7 @@
 			continue
 		}
 		m.start(r, i, w, t.lastRun+1)
+		ordinary.stale = true
 		if m.unansweredStarts >= maxUnansweredStarts {
 			break
 		}
@@ -263,8 +287,12 @@
 func (m *Machine) bestWorker(r *readyStep, t *task, rack string) *worker {
 	var best *worker
 	bestScore := 0.0
+	candidates := m.candidatesOf(r.queue.Service)
+	if !candidates.mayFit(&r.step.spec) {
+		return nil
+	}
 	isolated, ignoresTrials := m.needsIsolation(r.step, t), m.ignoresTrials(r.step, t)
-	for _, w := range m.candidatesOf(r.queue.Service) {
+	for _, w := range candidates.workers {
 		m.counts.Examined++
 		if !m.fits(r, w, rack) || !w.accepts(m.now, isolated, ignoresTrials) {
 			continue
