--- a/coord/flow/colocation.go
+++ b/coord/flow/colocation.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"strconv"
 	"time"
 
@@ -321,8 +322,9 @@
 // raiseSpeeds raises the speed of slowed fillers, in the order of their tasks, as far as the serving tasks tolerate it.
 // It reports whether it has raised any.
 func (m *Machine) raiseSpeeds(w *worker) bool {
-	if !w.listed {
-		// The cost of a filler is unknown, because it is relative to the capacity.
+	isSlowed := func(r *run) bool { return r.fillerCPU > 0 && r.speedPercent < fullSpeedPercent }
+	// The cost of a filler is relative to the capacity, which is unknown until the worker is listed.
+	if !w.listed || !slices.ContainsFunc(w.runsByTask, isSlowed) {
 		return false
 	}
 	raised := false
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -323,9 +323,8 @@
 
 // reconcileRuns compares the runs that a worker reports with those that it should run.
 func (m *Machine) reconcileRuns(w *worker, report infra.Report) {
-	present := make(map[infra.TaskID]bool, len(report.Running))
+	w.reports++
 	for _, row := range report.Running {
-		present[row.Task] = true
 		r := w.runs[row.Task]
 		if r == nil || r.number != row.Run {
 			m.adopt(w, row, report.Clock)
@@ -333,8 +332,12 @@
 		}
 		m.updateRun(r, row, report.Clock)
 	}
+	isMissing := func(r *run) bool { return r.lastReport != w.reports && r.state != fencing }
+	if !slices.ContainsFunc(w.runsByTask, isMissing) {
+		return
+	}
 	for _, r := range w.sortedRuns() {
-		if present[r.id] || r.state == fencing {
+		if !isMissing(r) {
 			continue
 		}
 		switch {
@@ -352,6 +355,7 @@
 
 // updateRun updates a run from its entry in a report.
 func (m *Machine) updateRun(r *run, row infra.ActiveRun, clock int64) {
+	r.lastReport = r.worker.reports
 	if r.state == starting || r.state == fencing {
 		r.state = running
 	}
@@ -376,11 +380,13 @@
 func (m *Machine) adopt(w *worker, row infra.ActiveRun, clock int64) {
 	s, t := m.lookupTask(row.Task)
 	r := &run{
-		id: row.Task, number: row.Run, worker: w, state: running, startedAt: m.now, measuredPercent: row.Progress, measuredAt: m.now,
+		lastReport: w.reports,
+		id:         row.Task, number: row.Run, worker: w, state: running, startedAt: m.now, measuredPercent: row.Progress, measuredAt: m.now,
 		confirmedClock: clock, listedClock: clock, firstClock: clock, percent: row.Progress, measurement: row.Measurement, speedPercent: fullSpeedPercent,
 		excludeRunTime: true,
 	}
 	if old := w.runs[row.Task]; old != nil {
+		old.lastReport = w.reports
 		if old.number > row.Run {
 			m.emit(Stop{To: w.address(), Order: infra.StopOrder{Task: row.Task, Run: row.Run, Token: m.token}})
 			return
--- a/coord/flow/speed.go
+++ b/coord/flow/speed.go
@@ -28,6 +28,8 @@
 	// its speed returns to 1.
 	minNormalSpeed = 0.5
 	speedRecovery  = 6 * time.Second
+	// speedDecayInterval is the interval of this return, a small part of speedRecovery.
+	speedDecayInterval = 100 * time.Millisecond
 	// minMoveSpeedup is the factor by which moving a task from a slow worker must at least shorten its remaining
 	// time.
 	minMoveSpeedup = 1.6
@@ -118,6 +120,9 @@
 	if w.speedAt.IsZero() {
 		w.speedAt = now
 	}
+	if now.Sub(w.speedAt) < speedDecayInterval {
+		return
+	}
 	factor := math.Exp(-float64(now.Sub(w.speedAt)) / float64(speedRecovery))
 	w.speedAt = now
 	w.speed = 1 + (w.speed-1)*factor
--- a/coord/flow/sweep.go
+++ b/coord/flow/sweep.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"slices"
 	"time"
 )
 
@@ -62,6 +63,16 @@
 	m.probeTrial(w)
 	m.evacuate(w)
 	w.decaySpeed(m.now)
+	if slices.ContainsFunc(w.runsByTask, func(r *run) bool { return r.state == stopping || r.state == fencing }) {
+		m.repeatStops(w)
+	}
+	if !w.listed && len(w.runs) == 0 && !w.renewalInFlight && !m.isUnreconciled(w) {
+		m.removeWorker(w)
+	}
+}
+
+// repeatStops sends the stops that are due again, and gives up starts that can no longer be carried out.
+func (m *Machine) repeatStops(w *worker) {
 	for _, r := range w.sortedRuns() {
 		if r.state == stopping && !m.now.Before(r.nextStop) {
 			m.sendStop(r)
@@ -72,9 +83,6 @@
 			m.sendStop(r)
 		}
 	}
-	if !w.listed && len(w.runs) == 0 && !w.renewalInFlight && !m.isUnreconciled(w) {
-		m.removeWorker(w)
-	}
 }
 
 func (m *Machine) isUnreconciled(w *worker) bool {
--- a/coord/flow/worker.go
+++ b/coord/flow/worker.go
@@ -59,6 +59,8 @@
 	confirmedClock int64
 	// listedClock is the worker clock of the last report that listed the run.
 	listedClock int64
+	// lastReport is the number of the last report of the worker that listed the run.
+	lastReport int64
 	// firstClock is the earliest worker clock at which the run is known to have existed, 0 if it may never have started.
 	firstClock int64
 	// sound is set once the run has lasted for soundRunTime.
@@ -148,6 +150,8 @@
 	// runsByTask is sorted by task, so that iteration is deterministic.
 	runsByTask []*run
 
+	// reports is the number of reports so far.
+	reports int64
 	// seenEnd is the number of the last reported end, and durableEnd that of the last end whose effects are durable.
 	seenEnd    int64
 	durableEnd int64
