flow: learn interference with numbered images in place of maps

Change: filler images are numbered, shares are short lists and the observations of a step are summed in memory that is kept.

--- a/coord/flow/colocation.go
+++ b/coord/flow/colocation.go
@@ -97,7 +97,7 @@
 	}
 	w.updateLaggedLoad(m.now)
 	shares := w.shares(w.laggedLoad)
-	for _, r := range w.sortedRuns() {
+	for _, r := range w.runsByTask {
 		if !r.isServing() || r.measurement <= 0 || m.now.Sub(r.startedAt) < latencySettleTime {
 			continue
 		}
@@ -110,16 +110,17 @@
 			r.step.load = newLoadModel(m.now)
 		}
 		r.observation = observation{at: m.now, headroom: headroom, shares: shares}
-		others, alone := m.comparable(r)
-		m.interferenceOf(r.step.spec.Image).learn(m.now, r.step.load, r.observation, others, alone)
+		alone := m.collectReference(r)
+		m.interferenceOf(r.step.spec.Image).learn(m.now, r.step.load, r.observation, &m.reference, alone)
 		m.updateHeadroom(r, headroom)
 	}
 }
 
-// comparable returns the recent observations of other tasks of a run's step on other workers. alone reports whether
-// there are no such tasks.
-func (m *Machine) comparable(r *run) (recent []observation, alone bool) {
+// collectReference collects in m.reference the recent observations of other tasks of a run's step on other workers. alone
+// reports whether there are no such tasks.
+func (m *Machine) collectReference(r *run) (alone bool) {
 	alone = true
+	m.reference.reset()
 	for i := range r.step.tasks {
 		for _, other := range r.step.tasks[i].runs {
 			if other.worker == r.worker {
@@ -127,11 +128,11 @@
 			}
 			alone = false
 			if m.now.Sub(other.observation.at) <= comparisonWindow && !other.observation.saturated() {
-				recent = append(recent, other.observation)
+				m.reference.add(other.observation)
 			}
 		}
 	}
-	return recent, alone
+	return alone
 }
 
 // updateHeadroom adds a measured headroom to the smoothed one, and updates since when the target is missed.
@@ -152,32 +153,29 @@
 func (w *worker) updateLaggedLoad(now time.Time) {
 	factor := math.Exp(-float64(now.Sub(w.laggedAt)) / float64(latencyLag))
 	w.laggedAt = now
-	for image, load := range w.laggedLoad {
-		w.laggedLoad[image] = load * factor
-		if w.laggedLoad[image] < loadEpsilon {
-			delete(w.laggedLoad, image)
-		}
+	for i := range w.laggedLoad {
+		w.laggedLoad[i].amount *= factor
 	}
-	for image, load := range w.fillerLoad {
-		w.laggedLoad[image] += load * (1 - factor)
+	w.laggedLoad = slices.DeleteFunc(w.laggedLoad, func(x imageAmount) bool { return x.amount < loadEpsilon })
+	for _, l := range w.fillerLoad {
+		w.laggedLoad.add(l.image, l.amount*(1-factor), 0)
 	}
 }
 
 // shares returns loads as fractions of the worker's capacity.
-func (w *worker) shares(loads map[string]float64) map[string]float64 {
-	shares := make(map[string]float64, len(loads))
-	for image, load := range loads {
-		shares[image] = w.shareOf(load)
+func (w *worker) shares(loads imageAmounts) imageAmounts {
+	shares := slices.Clone(loads)
+	for i := range shares {
+		shares[i].amount = w.shareOf(shares[i].amount)
 	}
 	return shares
 }
 
-// headroomLoss returns the headroom that the fillers of a worker take from the tasks of a serving image. It is called
-// for each worker and placement, so it looks up each image only once.
+// headroomLoss returns the headroom that the fillers of a worker take from the tasks of a serving image.
 func (w *worker) headroomLoss(model *interferenceModel) float64 {
 	loss := 0.0
-	for image, load := range w.fillerLoad {
-		loss += model.headroomCost(image) * load
+	for _, l := range w.fillerLoad {
+		loss += model.headroomCost(l.image) * l.amount
 	}
 	return w.shareOf(loss)
 }
@@ -232,9 +230,9 @@
 	if len(w.servingSteps) == 0 {
 		return true
 	}
-	share := w.share(filler.Size.MilliCPU)
+	image, share := m.fillerImages.of(filler.Image), w.share(filler.Size.MilliCPU)
 	for _, b := range m.headroomBudgets(w) {
-		if b.model.headroomCost(filler.Image)*share > b.headroom {
+		if b.model.headroomCost(image)*share > b.headroom {
 			return false
 		}
 	}
@@ -247,9 +245,9 @@
 		return 0
 	}
 	worst := 0.0
-	share := w.share(filler.Size.MilliCPU)
+	image, share := m.fillerImages.of(filler.Image), w.share(filler.Size.MilliCPU)
 	for _, b := range m.headroomBudgets(w) {
-		worst = max(worst, b.model.headroomCost(filler.Image)*share)
+		worst = max(worst, b.model.headroomCost(image)*share)
 	}
 	return worst
 }
@@ -334,7 +332,7 @@
 		}
 		increase := 1.0
 		for _, b := range m.headroomBudgets(w) {
-			if cost := b.model.headroomCost(r.step.spec.Image) * w.share(r.fillerCPU); cost > 0 {
+			if cost := b.model.headroomCost(r.fillerImage) * w.share(r.fillerCPU); cost > 0 {
 				increase = min(increase, b.headroom/cost)
 			}
 		}
--- a/coord/flow/interference.go
+++ b/coord/flow/interference.go
@@ -1,7 +1,6 @@
 package flow
 
 import (
-	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -97,54 +96,97 @@
 	return l.headroom + l.trend*min(1, now.Sub(l.updatedAt).Seconds())
 }
 
-// interferenceModel holds the weights of all filler images for one serving image, with their covariance.
+// imageIndex numbers the images of fillers. Images beyond maxPairs share the last number.
+type imageIndex struct {
+	numbers map[string]int
+	names   []string
+}
+
+// of returns the number of an image.
+func (x *imageIndex) of(image string) int {
+	if n, known := x.numbers[image]; known {
+		return n
+	}
+	if len(x.names) >= maxPairs {
+		return maxPairs - 1
+	}
+	n := len(x.names)
+	x.numbers[image] = n
+	x.names = append(x.names, image)
+	return n
+}
+
+// imageAmount is an amount of something that belongs to a filler image, such as processor time.
+type imageAmount struct {
+	image  int
+	amount float64
+}
+
+// imageAmounts holds an amount for each of a few images.
+type imageAmounts []imageAmount
+
+// add adds to the amount of an image, and removes it if less than a threshold is left.
+func (a *imageAmounts) add(image int, amount, threshold float64) {
+	at := slices.IndexFunc(*a, func(x imageAmount) bool { return x.image == image })
+	if at < 0 {
+		at = len(*a)
+		*a = append(*a, imageAmount{image: image})
+	}
+	(*a)[at].amount += amount
+	if (*a)[at].amount < threshold {
+		*a = slices.Delete(*a, at, at+1)
+	}
+}
+
+// interferenceModel holds the weights of all filler images for one serving image, with their covariance, by the number of
+// the filler image.
 type interferenceModel struct {
-	index      map[string]int
 	weights    []float64
 	covariance [][]float64
-	updatedAt  time.Time
+	// known marks the filler images that were seen with the serving image.
+	known     []bool
+	updatedAt time.Time
 	// lowHeadroom is a low quantile of the headroom without fillers, to which the load is expected to return.
 	lowHeadroom float64
+	// difference and gain are the memory of [interferenceModel.compare].
+	difference, gain []float64
 }
 
 func newInterferenceModel(now time.Time) *interferenceModel {
-	return &interferenceModel{index: make(map[string]int), updatedAt: now, lowHeadroom: initialHeadroom}
+	return &interferenceModel{updatedAt: now, lowHeadroom: initialHeadroom}
 }
 
-// imageIndex returns the index of a filler image and adds it if it is new. Images beyond maxPairs share the last
-// index.
-func (im *interferenceModel) imageIndex(image string) int {
-	if i, known := im.index[image]; known {
-		return i
-	}
-	if len(im.weights) >= maxPairs {
-		return maxPairs - 1
-	}
-	i := len(im.weights)
-	im.index[image] = i
-	im.weights = append(im.weights, priorWeight)
-	for n := range im.covariance {
-		im.covariance[n] = append(im.covariance[n], 0)
+// see adds the filler images up to a number, and marks it as known.
+func (im *interferenceModel) see(image int) {
+	for len(im.weights) <= image {
+		i := len(im.weights)
+		im.weights, im.known = append(im.weights, priorWeight), append(im.known, false)
+		im.difference, im.gain = append(im.difference, 0), append(im.gain, 0)
+		for n := range im.covariance {
+			im.covariance[n] = append(im.covariance[n], 0)
+		}
+		row := make([]float64, i+1)
+		row[i] = priorWeightVariance
+		im.covariance = append(im.covariance, row)
 	}
-	row := make([]float64, i+1)
-	row[i] = priorWeightVariance
-	im.covariance = append(im.covariance, row)
-	return i
+	im.known[image] = true
 }
 
 // headroomCost returns the headroom that a filler image takes at a share of 1, plus a margin for the uncertainty of its
 // weight.
-func (im *interferenceModel) headroomCost(image string) float64 {
-	i := im.imageIndex(image)
-	return max(0, im.weights[i]+cautionDeviations*math.Sqrt(max(0, im.covariance[i][i])))
+func (im *interferenceModel) headroomCost(image int) float64 {
+	if image >= len(im.weights) || !im.known[image] {
+		im.see(image)
+	}
+	return max(0, im.weights[image]+cautionDeviations*math.Sqrt(max(0, im.covariance[image][image])))
 }
 
 // meanDifference returns the mean difference between the weights of the filler images that both models contain.
 func (im *interferenceModel) meanDifference(other *interferenceModel) float64 {
 	sum, known := 0.0, 0
-	for image, i := range im.index {
-		if j, found := other.index[image]; found {
-			sum += math.Abs(im.weights[i] - other.weights[j])
+	for i := range min(len(im.weights), len(other.weights)) {
+		if im.known[i] && other.known[i] {
+			sum += math.Abs(im.weights[i] - other.weights[i])
 			known++
 		}
 	}
@@ -161,7 +203,7 @@
 type observation struct {
 	at       time.Time
 	headroom float64
-	shares   map[string]float64
+	shares   imageAmounts
 }
 
 // variance returns the variance of the observed headroom for a relative standard error.
@@ -172,39 +214,55 @@
 
 func (o observation) saturated() bool { return o.headroom < saturatedHeadroom }
 
-// reference is the headroom, its variance and the mean filler shares with which an observation is compared.
+// reference is the mean headroom of observations, its variance and their mean filler shares, with which another
+// observation is compared. The sums are divided by their number in [reference.mean].
 type reference struct {
+	number             int
 	headroom, variance float64
-	shares             map[string]float64
+	shares             []float64
 }
 
-// meanOf returns the mean of observations. It must not be called without any.
-func meanOf(observations []observation) reference {
-	n := float64(len(observations))
-	mean := reference{shares: make(map[string]float64)}
-	for _, o := range observations {
-		mean.headroom += o.headroom / n
-		mean.variance += o.variance(comparisonNoise) / (n * n)
-		for image, share := range o.shares {
-			mean.shares[image] += share / n
+func (f *reference) reset() {
+	*f = reference{shares: f.shares[:0]}
+}
+
+func (f *reference) add(o observation) {
+	f.number++
+	f.headroom += o.headroom
+	f.variance += o.variance(comparisonNoise)
+	for _, s := range o.shares {
+		for len(f.shares) <= s.image {
+			f.shares = append(f.shares, 0)
 		}
+		f.shares[s.image] += s.amount
+	}
+}
+
+// mean turns the sums into means. It must be called once, after at least one observation was added.
+func (f *reference) mean() {
+	n := float64(f.number)
+	f.headroom /= n
+	f.variance /= n * n
+	for i := range f.shares {
+		f.shares[i] /= n
 	}
-	return mean
 }
 
 // learn updates the load model of a step and the weights of its image from an observation of one of its tasks. The
 // tasks of a step have the same load, so the difference to the mean of the others is due to their fillers. If the step
 // has no other tasks, the observation is compared with the load that the model predicts; that is less reliable, because
 // an error of the load then appears as interference.
-func (im *interferenceModel) learn(now time.Time, load *loadModel, o observation, others []observation, alone bool) {
+func (im *interferenceModel) learn(now time.Time, load *loadModel, o observation, others *reference, alone bool) {
 	im.addDrift(now)
 	load.advance(now)
-	own := im.vector(o.shares)
+	for _, s := range o.shares {
+		im.see(s.image)
+	}
 	expected, variance := load.headroom, o.variance(reportNoise)+load.covariance[0][0]
-	for i := range own {
-		expected -= im.weights[i] * own[i]
-		for j := range own {
-			variance += own[i] * im.covariance[i][j] * own[j]
+	for _, s := range o.shares {
+		expected -= im.weights[s.image] * s.amount
+		for _, t := range o.shares {
+			variance += s.amount * im.covariance[s.image][t.image] * t.amount
 		}
 	}
 	if o.saturated() {
@@ -214,10 +272,11 @@
 		return
 	}
 	switch {
-	case len(others) > 0:
-		im.compare(o, meanOf(others))
+	case others.number > 0:
+		others.mean()
+		im.compare(o, others)
 	case alone:
-		im.compare(o, reference{headroom: load.headroom, variance: load.covariance[0][0]})
+		im.compare(o, &reference{headroom: load.headroom, variance: load.covariance[0][0]})
 	}
 	load.correct(o.headroom-expected, variance)
 	if load.headroom < im.lowHeadroom {
@@ -228,42 +287,44 @@
 }
 
 // compare corrects the weights from the difference between an observation and a reference.
-func (im *interferenceModel) compare(o observation, against reference) {
-	difference := maps.Clone(o.shares)
-	for image, share := range against.shares {
-		difference[image] -= share
+func (im *interferenceModel) compare(o observation, against *reference) {
+	for i, share := range against.shares {
+		if share != 0 {
+			im.see(i)
+		}
+	}
+	x, gain := im.difference, im.gain
+	clear(x)
+	for _, s := range o.shares {
+		x[s.image] += s.amount
+	}
+	for i, share := range against.shares {
+		if share != 0 {
+			x[i] -= share
+		}
 	}
-	x := im.vector(difference)
 	residual := o.headroom - against.headroom
 	variance := o.variance(comparisonNoise) + against.variance
-	gain := make([]float64, len(x))
 	for i := range x {
 		residual += im.weights[i] * x[i]
-		for j := range x {
-			gain[i] += im.covariance[i][j] * x[j]
+		gain[i] = 0
+		for j, covariance := range im.covariance[i] {
+			gain[i] += covariance * x[j]
 		}
 		variance += gain[i] * x[i]
 	}
 	for i := range x {
+		if gain[i] == 0 {
+			continue
+		}
 		im.weights[i] = max(0, im.weights[i]-gain[i]/variance*residual)
-		for j := range x {
-			im.covariance[i][j] -= gain[i] * gain[j] / variance
+		row := im.covariance[i]
+		for j := range row {
+			row[j] -= gain[i] * gain[j] / variance
 		}
 	}
 }
 
-// vector returns shares in the order of the weights, and adds the images that are new.
-func (im *interferenceModel) vector(shares map[string]float64) []float64 {
-	for image := range shares {
-		im.imageIndex(image)
-	}
-	x := make([]float64, len(im.weights))
-	for image, share := range shares {
-		x[im.imageIndex(image)] += share
-	}
-	return x
-}
-
 // addDrift increases the uncertainty of the weights with time.
 func (im *interferenceModel) addDrift(now time.Time) {
 	elapsed := now.Sub(im.updatedAt).Seconds()
@@ -300,9 +361,11 @@
 func (m *Machine) interferenceRecords() []InterferenceRecord {
 	records := make([]InterferenceRecord, 0, len(m.interferenceModels))
 	for image, im := range m.interferenceModels {
-		r := InterferenceRecord{Image: image, Pairs: make([]PairWeightRecord, 0, len(im.index))}
-		for filler, i := range im.index {
-			r.Pairs = append(r.Pairs, PairWeightRecord{Image: filler, Weight: im.weights[i], Variance: im.covariance[i][i]})
+		r := InterferenceRecord{Image: image, Pairs: make([]PairWeightRecord, 0, len(im.weights))}
+		for i, weight := range im.weights {
+			if im.known[i] {
+				r.Pairs = append(r.Pairs, PairWeightRecord{Image: m.fillerImages.names[i], Weight: weight, Variance: im.covariance[i][i]})
+			}
 		}
 		slices.SortFunc(r.Pairs, func(a, b PairWeightRecord) int { return strings.Compare(a.Image, b.Image) })
 		records = append(records, r)
@@ -311,11 +374,12 @@
 	return records
 }
 
-// model returns an interference model that starts from stored weights.
-func (r InterferenceRecord) model(now time.Time) *interferenceModel {
-	im := newInterferenceModel(now)
+// restoreInterference returns an interference model that starts from stored weights.
+func (m *Machine) restoreInterference(r InterferenceRecord) *interferenceModel {
+	im := newInterferenceModel(m.now)
 	for _, p := range r.Pairs {
-		i := im.imageIndex(p.Image)
+		i := m.fillerImages.of(p.Image)
+		im.see(i)
 		im.weights[i] = priorWeight + restoredWeightShare*(p.Weight-priorWeight)
 		im.covariance[i][i] = min(priorWeightVariance, p.Variance+restoredVariance)
 	}
--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -144,7 +144,10 @@
 	placedAt           time.Time
 	summarizedAt       time.Time
 	interferenceModels map[string]*interferenceModel
-	lateStarts         map[fleet.WorkerID][]lateStart
+	fillerImages       imageIndex
+	// reference is the memory of [Machine.collectReference].
+	reference  reference
+	lateStarts map[fleet.WorkerID][]lateStart
 	// earlyCancels are the cancellations of jobs that are not known yet.
 	earlyCancels map[fleet.JobID]struct{}
 	// recentCrashes are the crashes without a suspect that was suspected before.
@@ -189,6 +192,7 @@
 		runTimes:           make(map[string]*runTimeModel),
 		scheduledJobs:      make(map[fleet.JobID]*job),
 		interferenceModels: make(map[string]*interferenceModel),
+		fillerImages:       imageIndex{numbers: make(map[string]int)},
 		lateStarts:         make(map[fleet.WorkerID][]lateStart),
 		earlyCancels:       make(map[fleet.JobID]struct{}),
 		silenced:           make(map[fleet.WorkerID]silencedWorker),
@@ -294,7 +298,7 @@
 		}
 	}
 	for _, r := range ev.Interference {
-		m.interferenceModels[r.Image] = r.model(m.now)
+		m.interferenceModels[r.Image] = m.restoreInterference(r)
 	}
 	for _, e := range ev.Roster {
 		m.roster[e.Worker] = e.Address
--- a/coord/flow/place.go
+++ b/coord/flow/place.go
@@ -426,7 +426,7 @@
 		startedAt: m.now, measuredAt: m.now, speedPercent: fullSpeedPercent, excludeRunTime: t.checkpoint != "",
 	}
 	if s.spec.Filler {
-		newRun.fillerCPU = s.spec.Size.MilliCPU
+		newRun.fillerCPU, newRun.fillerImage = s.spec.Size.MilliCPU, m.fillerImages.of(s.spec.Image)
 	}
 	m.beginTrial(newRun, t)
 	newRun.deadline = w.maxClock(m.now) + startWindow.Milliseconds()
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -402,7 +402,7 @@
 	o := m.jobs[row.Task.Job].occurrences[row.Task.Occurrence]
 	r.step, r.occ, r.size = s, o, s.spec.Reserved()
 	if s.spec.Filler {
-		r.fillerCPU = s.spec.Size.MilliCPU
+		r.fillerCPU, r.fillerImage = s.spec.Size.MilliCPU, m.fillerImages.of(s.spec.Image)
 	}
 	t.lastRun = max(t.lastRun, row.Run)
 	t.located = t.located || m.now.After(m.predecessorEnd)
--- a/coord/flow/view.go
+++ b/coord/flow/view.go
@@ -139,8 +139,8 @@
 // totalFillerLoad returns the load of all fillers of a worker in thousandths of a core.
 func (w *worker) totalFillerLoad() int64 {
 	sum := 0.0
-	for _, load := range w.fillerLoad {
-		sum += load
+	for _, l := range w.fillerLoad {
+		sum += l.amount
 	}
 	return int64(math.Round(sum))
 }
--- a/coord/flow/worker.go
+++ b/coord/flow/worker.go
@@ -43,7 +43,9 @@
 	size   fleet.Resources
 	// sizeUnknown marks a run of an unknown job, which may hold all resources of its worker.
 	sizeUnknown bool
+	// fillerCPU is the processor time that a filler requests at full speed, and fillerImage the number of its image.
 	fillerCPU   int64
+	fillerImage int
 	startedAt   time.Time
 	percent     int
 	// measuredPercent is the progress at the last measurement, at measuredAt, and stalledFor how long there has been
@@ -136,8 +138,8 @@
 	// fillerLoad is the processor time that fillers request at their current speed, by image. laggedLoad is its
 	// low-pass filtered value, which the reported tail latencies reflect. Both are in thousandths of a core, because
 	// the capacity of a worker is unknown until it is listed.
-	fillerLoad map[string]float64
-	laggedLoad map[string]float64
+	fillerLoad imageAmounts
+	laggedLoad imageAmounts
 	laggedAt   time.Time
 	runs       map[infra.TaskID]*run
 	// trial is the run of a suspect task that is not sound yet; the worker takes no other tasks meanwhile. lastStart is
@@ -279,11 +281,7 @@
 	if r.fillerCPU > 0 {
 		w.updateLaggedLoad(now)
 		w.fillerCPU += int64(sign) * r.fillerCPU
-		image := r.step.spec.Image
-		w.fillerLoad[image] += float64(sign) * float64(r.fillerCPU) * r.speedFraction()
-		if w.fillerLoad[image] < loadEpsilon {
-			delete(w.fillerLoad, image)
-		}
+		w.fillerLoad.add(r.fillerImage, float64(sign)*float64(r.fillerCPU)*r.speedFraction(), loadEpsilon)
 	}
 	if r.isServing() {
 		image := r.step.spec.Image
--- a/coord/flow/worker_lifecycle.go
+++ b/coord/flow/worker_lifecycle.go
@@ -16,7 +16,7 @@
 	w := &worker{
 		Worker: info, runs: make(map[infra.TaskID]*run), reachable: true, speed: 1, decayedAt: m.now,
 		servingSteps: make(map[*step]int), servingImages: make(map[string]int), failures: make(map[fleet.JobID]float64),
-		fillerLoad: make(map[string]float64), laggedLoad: make(map[string]float64), laggedAt: m.now,
+		laggedAt: m.now,
 	}
 	m.workers[info.ID] = w
 	at := len(m.workersByID)
