flow: search again only on workers that have changed

Cause: each end of a run and each heartbeat of a worker led to a round of placement in which every waiting step considered every worker again.

A registration that is only renewed leads to no round.

--- a/coord/flow/answer.go
+++ b/coord/flow/answer.go
@@ -80,7 +80,7 @@
 	m.emit(Log{Text: "task not started", Task: r.id, Run: r.number, Worker: r.worker.ID, Reason: reason})
 	m.releaseRun(r)
 	m.requeue(r, r.worker.ID)
-	m.placementDue = true
+	m.searchAgain()
 }
 
 func (m *Machine) stop(r *run, reason string) {
--- a/coord/flow/approval.go
+++ b/coord/flow/approval.go
@@ -92,7 +92,7 @@
 // approvalAnswered applies an answer of the policy service.
 func (m *Machine) approvalAnswered(ev ApprovalAnswered) {
 	m.approvalsInFlight--
-	m.placementDue = true
+	m.searchAgain()
 	s, _ := m.lookupTask(infra.TaskID{Job: ev.Step.Job, Occurrence: ev.Step.Occurrence, Step: ev.Step.Step})
 	if s == nil || s.approval == nil {
 		return
--- a/coord/flow/crash.go
+++ b/coord/flow/crash.go
@@ -76,7 +76,7 @@
 	r.sound = true
 	if r.worker.trial == r {
 		r.worker.trial = nil
-		m.placementDue = true
+		m.searchAgain()
 	}
 	s, t := m.lookupTask(r.id)
 	if t == nil || r.step == nil {
@@ -84,7 +84,7 @@
 	}
 	if s.crashes > 0 {
 		s.crashes = 0
-		m.placementDue = true
+		m.searchAgain()
 	}
 	if t.crashes == 0 {
 		return
--- a/coord/flow/evacuation.go
+++ b/coord/flow/evacuation.go
@@ -34,7 +34,7 @@
 	}
 	m.emit(Log{Text: "worker uncordoned", Worker: id})
 	w.cordoned, w.evacuationReported, w.leavesAt = false, false, time.Time{}
-	m.placementDue = true
+	m.searchAgain()
 }
 
 // reportEvacuated reports that the machine of a cordoned worker may be taken down. That is the case when the worker
--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -125,14 +125,20 @@
 	batchJobs    []batchJob
 	batchRoster  []fleet.WorkerID
 	// dirtySeq is the sequence number of the last entry of dirtyJobs, and savedSeq that of the last entry that is durable.
-	dirtySeq          int64
-	savedSeq          int64
-	finishedJobs      []*job
-	now               time.Time
-	wall              time.Time
-	wallAt            time.Time
-	effects           []Effect
-	placementDue      bool
+	dirtySeq     int64
+	savedSeq     int64
+	finishedJobs []*job
+	now          time.Time
+	wall         time.Time
+	wallAt       time.Time
+	effects      []Effect
+	placementDue bool
+	// round counts the rounds of placement and searchEpoch the [search] epochs. searchedAt is when the present epoch began,
+	// and searchDue is set if the next round must begin another one.
+	round             int64
+	searchEpoch       int64
+	searchedAt        time.Time
+	searchDue         bool
 	unplaceableShapes []unplaceableShape
 	// interferenceDirty is set when the interference models have to be stored; interferenceSavedAt is when they were
 	// last stored.
@@ -314,7 +320,7 @@
 	m.predecessorLeaseEnd = m.now.Add(m.opts.predecessorLease)
 	m.predecessorEnd = m.now.Add(m.opts.leadershipTimeout)
 	m.restored = true
-	m.placementDue = true
+	m.searchAgain()
 }
 
 // predecessorStopped shortens the wait for unreachable workers to one task lease from now.
--- a/coord/flow/place.go
+++ b/coord/flow/place.go
@@ -23,6 +23,11 @@
 	if !m.restored || m.catalog == nil {
 		return
 	}
+	m.round++
+	if m.searchDue || m.now.Sub(m.searchedAt) >= placeRetryInterval {
+		m.searchDue, m.searchedAt = false, m.now
+		m.searchEpoch++
+	}
 	m.rankReady()
 	m.unplaceableShapes = m.unplaceableShapes[:0]
 	clear(m.candidates)
@@ -125,6 +130,7 @@
 func (m *Machine) placeStep(r *readyStep) {
 	s := r.step
 	if r.queue.ApprovalCost == nil && m.isUnplaceable(r) {
+		r.searched = m.currentSearch()
 		return
 	}
 	ordinary := ranking{workers: m.rankedWorkers[:0]}
@@ -150,7 +156,7 @@
 			continue
 		}
 		var w *worker
-		if t.isOrdinary() && s.spec.DataRack == "" && (ordinary.built || s.waiting > 1) {
+		if t.isOrdinary() && s.spec.DataRack == "" {
 			w = ordinary.best(m, r)
 		} else {
 			w = m.pickWorker(r, t)
--- a/coord/flow/rank.go
+++ b/coord/flow/rank.go
@@ -27,6 +27,8 @@
 
 	queue infra.Queue
 	rank  rank
+	// searched is the last search that found no worker for an ordinary task of the step.
+	searched search
 	// removed is set when the step has left the ready set.
 	removed bool
 }
--- a/coord/flow/ranking.go
+++ b/coord/flow/ranking.go
@@ -2,6 +2,24 @@
 
 import "container/heap"
 
+// search identifies a search for workers for a step: the round of placement and the epoch in which it took place. Within
+// an epoch a worker that had no room for the step can have room only after a change of the worker. An epoch is as long as
+// what depends only on time may be noticed late.
+type search struct{ round, epoch int64 }
+
+func (m *Machine) currentSearch() search { return search{round: m.round, epoch: m.searchEpoch} }
+
+// searchAgain makes the next placement consider all workers for all waiting steps.
+func (m *Machine) searchAgain() { m.placementDue, m.searchDue = true, true }
+
+// changed makes the next placement consider a worker for the steps that it had no room for.
+func (m *Machine) changed(w *worker) { w.changedBefore = m.round + 1 }
+
+// isExamined reports whether a worker is known to have no room for a step.
+func (m *Machine) isExamined(r *readyStep, w *worker) bool {
+	return r.searched.epoch == m.searchEpoch && w.changedBefore <= r.searched.round
+}
+
 // ranking orders the workers that can take an ordinary task of a step without a rack for its data, best first. The order
 // is the same for all such tasks of the step, and a start changes only the worker that was chosen, which is the first.
 type ranking struct {
@@ -34,6 +52,7 @@
 	}
 	k.stale = false
 	if len(k.workers) == 0 {
+		r.searched = m.currentSearch()
 		return nil
 	}
 	return k.workers[0].worker
@@ -43,9 +62,13 @@
 	k.built = true
 	candidates := m.candidatesOf(r.queue.Service)
 	if !candidates.mayFit(&r.step.spec) {
+		r.searched = m.currentSearch()
 		return
 	}
 	for i, w := range candidates.workers {
+		if m.isExamined(r, w) {
+			continue
+		}
 		if score, fits := m.scoreOrdinary(r, w); fits {
 			k.workers = append(k.workers, rankedWorker{worker: w, score: score, position: i})
 		}
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -65,7 +65,7 @@
 		m.workerCrashed(w, "connections to the worker's address are refused")
 		m.clearWorker(w, "connections to the worker's address are refused")
 		delete(m.unreconciledWorkers, w.ID)
-		m.placementDue = true
+		m.searchAgain()
 	}
 }
 
@@ -88,8 +88,9 @@
 		m.emit(Log{Text: "worker reachable", Worker: w.ID})
 		delete(m.silenced, w.ID)
 		w.reachable = true
-		m.placementDue = true
+		m.searchAgain()
 	}
+	m.changed(w)
 	w.observeClock(m.now, ev.Report.Clock)
 	if !w.tokenAccepted {
 		w.tokenAccepted, w.leadershipConfirmed = true, !m.leaseUnconfirmed
@@ -116,7 +117,7 @@
 }
 
 func (m *Machine) markReconciled(w *worker) {
-	m.placementDue = true
+	m.searchAgain()
 	if !m.isUnreconciled(w) {
 		return
 	}
@@ -291,9 +292,10 @@
 // releaseRun frees the capacity of a run that no longer exists on its worker.
 func (m *Machine) releaseRun(r *run) {
 	r.worker.remove(m.now, r)
+	m.changed(r.worker)
 	if r.worker.trial == r {
 		r.worker.trial = nil
-		m.placementDue = true
+		m.searchAgain()
 	}
 	s, t := m.lookupTask(r.id)
 	if t == nil {
--- a/coord/flow/save.go
+++ b/coord/flow/save.go
@@ -78,12 +78,14 @@
 			b.job.durableState = b.state
 		}
 		m.savedSeq = max(m.savedSeq, b.seq)
-		m.placementDue = m.placementDue || b.job.crashed
+		if b.job.crashed {
+			m.searchAgain()
+		}
 	}
 	for _, id := range m.batchRoster {
 		if w := m.workers[id]; w != nil && !w.inStoredRoster {
 			w.inStoredRoster = true
-			m.placementDue = true
+			m.searchAgain()
 		}
 	}
 	for _, w := range m.workersByID {
--- a/coord/flow/sweep.go
+++ b/coord/flow/sweep.go
@@ -31,7 +31,7 @@
 	if len(m.unreconciledWorkers) > 0 && m.now.After(m.unreconciledUntil) {
 		m.emit(Log{Text: "leases of the previous scheduler have expired"})
 		clear(m.unreconciledWorkers)
-		m.placementDue = true
+		m.searchAgain()
 	}
 	for _, w := range m.workersByID {
 		m.tickWorker(w)
@@ -49,7 +49,7 @@
 func (m *Machine) tickWorker(w *worker) {
 	if w.tokenAccepted && !w.leadershipConfirmed && !m.leaseUnconfirmed {
 		w.leadershipConfirmed = true
-		m.placementDue = true
+		m.searchAgain()
 	}
 	if !w.renewalInFlight && !m.now.Before(w.nextRenewal) && (w.listed || len(w.runs) > 0 || m.isUnreconciled(w)) {
 		m.sendRenewal(w)
--- a/coord/flow/worker.go
+++ b/coord/flow/worker.go
@@ -152,6 +152,8 @@
 	// runsByTask is sorted by task, so that iteration is deterministic.
 	runsByTask []*run
 
+	// changedBefore is the round of placement before which the worker last changed in a way that can make room.
+	changedBefore int64
 	// reports is the number of reports so far.
 	reports int64
 	// seenEnd is the number of the last reported end, and durableEnd that of the last end whose effects are durable.
--- a/coord/flow/worker_lifecycle.go
+++ b/coord/flow/worker_lifecycle.go
@@ -76,6 +76,7 @@
 	case w.leavesAt.IsZero() && info.Remaining > 0:
 		w.leavesAt = m.now.Add(info.Remaining)
 	}
+	isChanged := !w.listed || w.restartedSinceListing || !w.offersSame(info)
 	startedAt := max(w.StartedAt, info.StartedAt)
 	w.Worker, w.listed, w.restartedSinceListing = info, true, false
 	w.StartedAt = startedAt
@@ -84,7 +85,9 @@
 		m.rosterDirty = true
 		w.inStoredRoster = false
 	}
-	m.placementDue = true
+	if isChanged {
+		m.searchAgain()
+	}
 }
 
 func (m *Machine) workerUnlisted(id fleet.WorkerID) {
@@ -104,7 +107,7 @@
 	}
 	m.clearWorker(w, "worker has left")
 	delete(m.unreconciledWorkers, w.ID)
-	m.placementDue = true
+	m.searchAgain()
 }
 
 // workerRestarted handles a new incarnation of a worker. The runs of the previous incarnation have ended, but a start
@@ -175,3 +178,9 @@
 
 // sortedRuns returns a copy of the runs sorted by task, for loops that may remove some of them.
 func (w *worker) sortedRuns() []*run { return slices.Clone(w.runsByTask) }
+
+// offersSame reports whether a registration differs from the present one only in what placement does not depend on. A
+// worker renews its registration about once a second.
+func (w *worker) offersSame(info infra.Worker) bool {
+	return w.Service == info.Service && w.Capacity == info.Capacity && w.Draining == info.Draining && slices.Equal(w.Labels, info.Labels)
+}
