--- a/entryd/logs/logs.go
+++ b/entryd/logs/logs.go
@@ -95,7 +95,7 @@
 	for {
 		select {
 		case line := <-q.lines:
-			q.writeLine(out, line)
+			q.writeLines(out, line)
 		case <-q.stop:
 			q.flush(out)
 			return
@@ -107,17 +107,32 @@
 	for {
 		select {
 		case line := <-q.lines:
-			q.writeLine(out, line)
+			q.writeLines(out, line)
 		default:
 			return
 		}
 	}
 }
 
-func (q *queue) writeLine(out io.Writer, line []byte) {
-	if _, err := out.Write(line); err != nil {
-		q.droppedLines.Add(1)
+// maxWriteBytes is the size from which lines are no longer written together.
+const maxWriteBytes = 32 << 10
+
+// writeLines writes a line together with those queued behind it, because each write is a system call.
+func (q *queue) writeLines(out io.Writer, line []byte) {
+	text, count := line, int64(1)
+	for len(text) < maxWriteBytes {
+		select {
+		case next := <-q.lines:
+			text = append(text, next...)
+			count++
+			continue
+		default:
+		}
+		break
+	}
+	if _, err := out.Write(text); err != nil {
+		q.droppedLines.Add(count)
 		return
 	}
-	q.writtenLines.Add(1)
+	q.writtenLines.Add(count)
 }
