flow: count pending jobs at most five times a second

Cause: each entry process asks for the number of a queue's pending jobs, and each answer went through all jobs (scheduler: load, query: 80 us each).

Change: the numbers of all queues are counted in one pass and kept for 0.2 s. Callers accept counts that are 2 s old.

--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -125,14 +125,17 @@
 	batchJobs    []batchJob
 	batchRoster  []fleet.WorkerID
 	// dirtySeq is the sequence number of the last entry of dirtyJobs, and savedSeq that of the last entry that is durable.
-	dirtySeq     int64
-	savedSeq     int64
-	finishedJobs []*job
-	now          time.Time
-	wall         time.Time
-	wallAt       time.Time
-	effects      []Effect
-	placementDue bool
+	dirtySeq int64
+	savedSeq int64
+	// pendingByQueue holds the numbers of pending jobs as of pendingAt.
+	pendingByQueue map[string]int
+	pendingAt      time.Time
+	finishedJobs   []*job
+	now            time.Time
+	wall           time.Time
+	wallAt         time.Time
+	effects        []Effect
+	placementDue   bool
 	// round counts the rounds of placement and searchEpoch the [search] epochs. searchedAt is when the present epoch began,
 	// and searchDue is set if the next round must begin another one.
 	round             int64
--- a/coord/flow/view.go
+++ b/coord/flow/view.go
@@ -30,15 +30,21 @@
 	}
 }
 
-// Pending returns the number of live jobs of a queue of which no task has started.
+// pendingInterval is the maximum age of the numbers of pending jobs. Each entry process asks for them, and counting goes
+// through all jobs.
+const pendingInterval = 200 * time.Millisecond
+
+// Pending returns the number of live jobs of a queue of which no task has started, as of at most 0.2 s ago.
 func (m *Machine) Pending(queue string) int {
-	count := 0
-	for _, j := range m.jobs {
-		if j.spec.Queue == queue && !j.started && j.live() {
-			count++
+	if m.pendingByQueue == nil || m.now.Sub(m.pendingAt) >= pendingInterval {
+		m.pendingByQueue, m.pendingAt = make(map[string]int), m.now
+		for _, j := range m.jobs {
+			if !j.started && j.live() {
+				m.pendingByQueue[j.spec.Queue]++
+			}
 		}
 	}
-	return count
+	return m.pendingByQueue[queue]
 }
 
 // Counts returns the totals since the scheduler was elected.
