--- a/entryd/logs/logs.go
+++ b/entryd/logs/logs.go
@@ -114,25 +114,33 @@
 	}
 }
 
-// maxWriteBytes is the size from which lines are no longer written together.
-const maxWriteBytes = 32 << 10
+// maxWriteBytes is the largest write to a pipe that is not mixed with the writes of other processes.
+const maxWriteBytes = 4 << 10
 
 // writeLines writes a line together with those queued behind it, because each write is a system call.
 func (q *queue) writeLines(out io.Writer, line []byte) {
 	text, count := line, int64(1)
-	for len(text) < maxWriteBytes {
+	for {
 		select {
 		case next := <-q.lines:
+			if len(text)+len(next) > maxWriteBytes {
+				q.write(out, text, count)
+				text, count = next, 1
+				continue
+			}
 			text = append(text, next...)
 			count++
-			continue
 		default:
+			q.write(out, text, count)
+			return
 		}
-		break
 	}
+}
+
+func (q *queue) write(out io.Writer, text []byte, lines int64) {
 	if _, err := out.Write(text); err != nil {
-		q.droppedLines.Add(count)
+		q.droppedLines.Add(lines)
 		return
 	}
-	q.writtenLines.Add(count)
+	q.writtenLines.Add(lines)
 }
--- a/entryd/logs/logs_test.go
+++ b/entryd/logs/logs_test.go
@@ -42,6 +42,36 @@
 	assert.Equal(t, int64(strings.Count(out.out.String(), "\n")), w.Written())
 }
 
+// countingOutput counts writes and notes the largest one.
+type countingOutput struct {
+	blockedOutput
+	writes, largest int
+}
+
+func (c *countingOutput) Write(p []byte) (int, error) {
+	n, err := c.blockedOutput.Write(p)
+	c.writes++
+	c.largest = max(c.largest, n)
+	return n, err
+}
+
+// Guards against a system call for each line, which took much of a busy scheduler's processor time, and against writes
+// that a pipe splits, so that lines of several processes are mixed.
+func TestLinesAreWrittenTogether(t *testing.T) {
+	out := &countingOutput{}
+	out.mu.Lock()
+	w := logs.New(out, logs.WithLimit(1<<20))
+	line := strings.Repeat("x", 299) + "\n"
+	for range 1000 {
+		_, _ = w.Write([]byte(line))
+	}
+	out.mu.Unlock()
+	w.Close()
+	assert.Equal(t, out.out.String(), strings.Repeat(line, 1000))
+	assert.Assert(t, out.writes <= 1000/13+2, "%d writes", out.writes)
+	assert.Assert(t, out.largest <= 4096, "%d bytes", out.largest)
+}
+
 // Guards against a volume above the limit of lines per second under load.
 func TestWriterLimits(t *testing.T) {
 	var out bytes.Buffer
