peers: limit the pieces of a message in place of the whole

Change: a message of more than 16 KB is sent in pieces, each within 2 s, and pings and their answers go between them. TestLargeMessageOverSlowLink failed before.

--- a/entryd/peers/link.go
+++ b/entryd/peers/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -79,10 +80,7 @@
 		case <-ctx.Done():
 			return
 		case data := <-l.sendQueue:
-			writeCtx, cancel := context.WithTimeout(ctx, writeTimeout)
-			err := l.conn.Write(writeCtx, websocket.MessageBinary, data)
-			cancel()
-			if err != nil {
+			if err := l.write(ctx, data); err != nil {
 				l.stop()
 				return
 			}
@@ -91,6 +89,29 @@
 	}
 }
 
+// write sends a message in pieces, so that pings and their answers are not held up behind a large one, and fails if a
+// piece cannot be sent within [writeTimeout].
+func (l *link) write(ctx context.Context, data []byte) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	timer := time.AfterFunc(writeTimeout, cancel)
+	defer timer.Stop()
+	if len(data) <= pieceBytes {
+		return l.conn.Write(ctx, websocket.MessageBinary, data)
+	}
+	w, err := l.conn.Writer(ctx, websocket.MessageBinary)
+	if err != nil {
+		return err
+	}
+	for piece := range slices.Chunk(data, pieceBytes) {
+		if _, err := w.Write(piece); err != nil {
+			return err
+		}
+		timer.Reset(writeTimeout)
+	}
+	return w.Close()
+}
+
 // pingLoop closes the link if its peer is paused or unreachable; TCP alone would keep the connection open for minutes.
 func (l *link) pingLoop(ctx context.Context) {
 	ticker := time.NewTicker(pingInterval)
--- a/entryd/peers/peers.go
+++ b/entryd/peers/peers.go
@@ -22,12 +22,14 @@
 const (
 	maxMessageBytes = 16 << 20
 	sendQueueSize   = 1024
-	writeTimeout    = 2 * time.Second
-	helloTimeout    = 2 * time.Second
-	pingInterval    = time.Second
-	pingTimeout     = 2 * time.Second
-	minRedialDelay  = 100 * time.Millisecond
-	maxRedialDelay  = 2 * time.Second
+	// writeTimeout limits the sending of a piece of a message of pieceBytes.
+	writeTimeout   = 2 * time.Second
+	pieceBytes     = 16 << 10
+	helloTimeout   = 2 * time.Second
+	pingInterval   = time.Second
+	pingTimeout    = 2 * time.Second
+	minRedialDelay = 100 * time.Millisecond
+	maxRedialDelay = 2 * time.Second
 )
 
 // Handler handles a message. It returns the response to a call, or nil for a one-way message or one that it does not
--- a/entryd/peers/peers_test.go
+++ b/entryd/peers/peers_test.go
@@ -1,19 +1,23 @@
 package peers_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"log/slog"
+	"net/http"
 	"net/http/httptest"
 	"strconv"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
 	"lovagefork.example/coord/fleet"
+	"lovagefork.example/coord/vnet"
 	"lovagefork.example/coord/wire"
 	"lovagefork.example/entryd/peers"
 )
@@ -131,3 +135,44 @@
 	assert.Assert(t, errors.As(err, &linkErr))
 	assert.Assert(t, linkErr.NotSent)
 }
+
+// Guards against a time limit on whole messages. On a link of 2 Mbit/s a response of 1 MB takes 4 s; the link was closed
+// after 2 s, because it had not been sent by then and pings waited behind it, and all calls on it failed.
+func TestLargeMessageOverSlowLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := vnet.New(vnet.WithLatency(4 * time.Millisecond))
+		roster := map[fleet.EntryHostID]string{"e1": "e1:1", "e2": "e2:1"}
+		body := bytes.Repeat([]byte("x"), 1<<20)
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		start := func(id fleet.EntryHostID, bitsPerSecond float64) *peers.Mesh {
+			host := network.AddHost(bitsPerSecond)
+			client := &http.Client{Transport: &http.Transport{DialContext: host.DialContext}}
+			mesh := peers.New(wire.Hello{EntryHost: id}, roster, slog.New(slog.NewTextHandler(t.Output(), nil)), peers.WithClient(client, "ws"))
+			mesh.AddHandler(func(_ context.Context, _ fleet.EntryHostID, m wire.Message) wire.Message {
+				if m.(wire.ForwardRequest).RequestID == "large" {
+					return wire.ForwardResponse{Body: body}
+				}
+				return wire.ForwardResponse{}
+			})
+			server, listener := &http.Server{Handler: mesh}, host.Listen(roster[id])
+			wg.Go(func() { _ = server.Serve(listener) })
+			wg.Go(func() { mesh.Run(ctx) })
+			t.Cleanup(func() { _ = server.Close() })
+			return mesh
+		}
+		first, second := start("e1", 100e6), start("e2", 2e6)
+		t.Cleanup(func() {
+			cancel()
+			first.Close()
+			second.Close()
+			network.Close()
+		})
+		time.Sleep(time.Second)
+		got, err := first.Call(ctx, "e2", wire.ForwardRequest{RequestID: "large"})
+		assert.NilError(t, err)
+		assert.Equal(t, len(got.(wire.ForwardResponse).Body), len(body))
+		_, err = first.Call(ctx, "e2", wire.ForwardRequest{})
+		assert.NilError(t, err)
+	})
+}
