--- a/entryd/leader/waves.go
+++ b/entryd/leader/waves.go
@@ -18,7 +18,7 @@
 )
 
 const (
-	// machineTimeout bounds a call of the machine service, which may be slow.
+	// machineTimeout bounds an order to the machine service, which may be slow.
 	machineTimeout = 2 * time.Second
 	// plannerQueueSize is enough for the events of several waves.
 	plannerQueueSize = 256
@@ -80,10 +80,8 @@
 }
 
 func (w *waveRunner) listMachines(ctx context.Context) {
-	callCtx, cancel := context.WithTimeout(ctx, machineTimeout)
-	defer cancel()
 	began := Now()
-	machines, err := w.machines.List(callCtx)
+	machines, err := w.machines.List(ctx)
 	if err != nil {
 		w.loop.log.Warn("upkeep: listing machines failed", "error", err)
 		machines = nil
--- a/entryd/leader/waves_test.go
+++ b/entryd/leader/waves_test.go
@@ -50,9 +50,16 @@
 	upAt    map[infra.MachineID]time.Time
 	maxDown int
 	orders  []infra.LeaseHolder
+	// listTime is how long the pages of the list take.
+	listTime time.Duration
 }
 
-func (f *fakeMachines) List(context.Context) ([]infra.Machine, error) {
+func (f *fakeMachines) List(ctx context.Context) ([]infra.Machine, error) {
+	select {
+	case <-time.After(f.listTime):
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var all []infra.Machine
@@ -86,23 +93,11 @@
 func TestWaveSurvivesTakeover(t *testing.T) {
 	m := newMemStore()
 	h := &fakeMachines{ids: []infra.MachineID{"m1", "m2", "m3"}, upAt: make(map[infra.MachineID]time.Time)}
-	log := slog.New(slog.DiscardHandler)
-	run := func(name string) *leader.Group {
-		s := leader.NewScheduler(leader.Deps{
-			Store: client{m, name}, Machines: h, Format: format{}, Bounds: infra.Bounds{MaxLease: 6 * time.Second}, Log: log, Decisions: log,
-			Metrics:   metrics.NewRegistry(),
-			Supersede: func(context.Context, fleet.EntryHostID, infra.Token) bool { return true },
-		})
-		g := leader.NewGroup(fleet.EntryHostID(name), name+":1", client{m, name}, log, s.Run,
-			func(fleet.EntryHostID, string) {}, func(leader.Leader) {})
-		runGroup(t, g)
-		return g
-	}
-	first := run("a")
+	first := runWithMachines(t, m, h, "a")
 	_, err := client{m, "operator"}.Txn(t.Context(), store.Txn{Then: []store.Op{store.Put{Key: "waves/1", Value: []byte("m1,m2,m3")}}})
 	assert.NilError(t, err)
 	waitFor(t, "first order", func() bool { h.mu.Lock(); defer h.mu.Unlock(); return len(h.orders) > 0 })
-	run("b")
+	runWithMachines(t, m, h, "b")
 	first.Resign()
 	waitFor(t, "end of the wave", func() bool {
 		found, err := client{m, "operator"}.Range(t.Context(), store.Get{Key: "wave-status"})
@@ -116,6 +111,31 @@
 	assert.Equal(t, string(h.orders[len(h.orders)-1].EntryHost), "b")
 }
 
+// runWithMachines runs a process that can be elected as the scheduler of a machine service.
+func runWithMachines(t *testing.T, m *memStore, machines infra.Machines, name string) *leader.Group {
+	log := slog.New(slog.DiscardHandler)
+	s := leader.NewScheduler(leader.Deps{
+		Store: client{m, name}, Machines: machines, Format: format{}, Bounds: infra.Bounds{MaxLease: 6 * time.Second}, Log: log, Decisions: log,
+		Metrics:   metrics.NewRegistry(),
+		Supersede: func(context.Context, fleet.EntryHostID, infra.Token) bool { return true },
+	})
+	g := leader.NewGroup(fleet.EntryHostID(name), name+":1", client{m, name}, log, s.Run,
+		func(fleet.EntryHostID, string) {}, func(leader.Leader) {})
+	runGroup(t, g)
+	return g
+}
+
+// Guards against a time limit on the whole list of machines. The pages of 490 machines of a slow service take longer than
+// the 2 s after which each list was given up, so that no machine was taken down in time.
+func TestListOfMachinesMayTakeLong(t *testing.T) {
+	m := newMemStore()
+	machines := &fakeMachines{ids: []infra.MachineID{"m1"}, upAt: make(map[infra.MachineID]time.Time), listTime: 2300 * time.Millisecond}
+	runWithMachines(t, m, machines, "a")
+	_, err := client{m, "operator"}.Txn(t.Context(), store.Txn{Then: []store.Op{store.Put{Key: "waves/1", Value: []byte("m1")}}})
+	assert.NilError(t, err)
+	waitFor(t, "order", func() bool { machines.mu.Lock(); defer machines.mu.Unlock(); return len(machines.orders) > 0 })
+}
+
 func waitFor(t *testing.T, what string, reached func() bool) {
 	t.Helper()
 	for end := time.Now().Add(20 * time.Second); !reached(); time.Sleep(10 * time.Millisecond) {
