flow: place long-running steps that have waited for 2 s before all others

Cause: jobs in time rank before long-running steps, and on a full fleet there is always one of them that takes the room that becomes free.

Change: a long-running step that has waited for 2 s ranks before all others. TestLongRunningTaskStartsOnFullFleet failed before.

--- a/coord/flow/overdue_test.go
+++ b/coord/flow/overdue_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"lovagefork.example/coord/fleet"
 	"lovagefork.example/coord/flow"
 	"lovagefork.example/coord/infra"
 )
@@ -36,3 +37,45 @@
 	}
 	assert.Assert(t, reports >= 4 && reports <= 12, "%d reports in 3 s", reports)
 }
+
+// Guards against long-running tasks that wait without end on a full fleet, because each room that becomes free goes to
+// jobs that are in time (rule LOST, seen on the bench with all 472 workers full for 10 s).
+func TestLongRunningTaskStartsOnFullFleet(t *testing.T) {
+	h := newHarness(t, flow.Restored{}, newPoolWorker("a"), newPoolWorker("b"))
+	quick := smallStep(1)
+	quick.Size.MilliCPU = 9000
+	jobs := 0
+	ends := make(map[fleet.WorkerID]int64)
+	runs := make(map[fleet.WorkerID]flow.Start)
+	// Each worker completes a quick task in half a second, and there are always more of them.
+	second := func() {
+		for _, id := range []fleet.WorkerID{"a", "b"} {
+			for range 2 {
+				jobs++
+				h.step(flow.Submitted{Job: singleStepJob(fmt.Sprintf("q%03d", jobs), quick)})
+			}
+			report := infra.Report{}
+			if run, found := runs[id]; found && run.Order.Task.Job != "lasting" {
+				ends[id]++
+				report.Ended = []infra.EndedRun{{Number: ends[id], Task: run.Order.Task, Run: run.Order.Run, Outcome: infra.OutcomeDone}}
+			} else if found {
+				report.Running = []infra.ActiveRun{{Task: run.Order.Task, Run: run.Order.Run, Progress: 100}}
+			}
+			h.report(id, report)
+			h.advance(250 * time.Millisecond)
+			for _, s := range h.starts() {
+				h.step(flow.StartAnswered{Worker: s.To.Worker, Order: s.Order, Clock: h.now.UnixMilli()})
+				runs[s.To.Worker] = s
+			}
+		}
+	}
+	for range 4 {
+		second()
+	}
+	h.step(flow.Submitted{Job: singleStepJob("lasting", lastingStep(1, 9000))})
+	for range 6 {
+		second()
+	}
+	running := runs["a"].Order.Task.Job == "lasting" || runs["b"].Order.Task.Job == "lasting"
+	assert.Assert(t, running, "the long-running task has waited for 3 s: %+v %+v", runs["a"].Order.Task, runs["b"].Order.Task)
+}
--- a/coord/flow/rank.go
+++ b/coord/flow/rank.go
@@ -41,13 +41,28 @@
 type timeliness uint8
 
 const (
-	onTime timeliness = iota
+	// overdue long-running steps have waited for [overdueTime]. They come first, because a full fleet always has jobs on
+	// time that would take the room that becomes free.
+	overdue timeliness = iota
+	onTime
 	// longRunning steps earn less per core than jobs on time, and more than late jobs.
 	longRunning
 	late
 	expired
 )
 
+// group orders overdue steps before, and expired steps after those of all priorities.
+func (t timeliness) group() int {
+	switch t {
+	case overdue:
+		return 0
+	case expired:
+		return 2
+	default:
+		return 1
+	}
+}
+
 // rank is the sort key of ready steps. Lower values come first, compared field by field.
 type rank struct {
 	priority   int
@@ -59,13 +74,8 @@
 }
 
 func compareReady(a, b *readyStep) int {
-	if isExpired := a.rank.timeliness == expired; isExpired != (b.rank.timeliness == expired) {
-		if isExpired {
-			return 1
-		}
-		return -1
-	}
 	return cmp.Or(
+		cmp.Compare(a.rank.timeliness.group(), b.rank.timeliness.group()),
 		cmp.Compare(a.rank.priority, b.rank.priority),
 		cmp.Compare(a.rank.timeliness, b.rank.timeliness),
 		cmp.Compare(a.rank.workPerCredit, b.rank.workPerCredit),
@@ -116,7 +126,11 @@
 	total, remaining := m.criticalPath(r.occ)
 	objective := max(j.objective(total), time.Millisecond)
 	out := rank{priority: r.queue.Priority, timeliness: onTime, slack: due.Add(objective).Sub(m.now) - remaining}
-	if r.step.spec.LongRunning {
+	switch {
+	case m.isOverdue(r):
+		out.timeliness = overdue
+		return out
+	case r.step.spec.LongRunning:
 		out.timeliness = longRunning
 		return out
 	}
