--- a/entryd/hosted/app.go
+++ b/entryd/hosted/app.go
@@ -122,8 +122,8 @@
 	return r.intake.Supersede(ctx, host, token)
 }
 
-func newCatalogWatcher(p Platform, mesh *peers.Mesh, s *leader.Scheduler, log *slog.Logger) *CatalogWatcher {
-	return NewCatalogWatcher(p.Store, p.Format, mesh, log, s.Configure)
+func newCatalogWatcher(p Platform, mesh *peers.Mesh, s *leader.Scheduler, r metrics.Registry, log *slog.Logger) *CatalogWatcher {
+	return NewCatalogWatcher(p.Store, p.Format, mesh, log, s.Configure, WithCatalogMetrics(r))
 }
 
 // meshUpdater adds and removes the mesh's peers when the members of the group change. ctx is canceled when the
--- a/entryd/hosted/catalog.go
+++ b/entryd/hosted/catalog.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"lovagefork.example/coord/fleet"
 	"lovagefork.example/coord/infra"
 	"lovagefork.example/coord/store"
@@ -34,6 +36,7 @@
 	links    links
 	log      *slog.Logger
 	onUpdate func(*infra.Catalog)
+	metrics  catalogMetrics
 
 	mu      sync.Mutex
 	current *infra.Catalog
@@ -49,9 +52,39 @@
 
 // NewCatalogWatcher returns a watcher of the configuration in a store and of its announcements by peers. It calls
 // onUpdate with each newer version.
-func NewCatalogWatcher(client store.Client, format infra.Format, l links, log *slog.Logger, onUpdate func(*infra.Catalog)) *CatalogWatcher {
-	return &CatalogWatcher{
+func NewCatalogWatcher(
+	client store.Client, format infra.Format, l links, log *slog.Logger, onUpdate func(*infra.Catalog), opts ...CatalogOption,
+) *CatalogWatcher {
+	c := &CatalogWatcher{
 		store: client, format: format, links: l, log: log, onUpdate: onUpdate, sources: make(map[fleet.EntryHostID]int64),
+		metrics: newCatalogMetrics(metrics.NewRegistry()),
+	}
+	for _, opt := range opts {
+		opt(c)
+	}
+	return c
+}
+
+// CatalogOption configures a [CatalogWatcher].
+type CatalogOption func(*CatalogWatcher)
+
+// WithCatalogMetrics registers the versions in effect and announced, and the fetches from peers, in a registry.
+func WithCatalogMetrics(r metrics.Registry) CatalogOption {
+	return func(c *CatalogWatcher) { c.metrics = newCatalogMetrics(r) }
+}
+
+// catalogMetrics show whether a process is behind: announced is the highest version that a peer has announced.
+type catalogMetrics struct {
+	version, announced          metrics.Gauge
+	fetchedBytes, fetchFailures metrics.Counter
+}
+
+func newCatalogMetrics(r metrics.Registry) catalogMetrics {
+	return catalogMetrics{
+		version:       metrics.GetOrRegisterGauge("catalog.version", r),
+		announced:     metrics.GetOrRegisterGauge("catalog.announced_version", r),
+		fetchedBytes:  metrics.GetOrRegisterCounter("catalog.fetched_bytes.total", r),
+		fetchFailures: metrics.GetOrRegisterCounter("catalog.fetch_failures.total", r),
 	}
 }
 
@@ -110,7 +143,8 @@
 	}
 	c.current, c.data = next, data
 	c.mu.Unlock()
-	c.log.Info("catalog: configuration applied", "version", next.Version, "queues", len(next.Queues), "source", origin)
+	c.metrics.version.Update(next.Version)
+	c.log.Info("catalog: configuration applied", "version", next.Version, "queues", len(next.Queues), "bytes", len(data), "source", origin)
 	c.onUpdate(next)
 	c.links.Broadcast(wire.CatalogVersion{Version: next.Version})
 }
--- a/entryd/hosted/distribution_test.go
+++ b/entryd/hosted/distribution_test.go
@@ -15,6 +15,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"gotest.tools/v3/assert"
 
 	"lovagefork.example/coord/fleet"
@@ -133,6 +134,7 @@
 	store    *catalogStore
 	watchers []*hosted.CatalogWatcher
 	meshes   []*peers.Mesh
+	metrics  []metrics.Registry
 }
 
 // startCatalogHosts starts a host for each of the links, in bits per second, and returns when all are connected. The
@@ -167,7 +169,9 @@
 			address = "nobody:1"
 		}
 		client := platform.NewStore(address, platform.WithDialer(end.DialContext))
-		watcher := hosted.NewCatalogWatcher(client, headFormat{}, mesh, log, func(*infra.Catalog) {})
+		registry := metrics.NewRegistry()
+		h.metrics = append(h.metrics, registry)
+		watcher := hosted.NewCatalogWatcher(client, headFormat{}, mesh, log, func(*infra.Catalog) {}, hosted.WithCatalogMetrics(registry))
 		mesh.AddHandler(watcher.HandleMessage)
 		mesh.OnLinkChange(func(peer fleet.EntryHostID, up bool) {
 			if up {
@@ -257,5 +261,11 @@
 		for i, m := range h.meshes {
 			assert.Equal(t, len(m.LinkedPeers()), len(links)-1, "host %d", i)
 		}
+		// An operator must see which hosts are behind, and what the copies cost.
+		last := h.metrics[len(links)-1]
+		assert.Equal(t, metrics.GetOrRegisterGauge("catalog.version", last).Value(), int64(3))
+		assert.Equal(t, metrics.GetOrRegisterGauge("catalog.announced_version", last).Value(), int64(3))
+		fetched := metrics.GetOrRegisterCounter("catalog.fetched_bytes.total", last).Count()
+		assert.Assert(t, fetched > 0 && fetched < store.MaxValueBytes/2, "%d bytes", fetched)
 	})
 }
--- a/entryd/hosted/transfer.go
+++ b/entryd/hosted/transfer.go
@@ -114,6 +114,7 @@
 	if c.current != nil && version <= c.current.Version {
 		return
 	}
+	c.metrics.announced.Update(max(version, c.metrics.announced.Value()))
 	c.sources[from] = max(version, c.sources[from])
 	if c.fetching {
 		return
@@ -143,6 +144,7 @@
 		}
 		calls[peer]++
 		if err := c.fetchFrom(ctx, peer, &received); err != nil {
+			c.metrics.fetchFailures.Inc(1)
 			c.log.Warn("catalog: cannot fetch the configuration", "peer", peer, "received", len(received.data), "size", received.size, "error", err)
 			c.dropUnlinked(peer, err)
 			continue
@@ -221,6 +223,7 @@
 		if err != nil {
 			return err
 		}
+		c.metrics.fetchedBytes.Inc(int64(len(doc.Data)))
 		if current := c.Current(); current != nil && doc.Version <= current.Version {
 			return nil
 		}
