--- a/entryd/hosted/distribution_test.go
+++ b/entryd/hosted/distribution_test.go
@@ -269,3 +269,22 @@
 		assert.Assert(t, fetched > 0 && fetched < store.MaxValueBytes/2, "%d bytes", fetched)
 	})
 }
+
+// Guards against hosts that fall behind while large configurations follow each other faster than their links carry them:
+// a watch reports every version, also those that are replaced already.
+func TestLargeConfigurationsInQuickSuccession(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const versions, gap = 6, 330 * time.Millisecond
+		links := []float64{200e6, 200e6, 10e6, 10e6, 10e6, 10e6}
+		h := startCatalogHosts(t, 4*time.Millisecond, links, len(links))
+		for version := range int64(versions) {
+			h.store.put(routesOf(version+2, 5500))
+			time.Sleep(gap)
+		}
+		time.Sleep(applyTime - versions*gap)
+		for version := range int64(versions) {
+			assert.DeepEqual(t, h.behind(version+2), []fleet.EntryHostID(nil))
+			time.Sleep(gap)
+		}
+	})
+}
