--- a/entryd/hosted/distribution_test.go
+++ b/entryd/hosted/distribution_test.go
@@ -193,6 +193,8 @@
 			_ = s.Close()
 		}
 		wg.Wait()
+		// Time stands still once the test has returned, and calls in progress would never end.
+		time.Sleep(time.Minute)
 	})
 	time.Sleep(2 * time.Second)
 	for i, m := range h.meshes {
--- a/entryd/peers/peers_test.go
+++ b/entryd/peers/peers_test.go
@@ -167,6 +167,8 @@
 			first.Close()
 			second.Close()
 			network.Close()
+			// Time stands still once the test has returned, and writes in progress would never end.
+			time.Sleep(time.Minute)
 		})
 		time.Sleep(time.Second)
 		got, err := first.Call(ctx, "e2", wire.ForwardRequest{RequestID: "large"})
