flow: count the wait of a long-running task from the silence of its worker

Cause: after the lease of the silent worker had expired, 6 to 7 s after its silence, the task waited for another 2 s before it used the only worker with room, which was quarantined. The wait was counted from the expiry.

Change: it is counted from when the worker was found silent.

--- a/coord/flow/overdue_test.go
+++ b/coord/flow/overdue_test.go
@@ -79,3 +79,39 @@
 	running := runs["a"].Order.Task.Job == "lasting" || runs["b"].Order.Task.Job == "lasting"
 	assert.Assert(t, running, "the long-running task has waited for 3 s: %+v %+v", runs["a"].Order.Task, runs["b"].Order.Task)
 }
+
+// Guards against a long-running task that waits for another 2 s after the lease of its silent worker has expired, because
+// the only worker with room is quarantined. It has not run for as long as the worker has been silent (rule LOST, found
+// with fresh seeds: TestLongRunningTasksKeepRunning, RAPID_SEED=12 RAPID_CHECKS=300).
+func TestWaitCountsFromTheSilenceOfTheWorker(t *testing.T) {
+	h := newHarness(t, flow.Restored{}, newPoolWorker("a"))
+	h.report("a", infra.Report{})
+	h.step(flow.Submitted{Job: singleStepJob("lasting", lastingStep(1, 9500))})
+	h.advance(50 * time.Millisecond)
+	h.answerStarts()
+	h.step(flow.WorkerListed{Worker: newPoolWorker("b")})
+	h.advance(50 * time.Millisecond)
+	h.report("b", infra.Report{})
+	h.step(flow.RenewFailed{Worker: "a", Sequence: h.seq["a"], Err: &infra.NoAnswerError{Worker: "a"}})
+	var ended []infra.EndedRun
+	for i, id := range []string{"j0", "j1", "j2"} {
+		h.step(flow.Submitted{Job: singleStepJob(id, smallStep(1))})
+		ended = append(ended, infra.EndedRun{Number: int64(i + 1), Task: infra.TaskID{Job: fleet.JobID(id)}, Run: 1, Outcome: infra.OutcomeFailed})
+	}
+	h.advance(100 * time.Millisecond)
+	assert.Equal(t, len(h.answerStarts()), 3)
+	h.advance(4 * time.Second)
+	h.report("b", infra.Report{Ended: ended})
+	waited := 4 * time.Second
+	for ; waited < 9*time.Second; waited += 100 * time.Millisecond {
+		h.advance(100 * time.Millisecond)
+		for _, s := range h.starts() {
+			if s.Order.Task.Job == "lasting" {
+				assert.Equal(t, s.To.Worker, fleet.WorkerID("b"))
+				assert.Assert(t, waited < 7*time.Second, "started after %s", waited)
+				return
+			}
+		}
+	}
+	t.Fatal("the task has not started")
+}
--- a/coord/flow/worker_lifecycle.go
+++ b/coord/flow/worker_lifecycle.go
@@ -174,6 +174,10 @@
 	m.emit(Log{Text: "run lost", Task: r.id, Run: r.number, Worker: r.worker.ID, Reason: reason})
 	m.releaseRun(r)
 	m.requeue(r, "")
+	// A long-running task on a silent worker counts as not running for as long as the worker was silent.
+	if ready := m.readySteps[r.step]; ready != nil && r.step.spec.LongRunning && !r.worker.reachable && r.worker.unreachableSince.Before(ready.readySince) {
+		ready.readySince = r.worker.unreachableSince
+	}
 }
 
 // sortedRuns returns a copy of the runs sorted by task, for loops that may remove some of them.
