flow: repeat the stop that fences a late start

Cause: a start without an answer can reach the next incarnation of a worker up to 12 s later. The list of such starts was also kept without end for workers that do not return.

Change: the stop is repeated until the worker accepts it, for each incarnation, and for as long as the start can be carried out. TestStopOfLateStartIsRepeated failed before.

--- a/coord/flow/answer.go
+++ b/coord/flow/answer.go
@@ -107,6 +107,9 @@
 		m.emit(Resign{Worker: w.ID})
 		return
 	}
+	if ev.Err == nil {
+		m.lateStartStopped(w, ev.Order)
+	}
 	r := w.runs[ev.Order.Task]
 	if r == nil || r.number != ev.Order.Run || ev.Err != nil {
 		return
--- /dev/null
+++ b/coord/flow/late_start_test.go
@@ -0,0 +1,55 @@
+package flow_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lovagefork.example/coord/fleet"
+	"lovagefork.example/coord/flow"
+	"lovagefork.example/coord/infra"
+)
+
+// Guards against a lost stop after a worker's restart. The start before the restart had no answer and can still be carried
+// out by the new incarnation up to 12 s later, while the task runs elsewhere (rule TWICE).
+func TestStopOfLateStartIsRepeated(t *testing.T) {
+	h := newHarness(t, flow.Restored{}, newPoolWorker("a"), newPoolWorker("b"))
+	h.report("a", infra.Report{})
+	step := smallStep(1)
+	step.Size.MilliCPU = 9000
+	h.step(flow.Submitted{Job: singleStepJob("job", step)})
+	h.advance(50 * time.Millisecond)
+	starts := h.starts()
+	assert.Equal(t, len(starts), 1)
+	lost := starts[0].Order
+	h.step(flow.StartAnswered{Worker: "a", Order: lost, Err: &infra.NoAnswerError{Worker: "a"}})
+	h.refuse("a")
+	h.report("b", infra.Report{})
+	h.advance(100 * time.Millisecond)
+	elsewhere := h.starts()
+	assert.Equal(t, len(elsewhere), 1)
+	assert.Equal(t, elsewhere[0].To.Worker, fleet.WorkerID("b"))
+	// The worker is back under its ID, and no stop is answered.
+	h.stops()
+	h.report("a", infra.Report{})
+	count := func(d time.Duration) int {
+		h.advance(d)
+		n := 0
+		for _, s := range h.stops() {
+			if s.Task == lost.Task && s.Run == lost.Run {
+				n++
+			}
+		}
+		return n
+	}
+	assert.Assert(t, count(2*time.Second) >= 4, "a stop without an answer was not repeated")
+	h.step(flow.StopAnswered{Worker: "a", Order: infra.StopOrder{Task: lost.Task, Run: lost.Run}, Clock: h.now.UnixMilli()})
+	assert.Equal(t, count(2*time.Second), 0)
+	// Another incarnation has not seen the stop.
+	h.refuse("a")
+	h.report("a", infra.Report{})
+	assert.Assert(t, count(time.Second) > 0)
+	count(13 * time.Second)
+	assert.Equal(t, count(5*time.Second), 0, "stops go on after the start can no longer be carried out")
+}
--- a/coord/flow/sweep.go
+++ b/coord/flow/sweep.go
@@ -36,6 +36,7 @@
 	for _, w := range m.workersByID {
 		m.tickWorker(w)
 	}
+	m.sweepLateStarts()
 	m.expire()
 	m.adjustFillers()
 	m.logSummary()
--- a/coord/flow/worker_lifecycle.go
+++ b/coord/flow/worker_lifecycle.go
@@ -139,6 +139,7 @@
 // clearWorker drops all runs of a worker on which nothing runs any longer. Starts without an answer are kept, because
 // they may still reach a later incarnation of the worker.
 func (m *Machine) clearWorker(w *worker, reason string) {
+	m.expectLateStarts(w)
 	for _, r := range w.sortedRuns() {
 		if r.confirmedClock == 0 || r.state == fencing {
 			m.lateStarts[w.ID] = append(m.lateStarts[w.ID], lateStart{task: r.id, run: r.number, until: m.now.Add(maxOrderDelay)})
@@ -151,22 +152,64 @@
 // maxOrderDelay exceeds the 12 s for which an unanswered order may still be carried out according to the platform.
 const maxOrderDelay = 13 * time.Second
 
-// lateStart is an unanswered start that was sent to a previous incarnation of a worker.
+// lateStart is an unanswered start that was sent to a previous incarnation of a worker. The present one rejects it once it
+// has accepted a stop.
 type lateStart struct {
-	task  infra.TaskID
-	run   infra.Run
-	until time.Time
+	task     infra.TaskID
+	run      infra.Run
+	until    time.Time
+	nextStop time.Time
+	rejected bool
 }
 
-// fenceLateStarts sends stops to a new incarnation of a worker, so that it rejects the starts that were sent to a
-// previous one.
+// expectLateStarts makes the stops for late starts due again, because the next incarnation of a worker has not seen them.
+func (m *Machine) expectLateStarts(w *worker) {
+	for i := range m.lateStarts[w.ID] {
+		s := &m.lateStarts[w.ID][i]
+		s.nextStop, s.rejected = m.now, false
+	}
+}
+
+// fenceLateStarts sends a new incarnation of a worker the stops for late starts.
 func (m *Machine) fenceLateStarts(w *worker) {
-	for _, s := range m.lateStarts[w.ID] {
-		if m.now.Before(s.until) {
-			m.emit(Stop{To: w.address(), Order: infra.StopOrder{Task: s.task, Run: s.run, Token: m.token}})
+	m.expectLateStarts(w)
+	m.stopLateStarts(w)
+}
+
+// stopLateStarts sends the stops for late starts that are due, until the worker has accepted them.
+func (m *Machine) stopLateStarts(w *worker) {
+	for i := range m.lateStarts[w.ID] {
+		s := &m.lateStarts[w.ID][i]
+		if s.rejected || m.now.Before(s.nextStop) || !m.now.Before(s.until) {
+			continue
+		}
+		s.nextStop = m.now.Add(stopRetryPause)
+		m.emit(Stop{To: w.address(), Order: infra.StopOrder{Task: s.task, Run: s.run, Token: m.token}})
+	}
+}
+
+// lateStartStopped notes that a worker has accepted a stop.
+func (m *Machine) lateStartStopped(w *worker, order infra.StopOrder) {
+	for i := range m.lateStarts[w.ID] {
+		if s := &m.lateStarts[w.ID][i]; s.task == order.Task && s.run == order.Run {
+			s.rejected = true
+		}
+	}
+}
+
+// sweepLateStarts repeats the stops for late starts, and forgets those that can no longer be carried out.
+func (m *Machine) sweepLateStarts() {
+	for id, starts := range m.lateStarts {
+		starts = slices.DeleteFunc(starts, func(s lateStart) bool { return !m.now.Before(s.until) })
+		if len(starts) == 0 {
+			delete(m.lateStarts, id)
+			continue
+		}
+		m.lateStarts[id] = starts
+		if w := m.workers[id]; w != nil && w.tokenAccepted && w.reachable {
+			m.stopLateStarts(w)
 		}
 	}
-	delete(m.lateStarts, w.ID)
 }
 
 // dropRun removes a run whose end the worker does not report, and requeues its task.
