--- a/entryd/hosted/distribution_test.go
+++ b/entryd/hosted/distribution_test.go
@@ -9,7 +9,6 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
-	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -26,6 +25,7 @@
 	"lovagefork.example/entryd/hosted"
 	"lovagefork.example/entryd/peers"
 	"lovagefork.example/platform"
+	"lovagefork.example/platform/kvfake"
 )
 
 // headFormat decodes only the version of a configuration, which is its first field.
@@ -58,80 +58,9 @@
 	return out.Bytes()
 }
 
-// storedItem is an entry in the store's format.
-type storedItem struct {
-	Key      string `json:"key"`
-	Value    []byte `json:"value"`
-	Revision int64  `json:"revision"`
-	Created  int64  `json:"created"`
-	Lease    int64  `json:"lease"`
-}
-
-// catalogStore is a stand-in for the store that holds the configuration. It answers each call after latency.
-type catalogStore struct {
-	latency time.Duration
-
-	mu      sync.Mutex
-	changes []storedItem
-	changed chan struct{}
-}
-
-func newCatalogStore(latency time.Duration) *catalogStore {
-	return &catalogStore{latency: latency, changed: make(chan struct{})}
-}
-
-func (s *catalogStore) put(value []byte) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.changes = append(s.changes, storedItem{Key: platform.CatalogKey, Value: value, Revision: int64(len(s.changes) + 1), Created: 1})
-	close(s.changed)
-	s.changed = make(chan struct{})
-}
-
-// since returns the changes after a revision, and a channel that is closed with the next one.
-func (s *catalogStore) since(revision int64) ([]storedItem, <-chan struct{}) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.changes[min(int(revision), len(s.changes)):], s.changed
-}
-
-// ServeHTTP implements [http.Handler].
-func (s *catalogStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	time.Sleep(s.latency)
-	all, _ := s.since(0)
-	response := map[string]any{"current_rev": len(all)}
-	if r.URL.Path == "/-/kv-range" {
-		response["items"] = all[max(0, len(all)-1):]
-	} else {
-		response["events"] = s.await(r)
-	}
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(response)
-}
-
-// await returns the changes that a watch requests as soon as there is one, or none when its wait has ended.
-func (s *catalogStore) await(r *http.Request) []storedItem {
-	after, _ := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
-	wait, _ := strconv.ParseInt(r.URL.Query().Get("wait_ms"), 10, 64)
-	timeout := time.After(time.Duration(wait) * time.Millisecond)
-	for {
-		found, changed := s.since(after)
-		if len(found) > 0 {
-			return found
-		}
-		select {
-		case <-changed:
-		case <-timeout:
-			return nil
-		case <-r.Context().Done():
-			return nil
-		}
-	}
-}
-
 // catalogHosts are entry hosts that keep the configuration.
 type catalogHosts struct {
-	store    *catalogStore
+	store    *kvfake.Store
 	watchers []*hosted.CatalogWatcher
 	meshes   []*peers.Mesh
 	metrics  []metrics.Registry
@@ -143,8 +72,8 @@
 	t.Helper()
 	network := vnet.New(vnet.WithLatency(4 * time.Millisecond))
 	ctx, cancel := context.WithCancel(t.Context())
-	h := &catalogHosts{store: newCatalogStore(storeLatency)}
-	h.store.put(routesOf(1, 245))
+	h := &catalogHosts{store: kvfake.New(kvfake.WithLatency(storeLatency))}
+	h.configure(routesOf(1, 245))
 	var servers []*http.Server
 	serve := func(handler http.Handler, end *vnet.Host, address string) {
 		server, listener := &http.Server{Handler: handler}, end.Listen(address)
@@ -203,6 +132,9 @@
 	return h
 }
 
+// configure writes a configuration to the store.
+func (h *catalogHosts) configure(value []byte) { h.store.Put(platform.CatalogKey, value) }
+
 func hostName(i int) fleet.EntryHostID { return fleet.EntryHostID(fmt.Sprintf("e%02d", i)) }
 
 // behind returns the hosts that have not applied a version.
@@ -229,7 +161,7 @@
 		for version, routes := range []int{3045, 4445, 5500} {
 			value := routesOf(int64(version+2), routes)
 			assert.Assert(t, len(value) <= store.MaxValueBytes)
-			h.store.put(value)
+			h.configure(value)
 			time.Sleep(applyTime)
 			t.Logf("%d routes, %d bytes", routes, len(value))
 			assert.DeepEqual(t, h.behind(int64(version+2)), []fleet.EntryHostID(nil))
@@ -243,7 +175,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		h := startCatalogHosts(t, 240*time.Millisecond, []float64{2e6}, 1)
 		time.Sleep(500 * time.Millisecond)
-		h.store.put(routesOf(2, 5500))
+		h.configure(routesOf(2, 5500))
 		time.Sleep(7 * time.Second)
 		assert.DeepEqual(t, h.behind(2), []fleet.EntryHostID(nil))
 	})
@@ -256,7 +188,7 @@
 		links := []float64{10e6, 10e6, 10e6, 10e6, 10e6, 10e6, 10e6, 10e6}
 		h := startCatalogHosts(t, 4*time.Millisecond, links, 1)
 		for version, routes := range []int{4445, 5500} {
-			h.store.put(routesOf(int64(version+2), routes))
+			h.configure(routesOf(int64(version+2), routes))
 			time.Sleep(applyTime)
 			assert.DeepEqual(t, h.behind(int64(version+2)), []fleet.EntryHostID(nil))
 		}
@@ -280,7 +212,7 @@
 		links := []float64{200e6, 200e6, 10e6, 10e6, 10e6, 10e6}
 		h := startCatalogHosts(t, 4*time.Millisecond, links, len(links))
 		for version := range int64(versions) {
-			h.store.put(routesOf(version+2, 5500))
+			h.configure(routesOf(version+2, 5500))
 			time.Sleep(gap)
 		}
 		time.Sleep(applyTime - versions*gap)
