hosted: bound the calls for a configuration that a peer does not have

Change: calls are counted until the version in effect changes, a source gets at most as many calls as two copies have parts, and sizes are checked. TestUselessAnswersAreNotRequestedForever did not end before.

--- a/entryd/hosted/catalog_test.go
+++ b/entryd/hosted/catalog_test.go
@@ -28,9 +28,10 @@
 }
 
 // fakeLinks records the messages sent and the peers that were called. The first silent calls get no answer; the others
-// get a configuration of the given version.
+// get answer, or a configuration of the given version.
 type fakeLinks struct {
 	mu      sync.Mutex
+	answer  *wire.CatalogDoc
 	called  []fleet.EntryHostID
 	sent    []wire.Message
 	silent  int
@@ -58,6 +59,9 @@
 		<-ctx.Done()
 		return nil, errors.New("no answer")
 	}
+	if f.answer != nil {
+		return *f.answer, nil
+	}
 	return wire.CatalogDoc{Version: f.version, Data: []byte(strconv.FormatInt(f.version, 10))}, nil
 }
 
@@ -104,3 +108,32 @@
 		})
 	})
 }
+
+// Guards against calls without end to a peer that answers with what it did not announce, for example because it has
+// restarted in the meantime, or with a configuration that cannot be decoded.
+func TestUselessAnswersAreNotRequestedForever(t *testing.T) {
+	for name, answer := range map[string]wire.CatalogDoc{
+		"an older version":   {Version: 3, Data: []byte("3")},
+		"no configuration":   {},
+		"undecodable":        {Version: 5, Data: []byte("five")},
+		"an empty part":      {Version: 5, Part: &wire.CatalogPart{Size: 10, Digest: 1}},
+		"a part of a giant":  {Version: 5, Data: []byte("x"), Part: &wire.CatalogPart{Size: 1 << 40, Digest: 1}},
+		"always other parts": {Version: 5, Data: []byte("x"), Part: &wire.CatalogPart{Offset: 7, Size: 10, Digest: 1}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &fakeLinks{version: 3}
+				c := hosted.NewCatalogWatcher(nil, versionFormat{}, f, slog.New(slog.DiscardHandler), func(*infra.Catalog) {})
+				c.HandleMessage(t.Context(), "a", wire.CatalogVersion{Version: 3})
+				time.Sleep(10 * time.Millisecond)
+				f.mu.Lock()
+				f.called, f.answer = nil, &answer
+				f.mu.Unlock()
+				c.HandleMessage(t.Context(), "a", wire.CatalogVersion{Version: 5})
+				time.Sleep(time.Minute)
+				assert.Assert(t, len(f.called) >= 2 && len(f.called) <= 10, "%d calls", len(f.called))
+				assert.Equal(t, c.Current().Version, int64(3))
+			})
+		})
+	}
+}
--- a/entryd/hosted/transfer.go
+++ b/entryd/hosted/transfer.go
@@ -25,6 +25,10 @@
 	// partBytes is the size of a part of a compressed configuration. It takes 13 ms on a link of 10 Mbit/s, so that
 	// pings and requests on the same link are not held up.
 	partBytes = 16 << 10
+	// maxCompressedBytes limits the compressed size. Data that cannot be compressed grows by less than that.
+	maxCompressedBytes = store.MaxValueBytes + store.MaxValueBytes/100
+	// maxParts limits the calls to one source, which may begin again with another compressed form.
+	maxParts = 2 * maxCompressedBytes / partBytes
 	// partTimeout limits the call for one part, which is enough for a link of 2 Mbit/s that serves ten peers at a time.
 	partTimeout = time.Second
 	// fetchRounds limits how often each source is called, and fetchRetryDelay is the first pause between two rounds,
@@ -143,13 +147,15 @@
 			sleep(ctx, fetchRetryDelay<<(round-1))
 		}
 		calls[peer]++
+		before := c.Current()
 		if err := c.fetchFrom(ctx, peer, &received); err != nil {
 			c.metrics.fetchFailures.Inc(1)
 			c.log.Warn("catalog: cannot fetch the configuration", "peer", peer, "received", len(received.data), "size", received.size, "error", err)
 			c.dropUnlinked(peer, err)
-			continue
 		}
-		clear(calls)
+		if c.Current() != before {
+			clear(calls)
+		}
 	}
 }
 
@@ -200,12 +206,15 @@
 // add appends a part. A part of another compressed form replaces what has arrived.
 func (d *download) add(part wire.CatalogPart, data []byte) error {
 	switch {
-	case part.Digest != d.digest && part.Offset > 0:
+	case part.Digest != d.digest && part.Offset > 0 && len(d.data) > 0:
 		*d = download{}
 		return nil
 	case part.Digest != d.digest:
 		*d = download{digest: part.Digest, size: part.Size}
 	}
+	if d.size > maxCompressedBytes {
+		return fmt.Errorf("compressed configuration has %d bytes, at most %d are allowed", d.size, maxCompressedBytes)
+	}
 	if part.Offset != len(d.data) || len(data) == 0 || len(d.data)+len(data) > d.size {
 		return fmt.Errorf("part at %d of %d bytes does not follow %d of %d", part.Offset, len(data), len(d.data), d.size)
 	}
@@ -215,10 +224,10 @@
 
 func (d *download) complete() bool { return d.size > 0 && len(d.data) == d.size }
 
-// fetchFrom requests the missing parts of the configuration from a peer and puts it into effect. It ends early if a
-// newer version has arrived from the store.
+// fetchFrom requests the missing parts of the configuration from a peer and puts it into effect. It ends early if the
+// peer's version is not newer than the one in effect, because that has arrived from the store or the peer has restarted.
 func (c *CatalogWatcher) fetchFrom(ctx context.Context, peer fleet.EntryHostID, received *download) error {
-	for {
+	for range maxParts {
 		doc, err := c.requestPart(ctx, peer, len(received.data))
 		if err != nil {
 			return err
@@ -247,6 +256,7 @@
 		c.apply(data, "peer "+string(peer))
 		return nil
 	}
+	return fmt.Errorf("not complete after %d parts", maxParts)
 }
 
 func (c *CatalogWatcher) requestPart(ctx context.Context, peer fleet.EntryHostID, offset int) (wire.CatalogDoc, error) {
