--- a/coord/flow/colocation.go
+++ b/coord/flow/colocation.go
@@ -370,5 +370,5 @@
 	r.excludeRunTime = true
 	r.measuredPercent, r.measuredAt, r.stalledFor = r.percent, m.now, 0
 	r.worker.countLoad(m.now, r, 1)
-	m.changed(r.worker)
+	m.markChanged(r.worker)
 }
--- a/coord/flow/ranking.go
+++ b/coord/flow/ranking.go
@@ -12,11 +12,11 @@
 // searchAgain makes the next placement consider all workers for all waiting steps.
 func (m *Machine) searchAgain() { m.placementDue, m.searchDue = true, true }
 
-// changed makes the next placement consider a worker for the steps that it had no room for.
-func (m *Machine) changed(w *worker) { w.changedBefore = m.round + 1 }
+// markChanged makes the next placement consider a worker for the steps that it had no room for.
+func (m *Machine) markChanged(w *worker) { w.changedBefore = m.round + 1 }
 
-// isExamined reports whether a worker is known to have no room for a step.
-func (m *Machine) isExamined(r *readyStep, w *worker) bool {
+// lacksRoom reports whether a worker is known to have no room for a step.
+func (m *Machine) lacksRoom(r *readyStep, w *worker) bool {
 	return r.searched.epoch == m.searchEpoch && w.changedBefore <= r.searched.round
 }
 
@@ -66,7 +66,7 @@
 		return
 	}
 	for i, w := range candidates.workers {
-		if m.isExamined(r, w) {
+		if m.lacksRoom(r, w) {
 			continue
 		}
 		if score, fits := m.scoreOrdinary(r, w); fits {
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -90,7 +90,7 @@
 		w.reachable = true
 		m.searchAgain()
 	}
-	m.changed(w)
+	m.markChanged(w)
 	w.observeClock(m.now, ev.Report.Clock)
 	if !w.tokenAccepted {
 		w.tokenAccepted, w.leadershipConfirmed = true, !m.leaseUnconfirmed
@@ -292,7 +292,7 @@
 // releaseRun frees the capacity of a run that no longer exists on its worker.
 func (m *Machine) releaseRun(r *run) {
 	r.worker.remove(m.now, r)
-	m.changed(r.worker)
+	m.markChanged(r.worker)
 	if r.worker.trial == r {
 		r.worker.trial = nil
 		m.searchAgain()
