--- a/coord/flow/interference.go
+++ b/coord/flow/interference.go
@@ -20,8 +20,6 @@
 	priorWeightVariance = 10
 	// weightDrift is the growth of the variance of a weight per second.
 	weightDrift = 0.01
-	// maxPairs limits the filler images that are distinguished for one serving image.
-	maxPairs = 48
 	// cautionDeviations is the number of standard deviations that are added to a weight in a decision.
 	cautionDeviations = 0.3
 
@@ -96,48 +94,6 @@
 	return l.headroom + l.trend*min(1, now.Sub(l.updatedAt).Seconds())
 }
 
-// imageIndex numbers the images of fillers. Images beyond maxPairs share the last number.
-type imageIndex struct {
-	numbers map[string]int
-	names   []string
-}
-
-// of returns the number of an image.
-func (x *imageIndex) of(image string) int {
-	if n, known := x.numbers[image]; known {
-		return n
-	}
-	if len(x.names) >= maxPairs {
-		return maxPairs - 1
-	}
-	n := len(x.names)
-	x.numbers[image] = n
-	x.names = append(x.names, image)
-	return n
-}
-
-// imageAmount is an amount of something that belongs to a filler image, such as processor time.
-type imageAmount struct {
-	image  int
-	amount float64
-}
-
-// imageAmounts holds an amount for each of a few images.
-type imageAmounts []imageAmount
-
-// add adds to the amount of an image, and removes it if less than a threshold is left.
-func (a *imageAmounts) add(image int, amount, threshold float64) {
-	at := slices.IndexFunc(*a, func(x imageAmount) bool { return x.image == image })
-	if at < 0 {
-		at = len(*a)
-		*a = append(*a, imageAmount{image: image})
-	}
-	(*a)[at].amount += amount
-	if (*a)[at].amount < threshold {
-		*a = slices.Delete(*a, at, at+1)
-	}
-}
-
 // interferenceModel holds the weights of all filler images for one serving image, with their covariance, by the number of
 // the filler image.
 type interferenceModel struct {
