--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -168,7 +168,7 @@
 	const remaining, length, cut = 6 * time.Second, 4500, 5500 * time.Millisecond
 	id := newJobID()
 	err := t.client.submit(id, job{
-		Spec: specOf(behaviour{MS: length}), Steps: []step{{Count: 24, CPU: 8000, Mem: 256, Estimate: length}},
+		Spec: specOf(behaviour{MS: length}), Steps: []step{{Count: 64, CPU: 8000, Mem: 256, Estimate: length}},
 	})
 	if err != nil {
 		return nil, err
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -45,7 +45,7 @@
 	"images":  {workers: 6, play: playImages},
 	"timed":   {workers: 2, play: playTimed},
 	"backlog": {workers: 2, play: playBacklog},
-	"drained": {workers: 6, play: playDrained},
+	"drained": {workers: 16, play: playDrained},
 }
 
 func main() {
