--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -104,7 +104,9 @@
 	if err != nil {
 		return nil, err
 	}
-	completed := t.client.awaitState(id, "completed", 45*time.Second)
+	if !t.client.awaitState(id, "completed", 45*time.Second) {
+		return nil, errors.New("the job is not completed")
+	}
 	if t.trouble {
 		select {
 		case <-killed:
@@ -116,13 +118,10 @@
 	done := t.history.doneEnds(id)
 	for n := range occurrences {
 		task := fmt.Sprintf("%s.%d.0.0", id, n)
-		if completed && done[task] == 0 {
+		if done[task] == 0 {
 			broken = append(broken, fmt.Sprintf("MIXED: job %s is shown as completed and %s has not ended done", id, task))
 		}
 	}
-	if !completed {
-		broken = append(broken, "LOST: job "+id+" is not completed")
-	}
 	time.Sleep(14 * time.Second)
 	done = t.history.doneEnds(id)
 	for n := range occurrences {
@@ -191,7 +190,7 @@
 		w.cut(false)
 	}
 	if !t.client.awaitState(id, "completed", 30*time.Second) {
-		return verdict{"LOST: job " + id + " is not completed"}, nil
+		return nil, errors.New("the job is not completed")
 	}
 	time.Sleep(time.Second)
 	return append(t.history.parallelRuns(), t.history.restartsAfterDone()...), nil
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -21,10 +21,8 @@
 
 // behaviour is what a task does. The client writes it into the spec of the job.
 type behaviour struct {
-	// MS is how long a run works before it ends by itself; 0 means that it never does.
+	// MS is how long a run works before it ends done; 0 means that it never does.
 	MS int64 `json:"ms"`
-	// How is the outcome of that end, "done" unless set.
-	How string `json:"how"`
 	// Tail is the tail latency in milliseconds that a serving task reports.
 	Tail int64 `json:"tail"`
 }
@@ -169,11 +167,7 @@
 			case lapsed:
 				w.end(task, r, "lapsed")
 			case !r.stopped && r.work.MS > 0 && age >= time.Duration(r.work.MS)*time.Millisecond:
-				how := r.work.How
-				if how == "" {
-					how = "done"
-				}
-				w.end(task, r, how)
+				w.end(task, r, "done")
 			}
 		}
 		w.mu.Unlock()
