review: more margin in the cases of the outage and of the cut

Case 2 submits 100 jobs, and the tasks of case 5 take 5.2 s, so that a slower machine shows the same.

--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -134,7 +134,7 @@
 
 // playBacklog submits jobs of short tasks, and lets the store be down for 4.5 s while they run.
 func playBacklog(t *trial) (verdict, error) {
-	const jobs, tasks, outage = 50, 36, 4500 * time.Millisecond
+	const jobs, tasks, outage = 100, 36, 4500 * time.Millisecond
 	var ids []string
 	for range jobs {
 		id := newJobID()
@@ -164,7 +164,7 @@
 
 // playDrained lets a worker drain and then cuts it off for 5.5 s; it runs on.
 func playDrained(t *trial) (verdict, error) {
-	const remaining, length, cut = 6 * time.Second, 4500, 5500 * time.Millisecond
+	const remaining, length, cut = 7 * time.Second, 5200, 5500 * time.Millisecond
 	id := newJobID()
 	err := t.client.submit(id, job{
 		Spec: specOf(behaviour{MS: length}), Steps: []step{{Count: 64, CPU: 8000, Mem: 256, Estimate: length}},
