--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -162,9 +162,9 @@
 	return t.history.restartsAfterDone(), nil
 }
 
-// playDrained lets a worker drain and then cuts it off for 5.5 s; it runs on.
+// playDrained lets a worker drain and then cuts it off for 5 s; it runs on.
 func playDrained(t *trial) (verdict, error) {
-	const remaining, length, cut = 7 * time.Second, 5200, 5500 * time.Millisecond
+	const remaining, length, cut = 7 * time.Second, 5200, 5 * time.Second
 	id := newJobID()
 	err := t.client.submit(id, job{
 		Spec: specOf(behaviour{MS: length}), Steps: []step{{Count: 64, CPU: 8000, Mem: 256, Estimate: length}},
