flow: count a complete occurrence once

Cause: a worker reports an end again until it is acknowledged. If the scheduler is replaced between the save of the end's effect and the acknowledgement, the successor restores a complete occurrence and then applies its end once more. completeRun found no open step and called completeOccurrence a second time, which raised completedOccurrences. In the record of the case, the third occurrence is missing after "end 1 of ….0.0.0" was listed to both schedulers, and the job is completed with the end of ….1.0.0.

completeRun now returns if the occurrence is complete already, so that a repeated end changes nothing, whichever scheduler recorded it first. completeOccurrence has no other caller.

--- a/coord/flow/job.go
+++ b/coord/flow/job.go
@@ -165,6 +165,8 @@
 	}
 }
 
+func (o *occurrence) complete() bool { return o.openSteps == 0 }
+
 func (s *step) complete() bool { return s.done == len(s.tasks) }
 
 // setPhase changes the phase of a task and updates the counts of the step.
@@ -238,7 +240,7 @@
 		if o == nil {
 			continue
 		}
-		if o.openSteps == 0 {
+		if o.complete() {
 			r.Occurrences = append(r.Occurrences, OccurrenceRecord{Number: n, Completed: true})
 			continue
 		}
@@ -304,7 +306,7 @@
 		o.steps[i].restore(r.Steps[i])
 	}
 	o.countOpenSteps()
-	if o.openSteps == 0 {
+	if o.complete() {
 		o.job.completedOccurrences++
 	}
 }
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -195,8 +195,12 @@
 	return s, &s.tasks[id.Index]
 }
 
-// completeRun records a successful run. For a gang, one such end completes all tasks.
+// completeRun records a successful run. For a gang, one such end completes all tasks. The end may have been recorded by a
+// predecessor.
 func (m *Machine) completeRun(o *occurrence, s *step, e infra.EndedRun) {
+	if o.complete() {
+		return
+	}
 	m.markDirty(o.job)
 	o.job.started = true
 	if s.spec.Gang {
@@ -210,7 +214,7 @@
 		return
 	}
 	o.countOpenSteps()
-	if o.openSteps == 0 {
+	if o.complete() {
 		m.completeOccurrence(o)
 		return
 	}
--- a/coord/flow/takeover_test.go
+++ b/coord/flow/takeover_test.go
@@ -274,3 +274,30 @@
 		assert.Equal(t, s.done[fleet.JobID("wide"+strconv.Itoa(i))], wide, "wide%d", i)
 	}
 }
+
+// The end of a complete occurrence is reported again to a successor if the predecessor stored its effect but did not
+// acknowledge it. It was counted as a second occurrence, and the job was completed before its last occurrence had run.
+func TestRepeatedEndDoesNotCompleteAnotherOccurrence(t *testing.T) {
+	const interval = 2 * time.Second
+	j := singleStepJob("j", smallStep(1))
+	j.Schedule = infra.Schedule{Count: 3, Start: time.Unix(999, 0).UnixMilli(), Interval: interval}
+	first := flow.OccurrenceRecord{Number: 0, Completed: true}
+	h := newHarness(t, flow.Restored{
+		Jobs:   []flow.StoredJob{{Job: j, Record: &flow.Record{State: infra.StateRunning, Completed: 1, Occurrences: []flow.OccurrenceRecord{first}}}},
+		Roster: []flow.RosterEntry{{Worker: "a", Address: "a:1"}}, Term: 1,
+	}, newPoolWorker("a"))
+	h.report("a", infra.Report{Ended: []infra.EndedRun{{Number: 1, Task: infra.TaskID{Job: "j"}, Run: 1, Outcome: infra.OutcomeDone}}})
+	for n := int64(1); n < 3; n++ {
+		h.advance(interval)
+		started := h.starts()
+		assert.Equal(t, len(started), 1, "occurrence %d", n)
+		state, _ := h.m.State("j")
+		assert.Equal(t, state, infra.StateRunning, "occurrence %d", n)
+		order := started[0].Order
+		assert.Equal(t, order.Task.Occurrence, n)
+		h.report("a", infra.Report{Ended: []infra.EndedRun{{Number: n + 1, Task: order.Task, Run: order.Run, Outcome: infra.OutcomeDone}}})
+	}
+	h.advance(50 * time.Millisecond)
+	state, _ := h.m.State("j")
+	assert.Equal(t, state, infra.StateCompleted)
+}
