flow: record runs of occurrences that are not due yet

An occurrence is created when it is due by the wall clock of the scheduler, and its first run can start and end before that is stored. A successor whose clock is behind did not know the occurrence, so that it dropped the end, acknowledged it, and started the task again when the occurrence was due by its own clock. A run in progress was stopped as one of an unknown job.

The successor now creates the occurrences up to that of a reported run, if it is due within 10 s.

TestEndOfOccurrenceThatIsNotDueYet and TestRunOfOccurrenceThatIsNotDueYetIsAdopted fail before.

--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -383,21 +383,43 @@
 		return
 	}
 	for j.createdOccurrences < j.totalOccurrences() {
-		due := time.UnixMilli(j.spec.Schedule.Start).Add(time.Duration(j.createdOccurrences) * j.spec.Schedule.Interval)
-		wait := due.Sub(m.wallNow())
-		if wait > 0 {
+		if m.untilDue(j, j.createdOccurrences) > 0 {
 			return
 		}
-		o := j.occurrence(j.createdOccurrences)
-		o.due = m.now.Add(wait)
-		o.raiseRunNumbers(infra.Run(m.term) * runsPerTerm)
-		j.createdOccurrences++
-		m.markDirty(j)
-		m.updateReady(o)
+		m.createNextOccurrence(j)
 	}
 	delete(m.scheduledJobs, j.spec.ID)
 }
 
+// maxClockLead is how far the wall clock of a predecessor may be ahead of that of this scheduler.
+const maxClockLead = 10 * time.Second
+
+// createReportedOccurrence creates the occurrence of a run that a worker reports. A predecessor whose clock is ahead has
+// created it before it is due here.
+func (m *Machine) createReportedOccurrence(id infra.TaskID) {
+	j := m.scheduledJobs[id.Job]
+	if j == nil || m.wall.IsZero() || id.Occurrence >= j.totalOccurrences() || m.untilDue(j, id.Occurrence) > maxClockLead {
+		return
+	}
+	for j.createdOccurrences <= id.Occurrence {
+		m.createNextOccurrence(j)
+	}
+}
+
+// untilDue returns the time until an occurrence of a scheduled job is due.
+func (m *Machine) untilDue(j *job, n int64) time.Duration {
+	return time.UnixMilli(j.spec.Schedule.Start).Add(time.Duration(n) * j.spec.Schedule.Interval).Sub(m.wallNow())
+}
+
+func (m *Machine) createNextOccurrence(j *job) {
+	o := j.occurrence(j.createdOccurrences)
+	o.due = m.now.Add(m.untilDue(j, o.number))
+	o.raiseRunNumbers(infra.Run(m.term) * runsPerTerm)
+	j.createdOccurrences++
+	m.markDirty(j)
+	m.updateReady(o)
+}
+
 func (m *Machine) wallNow() time.Time { return m.wall.Add(m.now.Sub(m.wallAt)) }
 
 // updateReady adds the runnable steps of an occurrence to the ready set and removes the others.
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -144,6 +144,7 @@
 func (m *Machine) applyEnd(w *worker, e infra.EndedRun) {
 	r := w.runs[e.Task]
 	isCurrent := r != nil && r.number == e.Run
+	m.createReportedOccurrence(e.Task)
 	s, t := m.lookupTask(e.Task)
 	m.emit(Log{Text: "run ended", Task: e.Task, Run: e.Run, Worker: w.ID, Reason: string(e.Outcome)})
 	m.placementDue = true
@@ -384,6 +385,7 @@
 
 // adopt takes over a run that this scheduler did not start, or stops it if the task must not run there.
 func (m *Machine) adopt(w *worker, row infra.ActiveRun, clock int64) {
+	m.createReportedOccurrence(row.Task)
 	s, t := m.lookupTask(row.Task)
 	r := &run{
 		lastReport: w.reports,
--- a/coord/flow/takeover_test.go
+++ b/coord/flow/takeover_test.go
@@ -301,3 +301,38 @@
 	state, _ := h.m.State("j")
 	assert.Equal(t, state, infra.StateCompleted)
 }
+
+// A predecessor whose clock is ahead starts an occurrence that is not due yet by the clock of its successor. The successor
+// acknowledged its end without recording it, and started the occurrence again when it was due.
+func TestEndOfOccurrenceThatIsNotDueYet(t *testing.T) {
+	j := singleStepJob("j", smallStep(1))
+	j.Schedule = infra.Schedule{Count: 3, Start: time.Unix(999, 0).UnixMilli(), Interval: 2 * time.Second}
+	first := flow.OccurrenceRecord{Number: 0, Completed: true}
+	h := newHarness(t, flow.Restored{
+		Jobs:   []flow.StoredJob{{Job: j, Record: &flow.Record{State: infra.StateRunning, Completed: 1, Occurrences: []flow.OccurrenceRecord{first}}}},
+		Roster: []flow.RosterEntry{{Worker: "a", Address: "a:1"}}, Term: 1,
+	}, newPoolWorker("a"))
+	ended := infra.EndedRun{Number: 1, Task: infra.TaskID{Job: "j", Occurrence: 1}, Run: 1, Outcome: infra.OutcomeDone}
+	h.report("a", infra.Report{Ended: []infra.EndedRun{ended}})
+	h.advance(1500 * time.Millisecond)
+	assert.Equal(t, len(h.starts()), 0)
+	h.report("a", infra.Report{})
+	h.advance(2 * time.Second)
+	started := h.starts()
+	assert.Equal(t, len(started), 1)
+	assert.Equal(t, started[0].Order.Task.Occurrence, int64(2))
+}
+
+// The successor stopped a run of an occurrence that was not due yet by its clock as one of an unknown job.
+func TestRunOfOccurrenceThatIsNotDueYetIsAdopted(t *testing.T) {
+	j := singleStepJob("j", smallStep(1))
+	j.Schedule = infra.Schedule{Count: 3, Start: time.Unix(1001, 0).UnixMilli(), Interval: 2 * time.Second}
+	h := newHarness(t, flow.Restored{
+		Jobs: []flow.StoredJob{{Job: j}}, Roster: []flow.RosterEntry{{Worker: "a", Address: "a:1"}}, Term: 1,
+	}, newPoolWorker("a"))
+	h.report("a", infra.Report{Running: []infra.ActiveRun{{Task: infra.TaskID{Job: "j"}, Run: 1, Progress: 10}}})
+	for _, e := range h.effects {
+		_, stopped := e.(flow.Stop)
+		assert.Assert(t, !stopped, "%+v", e)
+	}
+}
