flow: keep the runs of draining workers that are not listed

Cause: clearIfLeft took a draining worker that is neither listed nor reachable to have left, and dropped its runs. The platform removes a registration after three heartbeat intervals of silence too, so that neither its absence nor a missing answer shows an end. A successor did the same with the workers that the stored roster marked as draining.

The runs are now kept until a report, a newer start time or the end of their lease shows that they have ended. RosterEntry.Draining existed only for the wrong conclusion and is removed. So that a takeover does not wait for workers that have left, a draining worker is removed from the stored roster once it has no runs left, and returns to it if it stays.

--- a/coord/flow/event.go
+++ b/coord/flow/event.go
@@ -33,8 +33,6 @@
 type RosterEntry struct {
 	Worker  fleet.WorkerID `cbor:"worker"`
 	Address string         `cbor:"address"`
-	// Draining marks a worker that was leaving. It has left once the platform no longer lists it.
-	Draining bool `cbor:"draining,omitempty"`
 }
 
 // Cordon takes a worker out of service and requests its evacuation by Deadline, because its machine will be taken
--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -317,7 +317,6 @@
 			w = m.addWorker(infra.Worker{ID: e.Worker, Address: e.Address})
 		}
 		w.inStoredRoster = true
-		w.Draining = w.Draining || e.Draining
 	}
 	m.unreconciledUntil = m.now.Add(m.opts.leadershipTimeout + time.Duration(float64(m.opts.taskLease)*(1+2*maxClockDrift)) + clockMargin)
 	m.predecessorLeaseEnd = m.now.Add(m.opts.predecessorLease)
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -55,7 +55,6 @@
 		m.emit(Log{Text: "worker unreachable", Worker: w.ID, Reason: ev.Err.Error()})
 	}
 	w.reachable = false
-	m.clearIfLeft(w)
 	if !errors.As(ev.Err, &unsent) || !unsent.ConnRefused {
 		w.connRefusals = 0
 		return
--- a/coord/flow/save.go
+++ b/coord/flow/save.go
@@ -53,7 +53,7 @@
 		s.Roster = make([]RosterEntry, 0, len(m.roster))
 		for _, w := range m.workersByID {
 			if address, found := m.roster[w.ID]; found {
-				s.Roster = append(s.Roster, RosterEntry{Worker: w.ID, Address: address, Draining: w.Draining})
+				s.Roster = append(s.Roster, RosterEntry{Worker: w.ID, Address: address})
 				m.batchRoster = append(m.batchRoster, w.ID)
 			}
 		}
--- a/coord/flow/sweep.go
+++ b/coord/flow/sweep.go
@@ -67,6 +67,9 @@
 	if slices.ContainsFunc(w.runsByTask, func(r *run) bool { return r.state == stopping || r.state == fencing }) {
 		m.repeatStops(w)
 	}
+	if w.isDrained() && !m.isUnreconciled(w) {
+		m.removeFromRoster(w)
+	}
 	if !w.listed && len(w.runs) == 0 && !w.renewalInFlight && !m.isUnreconciled(w) {
 		m.removeWorker(w)
 	}
--- a/coord/flow/worker_lifecycle.go
+++ b/coord/flow/worker_lifecycle.go
@@ -43,12 +43,20 @@
 			break
 		}
 	}
+	m.removeFromRoster(w)
+}
+
+func (m *Machine) removeFromRoster(w *worker) {
 	if _, found := m.roster[w.ID]; found {
 		delete(m.roster, w.ID)
-		m.rosterDirty = true
+		m.rosterDirty, w.inStoredRoster = true, false
 	}
 }
 
+// isDrained reports whether a worker is draining and has no runs left. It gets none any more, so that a successor does not
+// have to wait for it.
+func (w *worker) isDrained() bool { return w.Draining && len(w.runs) == 0 }
+
 func (m *Machine) workerListed(info infra.Worker) {
 	w := m.workers[info.ID]
 	if w == nil {
@@ -64,7 +72,6 @@
 	}
 	if info.Draining && !w.Draining {
 		m.emit(Log{Text: "worker is draining", Worker: info.ID})
-		m.rosterDirty = true
 	}
 	if !w.listed {
 		w.nextRenewal = m.now
@@ -80,7 +87,7 @@
 	startedAt := max(w.StartedAt, info.StartedAt)
 	w.Worker, w.listed, w.restartedSinceListing = info, true, false
 	w.StartedAt = startedAt
-	if m.roster[w.ID] != info.Address {
+	if m.roster[w.ID] != info.Address && !w.isDrained() {
 		m.roster[w.ID] = info.Address
 		m.rosterDirty = true
 		w.inStoredRoster = false
@@ -90,6 +97,8 @@
 	}
 }
 
+// workerUnlisted takes a worker out of service. Its runs are kept until a report or the end of their lease shows that they
+// have ended, because the platform also removes the registration of a worker that is only cut off from the store.
 func (m *Machine) workerUnlisted(id fleet.WorkerID) {
 	w := m.workers[id]
 	if w == nil || !w.listed {
@@ -97,17 +106,6 @@
 	}
 	w.listed = false
 	m.emit(Log{Text: "worker no longer listed", Worker: id})
-	m.clearIfLeft(w)
-}
-
-// clearIfLeft drops the runs of a draining worker that is neither listed nor reachable, because it has left.
-func (m *Machine) clearIfLeft(w *worker) {
-	if !w.Draining || w.listed || w.reachable {
-		return
-	}
-	m.clearWorker(w, "worker has left")
-	delete(m.unreconciledWorkers, w.ID)
-	m.searchAgain()
 }
 
 // workerRestarted handles a new incarnation of a worker. The runs of the previous incarnation have ended, but a start
