flow: treat an entry as a worker once it has answered

An entry of another writer with a valid address looks like a worker. It was stored in the roster when it was listed, so that each successor waited for it for 13.1 s (one lease, if the predecessor confirmed its end) before it started the tasks of its predecessor that no worker reported; and it was called four times a second for as long as it was listed, each call taking up to 1.7 s.

Cause: nothing told an entry from a worker. A worker now enters the roster with its first answer, which is saved at once; no task was started on it before in any case. The pause after failed renewals doubles up to 2 s for a worker that has never answered, unless a task of this scheduler or of a predecessor may run there.

--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -14,6 +14,9 @@
 	reportWaitColocated = 500 * time.Millisecond
 	// renewRetryPause is the pause after a failed renewal.
 	renewRetryPause = 250 * time.Millisecond
+	// maxFirstContactPause is the longest pause after failed renewals of a worker that has not answered yet. The entry of
+	// such a worker may name no worker at all.
+	maxFirstContactPause = 2 * time.Second
 	// renewUnsavedPause is the pause between renewals while ended runs are not durable yet. Leases last about 20 times
 	// as long.
 	renewUnsavedPause = 300 * time.Millisecond
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"slices"
+	"time"
 
 	"lovagefork.example/coord/fleet"
 	"lovagefork.example/coord/infra"
@@ -33,7 +34,8 @@
 		return
 	}
 	w.renewalInFlight, w.probed = false, false
-	w.nextRenewal = m.now.Add(renewRetryPause)
+	w.nextRenewal = m.now.Add(m.retryPause(w))
+	w.failedRenewals++
 	var refused *infra.RefusedError
 	var unsent *infra.NotSentError
 	switch {
@@ -68,13 +70,22 @@
 	}
 }
 
+// retryPause returns the pause after a failed renewal. It doubles for a worker that has not answered yet and on which no
+// task can run.
+func (m *Machine) retryPause(w *worker) time.Duration {
+	if w.clock > 0 || len(w.runs) > 0 || m.isUnreconciled(w) {
+		return renewRetryPause
+	}
+	return min(renewRetryPause<<min(w.failedRenewals, 10), maxFirstContactPause)
+}
+
 // renewAnswered applies a worker's report.
 func (m *Machine) renewAnswered(ev RenewAnswered) {
 	w := m.workers[ev.Worker]
 	if w == nil || ev.Sequence != w.renewalSequence {
 		return
 	}
-	w.renewalInFlight, w.nextRenewal, w.connRefusals = false, m.now, 0
+	w.renewalInFlight, w.nextRenewal, w.connRefusals, w.failedRenewals = false, m.now, 0, 0
 	if w.StartedAt != 0 && ev.Report.StartedAt != 0 && ev.Report.StartedAt != w.StartedAt {
 		// The start time is earlier if the clock of the worker's host was set back.
 		m.workerRestarted(w, ev.Report.StartedAt)
@@ -93,6 +104,8 @@
 	w.observeClock(m.now, ev.Report.Clock)
 	if !w.tokenAccepted {
 		w.tokenAccepted, w.leadershipConfirmed = true, !m.leaseUnconfirmed
+		m.addToRoster(w)
+		m.save()
 		m.markReconciled(w)
 		m.fenceLateStarts(w)
 	}
--- a/coord/flow/view.go
+++ b/coord/flow/view.go
@@ -164,10 +164,10 @@
 		return "drains"
 	case w.cordoned:
 		return "is taken out of service"
-	case !w.inStoredRoster:
-		return "not in the stored roster yet"
 	case !w.tokenAccepted || w.clock == 0:
 		return "has not answered this scheduler yet"
+	case !w.inStoredRoster:
+		return "not in the stored roster yet"
 	case !w.leadershipConfirmed:
 		return "first held while the store was silent"
 	case w.isQuarantined(m.now):
--- a/coord/flow/worker.go
+++ b/coord/flow/worker.go
@@ -118,6 +118,8 @@
 	reachable        bool
 	unreachableSince time.Time
 	connRefusals     int
+	// failedRenewals counts the renewals that failed since the worker was added or has answered.
+	failedRenewals int
 	// clock is the last known worker clock in milliseconds, and clockAt the local time at which it was read.
 	clockAt time.Time
 	clock   int64
--- a/coord/flow/worker_lifecycle.go
+++ b/coord/flow/worker_lifecycle.go
@@ -46,6 +46,16 @@
 	m.removeFromRoster(w)
 }
 
+// addToRoster adds a listed worker to the roster once it has answered at its address. Until then no task is started there,
+// and a successor would wait for an entry that names no worker.
+func (m *Machine) addToRoster(w *worker) {
+	if !w.listed || !w.tokenAccepted || w.isDrained() || m.roster[w.ID] == w.Address {
+		return
+	}
+	m.roster[w.ID] = w.Address
+	m.rosterDirty, w.inStoredRoster = true, false
+}
+
 func (m *Machine) removeFromRoster(w *worker) {
 	if _, found := m.roster[w.ID]; found {
 		delete(m.roster, w.ID)
@@ -87,11 +97,7 @@
 	startedAt := max(w.StartedAt, info.StartedAt)
 	w.Worker, w.listed, w.restartedSinceListing = info, true, false
 	w.StartedAt = startedAt
-	if m.roster[w.ID] != info.Address && !w.isDrained() {
-		m.roster[w.ID] = info.Address
-		m.rosterDirty = true
-		w.inStoredRoster = false
-	}
+	m.addToRoster(w)
 	if isChanged {
 		m.searchAgain()
 	}
