flow: confirm what a registration says of a worker that runs tasks

Cause: a registration, which anyone can write, was taken for the word of the worker itself.

- A later start time under which runs would be lost is confirmed by a report first; the renewal that asks for it carries neither a lease nor an acknowledgement, whose numbers mean nothing to another incarnation.
Without an answer the lease is awaited.
- A registration with another address is ignored if the incarnation that it names has answered elsewhere.
- 421 and refused connections count only at an address at which the worker had been reached, by this scheduler or a predecessor.

--- a/coord/flow/crash.go
+++ b/coord/flow/crash.go
@@ -236,7 +236,7 @@
 func (s *step) hasRecentRun() bool {
 	for i := range s.tasks {
 		for _, r := range s.tasks[i].runs {
-			if !r.sound && r.state != fencing && r.worker.reachable {
+			if !r.sound && r.state != fencing && r.worker.reachable && r.worker.unconfirmed == nil {
 				return true
 			}
 		}
--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -319,7 +319,7 @@
 		if w == nil {
 			w = m.addWorker(infra.Worker{ID: e.Worker, Address: e.Address})
 		}
-		w.inStoredRoster = true
+		w.inStoredRoster, w.answeredAt = true, e.Address
 	}
 	m.unreconciledUntil = m.now.Add(m.opts.leadershipTimeout + time.Duration(float64(m.opts.taskLease)*(1+2*maxClockDrift)) + clockMargin)
 	m.predecessorLeaseEnd = m.now.Add(m.opts.predecessorLease)
--- a/coord/flow/registration_test.go
+++ b/coord/flow/registration_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"lovagefork.example/coord/fleet"
 	"lovagefork.example/coord/flow"
 	"lovagefork.example/coord/infra"
 )
@@ -36,3 +37,97 @@
 	}
 	assert.Assert(t, calls >= 5 && calls <= 9, "%d calls in 10 s", calls)
 }
+
+// runningWorker returns a scheduler with a task that runs on the worker a, and the row of its reports. The worker b is free.
+func runningWorker(t *testing.T) (*harness, infra.Worker, infra.Report) {
+	a := newPoolWorker("a")
+	a.StartedAt = 5
+	h := newHarness(t, flow.Restored{Jobs: []flow.StoredJob{{Job: singleStepJob("j", smallStep(1))}}}, a)
+	h.report("a", infra.Report{StartedAt: 5})
+	h.advance(50 * time.Millisecond)
+	started := h.starts()
+	assert.Equal(t, len(started), 1)
+	order := started[0].Order
+	report := infra.Report{StartedAt: 5, Running: []infra.ActiveRun{{Task: order.Task, Run: order.Run, Progress: 10}}}
+	h.report("a", report)
+	h.step(flow.WorkerListed{Worker: newPoolWorker("b")})
+	h.report("b", infra.Report{})
+	h.advance(50 * time.Millisecond)
+	return h, a, report
+}
+
+// lastRenewal returns the last [flow.Renew] of a worker.
+func (h *harness) lastRenewal(id fleet.WorkerID) flow.Renew {
+	var last flow.Renew
+	for _, e := range h.effects {
+		if r, ok := e.(flow.Renew); ok && r.To.Worker == id {
+			last = r
+		}
+	}
+	return last
+}
+
+// misdirected fails the latest [flow.Renew] of a worker because another worker listens at its address.
+func (h *harness) misdirected(id fleet.WorkerID) {
+	h.step(flow.RenewFailed{Worker: id, Sequence: h.seq[id], Err: &infra.RefusedError{Worker: id, Reason: infra.ReasonInstance}})
+}
+
+// An entry of another writer under the key of a live worker led its renewals to another address, and the answer of the
+// worker there ended its runs, which started again elsewhere.
+func TestRegistrationWithAnotherAddressIsIgnored(t *testing.T) {
+	h, a, report := runningWorker(t)
+	other := a
+	other.Address = "b:1"
+	h.step(flow.WorkerListed{Worker: other})
+	h.report("a", report)
+	h.advance(200 * time.Millisecond)
+	assert.Equal(t, h.lastRenewal("a").To.HostPort, "a:1")
+	assert.Equal(t, len(h.starts()), 0)
+}
+
+// An entry of another writer with a later start time was taken for a restart, and the tasks of the worker started again
+// while they were still running.
+func TestAnnouncedRestartIsNotConfirmed(t *testing.T) {
+	for name, address := range map[string]string{"same address": "a:1", "address of another worker": "b:1"} {
+		t.Run(name, func(t *testing.T) {
+			h, a, report := runningWorker(t)
+			odd := a
+			odd.StartedAt, odd.Address = 99, address
+			h.step(flow.WorkerListed{Worker: odd})
+			renewal := h.lastRenewal("a")
+			assert.Equal(t, renewal.To.HostPort, address)
+			assert.DeepEqual(t, renewal.Order, infra.RenewOrder{Token: 7})
+			if address == "a:1" {
+				h.report("a", report)
+			} else {
+				h.misdirected("a")
+				h.advance(300 * time.Millisecond)
+				h.step(flow.RenewFailed{Worker: "a", Sequence: h.seq["a"], Err: &infra.NotSentError{Worker: "a", ConnRefused: true}})
+				h.advance(300 * time.Millisecond)
+				h.step(flow.RenewFailed{Worker: "a", Sequence: h.seq["a"], Err: &infra.NotSentError{Worker: "a", ConnRefused: true}})
+			}
+			h.advance(300 * time.Millisecond)
+			h.step(flow.WorkerListed{Worker: a})
+			h.advance(300 * time.Millisecond)
+			assert.Equal(t, h.lastRenewal("a").To.HostPort, "a:1")
+			h.report("a", report)
+			assert.Equal(t, len(h.starts()), 0)
+			assert.Equal(t, h.m.Workers()[0].UnusableReason, "")
+		})
+	}
+}
+
+// The tasks of a worker that has restarted must not wait for the end of their lease.
+func TestAnnouncedRestartIsConfirmed(t *testing.T) {
+	h, a, _ := runningWorker(t)
+	a.StartedAt, a.Address = 99, "a:2"
+	h.step(flow.WorkerListed{Worker: a})
+	assert.Equal(t, h.lastRenewal("a").To.HostPort, "a:2")
+	for range 10 {
+		h.report("a", infra.Report{StartedAt: 99})
+		h.report("b", infra.Report{})
+		h.advance(100 * time.Millisecond)
+	}
+	assert.Equal(t, len(h.starts()), 1)
+	assert.Equal(t, h.m.Workers()[0].UnusableReason, "")
+}
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -11,13 +11,18 @@
 
 // sendRenewal renews a worker's lease and requests its report.
 func (m *Machine) sendRenewal(w *worker) {
-	order := infra.RenewOrder{Token: m.token, AckedEnd: w.durableEnd}
+	order := infra.RenewOrder{Token: m.token}
+	// Numbers of ends and times of the worker's clock mean nothing to another incarnation.
+	isSameIncarnation := w.unconfirmed == nil
+	if isSameIncarnation {
+		order.AckedEnd = w.durableEnd
+	}
 	// The lease of an unreachable worker is not renewed, so that it ends at a known time.
-	if w.clock > 0 && w.reachable {
+	if w.clock > 0 && w.reachable && isSameIncarnation {
 		order.Deadline = w.maxClock(m.now) + m.opts.taskLease.Milliseconds()
 		w.leaseEnd = max(w.leaseEnd, order.Deadline)
 	}
-	if w.unsavedSeq == 0 && w.tokenAccepted && w.reachable && !m.now.Equal(w.immediateRenewalAt) {
+	if isSameIncarnation && w.unsavedSeq == 0 && w.tokenAccepted && w.reachable && !m.now.Equal(w.immediateRenewalAt) {
 		order.Wait = reportWait
 		if len(w.servingSteps) > 0 && w.fillerCPU > 0 {
 			order.Wait = reportWaitColocated
@@ -43,10 +48,7 @@
 		m.emit(Resign{Worker: w.ID})
 		return
 	case errors.As(ev.Err, &refused) && refused.Reason == infra.ReasonInstance:
-		m.workerCrashed(w, "address belongs to another worker")
-		m.clearWorker(w, "address belongs to another worker")
-		delete(m.unreconciledWorkers, w.ID)
-		w.reachable, w.unreachableSince = false, m.now
+		m.addressTaken(w)
 		return
 	case errors.As(ev.Err, &refused):
 		w.unhealthyUntil = m.now.Add(renewRetryPause)
@@ -62,7 +64,7 @@
 		return
 	}
 	w.connRefusals++
-	if w.connRefusals >= connRefusalsUntilGone {
+	if w.connRefusals >= connRefusalsUntilGone && w.Address == w.answeredAt {
 		m.workerCrashed(w, "connections to the worker's address are refused")
 		m.clearWorker(w, "connections to the worker's address are refused")
 		delete(m.unreconciledWorkers, w.ID)
@@ -70,6 +72,20 @@
 	}
 }
 
+// addressTaken handles the answer of another worker at a worker's address. It shows that the worker has ended only if the
+// worker had been there before.
+func (m *Machine) addressTaken(w *worker) {
+	if w.reachable {
+		w.reachable, w.unreachableSince = false, m.now
+	}
+	if w.Address != w.answeredAt {
+		return
+	}
+	m.workerCrashed(w, "address belongs to another worker")
+	m.clearWorker(w, "address belongs to another worker")
+	delete(m.unreconciledWorkers, w.ID)
+}
+
 // retryPause returns the pause after a failed renewal. It doubles for a worker that has not answered yet and on which no
 // task can run.
 func (m *Machine) retryPause(w *worker) time.Duration {
@@ -88,9 +104,14 @@
 	w.renewalInFlight, w.nextRenewal, w.connRefusals, w.failedRenewals = false, m.now, 0, 0
 	if w.StartedAt != 0 && ev.Report.StartedAt != 0 && ev.Report.StartedAt != w.StartedAt {
 		// The start time is earlier if the clock of the worker's host was set back.
+		announced := w.unconfirmed
 		m.workerRestarted(w, ev.Report.StartedAt)
+		if announced != nil && announced.StartedAt == ev.Report.StartedAt {
+			m.workerListed(*announced)
+		}
 		return
 	}
+	w.unconfirmed, w.answeredAt = nil, w.Address
 	if w.StartedAt == 0 {
 		w.StartedAt = ev.Report.StartedAt
 	}
--- a/coord/flow/worker.go
+++ b/coord/flow/worker.go
@@ -106,6 +106,10 @@
 	// restartedSinceListing is set while the registration is that of a previous incarnation, whose service, labels and
 	// capacity may differ.
 	restartedSinceListing bool
+	// answeredAt is the address at which the worker last answered this scheduler, or at which a predecessor reached it.
+	answeredAt string
+	// unconfirmed is a registration that announces a restart which the worker has not confirmed; nil if there is none.
+	unconfirmed *infra.Worker
 	// inStoredRoster is set once the stored roster lists the worker, so that a later scheduler expects tasks on it.
 	inStoredRoster bool
 	// tokenAccepted is set once the worker has accepted this scheduler's fencing token.
--- a/coord/flow/worker_lifecycle.go
+++ b/coord/flow/worker_lifecycle.go
@@ -46,6 +46,21 @@
 	m.removeFromRoster(w)
 }
 
+// isKnownElsewhere reports whether a registration names an address at which this incarnation of the worker does not listen.
+func (w *worker) isKnownElsewhere(info infra.Worker) bool {
+	return w.clock > 0 && info.StartedAt != 0 && info.StartedAt == w.StartedAt && info.Address != w.answeredAt
+}
+
+// confirmRestart requests a report from the address in a registration that announces a restart. Only the report shows
+// that the runs of the worker have ended, because the registration may come from another writer.
+func (m *Machine) confirmRestart(w *worker, info infra.Worker) {
+	if w.unconfirmed == nil {
+		m.emit(Log{Text: "restart announced", Worker: w.ID})
+	}
+	w.Worker.Address, w.listed, w.restartedSinceListing, w.unconfirmed = info.Address, true, true, &info
+	m.sendRenewal(w)
+}
+
 // addToRoster adds a listed worker to the roster once it has answered at its address. Until then no task is started there,
 // and a successor would wait for an entry that names no worker.
 func (m *Machine) addToRoster(w *worker) {
@@ -77,9 +92,18 @@
 	if w.StartedAt != 0 && info.StartedAt != 0 && info.StartedAt < w.StartedAt {
 		return
 	}
+	if w.isKnownElsewhere(info) {
+		m.emit(Log{Text: "registration ignored", Worker: info.ID, Reason: "the worker has answered at another address since its start"})
+		return
+	}
 	if w.StartedAt != 0 && info.StartedAt > w.StartedAt {
+		if len(w.runs) > 0 && w.clock > 0 && !w.leaseExpired(m.now) {
+			m.confirmRestart(w, info)
+			return
+		}
 		m.workerRestarted(w, info.StartedAt)
 	}
+	w.unconfirmed = nil
 	if info.Draining && !w.Draining {
 		m.emit(Log{Text: "worker is draining", Worker: info.ID})
 	}
@@ -93,6 +117,11 @@
 	case w.leavesAt.IsZero() && info.Remaining > 0:
 		w.leavesAt = m.now.Add(info.Remaining)
 	}
+	if w.Address != info.Address {
+		// The renewal in flight goes to the former address.
+		w.renewalInFlight, w.nextRenewal = false, m.now
+		w.renewalSequence++
+	}
 	isChanged := !w.listed || w.restartedSinceListing || !w.offersSame(info)
 	startedAt := max(w.StartedAt, info.StartedAt)
 	w.Worker, w.listed, w.restartedSinceListing = info, true, false
@@ -129,7 +158,7 @@
 		// The start may have reached the new incarnation or may still reach it, so the new incarnation must reject it.
 		r.state, r.nextStop, r.stopReason = fencing, m.now, "worker restarted"
 	}
-	w.StartedAt, w.restartedSinceListing = startedAt, true
+	w.StartedAt, w.restartedSinceListing, w.unconfirmed = startedAt, true, nil
 	w.tokenAccepted, w.leadershipConfirmed = false, false
 	w.clock, w.leaseEnd, w.seenEnd, w.durableEnd, w.unsavedSeq = 0, 0, 0, 0, 0
 	w.endWeight, w.speed = 0, 1
