leader: bound what odd entries among workers and entry hosts can do

An odd entry among those of the entry hosts ended each leadership 8.4 s after its election, again and again: the leader handed over to the larger host that the entry named, which runs no process, and the next one did the same. Entries without an address or with a port out of range were dialled without an end.

Cause: an entry was decoded and not checked, and nothing noted that the larger host had not taken the leadership although it had a head start. Entries are checked now, and the time after which a leadership is handed over to a host doubles each time it did not take it.

Among the entries of workers, nothing ended and the list was followed (TestOddWorkerEntries passes before too: 300 odd entries, one of them under the key of a live worker). But a read held all of them at once, each of up to 1 MB beside 284 MB of memory, the keys of entries that are gone were kept, and a line of the log could contain a whole value.

--- a/entryd/leader/group.go
+++ b/entryd/leader/group.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"net"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -58,6 +61,34 @@
 	MilliCPU int64  `cbor:"milli_cpu,omitempty"`
 }
 
+// maxMilliCPU exceeds the processor time of any entry host.
+const maxMilliCPU = 100_000_000
+
+// HostRecordError reports an entry of the group that names no entry process.
+type HostRecordError struct {
+	Address  string
+	MilliCPU int64
+}
+
+// Error returns the contents of the entry.
+func (e *HostRecordError) Error() string {
+	return fmt.Sprintf("address %q or processor time %d is invalid", e.Address, e.MilliCPU)
+}
+
+// decodeHost decodes the registration of an entry process; its error is a [*HostRecordError] or that of the decoder.
+func decodeHost(value []byte) (hostRecord, error) {
+	var r hostRecord
+	if err := cbor.Unmarshal(value, &r); err != nil {
+		return r, err
+	}
+	host, port, err := net.SplitHostPort(r.Address)
+	number, portErr := strconv.ParseUint(port, 10, 16)
+	if err != nil || portErr != nil || host == "" || number == 0 || r.MilliCPU < 0 || r.MilliCPU > maxMilliCPU {
+		return r, &HostRecordError{Address: r.Address, MilliCPU: r.MilliCPU}
+	}
+	return r, nil
+}
+
 // Group tracks the elected leader and the registered entry processes, and campaigns while there is no leader.
 type Group struct {
 	self    fleet.EntryHostID
@@ -289,8 +320,8 @@
 		g.onHost(host, "")
 		return
 	}
-	var entry hostRecord
-	if err := cbor.Unmarshal(c.Entry.Value, &entry); err != nil {
+	entry, err := decodeHost(c.Entry.Value)
+	if err != nil {
 		g.log.Error("group: cannot decode entry", "key", c.Entry.Key, "error", err)
 		return
 	}
@@ -331,6 +362,7 @@
 			sleep(ctx, retryMinDelay)
 			g.signalVacant()
 		case l != nil:
+			g.hosts.elected()
 			g.lead(ctx, l)
 		}
 	}
@@ -459,19 +491,28 @@
 // from there misses no change.
 func readAll(ctx context.Context, client store.Client, prefix string) ([]store.Entry, store.Revision, error) {
 	var all []store.Entry
+	revision, err := readPages(ctx, client, prefix, func(page []store.Entry) { all = append(all, page...) })
+	if err != nil {
+		return nil, 0, err
+	}
+	return all, revision, nil
+}
+
+// readPages calls observe with each page of the entries with a prefix, and returns the revision of the first one.
+func readPages(ctx context.Context, client store.Client, prefix string, observe func([]store.Entry)) (store.Revision, error) {
 	var revision store.Revision
 	after := ""
 	for {
 		page, err := client.Range(ctx, store.Get{Key: prefix, Prefix: true, After: after})
 		if err != nil {
-			return nil, 0, err
+			return 0, err
 		}
 		if after == "" {
 			revision = page.Revision
 		}
-		all = append(all, page.Entries...)
+		observe(page.Entries)
 		if !page.More || len(page.Entries) == 0 {
-			return all, revision, nil
+			return revision, nil
 		}
 		after = page.Entries[len(page.Entries)-1].Key
 	}
--- a/entryd/leader/hosts.go
+++ b/entryd/leader/hosts.go
@@ -30,10 +30,26 @@
 	byID map[fleet.EntryHostID]registration
 }
 
-// registration is the entry of another process; since is when its present registration was first seen.
+// registration is the entry of another process; since is when its present registration was first seen. passes counts how
+// often it did not take the leadership when it could have, the last time at passedAt.
 type registration struct {
 	milliCPU int64
 	since    time.Time
+	passes   int
+	passedAt time.Time
+}
+
+// maxPasses limits the effect of [registration].passes.
+const maxPasses = 10
+
+// isDue reports whether a leadership is handed over to an entry host that has been registered for at least age. The age
+// doubles each time it did not take the leadership, because its entry may be that of no running process.
+func (r registration) isDue(age time.Duration) bool {
+	since := r.since
+	if r.passes > 0 {
+		since = r.passedAt
+	}
+	return Now().Sub(since) >= age<<min(r.passes, maxPasses)
 }
 
 func (h *hostRegistry) add(host fleet.EntryHostID, milliCPU int64) {
@@ -53,19 +69,36 @@
 	delete(h.byID, host)
 }
 
-// hasLarger reports whether an entry host that exceeds this one by largerHostRatio has been registered for at least
-// age.
+// hasLarger reports whether a larger entry host has been registered for at least age, see [registration.isDue].
 func (h *hostRegistry) hasLarger(age time.Duration) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, r := range h.byID {
-		if h.ownMilliCPU > 0 && float64(r.milliCPU) >= largerHostRatio*float64(h.ownMilliCPU) && Now().Sub(r.since) >= age {
+		if h.isLarger(r) && r.isDue(age) {
 			return true
 		}
 	}
 	return false
 }
 
+// isLarger reports whether an entry host exceeds this one by largerHostRatio.
+func (h *hostRegistry) isLarger(r registration) bool {
+	return h.ownMilliCPU > 0 && float64(r.milliCPU) >= largerHostRatio*float64(h.ownMilliCPU)
+}
+
+// elected records that this process won a campaign for which larger entry hosts had a head start.
+func (h *hostRegistry) elected() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for host, r := range h.byID {
+		if h.isLarger(r) {
+			r.passes++
+			r.passedAt = Now()
+			h.byID[host] = r
+		}
+	}
+}
+
 // handOver ends a leadership when a larger entry host can take over, because the scheduler's work grows with the fleet
 // and a small host falls behind under load.
 func (h *hostRegistry) handOver(ctx context.Context, l *Leadership) {
--- a/entryd/leader/watch.go
+++ b/entryd/leader/watch.go
@@ -100,17 +100,19 @@
 
 // readWorkers reads the entries of all workers and removes the workers that no longer have one.
 func (l *loop) readWorkers(ctx context.Context) error {
-	entries, revision, err := readAll(ctx, l.store, l.format.WorkersPrefix())
-	if err != nil {
-		return err
-	}
 	missing := make(map[fleet.WorkerID]struct{}, len(l.listedWorkers))
 	for id := range l.listedWorkers {
 		missing[id] = struct{}{}
 	}
-	for _, e := range entries {
-		l.applyWorker(store.Change{Entry: e})
-		delete(missing, fleet.WorkerID(e.Key[len(l.format.WorkersPrefix()):]))
+	// Entries of other writers may be as large as values can be, so that only one page is held at a time.
+	revision, err := readPages(ctx, l.store, l.format.WorkersPrefix(), func(page []store.Entry) {
+		for _, e := range page {
+			l.applyWorker(store.Change{Entry: e})
+			delete(missing, fleet.WorkerID(e.Key[len(l.format.WorkersPrefix()):]))
+		}
+	})
+	if err != nil {
+		return err
 	}
 	for id := range missing {
 		l.removeWorker(id)
@@ -133,6 +135,7 @@
 		return
 	}
 	if c.Deleted {
+		delete(l.invalidKeys, c.Entry.Key)
 		l.removeWorker(id)
 		return
 	}
