flow: wait for ends that a report does not list

Cause: a confirmed run that is neither among the running ones nor among the listed ends was taken for lost. A successor also counted a worker as known after a first report that did not list all ends, and then started the tasks of the predecessor whose ends followed.

Report.HasMoreEnds says that further ends may follow. Until then no run is taken for lost, and the worker counts as one that has not answered yet, also beyond the end of the predecessor's leases.

TestRunWhoseEndIsNotListedYet and TestSuccessorWaitsForAllEnds fail before.

--- /dev/null
+++ b/coord/flow/ends_test.go
@@ -0,0 +1,54 @@
+package flow_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lovagefork.example/coord/flow"
+	"lovagefork.example/coord/infra"
+)
+
+// A report lists a limited number of ends. A run whose end was beyond them was taken for lost, and its task was started
+// again although it had ended successfully.
+func TestRunWhoseEndIsNotListedYet(t *testing.T) {
+	h := newHarness(t, flow.Restored{}, newPoolWorker("a"))
+	h.report("a", infra.Report{})
+	h.step(flow.Submitted{Job: singleStepJob("j", smallStep(2))})
+	h.advance(50 * time.Millisecond)
+	started := h.answerStarts()
+	assert.Equal(t, len(started), 2)
+	ended := func(n int) infra.EndedRun {
+		return infra.EndedRun{Number: int64(n + 1), Task: started[n].Order.Task, Run: started[n].Order.Run, Outcome: infra.OutcomeDone}
+	}
+	h.advance(200 * time.Millisecond)
+	h.report("a", infra.Report{Ended: []infra.EndedRun{ended(0)}, HasMoreEnds: true})
+	h.advance(200 * time.Millisecond)
+	assert.Equal(t, len(h.starts()), 0)
+	h.report("a", infra.Report{Ended: []infra.EndedRun{ended(1)}})
+	h.advance(50 * time.Millisecond)
+	state, _ := h.m.State("j")
+	assert.Equal(t, state, infra.StateCompleted)
+}
+
+// A successor took the first report of a worker for complete, and started tasks whose ends were beyond those listed.
+func TestSuccessorWaitsForAllEnds(t *testing.T) {
+	h := newHarness(t, flow.Restored{
+		Jobs: []flow.StoredJob{{Job: singleStepJob("j", smallStep(2))}}, Roster: []flow.RosterEntry{{Worker: "a", Address: "a:1"}}, Term: 1,
+	}, newPoolWorker("a"))
+	ended := func(n int) infra.EndedRun {
+		return infra.EndedRun{Number: int64(n + 1), Task: infra.TaskID{Job: "j", Index: n}, Run: 1, Outcome: infra.OutcomeDone}
+	}
+	h.report("a", infra.Report{Ended: []infra.EndedRun{ended(0)}, HasMoreEnds: true})
+	for range 70 {
+		h.advance(200 * time.Millisecond)
+		h.report("a", infra.Report{HasMoreEnds: true})
+	}
+	assert.Equal(t, len(h.starts()), 0)
+	h.report("a", infra.Report{Ended: []infra.EndedRun{ended(1)}})
+	h.advance(50 * time.Millisecond)
+	assert.Equal(t, len(h.starts()), 0)
+	state, _ := h.m.State("j")
+	assert.Equal(t, state, infra.StateCompleted)
+}
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -127,12 +127,16 @@
 		w.tokenAccepted, w.leadershipConfirmed = true, !m.leaseUnconfirmed
 		m.addToRoster(w)
 		m.save()
-		m.markReconciled(w)
 		m.fenceLateStarts(w)
+		m.searchAgain()
 	}
 	m.placementDue = m.placementDue || w.probed
 	w.probed = false
 	hasNew := m.applyEnds(w, ev.Report.Ended)
+	w.hasMoreEnds = ev.Report.HasMoreEnds
+	if !w.hasMoreEnds {
+		m.markReconciled(w)
+	}
 	m.reconcileRuns(w, ev.Report)
 	m.learnInterference(w)
 	m.measureSpeed(w)
@@ -149,11 +153,12 @@
 	m.sendRenewal(w)
 }
 
+// markReconciled records that the runs and all ends of a worker are known.
 func (m *Machine) markReconciled(w *worker) {
-	m.searchAgain()
 	if !m.isUnreconciled(w) {
 		return
 	}
+	m.searchAgain()
 	delete(m.unreconciledWorkers, w.ID)
 	if len(m.unreconciledWorkers) == 0 {
 		m.emit(Log{Text: "all workers of the previous scheduler have answered"})
@@ -372,6 +377,10 @@
 		}
 		m.updateRun(r, row, report.Clock)
 	}
+	if w.hasMoreEnds {
+		// The end of a run that is not listed may follow.
+		return
+	}
 	isMissing := func(r *run) bool { return r.lastReport != w.reports && r.state != fencing }
 	if !slices.ContainsFunc(w.runsByTask, isMissing) {
 		return
--- a/coord/flow/simulation_test.go
+++ b/coord/flow/simulation_test.go
@@ -650,8 +650,12 @@
 	})
 }
 
+// maxListedEnds is the number of ends that a report lists at most.
+const maxListedEnds = 4
+
 func (f *fakeWorker) report(h *pendingRenewal) {
-	r := infra.Report{Clock: f.clock(), StartedAt: f.startedAt.UnixMilli(), Ended: append([]infra.EndedRun(nil), f.ended...)}
+	r := infra.Report{Clock: f.clock(), StartedAt: f.startedAt.UnixMilli(), Ended: append([]infra.EndedRun(nil), f.ended[:min(maxListedEnds, len(f.ended))]...)}
+	r.HasMoreEnds = len(r.Ended) == maxListedEnds
 	for id, run := range f.runs {
 		percent := int(100 * f.sim.now.Sub(run.startedAt) / max(1, run.endsAt.Sub(run.startedAt)))
 		r.Running = append(r.Running, infra.ActiveRun{Task: id, Run: run.number, Checkpoint: run.checkpoint, Progress: min(99, percent)})
--- a/coord/flow/sweep.go
+++ b/coord/flow/sweep.go
@@ -1,8 +1,11 @@
 package flow
 
 import (
+	"maps"
 	"slices"
 	"time"
+
+	"lovagefork.example/coord/fleet"
 )
 
 // tick advances time and starts the work that is due: the sweep, placement and saving.
@@ -29,9 +32,7 @@
 		m.createDueOccurrences(j)
 	}
 	if len(m.unreconciledWorkers) > 0 && m.now.After(m.unreconciledUntil) {
-		m.emit(Log{Text: "leases of the previous scheduler have expired"})
-		clear(m.unreconciledWorkers)
-		m.searchAgain()
+		m.expireUnreconciled()
 	}
 	for _, w := range m.workersByID {
 		m.tickWorker(w)
@@ -89,6 +90,19 @@
 	}
 }
 
+// expireUnreconciled stops waiting for the workers that have not answered, except those whose ends are not all known.
+func (m *Machine) expireUnreconciled() {
+	known := len(m.unreconciledWorkers)
+	maps.DeleteFunc(m.unreconciledWorkers, func(id fleet.WorkerID, _ struct{}) bool {
+		w := m.workers[id]
+		return w == nil || !w.hasMoreEnds || !w.reachable
+	})
+	if len(m.unreconciledWorkers) < known {
+		m.emit(Log{Text: "leases of the previous scheduler have expired"})
+		m.searchAgain()
+	}
+}
+
 func (m *Machine) isUnreconciled(w *worker) bool {
 	_, found := m.unreconciledWorkers[w.ID]
 	return found
--- a/coord/flow/worker.go
+++ b/coord/flow/worker.go
@@ -165,6 +165,8 @@
 	// seenEnd is the number of the last reported end, and durableEnd that of the last end whose effects are durable.
 	seenEnd    int64
 	durableEnd int64
+	// hasMoreEnds is set if the last report did not list all ends.
+	hasMoreEnds bool
 	// unsavedSeq is the sequence number of the save that makes the ends up to seenEnd durable; 0 if all are durable.
 	unsavedSeq int64
 	// headroomBudgets caches the headroom budgets of the serving images as of budgetsAt. budgetsValid is cleared when a
--- a/coord/flow/worker_lifecycle.go
+++ b/coord/flow/worker_lifecycle.go
@@ -161,6 +161,7 @@
 	w.StartedAt, w.restartedSinceListing, w.unconfirmed = startedAt, true, nil
 	w.tokenAccepted, w.leadershipConfirmed = false, false
 	w.clock, w.leaseEnd, w.seenEnd, w.durableEnd, w.unsavedSeq = 0, 0, 0, 0, 0
+	w.hasMoreEnds = false
 	w.endWeight, w.speed = 0, 1
 	clear(w.failures)
 	w.quarantinedUntil = time.Time{}
--- a/coord/infra/worker.go
+++ b/coord/infra/worker.go
@@ -121,12 +121,14 @@
 }
 
 // Report is a worker's answer to a [RenewOrder]. Clock is its monotonic clock in milliseconds, and StartedAt the
-// start of the worker in Unix milliseconds.
+// start of the worker in Unix milliseconds. HasMoreEnds is set if further runs may have ended that Ended does not list; the
+// worker lists them once the listed ones are acknowledged.
 type Report struct {
-	Clock     int64
-	StartedAt int64
-	Running   []ActiveRun
-	Ended     []EndedRun
+	Clock       int64
+	StartedAt   int64
+	Running     []ActiveRun
+	Ended       []EndedRun
+	HasMoreEnds bool
 }
 
 // Agents sends orders to the agents of workers. Its errors are [*RefusedError], [*NotSentError] or [*NoAnswerError].
