flow: bound the stored weights of interference

Cause: the weights of all pairs of images are one value of the store. With 360 serving images it exceeded value_bytes; the store refused it together with the progress of jobs, and the batch was repeated without an end.

The models that were measured last are stored, up to 256 KiB by an upper bound of their encoded size. The others are learnt again by a successor, as those of new images are.

--- a/coord/flow/interference.go
+++ b/coord/flow/interference.go
@@ -1,6 +1,8 @@
 package flow
 
 import (
+	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -314,9 +316,32 @@
 	restoredWeightShare = 0.9
 )
 
+const (
+	// maxInterferenceBytes limits the stored weights, which are one value of the store.
+	maxInterferenceBytes = 256 << 10
+	// interferenceRecordBytes and pairRecordBytes exceed the encoded sizes of these records without their names.
+	interferenceRecordBytes = 32
+	pairRecordBytes         = 48
+)
+
+// size returns an upper bound for the encoded size of a record.
+func (r InterferenceRecord) size() int {
+	size := interferenceRecordBytes + len(r.Image)
+	for _, p := range r.Pairs {
+		size += pairRecordBytes + len(p.Image)
+	}
+	return size
+}
+
+// interferenceRecords returns the models of the serving images that were measured last, up to maxInterferenceBytes.
 func (m *Machine) interferenceRecords() []InterferenceRecord {
-	records := make([]InterferenceRecord, 0, len(m.interferenceModels))
-	for image, im := range m.interferenceModels {
+	images := slices.SortedFunc(maps.Keys(m.interferenceModels), func(a, b string) int {
+		return cmp.Or(m.interferenceModels[b].updatedAt.Compare(m.interferenceModels[a].updatedAt), strings.Compare(a, b))
+	})
+	records := make([]InterferenceRecord, 0, len(images))
+	size := 0
+	for _, image := range images {
+		im := m.interferenceModels[image]
 		r := InterferenceRecord{Image: image, Pairs: make([]PairWeightRecord, 0, len(im.weights))}
 		for i, weight := range im.weights {
 			if im.known[i] {
@@ -324,6 +349,10 @@
 			}
 		}
 		slices.SortFunc(r.Pairs, func(a, b PairWeightRecord) int { return strings.Compare(a.Image, b.Image) })
+		if size+r.size() > maxInterferenceBytes {
+			continue
+		}
+		size += r.size()
 		records = append(records, r)
 	}
 	slices.SortFunc(records, func(a, b InterferenceRecord) int { return strings.Compare(a.Image, b.Image) })
--- a/coord/flow/interference_test.go
+++ b/coord/flow/interference_test.go
@@ -4,14 +4,17 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
 
 	"lovagefork.example/coord/fleet"
 	"lovagefork.example/coord/flow"
 	"lovagefork.example/coord/infra"
+	"lovagefork.example/coord/store"
 )
 
 // colocationSim is a fleet that runs serving tasks and fillers of many images side by side. Tail latencies follow the
@@ -242,3 +245,31 @@
 	}
 	assert.Assert(t, saved)
 }
+
+// The weights of interference are one value of the store. With hundreds of images it exceeded the largest value that the
+// store takes, and since it was refused together with the progress of jobs, nothing was stored any more.
+func TestStoredWeightsAreBounded(t *testing.T) {
+	restored := flow.Restored{Roster: []flow.RosterEntry{{Worker: "a", Address: "a:1"}}, Term: 1}
+	for i := range 900 {
+		r := flow.InterferenceRecord{Image: fmt.Sprintf("serving-image-%d", i)}
+		for k := range 48 {
+			r.Pairs = append(r.Pairs, flow.PairWeightRecord{Image: fmt.Sprintf("filler-image-%d", k), Weight: 1 / float64(k+3), Variance: 0.3})
+		}
+		restored.Interference = append(restored.Interference, r)
+	}
+	restored.Interference = append(restored.Interference, flow.InterferenceRecord{
+		Image: strings.Repeat("a", 1<<20), Pairs: []flow.PairWeightRecord{{Image: "filler-image-0", Weight: 1}},
+	})
+	h := newHarness(t, restored, newPoolWorker("a"))
+	h.advance(4 * time.Second)
+	var saved []flow.InterferenceRecord
+	for _, e := range h.effects {
+		if s, ok := e.(flow.Save); ok && s.Interference != nil {
+			saved = s.Interference
+		}
+	}
+	value, err := cbor.Marshal(saved)
+	assert.NilError(t, err)
+	assert.Assert(t, len(saved) > 50, "%d models", len(saved))
+	assert.Assert(t, len(value) <= store.MaxValueBytes/2, "%d bytes", len(value))
+}
