flow: estimate an occurrence once for all of its steps

Cause: the rank of a ready step is computed from the critical path, the remaining work and the credit of its whole occurrence, so that ranking the ready steps of a job took the square of their number.

These figures are the same for all steps of an occurrence and are computed once for each time at which steps are ranked.

The new count Estimates shows it in the scheduler's log.

--- a/coord/flow/job.go
+++ b/coord/flow/job.go
@@ -80,6 +80,9 @@
 	due       time.Time
 	steps     []step
 	openSteps int
+	// estimate is the result of [Machine.estimateOf] at estimatedAt.
+	estimate    estimate
+	estimatedAt time.Time
 }
 
 // job is the state of a submitted job.
--- a/coord/flow/rank.go
+++ b/coord/flow/rank.go
@@ -123,9 +123,9 @@
 	if !r.occ.due.IsZero() {
 		due = r.occ.due
 	}
-	total, remaining := m.criticalPath(r.occ)
-	objective := max(j.objective(total), time.Millisecond)
-	out := rank{priority: r.queue.Priority, timeliness: onTime, slack: due.Add(objective).Sub(m.now) - remaining}
+	e := m.estimateOf(r.occ)
+	objective := max(j.objective(e.total), time.Millisecond)
+	out := rank{priority: r.queue.Priority, timeliness: onTime, slack: due.Add(objective).Sub(m.now) - e.remaining}
 	switch {
 	case m.isOverdue(r):
 		out.timeliness = overdue
@@ -134,7 +134,7 @@
 		out.timeliness = longRunning
 		return out
 	}
-	out.workPerCredit = m.remainingWork(r.occ) / m.credit(r.occ)
+	out.workPerCredit = e.workPerCredit
 	switch {
 	case out.slack < -(expiryFactor-1)*objective:
 		out.timeliness = expired
--- a/coord/flow/run_time.go
+++ b/coord/flow/run_time.go
@@ -98,6 +98,26 @@
 	return time.Duration(float64(pathLength)*j.queue.StretchFactor) + j.queue.TargetLatency
 }
 
+// estimate holds what the ranks of all steps of an occurrence have in common.
+type estimate struct {
+	// total and remaining are the lengths of the critical path.
+	total, remaining time.Duration
+	// workPerCredit is the remaining work divided by the credit.
+	workPerCredit float64
+}
+
+// estimateOf returns the estimate of an occurrence. It takes as long as the occurrence has steps, so that it is computed
+// once for each time at which steps are ranked.
+func (m *Machine) estimateOf(o *occurrence) estimate {
+	if !o.estimatedAt.Equal(m.now) {
+		m.counts.Estimates++
+		o.estimatedAt = m.now
+		o.estimate.total, o.estimate.remaining = m.criticalPath(o)
+		o.estimate.workPerCredit = m.remainingWork(o) / m.credit(o)
+	}
+	return o.estimate
+}
+
 // criticalPath returns the total and the remaining length of the critical path through the steps of an occurrence.
 func (m *Machine) criticalPath(o *occurrence) (total, remaining time.Duration) {
 	ends := make([]time.Duration, 2*len(o.steps))
