hosted: let the cancellation of an unknown job prevent its late submission

Cause: the submission had got no answer and was still on its way to the store when the DELETE found no job; a cancellation of an unknown job left nothing that the late write could meet.

The cancellation of an unknown job is now stored, unless the job appears in between, and a submission is conditional on its absence. Cancellations without a job are deleted after the retention time, also those that a predecessor has seen.

TestSubmitStoresOnce expects the second condition now; it is as strict as before. TestSubmissionAfterCancellation fails before, TestCancellationsOfUnknownJobsExpire covers the clean-up. Costs one write for each DELETE of an unknown job.

--- a/coord/flow/event.go
+++ b/coord/flow/event.go
@@ -13,6 +13,8 @@
 // Restored is the first event of a scheduler and carries the complete state from the store.
 type Restored struct {
 	Jobs []StoredJob
+	// Cancelled lists the stored cancellations without a job.
+	Cancelled []fleet.JobID
 	// Roster lists the workers on which predecessors may have started tasks.
 	Roster []RosterEntry
 	// Term is the number of schedulers elected before this one.
--- a/coord/flow/flow_test.go
+++ b/coord/flow/flow_test.go
@@ -415,3 +415,29 @@
 	}
 	assert.Equal(t, restarts, 1)
 }
+
+// The cancellation of an unknown job prevents its submission for some time. It must not stay in the store for good, also
+// after a takeover, and must still apply to a job that follows.
+func TestCancellationsOfUnknownJobsExpire(t *testing.T) {
+	h := newHarness(t, flow.Restored{Cancelled: []fleet.JobID{"first"}}, newPoolWorker("a"))
+	h.step(flow.CancelRequested{Job: "second"})
+	h.step(flow.CancelRequested{Job: "followed"})
+	h.step(flow.Submitted{Job: singleStepJob("followed", smallStep(1))})
+	state, _ := h.m.State("followed")
+	assert.Equal(t, state, infra.StateCancelled)
+	deleted := func() map[fleet.JobID]int {
+		jobs := make(map[fleet.JobID]int)
+		for _, e := range h.effects {
+			if s, ok := e.(flow.Save); ok {
+				for _, id := range s.Delete {
+					jobs[id]++
+				}
+			}
+		}
+		return jobs
+	}
+	h.advance(5 * time.Minute)
+	assert.Equal(t, len(deleted()), 0)
+	h.advance(6 * time.Minute)
+	assert.DeepEqual(t, deleted(), map[fleet.JobID]int{"first": 1, "second": 1, "followed": 1})
+}
--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -160,8 +160,9 @@
 	// reference is the memory of [Machine.collectReference].
 	reference  reference
 	lateStarts map[fleet.WorkerID][]lateStart
-	// earlyCancels are the cancellations of jobs that are not known yet.
-	earlyCancels map[fleet.JobID]struct{}
+	// earlyCancels are the cancellations of jobs that are not known, in the order of cancelledEarly.
+	earlyCancels   map[fleet.JobID]struct{}
+	cancelledEarly []earlyCancel
 	// recentCrashes are the crashes without a suspect that was suspected before.
 	recentCrashes []time.Time
 	silenced      map[fleet.WorkerID]silencedWorker
@@ -310,6 +311,9 @@
 			o.raiseRunNumbers(base)
 		}
 	}
+	for _, id := range ev.Cancelled {
+		m.cancelEarly(id)
+	}
 	for _, r := range ev.Interference {
 		m.interferenceModels[r.Image] = m.restoreInterference(r)
 	}
@@ -473,7 +477,7 @@
 func (m *Machine) cancel(id fleet.JobID) {
 	j := m.jobs[id]
 	if j == nil {
-		m.earlyCancels[id] = struct{}{}
+		m.cancelEarly(id)
 		return
 	}
 	if j.cancelled || j.durableState.Final() {
@@ -485,6 +489,34 @@
 	m.stopJob(j, "job cancelled")
 }
 
+// earlyCancel is the cancellation of a job that is not known.
+type earlyCancel struct {
+	job fleet.JobID
+	at  time.Time
+}
+
+// cancelEarly records the cancellation of a job that is not known: it may follow, or its submission may have been
+// prevented by the cancellation.
+func (m *Machine) cancelEarly(id fleet.JobID) {
+	if _, found := m.earlyCancels[id]; found {
+		return
+	}
+	m.earlyCancels[id] = struct{}{}
+	m.cancelledEarly = append(m.cancelledEarly, earlyCancel{job: id, at: m.now})
+}
+
+// expireEarlyCancels deletes the cancellations whose jobs have not followed within the retention time.
+func (m *Machine) expireEarlyCancels() {
+	for len(m.cancelledEarly) > 0 && m.now.Sub(m.cancelledEarly[0].at) > m.opts.retention {
+		id := m.cancelledEarly[0].job
+		m.cancelledEarly = m.cancelledEarly[1:]
+		if _, found := m.earlyCancels[id]; found {
+			delete(m.earlyCancels, id)
+			m.jobsToDelete = append(m.jobsToDelete, id)
+		}
+	}
+}
+
 // stopJob stops the remaining runs of a job that must not run any longer, and starts its retention time.
 func (m *Machine) stopJob(j *job, reason string) {
 	for _, o := range j.occurrences {
--- a/coord/flow/sweep.go
+++ b/coord/flow/sweep.go
@@ -39,6 +39,7 @@
 	}
 	m.sweepLateStarts()
 	m.expire()
+	m.expireEarlyCancels()
 	m.adjustFillers()
 	m.logSummary()
 	m.reportWaits()
--- a/coord/infra/calls.go
+++ b/coord/infra/calls.go
@@ -9,7 +9,7 @@
 )
 
 // Jobs accepts, reports on and cancels jobs on behalf of callers. Its errors are [*InvalidJobError],
-// [*JobNotFoundError], [*NotRunError] or [*OutcomeUnknownError].
+// [*JobNotFoundError], [*JobCancelledError], [*NotRunError] or [*OutcomeUnknownError].
 type Jobs interface {
 	// Catalog returns the configuration in force, or nil before the first one.
 	Catalog() *Catalog
@@ -32,6 +32,16 @@
 // Error includes the job ID.
 func (e *JobNotFoundError) Error() string { return fmt.Sprintf("no job %s", e.Job) }
 
+// JobCancelledError reports the submission of a job that was cancelled before. The job never runs.
+type JobCancelledError struct {
+	Job fleet.JobID
+}
+
+// Error includes the job ID.
+func (e *JobCancelledError) Error() string {
+	return fmt.Sprintf("job %s was cancelled before it was submitted", e.Job)
+}
+
 // NotRunError reports a call that had no effect and will have none later. The caller may retry it after RetryAfter.
 type NotRunError struct {
 	Reason     string
--- a/coord/wire/hosted.go
+++ b/coord/wire/hosted.go
@@ -51,6 +51,8 @@
 	ResponseOK ResponseStatus = "ok"
 	// ResponseNoJob means that the job does not exist.
 	ResponseNoJob ResponseStatus = "none"
+	// ResponseCancelled means that a submitted job was cancelled before.
+	ResponseCancelled ResponseStatus = "cancelled"
 	// ResponseNotRun means that the request had no effect and will have none.
 	ResponseNotRun ResponseStatus = "not_run"
 	// ResponseOutcomeUnknown means that the request may have taken effect.
--- a/entryd/hosted/intake.go
+++ b/entryd/hosted/intake.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -181,8 +182,9 @@
 // isFinal reports whether a retry would return the same error.
 func isFinal(err error) bool {
 	var notFound *infra.JobNotFoundError
+	var cancelled *infra.JobCancelledError
 	var invalid *infra.InvalidJobError
-	return errors.As(err, &notFound) || errors.As(err, &invalid)
+	return errors.As(err, &notFound) || errors.As(err, &cancelled) || errors.As(err, &invalid)
 }
 
 func isNotRun(err error) bool {
@@ -195,31 +197,56 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	if req.Kind == wire.RequestStoreJob {
-		key := leader.JobKey(req.Job)
-		return i.putIfAbsent(ctx, key, req.Data)
+		return i.writeJob(ctx, req)
 	}
-	found, err := i.store.Range(ctx, store.Get{Key: leader.JobKey(req.Job)})
+	return i.writeCancellation(ctx, req.Job)
+}
+
+// writeJob writes a job unless it already exists or was cancelled before.
+func (i *Intake) writeJob(ctx context.Context, req wire.HostedRequest) error {
+	jobKey, cancelKey := leader.JobKey(req.Job), leader.CancelKey(req.Job)
+	result, err := i.put(ctx, jobKey, req.Data, store.KeyAbsent{Key: jobKey}, store.KeyAbsent{Key: cancelKey})
+	if err == nil && hasRead(result, cancelKey) && !hasRead(result, jobKey) {
+		return &infra.JobCancelledError{Job: req.Job}
+	}
+	return err
+}
+
+// writeCancellation writes the cancellation of a job. That of an unknown job is written too, because a submission without
+// an answer may still be carried out; the cancellation prevents it.
+func (i *Intake) writeCancellation(ctx context.Context, id fleet.JobID) error {
+	jobKey, cancelKey := leader.JobKey(id), leader.CancelKey(id)
+	found, err := i.store.Range(ctx, store.Get{Key: jobKey})
 	i.health.record(err)
 	if err != nil {
 		return toJobsError(err)
 	}
 	if len(found.Entries) == 0 {
-		return &infra.JobNotFoundError{Job: req.Job}
+		result, err := i.put(ctx, cancelKey, cancelValue, store.KeyAbsent{Key: jobKey}, store.KeyAbsent{Key: cancelKey})
+		if err != nil {
+			return err
+		}
+		if !hasRead(result, jobKey) {
+			return &infra.JobNotFoundError{Job: id}
+		}
 	}
-	return i.putIfAbsent(ctx, leader.CancelKey(req.Job), cancelValue)
+	_, err = i.put(ctx, cancelKey, cancelValue, store.KeyAbsent{Key: cancelKey})
+	return err
 }
 
 // cancelValue is the value of a cancellation's key. Only the key matters, but the store rejects an empty value.
 var cancelValue = []byte("cancelled")
 
-// putIfAbsent writes a key unless it already exists. An existing key is not an error.
-func (i *Intake) putIfAbsent(ctx context.Context, key string, value []byte) error {
-	_, err := i.store.Txn(ctx, store.Txn{
-		If:   []store.Compare{store.KeyAbsent{Key: key}},
-		Then: []store.Op{store.Put{Key: key, Value: value}},
-	})
+// put writes a key if all conditions are true; a false condition is not an error.
+func (i *Intake) put(ctx context.Context, key string, value []byte, conditions ...store.Compare) (store.TxnResult, error) {
+	result, err := i.store.Txn(ctx, store.Txn{If: conditions, Then: []store.Op{store.Put{Key: key, Value: value}}})
 	i.health.record(err)
-	return toJobsError(err)
+	return result, toJobsError(err)
+}
+
+// hasRead reports whether a transaction whose conditions were false found an entry with a key.
+func hasRead(result store.TxnResult, key string) bool {
+	return slices.ContainsFunc(slices.Concat(result.Reads...), func(e store.Entry) bool { return e.Key == key })
 }
 
 // toJobsError converts an error of the store to an [*infra.NotRunError] if the call had no effect, and to an
--- a/entryd/hosted/intake_test.go
+++ b/entryd/hosted/intake_test.go
@@ -49,7 +49,9 @@
 	f := &fakeStore{}
 	assert.NilError(t, submit(t, f))
 	assert.Equal(t, len(f.written), 1)
-	assert.DeepEqual(t, f.written[0].If, []store.Compare{store.KeyAbsent{Key: "lovagefork/input/5c0e7a21d94b36f8"}})
+	assert.DeepEqual(t, f.written[0].If, []store.Compare{
+		store.KeyAbsent{Key: "lovagefork/input/5c0e7a21d94b36f8"}, store.KeyAbsent{Key: "lovagefork/input/5c0e7a21d94b36f8/cancel"},
+	})
 }
 
 // Guards against reporting "not run" for a job that the store may have written.
@@ -95,3 +97,67 @@
 	_, err = i.State(t.Context(), infra.Queue{Name: "q"}, "5c0e7a21d94b36f8")
 	assert.Assert(t, err != nil && !errors.As(err, &notFound))
 }
+
+// conditionalStore keeps entries, and applies transactions whose conditions are all that their keys are absent.
+type conditionalStore struct {
+	store.Client
+	entries map[string]store.Entry
+}
+
+func (s *conditionalStore) Txn(_ context.Context, txn store.Txn) (store.TxnResult, error) {
+	var present []store.Entry
+	for _, c := range txn.If {
+		if e, found := s.entries[c.(store.KeyAbsent).Key]; found {
+			present = append(present, e)
+		}
+	}
+	if len(present) > 0 {
+		return store.TxnResult{Reads: [][]store.Entry{present}}, nil
+	}
+	for _, op := range txn.Then {
+		put := op.(store.Put)
+		s.entries[put.Key] = store.Entry{Key: put.Key, Value: put.Value}
+	}
+	return store.TxnResult{Committed: true}, nil
+}
+
+func (s *conditionalStore) Range(_ context.Context, get store.Get) (store.RangeResult, error) {
+	if e, found := s.entries[get.Key]; found {
+		return store.RangeResult{Entries: []store.Entry{e}}, nil
+	}
+	return store.RangeResult{}, nil
+}
+
+// A job whose cancellation was answered with "no such job" ran afterwards, because its submission, which had got no answer,
+// was carried out late.
+func TestSubmissionAfterCancellation(t *testing.T) {
+	s := &conditionalStore{entries: make(map[string]store.Entry)}
+	i := hosted.NewIntake("a", s, slog.New(slog.DiscardHandler))
+	q := infra.Queue{Name: "q"}
+	for range 2 {
+		var notFound *infra.JobNotFoundError
+		err := i.Cancel(t.Context(), q, job().ID)
+		assert.Assert(t, errors.As(err, &notFound), "%v", err)
+	}
+	var cancelled *infra.JobCancelledError
+	err := i.Submit(t.Context(), q, job())
+	assert.Assert(t, errors.As(err, &cancelled), "%v", err)
+	var notFound *infra.JobNotFoundError
+	_, err = i.State(t.Context(), q, job().ID)
+	assert.Assert(t, errors.As(err, &notFound), "%v", err)
+}
+
+// A repeated submission must be answered as accepted, also after the job was cancelled.
+func TestRepeatedSubmissionOfCancelledJob(t *testing.T) {
+	s := &conditionalStore{entries: make(map[string]store.Entry)}
+	i := hosted.NewIntake("a", s, slog.New(slog.DiscardHandler))
+	q := infra.Queue{Name: "q"}
+	assert.NilError(t, i.Submit(t.Context(), q, job()))
+	for range 2 {
+		assert.NilError(t, i.Cancel(t.Context(), q, job().ID))
+		assert.NilError(t, i.Submit(t.Context(), q, job()))
+	}
+	state, err := i.State(t.Context(), q, job().ID)
+	assert.NilError(t, err)
+	assert.Equal(t, state, infra.StateCancelled)
+}
--- a/entryd/hosted/peers.go
+++ b/entryd/hosted/peers.go
@@ -37,6 +37,8 @@
 			return nil
 		case wire.ResponseNoJob:
 			return &infra.JobNotFoundError{Job: req.Job}
+		case wire.ResponseCancelled:
+			return &infra.JobCancelledError{Job: req.Job}
 		case wire.ResponseOutcomeUnknown:
 			return &infra.OutcomeUnknownError{Reason: resp.Reason}
 		case wire.ResponseNotRun:
@@ -103,6 +105,7 @@
 	}
 	err := i.write(ctx, req)
 	var notFound *infra.JobNotFoundError
+	var cancelled *infra.JobCancelledError
 	switch {
 	case err == nil:
 		kind := wire.NotifyJobStored
@@ -113,6 +116,8 @@
 		return wire.HostedResponse{Status: wire.ResponseOK}
 	case errors.As(err, &notFound):
 		return wire.HostedResponse{Status: wire.ResponseNoJob}
+	case errors.As(err, &cancelled):
+		return wire.HostedResponse{Status: wire.ResponseCancelled}
 	case isNotRun(err):
 		return wire.HostedResponse{Status: wire.ResponseNotRun, Reason: err.Error()}
 	default:
--- a/entryd/leader/scheduler.go
+++ b/entryd/leader/scheduler.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"log/slog"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -279,13 +281,16 @@
 		if isCancel {
 			continue
 		}
+		isCancelled := cancelled[id]
+		delete(cancelled, id)
 		job, err := DecodeJob(e.Value)
 		if err != nil {
 			l.log.Error("scheduler: cannot decode job", "key", e.Key, "error", err)
 			continue
 		}
-		out.Jobs = append(out.Jobs, flow.StoredJob{Job: job, Cancelled: cancelled[id], Record: progress[id]})
+		out.Jobs = append(out.Jobs, flow.StoredJob{Job: job, Cancelled: isCancelled, Record: progress[id]})
 	}
+	out.Cancelled = slices.Sorted(maps.Keys(cancelled))
 	return out, nil
 }
 
