flow: wait for all workers before the last attempt after a takeover

A test shows the suspected order of events: a successor adopts run 3 of a task on one worker, the failed end of run 2 is held by another one that has not answered yet, run 3 fails, and the task was started a fourth time of three.

Cause: a task that was seen running after the predecessor's last order may start again without waiting for the other workers, since none of them can run it; but one of them can hold the end that uses up its attempts. If one more failed run would use up the attempts, such a task now waits like the others.

TestLastAttemptWaitsForAllWorkers fails before ("1 != 0").

--- a/coord/flow/place.go
+++ b/coord/flow/place.go
@@ -45,9 +45,12 @@
 }
 
 // mayRunUnseen reports whether a worker that this scheduler has not heard from may run a task, which a predecessor
-// started there.
+// started there, or may hold the failed end that uses up its attempts.
 func (m *Machine) mayRunUnseen(j *job, t *task) bool {
-	return len(m.unreconciledWorkers) > 0 && !j.acceptedAfterTakeover && !t.located
+	if len(m.unreconciledWorkers) == 0 || j.acceptedAfterTakeover {
+		return false
+	}
+	return !t.located || len(t.failedRuns) > 0 && len(t.failedRuns) >= m.maxAttempts(j)-1
 }
 
 // mayAllRunUnseen reports whether no waiting task of a step can be started because of [Machine.mayRunUnseen].
--- a/coord/flow/takeover_test.go
+++ b/coord/flow/takeover_test.go
@@ -336,3 +336,29 @@
 		assert.Assert(t, !stopped, "%+v", e)
 	}
 }
+
+// A failed end that a worker had not reported yet was not known when the task ended elsewhere, so that it was started after
+// its last attempt.
+func TestLastAttemptWaitsForAllWorkers(t *testing.T) {
+	task := infra.TaskID{Job: "j"}
+	record := &flow.Record{State: infra.StateRunning, Occurrences: []flow.OccurrenceRecord{{
+		Steps: []flow.StepRecord{{Tasks: []flow.TaskRecord{{Run: 1, Failed: []infra.Run{1}}}}},
+	}}}
+	h := newHarness(t, flow.Restored{
+		Jobs: []flow.StoredJob{{Job: singleStepJob("j", smallStep(1)), Record: record}}, Term: 1,
+		Roster: []flow.RosterEntry{{Worker: "a", Address: "a:1"}, {Worker: "b", Address: "b:1"}},
+	}, newPoolWorker("a"), newPoolWorker("b"), newPoolWorker("c"))
+	h.report("c", infra.Report{})
+	h.step(flow.PredecessorStopped{})
+	h.advance(50 * time.Millisecond)
+	h.report("a", infra.Report{Running: []infra.ActiveRun{{Task: task, Run: 3, Progress: 10}}})
+	h.advance(50 * time.Millisecond)
+	h.report("a", infra.Report{Ended: []infra.EndedRun{{Number: 1, Task: task, Run: 3, Outcome: infra.OutcomeFailed}}})
+	h.advance(300 * time.Millisecond)
+	assert.Equal(t, len(h.starts()), 0)
+	h.report("b", infra.Report{Ended: []infra.EndedRun{{Number: 1, Task: task, Run: 2, Outcome: infra.OutcomeFailed}}})
+	h.advance(300 * time.Millisecond)
+	assert.Equal(t, len(h.starts()), 0)
+	state, _ := h.m.State("j")
+	assert.Equal(t, state, infra.StateFailed)
+}
