flow: do not take refused connections for the end of a worker

Cause: two refused connections counted as the end of a worker's process, for its own scheduler and for a successor, which then stopped waiting for it. A cut can refuse connections too.

Runs are now kept until a report, a newer start time or the end of their lease, however the connection fails. Refused connections still tell a crash from a cut when the lease has expired, for the count of crashes.

TestRefusedConnectionsDoNotEndRuns and TestSuccessorWaitsForWorkerThatRefusesConnections fail before.

Weighed and not taken: to conclude the end of a worker that refuses connections and is no longer listed. It saves up to 3 s for a crashed worker, and breaks TWICE beside a cut from the store and the system with refusals.

--- a/coord/flow/partition_test.go
+++ b/coord/flow/partition_test.go
@@ -99,3 +99,44 @@
 		assert.Equal(t, len(h.starts()) > 0, confirmed)
 	}
 }
+
+// Two refused connections counted as the end of a worker's process, also after a cut that refuses connections. Its tasks
+// started again while they were still running.
+func TestRefusedConnectionsDoNotEndRuns(t *testing.T) {
+	h, _, report := runningWorker(t)
+	refused := &infra.NotSentError{Worker: "a", ConnRefused: true}
+	for range 19 {
+		h.step(flow.RenewFailed{Worker: "a", Sequence: h.seq["a"], Err: refused})
+		h.advance(300 * time.Millisecond)
+		h.report("b", infra.Report{})
+	}
+	assert.Equal(t, len(h.starts()), 0)
+	h.report("a", report)
+	h.advance(300 * time.Millisecond)
+	assert.Equal(t, len(h.starts()), 0)
+	// The leases expire 6 s after the last report.
+	for range 24 {
+		h.step(flow.RenewFailed{Worker: "a", Sequence: h.seq["a"], Err: refused})
+		h.advance(300 * time.Millisecond)
+		h.report("b", infra.Report{})
+	}
+	assert.Equal(t, len(h.starts()), 1)
+	assert.Equal(t, h.m.Counts().Crashes, int64(1))
+}
+
+// A successor took a worker that refused connections for gone, and started its tasks while they were still running.
+func TestSuccessorWaitsForWorkerThatRefusesConnections(t *testing.T) {
+	h := newHarness(t, flow.Restored{
+		Jobs: []flow.StoredJob{{Job: singleStepJob("j", smallStep(1))}}, Term: 1,
+		Roster: []flow.RosterEntry{{Worker: "a", Address: "a:1"}, {Worker: "b", Address: "b:1"}},
+	}, newPoolWorker("a"), newPoolWorker("b"))
+	h.step(flow.PredecessorStopped{})
+	for range 20 {
+		h.step(flow.RenewFailed{Worker: "a", Sequence: h.seq["a"], Err: &infra.NotSentError{Worker: "a", ConnRefused: true}})
+		h.advance(300 * time.Millisecond)
+		h.report("b", infra.Report{})
+	}
+	assert.Equal(t, len(h.starts()), 0)
+	h.advance(time.Second)
+	assert.Equal(t, len(h.starts()), 1)
+}
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -64,11 +64,8 @@
 		return
 	}
 	w.connRefusals++
-	if w.connRefusals >= connRefusalsUntilGone && w.Address == w.answeredAt {
-		m.workerCrashed(w, "connections to the worker's address are refused")
-		m.clearWorker(w, "connections to the worker's address are refused")
-		delete(m.unreconciledWorkers, w.ID)
-		m.searchAgain()
+	if w.connRefusals == crashConnRefusals {
+		m.expectLateStarts(w)
 	}
 }
 
--- a/coord/flow/worker_lifecycle.go
+++ b/coord/flow/worker_lifecycle.go
@@ -8,9 +8,9 @@
 	"lovagefork.example/coord/infra"
 )
 
-// connRefusalsUntilGone is the number of consecutive refused connections after which a worker's process is considered
-// gone.
-const connRefusalsUntilGone = 2
+// crashConnRefusals is the number of consecutive refused connections that tell a worker that crashed from one that was cut
+// off, once its leases have expired. A cut can refuse connections too while the tasks still run.
+const crashConnRefusals = 2
 
 func (m *Machine) addWorker(info infra.Worker) *worker {
 	w := &worker{
