leader: wait for one lease after the last order of the predecessor

A successor that cannot reach a worker waits for its leases, since refused connections no longer end that wait. It counted them from the answer of the predecessor's entry host, which comes after the process there has started again, 1 to 2.5 s after the last order. Long-running tasks must run again soon after that wait.

The entry host now says for how long it has run no scheduler, at least since the start of its process, and the leases are counted from there.

TestWaitEndsOneLeaseAfterPredecessor fails before. TestIdleTimeOfEntryHost covers the answer, and the simulation passes the time since the kill. The signature of Supersede changed in six tests.

--- a/coord/flow/event.go
+++ b/coord/flow/event.go
@@ -113,8 +113,8 @@
 	Err      error
 }
 
-// PredecessorStopped reports that the previous scheduler sends no more orders.
-type PredecessorStopped struct{}
+// PredecessorStopped reports that the previous scheduler has sent no more orders for the time Ago at least.
+type PredecessorStopped struct{ Ago time.Duration }
 
 // Tick advances time; Wall is the time of day. LeaseUnconfirmed is set while the store has not confirmed this
 // scheduler's leadership for longer than its lease.
--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -253,7 +253,7 @@
 	case ApprovalAnswered:
 		m.approvalAnswered(ev)
 	case PredecessorStopped:
-		m.predecessorStopped()
+		m.predecessorStopped(m.now.Add(-max(0, ev.Ago)))
 	case Tick:
 		m.leaseUnconfirmed = ev.LeaseUnconfirmed
 		m.tick(ev.Wall)
@@ -333,12 +333,12 @@
 	m.searchAgain()
 }
 
-// predecessorStopped shortens the wait for unreachable workers to one task lease from now.
-func (m *Machine) predecessorStopped() {
-	if m.now.Before(m.predecessorEnd) {
-		m.predecessorEnd = m.now
+// predecessorStopped shortens the wait for unreachable workers to one task lease from the last order of the predecessor.
+func (m *Machine) predecessorStopped(at time.Time) {
+	if at.Before(m.predecessorEnd) {
+		m.predecessorEnd = at
 	}
-	until := m.now.Add(time.Duration(float64(m.opts.taskLease)*(1+2*maxClockDrift)) + clockMargin)
+	until := at.Add(time.Duration(float64(m.opts.taskLease)*(1+2*maxClockDrift)) + clockMargin)
 	if until.Before(m.unreconciledUntil) {
 		m.unreconciledUntil = until
 	}
--- a/coord/flow/simulation_test.go
+++ b/coord/flow/simulation_test.go
@@ -73,6 +73,8 @@
 	m     *flow.Machine
 	token infra.Token
 	alive bool
+	// killedAt is when the scheduler was killed; zero if it was not.
+	killedAt time.Time
 	// cutOff is set while the scheduler is cut off from the store.
 	cutOff bool
 	// incarnations are the incarnations of the workers that the scheduler knows and names in its orders.
@@ -251,7 +253,11 @@
 		// The entry host of the previous scheduler confirms that it has stopped, and it does stop.
 		sim.after(time.Duration(10+sim.rng.IntN(2000))*time.Millisecond, func() {
 			old.alive = false
-			sim.step(sched, flow.PredecessorStopped{})
+			stopped := flow.PredecessorStopped{}
+			if !old.killedAt.IsZero() {
+				stopped.Ago = sim.now.Sub(old.killedAt)
+			}
+			sim.step(sched, stopped)
 		})
 	}
 }
@@ -751,7 +757,7 @@
 // killScheduler ends the scheduler; another one is elected after a while.
 func (sim *simulation) killScheduler(d time.Duration) {
 	sched := sim.leader
-	sched.alive = false
+	sched.alive, sched.killedAt = false, sim.now
 	sim.after(d, func() {
 		if sched == sim.leader {
 			sim.elect(false)
--- a/coord/flow/takeover_test.go
+++ b/coord/flow/takeover_test.go
@@ -362,3 +362,21 @@
 	state, _ := h.m.State("j")
 	assert.Equal(t, state, infra.StateFailed)
 }
+
+// A successor waits for the leases that its predecessor renewed last, and no longer.
+func TestWaitEndsOneLeaseAfterPredecessor(t *testing.T) {
+	h := newHarness(t, flow.Restored{
+		Jobs: []flow.StoredJob{{Job: singleStepJob("j", smallStep(1))}}, Term: 1,
+		Roster: []flow.RosterEntry{{Worker: "a", Address: "a:1"}, {Worker: "b", Address: "b:1"}},
+	}, newPoolWorker("b"))
+	h.step(flow.PredecessorStopped{Ago: 3 * time.Second})
+	for range 11 {
+		h.renewalFails("a")
+		h.report("b", infra.Report{})
+		h.advance(300 * time.Millisecond)
+	}
+	assert.Equal(t, len(h.starts()), 0)
+	h.report("b", infra.Report{})
+	h.advance(300 * time.Millisecond)
+	assert.Equal(t, len(h.starts()), 1)
+}
--- a/coord/wire/hosted.go
+++ b/coord/wire/hosted.go
@@ -66,6 +66,8 @@
 	Count  int            `cbor:"count,omitempty"`
 	Reason string         `cbor:"reason,omitempty"`
 	Data   []byte         `cbor:"data,omitempty"`
+	// IdleMS is for how long at least no scheduler has run on the entry host, in milliseconds.
+	IdleMS int64 `cbor:"idle_ms,omitempty"`
 }
 
 // SchedulerElected announces which entry process is the scheduler; a higher token replaces a lower one.
--- a/entryd/hosted/app.go
+++ b/entryd/hosted/app.go
@@ -118,7 +118,7 @@
 	intake *Intake
 }
 
-func (r *intakeRef) supersede(ctx context.Context, host fleet.EntryHostID, token infra.Token) bool {
+func (r *intakeRef) supersede(ctx context.Context, host fleet.EntryHostID, token infra.Token) (time.Duration, bool) {
 	return r.intake.Supersede(ctx, host, token)
 }
 
--- a/entryd/hosted/intake.go
+++ b/entryd/hosted/intake.go
@@ -264,15 +264,15 @@
 	}
 }
 
-// Supersede makes the process on an entry host end any leadership with a lower token, and reports whether no such
-// leadership remains.
-func (i *Intake) Supersede(ctx context.Context, host fleet.EntryHostID, token infra.Token) bool {
+// Supersede makes the process on an entry host end any leadership with a lower token. It returns true if no such leadership
+// remains, and for how long at least.
+func (i *Intake) Supersede(ctx context.Context, host fleet.EntryHostID, token infra.Token) (time.Duration, bool) {
 	if host == i.self {
 		// This process was elected only after its own previous leadership had ended.
-		return true
+		return 0, true
 	}
 	resp, err := i.call(ctx, host, wire.HostedRequest{Kind: wire.RequestSupersede, Token: token}, queryTimeout)
-	return err == nil && resp.Status == wire.ResponseOK
+	return time.Duration(resp.IdleMS) * time.Millisecond, err == nil && resp.Status == wire.ResponseOK
 }
 
 // notifyScheduler sends a change to the scheduler before the scheduler reads it from the store. A lost notification
--- a/entryd/hosted/peers.go
+++ b/entryd/hosted/peers.go
@@ -81,8 +81,8 @@
 		i.handleNotification(req)
 		return wire.Ack{}
 	case wire.RequestSupersede:
-		if i.group.Supersede(req.Token) {
-			return wire.HostedResponse{Status: wire.ResponseOK}
+		if idle, stopped := i.group.Supersede(req.Token); stopped {
+			return wire.HostedResponse{Status: wire.ResponseOK, IdleMS: idle.Milliseconds()}
 		}
 		return wire.HostedResponse{Status: wire.ResponseNotRun, Reason: "the reign is being ended"}
 	case wire.RequestJobState, wire.RequestPendingCount, wire.RequestOverview, wire.RequestWorkers, wire.RequestJobDetails:
--- a/entryd/hosted/state_test.go
+++ b/entryd/hosted/state_test.go
@@ -61,7 +61,7 @@
 	s := electStore{job: store.Entry{Key: leader.JobKey(id), Value: []byte("unused")}}
 	scheduler := leader.NewScheduler(leader.Deps{
 		Store: s, Format: noWorkers{}, Bounds: infra.Bounds{MaxLease: time.Second}, Log: log, Decisions: log, Metrics: metrics.NewRegistry(),
-		Supersede: func(context.Context, fleet.EntryHostID, infra.Token) bool { return true },
+		Supersede: func(context.Context, fleet.EntryHostID, infra.Token) (time.Duration, bool) { return 0, true },
 	})
 	group := leader.NewGroup("a", "a:1", s, log, scheduler.Run, func(fleet.EntryHostID, string) {}, func(leader.Leader) {})
 	ctx, cancel := context.WithCancel(t.Context())
--- a/entryd/leader/group.go
+++ b/entryd/leader/group.go
@@ -108,8 +108,9 @@
 	// vacant receives a value when there is no leader.
 	vacant   chan struct{}
 	resigned bool
-	// current is the leadership of this process; nil if it is not the leader.
-	current *Leadership
+	// current is the leadership of this process; nil if it is not the leader, which it has not been since idleSince.
+	current   *Leadership
+	idleSince time.Time
 }
 
 // NewGroup returns the group of the entry process self, which accepts peer links at address. Each time this process is
@@ -122,7 +123,7 @@
 	g := &Group{
 		hosts: &hostRegistry{byID: make(map[fleet.EntryHostID]registration)},
 		self:  self, address: address, store: client, log: log, onElected: onElected, onHost: onHost, onLeader: onLeader,
-		vacant: make(chan struct{}, 1),
+		vacant: make(chan struct{}, 1), idleSince: Now(),
 	}
 	for _, opt := range opts {
 		opt(g)
@@ -163,21 +164,24 @@
 	}
 }
 
-// Supersede ends a leadership of this process whose token is lower than token, and reports whether none is running any
-// more.
-func (g *Group) Supersede(token infra.Token) bool {
+// Supersede ends a leadership of this process whose token is lower than token. It returns true if none is running any more,
+// and for how long; an earlier process on this entry host ended before that.
+func (g *Group) Supersede(token infra.Token) (time.Duration, bool) {
 	g.mu.Lock()
-	l := g.current
+	l, idleSince := g.current, g.idleSince
 	g.mu.Unlock()
-	if l == nil || l.leader.Token >= token {
-		return true
+	switch {
+	case l == nil:
+		return Now().Sub(idleSince), true
+	case l.leader.Token >= token:
+		return 0, true
 	}
 	l.end("superseded by a newly elected peer")
 	select {
 	case <-l.released:
-		return true
+		return 0, true
 	default:
-		return false
+		return 0, false
 	}
 }
 
@@ -473,7 +477,7 @@
 	close(l.released)
 	g.log.Info("group: leadership ended", "token", l.leader.Token, "reason", l.Reason())
 	g.mu.Lock()
-	g.current = nil
+	g.current, g.idleSince = nil, Now()
 	g.mu.Unlock()
 	g.signalVacant()
 }
--- a/entryd/leader/group_test.go
+++ b/entryd/leader/group_test.go
@@ -112,11 +112,30 @@
 	m.mu.Lock()
 	m.unreachable["a"] = true
 	m.mu.Unlock()
-	assert.Assert(t, a.group.Supersede(current.Token), "superseded by its own token")
+	idle, stopped := a.group.Supersede(current.Token)
+	assert.Assert(t, stopped, "superseded by its own token")
+	assert.Equal(t, idle, time.Duration(0))
 	a.group.Observe(leader.Leader{EntryHost: "b", Token: current.Token + infra.Token(5)})
 	assert.Equal(t, receive(t, "end of a's leadership", a.ended), "a newer scheduler was elected")
 }
 
+// A successor waits for one lease after the last order of its predecessor. It waited for one lease after the answer of the
+// predecessor's entry host instead, which comes after the restart of the process that had run the predecessor.
+func TestIdleTimeOfEntryHost(t *testing.T) {
+	m := newMemStore()
+	a := startMember(t, m, "a")
+	current := receive(t, "leadership of a", a.elected)
+	a.group.Resign()
+	ended := time.Now()
+	time.Sleep(50 * time.Millisecond)
+	idle, stopped := a.group.Supersede(current.Token + 1)
+	assert.Assert(t, stopped)
+	assert.Assert(t, idle >= 20*time.Millisecond && idle <= time.Since(ended)+leaderEndMargin, "%v", idle)
+}
+
+// leaderEndMargin is more than the time from the end of a scheduler until [leader.Group.Resign] returns.
+const leaderEndMargin = time.Second
+
 // Lease times are compared by Now, which reads the boot-time clock instead of Go's monotonic clock, because the latter
 // stops while a machine is suspended. This checks that Now advances.
 func TestNowAdvances(t *testing.T) {
--- a/entryd/leader/load_test.go
+++ b/entryd/leader/load_test.go
@@ -52,7 +52,7 @@
 	s := leader.NewScheduler(leader.Deps{
 		Store: client{m, "a"}, Agents: unreachableAgents{}, Format: format{}, Bounds: infra.Bounds{MaxLease: 6 * time.Second},
 		Log: log, Decisions: log, Metrics: registry,
-		Supersede: func(context.Context, fleet.EntryHostID, infra.Token) bool { return true },
+		Supersede: func(context.Context, fleet.EntryHostID, infra.Token) (time.Duration, bool) { return 0, true },
 	})
 	g := leader.NewGroup("a", "a:1", client{m, "a"}, log, s.Run, func(fleet.EntryHostID, string) {}, func(leader.Leader) {})
 	runGroup(t, g)
--- a/entryd/leader/registration_test.go
+++ b/entryd/leader/registration_test.go
@@ -113,7 +113,7 @@
 	s := leader.NewScheduler(leader.Deps{
 		Store: client{m, "a"}, Agents: idleAgents{}, Format: strictFormat{}, Bounds: infra.Bounds{MaxLease: 6 * time.Second},
 		Log: logger, Decisions: logger, Metrics: metrics.NewRegistry(),
-		Supersede: func(context.Context, fleet.EntryHostID, infra.Token) bool { return true },
+		Supersede: func(context.Context, fleet.EntryHostID, infra.Token) (time.Duration, bool) { return 0, true },
 	})
 	runGroup(t, leader.NewGroup("a", "a:1", client{m, "a"}, slog.New(slog.DiscardHandler), s.Run, func(fleet.EntryHostID, string) {}, func(leader.Leader) {}))
 	usable := func(id fleet.WorkerID) bool {
--- a/entryd/leader/scheduler.go
+++ b/entryd/leader/scheduler.go
@@ -45,7 +45,7 @@
 	bounds         infra.Bounds
 	log            *slog.Logger
 	decisions      *slog.Logger
-	supersede      func(ctx context.Context, host fleet.EntryHostID, token infra.Token) bool
+	supersede      func(ctx context.Context, host fleet.EntryHostID, token infra.Token) (time.Duration, bool)
 	startLatency   metrics.Timer
 	renewals       metrics.Counter
 	orders         metrics.Counter
@@ -72,9 +72,9 @@
 	// Decisions receives a line for each start, end and move of a task; there are many under load.
 	Decisions *slog.Logger
 	Metrics   metrics.Registry
-	// Supersede ends a leadership with a lower token on an entry host, and reports whether none is running there any
-	// more; see [Group.Supersede].
-	Supersede func(ctx context.Context, host fleet.EntryHostID, token infra.Token) bool
+	// Supersede ends a leadership with a lower token on an entry host. It returns true if none is running there any
+	// more, and for how long; see [Group.Supersede].
+	Supersede func(ctx context.Context, host fleet.EntryHostID, token infra.Token) (time.Duration, bool)
 }
 
 // NewScheduler returns a scheduler that does nothing until [Scheduler.Run].
@@ -374,9 +374,9 @@
 func (l *loop) awaitPredecessor(ctx context.Context) {
 	leader := l.leadership.leader
 	for ctx.Err() == nil && leader.Predecessor != "" {
-		if l.supersede(ctx, leader.Predecessor, leader.Token) {
-			l.log.Info("scheduler: previous scheduler has stopped", "former", leader.Predecessor)
-			l.post(flow.PredecessorStopped{})
+		if ago, stopped := l.supersede(ctx, leader.Predecessor, leader.Token); stopped {
+			l.log.Info("scheduler: previous scheduler has stopped", "former", leader.Predecessor, "ago_ms", ago.Milliseconds())
+			l.post(flow.PredecessorStopped{Ago: ago})
 			return
 		}
 		sleep(ctx, predecessorPollInterval)
--- a/entryd/leader/takeover_test.go
+++ b/entryd/leader/takeover_test.go
@@ -21,7 +21,7 @@
 	s := leader.NewScheduler(leader.Deps{
 		Store: client{m, "a"}, Format: format{}, Bounds: infra.Bounds{MaxLease: 6 * time.Second}, Log: log, Decisions: log,
 		Metrics:   metrics.NewRegistry(),
-		Supersede: func(context.Context, fleet.EntryHostID, infra.Token) bool { return true },
+		Supersede: func(context.Context, fleet.EntryHostID, infra.Token) (time.Duration, bool) { return 0, true },
 	})
 	onElected := func(ctx context.Context, l *leader.Leadership) {
 		m.mu.Lock()
--- a/entryd/leader/watch_test.go
+++ b/entryd/leader/watch_test.go
@@ -71,7 +71,7 @@
 	s := leader.NewScheduler(leader.Deps{
 		Store: paged, Agents: unreachableAgents{}, Format: capacityFormat{}, Bounds: infra.Bounds{MaxLease: 6 * time.Second},
 		Log: log, Decisions: log, Metrics: metrics.NewRegistry(),
-		Supersede: func(context.Context, fleet.EntryHostID, infra.Token) bool { return true },
+		Supersede: func(context.Context, fleet.EntryHostID, infra.Token) (time.Duration, bool) { return 0, true },
 	})
 	g := leader.NewGroup("a", "a:1", client{m, "a"}, log, s.Run, func(fleet.EntryHostID, string) {}, func(leader.Leader) {})
 	runGroup(t, g)
--- a/entryd/leader/waves_test.go
+++ b/entryd/leader/waves_test.go
@@ -117,7 +117,7 @@
 	s := leader.NewScheduler(leader.Deps{
 		Store: client{m, name}, Machines: machines, Format: format{}, Bounds: infra.Bounds{MaxLease: 6 * time.Second}, Log: log, Decisions: log,
 		Metrics:   metrics.NewRegistry(),
-		Supersede: func(context.Context, fleet.EntryHostID, infra.Token) bool { return true },
+		Supersede: func(context.Context, fleet.EntryHostID, infra.Token) (time.Duration, bool) { return 0, true },
 	})
 	g := leader.NewGroup(fleet.EntryHostID(name), name+":1", client{m, name}, log, s.Run,
 		func(fleet.EntryHostID, string) {}, func(leader.Leader) {})
