flow: keep the latest checkpoint when an end is reported again

The end of an earlier run replaced the checkpoint of a later one, and the next run did its work again.

A checkpoint is now recorded with the run that has written it, also in the stored record, and is replaced by that run or a later one only.

TestRepeatedEndDoesNotReplaceCheckpoint fails before.

--- a/coord/flow/job.go
+++ b/coord/flow/job.go
@@ -25,7 +25,9 @@
 	// failedRuns lists the numbers of the failed runs. Runs are recorded by number because their ends can arrive from
 	// several workers in any order, and twice after a takeover.
 	failedRuns []infra.Run
-	checkpoint string
+	// checkpoint is the latest one, and checkpointRun the run that has written it.
+	checkpoint    string
+	checkpointRun infra.Run
 	// avoidWorker is the worker of the last run that did not complete.
 	avoidWorker fleet.WorkerID
 	// located is set once this scheduler has started the task, or has seen it running after the predecessor's last order.
@@ -48,6 +50,13 @@
 	verdictDue bool
 }
 
+// updateCheckpoint records a reported checkpoint. That of an earlier run, whose end is reported late or again, is older.
+func (t *task) updateCheckpoint(number infra.Run, checkpoint string) {
+	if checkpoint != "" && number >= t.checkpointRun {
+		t.checkpoint, t.checkpointRun = checkpoint, number
+	}
+}
+
 // step is the state of one step of an occurrence. waiting and done count its tasks in these phases.
 type step struct {
 	spec    infra.Step
@@ -222,8 +231,10 @@
 	Index int       `cbor:"index"`
 	Run   infra.Run `cbor:"run,omitempty"`
 	// Failed lists the numbers of the failed runs.
-	Failed     []infra.Run `cbor:"failed,omitempty"`
-	Checkpoint string      `cbor:"checkpoint,omitempty"`
+	Failed []infra.Run `cbor:"failed,omitempty"`
+	// Checkpoint was written by the run CheckpointRun.
+	Checkpoint    string    `cbor:"checkpoint,omitempty"`
+	CheckpointRun infra.Run `cbor:"checkpoint_run,omitempty"`
 	// Crashes counts the workers that crashed under recent runs of the task, CrashedOn is the last of them, and Confirmed
 	// counts those that are known to have started it just before. Losses counts the workers that crashed under any run.
 	Crashes   int            `cbor:"crashes,omitempty"`
@@ -272,7 +283,7 @@
 			r.Done[i/8] |= 1 << (i % 8)
 		case t.lastRun > 0:
 			r.Tasks = append(r.Tasks, TaskRecord{
-				Index: i, Run: t.lastRun, Failed: slices.Clone(t.failedRuns), Checkpoint: t.checkpoint,
+				Index: i, Run: t.lastRun, Failed: slices.Clone(t.failedRuns), Checkpoint: t.checkpoint, CheckpointRun: t.checkpointRun,
 				Crashes: t.crashes, Confirmed: t.confirmed, CrashedOn: t.crashedOn, Losses: t.losses,
 			})
 		}
@@ -323,7 +334,8 @@
 	for _, record := range r.Tasks {
 		if record.Index >= 0 && record.Index < len(s.tasks) {
 			t := &s.tasks[record.Index]
-			t.lastRun, t.failedRuns, t.checkpoint = record.Run, record.Failed, record.Checkpoint
+			t.lastRun, t.failedRuns = record.Run, record.Failed
+			t.checkpoint, t.checkpointRun = record.Checkpoint, record.CheckpointRun
 			t.crashRecord = crashRecord{
 				crashes: record.Crashes, confirmed: record.Confirmed, crashedOn: record.CrashedOn, losses: record.Losses,
 			}
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -194,9 +194,7 @@
 		return
 	}
 	t.lastRun = max(t.lastRun, e.Run)
-	if e.Checkpoint != "" {
-		t.checkpoint = e.Checkpoint
-	}
+	t.updateCheckpoint(e.Run, e.Checkpoint)
 	o := m.jobs[e.Task.Job].occurrences[e.Task.Occurrence]
 	switch e.Outcome {
 	case infra.OutcomeDone:
@@ -414,9 +412,7 @@
 		return
 	}
 	t.located = t.located || m.now.After(m.predecessorEnd)
-	if row.Checkpoint != "" {
-		t.checkpoint = row.Checkpoint
-	}
+	t.updateCheckpoint(row.Run, row.Checkpoint)
 }
 
 // pausedUseShare is the share of its requested processor time below which an adopted filler is assumed to be paused.
@@ -453,9 +449,7 @@
 	}
 	t.lastRun = max(t.lastRun, row.Run)
 	t.located = t.located || m.now.After(m.predecessorEnd)
-	if row.Checkpoint != "" {
-		t.checkpoint = row.Checkpoint
-	}
+	t.updateCheckpoint(row.Run, row.Checkpoint)
 	w.add(m.now, r)
 	// The run may have been started just now.
 	w.lastStart = m.now
--- a/coord/flow/takeover_test.go
+++ b/coord/flow/takeover_test.go
@@ -380,3 +380,20 @@
 	h.advance(300 * time.Millisecond)
 	assert.Equal(t, len(h.starts()), 1)
 }
+
+// The end of an earlier run that is reported again carries an older checkpoint, which replaced the latest one, so that the
+// next run did its work again.
+func TestRepeatedEndDoesNotReplaceCheckpoint(t *testing.T) {
+	task := infra.TaskID{Job: "j"}
+	h := newHarness(t, flow.Restored{
+		Jobs: []flow.StoredJob{{Job: singleStepJob("j", smallStep(1))}}, Term: 1,
+		Roster: []flow.RosterEntry{{Worker: "a", Address: "a:1"}, {Worker: "b", Address: "b:1"}},
+	}, newPoolWorker("a"), newPoolWorker("b"))
+	h.report("a", infra.Report{Running: []infra.ActiveRun{{Task: task, Run: 2, Checkpoint: "new", Progress: 60}}})
+	h.report("b", infra.Report{Ended: []infra.EndedRun{{Number: 1, Task: task, Run: 1, Outcome: infra.OutcomeStopped, Checkpoint: "old"}}})
+	h.report("a", infra.Report{Ended: []infra.EndedRun{{Number: 1, Task: task, Run: 2, Outcome: infra.OutcomeLeaseExpired}}})
+	h.advance(100 * time.Millisecond)
+	started := h.starts()
+	assert.Equal(t, len(started), 1)
+	assert.Equal(t, started[0].Order.Checkpoint, "new")
+}
