--- a/coord/flow/copy_test.go
+++ b/coord/flow/copy_test.go
@@ -69,3 +69,21 @@
 	h.advance(100 * time.Millisecond)
 	assert.Equal(t, len(h.starts()), 0)
 }
+
+// The failure of a copy after another copy was done used up the attempts of the task, and its job was shown as failed.
+func TestFailedCopyOfDoneTask(t *testing.T) {
+	s := smallStep(2)
+	s.Speculative = true
+	h := newHarness(t, flow.Restored{
+		Jobs: []flow.StoredJob{{Job: singleStepJob("j", s)}}, Term: 1,
+		Roster: []flow.RosterEntry{{Worker: "a", Address: "a:1"}, {Worker: "b", Address: "b:1"}},
+	}, newPoolWorker("a"), newPoolWorker("b"))
+	ended := func(number int64, outcome infra.Outcome) infra.EndedRun {
+		return infra.EndedRun{Number: number, Task: infra.TaskID{Job: "j"}, Run: infra.Run(number), Outcome: outcome}
+	}
+	h.report("a", infra.Report{Ended: []infra.EndedRun{ended(1, infra.OutcomeFailed), ended(2, infra.OutcomeFailed), ended(4, infra.OutcomeDone)}})
+	h.report("b", infra.Report{Ended: []infra.EndedRun{ended(3, infra.OutcomeFailed)}})
+	h.advance(100 * time.Millisecond)
+	state, _ := h.m.State("j")
+	assert.Equal(t, state, infra.StateRunning)
+}
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -291,7 +291,8 @@
 	m.markDirty(j)
 	j.started = true
 	s := &o.steps[e.Task.Step]
-	if s.spec.LongRunning || slices.Contains(t.failedRuns, e.Run) {
+	// A copy can fail after another one was done, or the end can be reported again.
+	if s.spec.LongRunning || t.phase == done || slices.Contains(t.failedRuns, e.Run) {
 		return
 	}
 	t.failedRuns = append(t.failedRuns, e.Run)
