flow: let a new incarnation report before a start to it is dropped

Found by reading what else concludes that a run has ended: a start without an answer may reach the next incarnation of its worker, which has the same ID. When that incarnation had accepted a stop, the run was dropped and its task requeued at once; but a start that it had carried out before the stop is still being stopped then, for up to stop_timeout_ms.

The run is now treated as one that is being stopped: it ends with the report that follows, or with the end that the report lists.

TestStartCarriedOutByNewIncarnationIsStoppedFirst fails before.

--- a/coord/flow/answer.go
+++ b/coord/flow/answer.go
@@ -115,9 +115,8 @@
 		return
 	}
 	if r.state == fencing {
-		// The new incarnation has accepted the stop, so it rejects the start.
-		m.dropRun(r, "start to a previous incarnation was fenced")
-		return
+		// The new incarnation rejects the start from now on, but it may have carried it out before.
+		r.state, r.confirmedClock = stopping, 0
 	}
 	if r.confirmedClock == 0 {
 		// From now on the worker rejects a start that it had not received; the next report shows whether it had.
--- a/coord/flow/late_start_test.go
+++ b/coord/flow/late_start_test.go
@@ -53,3 +53,39 @@
 	count(13 * time.Second)
 	assert.Equal(t, count(5*time.Second), 0, "stops go on after the start can no longer be carried out")
 }
+
+// Guards against a start that the new incarnation of a worker has carried out before it accepts the stop. The task was
+// started elsewhere at once, while the run was still being stopped.
+func TestStartCarriedOutByNewIncarnationIsStoppedFirst(t *testing.T) {
+	a := newPoolWorker("a")
+	a.StartedAt = 5
+	h := newHarness(t, flow.Restored{}, a, newPoolWorker("b"))
+	h.report("a", infra.Report{StartedAt: 5})
+	h.step(flow.Submitted{Job: singleStepJob("job", smallStep(1))})
+	h.advance(50 * time.Millisecond)
+	starts := h.starts()
+	assert.Equal(t, len(starts), 1)
+	lost := starts[0].Order
+	h.report("b", infra.Report{})
+	h.report("a", infra.Report{StartedAt: 6})
+	h.advance(50 * time.Millisecond)
+	h.report("a", infra.Report{StartedAt: 6})
+	h.advance(50 * time.Millisecond)
+	assert.Assert(t, len(h.stops()) > 0)
+	h.step(flow.StopAnswered{Worker: "a", Order: infra.StopOrder{Task: lost.Task, Run: lost.Run}, Clock: h.now.UnixMilli()})
+	for range 10 {
+		h.report("b", infra.Report{})
+		h.advance(100 * time.Millisecond)
+	}
+	assert.Equal(t, len(h.starts()), 0)
+	h.report("a", infra.Report{StartedAt: 6, Running: []infra.ActiveRun{{Task: lost.Task, Run: lost.Run}}})
+	h.report("b", infra.Report{})
+	h.advance(50 * time.Millisecond)
+	assert.Equal(t, len(h.starts()), 0)
+	h.report("a", infra.Report{StartedAt: 6, Ended: []infra.EndedRun{{Number: 1, Task: lost.Task, Run: lost.Run, Outcome: infra.OutcomeStopped}}})
+	for range 10 {
+		h.report("b", infra.Report{})
+		h.advance(100 * time.Millisecond)
+	}
+	assert.Equal(t, len(h.starts()), 1)
+}
