--- a/coord/flow/crash_test.go
+++ b/coord/flow/crash_test.go
@@ -596,3 +596,27 @@
 	h.advance(100 * time.Millisecond)
 	assert.Equal(t, len(h.starts()), 1)
 }
+
+// The start of a task on a worker that restarts again and again was blamed for each restart.
+func TestStartIsBlamedForOneRestart(t *testing.T) {
+	a := newPoolWorker("a")
+	a.StartedAt = 1
+	h := newHarness(t, flow.Restored{}, a)
+	h.report("a", infra.Report{StartedAt: 1})
+	h.step(flow.Submitted{Job: singleStepJob("j", lastingStep(1, 1000))})
+	h.advance(50 * time.Millisecond)
+	starts := h.answerStarts()
+	assert.Equal(t, len(starts), 1)
+	for startedAt := int64(2); startedAt < 6; startedAt++ {
+		h.report("a", infra.Report{StartedAt: startedAt})
+		h.advance(50 * time.Millisecond)
+		h.report("a", infra.Report{StartedAt: startedAt})
+		h.advance(50 * time.Millisecond)
+		h.step(flow.StopAnswered{Worker: "a", Order: infra.StopOrder{Task: starts[0].Order.Task, Run: starts[0].Order.Run}, Clock: h.now.UnixMilli()})
+	}
+	h.advance(50 * time.Millisecond)
+	h.report("a", infra.Report{StartedAt: 5})
+	h.advance(50 * time.Millisecond)
+	state, _ := h.m.State("j")
+	assert.Equal(t, state, infra.StateRunning)
+}
