flow: do not renew the lease with an immediate renewal

A renewal that only asks for a report carries no deadline; the next one does, at the latest with the answer.

--- a/coord/flow/lasting_test.go
+++ b/coord/flow/lasting_test.go
@@ -12,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"lovagefork.example/coord/fleet"
+	"lovagefork.example/coord/flow"
 	"lovagefork.example/coord/infra"
 )
 
@@ -378,3 +379,26 @@
 	c.run(20 * time.Second)
 	assert.Assert(t, len(c.violations) == 0, "%q", c.violations)
 }
+
+// A worker that is lost just before a start does not answer it. The renewal that asks for its report then renewed the lease
+// by the scheduler's account, so that its tasks waited for 1.5 s longer than the lease lasted.
+func TestLostWorkerIsNotAwaitedLonger(t *testing.T) {
+	h := newHarness(t, flow.Restored{}, newPoolWorker("a"))
+	h.report("a", infra.Report{})
+	h.step(flow.Submitted{Job: singleStepJob("j", lastingStep(1, 1000))})
+	h.advance(50 * time.Millisecond)
+	starts := h.starts()
+	assert.Equal(t, len(starts), 1)
+	h.step(flow.WorkerListed{Worker: newPoolWorker("b")})
+	h.report("b", infra.Report{})
+	lost := h.now
+	h.advance(1500 * time.Millisecond)
+	h.step(flow.StartAnswered{Worker: "a", Order: starts[0].Order, Err: &infra.NoAnswerError{Worker: "a"}})
+	for h.now.Sub(lost) < 6400*time.Millisecond {
+		h.advance(100 * time.Millisecond)
+		h.renewalFails("a")
+		h.report("b", infra.Report{})
+	}
+	h.advance(200 * time.Millisecond)
+	assert.Equal(t, len(h.starts()), 1)
+}
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -17,12 +17,14 @@
 	if isSameIncarnation {
 		order.AckedEnd = w.durableEnd
 	}
-	// The lease of an unreachable worker is not renewed, so that it ends at a known time.
-	if w.clock > 0 && w.reachable && isSameIncarnation {
+	isImmediate := m.now.Equal(w.immediateRenewalAt)
+	// The lease of an unreachable worker is not renewed, so that it ends at a known time. A worker that an immediate renewal
+	// asks for a report may be one.
+	if w.clock > 0 && w.reachable && isSameIncarnation && !isImmediate {
 		order.Deadline = w.maxClock(m.now) + m.opts.taskLease.Milliseconds()
 		w.leaseEnd = max(w.leaseEnd, order.Deadline)
 	}
-	if isSameIncarnation && w.unsavedSeq == 0 && w.tokenAccepted && w.reachable && !m.now.Equal(w.immediateRenewalAt) {
+	if isSameIncarnation && w.unsavedSeq == 0 && w.tokenAccepted && w.reachable && !isImmediate {
 		order.Wait = reportWait
 		if len(w.servingSteps) > 0 && w.fillerCPU > 0 {
 			order.Wait = reportWaitColocated
