flow: count complete occurrences instead of listing them

The record of a scheduled job held an entry for each complete occurrence, and grew without a limit; a value that the store refuses keeps anything from being stored (seen in the source by the review, not played). Complete occurrences before the first open one are now left out of the record, which already counts them, and a successor takes their number from the count.

TestRecordOfScheduledJobDoesNotGrow plays 40 occurrences over four schedulers and fails before (2 entries after the second one).

--- a/coord/flow/job.go
+++ b/coord/flow/job.go
@@ -249,7 +249,7 @@
 	if r.State.Final() {
 		return r
 	}
-	for n := range j.createdOccurrences {
+	for n := j.firstOpenOccurrence(); n < j.createdOccurrences; n++ {
 		o := j.occurrences[n]
 		if o == nil {
 			continue
@@ -263,6 +263,16 @@
 	return r
 }
 
+// firstOpenOccurrence returns the number of the first occurrence that is not complete, or not created. A successor does not
+// have the complete ones before it.
+func (j *job) firstOpenOccurrence() int64 {
+	n := int64(0)
+	for n < j.createdOccurrences && (j.occurrences[n] == nil || j.occurrences[n].complete()) {
+		n++
+	}
+	return n
+}
+
 func (o *occurrence) record() OccurrenceRecord {
 	r := OccurrenceRecord{Number: o.number, Steps: make([]StepRecord, len(o.steps))}
 	for i := range o.steps {
@@ -300,6 +310,14 @@
 		j.completedOccurrences = j.totalOccurrences()
 		return
 	}
+	j.completedOccurrences = r.Completed
+	for _, occurrenceRecord := range r.Occurrences {
+		if occurrenceRecord.Completed {
+			j.completedOccurrences--
+		}
+	}
+	j.createdOccurrences = j.completedOccurrences
+	j.started = j.started || j.createdOccurrences > 0
 	for _, occurrenceRecord := range r.Occurrences {
 		o := j.occurrence(occurrenceRecord.Number)
 		j.createdOccurrences = max(j.createdOccurrences, occurrenceRecord.Number+1)
--- a/coord/flow/takeover_test.go
+++ b/coord/flow/takeover_test.go
@@ -397,3 +397,41 @@
 	assert.Equal(t, len(started), 1)
 	assert.Equal(t, started[0].Order.Checkpoint, "new")
 }
+
+// The record of a scheduled job held an entry for each complete occurrence, so that it grew beyond the largest value of the
+// store, which refuses the whole batch then.
+func TestRecordOfScheduledJobDoesNotGrow(t *testing.T) {
+	const interval, count = time.Second, 40
+	j := singleStepJob("j", smallStep(1))
+	j.Schedule = infra.Schedule{Count: count, Start: time.Unix(1000, 5e8).UnixMilli(), Interval: interval}
+	var record *flow.Record
+	numbers := make(map[fleet.WorkerID]int64)
+	completed := 0
+	for term := int64(1); term <= 4; term++ {
+		h := newHarness(t, flow.Restored{
+			Jobs: []flow.StoredJob{{Job: j, Record: record}}, Roster: []flow.RosterEntry{{Worker: "a", Address: "a:1"}}, Term: term,
+		}, newPoolWorker("a"))
+		h.now = h.now.Add(time.Duration(completed) * interval)
+		for range count / 4 {
+			h.report("a", infra.Report{})
+			h.advance(interval)
+			started := h.starts()
+			assert.Equal(t, len(started), 1, "occurrence %d", completed)
+			assert.Equal(t, started[0].Order.Task.Occurrence, int64(completed))
+			numbers["a"]++
+			h.report("a", infra.Report{Ended: []infra.EndedRun{{
+				Number: numbers["a"], Task: started[0].Order.Task, Run: started[0].Order.Run, Outcome: infra.OutcomeDone,
+			}}})
+			completed++
+			h.advance(25 * time.Millisecond)
+			for _, e := range h.effects {
+				if s, ok := e.(flow.Save); ok && len(s.Jobs) > 0 {
+					record = &s.Jobs[0].Record
+				}
+			}
+			assert.Assert(t, len(record.Occurrences) <= 1, "%+v", record)
+			state, _ := h.m.State("j")
+			assert.Equal(t, state == infra.StateCompleted, completed == count)
+		}
+	}
+}
