--- a/coord/flow/crash.go
+++ b/coord/flow/crash.go
@@ -141,7 +141,7 @@
 }
 
 // existed reports whether the run is known to have existed in the present life of its worker.
-func (r *run) existed() bool { return r.firstClock > 0 && !r.isLeftover }
+func (r *run) existed() bool { return r.firstClock > 0 && !r.fromPreviousIncarnation }
 
 // crashedSoonAfter reports whether the worker had confirmed the start and became unreachable soon after it. The run of a
 // worker that crashed without notice may have ended before.
@@ -162,7 +162,7 @@
 func (w *worker) suspects() []*run {
 	var suspects []*run
 	for _, r := range w.runsByTask {
-		if !r.sound && !r.isLeftover && r.step != nil && r.occ.job.live() {
+		if !r.sound && !r.fromPreviousIncarnation && r.step != nil && r.occ.job.live() {
 			suspects = append(suspects, r)
 		}
 	}
@@ -236,7 +236,7 @@
 func (s *step) hasRecentRun() bool {
 	for i := range s.tasks {
 		for _, r := range s.tasks[i].runs {
-			if !r.sound && !r.isLeftover && r.worker.reachable && r.worker.unconfirmed == nil {
+			if !r.sound && !r.fromPreviousIncarnation && r.worker.reachable && r.worker.unconfirmed == nil {
 				return true
 			}
 		}
--- a/coord/flow/job.go
+++ b/coord/flow/job.go
@@ -310,12 +310,13 @@
 		j.completedOccurrences = j.totalOccurrences()
 		return
 	}
-	j.completedOccurrences = r.Completed
+	unlisted := r.Completed
 	for _, occurrenceRecord := range r.Occurrences {
 		if occurrenceRecord.Completed {
-			j.completedOccurrences--
+			unlisted--
 		}
 	}
+	j.completedOccurrences = max(0, unlisted)
 	j.createdOccurrences = j.completedOccurrences
 	j.started = j.started || j.createdOccurrences > 0
 	for _, occurrenceRecord := range r.Occurrences {
--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -160,9 +160,10 @@
 	// reference is the memory of [Machine.collectReference].
 	reference  reference
 	lateStarts map[fleet.WorkerID][]lateStart
-	// earlyCancels are the cancellations of jobs that are not known, in the order of cancelledEarly.
-	earlyCancels   map[fleet.JobID]struct{}
-	cancelledEarly []earlyCancel
+	// earlyCancels are the cancellations of jobs that are not known. earlyCancelQueue holds them, and those whose jobs have
+	// followed, in the order of their arrival.
+	earlyCancels     map[fleet.JobID]struct{}
+	earlyCancelQueue []earlyCancel
 	// recentCrashes are the crashes without a suspect that was suspected before.
 	recentCrashes []time.Time
 	silenced      map[fleet.WorkerID]silencedWorker
@@ -502,14 +503,14 @@
 		return
 	}
 	m.earlyCancels[id] = struct{}{}
-	m.cancelledEarly = append(m.cancelledEarly, earlyCancel{job: id, at: m.now})
+	m.earlyCancelQueue = append(m.earlyCancelQueue, earlyCancel{job: id, at: m.now})
 }
 
 // expireEarlyCancels deletes the cancellations whose jobs have not followed within the retention time.
 func (m *Machine) expireEarlyCancels() {
-	for len(m.cancelledEarly) > 0 && m.now.Sub(m.cancelledEarly[0].at) > m.opts.retention {
-		id := m.cancelledEarly[0].job
-		m.cancelledEarly = m.cancelledEarly[1:]
+	for len(m.earlyCancelQueue) > 0 && m.now.Sub(m.earlyCancelQueue[0].at) > m.opts.retention {
+		id := m.earlyCancelQueue[0].job
+		m.earlyCancelQueue = m.earlyCancelQueue[1:]
 		if _, found := m.earlyCancels[id]; found {
 			delete(m.earlyCancels, id)
 			m.jobsToDelete = append(m.jobsToDelete, id)
--- a/coord/flow/worker.go
+++ b/coord/flow/worker.go
@@ -75,8 +75,8 @@
 	probed     bool
 	nextStop   time.Time
 	stopReason string
-	// isLeftover is set for a run that was started on a previous incarnation of its worker.
-	isLeftover bool
+	// fromPreviousIncarnation is set for a run that was started on a previous incarnation of its worker.
+	fromPreviousIncarnation bool
 	// excludeRunTime keeps the run out of the run time statistics, because it was adopted, resumed from a checkpoint or
 	// slowed down and its run time is unknown or not comparable to that of other runs.
 	excludeRunTime bool
--- a/coord/flow/worker_lifecycle.go
+++ b/coord/flow/worker_lifecycle.go
@@ -158,7 +158,7 @@
 			continue
 		}
 		// The start may have reached the new incarnation or may still reach it, so the new incarnation must reject it.
-		r.state, r.nextStop, r.stopReason, r.isLeftover = fencing, m.now, "worker restarted", true
+		r.state, r.nextStop, r.stopReason, r.fromPreviousIncarnation = fencing, m.now, "worker restarted", true
 	}
 	w.StartedAt, w.restartedSinceListing, w.unconfirmed = startedAt, true, nil
 	w.tokenAccepted, w.leadershipConfirmed = false, false
--- a/entryd/leader/group.go
+++ b/entryd/leader/group.go
@@ -72,7 +72,7 @@
 
 // Error returns the contents of the entry.
 func (e *HostRecordError) Error() string {
-	return fmt.Sprintf("address %q or processor time %d is invalid", e.Address, e.MilliCPU)
+	return fmt.Sprintf("address %.60q or processor time %d is invalid", e.Address, e.MilliCPU)
 }
 
 // decodeHost decodes the registration of an entry process; its error is a [*HostRecordError] or that of the decoder.
@@ -366,7 +366,7 @@
 			sleep(ctx, retryMinDelay)
 			g.signalVacant()
 		case l != nil:
-			g.hosts.elected()
+			g.hosts.recordPasses()
 			g.lead(ctx, l)
 		}
 	}
--- a/entryd/leader/hosts.go
+++ b/entryd/leader/hosts.go
@@ -86,8 +86,8 @@
 	return h.ownMilliCPU > 0 && float64(r.milliCPU) >= largerHostRatio*float64(h.ownMilliCPU)
 }
 
-// elected records that this process won a campaign for which larger entry hosts had a head start.
-func (h *hostRegistry) elected() {
+// recordPasses records that this process won a campaign for which larger entry hosts had a head start.
+func (h *hostRegistry) recordPasses() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for host, r := range h.byID {
