--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -385,51 +385,6 @@
 	}
 }
 
-// createDueOccurrences creates the occurrences of a job that are due.
-func (m *Machine) createDueOccurrences(j *job) {
-	if m.wall.IsZero() || !j.live() {
-		return
-	}
-	for j.createdOccurrences < j.totalOccurrences() {
-		if m.untilDue(j, j.createdOccurrences) > 0 {
-			return
-		}
-		m.createNextOccurrence(j)
-	}
-	delete(m.scheduledJobs, j.spec.ID)
-}
-
-// maxClockLead is how far the wall clock of a predecessor may be ahead of that of this scheduler.
-const maxClockLead = 10 * time.Second
-
-// createReportedOccurrence creates the occurrence of a run that a worker reports. A predecessor whose clock is ahead has
-// created it before it is due here.
-func (m *Machine) createReportedOccurrence(id infra.TaskID) {
-	j := m.scheduledJobs[id.Job]
-	if j == nil || m.wall.IsZero() || id.Occurrence >= j.totalOccurrences() || m.untilDue(j, id.Occurrence) > maxClockLead {
-		return
-	}
-	for j.createdOccurrences <= id.Occurrence {
-		m.createNextOccurrence(j)
-	}
-}
-
-// untilDue returns the time until an occurrence of a scheduled job is due.
-func (m *Machine) untilDue(j *job, n int64) time.Duration {
-	return time.UnixMilli(j.spec.Schedule.Start).Add(time.Duration(n) * j.spec.Schedule.Interval).Sub(m.wallNow())
-}
-
-func (m *Machine) createNextOccurrence(j *job) {
-	o := j.occurrence(j.createdOccurrences)
-	o.due = m.now.Add(m.untilDue(j, o.number))
-	o.raiseRunNumbers(infra.Run(m.term) * runsPerTerm)
-	j.createdOccurrences++
-	m.markDirty(j)
-	m.updateReady(o)
-}
-
-func (m *Machine) wallNow() time.Time { return m.wall.Add(m.now.Sub(m.wallAt)) }
-
 // updateReady adds the runnable steps of an occurrence to the ready set and removes the others.
 func (m *Machine) updateReady(o *occurrence) {
 	for i := range o.steps {
@@ -475,49 +430,6 @@
 	}
 }
 
-func (m *Machine) cancel(id fleet.JobID) {
-	j := m.jobs[id]
-	if j == nil {
-		m.cancelEarly(id)
-		return
-	}
-	if j.cancelled || j.durableState.Final() {
-		return
-	}
-	j.cancelled = true
-	j.durableState = infra.StateCancelled
-	m.emit(Log{Text: "job cancelled", Job: id})
-	m.stopJob(j, "job cancelled")
-}
-
-// earlyCancel is the cancellation of a job that is not known.
-type earlyCancel struct {
-	job fleet.JobID
-	at  time.Time
-}
-
-// cancelEarly records the cancellation of a job that is not known: it may follow, or its submission may have been
-// prevented by the cancellation.
-func (m *Machine) cancelEarly(id fleet.JobID) {
-	if _, found := m.earlyCancels[id]; found {
-		return
-	}
-	m.earlyCancels[id] = struct{}{}
-	m.earlyCancelQueue = append(m.earlyCancelQueue, earlyCancel{job: id, at: m.now})
-}
-
-// expireEarlyCancels deletes the cancellations whose jobs have not followed within the retention time.
-func (m *Machine) expireEarlyCancels() {
-	for len(m.earlyCancelQueue) > 0 && m.now.Sub(m.earlyCancelQueue[0].at) > m.opts.retention {
-		id := m.earlyCancelQueue[0].job
-		m.earlyCancelQueue = m.earlyCancelQueue[1:]
-		if _, found := m.earlyCancels[id]; found {
-			delete(m.earlyCancels, id)
-			m.jobsToDelete = append(m.jobsToDelete, id)
-		}
-	}
-}
-
 // stopJob stops the remaining runs of a job that must not run any longer, and starts its retention time.
 func (m *Machine) stopJob(j *job, reason string) {
 	for _, o := range j.occurrences {
--- a/entryd/leader/hosts.go
+++ b/entryd/leader/hosts.go
@@ -2,9 +2,14 @@
 
 import (
 	"context"
+	"fmt"
+	"net"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"lovagefork.example/coord/fleet"
 )
 
@@ -21,6 +26,41 @@
 	handOverCheckInterval = time.Second
 )
 
+// hostRecord is the stored registration of an entry process: the address where it accepts peer links, and the processor
+// time of its entry host.
+type hostRecord struct {
+	Address  string `cbor:"address"`
+	MilliCPU int64  `cbor:"milli_cpu,omitempty"`
+}
+
+// maxMilliCPU exceeds the processor time of any entry host.
+const maxMilliCPU = 100_000_000
+
+// HostRecordError reports an entry of the group that names no entry process.
+type HostRecordError struct {
+	Address  string
+	MilliCPU int64
+}
+
+// Error returns the contents of the entry.
+func (e *HostRecordError) Error() string {
+	return fmt.Sprintf("address %.60q or processor time %d is invalid", e.Address, e.MilliCPU)
+}
+
+// decodeHost decodes the registration of an entry process; its error is a [*HostRecordError] or that of the decoder.
+func decodeHost(value []byte) (hostRecord, error) {
+	var r hostRecord
+	if err := cbor.Unmarshal(value, &r); err != nil {
+		return r, err
+	}
+	host, port, err := net.SplitHostPort(r.Address)
+	number, portErr := strconv.ParseUint(port, 10, 16)
+	if err != nil || portErr != nil || host == "" || number == 0 || r.MilliCPU < 0 || r.MilliCPU > maxMilliCPU {
+		return r, &HostRecordError{Address: r.Address, MilliCPU: r.MilliCPU}
+	}
+	return r, nil
+}
+
 // hostRegistry holds the other entry processes that are registered in the store.
 type hostRegistry struct {
 	// ownMilliCPU is the processor time of this process's entry host, in thousandths of a core; 0 if unknown.
