--- a/coord/flow/interference.go
+++ b/coord/flow/interference.go
@@ -349,11 +349,10 @@
 			}
 		}
 		slices.SortFunc(r.Pairs, func(a, b PairWeightRecord) int { return strings.Compare(a.Image, b.Image) })
-		if size+r.size() > maxInterferenceBytes {
-			continue
+		if next := size + r.size(); next <= maxInterferenceBytes {
+			size = next
+			records = append(records, r)
 		}
-		size += r.size()
-		records = append(records, r)
 	}
 	slices.SortFunc(records, func(a, b InterferenceRecord) int { return strings.Compare(a.Image, b.Image) })
 	return records
