soak: play real entry processes against faults from outside

The command draws a plan from a seed or reads one: kills, stops, pauses and reloads of entry processes, faults of the store and of the links to workers, crashes, drains and late orders, in series and overlapping.

--- /dev/null
+++ b/soak/plan/draw.go
@@ -0,0 +1,78 @@
+package plan
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+const (
+	// meanGap is the mean time between the beginnings of two faults. Faults last for several seconds, so that they overlap.
+	meanGap = 2500 * time.Millisecond
+	// firstFault is the time without faults at the beginning.
+	firstFault = 2 * time.Second
+	// seriesChance is the chance that a fault is followed by more of its kind at once.
+	seriesChance = 0.3
+)
+
+// Draw returns the plan of a seed with some hosts and workers and a time of load.
+func Draw(seed uint64, hosts, workers int, load time.Duration) Plan {
+	random := rand.New(rand.NewPCG(seed, 0))
+	p := Plan{
+		Name: fmt.Sprintf("seed-%d", seed), Seed: seed, Hosts: hosts, Workers: workers, LoadMS: load.Milliseconds(),
+		JobsPerSecond: 0.25 * float64(workers), ConfigEveryMS: 7000,
+	}
+	at := firstFault
+	for at < load {
+		f := drawFault(random, hosts, workers)
+		repeats := 1
+		if random.Float64() < seriesChance {
+			repeats += 1 + random.IntN(3)
+		}
+		for range repeats {
+			f.AtMS = at.Milliseconds()
+			p.Faults = append(p.Faults, f)
+			at += time.Duration(random.ExpFloat64() * float64(meanGap) / float64(repeats))
+		}
+	}
+	p.Faults = slices.DeleteFunc(p.Faults, func(f Fault) bool { return f.AtMS >= p.LoadMS })
+	return p
+}
+
+// drawFault returns a fault without its time.
+func drawFault(random *rand.Rand, hosts, workers int) Fault {
+	f := Fault{Kind: Kinds[random.IntN(len(Kinds))], OnLeader: random.IntN(2) == 0}
+	between := func(low, high int64) int64 { return low + random.Int64N(high-low+1) }
+	someWorkers := 1 + random.IntN(max(1, workers/5))
+	switch f.Kind {
+	case HostKill, HostReload:
+		f.Count = 1 + random.IntN(hosts)
+	case HostStop:
+		f.Count = 1
+	case HostPause:
+		f.Count, f.ForMS = 1, between(500, 9000)
+	case StoreDown:
+		f.ForMS, f.PausesLeases = between(500, 8000), random.IntN(2) == 0
+	case StoreSlow:
+		f.ForMS, f.DelayMS = between(2000, 8000), between(50, 400)
+	case StoreLost:
+		f.ForMS, f.Share = between(2000, 8000), 0.1+0.4*random.Float64()
+	case StoreLate:
+		f.ForMS, f.Share, f.DelayMS = between(2000, 8000), 0.1+0.3*random.Float64(), between(500, 4000)
+	case StoreExcludes:
+		f.Count, f.ForMS, f.Silent = 1+random.IntN(max(1, hosts-1)), between(2000, 9000), random.IntN(2) == 0
+	case WorkersRefuse, WorkersReset, WorkersSilent, WorkersOneWay:
+		f.Count, f.ForMS, f.CutsStore = someWorkers, between(500, 9000), random.IntN(2) == 0
+	case WorkersDelay:
+		f.Count, f.ForMS, f.DelayMS = someWorkers, between(2000, 8000), between(20, 600)
+	case WorkersLate:
+		f.Count, f.ForMS, f.DelayMS = someWorkers, between(2000, 8000), between(500, 12000)
+		f.Share = 0.2 + 0.6*random.Float64()
+	case WorkerCrash:
+		f.Count, f.ForMS, f.NewID = someWorkers, between(500, 8000), random.IntN(2) == 0
+	case WorkerDrain:
+		f.Count, f.ForMS = 1+random.IntN(2), between(3000, 8000)
+	}
+	return f
+}
--- /dev/null
+++ b/soak/plan/plan.go
@@ -0,0 +1,149 @@
+package plan
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"slices"
+	"time"
+)
+
+// Kind is a kind of fault.
+type Kind string
+
+// The kinds of faults. Hosts run an entry process each.
+const (
+	HostKill   Kind = "host_kill"
+	HostStop   Kind = "host_stop"
+	HostPause  Kind = "host_pause"
+	HostReload Kind = "host_reload"
+
+	StoreDown     Kind = "store_down"
+	StoreSlow     Kind = "store_slow"
+	StoreLost     Kind = "store_lost_answers"
+	StoreLate     Kind = "store_late_writes"
+	StoreExcludes Kind = "store_excludes_hosts"
+	StoreCompact  Kind = "store_compact"
+
+	WorkersRefuse Kind = "workers_refuse"
+	WorkersReset  Kind = "workers_reset"
+	WorkersSilent Kind = "workers_silent"
+	WorkersOneWay Kind = "workers_one_way"
+	WorkersDelay  Kind = "workers_delay"
+	WorkersLate   Kind = "workers_late_orders"
+	WorkerCrash   Kind = "workers_crash"
+	WorkerDrain   Kind = "workers_drain"
+)
+
+// Kinds are all kinds of faults.
+var Kinds = []Kind{
+	HostKill, HostStop, HostPause, HostReload, StoreDown, StoreSlow, StoreLost, StoreLate, StoreExcludes, StoreCompact,
+	WorkersRefuse, WorkersReset, WorkersSilent, WorkersOneWay, WorkersDelay, WorkersLate, WorkerCrash, WorkerDrain,
+}
+
+// Fault is one fault. Times are in milliseconds; AtMS counts from the start of the load.
+type Fault struct {
+	Kind  Kind  `json:"kind"`
+	AtMS  int64 `json:"at_ms"`
+	ForMS int64 `json:"for_ms,omitempty"`
+	// Count is the number of hosts or workers.
+	Count int `json:"count,omitempty"`
+	// OnLeader selects the host of the scheduler first.
+	OnLeader bool `json:"on_leader,omitempty"`
+	// CutsStore also keeps the workers from renewing their entries in the store.
+	CutsStore bool `json:"cuts_store,omitempty"`
+	// NewID lets crashed workers return under other IDs.
+	NewID bool `json:"new_id,omitempty"`
+	// Silent lets the store leave calls unanswered instead of rejecting them.
+	Silent bool `json:"silent,omitempty"`
+	// PausesLeases pauses the store's leases.
+	PausesLeases bool `json:"pauses_leases,omitempty"`
+	// Share is the share of the calls that is affected, and DelayMS a delay.
+	Share   float64 `json:"share,omitempty"`
+	DelayMS int64   `json:"delay_ms,omitempty"`
+}
+
+// Duration returns how long the fault lasts.
+func (f Fault) Duration() time.Duration { return time.Duration(f.ForMS) * time.Millisecond }
+
+// Delay returns the delay that the fault adds.
+func (f Fault) Delay() time.Duration { return time.Duration(f.DelayMS) * time.Millisecond }
+
+// Plan is a soak. JobsPerSecond is the rate of submissions in the time LoadMS.
+type Plan struct {
+	Name string `json:"name"`
+	// Cause says what a plan that is kept has found.
+	Cause         string  `json:"cause,omitempty"`
+	Seed          uint64  `json:"seed"`
+	Hosts         int     `json:"hosts"`
+	Workers       int     `json:"workers"`
+	LoadMS        int64   `json:"load_ms"`
+	JobsPerSecond float64 `json:"jobs_per_second"`
+	// ConfigEveryMS is the interval of changes of the configuration; 0 means that there are none.
+	ConfigEveryMS int64   `json:"config_every_ms,omitempty"`
+	Faults        []Fault `json:"faults"`
+}
+
+// InvalidError reports a plan that cannot be carried out.
+type InvalidError struct {
+	Source string
+	Reason string
+}
+
+// Error returns the source and the reason.
+func (e *InvalidError) Error() string { return fmt.Sprintf("plan %s: %s", e.Source, e.Reason) }
+
+// The limits of a plan, which keep a soak within a few hundred processes and a few minutes.
+const (
+	maxHosts   = 200
+	maxWorkers = 1000
+	maxLoadMS  = 3600_000
+)
+
+// Load reads and validates a plan; its error is an [*InvalidError] or that of the file system.
+func Load(file string) (Plan, error) {
+	var p Plan
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return p, err
+	}
+	if err := json.Unmarshal(data, &p); err != nil {
+		return p, &InvalidError{Source: file, Reason: err.Error()}
+	}
+	return p, p.Validate(file)
+}
+
+// Validate returns an [*InvalidError] if a plan cannot be carried out; source names the plan in it.
+func (p Plan) Validate(source string) error {
+	invalid := func(format string, args ...any) error {
+		return &InvalidError{Source: source, Reason: fmt.Sprintf(format, args...)}
+	}
+	switch {
+	case p.Hosts < 1 || p.Hosts > maxHosts:
+		return invalid("%d hosts, want 1 to %d", p.Hosts, maxHosts)
+	case p.Workers < 1 || p.Workers > maxWorkers:
+		return invalid("%d workers, want 1 to %d", p.Workers, maxWorkers)
+	case p.LoadMS < 1 || p.LoadMS > maxLoadMS:
+		return invalid("%d ms of load, want 1 to %d", p.LoadMS, maxLoadMS)
+	case p.JobsPerSecond <= 0 || p.ConfigEveryMS < 0:
+		return invalid("a rate or an interval is not positive")
+	}
+	for i, f := range p.Faults {
+		if !slices.Contains(Kinds, f.Kind) {
+			return invalid("fault %d: unknown kind %q", i, f.Kind)
+		}
+		if f.AtMS < 0 || f.ForMS < 0 || f.Count < 0 || f.Share < 0 || f.Share > 1 || f.DelayMS < 0 {
+			return invalid("fault %d: a figure is out of range", i)
+		}
+	}
+	return nil
+}
+
+// Save writes a plan.
+func (p Plan) Save(file string) error {
+	data, err := json.MarshalIndent(p, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(file, append(data, '\n'), 0o644)
+}
--- /dev/null
+++ b/soak/plan/plan_test.go
@@ -0,0 +1,46 @@
+package plan_test
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"lovagefork.example/soak/plan"
+)
+
+// Guards against seeds whose plan cannot be played again.
+func TestDrawnPlansAreValidAndRepeat(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		hosts, workers := rapid.IntRange(1, 50).Draw(t, "hosts"), rapid.IntRange(1, 200).Draw(t, "workers")
+		p := plan.Draw(seed, hosts, workers, 30*time.Second)
+		assert.NilError(t, p.Validate(p.Name))
+		assert.Assert(t, len(p.Faults) > 0)
+		assert.DeepEqual(t, p, plan.Draw(seed, hosts, workers, 30*time.Second))
+	})
+}
+
+// Guards against bad plans that start processes, or that fail without a reason.
+func TestBadPlansAreRejected(t *testing.T) {
+	t.Parallel()
+	const head = `{"hosts":3,"workers":2,"load_ms":1000,"jobs_per_second":1`
+	file := filepath.Join(t.TempDir(), "plan.json")
+	for _, text := range []string{
+		``, `[]`, `{}`, head + `,"faults":[{"kind":"flood","at_ms":1}]}`, head + `,"faults":[{"kind":"host_kill","at_ms":-1}]}`,
+		head + `,"faults":[{"kind":"store_slow","share":2}]}`, `{"hosts":9999,"workers":2,"load_ms":1000,"jobs_per_second":1}`,
+	} {
+		assert.NilError(t, os.WriteFile(file, []byte(text), 0o600))
+		_, err := plan.Load(file)
+		var invalid *plan.InvalidError
+		assert.Assert(t, errors.As(err, &invalid), "%s: %v", text, err)
+	}
+	assert.NilError(t, os.WriteFile(file, []byte(head+`}`), 0o600))
+	_, err := plan.Load(file)
+	assert.NilError(t, err)
+}
--- /dev/null
+++ b/soak/stand/faults.go
@@ -0,0 +1,174 @@
+package stand
+
+import (
+	"fmt"
+	"syscall"
+	"time"
+
+	"lovagefork.example/platform/kvfake"
+	"lovagefork.example/soak/check"
+	"lovagefork.example/soak/links"
+	"lovagefork.example/soak/plan"
+)
+
+// injectAll carries out the faults of the plan at their times, and returns when all have ended.
+func (s *Stand) injectAll() {
+	began := time.Now()
+	for _, f := range s.plan.Faults {
+		if !s.sleep(time.Until(began.Add(time.Duration(f.AtMS) * time.Millisecond))) {
+			return
+		}
+		s.faults.Go(func() { s.inject(f) })
+	}
+}
+
+// inject carries out one fault and waits for its end.
+func (s *Stand) inject(f plan.Fault) {
+	text, planned := fmt.Sprintf("%+v", f), f.Kind == plan.HostStop || f.Kind == plan.HostReload
+	s.observe(check.FaultBegan{Text: text, IsPlanned: planned})
+	defer s.observe(check.FaultEnded{Text: text, IsPlanned: planned})
+	switch f.Kind {
+	case plan.HostKill, plan.HostStop, plan.HostPause, plan.HostReload:
+		s.disturbHosts(f)
+	case plan.WorkersRefuse, plan.WorkersReset, plan.WorkersSilent, plan.WorkersOneWay, plan.WorkersDelay, plan.WorkersLate,
+		plan.WorkerCrash, plan.WorkerDrain:
+		s.disturbWorkers(f)
+	case plan.StoreCompact:
+		s.store.Compact()
+	default:
+		end := s.store.Inject(s.storeFault(f))
+		s.sleep(f.Duration())
+		end()
+	}
+}
+
+func (s *Stand) storeFault(f plan.Fault) kvfake.Fault {
+	switch f.Kind {
+	case plan.StoreDown:
+		return kvfake.Unavailable{PausesLeases: f.PausesLeases}
+	case plan.StoreSlow:
+		return kvfake.Slow{Delay: f.Delay()}
+	case plan.StoreLost:
+		return kvfake.LostAnswers{Share: f.Share}
+	case plan.StoreLate:
+		return kvfake.LateWrites{Share: f.Share, Delay: f.Delay()}
+	}
+	var names []string
+	for _, h := range s.chooseHosts(f) {
+		names = append(names, h.Name)
+	}
+	return kvfake.Excluded{Clients: names, Silent: f.Silent}
+}
+
+// chooseHosts returns the hosts of a fault, that of the scheduler first if the fault asks for it.
+func (s *Stand) chooseHosts(f plan.Fault) []*host {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	order := s.random.Perm(len(s.hosts))
+	if f.OnLeader {
+		for i, index := range order {
+			if s.hosts[index].Name == s.lastWriter {
+				order[0], order[i] = order[i], order[0]
+			}
+		}
+	}
+	var found []*host
+	for _, index := range order[:min(f.Count, len(order))] {
+		found = append(found, s.hosts[index])
+	}
+	return found
+}
+
+func (s *Stand) disturbHosts(f plan.Fault) {
+	for _, h := range s.chooseHosts(f) {
+		switch f.Kind {
+		case plan.HostKill:
+			h.signal(syscall.SIGKILL)
+		case plan.HostReload:
+			h.signal(syscall.SIGHUP)
+		case plan.HostStop:
+			s.observe(check.StopRequested{Host: h.Name})
+			ended := h.currentEnd()
+			h.signal(syscall.SIGTERM)
+			select {
+			case <-ended:
+			case <-time.After(gracePeriod):
+				h.signal(syscall.SIGKILL)
+			}
+			s.sleep(restartDelay)
+		case plan.HostPause:
+			h.signal(syscall.SIGSTOP)
+			s.sleep(f.Duration())
+			h.signal(syscall.SIGCONT)
+		}
+	}
+}
+
+// disturbWorkers disturbs some machines, and restores them.
+func (s *Stand) disturbWorkers(f plan.Fault) {
+	machines := s.idleMachines(f.Count)
+	for _, m := range machines {
+		s.disturb(m, f)
+	}
+	s.sleep(f.Duration())
+	for _, m := range machines {
+		s.restore(m, f)
+		m.release()
+	}
+}
+
+// linkMode returns what a fault does to the connections of a worker; nil if it leaves them alone.
+func linkMode(f plan.Fault) links.Mode {
+	switch f.Kind {
+	case plan.WorkersRefuse:
+		return links.Refused{}
+	case plan.WorkersReset:
+		return links.Reset{}
+	case plan.WorkersSilent:
+		return links.Silent{}
+	case plan.WorkersOneWay:
+		return links.OneWay{}
+	case plan.WorkersDelay:
+		return links.Delayed{Delay: f.Delay()}
+	}
+	return nil
+}
+
+func (s *Stand) disturb(m *machine, f plan.Fault) {
+	if mode := linkMode(f); mode != nil {
+		m.worker.CutFromStore(f.CutsStore)
+		s.check(m.listener.SetMode(mode))
+		return
+	}
+	switch f.Kind {
+	case plan.WorkersLate:
+		m.worker.SetLateOrders(f.Share, f.Delay())
+	case plan.WorkerDrain:
+		m.worker.Drain(f.Duration())
+	case plan.WorkerCrash:
+		w := m.crash()
+		if f.NewID {
+			s.faults.Go(func() {
+				s.sleep(workerRemovalTime)
+				w.Unlist()
+			})
+		}
+	}
+}
+
+func (s *Stand) restore(m *machine, f plan.Fault) {
+	if linkMode(f) != nil {
+		s.check(m.listener.SetMode(links.Open{}))
+		m.worker.CutFromStore(false)
+		return
+	}
+	switch f.Kind {
+	case plan.WorkersLate:
+		m.worker.SetLateOrders(0, 0)
+	case plan.WorkerDrain:
+		m.crash().Unlist()
+		s.check(s.boot(m, true))
+	case plan.WorkerCrash:
+		s.check(s.boot(m, f.NewID))
+	}
+}
--- /dev/null
+++ b/soak/stand/host.go
@@ -0,0 +1,154 @@
+package stand
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"lovagefork.example/platform"
+	"lovagefork.example/platform/conf"
+)
+
+// restartDelay is the pause after which the platform restarts a process that has ended.
+const restartDelay = time.Second
+
+// host is an entry host with its process.
+type host struct {
+	conf.Host
+	program  string
+	settings string
+	logFile  string
+	// onEnd is called when the process has ended; isExpected is set if it was told to.
+	onEnd func(h *host, isExpected bool, err error)
+
+	mu  sync.Mutex
+	cmd *exec.Cmd
+	// isStopping is set once the running process was told to end, and isClosed once no other may be started.
+	isStopping bool
+	isClosed   bool
+	ended      chan struct{}
+}
+
+// freePort returns a port that is free at an IP address.
+func freePort(ip string) (int, error) {
+	listener, err := net.Listen("tcp", ip+":0")
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().(*net.TCPAddr).Port, nil
+}
+
+// hostIP returns the loopback address of a host. Soaks that run at the same time have addresses of their own.
+func hostIP(index int) string {
+	const hostsPerOctet = 200
+	return fmt.Sprintf("127.%d.%d.%d", 2+os.Getpid()/250%120, 1+os.Getpid()%250, 1+index%hostsPerOctet)
+}
+
+// newHost prepares the settings of an entry host.
+func newHost(index int, program, dir, storeAddr string) (*host, error) {
+	h := &host{program: program}
+	h.Host = conf.Host{
+		Name: fmt.Sprintf("edge-%d", index), IP: hostIP(index), Zone: fmt.Sprintf("z%d", index%3), StoreAddr: storeAddr,
+	}
+	for _, port := range []*int{&h.FrontPort, &h.ReadyPort, &h.PeerPort} {
+		var err error
+		if *port, err = freePort(h.IP); err != nil {
+			return nil, err
+		}
+	}
+	h.settings, h.logFile = filepath.Join(dir, h.Name+".conf"), filepath.Join(dir, h.Name+".log")
+	return h, os.WriteFile(h.settings, []byte(conf.Settings(h.Host)), 0o600)
+}
+
+// start starts the process; it does nothing if the host is closed.
+func (h *host) start() error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.isClosed {
+		return nil
+	}
+	log, err := os.OpenFile(h.logFile, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	cmd := exec.Command(h.program, "hosted")
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), platform.SettingsVariable + "=" + h.settings}
+	cmd.Stdout, cmd.Stderr = log, log
+	// The process ends with the soak, also if that is killed.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return errors.Join(err, log.Close())
+	}
+	ended := make(chan struct{})
+	h.cmd, h.ended, h.isStopping = cmd, ended, false
+	go h.await(cmd, log, ended)
+	return nil
+}
+
+// await waits for the end of the process, and starts another one as the platform does.
+func (h *host) await(cmd *exec.Cmd, log *os.File, ended chan struct{}) {
+	err := errors.Join(cmd.Wait(), log.Close())
+	h.mu.Lock()
+	isExpected, isClosed := h.isStopping, h.isClosed
+	h.mu.Unlock()
+	close(ended)
+	if isClosed {
+		return
+	}
+	h.onEnd(h, isExpected, err)
+	time.AfterFunc(restartDelay, func() {
+		if err := h.start(); err != nil {
+			panic(err)
+		}
+	})
+}
+
+// signal sends a signal to the process. A process that has ended already needs none.
+func (h *host) signal(s syscall.Signal) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.cmd == nil {
+		return
+	}
+	h.isStopping = h.isStopping || s == syscall.SIGKILL || s == syscall.SIGTERM
+	_ = h.cmd.Process.Signal(s)
+}
+
+// currentEnd returns a channel that is closed when the present process has ended.
+func (h *host) currentEnd() <-chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.ended
+}
+
+// close ends the process for good.
+func (h *host) close() {
+	h.mu.Lock()
+	h.isClosed = true
+	ended := h.ended
+	h.mu.Unlock()
+	if ended == nil {
+		return
+	}
+	h.signal(syscall.SIGKILL)
+	<-ended
+}
+
+// isReady reports whether the process takes callers' connections.
+func (h *host) isReady() bool {
+	client := &http.Client{Timeout: time.Second}
+	defer client.CloseIdleConnections()
+	resp, err := client.Get("http://" + h.ReadyAddr() + "/-/ready")
+	if err != nil {
+		return false
+	}
+	return resp.Body.Close() == nil && resp.StatusCode == http.StatusOK
+}
--- /dev/null
+++ b/soak/stand/load.go
@@ -0,0 +1,204 @@
+package stand
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"time"
+
+	"lovagefork.example/coord/fleet"
+	"lovagefork.example/coord/infra"
+	"lovagefork.example/lovload/tally"
+	"lovagefork.example/platform/caller"
+	"lovagefork.example/platform/wkfake"
+	"lovagefork.example/soak/check"
+)
+
+const (
+	// retryPause is the pause of a caller between two attempts, and pollInterval that between two questions for a state.
+	retryPause   = 250 * time.Millisecond
+	pollInterval = 500 * time.Millisecond
+	// maxLastingTime is how long a caller leaves a long-running job before it cancels it.
+	maxLastingTime = 15 * time.Second
+	extraPrefix    = "/extra/"
+)
+
+// order is a job with what its caller does.
+type order struct {
+	job infra.Job
+	// cancelAfter is when the caller cancels the job; 0 if it waits for its end.
+	cancelAfter time.Duration
+}
+
+// submitJobs submits jobs at random times until ctx ends. Each caller follows its job to its end.
+func (s *Stand) submitJobs(ctx context.Context, callers *sync.WaitGroup) {
+	random := rand.New(rand.NewPCG(s.plan.Seed, 2))
+	for n := 0; ctx.Err() == nil; n++ {
+		o := drawOrder(random, s.plan.Seed, n)
+		first := random.IntN(len(s.hosts))
+		callers.Go(func() { s.follow(o, first) })
+		s.sleep(time.Duration(random.ExpFloat64() / s.plan.JobsPerSecond * float64(time.Second)))
+	}
+}
+
+// drawOrder returns the n-th job of a seed.
+func drawOrder(random *rand.Rand, seed uint64, n int) order {
+	work := wkfake.Work{Milliseconds: 300 + random.Int64N(3000)}
+	if random.IntN(6) == 0 {
+		work.Milliseconds *= 3
+	}
+	step := infra.Step{
+		Count: 1 + random.IntN(8), Estimate: time.Duration(float64(work.Milliseconds)*(0.5+random.Float64())) * time.Millisecond,
+		Size: fleet.Resources{MilliCPU: 1000 * (1 + random.Int64N(4)), MemoryBytes: 256 << 20},
+	}
+	o := order{job: infra.Job{ID: fleet.JobID(fmt.Sprintf("%08x%08x", uint32(seed), n)), Queue: queueName, Steps: []infra.Step{step}}}
+	switch random.IntN(10) {
+	case 0:
+		second, third := step, step
+		second.After, third.After = []int{0}, []int{0, 1}
+		o.job.Steps = append(o.job.Steps, second, third)
+	case 1:
+		work.FailPercent = 40
+	case 2:
+		o.cancelAfter = time.Duration(random.Int64N(4000)) * time.Millisecond
+	case 3:
+		work.Milliseconds, o.job.Steps[0].LongRunning = 0, true
+		o.job.Steps[0].Count = 1 + random.IntN(3)
+		o.cancelAfter = time.Duration(random.Int64N(int64(maxLastingTime)))
+	case 4:
+		o.job.Steps[0].Speculative = true
+	case 5:
+		o.job.Steps[0].Count = 1
+		o.job.Schedule = infra.Schedule{Count: 2 + random.Int64N(3), Start: time.Now().Add(2 * time.Second).UnixMilli(), Interval: 4 * time.Second}
+	case 6:
+		o.job.Steps[0].Checkpoints = true
+	}
+	o.job.Spec = work.Spec()
+	return o
+}
+
+// address returns the address of the n-th host that a caller tries.
+func (s *Stand) host(n int) *host { return s.hosts[n%len(s.hosts)] }
+
+// follow submits a job and follows it to its end.
+func (s *Stand) follow(o order, first int) {
+	n := first
+	if !s.submit(o.job, &n) {
+		return
+	}
+	accepted := time.Now()
+	isCancelled := false
+	for deadline := accepted.Add(settleTime); time.Now().Before(deadline); n++ {
+		if o.cancelAfter > 0 && !isCancelled && time.Since(accepted) > o.cancelAfter {
+			isCancelled = s.cancelJob(o.job.ID, &n)
+		}
+		if s.askState(o.job.ID, n).Final() || !s.sleep(pollInterval) {
+			return
+		}
+	}
+}
+
+// submit submits a job until it is accepted. A caller that is rejected gives up after some attempts.
+func (s *Stand) submit(j infra.Job, n *int) bool {
+	began := time.Now()
+	for attempt := range 8 {
+		h := s.host(*n)
+		s.observe(check.Submitted{Job: j, MaxAttempts: maxAttempts})
+		a := s.client.Submit(s.ctx, h.FrontAddr(), j)
+		s.observeCall(h, a, "submit "+string(j.ID))
+		answer := check.SubmitUnknown
+		switch {
+		case a.IsAccepted():
+			answer = check.SubmitAccepted
+		case a.IsRejected():
+			answer = check.SubmitRejected
+		}
+		s.observe(check.SubmitAnswered{Job: j.ID, Answer: answer})
+		if a.IsAccepted() {
+			s.tally.Add(tally.Record{Stream: "submissions", At: began.Sub(s.began), Latency: time.Since(began), Outcome: tally.OutcomeGood})
+			return true
+		}
+		*n++
+		if !s.sleep(retryPause << min(attempt, 3)) {
+			return false
+		}
+	}
+	s.tally.Add(tally.Record{Stream: "submissions", At: began.Sub(s.began), Latency: time.Since(began), Outcome: tally.OutcomeNotRun})
+	return false
+}
+
+// observeCall reports a call whose connection broke before its answer.
+func (s *Stand) observeCall(h *host, a caller.Answer, text string) {
+	outcome := tally.OutcomeGood
+	switch {
+	case a.Status == 0:
+		outcome = tally.OutcomeConnectionLost
+	case !a.IsAccepted():
+		outcome = tally.OutcomeNotRun
+	}
+	s.tally.Add(tally.Record{Stream: "calls", At: time.Since(s.began) - a.Took, Latency: a.Took, Outcome: outcome, Reason: strconv.Itoa(a.Status)})
+	if a.Status == 0 && a.Took < callerTimeout && s.ctx.Err() == nil && a.IsBroken() {
+		s.observe(check.CallBroken{Host: h.Name, Took: a.Took, Text: fmt.Sprintf("%s: %v", text, a.Err)})
+	}
+}
+
+func (s *Stand) cancelJob(id fleet.JobID, n *int) bool {
+	h := s.host(*n)
+	s.observe(check.CancelSent{Job: id})
+	a := s.client.Cancel(s.ctx, h.FrontAddr(), id)
+	s.observeCall(h, a, "cancel "+string(id))
+	*n++
+	if a.IsAccepted() || a.IsUnknown() {
+		s.observe(check.CancelAcked{Job: id})
+		return true
+	}
+	return false
+}
+
+// askState asks for the state of a job and reports what the caller is told.
+func (s *Stand) askState(id fleet.JobID, n int) infra.State {
+	h := s.host(n)
+	asked := time.Since(s.began)
+	a := s.client.State(s.ctx, h.FrontAddr(), id)
+	s.observeCall(h, a, "state "+string(id))
+	if a.IsUnknown() {
+		s.observe(check.UnknownSeen{Job: id, Host: h.Name})
+	}
+	state := a.State()
+	if state != "" {
+		s.observe(check.StateSeen{Job: id, State: state, Asked: asked})
+	}
+	return state
+}
+
+// extraQueue is the queue that changes of the configuration add and remove.
+type extraQueue struct {
+	version int64
+	exists  bool
+}
+
+// changeConfiguration adds and removes the extra queue while the load lasts, and asks each entry process for it until probing
+// ends.
+func (s *Stand) changeConfiguration(probing, load context.Context) {
+	if s.plan.ConfigEveryMS == 0 {
+		return
+	}
+	client := caller.New(queueHost, extraPrefix, callerTimeout)
+	interval := time.Duration(s.plan.ConfigEveryMS) * time.Millisecond
+	next := time.Now().Add(interval)
+	for n := 0; probing.Err() == nil; n++ {
+		if load.Err() == nil && time.Now().After(next) {
+			next = time.Now().Add(interval)
+			s.extra.exists = !s.extra.exists
+			s.configure()
+			s.observe(check.Configured{Version: s.extra.version})
+		}
+		h, sent := s.host(n), time.Since(s.began)
+		if a := client.Pending(probing, h.FrontAddr()); a.Status != 0 && !a.IsUnavailable() {
+			s.observe(check.RouteAsked{Host: h.Name, Exists: s.extra.exists, Found: a.IsAccepted(), Sent: sent})
+		}
+		s.sleep(pollInterval / 2)
+	}
+}
--- /dev/null
+++ b/soak/stand/stand.go
@@ -0,0 +1,341 @@
+package stand
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"lovagefork.example/coord/infra"
+	"lovagefork.example/lovload/tally"
+	"lovagefork.example/platform"
+	"lovagefork.example/platform/caller"
+	"lovagefork.example/platform/kvfake"
+	"lovagefork.example/soak/check"
+	"lovagefork.example/soak/plan"
+)
+
+const (
+	// storeLatency is the time of one call of the platform's store.
+	storeLatency = 4 * time.Millisecond
+	gracePeriod  = 6 * time.Second
+	// recoveryTime is the time after the last fault after which callers are served again, and settleTime the time after the
+	// load until all jobs have ended.
+	recoveryTime = 12 * time.Second
+	settleTime   = 90 * time.Second
+	readyTimeout = 20 * time.Second
+	// cancelTime is the time after which nothing of a cancelled job runs.
+	cancelTime = 3500 * time.Millisecond
+	// callerTimeout is how long callers wait for an answer.
+	callerTimeout = 3 * time.Second
+
+	queueName   = "batch"
+	queueHost   = "queue.example"
+	queuePrefix = "/batch/"
+	maxAttempts = 4
+)
+
+// Stand is a running soak.
+type Stand struct {
+	plan    plan.Plan
+	program string
+	dir     string
+	store   *kvfake.Store
+	client  *caller.Client
+	tally   *tally.Tally
+	hosts   []*host
+	servers []*http.Server
+	// machines are the hosts of the workers.
+	machines []*machine
+	faults   sync.WaitGroup
+	record   *record
+	cancel   context.CancelCauseFunc
+	ctx      context.Context
+
+	mu sync.Mutex
+	// random draws the targets of faults and the jobs.
+	random *lockedRand
+	// lastWriter is the client of the store whose conditional transaction was the last to be committed.
+	lastWriter string
+	checker    *check.Checker
+	began      time.Time
+	loadBegan  time.Duration
+	violations []check.Violation
+	extra      extraQueue
+}
+
+// lockedRand is a source of random numbers that is safe for concurrent use.
+type lockedRand struct {
+	mu     sync.Mutex
+	random *rand.Rand
+}
+
+func newLockedRand(seed uint64) *lockedRand {
+	return &lockedRand{random: rand.New(rand.NewPCG(seed, 1))}
+}
+
+func (r *lockedRand) Perm(n int) []int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.random.Perm(n)
+}
+
+// Report is the result of a soak.
+type Report struct {
+	Plan plan.Plan     `json:"plan"`
+	Took time.Duration `json:"took_ns"`
+	// LoadBegan is when the load began, from which the times of the plan count.
+	LoadBegan  time.Duration     `json:"load_began_ns"`
+	Jobs       map[string]int    `json:"jobs"`
+	Starts     int               `json:"starts"`
+	Violations []check.Violation `json:"violations"`
+	// Timeline holds what callers saw, and Streams its summaries.
+	Timeline []tally.Point   `json:"-"`
+	Streams  []tally.Summary `json:"streams"`
+}
+
+// Run plays a plan with an entry program, and writes its settings, logs and observations to a directory. It ends all that it
+// has started; its error says why the plan could not be played.
+func Run(ctx context.Context, p plan.Plan, program, dir string) (Report, error) {
+	record, err := newRecord(filepath.Join(dir, "record.txt"))
+	if err != nil {
+		return Report{}, err
+	}
+	s := &Stand{
+		plan: p, program: program, dir: dir, record: record, tally: &tally.Tally{}, random: newLockedRand(p.Seed), checker: check.New(),
+		began: time.Now(), client: caller.New(queueHost, queuePrefix, callerTimeout),
+	}
+	s.ctx, s.cancel = context.WithCancelCause(ctx)
+	defer s.cancel(nil)
+	s.store = kvfake.New(kvfake.WithLatency(storeLatency), kvfake.WithSeed(p.Seed), kvfake.WithCommitHook(s.committed))
+	defer s.close()
+	if err := s.start(); err != nil {
+		return Report{}, err
+	}
+	s.play()
+	if err := context.Cause(s.ctx); err != nil {
+		return Report{}, err
+	}
+	return s.report(), nil
+}
+
+// check ends the soak if it cannot go on.
+func (s *Stand) check(err error) {
+	if err != nil {
+		s.cancel(err)
+	}
+}
+
+// sleep waits; it returns false if the soak ends before.
+func (s *Stand) sleep(d time.Duration) bool {
+	select {
+	case <-s.ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// observe passes an observation to the checker and records it.
+func (s *Stand) observe(ev check.Event) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at := time.Since(s.began)
+	s.record.add(at, ev)
+	for _, v := range s.checker.Step(at, ev) {
+		s.record.addText(at, "VIOLATION "+v.String())
+		s.violations = append(s.violations, v)
+	}
+}
+
+func (s *Stand) committed(client string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lastWriter = client
+}
+
+// start brings up the store, the workers and the entry processes.
+func (s *Stand) start() error {
+	s.configure()
+	for i := range s.plan.Workers {
+		m := &machine{index: i}
+		if err := s.boot(m, false); err != nil {
+			return err
+		}
+		s.machines = append(s.machines, m)
+	}
+	for i := range s.plan.Hosts {
+		storeAddr, err := s.serveStore(fmt.Sprintf("edge-%d", i))
+		if err != nil {
+			return err
+		}
+		h, err := newHost(i, s.program, s.dir, storeAddr)
+		if err != nil {
+			return err
+		}
+		h.onEnd = s.processEnded
+		if err := h.start(); err != nil {
+			return err
+		}
+		s.hosts = append(s.hosts, h)
+	}
+	for _, h := range s.hosts {
+		if !s.awaitReady(h, readyTimeout) {
+			return &NotReadyError{Host: h.Name, LogFile: h.logFile}
+		}
+	}
+	// A scheduler is elected and hears from all workers.
+	s.sleep(3 * time.Second)
+	return nil
+}
+
+// NotReadyError reports an entry process that does not become ready.
+type NotReadyError struct {
+	Host    string
+	LogFile string
+}
+
+// Error returns the host and its log file.
+func (e *NotReadyError) Error() string {
+	return fmt.Sprintf("%s is not ready, see %s", e.Host, e.LogFile)
+}
+
+// serveStore serves the store to one entry host and returns its address.
+func (s *Stand) serveStore(client string) (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	server := &http.Server{Handler: s.store.Handler(client)}
+	s.servers = append(s.servers, server)
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			s.check(err)
+		}
+	}()
+	return listener.Addr().String(), nil
+}
+
+func (s *Stand) awaitReady(h *host, limit time.Duration) bool {
+	for deadline := time.Now().Add(limit); time.Now().Before(deadline); {
+		if h.isReady() {
+			return true
+		}
+		if !s.sleep(50 * time.Millisecond) {
+			return false
+		}
+	}
+	return false
+}
+
+// processEnded records the end of an entry process; one that was not told to end shows a fault.
+func (s *Stand) processEnded(h *host, isExpected bool, err error) {
+	if !isExpected {
+		s.observe(check.HostUnavailable{Host: h.Name, Reason: fmt.Sprintf("the process has ended by itself: %v", err)})
+	}
+}
+
+// close ends all processes, workers and servers.
+func (s *Stand) close() {
+	for _, h := range s.hosts {
+		h.close()
+	}
+	for _, m := range s.machines {
+		if m.worker != nil {
+			m.crash()
+		}
+	}
+	for _, server := range s.servers {
+		// The processes that use the server have ended.
+		_ = server.Close()
+	}
+	s.store.Close()
+	s.check(s.record.close())
+}
+
+// play runs the load beside the faults, and then waits until all has settled.
+func (s *Stand) play() {
+	s.loadBegan = time.Since(s.began)
+	load, end := context.WithTimeout(s.ctx, time.Duration(s.plan.LoadMS)*time.Millisecond)
+	defer end()
+	var callers, probes sync.WaitGroup
+	probing, endProbes := context.WithCancel(s.ctx)
+	defer endProbes()
+	probes.Go(func() { s.watchDelays(probing) })
+	probes.Go(func() { s.changeConfiguration(probing, load) })
+	s.faults.Go(s.injectAll)
+	s.submitJobs(load, &callers)
+	s.faults.Wait()
+	faultsEnded := time.Now()
+	s.awaitAvailability(faultsEnded.Add(recoveryTime))
+	callers.Wait()
+	s.sleep(cancelTime)
+	endProbes()
+	probes.Wait()
+	s.observe(check.Finished{})
+}
+
+// awaitAvailability checks that all entry processes serve callers at a time after the last fault.
+func (s *Stand) awaitAvailability(at time.Time) {
+	for _, h := range s.hosts {
+		if !s.awaitReady(h, time.Until(at)) {
+			s.observe(check.HostUnavailable{Host: h.Name, Reason: "not ready after the last fault"})
+			continue
+		}
+		if a := s.client.Pending(s.ctx, h.FrontAddr()); !a.IsAccepted() {
+			s.observe(check.HostUnavailable{Host: h.Name, Reason: fmt.Sprintf("status %d, %v", a.Status, a.Err)})
+		}
+	}
+}
+
+// The ticks of watchDelays. A pause of the whole machine counts as a fault for the bounds of time.
+const (
+	delayTick = 20 * time.Millisecond
+	maxDelay  = 250 * time.Millisecond
+)
+
+// watchDelays reports the times in which this process did not get the processor.
+func (s *Stand) watchDelays(ctx context.Context) {
+	for last := time.Now(); ctx.Err() == nil; last = time.Now() {
+		time.Sleep(delayTick)
+		if late := time.Since(last); late > maxDelay {
+			text := fmt.Sprintf("the machine is busy, %v late", late)
+			s.observe(check.FaultBegan{Text: text})
+			s.observe(check.FaultEnded{Text: text})
+		}
+	}
+}
+
+// configure writes the configuration with the extra queue in its present state.
+func (s *Stand) configure() {
+	c := infra.Catalog{
+		Version:  s.extra.version + 1,
+		Services: []infra.Service{{Name: serviceName}},
+		Queues: []infra.Queue{{
+			Name: queueName, Host: queueHost, Prefix: queuePrefix, Timeout: callerTimeout, Service: serviceName, MaxAttempts: maxAttempts,
+			StretchFactor: 2, TargetLatency: time.Second,
+		}},
+	}
+	if s.extra.exists {
+		c.Queues = append(c.Queues, infra.Queue{
+			Name: "extra", Host: queueHost, Prefix: extraPrefix, Timeout: callerTimeout, Service: serviceName, MaxAttempts: maxAttempts,
+			StretchFactor: 2, TargetLatency: time.Second,
+		})
+	}
+	s.extra.version = c.Version
+	s.store.Put(platform.CatalogKey, caller.Catalog(c))
+}
+
+func (s *Stand) report() Report {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Report{
+		Plan: s.plan, Took: time.Since(s.began), LoadBegan: s.loadBegan, Jobs: s.checker.JobStates(), Starts: s.checker.Starts(), Violations: s.violations,
+		Timeline: s.tally.Timeline(time.Second), Streams: s.tally.Summaries(),
+	}
+}
