soak: listen where no outgoing port collides, and allow the recovery time

Workers listened at ports of 127.0.0.1, which outgoing connections of other processes took while a worker refused connections, so that a plan could not go on.

--- a/soak/stand/fleet.go
+++ b/soak/stand/fleet.go
@@ -44,7 +44,7 @@
 	}
 	address := m.address
 	if address == "" {
-		address = "127.0.0.1:0"
+		address = loopbackIP(workersHost) + ":0"
 	}
 	listener, err := links.Listen(address)
 	if err != nil {
--- a/soak/stand/host.go
+++ b/soak/stand/host.go
@@ -46,17 +46,25 @@
 	return listener.Addr().(*net.TCPAddr).Port, nil
 }
 
-// hostIP returns the loopback address of a host. Soaks that run at the same time have addresses of their own.
-func hostIP(index int) string {
-	const hostsPerOctet = 200
-	return fmt.Sprintf("127.%d.%d.%d", 2+os.Getpid()/250%120, 1+os.Getpid()%250, 1+index%hostsPerOctet)
+// loopbackIP returns a loopback address. Soaks that run at the same time have addresses of their own, and none is the source
+// of connections, whose ports would collide with those that are listened at again.
+func loopbackIP(index int) string {
+	const soaksPerOctet = 250
+	return fmt.Sprintf("127.%d.%d.%d", 2+os.Getpid()/soaksPerOctet%120, 1+os.Getpid()%soaksPerOctet, index)
 }
 
+// The last octets of the addresses of the hosts, and those of all workers and of the store.
+const (
+	firstHost   = 1
+	workersHost = 251
+	storeHost   = 252
+)
+
 // newHost prepares the settings of an entry host.
 func newHost(index int, program, dir, storeAddr string) (*host, error) {
 	h := &host{program: program}
 	h.Host = conf.Host{
-		Name: fmt.Sprintf("edge-%d", index), IP: hostIP(index), Zone: fmt.Sprintf("z%d", index%3), StoreAddr: storeAddr,
+		Name: fmt.Sprintf("edge-%d", index), IP: loopbackIP(firstHost + index), Zone: fmt.Sprintf("z%d", index%3), StoreAddr: storeAddr,
 	}
 	for _, port := range []*int{&h.FrontPort, &h.ReadyPort, &h.PeerPort} {
 		var err error
--- a/soak/stand/stand.go
+++ b/soak/stand/stand.go
@@ -207,7 +207,7 @@
 
 // serveStore serves the store to one entry host and returns its address.
 func (s *Stand) serveStore(client string) (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", loopbackIP(storeHost)+":0")
 	if err != nil {
 		return "", err
 	}
@@ -280,19 +280,30 @@
 	s.observe(check.Finished{})
 }
 
-// awaitAvailability checks that all entry processes serve callers at a time after the last fault.
-func (s *Stand) awaitAvailability(at time.Time) {
+// awaitAvailability checks that all entry processes serve callers by a time after the last fault.
+func (s *Stand) awaitAvailability(limit time.Time) {
 	for _, h := range s.hosts {
-		if !s.awaitReady(h, time.Until(at)) {
-			s.observe(check.HostUnavailable{Host: h.Name, Reason: "not ready after the last fault"})
-			continue
+		reason := "not ready"
+		for reason != "" && time.Now().Before(limit) && s.sleep(pollInterval/5) {
+			reason = s.unavailableReason(h)
 		}
-		if a := s.client.Pending(s.ctx, h.FrontAddr()); !a.IsAccepted() {
-			s.observe(check.HostUnavailable{Host: h.Name, Reason: fmt.Sprintf("status %d, %v", a.Status, a.Err)})
+		if reason != "" {
+			s.observe(check.HostUnavailable{Host: h.Name, Reason: reason})
 		}
 	}
 }
 
+// unavailableReason returns why an entry process does not serve callers, or an empty text.
+func (s *Stand) unavailableReason(h *host) string {
+	if !h.isReady() {
+		return "not ready"
+	}
+	if a := s.client.Pending(s.ctx, h.FrontAddr()); !a.IsAccepted() {
+		return fmt.Sprintf("status %d, %v", a.Status, a.Err)
+	}
+	return ""
+}
+
 // The ticks of watchDelays. A pause of the whole machine counts as a fault for the bounds of time.
 const (
 	delayTick = 20 * time.Millisecond
