leader: wait for all schedulers that may have acted at an election

Callers saw tasks run in two places, and after they had ended done, when the scheduler's host stood still while the store lost answers and workers refused connections (TWICE).

Cause: the record of an election names its winner only. After an election without an answer, which nobody leads, the next scheduler took that winner for its predecessor, heard that its host had run no scheduler for 10 s, and took all leases to have expired, though the scheduler before it had renewed them moments ago and still acted.

Change: the record also lists the earlier entry hosts until no earlier scheduler can act, and a new scheduler waits for all of them. It works because each scheduler that can have renewed a lease or ordered a start is either asked, or the wait is that for an unknown predecessor, which covers it.

--- a/entryd/leader/group.go
+++ b/entryd/leader/group.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -26,6 +27,8 @@
 	// outageTolerance is how long a leader continues after its lease may have expired while the store is unreachable.
 	// Outages of the store last 4 to 9 s.
 	outageTolerance = 5 * time.Second
+	// leadershipTimeout is how long a leader may act after the store last confirmed its leadership.
+	leadershipTimeout = leaderTTL + outageTolerance
 	// hostTTL is the lease time of the entry that registers a running entry process.
 	hostTTL           = 6 * time.Second
 	hostRenewInterval = 2 * time.Second
@@ -41,14 +44,29 @@
 	EntryHost fleet.EntryHostID `cbor:"entry_host"`
 	Token     infra.Token       `cbor:"-"`
 	Term      int64             `cbor:"term"`
-	// Predecessor is the entry host of the previous leader; empty for the first one.
-	Predecessor fleet.EntryHostID `cbor:"-"`
+	// Predecessors are the entry hosts of the previous leader and of those before it that may have acted shortly before
+	// this election, the latest first.
+	Predecessors []fleet.EntryHostID `cbor:"-"`
 }
 
-// termRecord is the stored value of termKey: the last elected leader, which outlives the leader's lease.
+// termRecord is the stored value of termKey: the last elected leader, which outlives the leader's lease. Earlier lists the
+// entry hosts of the leaders before it, the latest first, that may have acted when it was elected: a leader may act for
+// leadershipTimeout without the store, and an election whose answer was lost has no leader at all.
 type termRecord struct {
-	Term      int64             `cbor:"term"`
-	EntryHost fleet.EntryHostID `cbor:"entry_host"`
+	Term      int64               `cbor:"term"`
+	EntryHost fleet.EntryHostID   `cbor:"entry_host"`
+	Earlier   []fleet.EntryHostID `cbor:"earlier,omitempty"`
+}
+
+// predecessors returns the entry hosts on which a leader may act when the next one is elected, the latest first.
+func (r termRecord) predecessors() []fleet.EntryHostID {
+	hosts := []fleet.EntryHostID{r.EntryHost}
+	for _, h := range r.Earlier {
+		if !slices.Contains(hosts, h) {
+			hosts = append(hosts, h)
+		}
+	}
+	return hosts
 }
 
 // Group tracks the elected leader and the registered entry processes, and campaigns while there is no leader.
@@ -361,7 +379,7 @@
 			if err := cbor.Unmarshal(e.Value, &last); err != nil {
 				return nil, err
 			}
-			elected.Term, elected.Predecessor = last.Term+1, last.EntryHost
+			elected.Term, elected.Predecessors = last.Term+1, last.predecessors()
 			termCondition = store.KeyUnchanged{Key: termKey, ModRevision: e.ModRevision}
 		}
 	}
@@ -380,7 +398,7 @@
 	if err != nil {
 		return nil, err
 	}
-	term, err := cbor.Marshal(termRecord{Term: elected.Term, EntryHost: elected.EntryHost})
+	term, err := cbor.Marshal(termRecord{Term: elected.Term, EntryHost: elected.EntryHost, Earlier: elected.Predecessors})
 	if err != nil {
 		return nil, err
 	}
@@ -425,6 +443,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { l.renew(leadCtx, g.log) })
 	wg.Go(func() { g.hosts.handOver(leadCtx, l) })
+	wg.Go(func() { l.forgetEarlier(leadCtx, g.log) })
 	wg.Go(func() {
 		select {
 		case <-l.ended:
--- a/entryd/leader/leadership.go
+++ b/entryd/leader/leadership.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"lovagefork.example/coord/store"
 )
 
@@ -48,7 +50,7 @@
 func (l *Leadership) Valid() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.reason == "" && Now().Before(l.confirmedAt.Add(leaderTTL+outageTolerance))
+	return l.reason == "" && Now().Before(l.confirmedAt.Add(leadershipTimeout))
 }
 
 // Reason returns why the leadership ended; it is empty while the leadership lasts.
@@ -103,3 +105,31 @@
 		}
 	}
 }
+
+// forgetEarlier removes the earlier leaders from the record of this leader's election once none of them can act any more. A
+// successor would wait for their entry hosts, which may be gone.
+func (l *Leadership) forgetEarlier(ctx context.Context, log *slog.Logger) {
+	if len(l.leader.Predecessors) == 0 {
+		return
+	}
+	sleep(ctx, leadershipTimeout)
+	record, err := cbor.Marshal(termRecord{Term: l.leader.Term, EntryHost: l.leader.EntryHost})
+	if err != nil {
+		log.Error("group: cannot encode the record of the election", "error", err)
+		return
+	}
+	txn := store.Txn{
+		If:   []store.Compare{store.KeyUnchanged{Key: termKey, ModRevision: store.Revision(l.leader.Token)}},
+		Then: []store.Op{store.Put{Key: termKey, Value: record}},
+	}
+	for ; ctx.Err() == nil; sleep(ctx, renewInterval) {
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		_, err := l.store.Txn(callCtx, txn)
+		cancel()
+		if err == nil {
+			// If the condition was false, an earlier attempt without an answer was carried out, or there is a newer leader.
+			return
+		}
+		log.Info("group: record of the election not updated", "error", err)
+	}
+}
--- a/entryd/leader/scheduler.go
+++ b/entryd/leader/scheduler.go
@@ -141,7 +141,7 @@
 		meter:     newLoadMeter(s.registry),
 		events:    make(chan queuedEvent, eventQueueSize), queries: make(chan query), stopped: make(chan struct{}),
 		machine: flow.New(leadership.leader.Token,
-			flow.WithTaskLease(s.bounds.MaxLease), flow.WithLeadershipTimeout(leaderTTL+outageTolerance), flow.WithPredecessorLease(leaderTTL),
+			flow.WithTaskLease(s.bounds.MaxLease), flow.WithLeadershipTimeout(leadershipTimeout), flow.WithPredecessorLease(leaderTTL),
 			flow.WithRetention(retentionFactor*s.bounds.StatusRetention), flow.WithMaxTargetMiss(s.bounds.MaxTargetMiss)),
 	}
 	defer close(l.stopped)
@@ -326,7 +326,7 @@
 	var sources sync.WaitGroup
 	sources.Go(func() { l.watchInputs(ctx) })
 	sources.Go(func() { l.watchWorkers(ctx) })
-	sources.Go(func() { l.awaitPredecessor(ctx) })
+	sources.Go(func() { l.awaitPredecessors(ctx) })
 	var waveEvents chan upkeep.Event
 	if l.machineService != nil {
 		l.waves = newWaveRunner(l, l.machineService)
@@ -366,21 +366,39 @@
 	l.log.Info("scheduler: stopped", "counts", l.machine.Counts())
 }
 
-// predecessorPollInterval is the interval of calls to the previous scheduler's entry host.
+// predecessorPollInterval is the interval of calls to the entry hosts of previous schedulers.
 const predecessorPollInterval = 150 * time.Millisecond
 
-// awaitPredecessor waits until the previous scheduler confirms that it sends no more orders, which shortens the wait
-// for workers that cannot be reached.
-func (l *loop) awaitPredecessor(ctx context.Context) {
-	leader := l.leadership.leader
-	for ctx.Err() == nil && leader.Predecessor != "" {
-		if ago, stopped := l.supersede(ctx, leader.Predecessor, leader.Token); stopped {
-			l.log.Info("scheduler: previous scheduler has stopped", "former", leader.Predecessor, "ago_ms", ago.Milliseconds())
-			l.post(flow.PredecessorStopped{Ago: ago})
-			return
+// awaitPredecessors waits until all previous schedulers that may have acted at the election confirm that they send no more
+// orders, which shortens the wait for workers that cannot be reached.
+func (l *loop) awaitPredecessors(ctx context.Context) {
+	hosts := l.leadership.leader.Predecessors
+	if len(hosts) == 0 {
+		return
+	}
+	stoppedAt := make([]time.Time, len(hosts))
+	var calls sync.WaitGroup
+	for i, host := range hosts {
+		calls.Go(func() { stoppedAt[i] = l.awaitPredecessor(ctx, host) })
+	}
+	calls.Wait()
+	if ctx.Err() != nil {
+		return
+	}
+	ago := Now().Sub(slices.MaxFunc(stoppedAt, time.Time.Compare))
+	l.log.Info("scheduler: all previous schedulers have stopped", "former", hosts, "ago_ms", ago.Milliseconds())
+	l.post(flow.PredecessorStopped{Ago: ago})
+}
+
+// awaitPredecessor waits until an entry host confirms that it runs no previous scheduler, and returns since when.
+func (l *loop) awaitPredecessor(ctx context.Context, host fleet.EntryHostID) time.Time {
+	for ctx.Err() == nil {
+		if ago, stopped := l.supersede(ctx, host, l.leadership.leader.Token); stopped {
+			return Now().Add(-ago)
 		}
 		sleep(ctx, predecessorPollInterval)
 	}
+	return time.Time{}
 }
 
 // handleQueued handles queued events without blocking, up to maxEventsPerTick.
