flow: take a run for lost only after two reports

Cause: one report that did not list a confirmed run, with a later clock, counted as its end. Such a clock can be later than the list, and a run that ends between the list of ends and that of the runs is in neither.

Change: two reports in a row must not list the run. The second is requested after the first was received, and without a wait, so it shows a run that the first was too early for, and the end of one that it missed. A run that is being stopped is settled by one report as before (TestUnansweredStartIsResolvedEarly).

Before, TestRunThatOneReportDoesNotList fails with a second start in both of its cases, TestRunThatIsNoLongerListed with a wait of 1 s for the second report.

--- a/coord/flow/ends_test.go
+++ b/coord/flow/ends_test.go
@@ -52,3 +52,49 @@
 	state, _ := h.m.State("j")
 	assert.Equal(t, state, infra.StateCompleted)
 }
+
+// A worker need not read its clock and its lists at one moment, nor both lists. A run that one report did not list was taken
+// for lost, and its task was started again while it ran, or although it had ended successfully.
+func TestRunThatOneReportDoesNotList(t *testing.T) {
+	for name, next := range map[string]func(flow.Start) infra.Report{
+		"a list from before the start": func(s flow.Start) infra.Report {
+			return infra.Report{Running: []infra.ActiveRun{{Task: s.Order.Task, Run: s.Order.Run}}}
+		},
+		"an end between the lists": func(s flow.Start) infra.Report {
+			return infra.Report{Ended: []infra.EndedRun{{Number: 1, Task: s.Order.Task, Run: s.Order.Run, Outcome: infra.OutcomeDone}}}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, flow.Restored{}, newPoolWorker("a"), newPoolWorker("b"))
+			h.report("a", infra.Report{})
+			h.report("b", infra.Report{})
+			h.step(flow.Submitted{Job: singleStepJob("j", smallStep(1))})
+			h.advance(50 * time.Millisecond)
+			started := h.answerStarts()
+			assert.Equal(t, len(started), 1)
+			h.advance(25 * time.Millisecond)
+			h.report(started[0].To.Worker, infra.Report{})
+			h.advance(25 * time.Millisecond)
+			h.report(started[0].To.Worker, next(started[0]))
+			h.advance(time.Second)
+			assert.Equal(t, len(h.starts()), 0)
+		})
+	}
+}
+
+// A run that is not listed any more is lost, and its task must start again without the usual delay of a report.
+func TestRunThatIsNoLongerListed(t *testing.T) {
+	h := newHarness(t, flow.Restored{}, newPoolWorker("a"))
+	h.report("a", infra.Report{})
+	h.step(flow.Submitted{Job: singleStepJob("j", smallStep(1))})
+	h.advance(50 * time.Millisecond)
+	assert.Equal(t, len(h.answerStarts()), 1)
+	h.advance(25 * time.Millisecond)
+	h.report("a", infra.Report{})
+	last := h.lastRenewal("a")
+	assert.Equal(t, last.Order.Wait, time.Duration(0))
+	h.advance(25 * time.Millisecond)
+	h.report("a", infra.Report{})
+	h.advance(25 * time.Millisecond)
+	assert.Equal(t, len(h.starts()), 1)
+}
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -24,7 +24,7 @@
 		order.Deadline = w.maxClock(m.now) + m.opts.taskLease.Milliseconds()
 		w.leaseEnd = max(w.leaseEnd, order.Deadline)
 	}
-	if isSameIncarnation && w.unsavedSeq == 0 && w.tokenAccepted && w.reachable && !isImmediate {
+	if isSameIncarnation && w.unsavedSeq == 0 && w.tokenAccepted && w.reachable && !isImmediate && !w.confirmsMissing {
 		order.Wait = reportWait
 		if len(w.servingSteps) > 0 && w.fillerCPU > 0 {
 			order.Wait = reportWaitColocated
@@ -371,6 +371,7 @@
 // reconcileRuns compares the runs that a worker reports with those that it should run.
 func (m *Machine) reconcileRuns(w *worker, report infra.Report) {
 	w.reports++
+	w.confirmsMissing = false
 	for _, row := range report.Running {
 		r := w.runs[row.Task]
 		if r == nil || r.number != row.Run {
@@ -391,15 +392,21 @@
 		if !isMissing(r) {
 			continue
 		}
+		isConfirmed := r.confirmedClock > 0
+		isLost := isConfirmed && report.Clock > r.confirmedClock || !isConfirmed && report.Clock > r.deadline
 		switch {
-		case r.confirmedClock == 0 && report.Clock > r.deadline:
+		case isLost && r.state != stopping && (r.missingReport == 0 || r.missingReport != w.reports-1):
+			// A worker that does not read its clock and its lists at one moment may list neither a run that has just started nor
+			// one that has just ended.
+			r.missingReport, w.confirmsMissing = w.reports, true
+		case isLost && isConfirmed:
+			m.counts.Vanished++
+			m.dropRun(r, "not listed by the worker")
+		case isLost:
 			m.counts.Lost++
 			m.dropRun(r, "unanswered start was not carried out")
-		case r.startUnanswered && r.state == starting && r.confirmedClock == 0:
+		case r.startUnanswered && r.state == starting && !isConfirmed:
 			m.stop(r, "start not answered")
-		case r.confirmedClock > 0 && report.Clock > r.confirmedClock:
-			m.counts.Vanished++
-			m.dropRun(r, "not listed by the worker")
 		}
 	}
 }
--- a/coord/flow/worker.go
+++ b/coord/flow/worker.go
@@ -63,6 +63,8 @@
 	listedClock int64
 	// lastReport is the number of the last report of the worker that listed the run.
 	lastReport int64
+	// missingReport is the number of the last report that did not list the run although it should have.
+	missingReport int64
 	// firstClock is the earliest worker clock at which the run is known to have existed, 0 if it may never have started.
 	firstClock int64
 	// sound is set once the run has lasted for soundRunTime.
@@ -171,6 +173,8 @@
 	durableEnd int64
 	// hasMoreEnds is set if the last report did not list all ends.
 	hasMoreEnds bool
+	// confirmsMissing is set if the next report shows whether runs that the last one did not list are lost.
+	confirmsMissing bool
 	// unsavedSeq is the sequence number of the save that makes the ends up to seenEnd durable; 0 if all are durable.
 	unsavedSeq int64
 	// headroomBudgets caches the headroom budgets of the serving images as of budgetsAt. budgetsValid is cleared when a
--- a/soak/plan/plan.go
+++ b/soak/plan/plan.go
@@ -80,8 +80,10 @@
 	LoadMS        int64   `json:"load_ms"`
 	JobsPerSecond float64 `json:"jobs_per_second"`
 	// ConfigEveryMS is the interval of changes of the configuration; 0 means that there are none.
-	ConfigEveryMS int64   `json:"config_every_ms,omitempty"`
-	Faults        []Fault `json:"faults"`
+	ConfigEveryMS int64 `json:"config_every_ms,omitempty"`
+	// ReportMS is how long workers take between the parts of a report; 0 means that they read them at one moment.
+	ReportMS int64   `json:"report_ms,omitempty"`
+	Faults   []Fault `json:"faults"`
 }
 
 // InvalidError reports a plan that cannot be carried out.
@@ -125,7 +127,7 @@
 		return invalid("%d workers, want 1 to %d", p.Workers, maxWorkers)
 	case p.LoadMS < 1 || p.LoadMS > maxLoadMS:
 		return invalid("%d ms of load, want 1 to %d", p.LoadMS, maxLoadMS)
-	case p.JobsPerSecond <= 0 || p.ConfigEveryMS < 0:
+	case p.JobsPerSecond <= 0 || p.ConfigEveryMS < 0 || p.ReportMS < 0:
 		return invalid("a rate or an interval is not positive")
 	}
 	for i, f := range p.Faults {
--- a/soak/stand/fleet.go
+++ b/soak/stand/fleet.go
@@ -57,7 +57,8 @@
 	}
 	s.observe(check.WorkerJoined{Worker: info.ID, Capacity: workerCapacity})
 	m.worker = wkfake.New(info, listener, s.store, func(ev wkfake.Event) { s.observe(check.WorkerSaw{Event: ev}) },
-		wkfake.WithClockRate(1-0.02*float64(m.index%3)/2), wkfake.WithSeed(s.plan.Seed+uint64(m.index)))
+		wkfake.WithClockRate(1-0.02*float64(m.index%3)/2), wkfake.WithSeed(s.plan.Seed+uint64(m.index)),
+		wkfake.WithReportTime(time.Duration(s.plan.ReportMS)*time.Millisecond))
 	return nil
 }
 
