leader: do not use an election that was superseded

Cause: a process that is suspended between the commit of its election and the answer confirms to the next scheduler that it has run none for long, and then leads on with what remains of the 6.8 s for which it may act without the store.

Change: Supersede keeps the highest token, and an election with a lower one ends at once. The process cannot give both answers any more, because both are decided under one lock.

Before, TestElectionThatWasSupersededIsNotUsed fails: no end of the leadership within 10 s.

--- a/entryd/leader/group.go
+++ b/entryd/leader/group.go
@@ -91,6 +91,8 @@
 	// current is the leadership of this process; nil if it is not the leader, which it has not been since idleSince.
 	current   *Leadership
 	idleSince time.Time
+	// superseded is the highest token to which this process has confirmed that it leads with no lower one.
+	superseded infra.Token
 }
 
 // NewGroup returns the group of the entry process self, which accepts peer links at address. Each time this process is
@@ -144,11 +146,16 @@
 	}
 }
 
+// reasonSuperseded is the reason of a leadership that ended because of [Group.Supersede].
+const reasonSuperseded = "superseded by a newly elected peer"
+
 // Supersede ends a leadership of this process whose token is lower than token. It returns true if none is running any more,
-// and for how long; an earlier process on this entry host ended before that.
+// and for how long; an earlier process on this entry host ended before that. An election with a lower token that this
+// process has won without knowing it yet is not used.
 func (g *Group) Supersede(token infra.Token) (time.Duration, bool) {
 	g.mu.Lock()
 	l, idleSince := g.current, g.idleSince
+	g.superseded = max(g.superseded, token)
 	g.mu.Unlock()
 	switch {
 	case l == nil:
@@ -156,7 +163,7 @@
 	case l.leader.Token >= token:
 		return 0, true
 	}
-	l.end("superseded by a newly elected peer")
+	l.end(reasonSuperseded)
 	select {
 	case <-l.released:
 		return 0, true
@@ -431,11 +438,14 @@
 func (g *Group) lead(ctx context.Context, l *Leadership) {
 	g.mu.Lock()
 	g.current = l
-	resigned := g.resigned
+	resigned, isSuperseded := g.resigned, l.leader.Token < g.superseded
 	g.mu.Unlock()
 	g.log.Info("group: elected", "token", l.leader.Token, "term", l.leader.Term)
-	if resigned {
+	switch {
+	case resigned:
 		l.end("resigned")
+	case isSuperseded:
+		l.end(reasonSuperseded)
 	}
 	g.Observe(l.leader)
 	leadCtx, cancel := context.WithCancel(ctx)
--- a/entryd/leader/predecessors_test.go
+++ b/entryd/leader/predecessors_test.go
@@ -103,3 +103,18 @@
 	waitFor(t, "end of the wait", func() bool { return strings.Contains(text(), line) })
 	assert.Assert(t, strings.Contains(text(), `"ago_ms":2`), "the last one stopped 2 s ago: %s", text())
 }
+
+// A process that stands still between its election and its first order was told to end what it leads before it knew that it
+// does, confirmed that it led nothing, and led on.
+func TestElectionThatWasSupersededIsNotUsed(t *testing.T) {
+	m := newMemStore()
+	m.unreachable["a"] = true
+	a := startMember(t, m, "a")
+	_, stopped := a.group.Supersede(infra.Token(1 << 40))
+	assert.Assert(t, stopped)
+	m.mu.Lock()
+	m.unreachable["a"] = false
+	m.mu.Unlock()
+	receive(t, "leadership of a", a.elected)
+	assert.Equal(t, receive(t, "end of a's leadership", a.ended), "superseded by a newly elected peer")
+}
