--- a/soak/plan/draw.go
+++ b/soak/plan/draw.go
@@ -9,23 +9,32 @@
 
 const (
 	// meanGap is the mean time between the beginnings of two faults. Faults last for several seconds, so that they overlap.
-	meanGap = 2500 * time.Millisecond
+	meanGap = 2 * time.Second
 	// firstFault is the time without faults at the beginning.
 	firstFault = 2 * time.Second
 	// seriesChance is the chance that a fault is followed by more of its kind at once.
 	seriesChance = 0.3
 )
 
+// maxKinds limits the kinds of faults in one plan, so that each combination of a few kinds is played at many moments.
+const maxKinds = 6
+
 // Draw returns the plan of a seed with some hosts and workers and a time of load.
 func Draw(seed uint64, hosts, workers int, load time.Duration) Plan {
 	random := rand.New(rand.NewPCG(seed, 0))
+	kinds := slices.Clone(Kinds)
+	random.Shuffle(len(kinds), func(i, k int) { kinds[i], kinds[k] = kinds[k], kinds[i] })
+	kinds = kinds[:2+random.IntN(maxKinds-1)]
 	p := Plan{
 		Name: fmt.Sprintf("seed-%d", seed), Seed: seed, Hosts: hosts, Workers: workers, LoadMS: load.Milliseconds(),
 		JobsPerSecond: 0.25 * float64(workers), ConfigEveryMS: 7000,
 	}
+	if random.IntN(3) == 0 {
+		p.ReportMS = 1 + random.Int64N(5)
+	}
 	at := firstFault
 	for at < load {
-		f := drawFault(random, hosts, workers)
+		f := drawFault(random, kinds[random.IntN(len(kinds))], hosts, workers)
 		repeats := 1
 		if random.Float64() < seriesChance {
 			repeats += 1 + random.IntN(3)
@@ -40,9 +49,9 @@
 	return p
 }
 
-// drawFault returns a fault without its time.
-func drawFault(random *rand.Rand, hosts, workers int) Fault {
-	f := Fault{Kind: Kinds[random.IntN(len(Kinds))], OnLeader: random.IntN(2) == 0}
+// drawFault returns a fault of a kind without its time.
+func drawFault(random *rand.Rand, kind Kind, hosts, workers int) Fault {
+	f := Fault{Kind: kind, OnLeader: random.IntN(2) == 0}
 	between := func(low, high int64) int64 { return low + random.Int64N(high-low+1) }
 	someWorkers := 1 + random.IntN(max(1, workers/5))
 	switch f.Kind {
