--- a/entryd/leader/group_test.go
+++ b/entryd/leader/group_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"lovagefork.example/coord/fleet"
 	"lovagefork.example/coord/infra"
+	"lovagefork.example/coord/store"
 	"lovagefork.example/entryd/leader"
 )
 
@@ -172,3 +174,46 @@
 		assert.Equal(t, receive(t, "end of the small host's leadership", small.ended), "a larger entry host can take over")
 	})
 }
+
+// lateClient leaves the first registration unanswered; late returns it to be carried out later.
+type lateClient struct {
+	client
+	mu   sync.Mutex
+	late *store.Txn
+}
+
+// Txn implements [store.Client].
+func (c *lateClient) Txn(ctx context.Context, txn store.Txn) (store.TxnResult, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if put, isPut := txn.Then[0].(store.Put); isPut && c.late == nil && put.Key == hostKey {
+		c.late = &txn
+		return store.TxnResult{}, &store.OutcomeUnknownError{Op: "txn", Cause: errNoAnswer}
+	}
+	return c.client.Txn(ctx, txn)
+}
+
+const hostKey = "lovagefork/group/host/a"
+
+// A registration that was carried out late replaced the one that had followed. Its lease was not renewed, so that the process
+// disappeared from the group, and the others could not reach the scheduler any more.
+func TestLateRegistrationDoesNotReplaceTheNextOne(t *testing.T) {
+	m := newMemStore()
+	c := &lateClient{client: client{m, "a"}}
+	runGroup(t, leader.NewGroup("a", "a:1", c, slog.New(slog.DiscardHandler), func(ctx context.Context, _ *leader.Leadership) { <-ctx.Done() },
+		func(fleet.EntryHostID, string) {}, func(leader.Leader) {}))
+	isRegistered := func() bool {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.expireLeases()
+		return m.entries[hostKey].ModRevision > 0
+	}
+	waitFor(t, "registration", isRegistered)
+	c.mu.Lock()
+	late := *c.late
+	c.mu.Unlock()
+	// It fails if its lease has been revoked.
+	_, _ = c.client.Txn(t.Context(), late)
+	time.Sleep(8 * time.Second)
+	assert.Assert(t, isRegistered(), "the process has disappeared from the group")
+}
