--- a/soak/stand/stand.go
+++ b/soak/stand/stand.go
@@ -283,7 +283,7 @@
 // awaitAvailability checks that all entry processes serve callers by a time after the last fault.
 func (s *Stand) awaitAvailability(limit time.Time) {
 	for _, h := range s.hosts {
-		reason := "not ready"
+		reason := s.unavailableReason(h)
 		for reason != "" && time.Now().Before(limit) && s.sleep(pollInterval/5) {
 			reason = s.unavailableReason(h)
 		}
