leader: store progress for as long as the leadership lasts

Cause: a batch was repeated only while the leadership was valid, for 6.8 s after the last confirmed renewal. A renewal that was answered just after that kept the leadership, but the batch had been given up in between, and all later ones wait for it.

Change: a batch is repeated until its outcome is known or the leadership ends, and so are the records of waves. It needs no other guard, since its conditions name the leader's entry.

--- a/entryd/leader/save.go
+++ b/entryd/leader/save.go
@@ -19,7 +19,8 @@
 }
 
 // save makes a batch durable. A write without an answer may still take effect later, so save repeats it until the
-// outcome is known. The condition on sequenceKey lets each batch take effect at most once and in order.
+// outcome is known or the leadership has ended; the next batch waits for it. The condition on sequenceKey lets each batch take
+// effect at most once and in order, and that on leaderKey prevents writes of a leader that was replaced.
 func (l *loop) save(ctx context.Context, s flow.Save) {
 	id := batchID{Token: l.leadership.leader.Token, Batch: s.Batch}
 	txn, err := l.encodeBatch(s, id)
@@ -29,7 +30,7 @@
 		return
 	}
 	backoff := retry.NewBackoff(retryMinDelay, retryMaxDelay, rand.New(rand.NewPCG(uint64(id.Token), uint64(id.Batch))))
-	for ctx.Err() == nil && l.leadership.Valid() {
+	for ctx.Err() == nil {
 		result, err := l.store.Txn(ctx, txn)
 		switch {
 		case err == nil && result.Committed:
--- a/entryd/leader/waves.go
+++ b/entryd/leader/waves.go
@@ -184,7 +184,7 @@
 	key := waveKey(s.Wave)
 	statusKey, status := l.format.WaveStatus(s.Wave, s.Record.Completed)
 	backoff := retry.NewBackoff(retryMinDelay, retryMaxDelay, rand.New(rand.NewPCG(uint64(s.Wave), uint64(s.Version))))
-	for ctx.Err() == nil && l.leadership.Valid() {
+	for ctx.Err() == nil {
 		txn := store.Txn{
 			If:   []store.Compare{store.KeyUnchanged{Key: leaderKey, ModRevision: store.Revision(l.leadership.leader.Token)}, w.recordCondition(key, s.Wave)},
 			Then: []store.Op{store.Put{Key: key, Value: value}, store.Put{Key: statusKey, Value: status}},
