--- a/soak/check/check.go
+++ b/soak/check/check.go
@@ -11,6 +11,8 @@
 
 // The bounds of the platform.
 const (
+	// maxCrashes is the number of workers that may crash under a task before its job may be given up.
+	maxCrashes     = 2
 	contactTimeout = 3 * time.Second
 	drainTimeout   = 2 * time.Second
 	cancelTimeout  = 3 * time.Second
@@ -94,6 +96,8 @@
 	active map[wkfake.RunID]time.Duration
 	starts []time.Duration
 	ends   map[wkfake.RunID]*end
+	// crashes counts the workers that have ended while they ran the task.
+	crashes int
 }
 
 // end is the end of a run on a worker that is up.
