--- a/soak/check/check_test.go
+++ b/soak/check/check_test.go
@@ -196,9 +196,13 @@
 		},
 		{
 			"a job that is failed after one crash", job,
-			[]observation{{2, started("a", 0, 1)}, {3, gone("a")}, {4, check.StateSeen{Job: "j", State: infra.StateFailed}}}, check.Kept,
+			[]observation{{2, started("a", 0, 1)}, {3, gone("a")}, {4, check.StateSeen{Job: "j", State: infra.StateFailed}}},
+			check.Kept,
 			[]observation{
-				{2, started("a", 0, 1)}, {3, gone("a")}, {4, started("b", 0, 2)}, {5, gone("b")},
+				{2, started("a", 0, 1)},
+				{3, gone("a")},
+				{4, started("b", 0, 2)},
+				{5, gone("b")},
 				{6, check.StateSeen{Job: "j", State: infra.StateFailed}},
 			},
 		},
--- a/soak/stand/faults.go
+++ b/soak/stand/faults.go
@@ -12,7 +12,7 @@
 )
 
 // injectAll carries out the faults of the plan at their times, and returns when all have ended.
-func (s *Stand) injectAll() {
+func (s *soak) injectAll() {
 	began := time.Now()
 	for _, f := range s.plan.Faults {
 		if !s.sleep(time.Until(began.Add(time.Duration(f.AtMS) * time.Millisecond))) {
@@ -23,7 +23,7 @@
 }
 
 // inject carries out one fault and waits for its end.
-func (s *Stand) inject(f plan.Fault) {
+func (s *soak) inject(f plan.Fault) {
 	text, planned := fmt.Sprintf("%+v", f), f.Kind == plan.HostStop || f.Kind == plan.HostReload
 	s.observe(check.FaultBegan{Text: text, IsPlanned: planned})
 	defer s.observe(check.FaultEnded{Text: text, IsPlanned: planned})
@@ -42,7 +42,7 @@
 	}
 }
 
-func (s *Stand) storeFault(f plan.Fault) kvfake.Fault {
+func (s *soak) storeFault(f plan.Fault) kvfake.Fault {
 	switch f.Kind {
 	case plan.StoreDown:
 		return kvfake.Unavailable{PausesLeases: f.PausesLeases}
@@ -61,10 +61,10 @@
 }
 
 // chooseHosts returns the hosts of a fault, that of the scheduler first if the fault asks for it.
-func (s *Stand) chooseHosts(f plan.Fault) []*host {
+func (s *soak) chooseHosts(f plan.Fault) []*host {
+	order := s.permutation(len(s.hosts))
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	order := s.random.Perm(len(s.hosts))
 	if f.OnLeader {
 		for i, index := range order {
 			if s.hosts[index].Name == s.lastWriter {
@@ -79,7 +79,7 @@
 	return found
 }
 
-func (s *Stand) disturbHosts(f plan.Fault) {
+func (s *soak) disturbHosts(f plan.Fault) {
 	for _, h := range s.chooseHosts(f) {
 		switch f.Kind {
 		case plan.HostKill:
@@ -105,7 +105,7 @@
 }
 
 // disturbWorkers disturbs some machines, and restores them.
-func (s *Stand) disturbWorkers(f plan.Fault) {
+func (s *soak) disturbWorkers(f plan.Fault) {
 	machines := s.idleMachines(f.Count)
 	for _, m := range machines {
 		s.disturb(m, f)
@@ -134,7 +134,7 @@
 	return nil
 }
 
-func (s *Stand) disturb(m *machine, f plan.Fault) {
+func (s *soak) disturb(m *machine, f plan.Fault) {
 	if mode := linkMode(f); mode != nil {
 		m.worker.CutFromStore(f.CutsStore)
 		s.check(m.listener.SetMode(mode))
@@ -156,7 +156,7 @@
 	}
 }
 
-func (s *Stand) restore(m *machine, f plan.Fault) {
+func (s *soak) restore(m *machine, f plan.Fault) {
 	if linkMode(f) != nil {
 		s.check(m.listener.SetMode(links.Open{}))
 		m.worker.CutFromStore(false)
--- a/soak/stand/fleet.go
+++ b/soak/stand/fleet.go
@@ -36,7 +36,7 @@
 }
 
 // boot starts a worker on the machine. It has the ID of the one before unless newID is set.
-func (s *Stand) boot(m *machine, newID bool) error {
+func (s *soak) boot(m *machine, newID bool) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if newID || m.lives == 0 {
@@ -63,9 +63,9 @@
 }
 
 // idleMachines returns up to count machines that are up and not disturbed, and marks them as busy.
-func (s *Stand) idleMachines(count int) []*machine {
+func (s *soak) idleMachines(count int) []*machine {
 	var found []*machine
-	for _, i := range s.random.Perm(len(s.machines)) {
+	for _, i := range s.permutation(len(s.machines)) {
 		m := s.machines[i]
 		m.mu.Lock()
 		if len(found) < count && !m.isBusy && m.worker != nil {
--- a/soak/stand/load.go
+++ b/soak/stand/load.go
@@ -33,7 +33,7 @@
 }
 
 // submitJobs submits jobs at random times until ctx ends. Each caller follows its job to its end.
-func (s *Stand) submitJobs(ctx context.Context, callers *sync.WaitGroup) {
+func (s *soak) submitJobs(ctx context.Context, callers *sync.WaitGroup) {
 	random := rand.New(rand.NewPCG(s.plan.Seed, 2))
 	for n := 0; ctx.Err() == nil; n++ {
 		o := drawOrder(random, s.plan.Seed, n)
@@ -79,11 +79,11 @@
 	return o
 }
 
-// address returns the address of the n-th host that a caller tries.
-func (s *Stand) host(n int) *host { return s.hosts[n%len(s.hosts)] }
+// host returns the n-th host that a caller tries.
+func (s *soak) host(n int) *host { return s.hosts[n%len(s.hosts)] }
 
 // follow submits a job and follows it to its end.
-func (s *Stand) follow(o order, first int) {
+func (s *soak) follow(o order, first int) {
 	n := first
 	if !s.submit(o.job, &n) {
 		return
@@ -101,7 +101,7 @@
 }
 
 // submit submits a job until it is accepted. A caller that is rejected gives up after some attempts.
-func (s *Stand) submit(j infra.Job, n *int) bool {
+func (s *soak) submit(j infra.Job, n *int) bool {
 	began := time.Now()
 	for attempt := range 8 {
 		h := s.host(*n)
@@ -130,7 +130,7 @@
 }
 
 // observeCall reports a call whose connection broke before its answer.
-func (s *Stand) observeCall(h *host, a caller.Answer, text string) {
+func (s *soak) observeCall(h *host, a caller.Answer, text string) {
 	outcome := tally.OutcomeGood
 	switch {
 	case a.Status == 0:
@@ -144,7 +144,7 @@
 	}
 }
 
-func (s *Stand) cancelJob(id fleet.JobID, n *int) bool {
+func (s *soak) cancelJob(id fleet.JobID, n *int) bool {
 	h := s.host(*n)
 	s.observe(check.CancelSent{Job: id})
 	a := s.client.Cancel(s.ctx, h.FrontAddr(), id)
@@ -158,7 +158,7 @@
 }
 
 // askState asks for the state of a job and reports what the caller is told.
-func (s *Stand) askState(id fleet.JobID, n int) infra.State {
+func (s *soak) askState(id fleet.JobID, n int) infra.State {
 	h := s.host(n)
 	asked := time.Since(s.began)
 	a := s.client.State(s.ctx, h.FrontAddr(), id)
@@ -181,7 +181,7 @@
 
 // changeConfiguration adds and removes the extra queue while the load lasts, and asks each entry process for it until probing
 // ends.
-func (s *Stand) changeConfiguration(probing, load context.Context) {
+func (s *soak) changeConfiguration(probing, load context.Context) {
 	if s.plan.ConfigEveryMS == 0 {
 		return
 	}
--- a/soak/stand/stand.go
+++ b/soak/stand/stand.go
@@ -40,49 +40,44 @@
 	maxAttempts = 4
 )
 
-// Stand is a running soak.
-type Stand struct {
+// soak is a running soak.
+type soak struct {
 	plan    plan.Plan
 	program string
 	dir     string
-	store   *kvfake.Store
-	client  *caller.Client
-	tally   *tally.Tally
-	hosts   []*host
+	began   time.Time
+	// ctx ends with the soak; cancel ends it with the reason why it cannot go on.
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+
+	store  *kvfake.Store
+	client *caller.Client
+	tally  *tally.Tally
+	record *record
+	hosts  []*host
+	// servers serve the store, each to one host.
 	servers []*http.Server
 	// machines are the hosts of the workers.
 	machines []*machine
-	faults   sync.WaitGroup
-	record   *record
-	cancel   context.CancelCauseFunc
-	ctx      context.Context
+	// faults are the faults in force.
+	faults    sync.WaitGroup
+	loadBegan time.Duration
+	extra     extraQueue
 
 	mu sync.Mutex
-	// random draws the targets of faults and the jobs.
-	random *lockedRand
+	// random draws the targets of faults.
+	random *rand.Rand
 	// lastWriter is the client of the store whose conditional transaction was the last to be committed.
 	lastWriter string
 	checker    *check.Checker
-	began      time.Time
-	loadBegan  time.Duration
 	violations []check.Violation
-	extra      extraQueue
-}
-
-// lockedRand is a source of random numbers that is safe for concurrent use.
-type lockedRand struct {
-	mu     sync.Mutex
-	random *rand.Rand
 }
 
-func newLockedRand(seed uint64) *lockedRand {
-	return &lockedRand{random: rand.New(rand.NewPCG(seed, 1))}
-}
-
-func (r *lockedRand) Perm(n int) []int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.random.Perm(n)
+// permutation returns the numbers below n in a random order.
+func (s *soak) permutation(n int) []int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.random.Perm(n)
 }
 
 // Report is the result of a soak.
@@ -106,8 +101,8 @@
 	if err != nil {
 		return Report{}, err
 	}
-	s := &Stand{
-		plan: p, program: program, dir: dir, record: record, tally: &tally.Tally{}, random: newLockedRand(p.Seed), checker: check.New(),
+	s := &soak{
+		plan: p, program: program, dir: dir, record: record, tally: &tally.Tally{}, random: rand.New(rand.NewPCG(p.Seed, 1)), checker: check.New(),
 		began: time.Now(), client: caller.New(queueHost, queuePrefix, callerTimeout),
 	}
 	s.ctx, s.cancel = context.WithCancelCause(ctx)
@@ -125,14 +120,14 @@
 }
 
 // check ends the soak if it cannot go on.
-func (s *Stand) check(err error) {
+func (s *soak) check(err error) {
 	if err != nil {
 		s.cancel(err)
 	}
 }
 
 // sleep waits; it returns false if the soak ends before.
-func (s *Stand) sleep(d time.Duration) bool {
+func (s *soak) sleep(d time.Duration) bool {
 	select {
 	case <-s.ctx.Done():
 		return false
@@ -142,7 +137,7 @@
 }
 
 // observe passes an observation to the checker and records it.
-func (s *Stand) observe(ev check.Event) {
+func (s *soak) observe(ev check.Event) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	at := time.Since(s.began)
@@ -153,14 +148,14 @@
 	}
 }
 
-func (s *Stand) committed(client string) {
+func (s *soak) committed(client string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lastWriter = client
 }
 
 // start brings up the store, the workers and the entry processes.
-func (s *Stand) start() error {
+func (s *soak) start() error {
 	s.configure()
 	for i := range s.plan.Workers {
 		m := &machine{index: i}
@@ -206,7 +201,7 @@
 }
 
 // serveStore serves the store to one entry host and returns its address.
-func (s *Stand) serveStore(client string) (string, error) {
+func (s *soak) serveStore(client string) (string, error) {
 	listener, err := net.Listen("tcp", loopbackIP(storeHost)+":0")
 	if err != nil {
 		return "", err
@@ -221,7 +216,7 @@
 	return listener.Addr().String(), nil
 }
 
-func (s *Stand) awaitReady(h *host, limit time.Duration) bool {
+func (s *soak) awaitReady(h *host, limit time.Duration) bool {
 	for deadline := time.Now().Add(limit); time.Now().Before(deadline); {
 		if h.isReady() {
 			return true
@@ -234,14 +229,14 @@
 }
 
 // processEnded records the end of an entry process; one that was not told to end shows a fault.
-func (s *Stand) processEnded(h *host, isExpected bool, err error) {
+func (s *soak) processEnded(h *host, isExpected bool, err error) {
 	if !isExpected {
 		s.observe(check.HostUnavailable{Host: h.Name, Reason: fmt.Sprintf("the process has ended by itself: %v", err)})
 	}
 }
 
 // close ends all processes, workers and servers.
-func (s *Stand) close() {
+func (s *soak) close() {
 	for _, h := range s.hosts {
 		h.close()
 	}
@@ -259,7 +254,7 @@
 }
 
 // play runs the load beside the faults, and then waits until all has settled.
-func (s *Stand) play() {
+func (s *soak) play() {
 	s.loadBegan = time.Since(s.began)
 	load, end := context.WithTimeout(s.ctx, time.Duration(s.plan.LoadMS)*time.Millisecond)
 	defer end()
@@ -281,7 +276,7 @@
 }
 
 // awaitAvailability checks that all entry processes serve callers by a time after the last fault.
-func (s *Stand) awaitAvailability(limit time.Time) {
+func (s *soak) awaitAvailability(limit time.Time) {
 	for _, h := range s.hosts {
 		reason := s.unavailableReason(h)
 		for reason != "" && time.Now().Before(limit) && s.sleep(pollInterval/5) {
@@ -294,7 +289,7 @@
 }
 
 // unavailableReason returns why an entry process does not serve callers, or an empty text.
-func (s *Stand) unavailableReason(h *host) string {
+func (s *soak) unavailableReason(h *host) string {
 	if !h.isReady() {
 		return "not ready"
 	}
@@ -311,7 +306,7 @@
 )
 
 // watchDelays reports the times in which this process did not get the processor.
-func (s *Stand) watchDelays(ctx context.Context) {
+func (s *soak) watchDelays(ctx context.Context) {
 	for last := time.Now(); ctx.Err() == nil; last = time.Now() {
 		time.Sleep(delayTick)
 		if late := time.Since(last); late > maxDelay {
@@ -323,7 +318,7 @@
 }
 
 // configure writes the configuration with the extra queue in its present state.
-func (s *Stand) configure() {
+func (s *soak) configure() {
 	c := infra.Catalog{
 		Version:  s.extra.version + 1,
 		Services: []infra.Service{{Name: serviceName}},
@@ -342,7 +337,7 @@
 	s.store.Put(platform.CatalogKey, caller.Catalog(c))
 }
 
-func (s *Stand) report() Report {
+func (s *soak) report() Report {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return Report{
