flow: wait for the second report of each worker in a takeover

A task ran again after it had ended done, right after a takeover, where workers do not read their lists at one moment (TWICE).

Cause: a successor took the first report of a worker for complete. A run that ends between the list of ends and that of the runs is in neither, so its task seemed to run nowhere.

Change: a worker counts as known after its second report, which is requested without a wait. The second list of ends is read after the first list of runs, so a run is in one of them. If the worker is cut off between the two, the lease that this scheduler has renewed is awaited.

--- a/coord/flow/flow_test.go
+++ b/coord/flow/flow_test.go
@@ -64,6 +64,16 @@
 	h.step(flow.RenewAnswered{Worker: id, Sequence: h.seq[id], Report: r})
 }
 
+// reportTwice answers two renewals of a worker with the same report: a successor knows what runs there after the second.
+func (h *harness) reportTwice(id fleet.WorkerID, r infra.Report) {
+	h.report(id, r)
+	if len(r.Ended) > 0 {
+		// The second renewal follows once the ends are durable.
+		h.advance(25 * time.Millisecond)
+	}
+	h.report(id, r)
+}
+
 func (h *harness) starts() []flow.Start {
 	var starts []flow.Start
 	for _, e := range h.effects {
@@ -163,7 +173,7 @@
 		Jobs: []flow.StoredJob{{Job: singleStepJob("j", smallStep(2))}}, Roster: []flow.RosterEntry{{Worker: "a", Address: "a:1"}}, Term: 1,
 	}, newPoolWorker("a"))
 	assert.Equal(t, len(h.starts()), 0, "nothing may start before the worker has answered under the new token")
-	h.report("a", infra.Report{})
+	h.reportTwice("a", infra.Report{})
 	h.advance(50 * time.Millisecond)
 	assert.Equal(t, len(h.starts()), 2)
 }
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -137,10 +137,8 @@
 	w.probed = false
 	hasNew := m.applyEnds(w, ev.Report.Ended)
 	w.hasMoreEnds = ev.Report.HasMoreEnds
-	if !w.hasMoreEnds {
-		m.markReconciled(w)
-	}
 	m.reconcileRuns(w, ev.Report)
+	m.reconcileWorker(w)
 	m.learnInterference(w)
 	m.measureSpeed(w)
 	if hasNew {
@@ -156,9 +154,14 @@
 	m.sendRenewal(w)
 }
 
-// markReconciled records that the runs and all ends of a worker are known.
-func (m *Machine) markReconciled(w *worker) {
-	if !m.isUnreconciled(w) {
+// reconcileWorker records that the runs and all ends of a worker are known. A run that ended while the worker made its first
+// report may be in neither of its lists, and is in the second one.
+func (m *Machine) reconcileWorker(w *worker) {
+	if !m.isUnreconciled(w) || w.hasMoreEnds {
+		return
+	}
+	if !w.hasReported {
+		w.hasReported, w.confirmsMissing = true, true
 		return
 	}
 	m.searchAgain()
--- a/coord/flow/sweep.go
+++ b/coord/flow/sweep.go
@@ -98,7 +98,14 @@
 	known := len(m.unreconciledWorkers)
 	maps.DeleteFunc(m.unreconciledWorkers, func(id fleet.WorkerID, _ struct{}) bool {
 		w := m.workers[id]
-		return w == nil || !w.hasMoreEnds || !w.reachable
+		switch {
+		case w == nil:
+			return true
+		case w.hasReported && !w.leaseExpired(m.now):
+			// This scheduler has renewed the lease since the first report.
+			return false
+		}
+		return !w.hasMoreEnds || !w.reachable
 	})
 	if len(m.unreconciledWorkers) < known {
 		m.emit(Log{Text: "leases of the previous scheduler have expired"})
--- a/coord/flow/worker.go
+++ b/coord/flow/worker.go
@@ -173,6 +173,8 @@
 	durableEnd int64
 	// hasMoreEnds is set if the last report did not list all ends.
 	hasMoreEnds bool
+	// hasReported is set once a report that listed all ends was received while the worker was not reconciled.
+	hasReported bool
 	// confirmsMissing is set if the next report shows whether runs that the last one did not list are lost.
 	confirmsMissing bool
 	// unsavedSeq is the sequence number of the save that makes the ends up to seenEnd durable; 0 if all are durable.
