--- a/soak/stand/faults.go
+++ b/soak/stand/faults.go
@@ -30,9 +30,11 @@
 	switch f.Kind {
 	case plan.HostKill, plan.HostStop, plan.HostPause, plan.HostReload:
 		s.disturbHosts(f)
-	case plan.WorkersRefuse, plan.WorkersReset, plan.WorkersSilent, plan.WorkersOneWay, plan.WorkersDelay, plan.WorkersLate,
+	case plan.WorkersRefuse, plan.WorkersReset, plan.WorkersSilent, plan.WorkersOneWay, plan.WorkersDelay,
 		plan.WorkerCrash, plan.WorkerDrain:
 		s.disturbWorkers(f)
+	case plan.WorkersLate:
+		s.delayOrders(f)
 	case plan.StoreCompact:
 		s.store.Compact()
 	default:
@@ -141,8 +143,6 @@
 		return
 	}
 	switch f.Kind {
-	case plan.WorkersLate:
-		m.worker.SetLateOrders(f.Share, f.Delay())
 	case plan.WorkerDrain:
 		m.worker.Drain(f.Duration())
 	case plan.WorkerCrash:
@@ -163,8 +163,6 @@
 		return
 	}
 	switch f.Kind {
-	case plan.WorkersLate:
-		m.worker.SetLateOrders(0, 0)
 	case plan.WorkerDrain:
 		m.crash().Unlist()
 		s.check(s.boot(m, true))
--- a/soak/stand/fleet.go
+++ b/soak/stand/fleet.go
@@ -10,6 +10,7 @@
 	"lovagefork.example/platform/wkfake"
 	"lovagefork.example/soak/check"
 	"lovagefork.example/soak/links"
+	"lovagefork.example/soak/plan"
 )
 
 const (
@@ -77,6 +78,27 @@
 	return found
 }
 
+// delayOrders makes the workers of some machines carry orders out late for a time, whatever else happens to them meanwhile.
+func (s *soak) delayOrders(f plan.Fault) {
+	chosen := s.permutation(len(s.machines))[:min(f.Count, len(s.machines))]
+	for deadline := time.Now().Add(f.Duration()); time.Now().Before(deadline) && s.sleep(checkInterval); {
+		for _, i := range chosen {
+			s.machines[i].setLateOrders(f.Share, f.Delay())
+		}
+	}
+	for _, i := range chosen {
+		s.machines[i].setLateOrders(0, 0)
+	}
+}
+
+func (m *machine) setLateOrders(share float64, delay time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.worker != nil {
+		m.worker.SetLateOrders(share, delay)
+	}
+}
+
 func (m *machine) release() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/soak/stand/load.go
+++ b/soak/stand/load.go
@@ -18,8 +18,14 @@
 
 const (
 	// retryPause is the pause of a caller between two attempts, and pollInterval that between two questions for a state.
-	retryPause   = 250 * time.Millisecond
-	pollInterval = 500 * time.Millisecond
+	// checkInterval is the pause between two looks at what should change soon.
+	retryPause    = 250 * time.Millisecond
+	pollInterval  = 500 * time.Millisecond
+	checkInterval = 100 * time.Millisecond
+	// maxSubmissions is the number of attempts after which a caller that is rejected gives up; its pause doubles up to
+	// retryPause << maxRetryShift.
+	maxSubmissions = 8
+	maxRetryShift  = 3
 	// maxLastingTime is how long a caller leaves a long-running job before it cancels it.
 	maxLastingTime = 15 * time.Second
 	extraPrefix    = "/extra/"
@@ -103,7 +109,7 @@
 // submit submits a job until it is accepted. A caller that is rejected gives up after some attempts.
 func (s *soak) submit(j infra.Job, n *int) bool {
 	began := time.Now()
-	for attempt := range 8 {
+	for attempt := range maxSubmissions {
 		h := s.host(*n)
 		s.observe(check.Submitted{Job: j, MaxAttempts: maxAttempts})
 		a := s.client.Submit(s.ctx, h.FrontAddr(), j)
@@ -121,7 +127,7 @@
 			return true
 		}
 		*n++
-		if !s.sleep(retryPause << min(attempt, 3)) {
+		if !s.sleep(retryPause << min(attempt, maxRetryShift)) {
 			return false
 		}
 	}
--- a/soak/stand/stand.go
+++ b/soak/stand/stand.go
@@ -279,7 +279,7 @@
 func (s *soak) awaitAvailability(limit time.Time) {
 	for _, h := range s.hosts {
 		reason := s.unavailableReason(h)
-		for reason != "" && time.Now().Before(limit) && s.sleep(pollInterval/5) {
+		for reason != "" && time.Now().Before(limit) && s.sleep(checkInterval) {
 			reason = s.unavailableReason(h)
 		}
 		if reason != "" {
