--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -24,7 +24,7 @@
 		order.Deadline = w.maxClock(m.now) + m.opts.taskLease.Milliseconds()
 		w.leaseEnd = max(w.leaseEnd, order.Deadline)
 	}
-	if isSameIncarnation && w.unsavedSeq == 0 && w.tokenAccepted && w.reachable && !isImmediate && !w.confirmsMissing {
+	if isSameIncarnation && w.unsavedSeq == 0 && w.tokenAccepted && w.reachable && !isImmediate && !w.secondReportDue {
 		order.Wait = reportWait
 		if len(w.servingSteps) > 0 && w.fillerCPU > 0 {
 			order.Wait = reportWaitColocated
@@ -161,7 +161,7 @@
 		return
 	}
 	if !w.hasReported {
-		w.hasReported, w.confirmsMissing = true, true
+		w.hasReported, w.secondReportDue = true, true
 		return
 	}
 	m.searchAgain()
@@ -374,7 +374,7 @@
 // reconcileRuns compares the runs that a worker reports with those that it should run.
 func (m *Machine) reconcileRuns(w *worker, report infra.Report) {
 	w.reports++
-	w.confirmsMissing = false
+	w.secondReportDue = false
 	for _, row := range report.Running {
 		r := w.runs[row.Task]
 		if r == nil || r.number != row.Run {
@@ -399,9 +399,8 @@
 		isLost := isConfirmed && report.Clock > r.confirmedClock || !isConfirmed && report.Clock > r.deadline
 		switch {
 		case isLost && r.state != stopping && (r.missingReport == 0 || r.missingReport != w.reports-1):
-			// A worker that does not read its clock and its lists at one moment may list neither a run that has just started nor
-			// one that has just ended.
-			r.missingReport, w.confirmsMissing = w.reports, true
+			// A worker need not read its clock and its lists at one moment.
+			r.missingReport, w.secondReportDue = w.reports, true
 		case isLost && isConfirmed:
 			m.counts.Vanished++
 			m.dropRun(r, "not listed by the worker")
--- a/coord/flow/sweep.go
+++ b/coord/flow/sweep.go
@@ -93,7 +93,8 @@
 	}
 }
 
-// expireUnreconciled stops waiting for the workers that have not answered, except those whose ends are not all known.
+// expireUnreconciled stops waiting for the workers that have not answered, except those whose ends are not all known, and
+// those whose lease this scheduler has renewed since their first report.
 func (m *Machine) expireUnreconciled() {
 	known := len(m.unreconciledWorkers)
 	maps.DeleteFunc(m.unreconciledWorkers, func(id fleet.WorkerID, _ struct{}) bool {
@@ -102,7 +103,6 @@
 		case w == nil:
 			return true
 		case w.hasReported && !w.leaseExpired(m.now):
-			// This scheduler has renewed the lease since the first report.
 			return false
 		}
 		return !w.hasMoreEnds || !w.reachable
--- a/coord/flow/worker.go
+++ b/coord/flow/worker.go
@@ -175,8 +175,9 @@
 	hasMoreEnds bool
 	// hasReported is set once a report that listed all ends was received while the worker was not reconciled.
 	hasReported bool
-	// confirmsMissing is set if the next report shows whether runs that the last one did not list are lost.
-	confirmsMissing bool
+	// secondReportDue is set if another report is needed at once, because the last one may have missed a run that has just
+	// started or ended.
+	secondReportDue bool
 	// unsavedSeq is the sequence number of the save that makes the ends up to seenEnd durable; 0 if all are durable.
 	unsavedSeq int64
 	// headroomBudgets caches the headroom budgets of the serving images as of budgetsAt. budgetsValid is cleared when a
