--- a/soak/stand/faults.go
+++ b/soak/stand/faults.go
@@ -24,9 +24,9 @@
 
 // inject carries out one fault and waits for its end.
 func (s *soak) inject(f plan.Fault) {
-	text, planned := fmt.Sprintf("%+v", f), f.Kind == plan.HostStop || f.Kind == plan.HostReload
-	s.observe(check.FaultBegan{Text: text, IsPlanned: planned})
-	defer s.observe(check.FaultEnded{Text: text, IsPlanned: planned})
+	text, isPlanned := fmt.Sprintf("%+v", f), f.Kind == plan.HostStop || f.Kind == plan.HostReload
+	s.observe(check.FaultBegan{Text: text, IsPlanned: isPlanned})
+	defer s.observe(check.FaultEnded{Text: text, IsPlanned: isPlanned})
 	switch f.Kind {
 	case plan.HostKill, plan.HostStop, plan.HostPause, plan.HostReload:
 		s.disturbHosts(f)
