entryd: take SIGHUP from the first to the last moment

An entry process ended by itself with "signal: hangup" where SIGHUP and SIGTERM overlap, and broke the calls that it had read.

Cause: the handler was registered once all parts had started, and removed when the process began to stop; the default action of the signal ends a process.

Change: the signal is taken before the settings are read, and for as long as the process runs.

--- a/entryd/hosted/app.go
+++ b/entryd/hosted/app.go
@@ -9,10 +9,8 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -34,10 +32,11 @@
 // Platform holds the settings and clients that the platform adapter provides to a hosted process.
 type Platform struct {
 	Settings infra.Settings
-	// Reload rereads the settings.
-	Reload func() (infra.Settings, error)
-	Store  store.Client
-	Agents infra.Agents
+	// Reload rereads the settings. Hangups receives the signals that ask for it, for as long as the process runs.
+	Reload  func() (infra.Settings, error)
+	Hangups <-chan os.Signal
+	Store   store.Client
+	Agents  infra.Agents
 	// Policy is called only for queues that have an approval policy.
 	Policy infra.PolicyService
 	// Machines is nil if the platform has no machine maintenance service.
@@ -286,14 +285,11 @@
 // reload rereads the settings on each SIGHUP and logs which of them changed. The changes take effect at the next
 // start.
 func (p *process) reload(ctx context.Context) {
-	sighup := make(chan os.Signal, 1)
-	signal.Notify(sighup, syscall.SIGHUP)
-	defer signal.Stop(sighup)
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-sighup:
+		case <-p.Platform.Hangups:
 		}
 		next, err := p.Platform.Reload()
 		if err != nil {
--- a/entryd/main.go
+++ b/entryd/main.go
@@ -6,6 +6,8 @@
 	"log/slog"
 	"net/http"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"lovagefork.example/coord/infra"
 	"lovagefork.example/entryd/daemon"
@@ -34,6 +36,9 @@
 }
 
 func runHosted() {
+	// SIGHUP must not end the process, neither before the settings are read nor while it stops.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	read := func() (infra.Settings, error) { return platform.ReadSettings(platform.SettingsPath()) }
 	settings, err := read()
 	if err != nil {
@@ -47,6 +52,7 @@
 		Machines: machines,
 		Settings: settings,
 		Reload:   read,
+		Hangups:  hangups,
 		Store:    platform.NewStore(settings.StoreAddr),
 		Agents:   platform.NewAgents(),
 		Policy:   platform.NewPolicyService(settings.PolicyAddr),
