--- a/soak/stand/fleet.go
+++ b/soak/stand/fleet.go
@@ -26,7 +26,6 @@
 type machine struct {
 	index    int
 	listener *links.Listener
-	address  string
 
 	mu    sync.Mutex
 	lives int
@@ -43,15 +42,11 @@
 	if newID || m.lives == 0 {
 		m.lives++
 	}
-	address := m.address
-	if address == "" {
-		address = loopbackIP(workersHost) + ":0"
-	}
-	listener, err := links.Listen(address)
+	listener, err := links.Listen(fmt.Sprintf("%s:%d", loopbackIP(workersHost), firstWorkerPort+m.index))
 	if err != nil {
 		return err
 	}
-	m.listener, m.address = listener, listener.Addr().String()
+	m.listener = listener
 	info := infra.Worker{
 		ID: fleet.WorkerID(fmt.Sprintf("w%d-%d", m.index, m.lives)), Service: serviceName, Zone: fleet.AvailabilityZone(fmt.Sprintf("z%d", m.index%3)),
 		Version: "1", Labels: []string{"a", fmt.Sprintf("r%d", m.index/6)}, Capacity: workerCapacity,
--- a/soak/stand/host.go
+++ b/soak/stand/host.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -36,18 +35,7 @@
 	ended      chan struct{}
 }
 
-// freePort returns a port that is free at an IP address.
-func freePort(ip string) (int, error) {
-	listener, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		return 0, err
-	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().(*net.TCPAddr).Port, nil
-}
-
-// loopbackIP returns a loopback address. Soaks that run at the same time have addresses of their own, and none is the source
-// of connections, whose ports would collide with those that are listened at again.
+// loopbackIP returns a loopback address. Soaks that run at the same time have addresses of their own.
 func loopbackIP(index int) string {
 	const soaksPerOctet = 250
 	return fmt.Sprintf("127.%d.%d.%d", 2+os.Getpid()/soaksPerOctet%120, 1+os.Getpid()%soaksPerOctet, index)
@@ -60,17 +48,24 @@
 	storeHost   = 252
 )
 
+// The ports are below those of outgoing connections, which may take a port while nothing listens there. Each worker and each
+// host's view of the store has one of its own.
+const (
+	frontPort       = 21001
+	readyPort       = 21002
+	peerPort        = 21003
+	firstWorkerPort = 22000
+	firstStorePort  = 24000
+)
+
+func hostName(index int) string { return fmt.Sprintf("edge-%d", index) }
+
 // newHost prepares the settings of an entry host.
 func newHost(index int, program, dir, storeAddr string) (*host, error) {
 	h := &host{program: program}
 	h.Host = conf.Host{
-		Name: fmt.Sprintf("edge-%d", index), IP: loopbackIP(firstHost + index), Zone: fmt.Sprintf("z%d", index%3), StoreAddr: storeAddr,
-	}
-	for _, port := range []*int{&h.FrontPort, &h.ReadyPort, &h.PeerPort} {
-		var err error
-		if *port, err = freePort(h.IP); err != nil {
-			return nil, err
-		}
+		Name: hostName(index), IP: loopbackIP(firstHost + index), Zone: fmt.Sprintf("z%d", index%3), StoreAddr: storeAddr,
+		FrontPort: frontPort, ReadyPort: readyPort, PeerPort: peerPort,
 	}
 	h.settings, h.logFile = filepath.Join(dir, h.Name+".conf"), filepath.Join(dir, h.Name+".log")
 	return h, os.WriteFile(h.settings, []byte(conf.Settings(h.Host)), 0o600)
--- a/soak/stand/stand.go
+++ b/soak/stand/stand.go
@@ -165,7 +165,7 @@
 		s.machines = append(s.machines, m)
 	}
 	for i := range s.plan.Hosts {
-		storeAddr, err := s.serveStore(fmt.Sprintf("edge-%d", i))
+		storeAddr, err := s.serveStore(i)
 		if err != nil {
 			return err
 		}
@@ -200,13 +200,13 @@
 	return fmt.Sprintf("%s is not ready, see %s", e.Host, e.LogFile)
 }
 
-// serveStore serves the store to one entry host and returns its address.
-func (s *soak) serveStore(client string) (string, error) {
-	listener, err := net.Listen("tcp", loopbackIP(storeHost)+":0")
+// serveStore serves the store to the host with an index and returns its address.
+func (s *soak) serveStore(index int) (string, error) {
+	listener, err := net.Listen("tcp", fmt.Sprintf("%s:%d", loopbackIP(storeHost), firstStorePort+index))
 	if err != nil {
 		return "", err
 	}
-	server := &http.Server{Handler: s.store.Handler(client)}
+	server := &http.Server{Handler: s.store.Handler(hostName(index))}
 	s.servers = append(s.servers, server)
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
