--- a/soak/stand/host.go
+++ b/soak/stand/host.go
@@ -35,36 +35,13 @@
 	ended      chan struct{}
 }
 
-// loopbackIP returns a loopback address. Soaks that run at the same time have addresses of their own.
-func loopbackIP(index int) string {
-	const soaksPerOctet = 250
-	return fmt.Sprintf("127.%d.%d.%d", 2+os.Getpid()/soaksPerOctet%120, 1+os.Getpid()%soaksPerOctet, index)
-}
-
-// The last octets of the addresses of the hosts, and those of all workers and of the store.
-const (
-	firstHost   = 1
-	workersHost = 251
-	storeHost   = 252
-)
-
-// The ports are below those of outgoing connections, which may take a port while nothing listens there. Each worker and each
-// host's view of the store has one of its own.
-const (
-	frontPort       = 21001
-	readyPort       = 21002
-	peerPort        = 21003
-	firstWorkerPort = 22000
-	firstStorePort  = 24000
-)
-
 func hostName(index int) string { return fmt.Sprintf("edge-%d", index) }
 
 // newHost prepares the settings of an entry host.
-func newHost(index int, program, dir, storeAddr string) (*host, error) {
+func newHost(index int, n *network, program, dir, storeAddr string) (*host, error) {
 	h := &host{program: program}
 	h.Host = conf.Host{
-		Name: hostName(index), IP: loopbackIP(firstHost + index), Zone: fmt.Sprintf("z%d", index%3), StoreAddr: storeAddr,
+		Name: hostName(index), IP: n.ip(firstHost + index), Zone: fmt.Sprintf("z%d", index%3), StoreAddr: storeAddr,
 		FrontPort: frontPort, ReadyPort: readyPort, PeerPort: peerPort,
 	}
 	h.settings, h.logFile = filepath.Join(dir, h.Name+".conf"), filepath.Join(dir, h.Name+".log")
--- a/soak/stand/stand.go
+++ b/soak/stand/stand.go
@@ -50,11 +50,12 @@
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 
-	store  *kvfake.Store
-	client *caller.Client
-	tally  *tally.Tally
-	record *record
-	hosts  []*host
+	network *network
+	store   *kvfake.Store
+	client  *caller.Client
+	tally   *tally.Tally
+	record  *record
+	hosts   []*host
 	// servers serve the store, each to one host.
 	servers []*http.Server
 	// machines are the hosts of the workers.
@@ -155,7 +156,10 @@
 }
 
 // start brings up the store, the workers and the entry processes.
-func (s *soak) start() error {
+func (s *soak) start() (err error) {
+	if s.network, err = reserveNetwork(); err != nil {
+		return err
+	}
 	s.configure()
 	for i := range s.plan.Workers {
 		m := &machine{index: i}
@@ -169,7 +173,7 @@
 		if err != nil {
 			return err
 		}
-		h, err := newHost(i, s.program, s.dir, storeAddr)
+		h, err := newHost(i, s.network, s.program, s.dir, storeAddr)
 		if err != nil {
 			return err
 		}
@@ -202,7 +206,7 @@
 
 // serveStore serves the store to the host with an index and returns its address.
 func (s *soak) serveStore(index int) (string, error) {
-	listener, err := net.Listen("tcp", fmt.Sprintf("%s:%d", loopbackIP(storeHost), firstStorePort+index))
+	listener, err := net.Listen("tcp", s.network.address(storeHost, firstStorePort+index))
 	if err != nil {
 		return "", err
 	}
@@ -250,6 +254,9 @@
 		_ = server.Close()
 	}
 	s.store.Close()
+	if s.network != nil {
+		s.check(s.network.release())
+	}
 	s.check(s.record.close())
 }
 
