--- a/soak/stand/faults.go
+++ b/soak/stand/faults.go
@@ -139,7 +139,7 @@
 func (s *soak) disturb(m *machine, f plan.Fault) {
 	if mode := linkMode(f); mode != nil {
 		m.worker.CutFromStore(f.CutsStore)
-		s.check(m.listener.SetMode(mode))
+		s.abortOn(m.listener.SetMode(mode))
 		return
 	}
 	switch f.Kind {
@@ -158,15 +158,15 @@
 
 func (s *soak) restore(m *machine, f plan.Fault) {
 	if linkMode(f) != nil {
-		s.check(m.listener.SetMode(links.Open{}))
+		s.abortOn(m.listener.SetMode(links.Open{}))
 		m.worker.CutFromStore(false)
 		return
 	}
 	switch f.Kind {
 	case plan.WorkerDrain:
 		m.crash().Unlist()
-		s.check(s.boot(m, true))
+		s.abortOn(s.boot(m, true))
 	case plan.WorkerCrash:
-		s.check(s.boot(m, f.NewID))
+		s.abortOn(s.boot(m, f.NewID))
 	}
 }
--- a/soak/stand/stand.go
+++ b/soak/stand/stand.go
@@ -120,8 +120,8 @@
 	return s.report(), nil
 }
 
-// check ends the soak if it cannot go on.
-func (s *soak) check(err error) {
+// abortOn ends the soak if it cannot go on.
+func (s *soak) abortOn(err error) {
 	if err != nil {
 		s.cancel(err)
 	}
@@ -214,7 +214,7 @@
 	s.servers = append(s.servers, server)
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			s.check(err)
+			s.abortOn(err)
 		}
 	}()
 	return listener.Addr().String(), nil
@@ -255,9 +255,9 @@
 	}
 	s.store.Close()
 	if s.network != nil {
-		s.check(s.network.release())
+		s.abortOn(s.network.release())
 	}
-	s.check(s.record.close())
+	s.abortOn(s.record.close())
 }
 
 // play runs the load beside the faults, and then waits until all has settled.
