--- a/soak/check/event.go
+++ b/soak/check/event.go
@@ -49,11 +49,10 @@
 // CancelAcked reports that a cancellation was acknowledged.
 type CancelAcked struct{ Job fleet.JobID }
 
-// StateSeen reports the state of a job that a caller was shown. Asked is when the caller asked.
+// StateSeen reports the state of a job that a caller was shown.
 type StateSeen struct {
 	Job   fleet.JobID
 	State infra.State
-	Asked time.Duration
 }
 
 // UnknownSeen reports that a caller was told that there is no such job.
--- a/soak/stand/load.go
+++ b/soak/stand/load.go
@@ -166,7 +166,6 @@
 // askState asks for the state of a job and reports what the caller is told.
 func (s *soak) askState(id fleet.JobID, n int) infra.State {
 	h := s.host(n)
-	asked := time.Since(s.began)
 	a := s.client.State(s.ctx, h.FrontAddr(), id)
 	s.observeCall(h, a, "state "+string(id))
 	if a.IsUnknown() {
@@ -174,7 +173,7 @@
 	}
 	state := a.State()
 	if state != "" {
-		s.observe(check.StateSeen{Job: id, State: state, Asked: asked})
+		s.observe(check.StateSeen{Job: id, State: state})
 	}
 	return state
 }
