flow: log when a worker leaves the roster, and count the jobs that are not stored

A successor waits for the workers of the stored roster only, and learns ends that are not stored from them. The logs did not say when a worker leaves the roster, how many jobs waited to be stored then, or that the job of a reported end is unknown. So they could not tell the first two causes of docs/incidents/forgotten-ends.md from each other. The gauge scheduler.unsaved_jobs shows the backlog.

--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -173,7 +173,11 @@
 	isCurrent := r != nil && r.number == e.Run
 	m.createReportedOccurrence(e.Task)
 	s, t := m.lookupTask(e.Task)
-	m.emit(Log{Text: "run ended", Task: e.Task, Run: e.Run, Worker: w.ID, Reason: string(e.Outcome)})
+	reason := string(e.Outcome)
+	if t == nil {
+		reason += ", unknown task"
+	}
+	m.emit(Log{Text: "run ended", Task: e.Task, Run: e.Run, Worker: w.ID, Reason: reason})
 	m.placementDue = true
 	if isCurrent {
 		m.measureEnd(r, e.Outcome)
--- a/coord/flow/save.go
+++ b/coord/flow/save.go
@@ -27,6 +27,15 @@
 	return all
 }
 
+// UnsavedJobs returns the number of jobs whose progress is not durable yet.
+func (m *Machine) UnsavedJobs() int {
+	count := len(m.dirtyJobs)
+	if m.saveInFlight {
+		count += len(m.batchJobs)
+	}
+	return count
+}
+
 // save starts a durable batch unless one is in flight or there is nothing to save.
 func (m *Machine) save() {
 	if m.saveInFlight || (len(m.dirtyJobs) == 0 && len(m.jobsToDelete) == 0 && !m.rosterDirty && !m.interferenceDirty) {
--- a/coord/flow/sweep.go
+++ b/coord/flow/sweep.go
@@ -72,7 +72,7 @@
 		m.repeatStops(w)
 	}
 	if w.isDrained() && !m.isUnreconciled(w) {
-		m.removeFromRoster(w)
+		m.removeFromRoster(w, "drained")
 	}
 	if !w.listed && len(w.runs) == 0 && !w.renewalInFlight && !m.isUnreconciled(w) {
 		m.removeWorker(w)
--- a/coord/flow/worker_lifecycle.go
+++ b/coord/flow/worker_lifecycle.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -43,7 +44,7 @@
 			break
 		}
 	}
-	m.removeFromRoster(w)
+	m.removeFromRoster(w, "no longer listed")
 }
 
 // isKnownElsewhere reports whether a registration names an address at which this incarnation of the worker does not listen.
@@ -71,11 +72,13 @@
 	m.rosterDirty, w.inStoredRoster = true, false
 }
 
-func (m *Machine) removeFromRoster(w *worker) {
-	if _, found := m.roster[w.ID]; found {
-		delete(m.roster, w.ID)
-		m.rosterDirty, w.inStoredRoster = true, false
+func (m *Machine) removeFromRoster(w *worker, reason string) {
+	if _, found := m.roster[w.ID]; !found {
+		return
 	}
+	m.emit(Log{Text: "worker left the roster", Worker: w.ID, Reason: fmt.Sprintf("%s; %d jobs are not stored yet", reason, m.UnsavedJobs())})
+	delete(m.roster, w.ID)
+	m.rosterDirty, w.inStoredRoster = true, false
 }
 
 // isDrained reports whether a worker is draining and has no runs left. It gets none any more, so that a successor does not
--- a/entryd/leader/scheduler.go
+++ b/entryd/leader/scheduler.go
@@ -51,6 +51,7 @@
 	orders         metrics.Counter
 	saves          metrics.Counter
 	longWaits      metrics.Gauge
+	unsavedJobs    metrics.Gauge
 	registry       metrics.Registry
 
 	mu      sync.Mutex
@@ -87,6 +88,7 @@
 		orders:       metrics.GetOrRegisterCounter("scheduler.orders.total", d.Metrics),
 		saves:        metrics.GetOrRegisterCounter("scheduler.saves.total", d.Metrics),
 		longWaits:    metrics.GetOrRegisterGauge("scheduler.waiting_long_running_steps", d.Metrics),
+		unsavedJobs:  metrics.GetOrRegisterGauge("scheduler.unsaved_jobs", d.Metrics),
 	}
 }
 
@@ -357,9 +359,11 @@
 		}
 		l.handle(ctx, flow.Tick{Wall: time.Now(), LeaseUnconfirmed: !l.leadership.LeaseConfirmed()})
 		l.longWaits.Update(int64(l.machine.LongWaits()))
+		l.unsavedJobs.Update(int64(l.machine.UnsavedJobs()))
 		l.meter.report(l.log, len(l.events))
 	}
 	l.longWaits.Update(0)
+	l.unsavedJobs.Update(0)
 	go l.discard()
 	sources.Wait()
 	l.effects.Wait()
