flow: keep a worker in the roster until the ends of its runs are stored

Callers saw tasks run again that had ended done, after a change of the scheduler. A worker left the stored roster, or was forgotten with its roster entry, as soon as it drained, or was no longer listed, and had no runs. The roster goes out with the next batch, but a batch has 24 records at most: with 60 ends on one worker, 36 records followed in later batches. A scheduler elected in between neither knew those ends nor waited for the worker, which still held them, and started the tasks.

A worker now leaves the roster when nothing runs there and all its ends are durable, and is asked for its report until then, listed or not.

TestWorkerStaysInRosterUntilItsEndsAreStored failed before, draining and not listed: 24 of 60 jobs were stored when the worker left.

--- a/coord/flow/flow_test.go
+++ b/coord/flow/flow_test.go
@@ -12,7 +12,7 @@
 	"lovagefork.example/coord/infra"
 )
 
-// harness feeds events to one scheduler and collects its effects.
+// harness feeds events to one scheduler and collects its effects. Batches are durable at once unless isStoreDown is set.
 type harness struct {
 	t       *testing.T
 	m       *flow.Machine
@@ -20,6 +20,8 @@
 	effects []flow.Effect
 	seq     map[fleet.WorkerID]int64
 	pending []pendingEvent
+
+	isStoreDown bool
 }
 
 func newHarness(t *testing.T, restored flow.Restored, workers ...infra.Worker) *harness {
@@ -44,7 +46,9 @@
 		case flow.Renew:
 			h.seq[e.To.Worker] = e.Sequence
 		case flow.Save:
-			h.step(flow.Saved{Batch: e.Batch})
+			if !h.isStoreDown {
+				h.step(flow.Saved{Batch: e.Batch})
+			}
 		default:
 		}
 		h.effects = append(h.effects, e)
--- /dev/null
+++ b/coord/flow/roster_test.go
@@ -0,0 +1,101 @@
+package flow_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lovagefork.example/coord/fleet"
+	"lovagefork.example/coord/flow"
+	"lovagefork.example/coord/infra"
+)
+
+// moreThanOneBatch is a number of jobs whose progress takes several batches to store.
+const moreThanOneBatch = 60
+
+// runOnOneWorker returns a scheduler with a job for each task that runs on the worker a, with the jobs and the orders.
+func runOnOneWorker(t *testing.T) (*harness, []infra.Job, []flow.Start) {
+	step := smallStep(1)
+	step.Size = fleet.Resources{MilliCPU: 100, MemoryBytes: 1 << 20}
+	h := newHarness(t, flow.Restored{}, newPoolWorker("a"))
+	h.report("a", infra.Report{})
+	var jobs []infra.Job
+	for n := range moreThanOneBatch {
+		jobs = append(jobs, singleStepJob(fmt.Sprintf("%016x", n), step))
+		h.step(flow.Submitted{Job: jobs[n]})
+	}
+	var started []flow.Start
+	for range moreThanOneBatch {
+		h.advance(50 * time.Millisecond)
+		started = append(started, h.answerStarts()...)
+	}
+	assert.Equal(t, len(started), moreThanOneBatch)
+	return h, jobs, started
+}
+
+// endAll reports that all runs on the worker a are done, while the store accepts no batch.
+func (h *harness) endAll(started []flow.Start) {
+	var ended []infra.EndedRun
+	for n, s := range started {
+		ended = append(ended, infra.EndedRun{Number: int64(n + 1), Task: s.Order.Task, Run: s.Order.Run, Outcome: infra.OutcomeDone})
+	}
+	h.effects, h.isStoreDown = nil, true
+	h.report("a", infra.Report{Ended: ended})
+	h.advance(100 * time.Millisecond)
+}
+
+// storeBatches makes the batches durable one by one. After each it calls check with the ID of each stored job and the last
+// stored roster.
+func (h *harness) storeBatches(check func(stored map[fleet.JobID]bool, roster []flow.RosterEntry)) {
+	stored := make(map[fleet.JobID]bool)
+	roster := []flow.RosterEntry{{Worker: "a", Address: "a:1"}}
+	for {
+		at := slices.IndexFunc(h.effects, func(e flow.Effect) bool { _, isSave := e.(flow.Save); return isSave })
+		if at < 0 {
+			return
+		}
+		s := h.effects[at].(flow.Save)
+		h.effects = h.effects[at+1:]
+		for _, j := range s.Jobs {
+			stored[j.Job] = true
+		}
+		if s.Roster != nil {
+			roster = s.Roster
+		}
+		check(stored, roster)
+		h.step(flow.Saved{Batch: s.Batch})
+		h.advance(50 * time.Millisecond)
+	}
+}
+
+// A worker that had no runs left was taken off the stored roster while the ends of its runs were not stored. The successor
+// neither knew the ends nor waited for the worker, and started tasks that were done.
+func TestWorkerStaysInRosterUntilItsEndsAreStored(t *testing.T) {
+	for name, leave := range map[string]func(*harness){
+		"draining": func(h *harness) {
+			a := newPoolWorker("a")
+			a.Draining, a.Remaining = true, 7*time.Second
+			h.step(flow.WorkerListed{Worker: a})
+		},
+		"not listed": func(h *harness) { h.step(flow.WorkerUnlisted{Worker: "a"}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			h, jobs, started := runOnOneWorker(t)
+			leave(h)
+			h.endAll(started)
+			h.storeBatches(func(stored map[fleet.JobID]bool, roster []flow.RosterEntry) {
+				if len(roster) == 0 {
+					assert.Equal(t, len(stored), len(jobs), "jobs stored when the worker has left the roster")
+				}
+			})
+			// A successor must not wait for a worker that is not needed any more.
+			h.renewalFails("a")
+			h.isStoreDown = false
+			h.advance(time.Second)
+			assert.Equal(t, len(h.lastRoster()), 0)
+		})
+	}
+}
--- a/coord/flow/sweep.go
+++ b/coord/flow/sweep.go
@@ -54,7 +54,7 @@
 		w.leadershipConfirmed = true
 		m.searchAgain()
 	}
-	if !w.renewalInFlight && !m.now.Before(w.nextRenewal) && (w.listed || len(w.runs) > 0 || m.isUnreconciled(w)) {
+	if !w.renewalInFlight && !m.now.Before(w.nextRenewal) && (w.listed || !m.isForgettable(w)) {
 		m.sendRenewal(w)
 	}
 	// While another scheduler may have been elected, it may also have renewed the lease.
@@ -71,10 +71,13 @@
 	if slices.ContainsFunc(w.runsByTask, func(r *run) bool { return r.state == stopping || r.state == fencing }) {
 		m.repeatStops(w)
 	}
-	if w.isDrained() && !m.isUnreconciled(w) {
+	if !m.isForgettable(w) {
+		return
+	}
+	if w.Draining {
 		m.removeFromRoster(w, "drained")
 	}
-	if !w.listed && len(w.runs) == 0 && !w.renewalInFlight && !m.isUnreconciled(w) {
+	if !w.listed && !w.renewalInFlight {
 		m.removeWorker(w)
 	}
 }
--- a/coord/flow/worker_lifecycle.go
+++ b/coord/flow/worker_lifecycle.go
@@ -81,10 +81,16 @@
 	m.rosterDirty, w.inStoredRoster = true, false
 }
 
-// isDrained reports whether a worker is draining and has no runs left. It gets none any more, so that a successor does not
-// have to wait for it.
+// isDrained reports whether a worker is draining and has no runs left. It gets none any more.
 func (w *worker) isDrained() bool { return w.Draining && len(w.runs) == 0 }
 
+// isForgettable reports whether a successor need not hear from a worker: nothing runs there, and all ends are durable. Ends
+// that were never reported do not count once the lease has expired.
+func (m *Machine) isForgettable(w *worker) bool {
+	mayReportMore := w.hasMoreEnds && (w.reachable || !w.leaseExpired(m.now))
+	return len(w.runs) == 0 && w.unsavedSeq == 0 && !mayReportMore && !m.isUnreconciled(w)
+}
+
 func (m *Machine) workerListed(info infra.Worker) {
 	w := m.workers[info.ID]
 	if w == nil {
