flow: hand a machine over for maintenance once the ends of its runs are stored

A cordoned worker was reported as evacuated as soon as nothing ran there, or its time was up. Maintenance ends the worker and all that it knows, also the ends that are not stored yet. If the scheduler changed before they were, their tasks started again although they were done.

Reported ends are now durable first, also when the time is up: a store that is slow makes a wave late, not a result twice.

TestMachineIsNotEvacuatedBeforeEndsAreStored failed before: the machine was handed over with 0 of 60 jobs stored.

--- a/coord/flow/evacuation.go
+++ b/coord/flow/evacuation.go
@@ -37,10 +37,12 @@
 	m.searchAgain()
 }
 
-// reportEvacuated reports that the machine of a cordoned worker may be taken down. That is the case when the worker
-// runs nothing, or when its time is up and its remaining long-running tasks may be interrupted.
+// reportEvacuated reports that the machine of a cordoned worker may be taken down, which ends all that the worker knows. That
+// is the case when the worker is not needed any more, or when its time is up, the ends that it has reported are durable, and its
+// remaining long-running tasks may be interrupted.
 func (m *Machine) reportEvacuated(w *worker) {
-	if w.evacuationReported || (len(w.runs) > 0 || !w.tokenAccepted) && m.now.Before(w.leavesAt) {
+	isNeeded := !w.tokenAccepted || !m.isForgettable(w)
+	if w.evacuationReported || w.unsavedSeq > 0 || isNeeded && m.now.Before(w.leavesAt) {
 		return
 	}
 	interrupted := make(map[*step]int)
--- a/coord/flow/evacuation_test.go
+++ b/coord/flow/evacuation_test.go
@@ -69,14 +69,6 @@
 // A cordoned worker accepts no new tasks. It is reported as evacuated only when it is empty or its time is up, and not
 // while that would take down more tasks of a step than MaxUnavailable (AVAIL during maintenance).
 func TestCordon(t *testing.T) {
-	evacuated := func(h *harness) bool {
-		for _, e := range h.effects {
-			if _, ok := e.(flow.Evacuated); ok {
-				return true
-			}
-		}
-		return false
-	}
 	t.Run("runs continue until they end", func(t *testing.T) {
 		h := newHarness(t, flow.Restored{}, newPoolWorker("a"))
 		h.report("a", infra.Report{})
@@ -87,11 +79,11 @@
 		h.step(flow.Cordon{Worker: "a", Deadline: h.now.Add(3 * time.Second)})
 		h.step(flow.Submitted{Job: singleStepJob("k", smallStep(1))})
 		h.advance(300 * time.Millisecond)
-		assert.Assert(t, !evacuated(h))
+		assert.Assert(t, !h.evacuated())
 		assert.Equal(t, len(h.starts()), 0)
 		h.report("a", infra.Report{Ended: []infra.EndedRun{{Number: 1, Task: infra.TaskID{Job: "j"}, Run: 1, Outcome: infra.OutcomeDone}}})
 		h.advance(300 * time.Millisecond)
-		assert.Assert(t, evacuated(h))
+		assert.Assert(t, h.evacuated())
 		h.step(flow.Uncordon{Worker: "a"})
 		h.advance(100 * time.Millisecond)
 		assert.Equal(t, len(h.starts()), 1)
@@ -111,7 +103,7 @@
 			h.advance(500 * time.Millisecond)
 			h.report("a", infra.Report{Running: listed})
 		}
-		assert.Assert(t, !evacuated(h), "both tasks would be down at once")
+		assert.Assert(t, !h.evacuated(), "both tasks would be down at once")
 	})
 }
 
--- a/coord/flow/roster_test.go
+++ b/coord/flow/roster_test.go
@@ -71,6 +71,25 @@
 	}
 }
 
+// evacuated reports whether the machine of a worker may be taken down.
+func (h *harness) evacuated() bool {
+	return slices.ContainsFunc(h.effects, func(e flow.Effect) bool { _, isEvacuated := e.(flow.Evacuated); return isEvacuated })
+}
+
+// A machine was handed over for maintenance, which ends all that is known there, while the ends of its runs were not stored.
+// After a change of the scheduler their tasks, which were done, started again.
+func TestMachineIsNotEvacuatedBeforeEndsAreStored(t *testing.T) {
+	h, jobs, started := runOnOneWorker(t)
+	h.step(flow.Cordon{Worker: "a", Deadline: h.now.Add(200 * time.Millisecond)})
+	h.endAll(started)
+	assert.Assert(t, !h.evacuated())
+	h.storeBatches(func(stored map[fleet.JobID]bool, _ []flow.RosterEntry) {
+		assert.Assert(t, !h.evacuated() || len(stored) == len(jobs), "%d of %d jobs are stored", len(stored), len(jobs))
+	})
+	h.advance(100 * time.Millisecond)
+	assert.Assert(t, h.evacuated())
+}
+
 // A worker that had no runs left was taken off the stored roster while the ends of its runs were not stored. The successor
 // neither knew the ends nor waited for the worker, and started tasks that were done.
 func TestWorkerStaysInRosterUntilItsEndsAreStored(t *testing.T) {
