flow, leader: look up the job of a reported run that was not received

A predecessor can start a job that is stored after its successor has read the state: until its lease has ended by its own clock it is told of new jobs. The successor then meets runs and ends of a job that it has not received, as its watch lags by 150 ms and, beside a slow store, more. It acknowledged such an end and forgot it, and stopped such a run without linking it to the task. When the job arrived, it was started, although it was done or still ran.

The runs now continue, and the ends are not acknowledged, until the store has been asked for the job. If the job exists, the runs are adopted and the ends are applied before anything is placed; if not, the runs are stopped as before.

--- a/coord/flow/evacuation.go
+++ b/coord/flow/evacuation.go
@@ -42,7 +42,7 @@
 // remaining long-running tasks may be interrupted.
 func (m *Machine) reportEvacuated(w *worker) {
 	isNeeded := !w.tokenAccepted || !m.isForgettable(w)
-	if w.evacuationReported || w.unsavedSeq > 0 || isNeeded && m.now.Before(w.leavesAt) {
+	if w.evacuationReported || w.hasUnsavedEnds() || isNeeded && m.now.Before(w.leavesAt) {
 		return
 	}
 	interrupted := make(map[*step]int)
--- a/coord/flow/event.go
+++ b/coord/flow/event.go
@@ -104,6 +104,9 @@
 // Saved reports that the batch of a [Save] is durable.
 type Saved struct{ Batch int64 }
 
+// JobsLookedUp is the end of a [LookUpJobs]. The jobs that exist were submitted before it.
+type JobsLookedUp struct{ Jobs []fleet.JobID }
+
 // ApprovalAnswered carries the answer to a [RequestApproval] that was sent at Sent.
 type ApprovalAnswered struct {
 	Step     infra.StepID
@@ -136,6 +139,7 @@
 func (ThrottleAnswered) event()   {}
 func (Saved) event()              {}
 func (ApprovalAnswered) event()   {}
+func (JobsLookedUp) event()       {}
 func (PredecessorStopped) event() {}
 func (Tick) event()               {}
 func (Cordon) event()             {}
@@ -187,6 +191,10 @@
 	Interference []InterferenceRecord
 }
 
+// LookUpJobs requests that the stored ones of the jobs are submitted, with their cancellations, and then [JobsLookedUp]. At
+// most one is in flight.
+type LookUpJobs struct{ Jobs []fleet.JobID }
+
 // JobRecord is the durable progress of one job.
 type JobRecord struct {
 	Job    fleet.JobID
@@ -219,6 +227,7 @@
 func (Throttle) effect()        {}
 func (RequestApproval) effect() {}
 func (Save) effect()            {}
+func (LookUpJobs) effect()      {}
 func (Resign) effect()          {}
 func (Evacuated) effect()       {}
 func (Log) effect()             {}
--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -167,7 +167,11 @@
 	// recentCrashes are the crashes without a suspect that was suspected before.
 	recentCrashes []time.Time
 	silenced      map[fleet.WorkerID]silencedWorker
-	counts        Counts
+	// unknownJobs are the jobs of reported runs that were not received. lookupInFlight is set while the store is asked for
+	// some of them.
+	unknownJobs    map[fleet.JobID]*unknownJob
+	lookupInFlight bool
+	counts         Counts
 	// longWaits is the number of long-running steps that had waited for longer than waitReportTime at waitsCheckedAt.
 	longWaits      int
 	waitsCheckedAt time.Time
@@ -211,6 +215,7 @@
 		lateStarts:         make(map[fleet.WorkerID][]lateStart),
 		earlyCancels:       make(map[fleet.JobID]struct{}),
 		silenced:           make(map[fleet.WorkerID]silencedWorker),
+		unknownJobs:        make(map[fleet.JobID]*unknownJob),
 	}
 	for _, opt := range opts {
 		opt(&m.opts)
@@ -251,6 +256,8 @@
 		m.uncordon(ev.Worker)
 	case Saved:
 		m.saved(ev.Batch)
+	case JobsLookedUp:
+		m.jobsLookedUp(ev.Jobs)
 	case ApprovalAnswered:
 		m.approvalAnswered(ev)
 	case PredecessorStopped:
@@ -424,6 +431,7 @@
 			o.raiseRunNumbers(infra.Run(m.term) * runsPerTerm)
 		}
 	}
+	m.resolveUnknown(spec.ID)
 	if _, cancelled := m.earlyCancels[spec.ID]; cancelled {
 		delete(m.earlyCancels, spec.ID)
 		m.cancel(spec.ID)
--- a/coord/flow/reconcile.go
+++ b/coord/flow/reconcile.go
@@ -108,7 +108,12 @@
 	if t == nil {
 		r.size, r.sizeUnknown = m.sizeOf(row.Task)
 		w.add(m.now, r)
-		m.stop(r, "task of an unknown job")
+		if m.jobs[row.Task.Job] == nil {
+			u := m.unknownJob(row.Task.Job)
+			u.runs = append(u.runs, r)
+			return
+		}
+		m.stop(r, "unknown task")
 		return
 	}
 	o := m.jobs[row.Task.Job].occurrences[row.Task.Occurrence]
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -24,7 +24,7 @@
 		order.Deadline = w.maxClock(m.now) + m.opts.taskLease.Milliseconds()
 		w.leaseEnd = max(w.leaseEnd, order.Deadline)
 	}
-	if isSameIncarnation && w.unsavedSeq == 0 && w.tokenAccepted && w.reachable && !isImmediate && !w.secondReportDue {
+	if isSameIncarnation && !w.hasUnsavedEnds() && w.tokenAccepted && w.reachable && !isImmediate && !w.secondReportDue {
 		order.Wait = reportWait
 		if len(w.servingSteps) > 0 && w.fillerCPU > 0 {
 			order.Wait = reportWaitColocated
@@ -143,11 +143,9 @@
 	m.measureSpeed(w)
 	if hasNew {
 		w.unsavedSeq = m.dirtySeq
-		if m.savedSeq >= m.dirtySeq {
-			w.unsavedSeq, w.durableEnd = 0, w.seenEnd
-		}
+		m.confirmEnds(w)
 	}
-	if w.unsavedSeq > 0 {
+	if w.hasUnsavedEnds() {
 		w.nextRenewal = m.now.Add(renewUnsavedPause)
 		return
 	}
@@ -187,6 +185,9 @@
 		m.releaseRun(r)
 	}
 	if t == nil {
+		if m.jobs[e.Task.Job] == nil {
+			m.holdEnd(w, e)
+		}
 		return
 	}
 	t.lastRun = max(t.lastRun, e.Run)
--- a/coord/flow/save.go
+++ b/coord/flow/save.go
@@ -98,12 +98,7 @@
 		}
 	}
 	for _, w := range m.workersByID {
-		if w.unsavedSeq == 0 || w.unsavedSeq > m.savedSeq {
-			continue
-		}
-		w.unsavedSeq = 0
-		w.durableEnd = w.seenEnd
-		if !w.renewalInFlight {
+		if w.unsavedSeq > 0 && m.confirmEnds(w) && !w.renewalInFlight {
 			m.sendRenewal(w)
 		}
 	}
--- a/coord/flow/simulation_test.go
+++ b/coord/flow/simulation_test.go
@@ -299,6 +299,8 @@
 				func(err error) flow.Event { return flow.StopAnswered{Worker: e.To.Worker, Order: e.Order, Err: err} })
 		case flow.Save:
 			sim.save(sched, e)
+		case flow.LookUpJobs:
+			sim.lookUp(sched, e)
 		case flow.Resign:
 			sched.alive = false
 			if sched == sim.leader {
@@ -372,6 +374,30 @@
 	})
 }
 
+// lookUp submits the stored ones of some jobs to a scheduler that reaches the store.
+func (sim *simulation) lookUp(sched *simScheduler, e flow.LookUpJobs) {
+	sim.after(sim.delay(), func() {
+		if !sched.alive {
+			return
+		}
+		if sim.storeDown || sched.cutOff {
+			sim.after(100*time.Millisecond, func() { sim.lookUp(sched, e) })
+			return
+		}
+		for _, id := range e.Jobs {
+			j := sim.jobs[id]
+			if j == nil {
+				continue
+			}
+			sim.step(sched, flow.Submitted{Job: j.spec})
+			if !j.cancelled.IsZero() {
+				sim.step(sched, flow.CancelRequested{Job: id})
+			}
+		}
+		sim.step(sched, flow.JobsLookedUp(e))
+	})
+}
+
 func (sim *simulation) submit(j infra.Job, failing ...int) {
 	job := &simJob{
 		spec: j, failingSteps: make(map[int]bool), done: make(map[infra.TaskID]bool), acknowledged: make(map[infra.TaskID]time.Time),
--- a/coord/flow/sweep.go
+++ b/coord/flow/sweep.go
@@ -38,6 +38,7 @@
 		m.tickWorker(w)
 	}
 	m.sweepLateStarts()
+	m.lookUpJobs()
 	m.expire()
 	m.expireEarlyCancels()
 	m.adjustFillers()
--- a/coord/flow/worker_lifecycle.go
+++ b/coord/flow/worker_lifecycle.go
@@ -88,7 +88,7 @@
 // that were never reported do not count once the lease has expired.
 func (m *Machine) isForgettable(w *worker) bool {
 	mayReportMore := w.hasMoreEnds && (w.reachable || !w.leaseExpired(m.now))
-	return len(w.runs) == 0 && w.unsavedSeq == 0 && !mayReportMore && !m.isUnreconciled(w)
+	return len(w.runs) == 0 && !w.hasUnsavedEnds() && !mayReportMore && !m.isUnreconciled(w)
 }
 
 func (m *Machine) workerListed(info infra.Worker) {
@@ -172,7 +172,7 @@
 	w.StartedAt, w.restartedSinceListing, w.unconfirmed = startedAt, true, nil
 	w.tokenAccepted, w.leadershipConfirmed = false, false
 	w.clock, w.leaseEnd, w.seenEnd, w.durableEnd, w.unsavedSeq = 0, 0, 0, 0, 0
-	w.hasMoreEnds, w.crashCounted = false, false
+	w.heldEnds, w.hasMoreEnds, w.crashCounted = 0, false, false
 	w.endWeight, w.speed = 0, 1
 	clear(w.failures)
 	w.quarantinedUntil = time.Time{}
--- a/entryd/leader/scheduler.go
+++ b/entryd/leader/scheduler.go
@@ -467,6 +467,8 @@
 	case flow.Save:
 		l.saves.Inc(1)
 		l.effects.Go(func() { l.save(ctx, e) })
+	case flow.LookUpJobs:
+		l.effects.Go(func() { l.lookUpJobs(ctx, e) })
 	case flow.Resign:
 		l.leadership.end("a worker has orders of a newer scheduler")
 	case flow.Evacuated:
--- a/entryd/leader/watch.go
+++ b/entryd/leader/watch.go
@@ -75,6 +75,41 @@
 	l.post(flow.Submitted{Job: job})
 }
 
+// lookUpJobs posts the stored ones of the jobs, and their cancellations, and then the end of the lookup. It returns without
+// that only if ctx ends.
+func (l *loop) lookUpJobs(ctx context.Context, e flow.LookUpJobs) {
+	for _, id := range e.Jobs {
+		if !l.lookUpJob(ctx, id) {
+			return
+		}
+	}
+	l.post(flow.JobsLookedUp(e))
+}
+
+// lookUpJob posts a job and its cancellation if they are stored; it returns false if ctx ends first.
+func (l *loop) lookUpJob(ctx context.Context, id fleet.JobID) bool {
+	for ; ctx.Err() == nil; sleep(ctx, retryMaxDelay) {
+		if !l.leadership.LeaseConfirmed() {
+			// A job that was stored since belongs to the scheduler that may have been elected.
+			continue
+		}
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		found, err := l.store.Range(callCtx, store.Get{Key: JobKey(id), Prefix: true})
+		cancel()
+		if err != nil {
+			l.log.Warn("scheduler: looking a job up failed, will retry", "job", id, "error", err)
+			continue
+		}
+		for _, entry := range found.Entries {
+			if entryID, _ := parseInput(entry.Key); entryID == id {
+				l.applyInput(entry)
+			}
+		}
+		return true
+	}
+	return false
+}
+
 // watchWorkers posts the registrations of workers and their changes, until ctx ends.
 func (l *loop) watchWorkers(ctx context.Context) {
 	l.listedWorkers = make(map[fleet.WorkerID]store.Revision)
