flow: play unsaved ends beside drains, cuts and changes of the scheduler

The simulation counted a start after an acknowledged end only, and only a second later. TestInvariantsOfUnsavedEnds plays a store that takes long, more jobs than fit into one batch, workers that drain and are cut off, and a change of the scheduler.

--- a/coord/flow/roster_test.go
+++ b/coord/flow/roster_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"lovagefork.example/coord/fleet"
 	"lovagefork.example/coord/flow"
@@ -118,3 +119,34 @@
 		})
 	}
 }
+
+// Ends that take long to store, on workers that drain and are then cut off, must not be forgotten when the scheduler changes.
+func TestInvariantsOfUnsavedEnds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sim := newSimulation(rapid.Uint64().Draw(t, "seed"), 6)
+		sim.logTo(t)
+		sim.maxListedEnds = 500
+		sim.elect(false)
+		sim.run(time.Second)
+		step := infra.Step{Count: 1, Size: fleet.Resources{MilliCPU: 200, MemoryBytes: 1 << 20}}
+		for n := range 4 * moreThanOneBatch {
+			step.Estimate = time.Duration(rapid.IntRange(300, 900).Draw(t, "ms")) * time.Millisecond
+			j := infra.Job{ID: fleet.JobID(fmt.Sprintf("%016x", n)), Queue: "batch", Steps: []infra.Step{step}}
+			sim.after(time.Duration(rapid.IntRange(0, 2000).Draw(t, "at"))*time.Millisecond, func() { sim.submit(j) })
+		}
+		sim.storeDelay = time.Duration(rapid.IntRange(100, 500).Draw(t, "store_delay")) * time.Millisecond
+		drainAt := time.Duration(rapid.IntRange(200, 1500).Draw(t, "drain_at")) * time.Millisecond
+		killAfter := time.Duration(rapid.IntRange(500, 2500).Draw(t, "kill_after")) * time.Millisecond
+		for _, id := range sim.workerIDs[:rapid.IntRange(1, 3).Draw(t, "drains")] {
+			sim.after(drainAt, func() { sim.drain(id, 9*time.Second) })
+			sim.after(drainAt+killAfter, func() { sim.partition(id, 4*time.Second) })
+		}
+		sim.after(drainAt+killAfter, func() { sim.killScheduler(300 * time.Millisecond) })
+		sim.run(10*time.Second + settleTime)
+		assert.Assert(t, len(sim.violations) == 0, "%q", sim.violations)
+		for _, id := range sim.jobIDs {
+			state, _ := sim.leader.m.State(id)
+			assert.Equal(t, state, infra.StateCompleted)
+		}
+	})
+}
--- a/coord/flow/simulation_test.go
+++ b/coord/flow/simulation_test.go
@@ -32,10 +32,13 @@
 	leader       *simScheduler
 	// blocked reports whether a scheduler cannot reach a worker; nil means that each reaches all.
 	blocked func(*simScheduler, fleet.WorkerID) bool
-	// storeDown delays all saves.
-	storeDown bool
+	// storeDown delays all saves, and storeDelay is the time of one.
+	storeDown  bool
+	storeDelay time.Duration
 	// storeDownAt and storeUpAt are the start and the end of the last [simulation.storeOutage].
 	storeDownAt, storeUpAt time.Time
+	// maxListedEnds is the number of ends that a report lists at most.
+	maxListedEnds int
 	// listingDelay is the longest time until a new scheduler has read the registrations.
 	listingDelay time.Duration
 	// lostShare is the share of orders without an answer. Half of those are carried out late, the others never.
@@ -136,6 +139,8 @@
 	highestRun      map[infra.TaskID]infra.Run
 	waitingRenewals []*pendingRenewal
 	failures        map[int64]*failedRun
+	// doneAt holds the times of the successful ends by their numbers.
+	doneAt map[int64]time.Time
 	// drainStarted is when the worker announced its departure. It must be sent no start later than drainGrace after
 	// that.
 	drainStarted time.Time
@@ -156,7 +161,7 @@
 
 func newSimulation(seed uint64, workers int) *simulation {
 	sim := &simulation{
-		rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0),
+		rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), maxListedEnds: 4,
 		workers: make(map[fleet.WorkerID]*fakeWorker), jobs: make(map[fleet.JobID]*simJob), records: make(map[fleet.JobID]flow.Record),
 		catalog: &infra.Catalog{
 			Version: 1,
@@ -349,7 +354,7 @@
 
 // save makes a batch durable if its scheduler is still the newest one.
 func (sim *simulation) save(sched *simScheduler, s flow.Save) {
-	sim.after(sim.delay(), func() {
+	sim.after(sim.delay()+sim.storeDelay, func() {
 		if !sched.alive {
 			return
 		}
@@ -432,6 +437,7 @@
 	f.drainStarted, f.info.Draining, f.info.Remaining = time.Time{}, false, 0
 	f.runs, f.highestRun = make(map[infra.TaskID]*fakeRun), make(map[infra.TaskID]infra.Run)
 	f.ended, f.waitingRenewals, f.failures, f.capacities = nil, nil, make(map[int64]*failedRun), nil
+	f.doneAt = make(map[int64]time.Time)
 }
 
 func (f *fakeWorker) describe() infra.Worker {
@@ -618,6 +624,7 @@
 	switch outcome {
 	case infra.OutcomeDone:
 		j.done[id] = true
+		f.doneAt[f.endCount] = f.sim.now
 	case infra.OutcomeFailed:
 		j.failures[id] = append(j.failures[id], &failedRun{at: f.sim.now})
 		f.failures[f.endCount] = j.failures[id][len(j.failures[id])-1]
@@ -661,6 +668,7 @@
 		e := f.ended[0]
 		if e.Outcome == infra.OutcomeDone && e.Number > f.voidedEnd {
 			f.sim.jobs[e.Task.Job].acknowledged[e.Task] = f.sim.now
+			f.checkNoStartSince(e)
 		}
 		if end := f.failures[e.Number]; end != nil {
 			end.acknowledged = true
@@ -682,12 +690,22 @@
 	})
 }
 
-// maxListedEnds is the number of ends that a report lists at most.
-const maxListedEnds = 4
+// checkNoStartSince finds a start of a task after one of its runs had ended successfully, if that end is acknowledged.
+func (f *fakeWorker) checkNoStartSince(e infra.EndedRun) {
+	j, doneAt := f.sim.jobs[e.Task.Job], f.doneAt[e.Number]
+	if j.spec.Steps[e.Task.Step].Speculative {
+		return
+	}
+	for _, at := range j.startTimes[e.Task] {
+		if at.After(doneAt) {
+			f.sim.violation("%v started at %v although it had ended done on %s at %v", e.Task, at, f.info.ID, doneAt)
+		}
+	}
+}
 
 func (f *fakeWorker) report(h *pendingRenewal) {
-	r := infra.Report{Clock: f.clock(), StartedAt: f.startedAt.UnixMilli(), Ended: append([]infra.EndedRun(nil), f.ended[:min(maxListedEnds, len(f.ended))]...)}
-	r.HasMoreEnds = len(r.Ended) == maxListedEnds
+	r := infra.Report{Clock: f.clock(), StartedAt: f.startedAt.UnixMilli(), Ended: append([]infra.EndedRun(nil), f.ended[:min(f.sim.maxListedEnds, len(f.ended))]...)}
+	r.HasMoreEnds = len(r.Ended) == f.sim.maxListedEnds
 	for id, run := range f.runs {
 		percent := int(100 * f.sim.now.Sub(run.startedAt) / max(1, run.endsAt.Sub(run.startedAt)))
 		r.Running = append(r.Running, infra.ActiveRun{Task: id, Run: run.number, Checkpoint: run.checkpoint, Progress: min(99, percent)})
