flow, leader, hosted: pass on the revision at which a job was stored

The scheduler goes by the time at which a job reaches it to tell whether a predecessor may have started it, and cannot tell a job that is delivered again from a new one. Both need the revision of the job in the store: flow.Submitted and the notifications between processes now carry it, that of the transaction that stored the job or that of the entry which its condition found. A notification about a job that existed already now carries the job as it was stored, not the repeated request. An old peer sends no revision.

The line "job received" names the revision. No other change of behaviour.

--- a/coord/flow/event.go
+++ b/coord/flow/event.go
@@ -50,8 +50,11 @@
 // Configured carries the operator's configuration. A version that is not newer than the current one is ignored.
 type Configured struct{ Catalog *infra.Catalog }
 
-// Submitted carries a job that is durable.
-type Submitted struct{ Job infra.Job }
+// Submitted carries a job that is durable. Revision is the store revision at which it was stored; 0 if it is not known.
+type Submitted struct {
+	Job      infra.Job
+	Revision int64
+}
 
 // CancelRequested carries a cancellation that is durable.
 type CancelRequested struct{ Job fleet.JobID }
@@ -211,6 +214,8 @@
 	// started. Both are 0 for other decisions.
 	Slack     time.Duration
 	ReportAge time.Duration
+	// Revision is the store revision at which a received job was stored.
+	Revision int64
 }
 
 func (Renew) effect()           {}
--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -228,7 +228,7 @@
 	case Configured:
 		m.configure(ev.Catalog)
 	case Submitted:
-		m.submit(ev.Job)
+		m.submit(ev.Job, ev.Revision)
 	case CancelRequested:
 		m.cancel(ev.Job)
 	case WorkerListed:
@@ -410,13 +410,13 @@
 	}
 }
 
-func (m *Machine) submit(spec infra.Job) {
+func (m *Machine) submit(spec infra.Job, revision int64) {
 	if m.jobs[spec.ID] != nil {
 		return
 	}
 	j := m.newJob(spec)
 	j.acceptedAfterTakeover = m.now.After(m.predecessorLeaseEnd)
-	m.emit(Log{Text: "job received", Job: spec.ID, Reason: spec.Queue})
+	m.emit(Log{Text: "job received", Job: spec.ID, Reason: spec.Queue, Revision: revision})
 	m.activate(j)
 	if !j.acceptedAfterTakeover {
 		// A predecessor may have used run numbers for this job.
--- a/coord/wire/hosted.go
+++ b/coord/wire/hosted.go
@@ -33,7 +33,8 @@
 )
 
 // HostedRequest is a request about jobs, or about the scheduler, to another entry process of a hosted deployment. Data
-// is an encoded job for [RequestStoreJob] and [NotifyJobStored].
+// is an encoded job for [RequestStoreJob] and [NotifyJobStored]. Revision is the store revision of the job for
+// [NotifyJobStored]; it is 0 if the sender does not know it.
 type HostedRequest struct {
 	Kind        HostedRequestKind `cbor:"kind"`
 	Job         fleet.JobID       `cbor:"job"`
@@ -41,6 +42,7 @@
 	Data        []byte            `cbor:"data,omitempty"`
 	RemainingMS int64             `cbor:"remaining_ms"`
 	Token       infra.Token       `cbor:"token,omitempty"`
+	Revision    int64             `cbor:"revision,omitempty"`
 }
 
 // ResponseStatus is the outcome of a [HostedRequest].
--- a/entryd/hosted/intake.go
+++ b/entryd/hosted/intake.go
@@ -124,11 +124,12 @@
 	if err != nil {
 		return &infra.InvalidJobError{Job: j.ID, Reason: err.Error()}
 	}
-	via, err := i.persist(ctx, wire.HostedRequest{Kind: wire.RequestStoreJob, Job: j.ID, Queue: q.Name, Data: data})
+	req := wire.HostedRequest{Kind: wire.RequestStoreJob, Job: j.ID, Queue: q.Name, Data: data}
+	stored, via, err := i.persist(ctx, req)
 	i.submits.UpdateSince(start)
 	i.logCall("submit", j.ID, q.Name, via, start, err)
 	if err == nil && via == viaStore {
-		i.notifyScheduler(wire.HostedRequest{Kind: wire.NotifyJobStored, Job: j.ID, Queue: q.Name, Data: data})
+		i.notifyScheduler(notification(req, stored))
 	}
 	return err
 }
@@ -136,10 +137,11 @@
 // Cancel implements [infra.Jobs].
 func (i *Intake) Cancel(ctx context.Context, q infra.Queue, id fleet.JobID) error {
 	start := time.Now()
-	via, err := i.persist(ctx, wire.HostedRequest{Kind: wire.RequestStoreCancellation, Job: id, Queue: q.Name})
+	req := wire.HostedRequest{Kind: wire.RequestStoreCancellation, Job: id, Queue: q.Name}
+	_, via, err := i.persist(ctx, req)
 	i.logCall("cancel", id, q.Name, via, start, err)
 	if err == nil && via == viaStore {
-		i.notifyScheduler(wire.HostedRequest{Kind: wire.NotifyCancellationStored, Job: id})
+		i.notifyScheduler(notification(req, store.Entry{}))
 	}
 	return err
 }
@@ -152,29 +154,30 @@
 )
 
 // persist writes a change to the store, directly or through a peer that can reach it. An attempt with an unknown
-// outcome is retried until ctx is done; the change is idempotent. It returns how the change was stored.
-func (i *Intake) persist(ctx context.Context, req wire.HostedRequest) (string, error) {
+// outcome is retried until ctx is done; the change is idempotent. It returns how the change was stored, and the entry of a
+// job that this process has stored or found.
+func (i *Intake) persist(ctx context.Context, req wire.HostedRequest) (store.Entry, string, error) {
 	unknown := false
 	for {
 		if i.health.reachable() {
-			err := i.write(ctx, req)
+			stored, err := i.write(ctx, req)
 			if err == nil || isFinal(err) {
-				return viaStore, err
+				return stored, viaStore, err
 			}
 			unknown = unknown || !isNotRun(err)
 		}
 		err := i.writeViaPeers(ctx, req)
 		if err == nil || isFinal(err) {
-			return viaPeer, err
+			return store.Entry{}, viaPeer, err
 		}
 		unknown = unknown || !isNotRun(err)
 		if !unknown {
 			i.notRun.Inc(1)
-			return viaNone, &infra.NotRunError{Reason: "the store is out of reach", RetryAfter: retryAfter}
+			return store.Entry{}, viaNone, &infra.NotRunError{Reason: "the store is out of reach", RetryAfter: retryAfter}
 		}
 		if !sleep(ctx, writeRetryDelay) {
 			i.unknown.Inc(1)
-			return viaNone, &infra.OutcomeUnknownError{Reason: "the store has not answered"}
+			return store.Entry{}, viaNone, &infra.OutcomeUnknownError{Reason: "the store has not answered"}
 		}
 	}
 }
@@ -192,24 +195,34 @@
 	return errors.As(err, &e)
 }
 
-// write attempts once to write a change to the store.
-func (i *Intake) write(ctx context.Context, req wire.HostedRequest) error {
+// write attempts once to write a change to the store. It returns the entry of a job that it has stored or found.
+func (i *Intake) write(ctx context.Context, req wire.HostedRequest) (store.Entry, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	if req.Kind == wire.RequestStoreJob {
 		return i.writeJob(ctx, req)
 	}
-	return i.writeCancellation(ctx, req.Job)
+	return store.Entry{}, i.writeCancellation(ctx, req.Job)
 }
 
-// writeJob writes a job unless it already exists or was cancelled before.
-func (i *Intake) writeJob(ctx context.Context, req wire.HostedRequest) error {
+// writeJob writes a job unless it already exists or was cancelled before. It returns the entry of the job.
+func (i *Intake) writeJob(ctx context.Context, req wire.HostedRequest) (store.Entry, error) {
 	jobKey, cancelKey := leader.JobKey(req.Job), leader.CancelKey(req.Job)
 	result, err := i.put(ctx, jobKey, req.Data, store.KeyAbsent{Key: jobKey}, store.KeyAbsent{Key: cancelKey})
-	if err == nil && hasRead(result, cancelKey) && !hasRead(result, jobKey) {
-		return &infra.JobCancelledError{Job: req.Job}
+	if err != nil {
+		return store.Entry{}, err
 	}
-	return err
+	if result.Committed {
+		return store.Entry{Key: jobKey, Value: req.Data, ModRevision: result.Revision}, nil
+	}
+	existing, found := findRead(result, jobKey)
+	if _, cancelled := findRead(result, cancelKey); cancelled && !found {
+		return store.Entry{}, &infra.JobCancelledError{Job: req.Job}
+	}
+	if len(existing.Value) == 0 {
+		existing.Value = req.Data
+	}
+	return existing, nil
 }
 
 // writeCancellation writes the cancellation of a job. That of an unknown job is written too, because a submission without
@@ -226,7 +239,7 @@
 		if err != nil {
 			return err
 		}
-		if !hasRead(result, jobKey) {
+		if _, found := findRead(result, jobKey); !found {
 			return &infra.JobNotFoundError{Job: id}
 		}
 	}
@@ -244,9 +257,13 @@
 	return result, toJobsError(err)
 }
 
-// hasRead reports whether a transaction whose conditions were false found an entry with a key.
-func hasRead(result store.TxnResult, key string) bool {
-	return slices.ContainsFunc(slices.Concat(result.Reads...), func(e store.Entry) bool { return e.Key == key })
+// findRead returns the entry with a key that a transaction whose conditions were false has found, and false if there is none.
+func findRead(result store.TxnResult, key string) (store.Entry, bool) {
+	entries := slices.Concat(result.Reads...)
+	if at := slices.IndexFunc(entries, func(e store.Entry) bool { return e.Key == key }); at >= 0 {
+		return entries[at], true
+	}
+	return store.Entry{}, false
 }
 
 // toJobsError converts an error of the store to an [*infra.NotRunError] if the call had no effect, and to an
@@ -275,6 +292,17 @@
 	return time.Duration(resp.IdleMS) * time.Millisecond, err == nil && resp.Status == wire.ResponseOK
 }
 
+// notification returns the notification of the scheduler about a change that was written. That of a job that existed already
+// contains the job as it was stored before.
+func notification(req wire.HostedRequest, stored store.Entry) wire.HostedRequest {
+	if req.Kind == wire.RequestStoreCancellation {
+		return wire.HostedRequest{Kind: wire.NotifyCancellationStored, Job: req.Job}
+	}
+	return wire.HostedRequest{
+		Kind: wire.NotifyJobStored, Job: req.Job, Queue: req.Queue, Data: stored.Value, Revision: int64(stored.ModRevision),
+	}
+}
+
 // notifyScheduler sends a change to the scheduler before the scheduler reads it from the store. A lost notification
 // only delays the change until that read.
 func (i *Intake) notifyScheduler(req wire.HostedRequest) {
@@ -301,7 +329,7 @@
 		i.log.Error("intake: cannot decode a notification", "job", req.Job, "error", err)
 		return
 	}
-	i.scheduler.NotifyJob(job)
+	i.scheduler.NotifyJob(job, store.Revision(req.Revision))
 }
 
 // State implements [infra.Jobs].
--- a/entryd/hosted/peers.go
+++ b/entryd/hosted/peers.go
@@ -103,16 +103,12 @@
 	if !i.health.reachable() {
 		return wire.HostedResponse{Status: wire.ResponseNotRun, Reason: "the store is out of reach here too"}
 	}
-	err := i.write(ctx, req)
+	stored, err := i.write(ctx, req)
 	var notFound *infra.JobNotFoundError
 	var cancelled *infra.JobCancelledError
 	switch {
 	case err == nil:
-		kind := wire.NotifyJobStored
-		if req.Kind == wire.RequestStoreCancellation {
-			kind = wire.NotifyCancellationStored
-		}
-		i.notifyScheduler(wire.HostedRequest{Kind: kind, Job: req.Job, Queue: req.Queue, Data: req.Data})
+		i.notifyScheduler(notification(req, stored))
 		return wire.HostedResponse{Status: wire.ResponseOK}
 	case errors.As(err, &notFound):
 		return wire.HostedResponse{Status: wire.ResponseNoJob}
--- a/entryd/leader/scheduler.go
+++ b/entryd/leader/scheduler.go
@@ -108,11 +108,11 @@
 	return s.current
 }
 
-// NotifyJob passes a stored job to the scheduler without the delay of the watch. If this process is not the leader, it
-// does nothing: the leader reads the job from the store.
-func (s *Scheduler) NotifyJob(j infra.Job) {
+// NotifyJob passes a job that was stored at a revision to the scheduler without the delay of the watch. If this process is
+// not the leader, it does nothing: the leader reads the job from the store.
+func (s *Scheduler) NotifyJob(j infra.Job, revision store.Revision) {
 	if l := s.loop(); l != nil && l.leadership.LeaseConfirmed() {
-		l.post(flow.Submitted{Job: j})
+		l.post(flow.Submitted{Job: j, Revision: int64(revision)})
 	}
 }
 
@@ -485,6 +485,9 @@
 	if e.Reason != "" {
 		attrs = append(attrs, "reason", e.Reason)
 	}
+	if e.Revision != 0 {
+		attrs = append(attrs, "revision", e.Revision)
+	}
 	if e.Text == "start" {
 		attrs = append(attrs, "slack_ms", e.Slack.Milliseconds(), "report_age_ms", e.ReportAge.Milliseconds())
 	}
--- a/entryd/leader/watch.go
+++ b/entryd/leader/watch.go
@@ -72,7 +72,7 @@
 		l.log.Error("scheduler: cannot decode job", "key", e.Key, "error", err)
 		return
 	}
-	l.post(flow.Submitted{Job: job})
+	l.post(flow.Submitted{Job: job, Revision: int64(e.ModRevision)})
 }
 
 // watchWorkers posts the registrations of workers and their changes, until ctx ends.
