leader: hold new jobs back while the lease is not confirmed

A scheduler that had lost its lease, and possibly had a successor, took the jobs that its watch delivered, against docs/design.md 11.4 point 4. The successor takes a job that was stored after that lease for new and starts it without waiting for unreconciled workers, so that both can start it (TWICE). Only notifications looked at the lease.

The event loop now looks at the lease when it takes a job from its queue, whatever has delivered it. Cancellations and all other events are handled at once; jobs wait in the loop until the lease is confirmed, which says that it has not ended meanwhile, or are left to the successor, which reads them from the store. One line when jobs are held back, one when they are taken, and their number in that of the end.

--- a/entryd/leader/inputs_test.go
+++ b/entryd/leader/inputs_test.go
@@ -36,6 +36,12 @@
 	return &inputsClient{client: client{m, "a"}, released: make(chan struct{}), compacted: make(chan struct{})}
 }
 
+func (c *inputsClient) setKeepFails(fails bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.keepFails = fails
+}
+
 // KeepAlive implements [store.Client].
 func (c *inputsClient) KeepAlive(ctx context.Context, id store.LeaseID) (time.Duration, error) {
 	c.mu.Lock()
@@ -189,6 +195,12 @@
 	waitFor(f.t, "line "+text, func() bool { return strings.Contains(f.logText(), text) })
 }
 
+// isKnown reports whether the scheduler has a job in memory, and its state.
+func (f *inputsFixture) isKnown(id fleet.JobID) (state infra.State, known bool) {
+	f.Query(f.t.Context(), func(m *flow.Machine) { state, known = m.State(id) })
+	return state, known
+}
+
 func poolJob(id fleet.JobID) infra.Job {
 	step := infra.Step{Count: 1, Size: fleet.Resources{MilliCPU: 100}, Estimate: time.Second}
 	return infra.Job{ID: id, Queue: "batch", Service: "pool", MaxAttempts: 3, Steps: []infra.Step{step}}
@@ -221,3 +233,25 @@
 	time.Sleep(500 * time.Millisecond)
 	assert.Equal(t, f.agents.started("early"), 0, "z has not reported yet")
 }
+
+// Guards against new jobs in a scheduler that may have a successor already, which takes them for new too (TWICE). Only the
+// notifications of jobs took account of the lease, not the watch.
+func TestUnconfirmedLeaseHoldsJobsBack(t *testing.T) {
+	m := newMemStore()
+	f := startInputs(t, m, newInputsClient(m), infra.Bounds{MaxLease: 6 * time.Second, StatusRetention: time.Minute}, "a")
+	close(f.client.released)
+	f.storeJob("known")
+	waitFor(t, "job", func() bool { _, known := f.isKnown("known"); return known })
+	f.client.setKeepFails(true)
+	time.Sleep(2200 * time.Millisecond)
+	revision := f.storeJob("new")
+	f.NotifyJob(poolJob("new"), revision)
+	put(t, m, leader.CancelKey("known"), []byte("cancelled"))
+	waitFor(t, "cancellation", func() bool { state, _ := f.isKnown("known"); return state == infra.StateCancelled })
+	time.Sleep(500 * time.Millisecond)
+	_, known := f.isKnown("new")
+	assert.Assert(t, !known, "a new job was taken without a lease")
+	assert.Equal(t, strings.Count(f.logText(), "new jobs are held back"), 1)
+	f.client.setKeepFails(false)
+	waitFor(t, "held job", func() bool { _, known := f.isKnown("new"); return known })
+}
--- a/entryd/leader/scheduler.go
+++ b/entryd/leader/scheduler.go
@@ -113,7 +113,7 @@
 // NotifyJob passes a job that was stored at a revision to the scheduler without the delay of the watch. If this process is
 // not the leader, it does nothing: the leader reads the job from the store.
 func (s *Scheduler) NotifyJob(j infra.Job, revision store.Revision) {
-	if l := s.loop(); l != nil && l.leadership.LeaseConfirmed() {
+	if l := s.loop(); l != nil {
 		l.post(flow.Submitted{Job: j, Revision: int64(revision)})
 	}
 }
@@ -167,7 +167,7 @@
 // that much longer so that a repeated submission still finds them.
 const retentionFactor = 3
 
-// loop is the event loop of the scheduler during one leadership. Its goroutine owns the state machine.
+// loop is the event loop of the scheduler during one leadership. Its goroutine owns the state machine and heldJobs.
 type loop struct {
 	*Scheduler
 	leadership *Leadership
@@ -177,6 +177,8 @@
 	events     chan queuedEvent
 	meter      *loadMeter
 	queries    chan query
+	// heldJobs are the jobs that arrived while the lease was unconfirmed.
+	heldJobs []flow.Submitted
 	// stopped is closed when the loop has ended and handles no more events.
 	stopped chan struct{}
 
@@ -358,6 +360,7 @@
 		if l.waves != nil {
 			l.waves.handle(ctx, upkeep.Tick{})
 		}
+		l.releaseHeldJobs(ctx)
 		l.handle(ctx, flow.Tick{Wall: time.Now(), LeaseUnconfirmed: !l.leadership.LeaseConfirmed()})
 		l.longWaits.Update(int64(l.machine.LongWaits()))
 		l.meter.report(l.log, len(l.events))
@@ -366,7 +369,7 @@
 	go l.discard()
 	sources.Wait()
 	l.effects.Wait()
-	l.log.Info("scheduler: stopped", "counts", l.machine.Counts())
+	l.log.Info("scheduler: stopped", "counts", l.machine.Counts(), "held_jobs", len(l.heldJobs))
 }
 
 // predecessorPollInterval is the interval of calls to the entry hosts of previous schedulers.
@@ -468,9 +471,36 @@
 // handleEvent handles an event from the queue.
 func (l *loop) handleEvent(ctx context.Context, ev queuedEvent) {
 	l.meter.waited(ev)
+	if job, isJob := ev.event.(flow.Submitted); isJob && !l.leadership.LeaseConfirmed() {
+		l.holdJob(job)
+		return
+	}
 	l.handle(ctx, ev.event)
 }
 
+// holdJob keeps a job from the state machine until the lease is confirmed again. If a successor has been elected meanwhile, it may
+// take the job for one that this scheduler does not have. It reads the job from the store, so that none is lost if this
+// leadership ends.
+func (l *loop) holdJob(job flow.Submitted) {
+	if len(l.heldJobs) == 0 {
+		l.log.Warn("scheduler: new jobs are held back, the lease is not confirmed", "job", job.Job.ID, "revision", job.Revision)
+	}
+	l.heldJobs = append(l.heldJobs, job)
+}
+
+// releaseHeldJobs passes on the jobs that were held back if the lease is confirmed again: it has not ended meanwhile.
+func (l *loop) releaseHeldJobs(ctx context.Context) {
+	if len(l.heldJobs) == 0 || !l.leadership.LeaseConfirmed() {
+		return
+	}
+	l.log.Info("scheduler: lease confirmed again, held jobs are taken", "jobs", len(l.heldJobs))
+	held := l.heldJobs
+	l.heldJobs = nil
+	for _, job := range held {
+		l.handle(ctx, job)
+	}
+}
+
 func (l *loop) handle(ctx context.Context, ev flow.Event) {
 	began := time.Now()
 	effects := l.machine.Step(Now(), ev)
