leader: deliver each stored job to the state machine once

A job that was done ran again (TWICE). The state machine drops a finished job after the retention time, but its deletion from the store waits until no job is dirty. Until then the job was taken for a new one whenever it was delivered again: by the read that follows a watch from a discarded revision (410), by the notification about a repeated submission, or by a watch that comes seconds after the notification.

The loop now records what it has delivered by the revisions of the entries: all changes up to one revision, and single ones above it that notifications, or later pages of a read, have delivered before the watch. Neither is posted again. The revision advances once the changes are posted; a notification without a revision, of an old peer, is left to the watch. A job key is written once, so that its revision identifies the submission. The line "jobs read again" says what a read after a 410 has posted.

Before the fix TestDeliveredJobIsNotNewAgain printed "2 (int) != 1 (int)" in all four cases, and TestRepeatedSubmissionIsNoNewJob the revision 7 of the stored job instead of 12, that of the next one.

--- a/entryd/hosted/notification_test.go
+++ b/entryd/hosted/notification_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -31,7 +32,7 @@
 
 func (s *revisionStore) Txn(ctx context.Context, txn store.Txn) (store.TxnResult, error) {
 	put, isPut := txn.Then[0].(store.Put)
-	if !isPut || put.Key != leader.JobKey(job().ID) {
+	if !isPut || !strings.HasPrefix(put.Key, leader.JobKey("")) {
 		return s.electStore.Txn(ctx, txn)
 	}
 	s.mu.Lock()
@@ -107,6 +108,22 @@
 	assert.DeepEqual(t, received.revisions(), []int64{12})
 }
 
+// Guards against a second run of a job that the scheduler has finished and dropped but not yet deleted in the store (TWICE). A
+// repeated submission of it was announced as a new job.
+func TestRepeatedSubmissionIsNoNewJob(t *testing.T) {
+	s := &revisionStore{revision: 11, readRevision: 9, entries: make(map[string]store.Entry)}
+	data, err := leader.EncodeJob(job())
+	assert.NilError(t, err)
+	s.entries[leader.JobKey(job().ID)] = store.Entry{Key: leader.JobKey(job().ID), Value: data, ModRevision: 7}
+	intake, received := startScheduler(t, s)
+	assert.NilError(t, intake.Submit(t.Context(), infra.Queue{Name: "q"}, job()))
+	next := job()
+	next.ID = "5c0e7a21d94b36f9"
+	assert.NilError(t, intake.Submit(t.Context(), infra.Queue{Name: "q"}, next))
+	waitUntil(t, "next job", func() bool { return len(received.revisions()) > 0 })
+	assert.DeepEqual(t, received.revisions(), []int64{12})
+}
+
 func waitUntil(t *testing.T, what string, reached func() bool) {
 	t.Helper()
 	for end := time.Now().Add(10 * time.Second); !reached(); time.Sleep(5 * time.Millisecond) {
--- a/entryd/leader/inputs_test.go
+++ b/entryd/leader/inputs_test.go
@@ -255,3 +255,61 @@
 	f.client.setKeepFails(false)
 	waitFor(t, "held job", func() bool { _, known := f.isKnown("new"); return known })
 }
+
+// Guards against a second run of a job that is done and dropped from memory but not yet deleted in the store (TWICE). It was
+// taken for a new one whenever it was delivered again.
+func TestDeliveredJobIsNotNewAgain(t *testing.T) {
+	for name, deliverAgain := range map[string]func(*inputsFixture, store.Revision){
+		"by a read after compaction": func(f *inputsFixture, _ store.Revision) {
+			f.client.compacted <- struct{}{}
+			f.waitForLine("watch of jobs ended")
+		},
+		"by a repeated notification": func(f *inputsFixture, revision store.Revision) { f.NotifyJob(poolJob("done"), revision) },
+		"by a notification of an old peer": func(f *inputsFixture, _ store.Revision) {
+			f.NotifyJob(poolJob("done"), 0)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := startWithoutDeletions(t)
+			close(f.client.released)
+			revision := f.storeJob("done")
+			f.waitUntilDropped("done")
+			deliverAgain(f, revision)
+			f.assertNotStartedAgain("done")
+		})
+	}
+	t.Run("by a watch after the notification", func(t *testing.T) {
+		t.Parallel()
+		f := startWithoutDeletions(t)
+		f.NotifyJob(poolJob("done"), f.storeJob("done"))
+		f.waitUntilDropped("done")
+		close(f.client.released)
+		f.assertNotStartedAgain("done")
+	})
+}
+
+// startWithoutDeletions starts a scheduler that drops finished jobs at once, but cannot delete them from the store.
+func startWithoutDeletions(t *testing.T) *inputsFixture {
+	m := newMemStore()
+	c := newInputsClient(m)
+	c.deletesFail = true
+	return startInputs(t, m, c, infra.Bounds{MaxLease: 6 * time.Second, StatusRetention: 10 * time.Millisecond})
+}
+
+// waitUntilDropped waits until a job is done and no longer in the scheduler's memory.
+func (f *inputsFixture) waitUntilDropped(id fleet.JobID) {
+	f.t.Helper()
+	waitFor(f.t, "end of the job", func() bool {
+		_, known := f.isKnown(id)
+		return f.agents.started(id) > 0 && !known
+	})
+}
+
+func (f *inputsFixture) assertNotStartedAgain(id fleet.JobID) {
+	f.t.Helper()
+	f.storeJob("next")
+	waitFor(f.t, "start of the next job", func() bool { return f.agents.started("next") == 1 })
+	time.Sleep(300 * time.Millisecond)
+	assert.Equal(f.t, f.agents.started(id), 1)
+}
--- a/entryd/leader/scheduler.go
+++ b/entryd/leader/scheduler.go
@@ -111,9 +111,10 @@
 }
 
 // NotifyJob passes a job that was stored at a revision to the scheduler without the delay of the watch. If this process is
-// not the leader, it does nothing: the leader reads the job from the store.
+// not the leader, or the revision is 0 because the sender does not know it, it does nothing: the leader reads the job from the
+// store.
 func (s *Scheduler) NotifyJob(j infra.Job, revision store.Revision) {
-	if l := s.loop(); l != nil {
+	if l := s.loop(); l != nil && l.inputs.begin(revision) {
 		l.post(flow.Submitted{Job: j, Revision: int64(revision)})
 	}
 }
@@ -183,8 +184,9 @@
 	stopped chan struct{}
 
 	sequenceRevision store.Revision
-	inputsRevision   store.Revision
 	workersRevision  store.Revision
+	// inputs records which jobs and cancellations have been posted.
+	inputs *delivery
 	// listedWorkers holds the revision of each registration.
 	listedWorkers map[fleet.WorkerID]store.Revision
 	effects       sync.WaitGroup
@@ -254,9 +256,10 @@
 func (l *loop) readState(ctx context.Context) (flow.Restored, error) {
 	out := flow.Restored{Term: l.leadership.leader.Term}
 	var inputs, records []store.Entry
+	var inputsRevision store.Revision
 	var reads sync.WaitGroup
 	var errs [5]error
-	reads.Go(func() { inputs, l.inputsRevision, errs[0] = readAll(ctx, l.store, inputPrefix) })
+	reads.Go(func() { inputs, inputsRevision, errs[0] = readAll(ctx, l.store, inputPrefix) })
 	reads.Go(func() { records, _, errs[1] = readAll(ctx, l.store, recordPrefix) })
 	reads.Go(func() { _, errs[2] = l.readKey(ctx, rosterKey, &out.Roster) })
 	reads.Go(func() { _, errs[3] = l.readKey(ctx, interferenceKey, &out.Interference) })
@@ -265,6 +268,7 @@
 	if err := errors.Join(errs[:]...); err != nil {
 		return out, err
 	}
+	l.inputs = newDelivery(inputsRevision, inputs)
 	progress := make(map[fleet.JobID]*flow.Record, len(records))
 	for _, e := range records {
 		var record flow.Record
--- a/entryd/leader/watch.go
+++ b/entryd/leader/watch.go
@@ -23,19 +23,19 @@
 // watchInputs posts the jobs and cancellations that entry processes store, until ctx ends.
 func (l *loop) watchInputs(ctx context.Context) {
 	for ctx.Err() == nil {
-		err := l.store.Watch(ctx, inputPrefix, l.inputsRevision, func(revision store.Revision, changes []store.Change) {
-			l.inputsRevision = revision
+		err := l.store.Watch(ctx, inputPrefix, l.inputs.delivered(), func(revision store.Revision, changes []store.Change) {
 			for _, c := range changes {
 				if !c.Deleted {
 					l.applyInput(c.Entry)
 				}
 			}
+			l.inputs.advance(revision)
 			sleep(ctx, inputsWatchPause)
 		})
 		if ctx.Err() != nil {
 			return
 		}
-		l.log.Warn("scheduler: watch of jobs ended", "error", err, "after", l.inputsRevision)
+		l.log.Warn("scheduler: watch of jobs ended", "error", err, "after", l.inputs.delivered())
 		if isCompacted(err) {
 			l.reloadInputs(ctx)
 		}
@@ -55,24 +55,33 @@
 		l.log.Warn("scheduler: reading jobs again failed", "error", err)
 		return
 	}
+	after, posted := l.inputs.delivered(), 0
 	for _, e := range entries {
-		l.applyInput(e)
+		if l.applyInput(e) {
+			posted++
+		}
 	}
-	l.inputsRevision = revision
+	l.inputs.advance(revision)
+	l.log.Info("scheduler: jobs read again", "entries", len(entries), "posted", posted, "after", after, "revision", revision)
 }
 
-func (l *loop) applyInput(e store.Entry) {
+// applyInput posts a job or a cancellation unless it was posted before, and reports whether it has.
+func (l *loop) applyInput(e store.Entry) bool {
+	if !l.inputs.begin(e.ModRevision) {
+		return false
+	}
 	id, cancelled := parseInput(e.Key)
 	if cancelled {
 		l.post(flow.CancelRequested{Job: id})
-		return
+		return true
 	}
 	job, err := DecodeJob(e.Value)
 	if err != nil {
 		l.log.Error("scheduler: cannot decode job", "key", e.Key, "error", err)
-		return
+		return false
 	}
 	l.post(flow.Submitted{Job: job, Revision: int64(e.ModRevision)})
+	return true
 }
 
 // watchWorkers posts the registrations of workers and their changes, until ctx ends.
