--- a/entryd/leader/scheduler.go
+++ b/entryd/leader/scheduler.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -15,6 +16,7 @@
 	"lovagefork.example/coord/fleet"
 	"lovagefork.example/coord/flow"
 	"lovagefork.example/coord/infra"
+	"lovagefork.example/coord/retry"
 	"lovagefork.example/coord/store"
 	"lovagefork.example/coord/upkeep"
 )
@@ -110,11 +112,12 @@
 	return s.current
 }
 
-// NotifyJob passes a stored job to the scheduler without the delay of the watch. If this process is not the leader, it
-// does nothing: the leader reads the job from the store.
-func (s *Scheduler) NotifyJob(j infra.Job) {
-	if l := s.loop(); l != nil && l.leadership.LeaseConfirmed() {
-		l.post(flow.Submitted{Job: j})
+// NotifyJob passes a job that was stored at a revision to the scheduler without the delay of the watch. If this process is
+// not the leader, or the revision is 0 because the sender does not know it, it does nothing: the leader reads the job from the
+// store.
+func (s *Scheduler) NotifyJob(j infra.Job, revision store.Revision) {
+	if l := s.loop(); l != nil && l.inputs.begin(revision) {
+		l.post(flow.Submitted{Job: j, Revision: int64(revision)})
 	}
 }
 
@@ -143,7 +146,7 @@
 		meter:     newLoadMeter(s.registry),
 		events:    make(chan queuedEvent, eventQueueSize), queries: make(chan query), stopped: make(chan struct{}),
 		machine: flow.New(leadership.leader.Token,
-			flow.WithTaskLease(s.bounds.MaxLease), flow.WithLeadershipTimeout(leadershipTimeout), flow.WithPredecessorLease(leaderTTL),
+			flow.WithTaskLease(s.bounds.MaxLease), flow.WithLeadershipTimeout(leadershipTimeout),
 			flow.WithRetention(retentionFactor*s.bounds.StatusRetention), flow.WithMaxTargetMiss(s.bounds.MaxTargetMiss)),
 	}
 	defer close(l.stopped)
@@ -167,7 +170,7 @@
 // that much longer so that a repeated submission still finds them.
 const retentionFactor = 3
 
-// loop is the event loop of the scheduler during one leadership. Its goroutine owns the state machine.
+// loop is the event loop of the scheduler during one leadership. Its goroutine owns the state machine and heldJobs.
 type loop struct {
 	*Scheduler
 	leadership *Leadership
@@ -177,12 +180,15 @@
 	events     chan queuedEvent
 	meter      *loadMeter
 	queries    chan query
+	// heldJobs are the jobs that arrived while the lease was unconfirmed.
+	heldJobs []flow.Submitted
 	// stopped is closed when the loop has ended and handles no more events.
 	stopped chan struct{}
 
 	sequenceRevision store.Revision
-	inputsRevision   store.Revision
 	workersRevision  store.Revision
+	// inputs records which jobs and cancellations have been posted.
+	inputs *delivery
 	// listedWorkers holds the revision of each registration.
 	listedWorkers map[fleet.WorkerID]store.Revision
 	effects       sync.WaitGroup
@@ -252,9 +258,10 @@
 func (l *loop) readState(ctx context.Context) (flow.Restored, error) {
 	out := flow.Restored{Term: l.leadership.leader.Term}
 	var inputs, records []store.Entry
+	var inputsRevision store.Revision
 	var reads sync.WaitGroup
 	var errs [5]error
-	reads.Go(func() { inputs, l.inputsRevision, errs[0] = readAll(ctx, l.store, inputPrefix) })
+	reads.Go(func() { inputs, inputsRevision, errs[0] = readAll(ctx, l.store, inputPrefix) })
 	reads.Go(func() { records, _, errs[1] = readAll(ctx, l.store, recordPrefix) })
 	reads.Go(func() { _, errs[2] = l.readKey(ctx, rosterKey, &out.Roster) })
 	reads.Go(func() { _, errs[3] = l.readKey(ctx, interferenceKey, &out.Interference) })
@@ -263,6 +270,7 @@
 	if err := errors.Join(errs[:]...); err != nil {
 		return out, err
 	}
+	l.inputs = newDelivery(inputsRevision, inputs)
 	progress := make(map[fleet.JobID]*flow.Record, len(records))
 	for _, e := range records {
 		var record flow.Record
@@ -329,6 +337,7 @@
 	sources.Go(func() { l.watchInputs(ctx) })
 	sources.Go(func() { l.watchWorkers(ctx) })
 	sources.Go(func() { l.awaitPredecessors(ctx) })
+	sources.Go(func() { l.awaitPredecessorLeases(ctx) })
 	var waveEvents chan upkeep.Event
 	if l.machineService != nil {
 		l.waves = newWaveRunner(l, l.machineService)
@@ -357,6 +366,7 @@
 		if l.waves != nil {
 			l.waves.handle(ctx, upkeep.Tick{})
 		}
+		l.releaseHeldJobs(ctx)
 		l.handle(ctx, flow.Tick{Wall: time.Now(), LeaseUnconfirmed: !l.leadership.LeaseConfirmed()})
 		l.longWaits.Update(int64(l.machine.LongWaits()))
 		l.unsavedJobs.Update(int64(l.machine.UnsavedJobs()))
@@ -367,7 +377,7 @@
 	go l.discard()
 	sources.Wait()
 	l.effects.Wait()
-	l.log.Info("scheduler: stopped", "counts", l.machine.Counts())
+	l.log.Info("scheduler: stopped", "counts", l.machine.Counts(), "held_jobs", len(l.heldJobs))
 }
 
 // predecessorPollInterval is the interval of calls to the entry hosts of previous schedulers.
@@ -405,6 +415,44 @@
 	return time.Time{}
 }
 
+// predecessorLeaseWait is how long after the election a predecessor may take its lease as confirmed, because the store can end a
+// lease early. The clocks of two hosts may differ in rate.
+const predecessorLeaseWait = leaderTTL + leaderTTL/20
+
+// awaitPredecessorLeases reads a revision of the store once no predecessor takes new jobs any more.
+func (l *loop) awaitPredecessorLeases(ctx context.Context) {
+	// Without a predecessor, none has taken a job.
+	revision := store.Revision(l.leadership.leader.Token)
+	if len(l.leadership.leader.Predecessors) > 0 {
+		sleep(ctx, predecessorLeaseWait)
+		revision = l.currentRevision(ctx)
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	l.log.Info("scheduler: leases of all previous schedulers have ended", "revision", revision)
+	l.post(flow.PredecessorLeaseEnded{Revision: int64(revision)})
+}
+
+// currentRevision returns a revision of the store that is at least as high as that of each entry stored before the call. It
+// repeats the read until it succeeds or ctx ends.
+func (l *loop) currentRevision(ctx context.Context) store.Revision {
+	token := l.leadership.leader.Token
+	backoff := retry.NewBackoff(retryMinDelay, retryMaxDelay, rand.New(rand.NewPCG(uint64(token), 0)))
+	for ctx.Err() == nil {
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		found, err := l.store.Range(callCtx, store.Get{Key: leaderKey})
+		cancel()
+		// The answer to a read of a missing key may have no revision.
+		if err == nil && found.Revision >= store.Revision(token) {
+			return found.Revision
+		}
+		l.log.Warn("scheduler: reading the revision of the store failed", "revision", found.Revision, "error", err)
+		sleep(ctx, backoff.Next())
+	}
+	return 0
+}
+
 // handleQueued handles queued events without blocking, up to maxEventsPerTick.
 func (l *loop) handleQueued(ctx context.Context) {
 	for range maxEventsPerTick {
@@ -431,9 +479,36 @@
 // handleEvent handles an event from the queue.
 func (l *loop) handleEvent(ctx context.Context, ev queuedEvent) {
 	l.meter.waited(ev)
+	if job, isJob := ev.event.(flow.Submitted); isJob && !l.leadership.LeaseConfirmed() {
+		l.holdJob(job)
+		return
+	}
 	l.handle(ctx, ev.event)
 }
 
+// holdJob keeps a job from the state machine until the lease is confirmed again. If a successor has been elected meanwhile, it may
+// take the job for one that this scheduler does not have. It reads the job from the store, so that none is lost if this
+// leadership ends.
+func (l *loop) holdJob(job flow.Submitted) {
+	if len(l.heldJobs) == 0 {
+		l.log.Warn("scheduler: new jobs are held back, the lease is not confirmed", "job", job.Job.ID, "revision", job.Revision)
+	}
+	l.heldJobs = append(l.heldJobs, job)
+}
+
+// releaseHeldJobs passes on the jobs that were held back if the lease is confirmed again: it has not ended meanwhile.
+func (l *loop) releaseHeldJobs(ctx context.Context) {
+	if len(l.heldJobs) == 0 || !l.leadership.LeaseConfirmed() {
+		return
+	}
+	l.log.Info("scheduler: lease confirmed again, held jobs are taken", "jobs", len(l.heldJobs))
+	held := l.heldJobs
+	l.heldJobs = nil
+	for _, job := range held {
+		l.handle(ctx, job)
+	}
+}
+
 func (l *loop) handle(ctx context.Context, ev flow.Event) {
 	began := time.Now()
 	effects := l.machine.Step(Now(), ev)
@@ -491,6 +566,12 @@
 	if e.Reason != "" {
 		attrs = append(attrs, "reason", e.Reason)
 	}
+	if e.Revision != 0 {
+		attrs = append(attrs, "revision", e.Revision)
+	}
+	if e.MayHaveRun {
+		attrs = append(attrs, "may_have_run", true)
+	}
 	if e.Text == "start" {
 		attrs = append(attrs, "slack_ms", e.Slack.Milliseconds(), "report_age_ms", e.ReportAge.Milliseconds())
 	}
