leader: end a lookup after the jobs that it has found

A lookup of unknown jobs ends with an event that says that the jobs before it are all that exist. Two ways let that event overtake a job: the job was held back because the lease was not confirmed at that moment, and the end of the lookup was not; or another goroutine had recorded the job as delivered and had not posted it yet. The end of the job's run was then forgotten, and the job started again.

The end of a lookup waits behind what is held back, and an entry is posted under the lock that records it as delivered.

TestLookupEndsAfterJobsThatAreHeldBack failed before (the job is never completed). The second way is closed by reading, without a test: it takes a thread switch between two statements.

--- a/entryd/leader/delivery.go
+++ b/entryd/leader/delivery.go
@@ -21,18 +21,20 @@
 func newDelivery(revision store.Revision, entries []store.Entry) *delivery {
 	d := &delivery{revision: revision, ahead: make(map[store.Revision]struct{})}
 	for _, e := range entries {
-		d.begin(e.ModRevision)
+		d.deliver(e.ModRevision, func() {})
 	}
 	return d
 }
 
-// begin reports whether the entry that was stored at a revision has not been delivered before. The caller must deliver it then.
-func (d *delivery) begin(revision store.Revision) bool {
+// deliver calls post with the entry that was stored at a revision unless it has been delivered before, and reports whether it
+// has called post. When it returns, the entry has been posted by this call or by another.
+func (d *delivery) deliver(revision store.Revision, post func()) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if _, found := d.ahead[revision]; found || revision <= d.revision {
 		return false
 	}
+	post()
 	d.ahead[revision] = struct{}{}
 	return true
 }
--- a/entryd/leader/lookup_test.go
+++ b/entryd/leader/lookup_test.go
@@ -49,14 +49,11 @@
 	return time.Now().UnixMilli(), nil
 }
 
-// A predecessor can start a job that is stored after its successor has read the state. The successor did not ask the store for
-// the job of a run that a worker reported, forgot the end, and started the job when its watch showed it.
-func TestJobOfReportedRunIsLookedUp(t *testing.T) {
-	m := newMemStore()
+// runFinishedJob runs a scheduler with a store, and stores a job whose task another scheduler has run when the state was read. It
+// returns a function that waits until the job is shown as completed.
+func runFinishedJob(t *testing.T, m *memStore, c store.Client, agents *finishedAgents) (awaitCompleted func()) {
 	put(t, m, "workers/a", []byte("a:1"))
-	agents := &finishedAgents{task: infra.TaskID{Job: "0123456789abcdef"}}
 	log := slog.New(slog.NewTextHandler(t.Output(), nil))
-	c := silentWatchClient{client{m, "a"}}
 	s := leader.NewScheduler(leader.Deps{
 		Store: c, Agents: agents, Format: strictFormat{}, Bounds: infra.Bounds{MaxLease: 6 * time.Second}, Log: log, Decisions: log,
 		Metrics:   metrics.NewRegistry(),
@@ -69,10 +66,57 @@
 	assert.NilError(t, err)
 	put(t, m, leader.JobKey(job.ID), data)
 	agents.isStored.Store(true)
-	waitFor(t, "completed job", func() bool {
-		state := infra.StateQueued
-		s.Query(t.Context(), func(m *flow.Machine) { state, _ = m.State(job.ID) })
-		return state == infra.StateCompleted
-	})
+	return func() {
+		waitFor(t, "completed job", func() bool {
+			state := infra.StateQueued
+			s.Query(t.Context(), func(m *flow.Machine) { state, _ = m.State(job.ID) })
+			return state == infra.StateCompleted
+		})
+	}
+}
+
+// A predecessor can start a job that is stored after its successor has read the state. The successor did not ask the store for
+// the job of a run that a worker reported, forgot the end, and started the job when its watch showed it.
+func TestJobOfReportedRunIsLookedUp(t *testing.T) {
+	m := newMemStore()
+	agents := &finishedAgents{task: infra.TaskID{Job: "0123456789abcdef"}}
+	awaitCompleted := runFinishedJob(t, m, silentWatchClient{client{m, "a"}}, agents)
+	awaitCompleted()
+	assert.Equal(t, agents.starts.Load(), int64(0))
+}
+
+// slowLookupClient answers a lookup of a job only after the lease has not been confirmed for a while.
+type slowLookupClient struct {
+	silentWatchClient
+	job           string
+	isUnconfirmed atomic.Bool
+}
+
+func (c *slowLookupClient) Range(ctx context.Context, get store.Get) (store.RangeResult, error) {
+	found, err := c.client.Range(ctx, get)
+	if get.Key == c.job && c.isUnconfirmed.CompareAndSwap(false, true) {
+		time.Sleep(2500 * time.Millisecond)
+		time.AfterFunc(500*time.Millisecond, func() { c.isUnconfirmed.Store(false) })
+	}
+	return found, err
+}
+
+// KeepAlive implements [store.Client]. The lease holds although the renewals are not answered.
+func (c *slowLookupClient) KeepAlive(ctx context.Context, id store.LeaseID) (time.Duration, error) {
+	left, err := c.client.KeepAlive(ctx, id)
+	if c.isUnconfirmed.Load() {
+		return 0, &store.OutcomeUnknownError{Op: "keep", Cause: errNoAnswer}
+	}
+	return left, err
+}
+
+// A job that was held back because the lease was not confirmed was taken for one that does not exist when its lookup ended. The
+// end of its run was forgotten, and the job was started when the lease was confirmed again.
+func TestLookupEndsAfterJobsThatAreHeldBack(t *testing.T) {
+	m := newMemStore()
+	agents := &finishedAgents{task: infra.TaskID{Job: "0123456789abcdef"}}
+	c := &slowLookupClient{silentWatchClient: silentWatchClient{client{m, "a"}}, job: leader.JobKey(agents.task.Job)}
+	awaitCompleted := runFinishedJob(t, m, c, agents)
+	awaitCompleted()
 	assert.Equal(t, agents.starts.Load(), int64(0))
 }
--- a/entryd/leader/scheduler.go
+++ b/entryd/leader/scheduler.go
@@ -116,8 +116,8 @@
 // not the leader, or the revision is 0 because the sender does not know it, it does nothing: the leader reads the job from the
 // store.
 func (s *Scheduler) NotifyJob(j infra.Job, revision store.Revision) {
-	if l := s.loop(); l != nil && l.inputs.begin(revision) {
-		l.post(flow.Submitted{Job: j, Revision: int64(revision)})
+	if l := s.loop(); l != nil {
+		l.deliverJob(j, revision)
 	}
 }
 
@@ -170,7 +170,7 @@
 // that much longer so that a repeated submission still finds them.
 const retentionFactor = 3
 
-// loop is the event loop of the scheduler during one leadership. Its goroutine owns the state machine and heldJobs.
+// loop is the event loop of the scheduler during one leadership. Its goroutine owns the state machine and heldEvents.
 type loop struct {
 	*Scheduler
 	leadership *Leadership
@@ -180,8 +180,8 @@
 	events     chan queuedEvent
 	meter      *loadMeter
 	queries    chan query
-	// heldJobs are the jobs that arrived while the lease was unconfirmed.
-	heldJobs []flow.Submitted
+	// heldEvents are the new jobs, and the ends of lookups, that arrived while the lease was unconfirmed.
+	heldEvents []flow.Event
 	// stopped is closed when the loop has ended and handles no more events.
 	stopped chan struct{}
 
@@ -366,7 +366,7 @@
 		if l.waves != nil {
 			l.waves.handle(ctx, upkeep.Tick{})
 		}
-		l.releaseHeldJobs(ctx)
+		l.releaseHeldEvents(ctx)
 		l.handle(ctx, flow.Tick{Wall: time.Now(), LeaseUnconfirmed: !l.leadership.LeaseConfirmed()})
 		l.longWaits.Update(int64(l.machine.LongWaits()))
 		l.unsavedJobs.Update(int64(l.machine.UnsavedJobs()))
@@ -377,7 +377,7 @@
 	go l.discard()
 	sources.Wait()
 	l.effects.Wait()
-	l.log.Info("scheduler: stopped", "counts", l.machine.Counts(), "held_jobs", len(l.heldJobs))
+	l.log.Info("scheduler: stopped", "counts", l.machine.Counts(), "held_events", len(l.heldEvents))
 }
 
 // predecessorPollInterval is the interval of calls to the entry hosts of previous schedulers.
@@ -479,33 +479,37 @@
 // handleEvent handles an event from the queue.
 func (l *loop) handleEvent(ctx context.Context, ev queuedEvent) {
 	l.meter.waited(ev)
-	if job, isJob := ev.event.(flow.Submitted); isJob && !l.leadership.LeaseConfirmed() {
-		l.holdJob(job)
-		return
+	switch ev.event.(type) {
+	case flow.Submitted, flow.JobsLookedUp:
+		// The end of a lookup says that the jobs before it are all that exist, and must not overtake them.
+		if len(l.heldEvents) > 0 || !l.leadership.LeaseConfirmed() {
+			l.hold(ev.event)
+			return
+		}
 	}
 	l.handle(ctx, ev.event)
 }
 
-// holdJob keeps a job from the state machine until the lease is confirmed again. If a successor has been elected meanwhile, it may
-// take the job for one that this scheduler does not have. It reads the job from the store, so that none is lost if this
-// leadership ends.
-func (l *loop) holdJob(job flow.Submitted) {
-	if len(l.heldJobs) == 0 {
-		l.log.Warn("scheduler: new jobs are held back, the lease is not confirmed", "job", job.Job.ID, "revision", job.Revision)
+// hold keeps a new job, or the end of a lookup, from the state machine until the lease is confirmed again. If a successor has
+// been elected meanwhile, it may take the job for one that this scheduler does not have. It reads the job from the store, so
+// that none is lost if this leadership ends.
+func (l *loop) hold(ev flow.Event) {
+	if len(l.heldEvents) == 0 {
+		l.log.Warn("scheduler: new jobs are held back, the lease is not confirmed")
 	}
-	l.heldJobs = append(l.heldJobs, job)
+	l.heldEvents = append(l.heldEvents, ev)
 }
 
-// releaseHeldJobs passes on the jobs that were held back if the lease is confirmed again: it has not ended meanwhile.
-func (l *loop) releaseHeldJobs(ctx context.Context) {
-	if len(l.heldJobs) == 0 || !l.leadership.LeaseConfirmed() {
+// releaseHeldEvents passes on what was held back if the lease is confirmed again: it has not ended meanwhile.
+func (l *loop) releaseHeldEvents(ctx context.Context) {
+	if len(l.heldEvents) == 0 || !l.leadership.LeaseConfirmed() {
 		return
 	}
-	l.log.Info("scheduler: lease confirmed again, held jobs are taken", "jobs", len(l.heldJobs))
-	held := l.heldJobs
-	l.heldJobs = nil
-	for _, job := range held {
-		l.handle(ctx, job)
+	l.log.Info("scheduler: lease confirmed again, held jobs are taken", "events", len(l.heldEvents))
+	held := l.heldEvents
+	l.heldEvents = nil
+	for _, ev := range held {
+		l.handle(ctx, ev)
 	}
 }
 
--- a/entryd/leader/watch.go
+++ b/entryd/leader/watch.go
@@ -8,6 +8,7 @@
 
 	"lovagefork.example/coord/fleet"
 	"lovagefork.example/coord/flow"
+	"lovagefork.example/coord/infra"
 	"lovagefork.example/coord/store"
 )
 
@@ -67,21 +68,21 @@
 
 // applyInput posts a job or a cancellation unless it was posted before, and reports whether it has.
 func (l *loop) applyInput(e store.Entry) bool {
-	if !l.inputs.begin(e.ModRevision) {
-		return false
-	}
 	id, cancelled := parseInput(e.Key)
 	if cancelled {
-		l.post(flow.CancelRequested{Job: id})
-		return true
+		return l.inputs.deliver(e.ModRevision, func() { l.post(flow.CancelRequested{Job: id}) })
 	}
 	job, err := DecodeJob(e.Value)
 	if err != nil {
 		l.log.Error("scheduler: cannot decode job", "key", e.Key, "error", err)
 		return false
 	}
-	l.post(flow.Submitted{Job: job, Revision: int64(e.ModRevision)})
-	return true
+	return l.deliverJob(job, e.ModRevision)
+}
+
+// deliverJob posts a job that was stored at a revision unless it was posted before, and reports whether it has.
+func (l *loop) deliverJob(j infra.Job, revision store.Revision) bool {
+	return l.inputs.deliver(revision, func() { l.post(flow.Submitted{Job: j, Revision: int64(revision)}) })
 }
 
 // lookUpJobs posts the stored ones of the jobs, and their cancellations, and then the end of the lookup. It returns without
