flow: count the lease of the predecessor for adopted runs

A successor knew the end of a worker's lease from its own orders only. Its first renewal names no deadline, as the worker's clock is not known yet, and the next one follows 300 ms later if the report had new ends. If the worker was cut off in between and a start there was refused, the deadline of that start, 1.5 s, stood for the lease, and the adopted runs were taken to have ended with it, though the lease of the predecessor lasts up to 6 s: two runs at a time (TWICE).

The first report of a worker that a predecessor may have used now counts as a renewal at that moment. TestLeaseOfPredecessorCountsForAdoptedRuns failed before: started again 1.85 s after it was seen running.

--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -128,6 +128,10 @@
 	w.observeClock(m.now, ev.Report.Clock)
 	if !w.tokenAccepted {
 		w.tokenAccepted, w.leadershipConfirmed = true, !m.leaseUnconfirmed
+		if m.isUnreconciled(w) {
+			// A predecessor may have renewed the lease until now.
+			w.leaseEnd = max(w.leaseEnd, w.maxClock(m.now)+m.opts.taskLease.Milliseconds())
+		}
 		m.addToRoster(w)
 		m.save()
 		m.fenceLateStarts(w)
--- a/coord/flow/takeover_test.go
+++ b/coord/flow/takeover_test.go
@@ -504,3 +504,50 @@
 	}
 	assert.Equal(t, len(h.starts()), 1)
 }
+
+// A successor counted the lease of a worker from its own orders only. When its first start there was refused, the runs that it
+// had adopted were taken to have ended with the deadline of that start, and started again while they ran under the lease of the
+// predecessor.
+func TestLeaseOfPredecessorCountsForAdoptedRuns(t *testing.T) {
+	a := newPoolWorker("a")
+	a.Labels = []string{"only-a"}
+	old := smallStep(2)
+	old.Estimate = 8 * time.Second
+	h := newHarness(t, flow.Restored{
+		Jobs: []flow.StoredJob{{Job: singleStepJob("old", old)}}, Roster: []flow.RosterEntry{{Worker: "a", Address: "a:1"}}, Term: 1,
+	}, a, newPoolWorker("b"))
+	h.step(flow.PredecessorStopped{})
+	h.step(flow.PredecessorLeaseEnded{Revision: 1})
+	h.report("b", infra.Report{})
+	h.advance(100 * time.Millisecond)
+	// The next renewal waits until the end is durable.
+	h.isStoreDown = true
+	h.report("a", infra.Report{
+		Running: []infra.ActiveRun{{Task: infra.TaskID{Job: "old"}, Run: 1, Progress: 10}},
+		Ended:   []infra.EndedRun{{Number: 1, Task: infra.TaskID{Job: "old", Index: 1}, Run: 1, Outcome: infra.OutcomeDone}},
+	})
+	adoptedAt := h.now
+	next := smallStep(1)
+	next.Label = "only-a"
+	h.step(flow.Submitted{Job: singleStepJob("new", next), Revision: 2})
+	h.advance(50 * time.Millisecond)
+	effects := slices.Clone(h.effects)
+	started := h.starts()
+	assert.Equal(t, len(started), 1)
+	refused := &infra.NotSentError{Worker: "a", ConnRefused: true}
+	h.step(flow.StartAnswered{Worker: "a", Order: started[0].Order, Err: refused})
+	h.isStoreDown = false
+	for _, e := range effects {
+		if s, isSave := e.(flow.Save); isSave {
+			h.step(flow.Saved{Batch: s.Batch})
+		}
+	}
+	for h.now.Sub(adoptedAt) < 5900*time.Millisecond {
+		h.advance(200 * time.Millisecond)
+		h.step(flow.RenewFailed{Worker: "a", Sequence: h.seq["a"], Err: refused})
+		h.report("b", infra.Report{})
+		for _, s := range h.starts() {
+			assert.Assert(t, s.Order.Task.Job != "old", "started again %v after it was seen running", h.now.Sub(adoptedAt))
+		}
+	}
+}
