flow: count only runs of known tasks down for their step

The run of a job that was received after it had been reported was counted down for its step, although it had not been counted up, so that its limit of runs on a worker allowed one too many (ROUTE). A fault of the lookup of unknown jobs, and before it of runs that were stopped because their task was unknown.

--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -338,7 +338,8 @@
 		m.searchAgain()
 	}
 	s, t := m.lookupTask(r.id)
-	if t == nil {
+	if t == nil || r.step == nil {
+		// A run whose task was unknown when it was reported is not counted for its step.
 		return
 	}
 	for i, other := range t.runs {
--- a/coord/flow/unknown_test.go
+++ b/coord/flow/unknown_test.go
@@ -112,3 +112,16 @@
 	h.advance(200 * time.Millisecond)
 	assert.Assert(t, !contains())
 }
+
+// The run of a job that was received after it had been reported did not count against the limit of its step, so that another
+// task of the step was started on the same worker.
+func TestRunOfUnknownJobCountsAgainstMaxPerWorker(t *testing.T) {
+	h := takeOverUnknownJob(t, infra.Report{Running: []infra.ActiveRun{{Task: infra.TaskID{Job: "j", Index: 1}, Run: 1, Progress: 10}}})
+	step := smallStep(3)
+	step.MaxPerWorker = 1
+	h.step(flow.Submitted{Job: singleStepJob("j", step)})
+	h.advance(100 * time.Millisecond)
+	started := h.starts()
+	assert.Equal(t, len(started), 1)
+	assert.Equal(t, started[0].To.Worker, fleet.WorkerID("b"))
+}
