flow: acknowledge no ends to a worker that did not answer last

A renewal after a failed one acknowledged ends by their numbers. If the worker had restarted under its ID, whose ends are numbered from 1 again, it forgot ends that no scheduler had seen, and their tasks were taken for lost and started again. Ends that are listed again are ignored, so that an acknowledgement can wait for the next answer. A renewal that is on its way at the restart is not covered.

TestEndsOfAnotherLifeAreNotAcknowledged failed before (3 acknowledged, 0 wanted).

--- a/coord/flow/registration_test.go
+++ b/coord/flow/registration_test.go
@@ -131,3 +131,24 @@
 	assert.Equal(t, len(h.starts()), 1)
 	assert.Equal(t, h.m.Workers()[0].UnusableReason, "")
 }
+
+// A renewal after a failed one acknowledged ends by their numbers, although another life of the worker, whose ends are numbered
+// from 1 again, may answer it. Its ends were then forgotten before any scheduler had seen them.
+func TestEndsOfAnotherLifeAreNotAcknowledged(t *testing.T) {
+	a := newPoolWorker("a")
+	a.StartedAt = 5000
+	h := newHarness(t, flow.Restored{}, a)
+	h.report("a", infra.Report{StartedAt: 5000})
+	h.step(flow.Submitted{Job: singleStepJob("j", smallStep(3))})
+	h.advance(50 * time.Millisecond)
+	var ended []infra.EndedRun
+	for n, s := range h.answerStarts() {
+		ended = append(ended, infra.EndedRun{Number: int64(n + 1), Task: s.Order.Task, Run: s.Order.Run, Outcome: infra.OutcomeDone})
+	}
+	report := infra.Report{StartedAt: 5000, Ended: ended}
+	assert.Equal(t, h.acknowledged("a", report), int64(3))
+	h.renewalFails("a")
+	h.advance(300 * time.Millisecond)
+	assert.Equal(t, h.lastRenewal("a").Order.AckedEnd, int64(0))
+	assert.Equal(t, h.acknowledged("a", infra.Report{StartedAt: 5000}), int64(3))
+}
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -14,7 +14,7 @@
 	order := infra.RenewOrder{Token: m.token}
 	// Numbers of ends and times of the worker's clock mean nothing to another incarnation.
 	isSameIncarnation := w.unconfirmed == nil
-	if isSameIncarnation {
+	if isSameIncarnation && w.reachable {
 		order.AckedEnd = w.durableEnd
 	}
 	isImmediate := m.now.Equal(w.immediateRenewalAt)
