flow: compare addresses when the roster has been stored

A batch that had stored a worker's former address marked the worker as listed in the stored roster. If it had restarted at another address while the batch was in flight, tasks were started there although a successor would have asked at the former address, and taken another worker's answer for the end of the runs.

TestWorkerAtAnotherAddressIsNotInStoredRoster failed before (a start while the stored roster named a:1).

--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -122,7 +122,7 @@
 	batch        int64
 	saveInFlight bool
 	batchJobs    []batchJob
-	batchRoster  []fleet.WorkerID
+	batchRoster  []RosterEntry
 	// dirtySeq is the sequence number of the last entry of dirtyJobs, and savedSeq that of the last entry that is durable.
 	dirtySeq int64
 	savedSeq int64
--- a/coord/flow/roster_test.go
+++ b/coord/flow/roster_test.go
@@ -150,3 +150,29 @@
 		}
 	})
 }
+
+// A worker counted as listed in the stored roster although the roster in the store held its former address. A successor would
+// have asked another worker there, and taken the runs to have ended.
+func TestWorkerAtAnotherAddressIsNotInStoredRoster(t *testing.T) {
+	a := newPoolWorker("a")
+	a.StartedAt = 5000
+	h := newHarness(t, flow.Restored{})
+	h.isStoreDown = true
+	h.step(flow.WorkerListed{Worker: a})
+	h.advance(50 * time.Millisecond)
+	h.report("a", infra.Report{StartedAt: 5000})
+	assert.DeepEqual(t, h.lastRoster(), []flow.RosterEntry{{Worker: "a", Address: "a:1"}})
+	// The worker restarts at another address while the batch is in flight.
+	a.StartedAt, a.Address = 6000, "a:2"
+	h.step(flow.WorkerListed{Worker: a})
+	h.advance(50 * time.Millisecond)
+	h.report("a", infra.Report{StartedAt: 6000})
+	h.step(flow.Submitted{Job: singleStepJob("j", smallStep(1))})
+	h.step(flow.Saved{Batch: 1})
+	h.advance(50 * time.Millisecond)
+	assert.DeepEqual(t, h.lastRoster(), []flow.RosterEntry{{Worker: "a", Address: "a:2"}})
+	assert.Equal(t, len(h.starts()), 0)
+	h.step(flow.Saved{Batch: 2})
+	h.advance(50 * time.Millisecond)
+	assert.Equal(t, len(h.starts()), 1)
+}
--- a/coord/flow/save.go
+++ b/coord/flow/save.go
@@ -63,9 +63,9 @@
 		for _, w := range m.workersByID {
 			if address, found := m.roster[w.ID]; found {
 				s.Roster = append(s.Roster, RosterEntry{Worker: w.ID, Address: address})
-				m.batchRoster = append(m.batchRoster, w.ID)
 			}
 		}
+		m.batchRoster = append(m.batchRoster, s.Roster...)
 	}
 	if m.interferenceDirty {
 		m.interferenceDirty, m.interferenceSavedAt = false, m.now
@@ -91,8 +91,8 @@
 			m.searchAgain()
 		}
 	}
-	for _, id := range m.batchRoster {
-		if w := m.workers[id]; w != nil && !w.inStoredRoster {
+	for _, e := range m.batchRoster {
+		if w := m.workers[e.Worker]; w != nil && !w.inStoredRoster && m.roster[w.ID] == e.Address {
 			w.inStoredRoster = true
 			m.searchAgain()
 		}
