hosted: test that a repeated submission announces the stored job

The notification carried the job of the repeated request until the revision of the stored job was passed on with it. With that put back, the test prints "q ... != stored".

--- a/entryd/hosted/notification_test.go
+++ b/entryd/hosted/notification_test.go
@@ -124,6 +124,23 @@
 	assert.DeepEqual(t, received.revisions(), []int64{12})
 }
 
+// Guards against a scheduler that runs a job as a repeated request described it, not as it was stored (UNASKED): the watch does
+// not correct a job that a notification has delivered.
+func TestRepeatedSubmissionAnnouncesTheStoredJob(t *testing.T) {
+	s := &revisionStore{revision: 11, readRevision: 9, entries: make(map[string]store.Entry)}
+	intake, received := startScheduler(t, s)
+	stored := job()
+	stored.Queue = "stored"
+	data, err := leader.EncodeJob(stored)
+	assert.NilError(t, err)
+	s.entries[leader.JobKey(job().ID)] = store.Entry{Key: leader.JobKey(job().ID), Value: data, ModRevision: 11}
+	assert.NilError(t, intake.Submit(t.Context(), infra.Queue{Name: "q"}, job()))
+	waitUntil(t, "job", func() bool { return len(received.revisions()) > 0 })
+	received.mu.Lock()
+	defer received.mu.Unlock()
+	assert.Equal(t, received.lines[0]["reason"], "stored")
+}
+
 func waitUntil(t *testing.T, what string, reached func() bool) {
 	t.Helper()
 	for end := time.Now().Add(10 * time.Second); !reached(); time.Sleep(5 * time.Millisecond) {
