kvfake, soak: aim at the elected scheduler

on_leader chose the last client with a committed conditional transaction. If there is none, no host is preferred.

--- a/soak/stand/faults.go
+++ b/soak/stand/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"syscall"
 	"time"
 
@@ -56,33 +57,32 @@
 		return kvfake.LateWrites{Share: f.Share, Delay: f.Delay()}
 	}
 	var names []string
-	for _, h := range s.chooseHosts(f) {
+	hosts, _ := s.chooseHosts(f)
+	for _, h := range hosts {
 		names = append(names, h.Name)
 	}
 	return kvfake.Excluded{Clients: names, Silent: f.Silent}
 }
 
-// chooseHosts returns the hosts of a fault, that of the scheduler first if the fault asks for it.
-func (s *soak) chooseHosts(f plan.Fault) []*host {
-	order := s.permutation(len(s.hosts))
-	s.mu.Lock()
-	defer s.mu.Unlock()
+// chooseHosts returns the hosts of a fault. If the fault asks for the scheduler, its host is the first, and the number of its
+// election is returned, or 0 if there is no scheduler.
+func (s *soak) chooseHosts(f plan.Fault) (found []*host, term int) {
+	for _, index := range s.permutation(len(s.hosts)) {
+		found = append(found, s.hosts[index])
+	}
 	if f.OnLeader {
-		for i, index := range order {
-			if s.hosts[index].Name == s.lastWriter {
-				order[0], order[i] = order[i], order[0]
-			}
+		var leader *host
+		if leader, term = s.scheduler(); leader != nil {
+			i := slices.Index(found, leader)
+			found[0], found[i] = found[i], found[0]
 		}
 	}
-	var found []*host
-	for _, index := range order[:min(f.Count, len(order))] {
-		found = append(found, s.hosts[index])
-	}
-	return found
+	return found[:min(f.Count, len(found))], term
 }
 
 func (s *soak) disturbHosts(f plan.Fault) {
-	for _, h := range s.chooseHosts(f) {
+	hosts, _ := s.chooseHosts(f)
+	for _, h := range hosts {
 		switch f.Kind {
 		case plan.HostKill:
 			h.signal(syscall.SIGKILL)
--- a/soak/stand/host.go
+++ b/soak/stand/host.go
@@ -29,8 +29,12 @@
 
 	mu  sync.Mutex
 	cmd *exec.Cmd
-	// isStopping is set once the running process was told to end, and isClosed once no other may be started.
+	// life counts the processes that were started.
+	life int
+	// isStopping is set once the running process was told to end, isKilled once it was killed or has ended, and isClosed once
+	// no other may be started.
 	isStopping bool
+	isKilled   bool
 	isClosed   bool
 	ended      chan struct{}
 }
@@ -68,7 +72,8 @@
 		return errors.Join(err, log.Close())
 	}
 	ended := make(chan struct{})
-	h.cmd, h.ended, h.isStopping = cmd, ended, false
+	h.cmd, h.ended, h.isStopping, h.isKilled = cmd, ended, false, false
+	h.life++
 	go h.await(cmd, log, ended)
 	return nil
 }
@@ -78,6 +83,7 @@
 	err := errors.Join(cmd.Wait(), log.Close())
 	h.mu.Lock()
 	isExpected, isClosed := h.isStopping, h.isClosed
+	h.isKilled = true
 	h.mu.Unlock()
 	close(ended)
 	if isClosed {
@@ -91,15 +97,30 @@
 	})
 }
 
-// signal sends a signal to the process. A process that has ended already needs none.
-func (h *host) signal(s syscall.Signal) {
+// signal sends a signal to the process, and reports whether one ran that was not killed before.
+func (h *host) signal(s syscall.Signal) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.cmd == nil {
-		return
+	if h.cmd == nil || h.isKilled {
+		return false
 	}
 	h.isStopping = h.isStopping || s == syscall.SIGKILL || s == syscall.SIGTERM
-	_ = h.cmd.Process.Signal(s)
+	h.isKilled = s == syscall.SIGKILL
+	return h.cmd.Process.Signal(s) == nil
+}
+
+// currentLife returns the number of the process that was started last.
+func (h *host) currentLife() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.life
+}
+
+// isRunning reports whether a process runs and was not killed.
+func (h *host) isRunning(life int) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.life == life && h.cmd != nil && !h.isKilled
 }
 
 // currentEnd returns a channel that is closed when the present process has ended.
--- a/soak/stand/stand.go
+++ b/soak/stand/stand.go
@@ -68,8 +68,8 @@
 	mu sync.Mutex
 	// random draws the targets of faults.
 	random *rand.Rand
-	// lastWriter is the client of the store whose conditional transaction was the last to be committed.
-	lastWriter string
+	// elections are those of schedulers, in their order.
+	elections  []election
 	checker    *check.Checker
 	violations []check.Violation
 }
@@ -149,12 +149,6 @@
 	}
 }
 
-func (s *soak) committed(client string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.lastWriter = client
-}
-
 // start brings up the store, the workers and the entry processes.
 func (s *soak) start() (err error) {
 	if s.network, err = reserveNetwork(); err != nil {
@@ -178,10 +172,12 @@
 			return err
 		}
 		h.onEnd = s.processEnded
+		s.hosts = append(s.hosts, h)
+	}
+	for _, h := range s.hosts {
 		if err := h.start(); err != nil {
 			return err
 		}
-		s.hosts = append(s.hosts, h)
 	}
 	for _, h := range s.hosts {
 		if !s.awaitReady(h, readyTimeout) {
