soak, wkfake: let faults of one machine overlap

A machine had one fault at a time, so that no worker drained and was cut off. Each fault is now an effect of its own that is removed by itself: the links follow the strongest one, a worker that starts meets those in force (its new listener and its registration too), and a drain or a crash ends only the worker that it has met. A plan aims at the workers of a fault that still lasts with `among`, such as the links of the workers that drain. Crashed machines can be the target too: their next worker comes up behind the disturbed links.

--- a/soak/links/links.go
+++ b/soak/links/links.go
@@ -34,6 +34,41 @@
 func (OneWay) mode()  {}
 func (Delayed) mode() {}
 
+// Strongest returns the mode among some that lets the least through; it is [Open] if there is none.
+func Strongest(modes ...Mode) Mode {
+	var strongest Mode = Open{}
+	for _, m := range modes {
+		if strength(m) > strength(strongest) || isLonger(m, strongest) {
+			strongest = m
+		}
+	}
+	return strongest
+}
+
+// strength orders the modes by what they keep from passing.
+func strength(m Mode) int {
+	switch m.(type) {
+	case Delayed:
+		return 1
+	case OneWay:
+		return 2
+	case Silent:
+		return 3
+	case Reset:
+		return 4
+	case Refused:
+		return 5
+	}
+	return 0
+}
+
+// isLonger reports whether both modes delay, and the first one for longer.
+func isLonger(a, b Mode) bool {
+	first, isDelay := a.(Delayed)
+	second, areDelays := b.(Delayed)
+	return isDelay && areDelays && first.Delay > second.Delay
+}
+
 // Listener is a TCP listener with a [Mode].
 type Listener struct {
 	address string
--- a/soak/links/links_test.go
+++ b/soak/links/links_test.go
@@ -64,3 +64,18 @@
 		assert.Assert(t, time.Since(began) >= timeout)
 	}
 }
+
+// Guards against a weaker fault that hides a stronger one on the same link.
+func TestStrongest(t *testing.T) {
+	t.Parallel()
+	assert.Equal(t, links.Strongest(), links.Mode(links.Open{}))
+	ordered := []links.Mode{
+		links.Open{}, links.Delayed{Delay: 1}, links.Delayed{Delay: 2}, links.OneWay{}, links.Silent{}, links.Reset{}, links.Refused{},
+	}
+	for i, weak := range ordered {
+		for _, strong := range ordered[i:] {
+			assert.Equal(t, links.Strongest(weak, strong), strong)
+			assert.Equal(t, links.Strongest(strong, weak), strong)
+		}
+	}
+}
--- a/soak/plan/plan.go
+++ b/soak/plan/plan.go
@@ -41,6 +41,15 @@
 	WorkersRefuse, WorkersReset, WorkersSilent, WorkersOneWay, WorkersDelay, WorkersLate, WorkerCrash, WorkerDrain,
 }
 
+// DisturbsWorkers reports whether the targets of faults of a kind are workers.
+func (k Kind) DisturbsWorkers() bool {
+	switch k {
+	case WorkersRefuse, WorkersReset, WorkersSilent, WorkersOneWay, WorkersDelay, WorkersLate, WorkerCrash, WorkerDrain:
+		return true
+	}
+	return false
+}
+
 // Fault is one fault. Times are in milliseconds; AtMS counts from the start of the load.
 type Fault struct {
 	Kind  Kind  `json:"kind"`
@@ -50,6 +59,8 @@
 	Count int `json:"count,omitempty"`
 	// OnLeader selects the host of the scheduler first.
 	OnLeader bool `json:"on_leader,omitempty"`
+	// Among selects the targets among the workers that faults of this kind disturb at the time.
+	Among Kind `json:"among,omitempty"`
 	// CutsStore also keeps the workers from renewing their entries in the store.
 	CutsStore bool `json:"cuts_store,omitempty"`
 	// NewID lets crashed workers return under other IDs.
@@ -137,6 +148,9 @@
 		if f.AtMS < 0 || f.ForMS < 0 || f.Count < 0 || f.Share < 0 || f.Share > 1 || f.DelayMS < 0 {
 			return invalid("fault %d: a figure is out of range", i)
 		}
+		if f.Among != "" && (!f.Kind.DisturbsWorkers() || !f.Among.DisturbsWorkers()) {
+			return invalid("fault %d: %s among %s, want two kinds of faults of workers", i, f.Kind, f.Among)
+		}
 	}
 	return nil
 }
--- a/soak/plan/plan_test.go
+++ b/soak/plan/plan_test.go
@@ -33,7 +33,8 @@
 	file := filepath.Join(t.TempDir(), "plan.json")
 	for _, text := range []string{
 		``, `[]`, `{}`, head + `,"faults":[{"kind":"flood","at_ms":1}]}`, head + `,"faults":[{"kind":"host_kill","at_ms":-1}]}`,
-		head + `,"faults":[{"kind":"store_slow","share":2}]}`, `{"hosts":9999,"workers":2,"load_ms":1000,"jobs_per_second":1}`,
+		head + `,"faults":[{"kind":"store_slow","share":2}]}`, head + `,"faults":[{"kind":"host_kill","among":"workers_drain"}]}`,
+		head + `,"faults":[{"kind":"workers_silent","among":"host_kill"}]}`, `{"hosts":9999,"workers":2,"load_ms":1000,"jobs_per_second":1}`,
 	} {
 		assert.NilError(t, os.WriteFile(file, []byte(text), 0o600))
 		_, err := plan.Load(file)
--- a/soak/stand/faults.go
+++ b/soak/stand/faults.go
@@ -28,14 +28,13 @@
 	text, isPlanned := fmt.Sprintf("%+v", f), f.Kind == plan.HostStop || f.Kind == plan.HostReload
 	s.observe(check.FaultBegan{Text: text, IsPlanned: isPlanned})
 	defer s.observe(check.FaultEnded{Text: text, IsPlanned: isPlanned})
+	if f.Kind.DisturbsWorkers() {
+		s.disturbWorkers(f)
+		return
+	}
 	switch f.Kind {
 	case plan.HostKill, plan.HostStop, plan.HostPause, plan.HostReload:
 		s.disturbHosts(f)
-	case plan.WorkersRefuse, plan.WorkersReset, plan.WorkersSilent, plan.WorkersOneWay, plan.WorkersDelay,
-		plan.WorkerCrash, plan.WorkerDrain:
-		s.disturbWorkers(f)
-	case plan.WorkersLate:
-		s.delayOrders(f)
 	case plan.StoreCompact:
 		s.store.Compact()
 	default:
@@ -108,14 +107,13 @@
 
 // disturbWorkers disturbs some machines, and restores them.
 func (s *soak) disturbWorkers(f plan.Fault) {
-	machines := s.idleMachines(f.Count)
-	for _, m := range machines {
-		s.disturb(m, f)
+	effects := make(map[*machine]*effect)
+	for _, m := range s.chooseMachines(f) {
+		effects[m] = s.disturb(m, f)
 	}
 	s.sleep(f.Duration())
-	for _, m := range machines {
-		s.restore(m, f)
-		m.release()
+	for m, e := range effects {
+		s.restore(m, e)
 	}
 }
 
@@ -136,37 +134,50 @@
 	return nil
 }
 
-func (s *soak) disturb(m *machine, f plan.Fault) {
-	if mode := linkMode(f); mode != nil {
-		m.worker.CutFromStore(f.CutsStore)
-		s.abortOn(m.listener.SetMode(mode))
-		return
-	}
+// disturb puts a fault into force on a machine.
+func (s *soak) disturb(m *machine, f plan.Fault) *effect {
+	m.mu.Lock()
+	e := &effect{fault: f, worker: m.worker}
+	wasDraining := m.isDisturbed(plan.WorkerDrain)
+	m.effects = append(m.effects, e)
+	s.abortOn(m.apply())
+	m.mu.Unlock()
 	switch f.Kind {
 	case plan.WorkerDrain:
-		m.worker.Drain(f.Duration())
+		if e.worker != nil {
+			e.worker.Drain(f.Duration())
+		}
 	case plan.WorkerCrash:
 		w := m.crash()
-		if f.NewID {
+		m.mu.Lock()
+		// A worker that was told to leave does not return.
+		e.worker, e.fault.NewID = w, f.NewID || wasDraining
+		m.mu.Unlock()
+		if w != nil && e.fault.NewID {
 			s.faults.Go(func() {
 				s.sleep(workerRemovalTime)
 				w.Unlist()
 			})
 		}
 	}
+	return e
 }
 
-func (s *soak) restore(m *machine, f plan.Fault) {
-	if linkMode(f) != nil {
-		s.abortOn(m.listener.SetMode(links.Open{}))
-		m.worker.CutFromStore(false)
-		return
-	}
-	switch f.Kind {
-	case plan.WorkerDrain:
-		m.crash().Unlist()
-		s.abortOn(s.boot(m, true))
-	case plan.WorkerCrash:
-		s.abortOn(s.boot(m, f.NewID))
+// restore ends a fault on a machine. Another fault may have ended the worker that it met, or may still disturb the machine.
+func (s *soak) restore(m *machine, e *effect) {
+	m.mu.Lock()
+	m.effects = slices.DeleteFunc(m.effects, func(other *effect) bool { return other == e })
+	s.abortOn(m.apply())
+	isPresent := m.worker == e.worker
+	m.mu.Unlock()
+	switch {
+	case e.worker == nil:
+	case e.fault.Kind == plan.WorkerDrain && isPresent:
+		if w := m.crash(); w != nil {
+			w.Unlist()
+			s.abortOn(s.boot(m, true))
+		}
+	case e.fault.Kind == plan.WorkerCrash:
+		s.abortOn(s.boot(m, e.fault.NewID))
 	}
 }
--- a/soak/stand/fleet.go
+++ b/soak/stand/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,18 +25,27 @@
 
 // machine is a host of workers: one life after another at one address.
 type machine struct {
-	index    int
-	listener *links.Listener
+	index int
 
-	mu    sync.Mutex
-	lives int
+	mu       sync.Mutex
+	listener *links.Listener
+	lives    int
 	// worker is nil while the machine is down.
 	worker *wkfake.Worker
-	// isBusy is set while a fault disturbs the machine, so that faults of one machine do not overlap.
-	isBusy bool
+	// effects are those of the faults in force.
+	effects []*effect
+}
+
+// effect is what a fault does to a machine while it lasts.
+type effect struct {
+	fault plan.Fault
+	// worker is the one that a drain or a crash has met.
+	worker *wkfake.Worker
+	// isAnnounced is set once the store has the notice of a drain.
+	isAnnounced bool
 }
 
-// boot starts a worker on the machine. It has the ID of the one before unless newID is set.
+// boot starts a worker on the machine, which the faults in force meet too. It has the ID of the one before unless newID is set.
 func (s *soak) boot(m *machine, newID bool) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -51,61 +61,112 @@
 		ID: fleet.WorkerID(fmt.Sprintf("w%d-%d", m.index, m.lives)), Service: serviceName, Zone: fleet.AvailabilityZone(fmt.Sprintf("z%d", m.index%3)),
 		Version: "1", Labels: []string{"a", fmt.Sprintf("r%d", m.index/6)}, Capacity: workerCapacity,
 	}
+	opts := []wkfake.Option{
+		wkfake.WithClockRate(1 - 0.02*float64(m.index%3)/2), wkfake.WithSeed(s.plan.Seed + uint64(m.index)),
+		wkfake.WithReportTime(time.Duration(s.plan.ReportMS) * time.Millisecond),
+	}
+	if m.isCutFromStore() {
+		opts = append(opts, wkfake.WithoutStore())
+	}
 	s.observe(check.WorkerJoined{Worker: info.ID, Capacity: workerCapacity})
-	m.worker = wkfake.New(info, listener, s.store, func(ev wkfake.Event) { s.observe(check.WorkerSaw{Event: ev}) },
-		wkfake.WithClockRate(1-0.02*float64(m.index%3)/2), wkfake.WithSeed(s.plan.Seed+uint64(m.index)),
-		wkfake.WithReportTime(time.Duration(s.plan.ReportMS)*time.Millisecond))
-	return nil
+	m.worker = wkfake.New(info, listener, s.store, func(ev wkfake.Event) { s.workerSaw(m, ev) }, opts...)
+	return m.apply()
 }
 
-// idleMachines returns up to count machines that are up and not disturbed, and marks them as busy.
-func (s *soak) idleMachines(count int) []*machine {
-	var found []*machine
-	for _, i := range s.permutation(len(s.machines)) {
-		m := s.machines[i]
-		m.mu.Lock()
-		if len(found) < count && !m.isBusy && m.worker != nil {
-			m.isBusy = true
-			found = append(found, m)
+// workerSaw passes on what the worker of a machine has seen.
+func (s *soak) workerSaw(m *machine, ev wkfake.Event) {
+	s.observe(check.WorkerSaw{Event: ev})
+	if _, isNotice := ev.(wkfake.Draining); isNotice {
+		m.noteDrain()
+	}
+}
+
+// noteDrain marks the drains of the present worker as announced.
+func (m *machine) noteDrain() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, e := range m.effects {
+		if e.fault.Kind == plan.WorkerDrain && e.worker == m.worker {
+			e.isAnnounced = true
 		}
-		m.mu.Unlock()
 	}
-	return found
 }
 
-// delayOrders makes the workers of some machines carry orders out late for a time, whatever else happens to them meanwhile.
-func (s *soak) delayOrders(f plan.Fault) {
-	chosen := s.permutation(len(s.machines))[:min(f.Count, len(s.machines))]
-	for deadline := time.Now().Add(f.Duration()); time.Now().Before(deadline) && s.sleep(checkInterval); {
-		for _, i := range chosen {
-			s.machines[i].setLateOrders(f.Share, f.Delay())
+// modes returns what the faults in force do to the links of the machine.
+func (m *machine) modes() (out []links.Mode) {
+	for _, e := range m.effects {
+		if mode := linkMode(e.fault); mode != nil {
+			out = append(out, mode)
 		}
 	}
-	for _, i := range chosen {
-		s.machines[i].setLateOrders(0, 0)
+	return out
+}
+
+func (m *machine) isCutFromStore() bool {
+	return slices.ContainsFunc(m.effects, func(e *effect) bool { return e.fault.CutsStore })
+}
+
+// apply makes the worker and its links follow the faults in force. The worker is cut off from the store before its links change.
+func (m *machine) apply() error {
+	if m.worker == nil {
+		return nil
+	}
+	m.worker.CutFromStore(m.isCutFromStore())
+	var late plan.Fault
+	for _, e := range m.effects {
+		if e.fault.Kind == plan.WorkersLate {
+			late = e.fault
+		}
 	}
+	m.worker.SetLateOrders(late.Share, late.Delay())
+	return m.listener.SetMode(links.Strongest(m.modes()...))
+}
+
+// isDisturbed reports whether a fault of a kind disturbs the machine. A worker drains from its notice until it has gone.
+func (m *machine) isDisturbed(kind plan.Kind) bool {
+	return slices.ContainsFunc(m.effects, func(e *effect) bool {
+		switch {
+		case e.fault.Kind != kind:
+			return false
+		case kind == plan.WorkerDrain:
+			return e.isAnnounced && e.worker == m.worker
+		}
+		return true
+	})
 }
 
-func (m *machine) setLateOrders(share float64, delay time.Duration) {
+// isTarget reports whether a fault may disturb the machine.
+func (m *machine) isTarget(f plan.Fault) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.worker != nil {
-		m.worker.SetLateOrders(share, delay)
+	switch {
+	case f.Among != "" && !m.isDisturbed(f.Among):
+		return false
+	case f.Kind == plan.WorkerDrain && m.isDisturbed(plan.WorkerDrain):
+		return false
 	}
+	// The links of a machine that is down meet its next worker.
+	return m.worker != nil || f.Among == plan.WorkerCrash && f.Kind != plan.WorkerCrash && f.Kind != plan.WorkerDrain
 }
 
-func (m *machine) release() {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.isBusy = false
+// chooseMachines returns up to as many machines as a fault disturbs.
+func (s *soak) chooseMachines(f plan.Fault) (found []*machine) {
+	for _, i := range s.permutation(len(s.machines)) {
+		if m := s.machines[i]; len(found) < f.Count && m.isTarget(f) {
+			found = append(found, m)
+		}
+	}
+	return found
 }
 
-// crash ends the worker of a machine without notice and returns it.
+// crash ends the worker of a machine without notice and returns it. It returns nil if another fault has ended it.
 func (m *machine) crash() *wkfake.Worker {
 	m.mu.Lock()
 	w := m.worker
 	m.worker = nil
 	m.mu.Unlock()
-	w.Crash()
+	if w != nil {
+		w.Crash()
+	}
 	return w
 }
