soak: count what faults have struck

Each fault now notes its targets and those that it has disturbed as intended, in report.json and in the printed line: a kill or stop of the scheduler counts once another one is elected, a drain once the store has the notice, a fault of links while the worker's listener is in its mode, a fault of the store once it has met a call. A soak whose machines are not restored at its end is an error.

--- a/soak/links/links.go
+++ b/soak/links/links.go
@@ -124,6 +124,12 @@
 	return nil
 }
 
+// Mode returns what happens to the connections.
+func (l *Listener) Mode() Mode {
+	_, mode, _, _ := l.state()
+	return mode
+}
+
 func (l *Listener) closeInner() {
 	if l.inner != nil {
 		// Its only error is that it is closed already.
--- a/soak/main.go
+++ b/soak/main.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"time"
 
@@ -100,12 +101,22 @@
 	}
 	fmt.Printf("%s: %d faults, %d starts, jobs %v, %d violations in %.0f s\n",
 		p.Name, len(p.Faults), report.Starts, report.Jobs, len(report.Violations), report.Took.Seconds())
+	fmt.Printf("  struck: %s; %d schedulers elected\n", hitsText(report.Hits), report.Elections)
 	for _, v := range report.Violations {
 		fmt.Println("  " + v.String())
 	}
 	return len(report.Violations), writeReport(report, dir)
 }
 
+// hitsText returns the counts of all kinds of faults in one line.
+func hitsText(all []stand.Hits) string {
+	var texts []string
+	for _, h := range all {
+		texts = append(texts, h.String())
+	}
+	return strings.Join(texts, ", ")
+}
+
 // writeReport writes the report and the timeline, with a line at each fault.
 func writeReport(r stand.Report, dir string) error {
 	data, err := json.MarshalIndent(r, "", "  ")
--- a/soak/stand/faults.go
+++ b/soak/stand/faults.go
@@ -35,16 +35,24 @@
 	switch f.Kind {
 	case plan.HostKill, plan.HostStop, plan.HostPause, plan.HostReload:
 		s.disturbHosts(f)
+	case plan.StoreExcludes:
+		s.excludeHosts(f)
 	case plan.StoreCompact:
 		s.store.Compact()
+		s.noteStrike(strike{kind: f.Kind, aimed: 1, struck: 1})
 	default:
-		end := s.store.Inject(s.storeFault(f))
-		s.sleep(f.Duration())
-		end()
+		s.noteStrike(strike{kind: f.Kind, aimed: 1, struck: min(1, s.disturbStore(f, storeFault(f)))})
 	}
 }
 
-func (s *soak) storeFault(f plan.Fault) kvfake.Fault {
+// disturbStore puts a fault of the store into force for its time, and returns how many calls it has met.
+func (s *soak) disturbStore(f plan.Fault, injected kvfake.Fault) (met int) {
+	end := s.store.Inject(injected)
+	s.sleep(f.Duration())
+	return end()
+}
+
+func storeFault(f plan.Fault) kvfake.Fault {
 	switch f.Kind {
 	case plan.StoreDown:
 		return kvfake.Unavailable{PausesLeases: f.PausesLeases}
@@ -55,12 +63,19 @@
 	case plan.StoreLate:
 		return kvfake.LateWrites{Share: f.Share, Delay: f.Delay()}
 	}
+	panic("not a fault of the store: " + f.Kind)
+}
+
+// excludeHosts keeps some hosts from the store.
+func (s *soak) excludeHosts(f plan.Fault) {
+	hosts, term := s.chooseHosts(f)
 	var names []string
-	hosts, _ := s.chooseHosts(f)
 	for _, h := range hosts {
 		names = append(names, h.Name)
 	}
-	return kvfake.Excluded{Clients: names, Silent: f.Silent}
+	began := time.Since(s.began)
+	met := s.disturbStore(f, kvfake.Excluded{Clients: names, Silent: f.Silent})
+	s.noteHosts(f, began, term, slices.Repeat([]bool{met > 0}, len(hosts)))
 }
 
 // chooseHosts returns the hosts of a fault. If the fault asks for the scheduler, its host is the first, and the number of its
@@ -80,29 +95,38 @@
 }
 
 func (s *soak) disturbHosts(f plan.Fault) {
-	hosts, _ := s.chooseHosts(f)
+	hosts, term := s.chooseHosts(f)
+	began := time.Since(s.began)
+	var isStruck []bool
 	for _, h := range hosts {
-		switch f.Kind {
-		case plan.HostKill:
+		isStruck = append(isStruck, s.disturbHost(h, f))
+	}
+	s.noteHosts(f, began, term, isStruck)
+}
+
+// disturbHost carries out a fault on a host, and reports whether its process ran.
+func (s *soak) disturbHost(h *host, f plan.Fault) bool {
+	switch f.Kind {
+	case plan.HostKill:
+		return h.signal(syscall.SIGKILL)
+	case plan.HostReload:
+		return h.signal(syscall.SIGHUP)
+	case plan.HostStop:
+		s.observe(check.StopRequested{Host: h.Name})
+		ended := h.currentEnd()
+		isStruck := h.signal(syscall.SIGTERM)
+		select {
+		case <-ended:
+		case <-time.After(gracePeriod):
 			h.signal(syscall.SIGKILL)
-		case plan.HostReload:
-			h.signal(syscall.SIGHUP)
-		case plan.HostStop:
-			s.observe(check.StopRequested{Host: h.Name})
-			ended := h.currentEnd()
-			h.signal(syscall.SIGTERM)
-			select {
-			case <-ended:
-			case <-time.After(gracePeriod):
-				h.signal(syscall.SIGKILL)
-			}
-			s.sleep(restartDelay)
-		case plan.HostPause:
-			h.signal(syscall.SIGSTOP)
-			s.sleep(f.Duration())
-			h.signal(syscall.SIGCONT)
 		}
+		s.sleep(restartDelay)
+		return isStruck
 	}
+	isStruck := h.signal(syscall.SIGSTOP)
+	s.sleep(f.Duration())
+	h.signal(syscall.SIGCONT)
+	return isStruck
 }
 
 // disturbWorkers disturbs some machines, and restores them.
@@ -112,9 +136,14 @@
 		effects[m] = s.disturb(m, f)
 	}
 	s.sleep(f.Duration())
+	struck := 0
 	for m, e := range effects {
 		s.restore(m, e)
+		if e.isStruck {
+			struck++
+		}
 	}
+	s.noteStrike(strike{kind: f.Kind, of: string(f.Among), aimed: f.Count, struck: struck})
 }
 
 // linkMode returns what a fault does to the connections of a worker; nil if it leaves them alone.
@@ -139,8 +168,10 @@
 	m.mu.Lock()
 	e := &effect{fault: f, worker: m.worker}
 	wasDraining := m.isDisturbed(plan.WorkerDrain)
+	e.isAimed = f.Among == "" || m.isDisturbed(f.Among)
 	m.effects = append(m.effects, e)
 	s.abortOn(m.apply())
+	e.isStruck = m.isStruck(e)
 	m.mu.Unlock()
 	switch f.Kind {
 	case plan.WorkerDrain:
@@ -150,6 +181,7 @@
 	case plan.WorkerCrash:
 		w := m.crash()
 		m.mu.Lock()
+		e.isStruck = e.isAimed && w != nil
 		// A worker that was told to leave does not return.
 		e.worker, e.fault.NewID = w, f.NewID || wasDraining
 		m.mu.Unlock()
@@ -166,6 +198,7 @@
 // restore ends a fault on a machine. Another fault may have ended the worker that it met, or may still disturb the machine.
 func (s *soak) restore(m *machine, e *effect) {
 	m.mu.Lock()
+	e.isStruck = e.isStruck || m.isStruck(e)
 	m.effects = slices.DeleteFunc(m.effects, func(other *effect) bool { return other == e })
 	s.abortOn(m.apply())
 	isPresent := m.worker == e.worker
--- a/soak/stand/fleet.go
+++ b/soak/stand/fleet.go
@@ -8,6 +8,7 @@
 
 	"lovagefork.example/coord/fleet"
 	"lovagefork.example/coord/infra"
+	"lovagefork.example/platform"
 	"lovagefork.example/platform/wkfake"
 	"lovagefork.example/soak/check"
 	"lovagefork.example/soak/links"
@@ -43,6 +44,9 @@
 	worker *wkfake.Worker
 	// isAnnounced is set once the store has the notice of a drain.
 	isAnnounced bool
+	// isAimed is set if the machine was a target when the fault began, and isStruck once the fault has met its worker.
+	isAimed  bool
+	isStruck bool
 }
 
 // boot starts a worker on the machine, which the faults in force meet too. It has the ID of the one before unless newID is set.
@@ -135,6 +139,54 @@
 	})
 }
 
+// isStruck reports whether a fault in force meets the present worker. A crash is noted where it is caused.
+func (m *machine) isStruck(e *effect) bool {
+	switch {
+	case !e.isAimed || e.fault.Kind == plan.WorkerCrash:
+		return false
+	case e.fault.Kind == plan.WorkerDrain:
+		return e.isAnnounced
+	case m.worker == nil:
+		return false
+	}
+	mode := linkMode(e.fault)
+	return mode == nil || m.listener.Mode() == mode
+}
+
+// NotRestoredError reports a machine that is still disturbed after all faults have ended.
+type NotRestoredError struct {
+	Machine int
+	Reason  string
+}
+
+// Error returns the number of the machine and what is wrong with it.
+func (e *NotRestoredError) Error() string {
+	return fmt.Sprintf("machine %d is not restored: %s", e.Machine, e.Reason)
+}
+
+// checkRestored returns a [*NotRestoredError] if a machine is disturbed although no fault is in force.
+func (s *soak) checkRestored() error {
+	for _, m := range s.machines {
+		m.mu.Lock()
+		reason := ""
+		switch {
+		case len(m.effects) > 0:
+			reason = fmt.Sprintf("%d faults are in force", len(m.effects))
+		case m.worker == nil:
+			reason = "it is down"
+		case m.listener.Mode() != links.Mode(links.Open{}):
+			reason = fmt.Sprintf("its links are %T", m.listener.Mode())
+		case !s.store.Has(platform.WorkersPrefix + string(m.worker.ID())):
+			reason = "its worker is not registered"
+		}
+		m.mu.Unlock()
+		if reason != "" {
+			return &NotRestoredError{Machine: m.index, Reason: reason}
+		}
+	}
+	return nil
+}
+
 // isTarget reports whether a fault may disturb the machine.
 func (m *machine) isTarget(f plan.Fault) bool {
 	m.mu.Lock()
--- a/soak/stand/host.go
+++ b/soak/stand/host.go
@@ -97,16 +97,18 @@
 	})
 }
 
-// signal sends a signal to the process, and reports whether one ran that was not killed before.
+// signal sends a signal to the process, and reports whether one ran that was not killed before, nor told to end by the same
+// signal.
 func (h *host) signal(s syscall.Signal) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.cmd == nil || h.isKilled {
 		return false
 	}
+	isRepeated := s == syscall.SIGTERM && h.isStopping
 	h.isStopping = h.isStopping || s == syscall.SIGKILL || s == syscall.SIGTERM
 	h.isKilled = s == syscall.SIGKILL
-	return h.cmd.Process.Signal(s) == nil
+	return h.cmd.Process.Signal(s) == nil && !isRepeated
 }
 
 // currentLife returns the number of the process that was started last.
--- a/soak/stand/stand.go
+++ b/soak/stand/stand.go
@@ -69,7 +69,9 @@
 	// random draws the targets of faults.
 	random *rand.Rand
 	// elections are those of schedulers, in their order.
-	elections  []election
+	elections []election
+	// strikes are those of the faults that have ended.
+	strikes    []strike
 	checker    *check.Checker
 	violations []check.Violation
 }
@@ -90,6 +92,9 @@
 	Jobs       map[string]int    `json:"jobs"`
 	Starts     int               `json:"starts"`
 	Violations []check.Violation `json:"violations"`
+	Hits       []Hits            `json:"hits"`
+	// Elections is the number of schedulers that were elected.
+	Elections int `json:"elections"`
 	// Timeline holds what callers saw, and Streams its summaries.
 	Timeline []tally.Point   `json:"-"`
 	Streams  []tally.Summary `json:"streams"`
@@ -272,7 +277,9 @@
 	faultsEnded := time.Now()
 	s.awaitAvailability(faultsEnded.Add(recoveryTime))
 	callers.Wait()
-	s.sleep(cancelTime)
+	if s.sleep(cancelTime) {
+		s.abortOn(s.checkRestored())
+	}
 	endProbes()
 	probes.Wait()
 	s.observe(check.Finished{})
@@ -345,6 +352,7 @@
 	defer s.mu.Unlock()
 	return Report{
 		Plan: s.plan, Took: time.Since(s.began), LoadBegan: s.loadBegan, Jobs: s.checker.JobStates(), Starts: s.checker.Starts(), Violations: s.violations,
+		Hits: s.countHits(), Elections: len(s.elections),
 		Timeline: s.tally.Timeline(time.Second), Streams: s.tally.Summaries(),
 	}
 }
--- a/soak/stand/stand_test.go
+++ b/soak/stand/stand_test.go
@@ -37,7 +37,7 @@
 }
 
 // play plays a plan and fails the test for each broken promise.
-func play(t *testing.T, p plan.Plan) {
+func play(t *testing.T, p plan.Plan) stand.Report {
 	t.Helper()
 	dir := t.TempDir()
 	report, err := stand.Run(t.Context(), p, program, dir)
@@ -47,12 +47,13 @@
 	}
 	assert.Assert(t, report.Starts > 0 && report.Jobs["completed"] > 0, "nothing ran: %+v", report)
 	if !t.Failed() {
-		return
+		return report
 	}
 	kept, err := os.MkdirTemp("", "soak-failed")
 	assert.NilError(t, err)
 	assert.NilError(t, os.CopyFS(kept, os.DirFS(dir)))
 	t.Logf("the logs and observations are in %s", kept)
+	return report
 }
 
 // Guards against the faults that earlier soaks have found; each plan names its own.
@@ -82,3 +83,38 @@
 		})
 	}
 }
+
+// Guards against faults that miss and count as hits, by which soaks are blind: kills of a scheduler that is gone, faults of
+// draining workers while none drains, notices that do not reach the store; and against workers that return without the faults
+// that their machine is in.
+func TestHitsAreCounted(t *testing.T) {
+	t.Parallel()
+	p := plan.Plan{
+		Name: "hits", Seed: 1, Hosts: 3, Workers: 12, LoadMS: 13000, JobsPerSecond: 3,
+		Faults: []plan.Fault{
+			{Kind: plan.WorkersSilent, AtMS: 500, ForMS: 300, Count: 2, Among: plan.WorkerDrain},
+			{Kind: plan.HostKill, AtMS: 1000, Count: 1, OnLeader: true},
+			{Kind: plan.HostKill, AtMS: 1100, Count: 1, OnLeader: true},
+			{Kind: plan.WorkersRefuse, AtMS: 4000, ForMS: 3000, Count: 2, CutsStore: true},
+			{Kind: plan.WorkerDrain, AtMS: 4200, ForMS: 500, Count: 2, Among: plan.WorkersRefuse},
+			{Kind: plan.WorkersSilent, AtMS: 5500, ForMS: 500, Count: 2, Among: plan.WorkersRefuse},
+			{Kind: plan.WorkerDrain, AtMS: 7500, ForMS: 3000, Count: 3},
+			{Kind: plan.WorkersOneWay, AtMS: 9000, ForMS: 2000, Count: 5, Among: plan.WorkerDrain},
+			{Kind: plan.WorkerCrash, AtMS: 9500, ForMS: 1500, Count: 2},
+			{Kind: plan.WorkersSilent, AtMS: 10000, ForMS: 3000, Count: 2, Among: plan.WorkerCrash},
+		},
+	}
+	report := play(t, p)
+	assert.DeepEqual(t, report.Hits, []stand.Hits{
+		{Kind: plan.HostKill, Of: "scheduler", Faults: 2, Missed: 1, Aimed: 2, Struck: 1},
+		{Kind: plan.WorkerCrash, Faults: 1, Aimed: 2, Struck: 2},
+		{Kind: plan.WorkerDrain, Faults: 1, Aimed: 3, Struck: 3},
+		{Kind: plan.WorkerDrain, Of: "workers_refuse", Faults: 1, Missed: 1, Aimed: 2},
+		{Kind: plan.WorkersOneWay, Of: "workers_drain", Faults: 1, Aimed: 5, Struck: 3},
+		{Kind: plan.WorkersRefuse, Faults: 1, Aimed: 2, Struck: 2},
+		{Kind: plan.WorkersSilent, Of: "workers_crash", Faults: 1, Aimed: 2, Struck: 2},
+		{Kind: plan.WorkersSilent, Of: "workers_drain", Faults: 1, Missed: 1, Aimed: 2},
+		{Kind: plan.WorkersSilent, Of: "workers_refuse", Faults: 1, Missed: 1, Aimed: 2},
+	})
+	assert.Assert(t, report.Elections >= 2, "%d elections", report.Elections)
+}
