plan: draw rates and widths of users' deployments

Drawn plans had 0.25 jobs/s per worker with one to eight tasks a step and drains of one or two workers. They now draw 0.12 to 0.3 jobs/s per worker, 40 at most, four in ten of them steps of 10 to 20 short tasks, drains of up to a fifth of the workers, and let half of the faults of workers meet those that another one still disturbs. Each seed gives another plan than before; the kept plans and their jobs are as they were.

--- a/soak/plan/draw.go
+++ b/soak/plan/draw.go
@@ -16,6 +16,20 @@
 	seriesChance = 0.3
 )
 
+// The sizes of drawn plans. Wide jobs have short tasks, so that the workers can carry them.
+const (
+	minJobsPerWorker = 0.12
+	maxJobsPerWorker = 0.3
+	maxJobsPerSecond = 40
+	wideChance       = 0.4
+	minWide          = 10
+	maxWide          = 20
+	wideWorkMS       = 900
+)
+
+// amongChance is the chance that a fault of workers meets those that another fault disturbs, if there are any.
+const amongChance = 0.5
+
 // maxKinds limits the kinds of faults in one plan, so that each combination of a few kinds is played at many moments.
 const maxKinds = 6
 
@@ -27,7 +41,11 @@
 	kinds = kinds[:2+random.IntN(maxKinds-1)]
 	p := Plan{
 		Name: fmt.Sprintf("seed-%d", seed), Seed: seed, Hosts: hosts, Workers: workers, LoadMS: load.Milliseconds(),
-		JobsPerSecond: 0.25 * float64(workers), ConfigEveryMS: 7000,
+		JobsPerSecond: min(maxJobsPerSecond, float64(workers)*(minJobsPerWorker+(maxJobsPerWorker-minJobsPerWorker)*random.Float64())),
+		ConfigEveryMS: 7000,
+	}
+	if random.Float64() < wideChance {
+		p.MinTasks, p.MaxTasks, p.MaxWorkMS = minWide, maxWide, wideWorkMS
 	}
 	if random.IntN(3) == 0 {
 		p.ReportMS = 1 + random.Int64N(5)
@@ -41,6 +59,7 @@
 		}
 		for range repeats {
 			f.AtMS = at.Milliseconds()
+			f.Among = drawAmong(random, p.Faults, f)
 			p.Faults = append(p.Faults, f)
 			at += time.Duration(random.ExpFloat64() * float64(meanGap) / float64(repeats))
 		}
@@ -49,9 +68,40 @@
 	return p
 }
 
+// drawAmong returns the kind of a former fault of workers that lasts when a fault begins, or none.
+func drawAmong(random *rand.Rand, former []Fault, f Fault) Kind {
+	var lasting []Kind
+	for _, other := range former {
+		isLasting := other.Kind.DisturbsWorkers() && other.AtMS+other.ForMS > f.AtMS
+		if isLasting && canMeet(f.Kind, other.Kind) && !slices.Contains(lasting, other.Kind) {
+			lasting = append(lasting, other.Kind)
+		}
+	}
+	if !f.Kind.DisturbsWorkers() || len(lasting) == 0 || random.Float64() >= amongChance {
+		return ""
+	}
+	return lasting[random.IntN(len(lasting))]
+}
+
+// canMeet reports whether a fault of a kind can disturb a worker that is disturbed by another: one that has crashed does not
+// crash or drain, and one that drains is not told so again.
+func canMeet(kind, other Kind) bool {
+	switch kind {
+	case WorkerCrash:
+		return other != WorkerCrash
+	case WorkerDrain:
+		return other != WorkerCrash && other != WorkerDrain
+	}
+	return true
+}
+
 // drawFault returns a fault of a kind without its time.
 func drawFault(random *rand.Rand, kind Kind, hosts, workers int) Fault {
-	f := Fault{Kind: kind, OnLeader: random.IntN(2) == 0}
+	f := Fault{Kind: kind}
+	switch kind {
+	case HostKill, HostStop, HostPause, HostReload, StoreExcludes:
+		f.OnLeader = random.IntN(2) == 0
+	}
 	between := func(low, high int64) int64 { return low + random.Int64N(high-low+1) }
 	someWorkers := 1 + random.IntN(max(1, workers/5))
 	switch f.Kind {
@@ -81,7 +131,7 @@
 	case WorkerCrash:
 		f.Count, f.ForMS, f.NewID = someWorkers, between(500, 8000), random.IntN(2) == 0
 	case WorkerDrain:
-		f.Count, f.ForMS = 1+random.IntN(2), between(3000, 8000)
+		f.Count, f.ForMS = someWorkers, between(3000, 8000)
 	}
 	return f
 }
--- a/soak/plan/plan.go
+++ b/soak/plan/plan.go
@@ -90,6 +90,10 @@
 	Workers       int     `json:"workers"`
 	LoadMS        int64   `json:"load_ms"`
 	JobsPerSecond float64 `json:"jobs_per_second"`
+	// MinTasks and MaxTasks bound the number of tasks of a step, and MaxWorkMS the work of most of them; 0 stands for the default.
+	MinTasks  int   `json:"min_tasks,omitempty"`
+	MaxTasks  int   `json:"max_tasks,omitempty"`
+	MaxWorkMS int64 `json:"max_work_ms,omitempty"`
 	// ConfigEveryMS is the interval of changes of the configuration; 0 means that there are none.
 	ConfigEveryMS int64 `json:"config_every_ms,omitempty"`
 	// ReportMS is how long workers take between the parts of a report; 0 means that they read them at one moment.
@@ -111,6 +115,7 @@
 	maxHosts   = 200
 	maxWorkers = 1000
 	maxLoadMS  = 3600_000
+	maxTasks   = 100
 )
 
 // Load reads and validates a plan; its error is an [*InvalidError] or that of the file system.
@@ -140,6 +145,10 @@
 		return invalid("%d ms of load, want 1 to %d", p.LoadMS, maxLoadMS)
 	case p.JobsPerSecond <= 0 || p.ConfigEveryMS < 0 || p.ReportMS < 0:
 		return invalid("a rate or an interval is not positive")
+	case p.MinTasks < 0 || p.MaxTasks < p.MinTasks || p.MaxTasks > maxTasks:
+		return invalid("%d to %d tasks in a step, want at most %d", p.MinTasks, p.MaxTasks, maxTasks)
+	case p.MaxWorkMS < 0 || p.MaxWorkMS > maxLoadMS:
+		return invalid("%d ms of work, want at most %d", p.MaxWorkMS, maxLoadMS)
 	}
 	for i, f := range p.Faults {
 		if !slices.Contains(Kinds, f.Kind) {
--- a/soak/plan/plan_test.go
+++ b/soak/plan/plan_test.go
@@ -34,7 +34,7 @@
 	for _, text := range []string{
 		``, `[]`, `{}`, head + `,"faults":[{"kind":"flood","at_ms":1}]}`, head + `,"faults":[{"kind":"host_kill","at_ms":-1}]}`,
 		head + `,"faults":[{"kind":"store_slow","share":2}]}`, head + `,"faults":[{"kind":"host_kill","among":"workers_drain"}]}`,
-		head + `,"faults":[{"kind":"workers_silent","among":"host_kill"}]}`, `{"hosts":9999,"workers":2,"load_ms":1000,"jobs_per_second":1}`,
+		head + `,"faults":[{"kind":"workers_silent","among":"host_kill"}]}`, head + `,"min_tasks":5,"max_tasks":2}`, head + `,"max_work_ms":-1}`, `{"hosts":9999,"workers":2,"load_ms":1000,"jobs_per_second":1}`,
 	} {
 		assert.NilError(t, os.WriteFile(file, []byte(text), 0o600))
 		_, err := plan.Load(file)
@@ -45,3 +45,25 @@
 	_, err := plan.Load(file)
 	assert.NilError(t, err)
 }
+
+// Guards against drawn plans that stay below the sizes of deployments, or whose faults never meet on one worker.
+func TestDrawnPlansReachSizes(t *testing.T) {
+	t.Parallel()
+	wide, fast, overlapping := 0, 0, 0
+	for seed := range uint64(100) {
+		p := plan.Draw(seed, 12, 140, 30*time.Second)
+		if p.MinTasks >= 10 && p.MaxTasks <= 20 {
+			wide++
+		}
+		assert.Assert(t, p.JobsPerSecond >= 16 && p.JobsPerSecond <= 40, "%v", p.JobsPerSecond)
+		if p.JobsPerSecond > 30 {
+			fast++
+		}
+		for _, f := range p.Faults {
+			if f.Among != "" {
+				overlapping++
+			}
+		}
+	}
+	assert.Assert(t, wide >= 25 && fast >= 25 && overlapping >= 100, "%d wide, %d fast, %d faults among others", wide, fast, overlapping)
+}
--- a/soak/stand/load.go
+++ b/soak/stand/load.go
@@ -1,6 +1,7 @@
 package stand
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -14,6 +15,7 @@
 	"lovagefork.example/platform/caller"
 	"lovagefork.example/platform/wkfake"
 	"lovagefork.example/soak/check"
+	"lovagefork.example/soak/plan"
 )
 
 const (
@@ -42,24 +44,33 @@
 func (s *soak) submitJobs(ctx context.Context, callers *sync.WaitGroup) {
 	random := rand.New(rand.NewPCG(s.plan.Seed, 2))
 	for n := 0; ctx.Err() == nil; n++ {
-		o := drawOrder(random, s.plan.Seed, n)
+		o := drawOrder(random, s.plan, n)
 		first := random.IntN(len(s.hosts))
 		callers.Go(func() { s.follow(o, first) })
 		s.sleep(time.Duration(random.ExpFloat64() / s.plan.JobsPerSecond * float64(time.Second)))
 	}
 }
 
-// drawOrder returns the n-th job of a seed.
-func drawOrder(random *rand.Rand, seed uint64, n int) order {
-	work := wkfake.Work{Milliseconds: 300 + random.Int64N(3000)}
+// The default bounds of jobs, and the shortest work.
+const (
+	defaultMinTasks  = 1
+	defaultMaxTasks  = 8
+	minWorkMS        = 300
+	defaultMaxWorkMS = 3300
+)
+
+// drawOrder returns the n-th job of a plan.
+func drawOrder(random *rand.Rand, p plan.Plan, n int) order {
+	minTasks, maxTasks := cmp.Or(p.MinTasks, defaultMinTasks), cmp.Or(p.MaxTasks, defaultMaxTasks)
+	work := wkfake.Work{Milliseconds: minWorkMS + random.Int64N(max(1, cmp.Or(p.MaxWorkMS, defaultMaxWorkMS)-minWorkMS))}
 	if random.IntN(6) == 0 {
 		work.Milliseconds *= 3
 	}
 	step := infra.Step{
-		Count: 1 + random.IntN(8), Estimate: time.Duration(float64(work.Milliseconds)*(0.5+random.Float64())) * time.Millisecond,
+		Count: minTasks + random.IntN(maxTasks-minTasks+1), Estimate: time.Duration(float64(work.Milliseconds)*(0.5+random.Float64())) * time.Millisecond,
 		Size: fleet.Resources{MilliCPU: 1000 * (1 + random.Int64N(4)), MemoryBytes: 256 << 20},
 	}
-	o := order{job: infra.Job{ID: fleet.JobID(fmt.Sprintf("%08x%08x", uint32(seed), n)), Queue: queueName, Steps: []infra.Step{step}}}
+	o := order{job: infra.Job{ID: fleet.JobID(fmt.Sprintf("%08x%08x", uint32(p.Seed), n)), Queue: queueName, Steps: []infra.Step{step}}}
 	switch random.IntN(10) {
 	case 0:
 		second, third := step, step
--- a/soak/stand/stand_test.go
+++ b/soak/stand/stand_test.go
@@ -90,7 +90,7 @@
 func TestHitsAreCounted(t *testing.T) {
 	t.Parallel()
 	p := plan.Plan{
-		Name: "hits", Seed: 1, Hosts: 3, Workers: 12, LoadMS: 13000, JobsPerSecond: 3,
+		Name: "hits", Seed: 1, Hosts: 3, Workers: 12, LoadMS: 13000, JobsPerSecond: 3, MinTasks: 10, MaxTasks: 12, MaxWorkMS: 600,
 		Faults: []plan.Fault{
 			{Kind: plan.WorkersSilent, AtMS: 500, ForMS: 300, Count: 2, Among: plan.WorkerDrain},
 			{Kind: plan.HostKill, AtMS: 1000, Count: 1, OnLeader: true},
@@ -117,4 +117,9 @@
 		{Kind: plan.WorkersSilent, Of: "workers_refuse", Faults: 1, Missed: 1, Aimed: 2},
 	})
 	assert.Assert(t, report.Elections >= 2, "%d elections", report.Elections)
+	jobs := 0
+	for _, n := range report.Jobs {
+		jobs += n
+	}
+	assert.Assert(t, report.Starts >= 7*jobs, "%d starts of %d jobs", report.Starts, jobs)
 }
