kvfake, soak: play watches that lag

While the fault lasts, watches show changes only once they have a certain age; all other calls see them at once.

--- a/soak/plan/draw.go
+++ b/soak/plan/draw.go
@@ -119,6 +119,8 @@
 		f.ForMS, f.Share = between(2000, 8000), 0.1+0.4*random.Float64()
 	case StoreLate:
 		f.ForMS, f.Share, f.DelayMS = between(2000, 8000), 0.1+0.3*random.Float64(), between(500, 4000)
+	case StoreWatchLag:
+		f.ForMS, f.DelayMS = between(2000, 8000), between(200, 4000)
 	case StoreExcludes:
 		f.Count, f.ForMS, f.Silent = 1+random.IntN(max(1, hosts-1)), between(2000, 9000), random.IntN(2) == 0
 	case WorkersRefuse, WorkersReset, WorkersSilent, WorkersOneWay:
--- a/soak/plan/plan.go
+++ b/soak/plan/plan.go
@@ -24,6 +24,7 @@
 	StoreLate     Kind = "store_late_writes"
 	StoreExcludes Kind = "store_excludes_hosts"
 	StoreCompact  Kind = "store_compact"
+	StoreWatchLag Kind = "store_watch_lag"
 
 	WorkersRefuse Kind = "workers_refuse"
 	WorkersReset  Kind = "workers_reset"
@@ -37,7 +38,7 @@
 
 // Kinds are all kinds of faults.
 var Kinds = []Kind{
-	HostKill, HostStop, HostPause, HostReload, StoreDown, StoreSlow, StoreLost, StoreLate, StoreExcludes, StoreCompact,
+	HostKill, HostStop, HostPause, HostReload, StoreDown, StoreSlow, StoreLost, StoreLate, StoreExcludes, StoreCompact, StoreWatchLag,
 	WorkersRefuse, WorkersReset, WorkersSilent, WorkersOneWay, WorkersDelay, WorkersLate, WorkerCrash, WorkerDrain,
 }
 
--- a/soak/stand/faults.go
+++ b/soak/stand/faults.go
@@ -62,6 +62,8 @@
 		return kvfake.LostAnswers{Share: f.Share}
 	case plan.StoreLate:
 		return kvfake.LateWrites{Share: f.Share, Delay: f.Delay()}
+	case plan.StoreWatchLag:
+		return kvfake.WatchLag{Delay: f.Delay()}
 	}
 	panic("not a fault of the store: " + f.Kind)
 }
--- a/soak/stand/load.go
+++ b/soak/stand/load.go
@@ -67,8 +67,9 @@
 		work.Milliseconds *= 3
 	}
 	step := infra.Step{
-		Count: minTasks + random.IntN(maxTasks-minTasks+1), Estimate: time.Duration(float64(work.Milliseconds)*(0.5+random.Float64())) * time.Millisecond,
-		Size: fleet.Resources{MilliCPU: 1000 * (1 + random.Int64N(4)), MemoryBytes: 256 << 20},
+		Count:    minTasks + random.IntN(maxTasks-minTasks+1),
+		Estimate: time.Duration(float64(work.Milliseconds)*(0.5+random.Float64())) * time.Millisecond,
+		Size:     fleet.Resources{MilliCPU: 1000 * (1 + random.Int64N(4)), MemoryBytes: 256 << 20},
 	}
 	o := order{job: infra.Job{ID: fleet.JobID(fmt.Sprintf("%08x%08x", uint32(p.Seed), n)), Queue: queueName, Steps: []infra.Step{step}}}
 	switch random.IntN(10) {
