--- a/soak/plan/plan.go
+++ b/soak/plan/plan.go
@@ -24,6 +24,7 @@
 	StoreLate     Kind = "store_late_writes"
 	StoreExcludes Kind = "store_excludes_hosts"
 	StoreCompact  Kind = "store_compact"
+	StoreWatchLag Kind = "store_watch_lag"
 
 	WorkersRefuse Kind = "workers_refuse"
 	WorkersReset  Kind = "workers_reset"
@@ -37,10 +38,19 @@
 
 // Kinds are all kinds of faults.
 var Kinds = []Kind{
-	HostKill, HostStop, HostPause, HostReload, StoreDown, StoreSlow, StoreLost, StoreLate, StoreExcludes, StoreCompact,
+	HostKill, HostStop, HostPause, HostReload, StoreDown, StoreSlow, StoreLost, StoreLate, StoreExcludes, StoreCompact, StoreWatchLag,
 	WorkersRefuse, WorkersReset, WorkersSilent, WorkersOneWay, WorkersDelay, WorkersLate, WorkerCrash, WorkerDrain,
 }
 
+// DisturbsWorkers reports whether the targets of faults of a kind are workers.
+func (k Kind) DisturbsWorkers() bool {
+	switch k {
+	case WorkersRefuse, WorkersReset, WorkersSilent, WorkersOneWay, WorkersDelay, WorkersLate, WorkerCrash, WorkerDrain:
+		return true
+	}
+	return false
+}
+
 // Fault is one fault. Times are in milliseconds; AtMS counts from the start of the load.
 type Fault struct {
 	Kind  Kind  `json:"kind"`
@@ -50,6 +60,8 @@
 	Count int `json:"count,omitempty"`
 	// OnLeader selects the host of the scheduler first.
 	OnLeader bool `json:"on_leader,omitempty"`
+	// Among selects the targets among the workers that faults of this kind disturb at the time.
+	Among Kind `json:"among,omitempty"`
 	// CutsStore also keeps the workers from renewing their entries in the store.
 	CutsStore bool `json:"cuts_store,omitempty"`
 	// NewID lets crashed workers return under other IDs.
@@ -79,6 +91,10 @@
 	Workers       int     `json:"workers"`
 	LoadMS        int64   `json:"load_ms"`
 	JobsPerSecond float64 `json:"jobs_per_second"`
+	// MinTasks and MaxTasks bound the number of tasks of a step, and MaxWorkMS the work of most of them; 0 stands for the default.
+	MinTasks  int   `json:"min_tasks,omitempty"`
+	MaxTasks  int   `json:"max_tasks,omitempty"`
+	MaxWorkMS int64 `json:"max_work_ms,omitempty"`
 	// ConfigEveryMS is the interval of changes of the configuration; 0 means that there are none.
 	ConfigEveryMS int64 `json:"config_every_ms,omitempty"`
 	// ReportMS is how long workers take between the parts of a report; 0 means that they read them at one moment.
@@ -100,6 +116,7 @@
 	maxHosts   = 200
 	maxWorkers = 1000
 	maxLoadMS  = 3600_000
+	maxTasks   = 100
 )
 
 // Load reads and validates a plan; its error is an [*InvalidError] or that of the file system.
@@ -129,6 +146,10 @@
 		return invalid("%d ms of load, want 1 to %d", p.LoadMS, maxLoadMS)
 	case p.JobsPerSecond <= 0 || p.ConfigEveryMS < 0 || p.ReportMS < 0:
 		return invalid("a rate or an interval is not positive")
+	case p.MinTasks < 0 || p.MaxTasks < p.MinTasks || p.MaxTasks > maxTasks:
+		return invalid("%d to %d tasks in a step, want at most %d", p.MinTasks, p.MaxTasks, maxTasks)
+	case p.MaxWorkMS < 0 || p.MaxWorkMS > maxLoadMS:
+		return invalid("%d ms of work, want at most %d", p.MaxWorkMS, maxLoadMS)
 	}
 	for i, f := range p.Faults {
 		if !slices.Contains(Kinds, f.Kind) {
@@ -137,6 +158,9 @@
 		if f.AtMS < 0 || f.ForMS < 0 || f.Count < 0 || f.Share < 0 || f.Share > 1 || f.DelayMS < 0 {
 			return invalid("fault %d: a figure is out of range", i)
 		}
+		if f.Among != "" && (!f.Kind.DisturbsWorkers() || !f.Among.DisturbsWorkers()) {
+			return invalid("fault %d: %s among %s, want two kinds of faults of workers", i, f.Kind, f.Among)
+		}
 	}
 	return nil
 }
--- a/soak/stand/faults.go
+++ b/soak/stand/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"syscall"
 	"time"
 
@@ -27,24 +28,31 @@
 	text, isPlanned := fmt.Sprintf("%+v", f), f.Kind == plan.HostStop || f.Kind == plan.HostReload
 	s.observe(check.FaultBegan{Text: text, IsPlanned: isPlanned})
 	defer s.observe(check.FaultEnded{Text: text, IsPlanned: isPlanned})
+	if f.Kind.DisturbsWorkers() {
+		s.disturbWorkers(f)
+		return
+	}
 	switch f.Kind {
 	case plan.HostKill, plan.HostStop, plan.HostPause, plan.HostReload:
 		s.disturbHosts(f)
-	case plan.WorkersRefuse, plan.WorkersReset, plan.WorkersSilent, plan.WorkersOneWay, plan.WorkersDelay,
-		plan.WorkerCrash, plan.WorkerDrain:
-		s.disturbWorkers(f)
-	case plan.WorkersLate:
-		s.delayOrders(f)
+	case plan.StoreExcludes:
+		s.excludeHosts(f)
 	case plan.StoreCompact:
 		s.store.Compact()
+		s.noteStrike(strike{kind: f.Kind, aimed: 1, struck: 1})
 	default:
-		end := s.store.Inject(s.storeFault(f))
-		s.sleep(f.Duration())
-		end()
+		s.noteStrike(strike{kind: f.Kind, aimed: 1, struck: min(1, s.disturbStore(f, storeFault(f)))})
 	}
 }
 
-func (s *soak) storeFault(f plan.Fault) kvfake.Fault {
+// disturbStore puts a fault of the store into force for its time, and returns how many calls it has met.
+func (s *soak) disturbStore(f plan.Fault, injected kvfake.Fault) (met int) {
+	end := s.store.Inject(injected)
+	s.sleep(f.Duration())
+	return end()
+}
+
+func storeFault(f plan.Fault) kvfake.Fault {
 	switch f.Kind {
 	case plan.StoreDown:
 		return kvfake.Unavailable{PausesLeases: f.PausesLeases}
@@ -54,69 +62,90 @@
 		return kvfake.LostAnswers{Share: f.Share}
 	case plan.StoreLate:
 		return kvfake.LateWrites{Share: f.Share, Delay: f.Delay()}
+	case plan.StoreWatchLag:
+		return kvfake.WatchLag{Delay: f.Delay()}
 	}
+	panic("not a fault of the store: " + f.Kind)
+}
+
+// excludeHosts keeps some hosts from the store.
+func (s *soak) excludeHosts(f plan.Fault) {
+	hosts, term := s.chooseHosts(f)
 	var names []string
-	for _, h := range s.chooseHosts(f) {
+	for _, h := range hosts {
 		names = append(names, h.Name)
 	}
-	return kvfake.Excluded{Clients: names, Silent: f.Silent}
+	began := time.Since(s.began)
+	met := s.disturbStore(f, kvfake.Excluded{Clients: names, Silent: f.Silent})
+	s.noteHosts(f, began, term, slices.Repeat([]bool{met > 0}, len(hosts)))
 }
 
-// chooseHosts returns the hosts of a fault, that of the scheduler first if the fault asks for it.
-func (s *soak) chooseHosts(f plan.Fault) []*host {
-	order := s.permutation(len(s.hosts))
-	s.mu.Lock()
-	defer s.mu.Unlock()
+// chooseHosts returns the hosts of a fault. If the fault asks for the scheduler, its host is the first, and the number of its
+// election is returned, or 0 if there is no scheduler.
+func (s *soak) chooseHosts(f plan.Fault) (found []*host, term int) {
+	for _, index := range s.permutation(len(s.hosts)) {
+		found = append(found, s.hosts[index])
+	}
 	if f.OnLeader {
-		for i, index := range order {
-			if s.hosts[index].Name == s.lastWriter {
-				order[0], order[i] = order[i], order[0]
-			}
+		var leader *host
+		if leader, term = s.scheduler(); leader != nil {
+			i := slices.Index(found, leader)
+			found[0], found[i] = found[i], found[0]
 		}
 	}
-	var found []*host
-	for _, index := range order[:min(f.Count, len(order))] {
-		found = append(found, s.hosts[index])
-	}
-	return found
+	return found[:min(f.Count, len(found))], term
 }
 
 func (s *soak) disturbHosts(f plan.Fault) {
-	for _, h := range s.chooseHosts(f) {
-		switch f.Kind {
-		case plan.HostKill:
+	hosts, term := s.chooseHosts(f)
+	began := time.Since(s.began)
+	var isStruck []bool
+	for _, h := range hosts {
+		isStruck = append(isStruck, s.disturbHost(h, f))
+	}
+	s.noteHosts(f, began, term, isStruck)
+}
+
+// disturbHost carries out a fault on a host, and reports whether its process ran.
+func (s *soak) disturbHost(h *host, f plan.Fault) bool {
+	switch f.Kind {
+	case plan.HostKill:
+		return h.signal(syscall.SIGKILL)
+	case plan.HostReload:
+		return h.signal(syscall.SIGHUP)
+	case plan.HostStop:
+		s.observe(check.StopRequested{Host: h.Name})
+		ended := h.currentEnd()
+		isStruck := h.signal(syscall.SIGTERM)
+		select {
+		case <-ended:
+		case <-time.After(gracePeriod):
 			h.signal(syscall.SIGKILL)
-		case plan.HostReload:
-			h.signal(syscall.SIGHUP)
-		case plan.HostStop:
-			s.observe(check.StopRequested{Host: h.Name})
-			ended := h.currentEnd()
-			h.signal(syscall.SIGTERM)
-			select {
-			case <-ended:
-			case <-time.After(gracePeriod):
-				h.signal(syscall.SIGKILL)
-			}
-			s.sleep(restartDelay)
-		case plan.HostPause:
-			h.signal(syscall.SIGSTOP)
-			s.sleep(f.Duration())
-			h.signal(syscall.SIGCONT)
 		}
+		s.sleep(restartDelay)
+		return isStruck
 	}
+	isStruck := h.signal(syscall.SIGSTOP)
+	s.sleep(f.Duration())
+	h.signal(syscall.SIGCONT)
+	return isStruck
 }
 
 // disturbWorkers disturbs some machines, and restores them.
 func (s *soak) disturbWorkers(f plan.Fault) {
-	machines := s.idleMachines(f.Count)
-	for _, m := range machines {
-		s.disturb(m, f)
+	effects := make(map[*machine]*effect)
+	for _, m := range s.chooseMachines(f) {
+		effects[m] = s.disturb(m, f)
 	}
 	s.sleep(f.Duration())
-	for _, m := range machines {
-		s.restore(m, f)
-		m.release()
+	struck := 0
+	for m, e := range effects {
+		s.restore(m, e)
+		if e.isStruck {
+			struck++
+		}
 	}
+	s.noteStrike(strike{kind: f.Kind, of: string(f.Among), aimed: f.Count, struck: struck})
 }
 
 // linkMode returns what a fault does to the connections of a worker; nil if it leaves them alone.
@@ -136,37 +165,54 @@
 	return nil
 }
 
-func (s *soak) disturb(m *machine, f plan.Fault) {
-	if mode := linkMode(f); mode != nil {
-		m.worker.CutFromStore(f.CutsStore)
-		s.abortOn(m.listener.SetMode(mode))
-		return
-	}
+// disturb puts a fault into force on a machine.
+func (s *soak) disturb(m *machine, f plan.Fault) *effect {
+	m.mu.Lock()
+	e := &effect{fault: f, worker: m.worker}
+	wasDraining := m.isDisturbed(plan.WorkerDrain)
+	e.isAimed = f.Among == "" || m.isDisturbed(f.Among)
+	m.effects = append(m.effects, e)
+	s.abortOn(m.apply())
+	e.isStruck = m.isStruck(e)
+	m.mu.Unlock()
 	switch f.Kind {
 	case plan.WorkerDrain:
-		m.worker.Drain(f.Duration())
+		if e.worker != nil {
+			e.worker.Drain(f.Duration())
+		}
 	case plan.WorkerCrash:
 		w := m.crash()
-		if f.NewID {
+		m.mu.Lock()
+		e.isStruck = e.isAimed && w != nil
+		// A worker that was told to leave does not return.
+		e.worker, e.fault.NewID = w, f.NewID || wasDraining
+		m.mu.Unlock()
+		if w != nil && e.fault.NewID {
 			s.faults.Go(func() {
 				s.sleep(workerRemovalTime)
 				w.Unlist()
 			})
 		}
 	}
+	return e
 }
 
-func (s *soak) restore(m *machine, f plan.Fault) {
-	if linkMode(f) != nil {
-		s.abortOn(m.listener.SetMode(links.Open{}))
-		m.worker.CutFromStore(false)
-		return
-	}
-	switch f.Kind {
-	case plan.WorkerDrain:
-		m.crash().Unlist()
-		s.abortOn(s.boot(m, true))
-	case plan.WorkerCrash:
-		s.abortOn(s.boot(m, f.NewID))
+// restore ends a fault on a machine. Another fault may have ended the worker that it met, or may still disturb the machine.
+func (s *soak) restore(m *machine, e *effect) {
+	m.mu.Lock()
+	e.isStruck = e.isStruck || m.isStruck(e)
+	m.effects = slices.DeleteFunc(m.effects, func(other *effect) bool { return other == e })
+	s.abortOn(m.apply())
+	isPresent := m.worker == e.worker
+	m.mu.Unlock()
+	switch {
+	case e.worker == nil:
+	case e.fault.Kind == plan.WorkerDrain && isPresent:
+		if w := m.crash(); w != nil {
+			w.Unlist()
+			s.abortOn(s.boot(m, true))
+		}
+	case e.fault.Kind == plan.WorkerCrash:
+		s.abortOn(s.boot(m, e.fault.NewID))
 	}
 }
--- a/soak/stand/stand.go
+++ b/soak/stand/stand.go
@@ -68,8 +68,10 @@
 	mu sync.Mutex
 	// random draws the targets of faults.
 	random *rand.Rand
-	// lastWriter is the client of the store whose conditional transaction was the last to be committed.
-	lastWriter string
+	// elections are those of schedulers, in their order.
+	elections []election
+	// strikes are those of the faults that have ended.
+	strikes    []strike
 	checker    *check.Checker
 	violations []check.Violation
 }
@@ -90,6 +92,9 @@
 	Jobs       map[string]int    `json:"jobs"`
 	Starts     int               `json:"starts"`
 	Violations []check.Violation `json:"violations"`
+	Hits       []Hits            `json:"hits"`
+	// Elections is the number of schedulers that were elected.
+	Elections int `json:"elections"`
 	// Timeline holds what callers saw, and Streams its summaries.
 	Timeline []tally.Point   `json:"-"`
 	Streams  []tally.Summary `json:"streams"`
@@ -149,12 +154,6 @@
 	}
 }
 
-func (s *soak) committed(client string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.lastWriter = client
-}
-
 // start brings up the store, the workers and the entry processes.
 func (s *soak) start() (err error) {
 	if s.network, err = reserveNetwork(); err != nil {
@@ -178,10 +177,12 @@
 			return err
 		}
 		h.onEnd = s.processEnded
+		s.hosts = append(s.hosts, h)
+	}
+	for _, h := range s.hosts {
 		if err := h.start(); err != nil {
 			return err
 		}
-		s.hosts = append(s.hosts, h)
 	}
 	for _, h := range s.hosts {
 		if !s.awaitReady(h, readyTimeout) {
@@ -276,7 +277,9 @@
 	faultsEnded := time.Now()
 	s.awaitAvailability(faultsEnded.Add(recoveryTime))
 	callers.Wait()
-	s.sleep(cancelTime)
+	if s.sleep(cancelTime) {
+		s.abortOn(s.checkRestored())
+	}
 	endProbes()
 	probes.Wait()
 	s.observe(check.Finished{})
@@ -349,6 +352,7 @@
 	defer s.mu.Unlock()
 	return Report{
 		Plan: s.plan, Took: time.Since(s.began), LoadBegan: s.loadBegan, Jobs: s.checker.JobStates(), Starts: s.checker.Starts(), Violations: s.violations,
+		Hits: s.countHits(), Elections: len(s.elections),
 		Timeline: s.tally.Timeline(time.Second), Streams: s.tally.Summaries(),
 	}
 }
