drain: answer requests that the server has read when it shuts down

Cause: net/http closes a connection without an answer if it has read a request after Shutdown has begun. Under load that takes some milliseconds after the connection was accepted.

Change: drain.Connections attaches to the server and its listener. Its Shutdown stops listening, waits until the server has closed every accepted connection, idle ones at once, and only then calls http.Server.Shutdown. Both daemons use it for the connections of callers. The stop of the listener shuts the socket down, since a close leaves it listening until a blocked Accept has returned.

TestShutdownOfSlowServer holds the server between reading a request and serving it.

--- a/entryd/daemon/run.go
+++ b/entryd/daemon/run.go
@@ -74,7 +74,8 @@
 // listeners and the peer links, so that requests in flight can complete.
 func registerHooks(lc fx.Lifecycle, c components) {
 	var callers drain.Connections
-	callerServer := newServer("listen", c.Settings.Listen, callers.Handler(c.Router), c.TLS.callers, c.Log)
+	callerServer := newServer("listen", c.Settings.Listen, c.Router, c.TLS.callers, c.Log)
+	callerServer.connections = &callers
 	peerServer := newPeerServer(c.Settings, c.Mesh, c.TLS, c.Log)
 	debugServer := newDebugServer(c.Settings, c.Log)
 	r := &runner{log: c.Log}
@@ -109,7 +110,7 @@
 			err := finishWork(ctx, c)
 			stopCtx, cancel := context.WithTimeout(ctx, shutdownMargin/2)
 			defer cancel()
-			err = errors.Join(err, callerServer.stop(stopCtx))
+			err = errors.Join(err, callers.Shutdown(stopCtx, callerServer.http))
 			r.cancel()
 			c.Mesh.Close()
 			r.wg.Wait()
--- a/entryd/daemon/servers.go
+++ b/entryd/daemon/servers.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"context"
 	"crypto/tls"
 	"errors"
 	"fmt"
@@ -13,6 +12,7 @@
 
 	"github.com/gorilla/mux"
 
+	"lovagefork.example/entryd/drain"
 	"lovagefork.example/entryd/keys"
 	"lovagefork.example/entryd/peers"
 	"lovagefork.example/entryd/setup"
@@ -46,6 +46,8 @@
 	address string
 	http    *http.Server
 	log     *slog.Logger
+	// connections is nil if the server needs no graceful shutdown.
+	connections *drain.Connections
 }
 
 func newServer(flag, address string, handler http.Handler, tlsConfig *tls.Config, log *slog.Logger) *server {
@@ -69,6 +71,9 @@
 	if err != nil {
 		return &ListenError{Flag: s.flag, Address: s.address, Cause: err}
 	}
+	if s.connections != nil {
+		listener = s.connections.Attach(s.http, listener.(*net.TCPListener))
+	}
 	if s.http.TLSConfig != nil {
 		listener = tls.NewListener(listener, s.http.TLSConfig)
 	}
@@ -80,10 +85,6 @@
 	return nil
 }
 
-func (s *server) stop(ctx context.Context) error {
-	return s.http.Shutdown(ctx)
-}
-
 // tlsConfigs holds the TLS configurations of the listeners and of outgoing peer links; nil means plain TCP.
 type tlsConfigs struct {
 	callers *tls.Config
--- /dev/null
+++ b/entryd/drain/listener_test.go
@@ -0,0 +1,109 @@
+package drain_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lovagefork.example/entryd/drain"
+)
+
+// point is a place where a slow server is held.
+type point string
+
+const (
+	requestRead point = "request read"
+)
+
+// slowServer is a server that waits at one point until it is released.
+type slowServer struct {
+	at       point
+	reached  chan struct{}
+	released chan struct{}
+}
+
+func (s *slowServer) hold(p point) {
+	if p != s.at {
+		return
+	}
+	select {
+	case s.reached <- struct{}{}:
+	default:
+	}
+	<-s.released
+}
+
+// track calls next before it holds the goroutine of a connection in its new state.
+func (s *slowServer) track(next func(net.Conn, http.ConnState)) func(net.Conn, http.ConnState) {
+	return func(conn net.Conn, state http.ConnState) {
+		next(conn, state)
+		if state == http.StateActive {
+			s.hold(requestRead)
+		}
+	}
+}
+
+type client struct {
+	net.Conn
+	responses *bufio.Reader
+}
+
+func dial(t *testing.T, address string) client {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	return client{Conn: conn, responses: bufio.NewReader(conn)}
+}
+
+func (c client) send(t *testing.T) {
+	t.Helper()
+	_, err := fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: entry\r\nContent-Length: 2\r\n\r\nhi")
+	assert.NilError(t, err)
+}
+
+// receive reads a response and reports whether it ends its connection.
+func (c client) receive(t *testing.T) bool {
+	t.Helper()
+	resp, err := http.ReadResponse(c.responses, nil)
+	assert.NilError(t, err)
+	assert.NilError(t, resp.Body.Close())
+	return resp.Close
+}
+
+// Guards against requests that a graceful shutdown breaks because they have been sent and the server is not that far.
+func TestShutdownOfSlowServer(t *testing.T) {
+	for _, at := range []point{requestRead} {
+		t.Run(string(at), func(t *testing.T) {
+			slow := &slowServer{at: at, reached: make(chan struct{}, 1), released: make(chan struct{})}
+			tcp, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(http.StatusNoContent)
+			})}
+			var conns drain.Connections
+			listener := conns.Attach(server, tcp.(*net.TCPListener))
+			server.ConnState = slow.track(server.ConnState)
+			served, stopped := make(chan error, 1), make(chan error, 1)
+			go func() { served <- server.Serve(listener) }()
+
+			c := dial(t, tcp.Addr().String())
+			c.send(t)
+			<-slow.reached
+			go func() { stopped <- conns.Shutdown(context.Background(), server) }()
+			time.Sleep(50 * time.Millisecond)
+			close(slow.released)
+			assert.Assert(t, c.receive(t))
+			assert.NilError(t, <-stopped)
+			assert.Equal(t, <-served, http.ErrServerClosed)
+			_, err = net.Dial("tcp", tcp.Addr().String())
+			assert.ErrorContains(t, err, "refused")
+		})
+	}
+}
--- a/entryd/hosted/app.go
+++ b/entryd/hosted/app.go
@@ -233,7 +233,7 @@
 	p.Updater.mu.Unlock()
 	s := p.Platform.Settings
 	p.Log.Info("process: starting", "zone", s.Zone, "front", s.FrontAddr, "peer", s.PeerAddr, "store", s.StoreAddr)
-	p.front = p.server(p.callers.Handler(p.Platform.Ingress(p.Intake, p.Log)))
+	p.front = p.server(p.Platform.Ingress(p.Intake, p.Log))
 	peerRouter := mux.NewRouter()
 	peerRouter.Handle("/peer/v1", p.Mesh)
 	metricsRouter := mux.NewRouter()
@@ -271,6 +271,9 @@
 	if err != nil {
 		return err
 	}
+	if server == p.front {
+		listener = p.callers.Attach(server, listener.(*net.TCPListener))
+	}
 	p.servers = append(p.servers, server)
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -326,7 +329,7 @@
 	sleep(ctx, min(balancerDelay, grace/2))
 	drain, cancel := context.WithTimeout(ctx, grace-min(balancerDelay, grace/2))
 	defer cancel()
-	err := p.front.Shutdown(drain)
+	err := p.callers.Shutdown(drain, p.front)
 	p.cancel()
 	p.Mesh.Close()
 	for _, s := range p.servers {
