drain: answer requests on idle connections at shutdown

Cause: an idle connection of a caller is closed at shutdown also when the next request has arrived on it and the server has not read it, or has read it and not noted so. Found by reading; not seen in a run of TestDrainUnderLoad, whose broken requests were sent on new connections.

Change: an idle connection is closed only if nothing was read from it since its last response and the kernel holds nothing either.

--- a/entryd/drain/drain.go
+++ b/entryd/drain/drain.go
@@ -35,6 +35,9 @@
 }
 
 func (c *Connections) track(conn net.Conn, state http.ConnState) {
+	if tcp := unwrap(conn); tcp != nil && state == http.StateIdle {
+		tcp.wasRead.Store(false)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if state == http.StateClosed || state == http.StateHijacked {
@@ -50,7 +53,7 @@
 // CloseAfterResponse makes each response from now on the last one of its connection.
 func (c *Connections) CloseAfterResponse() { c.closing.Store(true) }
 
-// Shutdown refuses new connections, answers the requests on the others, and shuts the attached server down.
+// Shutdown refuses new connections, answers the requests that were sent on the others, and shuts the attached server down.
 // A new connection is open until its first request is answered or the server's ReadHeaderTimeout has passed. When ctx ends
 // before, Shutdown returns the error of ctx.
 func (c *Connections) Shutdown(ctx context.Context, server *http.Server) error {
@@ -73,13 +76,14 @@
 	return server.Shutdown(ctx)
 }
 
-// closeUnused closes the idle connections, and returns how many the server had not closed before.
+// closeUnused closes the connections on which nothing was sent after their last response, and returns how many the server
+// had not closed before.
 func (c *Connections) closeUnused() int {
 	c.mu.Lock()
 	open := maps.Clone(c.open)
 	c.mu.Unlock()
 	for conn, state := range open {
-		if state == http.StateIdle {
+		if tcp := unwrap(conn); state == http.StateIdle && (tcp == nil || !tcp.hasInput()) {
 			_ = conn.Close()
 		}
 	}
--- a/entryd/drain/listener.go
+++ b/entryd/drain/listener.go
@@ -4,6 +4,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 
 	"golang.org/x/sys/unix"
 )
@@ -32,9 +33,9 @@
 
 // Accept waits for the next connection. When it has returned the last one after stop, it waits for Close.
 func (l *listener) Accept() (net.Conn, error) {
-	conn, err := l.TCPListener.Accept()
+	tcp, err := l.AcceptTCP()
 	if err == nil {
-		return conn, nil
+		return &conn{TCPConn: tcp}, nil
 	}
 	next, stopped := l.nextWaiting()
 	if !stopped {
@@ -98,8 +99,49 @@
 	}
 }
 
-func newConn(fd int) (net.Conn, error) {
+// conn is a TCP connection that records whether the server has read from it.
+type conn struct {
+	*net.TCPConn
+	wasRead atomic.Bool
+}
+
+func newConn(fd int) (*conn, error) {
 	file := os.NewFile(uintptr(fd), "")
 	defer func() { _ = file.Close() }()
-	return net.FileConn(file)
+	c, err := net.FileConn(file)
+	if err != nil {
+		return nil, err
+	}
+	return &conn{TCPConn: c.(*net.TCPConn)}, nil
+}
+
+// Read reads from the connection.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	if n > 0 {
+		c.wasRead.Store(true)
+	}
+	return n, err
+}
+
+// hasInput reports whether bytes have arrived since wasRead was reset.
+func (c *conn) hasInput() bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var n int
+	_ = raw.Control(func(fd uintptr) {
+		n, _, _ = unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	})
+	return n > 0 || c.wasRead.Load()
+}
+
+// unwrap returns the conn below TLS, or nil if there is none.
+func unwrap(c net.Conn) *conn {
+	if wrapper, ok := c.(interface{ NetConn() net.Conn }); ok {
+		c = wrapper.NetConn()
+	}
+	tcp, _ := c.(*conn)
+	return tcp
 }
--- a/entryd/drain/listener_test.go
+++ b/entryd/drain/listener_test.go
@@ -20,6 +20,8 @@
 const (
 	beforeAccept point = "connection not accepted"
 	requestRead  point = "request read"
+	idleUnread   point = "idle, next request not read"
+	idleRead     point = "idle, next request read"
 )
 
 // slowServer is a server that waits at one point until it is released.
@@ -47,15 +49,39 @@
 
 func (l slowListener) Accept() (net.Conn, error) {
 	l.server.hold(beforeAccept)
-	return l.Listener.Accept()
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &slowConn{Conn: conn, server: l.server}, nil
+}
+
+type slowConn struct {
+	net.Conn
+	server *slowServer
+	isIdle bool
+}
+
+func (c *slowConn) NetConn() net.Conn { return c.Conn }
+
+func (c *slowConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if c.isIdle && n > 0 {
+		c.server.hold(idleRead)
+	}
+	return n, err
 }
 
 // track calls next before it holds the goroutine of a connection in its new state.
 func (s *slowServer) track(next func(net.Conn, http.ConnState)) func(net.Conn, http.ConnState) {
 	return func(conn net.Conn, state http.ConnState) {
 		next(conn, state)
-		if state == http.StateActive {
+		switch state {
+		case http.StateActive:
 			s.hold(requestRead)
+		case http.StateIdle:
+			conn.(*slowConn).isIdle = true
+			s.hold(idleUnread)
 		}
 	}
 }
@@ -90,7 +116,7 @@
 
 // Guards against requests that a graceful shutdown breaks because they have been sent and the server is not that far.
 func TestShutdownOfSlowServer(t *testing.T) {
-	for _, at := range []point{beforeAccept, requestRead} {
+	for _, at := range []point{beforeAccept, requestRead, idleUnread, idleRead} {
 		t.Run(string(at), func(t *testing.T) {
 			slow := &slowServer{at: at, reached: make(chan struct{}, 1), released: make(chan struct{})}
 			tcp, err := net.Listen("tcp", "127.0.0.1:0")
@@ -109,7 +135,14 @@
 				<-slow.reached
 			}
 			c.send(t)
-			if at == requestRead {
+			if at == idleUnread || at == idleRead {
+				assert.Assert(t, !c.receive(t))
+				if at == idleUnread {
+					<-slow.reached
+				}
+				c.send(t)
+			}
+			if at == requestRead || at == idleRead {
 				<-slow.reached
 			}
 			go func() { stopped <- conns.Shutdown(context.Background(), server) }()
