flow: await the lease of a worker that has reported a part of its ends

When the leases of the predecessor had ended, a successor waited on for a worker only if that had made a complete report, although it had renewed the lease of each worker that had answered. A worker with more ends than a report lists, which was cut off after a first part, was not awaited, and its tasks were started while they could still run there (TWICE).

TestSuccessorAwaitsOwnLeaseOfPartlyReportedWorker failed before (a start 2.4 s after the last report, under a lease of 6 s).

--- a/coord/flow/ends_test.go
+++ b/coord/flow/ends_test.go
@@ -98,3 +98,29 @@
 	h.advance(25 * time.Millisecond)
 	assert.Equal(t, len(h.starts()), 1)
 }
+
+// A worker that had reported a part of its ends, and was cut off then, was awaited for the leases of the predecessor only. Its
+// tasks were started while the lease that the successor had renewed there went on.
+func TestSuccessorAwaitsOwnLeaseOfPartlyReportedWorker(t *testing.T) {
+	h := newHarness(t, flow.Restored{
+		Jobs: []flow.StoredJob{{Job: singleStepJob("j", smallStep(2))}}, Roster: []flow.RosterEntry{{Worker: "a", Address: "a:1"}}, Term: 1,
+	}, newPoolWorker("a"), newPoolWorker("b"))
+	electedAt := h.now
+	ended := infra.EndedRun{Number: 1, Task: infra.TaskID{Job: "j"}, Run: 1, Outcome: infra.OutcomeDone}
+	for h.now.Sub(electedAt) < 9*time.Second {
+		h.report("b", infra.Report{})
+		h.report("a", infra.Report{Ended: []infra.EndedRun{ended}, HasMoreEnds: true})
+		h.advance(200 * time.Millisecond)
+	}
+	reportedAt := h.now
+	for h.now.Sub(reportedAt) < 5500*time.Millisecond {
+		h.report("b", infra.Report{})
+		h.renewalFails("a")
+		h.advance(200 * time.Millisecond)
+		assert.Equal(t, len(h.starts()), 0, "%v after the last report", h.now.Sub(reportedAt))
+	}
+	h.advance(time.Second)
+	h.report("b", infra.Report{})
+	h.advance(200 * time.Millisecond)
+	assert.Equal(t, len(h.starts()), 1)
+}
--- a/coord/flow/sweep.go
+++ b/coord/flow/sweep.go
@@ -98,7 +98,7 @@
 }
 
 // expireUnreconciled stops waiting for the workers that have not answered, except those whose ends are not all known, and
-// those whose lease this scheduler has renewed since their first report.
+// those on which runs may go on under a lease that this scheduler has renewed.
 func (m *Machine) expireUnreconciled() {
 	known := len(m.unreconciledWorkers)
 	maps.DeleteFunc(m.unreconciledWorkers, func(id fleet.WorkerID, _ struct{}) bool {
@@ -106,7 +106,7 @@
 		switch {
 		case w == nil:
 			return true
-		case w.hasReported && !w.leaseExpired(m.now):
+		case w.clock > 0 && !w.leaseExpired(m.now):
 			return false
 		}
 		return !w.hasMoreEnds || !w.reachable
