upkeep: a machine that a list lacks is not taken for gone

A machine that one reading of the list lacked was taken for gone for good.

A missing machine now keeps its state and its place under the cap. After three successive lists without it the order is sent (again, if it was confirmed before), and the platform's 400 ends its part, as it did before for machines that are listed. Its last known worker is evacuated first. Machines that are listed as up come first.

--- a/coord/upkeep/planner.go
+++ b/coord/upkeep/planner.go
@@ -23,6 +23,9 @@
 	// wave's duration that the evacuations are planned within; the rest is reserve.
 	maxEvacuationTime = 8 * time.Second
 	plannedShare      = 0.8
+	// missingLists is the number of successive lists without a machine after which the machine may be gone. A list can
+	// lack a machine that is there, so that only the answer to an order shows that it is gone.
+	missingLists = 3
 )
 
 // machineState is the progress of one machine within a wave.
@@ -52,6 +55,14 @@
 	downAt       time.Time
 }
 
+// listedMachine is the last list entry of a machine. missing is the number of lists since then.
+type listedMachine struct {
+	infra.Machine
+	missing int
+}
+
+func (m listedMachine) mayBeGone() bool { return m.missing >= missingLists }
+
 type wave struct {
 	infra.Wave
 	machines      []*machine
@@ -68,8 +79,8 @@
 	effects    []Effect
 	nextListAt time.Time
 	listing    bool
-	// machinesByID is the last machine list.
-	machinesByID map[infra.MachineID]infra.Machine
+	// machinesByID holds the last machine list, and the machines of the waves that it lacks.
+	machinesByID map[infra.MachineID]listedMachine
 	// listStartedAt is when the read that returned machinesByID was started; zero before the first one.
 	listStartedAt time.Time
 }
@@ -148,23 +159,19 @@
 		return
 	}
 	p.listStartedAt = ev.StartedAt
-	p.machinesByID = make(map[infra.MachineID]infra.Machine, len(ev.Machines))
-	for _, m := range ev.Machines {
-		p.machinesByID[m.ID] = m
-	}
+	p.replaceList(ev.Machines)
 	for _, w := range p.waves {
 		changed := false
 		for _, m := range w.machines {
-			entry, found := p.machinesByID[m.id]
+			entry := p.machinesByID[m.id]
 			switch {
-			case !found && m.state != done:
-				p.emit(Log{Text: "machine no longer listed", Wave: w.Number, Machine: m.id})
-				changed = true
-				p.finish(m)
 			case m.state == down && entry.Up && ev.StartedAt.After(m.downAt):
 				p.emit(Log{Text: "machine maintenance finished", Wave: w.Number, Machine: m.id})
 				changed = true
 				p.finish(m)
+			case m.state == down && entry.mayBeGone():
+				// The order is repeated, which has no effect on a machine that is down for it.
+				m.state = ordered
 			}
 		}
 		if changed {
@@ -173,6 +180,30 @@
 	}
 }
 
+// replaceList replaces the machine list. A machine of a wave that the new list lacks is not up, and counts as down for
+// maintenance if it did so before and is not likely to be gone.
+func (p *Planner) replaceList(machines []infra.Machine) {
+	former := p.machinesByID
+	p.machinesByID = make(map[infra.MachineID]listedMachine, len(machines))
+	for _, m := range machines {
+		p.machinesByID[m.ID] = listedMachine{Machine: m}
+	}
+	for _, w := range p.waves {
+		for _, m := range w.machines {
+			if _, found := p.machinesByID[m.id]; found {
+				continue
+			}
+			entry := former[m.id]
+			entry.missing++
+			entry.Up, entry.InMaintenance = false, entry.InMaintenance && !entry.mayBeGone()
+			p.machinesByID[m.id] = entry
+			if entry.missing == 1 {
+				p.emit(Log{Text: "machine missing from the list", Wave: w.Number, Machine: m.id})
+			}
+		}
+	}
+}
+
 // finish marks the maintenance of a machine as done and uncordons its worker if this planner cordoned it.
 func (p *Planner) finish(m *machine) {
 	m.state = done
@@ -186,14 +217,18 @@
 	for _, w := range p.waves {
 		for _, m := range w.machines {
 			if m.worker == id && m.state == evacuating {
-				m.state = evacuated
-				p.save(w)
-				m.orderVersion = w.recordVersion
+				p.recordOrder(w, m)
 			}
 		}
 	}
 }
 
+func (p *Planner) recordOrder(w *wave, m *machine) {
+	m.state = evacuated
+	p.save(w)
+	m.orderVersion = w.recordVersion
+}
+
 func (p *Planner) applyAnswer(ev OrderAnswered) {
 	w := p.waves[ev.Wave]
 	if w == nil {
@@ -269,15 +304,39 @@
 		p.save(w)
 		return
 	}
+	started := false
 	for _, m := range w.machines {
 		entry := p.machinesByID[m.id]
 		if m.state != waiting || busy >= w.MaxDown || !entry.Up || p.activeInOtherWave(w, m.id) {
 			continue
 		}
 		busy++
+		started = true
 		m.state, m.worker = evacuating, entry.Worker
 		p.emit(CordonWorker{Worker: m.worker, Deadline: p.now.Add(w.evacuationTime(remaining, p.now))})
 	}
+	if !started && busy < w.MaxDown {
+		p.orderMissing(w, remaining)
+	}
+}
+
+// orderMissing prepares the order for one machine that may be gone, while no machine that is listed as up can be started.
+// Its worker is evacuated if it is known, because the machine may be there.
+func (p *Planner) orderMissing(w *wave, remaining int) {
+	for _, m := range w.machines {
+		entry := p.machinesByID[m.id]
+		if m.state != waiting || !entry.mayBeGone() || p.activeInOtherWave(w, m.id) {
+			continue
+		}
+		m.worker = entry.Worker
+		if m.worker == "" {
+			p.recordOrder(w, m)
+			return
+		}
+		m.state = evacuating
+		p.emit(CordonWorker{Worker: m.worker, Deadline: p.now.Add(w.evacuationTime(remaining, p.now))})
+		return
+	}
 }
 
 // countDownWithoutOrder counts the machines of a wave that are listed as down for maintenance although this planner has
--- a/coord/upkeep/planner_test.go
+++ b/coord/upkeep/planner_test.go
@@ -32,7 +32,16 @@
 	cordoned   map[fleet.WorkerID]bool
 	// lossPercent is the percentage of orders without an answer, half of which are carried out late.
 	lossPercent int
-	violations  []string
+	// shortListPercent is the percentage of lists that lack their last machines.
+	shortListPercent int
+	violations       []string
+}
+
+func newSimulation(t *rapid.T) *simulation {
+	return &simulation{
+		t: t, now: time.Unix(1000, 0), maintained: make(map[infra.MachineID]bool), upAt: make(map[infra.MachineID]time.Time),
+		removed: make(map[infra.MachineID]bool), generation: make(map[infra.MachineID]int), cordoned: make(map[fleet.WorkerID]bool),
+	}
 }
 
 // action is run once the simulated time reaches at.
@@ -134,6 +143,9 @@
 			})
 		}
 	}
+	if s.shortListPercent > 0 && rapid.IntRange(0, 99).Draw(s.t, "short") < s.shortListPercent {
+		return all[:rapid.IntRange(1, len(all)).Draw(s.t, "length")]
+	}
 	return all
 }
 
@@ -167,16 +179,14 @@
 	}
 }
 
-// Orders without an answer and a replaced planner must not take more machines down at once than the cap, take a machine
-// down twice, complete the wave before the maintenance of every machine, leave it uncompleted, or leave a worker out of
-// service.
+// Orders without an answer, lists that lack machines and a replaced planner must not take more machines down at once than the
+// cap, take a machine down twice, complete the wave before the maintenance of every machine, leave it uncompleted, or leave a
+// worker out of service.
 func TestWaveInvariants(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		s := &simulation{
-			t: t, now: time.Unix(1000, 0), maintained: make(map[infra.MachineID]bool), upAt: make(map[infra.MachineID]time.Time),
-			removed: make(map[infra.MachineID]bool), generation: make(map[infra.MachineID]int), cordoned: make(map[fleet.WorkerID]bool),
-			lossPercent: rapid.SampledFrom([]int{0, 0, 10, 40}).Draw(t, "lossy"),
-		}
+		s := newSimulation(t)
+		s.lossPercent = rapid.SampledFrom([]int{0, 0, 10, 40}).Draw(t, "lossy")
+		s.shortListPercent = rapid.SampledFrom([]int{0, 0, 10, 40}).Draw(t, "short lists")
 		n := rapid.IntRange(1, 8).Draw(t, "machines")
 		s.wave = infra.Wave{Number: 3, MaxDown: rapid.IntRange(1, 3).Draw(t, "cap"), Duration: 40 * time.Second}
 		for i := range n {
@@ -202,10 +212,7 @@
 // Workers that take long to evacuate must not make a wave exceed its duration: each tenth that it is late has a cost.
 func TestWaveEndsInTime(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		s := &simulation{
-			t: t, now: time.Unix(1000, 0), maintained: make(map[infra.MachineID]bool), upAt: make(map[infra.MachineID]time.Time),
-			removed: make(map[infra.MachineID]bool), generation: make(map[infra.MachineID]int), cordoned: make(map[fleet.WorkerID]bool),
-		}
+		s := newSimulation(t)
 		s.wave = infra.Wave{Number: 1, MaxDown: 2, Duration: 30 * time.Second}
 		for i := range 8 {
 			s.wave.Machines = append(s.wave.Machines, infra.MachineID(fmt.Sprintf("m%d", i)))
