leader: repeat a campaign that only a changed record has stopped

A campaign took any failed condition for another winner. If only the record of the last election had changed, there was no leader and no removal of one that would start the next campaign: the group had no scheduler until a watch broke (LOST). The former leader changes that record 7 s after its election, to forget the leaders before it, and such a write can be carried out late, between the read and the write of a campaign.

A failed transaction returns the entries of its conditions. If no leader is among them, the campaign counts as failed, and is repeated after the pause of any other failure.

--- a/entryd/leader/group.go
+++ b/entryd/leader/group.go
@@ -341,6 +341,10 @@
 	return g.acquire(ctx, elected, termCondition)
 }
 
+// errElectionChanged reports a campaign that no process has won: only the record of the last election has changed since it was
+// read.
+var errElectionChanged = errors.New("the record of the last election has changed")
+
 // acquire writes the leader's entry under a new lease if there is no leader and termKey is unchanged since it was read;
 // it returns nil without an error if another process was faster.
 func (g *Group) acquire(ctx context.Context, elected Leader, termCondition store.Compare) (*Leadership, error) {
@@ -368,12 +372,26 @@
 	}
 	if !result.Committed {
 		g.revoke(lease)
+		if !hasLeader(result) {
+			return nil, errElectionChanged
+		}
 		return nil, nil
 	}
 	elected.Token = infra.Token(result.Revision)
 	return newLeadership(g.store, lease, elected, sent), nil
 }
 
+// hasLeader reports whether a failed transaction found a leader. If it did not, no removal of a leader follows that would start
+// another campaign.
+func hasLeader(result store.TxnResult) bool {
+	for _, read := range result.Reads {
+		if slices.ContainsFunc(read, func(e store.Entry) bool { return e.Key == leaderKey }) {
+			return true
+		}
+	}
+	return false
+}
+
 func (g *Group) revoke(lease store.LeaseID) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
