leader: keep the newest configuration for the next election

The scheduler stored each configuration that it was given. Two goroutines give them, the watch of the store and the fetch from a peer, after the lock under which their versions are compared has been released, so that the older one can arrive last. A running scheduler ignores it; but one elected afterwards started with the older configuration, and kept it until the next change (CONFIG).

The scheduler compares the versions under its own lock.

--- a/entryd/leader/scheduler.go
+++ b/entryd/leader/scheduler.go
@@ -94,9 +94,13 @@
 	}
 }
 
-// Configure applies a newer configuration, at once if the scheduler is running.
+// Configure applies a configuration if it is newer than the last one, at once if the scheduler is running.
 func (s *Scheduler) Configure(c *infra.Catalog) {
 	s.mu.Lock()
+	if s.catalog != nil && c.Version <= s.catalog.Version {
+		s.mu.Unlock()
+		return
+	}
 	s.catalog = c
 	l := s.current
 	s.mu.Unlock()
