flow: keep the cordon of a worker that is not known

A cordon was kept in the worker's own state. That of a worker that the scheduler had not learnt of yet was forgotten at once, and that of a known one when it was forgotten because its registration was missing for a while. Both took tasks once they were listed again, although their machine could be taken down at any time. Found by reading; not seen in a play.

Cordons are kept by worker ID until they are reverted. A cordon without a deadline leaves the worker's tasks alone; the planner of upkeep sends it for a machine whose order is out already.

TestCordonOfUnlistedWorkerIsKept and TestCordonOutlivesRegistration printed "1 (int) != 0 (int)", a start on the cordoned worker, before, and pass. TestCordonWithoutDeadlineKeepsTasks passes before and after.

--- a/coord/flow/evacuation.go
+++ b/coord/flow/evacuation.go
@@ -14,20 +14,25 @@
 	evacuateMargin = 400 * time.Millisecond
 )
 
-// cordon takes a worker out of service.
+// cordon takes a worker out of service. A worker that is not known yet, or is forgotten meanwhile, is cordoned once it is listed.
 func (m *Machine) cordon(ev Cordon) {
+	m.cordons[ev.Worker] = struct{}{}
+	m.emit(Log{Text: "worker cordoned", Worker: ev.Worker})
 	w := m.workers[ev.Worker]
 	if w == nil {
 		m.emit(Evacuated{Worker: ev.Worker})
 		return
 	}
-	m.emit(Log{Text: "worker cordoned", Worker: w.ID})
-	w.cordoned, w.leavesAt = true, ev.Deadline
+	w.cordoned = true
+	if !ev.Deadline.IsZero() {
+		w.leavesAt = ev.Deadline
+	}
 	m.evacuate(w)
 }
 
 // uncordon returns a worker to service.
 func (m *Machine) uncordon(id fleet.WorkerID) {
+	delete(m.cordons, id)
 	w := m.workers[id]
 	if w == nil || !w.cordoned {
 		return
--- a/coord/flow/evacuation_test.go
+++ b/coord/flow/evacuation_test.go
@@ -142,3 +142,58 @@
 	h.advance(500 * time.Millisecond)
 	assert.Equal(t, len(h.stops()), 0)
 }
+
+// Guards against a start on a worker whose machine is taken down: the scheduler may learn of the worker after its cordon.
+func TestCordonOfUnlistedWorkerIsKept(t *testing.T) {
+	h := newHarness(t, flow.Restored{})
+	h.step(flow.Cordon{Worker: "a", Deadline: h.now.Add(8 * time.Second)})
+	assert.Assert(t, h.evacuated())
+	h.step(flow.WorkerListed{Worker: newPoolWorker("a")})
+	h.advance(50 * time.Millisecond)
+	h.report("a", infra.Report{})
+	h.step(flow.Submitted{Job: singleStepJob("j", smallStep(1))})
+	h.advance(100 * time.Millisecond)
+	assert.Equal(t, len(h.starts()), 0)
+	h.step(flow.Uncordon{Worker: "a"})
+	h.advance(100 * time.Millisecond)
+	assert.Equal(t, len(h.starts()), 1)
+}
+
+// Guards against a start on a worker whose machine is taken down: the worker may have been forgotten since its cordon, because its
+// registration was missing for a while.
+func TestCordonOutlivesRegistration(t *testing.T) {
+	a := newPoolWorker("a")
+	h := newHarness(t, flow.Restored{}, a)
+	h.report("a", infra.Report{})
+	h.step(flow.Cordon{Worker: "a", Deadline: h.now.Add(8 * time.Second)})
+	h.step(flow.WorkerUnlisted{Worker: "a"})
+	h.renewalFails("a")
+	h.advance(time.Second)
+	assert.Equal(t, len(h.m.Workers()), 0, "the worker has not been forgotten")
+	h.step(flow.WorkerListed{Worker: a})
+	h.advance(50 * time.Millisecond)
+	h.report("a", infra.Report{})
+	h.step(flow.Submitted{Job: singleStepJob("j", smallStep(1))})
+	h.advance(100 * time.Millisecond)
+	assert.Equal(t, len(h.starts()), 0)
+	h.step(flow.Uncordon{Worker: "a"})
+	h.advance(100 * time.Millisecond)
+	assert.Equal(t, len(h.starts()), 1)
+}
+
+// A cordon without a deadline stops no task: its machine may go down at any time, or may have been down before.
+func TestCordonWithoutDeadlineKeepsTasks(t *testing.T) {
+	h := newHarness(t, flow.Restored{}, newPoolWorker("a"), newPoolWorker("b"))
+	h.report("a", infra.Report{})
+	long := smallStep(1)
+	long.Estimate = time.Minute
+	h.step(flow.Submitted{Job: singleStepJob("j", long)})
+	h.advance(50 * time.Millisecond)
+	assert.Equal(t, len(h.starts()), 1)
+	h.report("a", infra.Report{Running: []infra.ActiveRun{{Task: infra.TaskID{Job: "j"}, Run: 1, Progress: 5}}})
+	h.report("b", infra.Report{})
+	h.effects = nil
+	h.step(flow.Cordon{Worker: "a"})
+	h.advance(500 * time.Millisecond)
+	assert.Equal(t, len(h.stops()), 0)
+}
--- a/coord/flow/event.go
+++ b/coord/flow/event.go
@@ -38,7 +38,7 @@
 }
 
 // Cordon takes a worker out of service and requests its evacuation by Deadline, because its machine will be taken
-// down.
+// down. Without a deadline, its tasks are left alone.
 type Cordon struct {
 	Worker   fleet.WorkerID
 	Deadline time.Time
--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -156,6 +156,8 @@
 	// reference is the memory of [Machine.collectReference].
 	reference  reference
 	lateStarts map[fleet.WorkerID][]lateStart
+	// cordons holds the cordoned workers, known or not.
+	cordons map[fleet.WorkerID]struct{}
 	// earlyCancels are the cancellations of jobs that are not known. earlyCancelQueue holds them, and those whose jobs have
 	// followed, in the order of their arrival.
 	earlyCancels     map[fleet.JobID]struct{}
@@ -209,6 +211,7 @@
 		interferenceModels: make(map[string]*interferenceModel),
 		fillerImages:       imageIndex{numbers: make(map[string]int)},
 		lateStarts:         make(map[fleet.WorkerID][]lateStart),
+		cordons:            make(map[fleet.WorkerID]struct{}),
 		earlyCancels:       make(map[fleet.JobID]struct{}),
 		silenced:           make(map[fleet.WorkerID]silencedWorker),
 		unknownJobs:        make(map[fleet.JobID]*unknownJob),
--- a/coord/flow/worker_lifecycle.go
+++ b/coord/flow/worker_lifecycle.go
@@ -19,6 +19,9 @@
 		servingSteps: make(map[*step]int), servingImages: make(map[string]int), failures: make(map[fleet.JobID]float64),
 		laggedAt: m.now,
 	}
+	// [Evacuated] has been emitted for a cordoned worker that was not known.
+	_, w.cordoned = m.cordons[info.ID]
+	w.evacuationReported = w.cordoned
 	m.workers[info.ID] = w
 	at := len(m.workersByID)
 	for i, o := range m.workersByID {
