upkeep: cordon the present worker of a machine that is to go down

After a takeover the planner repeated the orders that its predecessor had recorded, but did not cordon their workers, and the new scheduler knew of no cordon: it started tasks on a machine that could go down at any time. The same held for a machine whose worker crashed and joined under another ID while it was evacuated or its order was out.

The planner cordons the worker that the newest list names, and reverts the cordon of the one before. A machine whose order is not out is evacuated anew. One whose order is out keeps its tasks, since it may have had its maintenance already. Until the next list, a second later, the new worker takes tasks.

--- a/coord/upkeep/event.go
+++ b/coord/upkeep/event.go
@@ -56,7 +56,7 @@
 type ListMachines struct{}
 
 // CordonWorker stops new placements on a worker and lets its tasks finish or move until Deadline. Its evacuation is
-// reported by [WorkerEvacuated].
+// reported by [WorkerEvacuated]. Without a deadline its tasks are left alone, because its order has been sent.
 type CordonWorker struct {
 	Worker   fleet.WorkerID
 	Deadline time.Time
--- a/coord/upkeep/missing_test.go
+++ b/coord/upkeep/missing_test.go
@@ -20,9 +20,12 @@
 	now       time.Time
 	orders    []infra.MachineID
 	cordons   []fleet.WorkerID
+	uncordons []fleet.WorkerID
 	completed bool
 	// orderErr is the answer to each order.
 	orderErr error
+	// holdEvacuations leaves workers unevacuated.
+	holdEvacuations bool
 }
 
 func newPlatform(machines ...infra.MachineID) *platform {
@@ -42,7 +45,11 @@
 			s.step(upkeep.RecordSaved{Wave: 1, Version: e.Version})
 		case upkeep.CordonWorker:
 			s.cordons = append(s.cordons, e.Worker)
-			s.step(upkeep.WorkerEvacuated{Worker: e.Worker})
+			if !s.holdEvacuations {
+				s.step(upkeep.WorkerEvacuated{Worker: e.Worker})
+			}
+		case upkeep.UncordonWorker:
+			s.uncordons = append(s.uncordons, e.Worker)
 		}
 	}
 }
--- a/coord/upkeep/planner.go
+++ b/coord/upkeep/planner.go
@@ -282,14 +282,13 @@
 		return
 	}
 	// busy counts the machines of the wave that are down, may be down, or are being evacuated to go down.
-	remaining, busy := 0, p.countDownWithoutOrder(w)
+	remaining, busy := w.remaining(), p.countDownWithoutOrder(w)
+	cordoned := false
 	for _, m := range w.machines {
-		if m.state != done {
-			remaining++
-		}
 		if m.state != waiting && m.state != done {
 			busy++
 		}
+		cordoned = p.followWorker(w, m, remaining) || cordoned
 		if m.state == evacuated && w.savedVersion >= m.orderVersion {
 			m.state = ordered
 		}
@@ -304,22 +303,49 @@
 		p.save(w)
 		return
 	}
-	started := false
 	for _, m := range w.machines {
 		entry := p.machinesByID[m.id]
 		if m.state != waiting || busy >= w.MaxDown || !entry.Up || p.activeInOtherWave(w, m.id) {
 			continue
 		}
 		busy++
-		started = true
-		m.state, m.worker = evacuating, entry.Worker
-		p.emit(CordonWorker{Worker: m.worker, Deadline: p.now.Add(w.evacuationTime(remaining, p.now))})
+		cordoned = true
+		p.startEvacuation(w, m, entry.Worker, remaining)
 	}
-	if !started && busy < w.MaxDown {
+	// A cordon may be answered before the next effect is performed, so that no record may follow it.
+	if !cordoned && busy < w.MaxDown {
 		p.orderMissing(w, remaining)
 	}
 }
 
+func (p *Planner) startEvacuation(w *wave, m *machine, worker fleet.WorkerID, remaining int) {
+	m.state, m.worker = evacuating, worker
+	p.emit(CordonWorker{Worker: worker, Deadline: p.now.Add(w.evacuationTime(remaining, p.now))})
+}
+
+// followWorker cordons the present worker of a machine that is to go down, and reports whether it did. An earlier planner, or this
+// one for an earlier life of the worker, has cordoned another one, or none that the scheduler still knows of.
+func (p *Planner) followWorker(w *wave, m *machine, remaining int) bool {
+	entry := p.machinesByID[m.id]
+	if !entry.Up || entry.Worker == "" || entry.Worker == m.worker {
+		return false
+	}
+	former := m.worker
+	switch m.state {
+	case evacuating, evacuated:
+		p.startEvacuation(w, m, entry.Worker, remaining)
+	case ordered:
+		m.worker = entry.Worker
+		p.emit(CordonWorker{Worker: m.worker})
+	case waiting, down, done:
+		return false
+	}
+	if former != "" {
+		p.emit(UncordonWorker{Worker: former})
+	}
+	return true
+}
+
 // orderMissing prepares the order for one machine that may be gone, while no machine that is listed as up can be started.
 // Its worker is evacuated if it is known, because the machine may be there.
 func (p *Planner) orderMissing(w *wave, remaining int) {
@@ -328,13 +354,11 @@
 		if m.state != waiting || !entry.mayBeGone() || p.activeInOtherWave(w, m.id) {
 			continue
 		}
-		m.worker = entry.Worker
-		if m.worker == "" {
+		if entry.Worker == "" {
 			p.recordOrder(w, m)
 			return
 		}
-		m.state = evacuating
-		p.emit(CordonWorker{Worker: m.worker, Deadline: p.now.Add(w.evacuationTime(remaining, p.now))})
+		p.startEvacuation(w, m, entry.Worker, remaining)
 		return
 	}
 }
@@ -363,6 +387,17 @@
 	return false
 }
 
+// remaining returns the number of machines whose maintenance is not done.
+func (w *wave) remaining() int {
+	count := 0
+	for _, m := range w.machines {
+		if m.state != done {
+			count++
+		}
+	}
+	return count
+}
+
 // evacuationTime returns how long a worker may take to finish or move its tasks so that the wave ends in time.
 func (w *wave) evacuationTime(remaining int, now time.Time) time.Duration {
 	left := time.Duration(plannedShare*float64(w.Duration)) - now.Sub(w.requestedAt)
