upkeep: records precede the other effects of a step

A cordon can be answered while the effects of its step are performed: a worker that the scheduler does not know is reported as evacuated at once, and the planner makes a record with its order before the caller has performed the rest. If that rest contained an earlier record of another wave of the same planner, it was stored last, without an order that the nested step had added and that was sent: a later planner would not have counted it (LIMIT).

Each step returns its records first. The guard that had for one wave goes.

TestRecordsPrecedeCordons printed "a record follows a cordon" before, and passes.

--- a/coord/upkeep/cordon_test.go
+++ b/coord/upkeep/cordon_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -59,3 +60,33 @@
 		assert.DeepEqual(t, s.uncordons, []fleet.WorkerID{"w1"})
 	})
 }
+
+// Guards against an order that the stored record lacks: the caller may pass an answer to a cordon back before it performs the
+// effects that follow, and a record of that answer must not be overtaken by an earlier one.
+func TestRecordsPrecedeCordons(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := upkeep.New()
+	for number, id := range map[int64]infra.MachineID{1: "m1", 2: "m2"} {
+		p.Step(now, upkeep.WaveRequested{Wave: infra.Wave{Number: number, Machines: []infra.MachineID{id}, MaxDown: 1, Duration: time.Minute}})
+	}
+	other := infra.Machine{ID: "other", Up: true, Worker: "other"}
+	machines := []infra.Machine{other}
+	records, cordons := 0, 0
+	for i := range 3 {
+		if i == 2 {
+			machines = append(machines, infra.Machine{ID: "m1", Up: true, Worker: "w1"})
+		}
+		records, cordons = 0, 0
+		for _, e := range p.Step(now, upkeep.MachinesListed{Machines: machines, StartedAt: now}) {
+			switch e.(type) {
+			case upkeep.SaveRecord:
+				records++
+				assert.Equal(t, cordons, 0, "a record follows a cordon")
+			case upkeep.CordonWorker:
+				cordons++
+			}
+		}
+	}
+	assert.Equal(t, records, 1)
+	assert.Equal(t, cordons, 1)
+}
--- a/coord/upkeep/planner.go
+++ b/coord/upkeep/planner.go
@@ -74,9 +74,11 @@
 
 // Planner is a state machine that turns each [Event] into [Effect] values. It is not safe for concurrent use.
 type Planner struct {
-	waves      map[int64]*wave
-	now        time.Time
-	effects    []Effect
+	waves   map[int64]*wave
+	now     time.Time
+	effects []Effect
+	// records are the [SaveRecord] effects, which precede the others.
+	records    []Effect
 	nextListAt time.Time
 	listing    bool
 	// machinesByID holds the last machine list, and the machines of the waves that it lacks.
@@ -88,7 +90,8 @@
 // New returns a planner without waves.
 func New() *Planner { return &Planner{waves: make(map[int64]*wave)} }
 
-// Step applies an event and returns the effects that the caller has to perform, in order.
+// Step applies an event and returns the effects that the caller has to perform, in order. Records come first: the caller may pass an
+// answer to a later effect to Step before it performs the next one, and a record of that answer must not be overtaken.
 func (p *Planner) Step(now time.Time, ev Event) []Effect {
 	p.now = now
 	switch ev := ev.(type) {
@@ -107,8 +110,8 @@
 	case Tick:
 	}
 	p.advance()
-	out := p.effects
-	p.effects = nil
+	out := append(p.records, p.effects...)
+	p.records, p.effects = nil, nil
 	return out
 }
 
@@ -148,7 +151,7 @@
 		case waiting, evacuating:
 		}
 	}
-	p.emit(SaveRecord{Wave: w.Number, Version: w.recordVersion, Record: r})
+	p.records = append(p.records, SaveRecord{Wave: w.Number, Version: w.recordVersion, Record: r})
 }
 
 // applyList applies a read of the machine list. A machine counts as up again only if the read was started after its
@@ -283,12 +286,11 @@
 	}
 	// busy counts the machines of the wave that are down, may be down, or are being evacuated to go down.
 	remaining, busy := w.remaining(), p.countDownWithoutOrder(w)
-	cordoned := false
 	for _, m := range w.machines {
 		if m.state != waiting && m.state != done {
 			busy++
 		}
-		cordoned = p.followWorker(w, m, remaining) || cordoned
+		p.followWorker(w, m, remaining)
 		if m.state == evacuated && w.savedVersion >= m.orderVersion {
 			m.state = ordered
 		}
@@ -309,11 +311,9 @@
 			continue
 		}
 		busy++
-		cordoned = true
 		p.startEvacuation(w, m, entry.Worker, remaining)
 	}
-	// A cordon may be answered before the next effect is performed, so that no record may follow it.
-	if !cordoned && busy < w.MaxDown {
+	if busy < w.MaxDown {
 		p.orderMissing(w, remaining)
 	}
 }
@@ -323,12 +323,12 @@
 	p.emit(CordonWorker{Worker: worker, Deadline: p.now.Add(w.evacuationTime(remaining, p.now))})
 }
 
-// followWorker cordons the present worker of a machine that is to go down, and reports whether it did. An earlier planner, or this
-// one for an earlier life of the worker, has cordoned another one, or none that the scheduler still knows of.
-func (p *Planner) followWorker(w *wave, m *machine, remaining int) bool {
+// followWorker cordons the present worker of a machine that is to go down. An earlier planner, or this one for an earlier life of
+// the worker, has cordoned another one, or none that the scheduler still knows of.
+func (p *Planner) followWorker(w *wave, m *machine, remaining int) {
 	entry := p.machinesByID[m.id]
 	if !entry.Up || entry.Worker == "" || entry.Worker == m.worker {
-		return false
+		return
 	}
 	former := m.worker
 	switch m.state {
@@ -338,12 +338,11 @@
 		m.worker = entry.Worker
 		p.emit(CordonWorker{Worker: m.worker})
 	case waiting, down, done:
-		return false
+		return
 	}
 	if former != "" {
 		p.emit(UncordonWorker{Worker: former})
 	}
-	return true
 }
 
 // orderMissing prepares the order for one machine that may be gone, while no machine that is listed as up can be started.
