upkeep: a wave begins with a list that is read after its request

The list is read only while a wave is in progress, so that a new wave began with the last list of the one before, however old. If a worker had joined under another ID since, the planner cordoned the former one, which the scheduler reported as evacuated at once, and sent the order: the machine's tasks were ended with it.

A wave waits for a list that was started after its request.

TestWaveBeginsWithNewList printed a cordon of "[w1]", the former worker, before, and passes.

--- a/coord/upkeep/cordon_test.go
+++ b/coord/upkeep/cordon_test.go
@@ -90,3 +90,20 @@
 	assert.Equal(t, records, 1)
 	assert.Equal(t, cordons, 1)
 }
+
+// Guards against tasks on a machine that goes down: the list that an earlier wave has read last may name a former worker, which the
+// scheduler no longer knows and takes for evacuated.
+func TestWaveBeginsWithNewList(t *testing.T) {
+	s := newPlatform("m1")
+	for range 3 {
+		s.listAs("m1", "w1")
+		s.now = s.now.Add(time.Second)
+	}
+	assert.Assert(t, s.completed)
+	s.now, s.orders, s.cordons = s.now.Add(time.Hour), nil, nil
+	s.step(upkeep.WaveRequested{Wave: infra.Wave{Number: 2, Machines: []infra.MachineID{"m1"}, MaxDown: 1, Duration: time.Minute}})
+	s.step(upkeep.Tick{})
+	assert.Equal(t, len(s.cordons), 0, "%v", s.cordons)
+	s.listAs("m1", "w2")
+	assert.DeepEqual(t, s.cordons, []fleet.WorkerID{"w2"})
+}
--- a/coord/upkeep/planner.go
+++ b/coord/upkeep/planner.go
@@ -281,7 +281,7 @@
 }
 
 func (p *Planner) advanceWave(w *wave) {
-	if w.completed || p.listStartedAt.IsZero() {
+	if w.completed || p.listStartedAt.IsZero() || p.listStartedAt.Before(w.requestedAt) {
 		return
 	}
 	// busy counts the machines of the wave that are down, may be down, or are being evacuated to go down.
