--- a/coord/upkeep/planner.go
+++ b/coord/upkeep/planner.go
@@ -23,6 +23,9 @@
 	// wave's duration that the evacuations are planned within; the rest is reserve.
 	maxEvacuationTime = 8 * time.Second
 	plannedShare      = 0.8
+	// missingLists is the number of successive lists without a machine after which the machine may be gone. A list can
+	// lack a machine that is there, so that only the answer to an order shows that it is gone.
+	missingLists = 3
 )
 
 // machineState is the progress of one machine within a wave.
@@ -52,6 +55,14 @@
 	downAt       time.Time
 }
 
+// listedMachine is the last list entry of a machine. missing is the number of lists since then.
+type listedMachine struct {
+	infra.Machine
+	missing int
+}
+
+func (m listedMachine) mayBeGone() bool { return m.missing >= missingLists }
+
 type wave struct {
 	infra.Wave
 	machines      []*machine
@@ -63,13 +74,15 @@
 
 // Planner is a state machine that turns each [Event] into [Effect] values. It is not safe for concurrent use.
 type Planner struct {
-	waves      map[int64]*wave
-	now        time.Time
-	effects    []Effect
+	waves   map[int64]*wave
+	now     time.Time
+	effects []Effect
+	// records are the [SaveRecord] effects, which precede the others.
+	records    []Effect
 	nextListAt time.Time
 	listing    bool
-	// machinesByID is the last machine list.
-	machinesByID map[infra.MachineID]infra.Machine
+	// machinesByID holds the last machine list, and the machines of the waves that it lacks.
+	machinesByID map[infra.MachineID]listedMachine
 	// listStartedAt is when the read that returned machinesByID was started; zero before the first one.
 	listStartedAt time.Time
 }
@@ -77,7 +90,8 @@
 // New returns a planner without waves.
 func New() *Planner { return &Planner{waves: make(map[int64]*wave)} }
 
-// Step applies an event and returns the effects that the caller has to perform, in order.
+// Step applies an event and returns the effects that the caller has to perform, in order. Records come first: the caller may pass an
+// answer to a later effect to Step before it performs the next one, and a record of that answer must not be overtaken.
 func (p *Planner) Step(now time.Time, ev Event) []Effect {
 	p.now = now
 	switch ev := ev.(type) {
@@ -96,8 +110,8 @@
 	case Tick:
 	}
 	p.advance()
-	out := p.effects
-	p.effects = nil
+	out := append(p.records, p.effects...)
+	p.records, p.effects = nil, nil
 	return out
 }
 
@@ -137,7 +151,7 @@
 		case waiting, evacuating:
 		}
 	}
-	p.emit(SaveRecord{Wave: w.Number, Version: w.recordVersion, Record: r})
+	p.records = append(p.records, SaveRecord{Wave: w.Number, Version: w.recordVersion, Record: r})
 }
 
 // applyList applies a read of the machine list. A machine counts as up again only if the read was started after its
@@ -148,23 +162,19 @@
 		return
 	}
 	p.listStartedAt = ev.StartedAt
-	p.machinesByID = make(map[infra.MachineID]infra.Machine, len(ev.Machines))
-	for _, m := range ev.Machines {
-		p.machinesByID[m.ID] = m
-	}
+	p.replaceList(ev.Machines)
 	for _, w := range p.waves {
 		changed := false
 		for _, m := range w.machines {
-			entry, found := p.machinesByID[m.id]
+			entry := p.machinesByID[m.id]
 			switch {
-			case !found && m.state != done:
-				p.emit(Log{Text: "machine no longer listed", Wave: w.Number, Machine: m.id})
-				changed = true
-				p.finish(m)
 			case m.state == down && entry.Up && ev.StartedAt.After(m.downAt):
 				p.emit(Log{Text: "machine maintenance finished", Wave: w.Number, Machine: m.id})
 				changed = true
 				p.finish(m)
+			case m.state == down && entry.mayBeGone():
+				// The order is repeated, which has no effect on a machine that is down for it.
+				m.state = ordered
 			}
 		}
 		if changed {
@@ -173,6 +183,30 @@
 	}
 }
 
+// replaceList replaces the machine list. A machine of a wave that the new list lacks is not up, and counts as down for
+// maintenance if it did so before and is not likely to be gone.
+func (p *Planner) replaceList(machines []infra.Machine) {
+	former := p.machinesByID
+	p.machinesByID = make(map[infra.MachineID]listedMachine, len(machines))
+	for _, m := range machines {
+		p.machinesByID[m.ID] = listedMachine{Machine: m}
+	}
+	for _, w := range p.waves {
+		for _, m := range w.machines {
+			if _, found := p.machinesByID[m.id]; found {
+				continue
+			}
+			entry := former[m.id]
+			entry.missing++
+			entry.Up, entry.InMaintenance = false, entry.InMaintenance && !entry.mayBeGone()
+			p.machinesByID[m.id] = entry
+			if entry.missing == 1 {
+				p.emit(Log{Text: "machine missing from the list", Wave: w.Number, Machine: m.id})
+			}
+		}
+	}
+}
+
 // finish marks the maintenance of a machine as done and uncordons its worker if this planner cordoned it.
 func (p *Planner) finish(m *machine) {
 	m.state = done
@@ -186,14 +220,18 @@
 	for _, w := range p.waves {
 		for _, m := range w.machines {
 			if m.worker == id && m.state == evacuating {
-				m.state = evacuated
-				p.save(w)
-				m.orderVersion = w.recordVersion
+				p.recordOrder(w, m)
 			}
 		}
 	}
 }
 
+func (p *Planner) recordOrder(w *wave, m *machine) {
+	m.state = evacuated
+	p.save(w)
+	m.orderVersion = w.recordVersion
+}
+
 func (p *Planner) applyAnswer(ev OrderAnswered) {
 	w := p.waves[ev.Wave]
 	if w == nil {
@@ -243,18 +281,16 @@
 }
 
 func (p *Planner) advanceWave(w *wave) {
-	if w.completed || p.listStartedAt.IsZero() {
+	if w.completed || p.listStartedAt.IsZero() || p.listStartedAt.Before(w.requestedAt) {
 		return
 	}
 	// busy counts the machines of the wave that are down, may be down, or are being evacuated to go down.
-	remaining, busy := 0, p.countDownWithoutOrder(w)
+	remaining, busy := w.remaining(), p.countDownWithoutOrder(w)
 	for _, m := range w.machines {
-		if m.state != done {
-			remaining++
-		}
 		if m.state != waiting && m.state != done {
 			busy++
 		}
+		p.followWorker(w, m, remaining)
 		if m.state == evacuated && w.savedVersion >= m.orderVersion {
 			m.state = ordered
 		}
@@ -275,8 +311,54 @@
 			continue
 		}
 		busy++
-		m.state, m.worker = evacuating, entry.Worker
-		p.emit(CordonWorker{Worker: m.worker, Deadline: p.now.Add(w.evacuationTime(remaining, p.now))})
+		p.startEvacuation(w, m, entry.Worker, remaining)
+	}
+	if busy < w.MaxDown {
+		p.orderMissing(w, remaining)
+	}
+}
+
+func (p *Planner) startEvacuation(w *wave, m *machine, worker fleet.WorkerID, remaining int) {
+	m.state, m.worker = evacuating, worker
+	p.emit(CordonWorker{Worker: worker, Deadline: p.now.Add(w.evacuationTime(remaining, p.now))})
+}
+
+// followWorker cordons the present worker of a machine that is to go down. An earlier planner, or this one for an earlier life of
+// the worker, has cordoned another one, or none that the scheduler still knows of.
+func (p *Planner) followWorker(w *wave, m *machine, remaining int) {
+	entry := p.machinesByID[m.id]
+	if !entry.Up || entry.Worker == "" || entry.Worker == m.worker {
+		return
+	}
+	former := m.worker
+	switch m.state {
+	case evacuating, evacuated:
+		p.startEvacuation(w, m, entry.Worker, remaining)
+	case ordered:
+		m.worker = entry.Worker
+		p.emit(CordonWorker{Worker: m.worker})
+	case waiting, down, done:
+		return
+	}
+	if former != "" {
+		p.emit(UncordonWorker{Worker: former})
+	}
+}
+
+// orderMissing prepares the order for one machine that may be gone, while no machine that is listed as up can be started.
+// Its worker is evacuated if it is known, because the machine may be there.
+func (p *Planner) orderMissing(w *wave, remaining int) {
+	for _, m := range w.machines {
+		entry := p.machinesByID[m.id]
+		if m.state != waiting || !entry.mayBeGone() || p.activeInOtherWave(w, m.id) {
+			continue
+		}
+		if entry.Worker == "" {
+			p.recordOrder(w, m)
+			return
+		}
+		p.startEvacuation(w, m, entry.Worker, remaining)
+		return
 	}
 }
 
@@ -304,6 +386,17 @@
 	return false
 }
 
+// remaining returns the number of machines whose maintenance is not done.
+func (w *wave) remaining() int {
+	count := 0
+	for _, m := range w.machines {
+		if m.state != done {
+			count++
+		}
+	}
+	return count
+}
+
 // evacuationTime returns how long a worker may take to finish or move its tasks so that the wave ends in time.
 func (w *wave) evacuationTime(remaining int, now time.Time) time.Duration {
 	left := time.Duration(plannedShare*float64(w.Duration)) - now.Sub(w.requestedAt)
