leader: keep the completed job of the lookup tests

TestLookupEndsAfterJobsThatAreHeldBack failed once in 6 to 8 runs under load with "no completed job within 20 s". Its scheduler had no retention time, so that the completed job was dropped at once, and the poll for its state every 10 ms could miss it.

--- a/entryd/leader/lookup_test.go
+++ b/entryd/leader/lookup_test.go
@@ -55,7 +55,7 @@
 	put(t, m, "workers/a", []byte("a:1"))
 	log := slog.New(slog.NewTextHandler(t.Output(), nil))
 	s := leader.NewScheduler(leader.Deps{
-		Store: c, Agents: agents, Format: strictFormat{}, Bounds: infra.Bounds{MaxLease: 6 * time.Second}, Log: log, Decisions: log,
+		Store: c, Agents: agents, Format: strictFormat{}, Bounds: infra.Bounds{MaxLease: 6 * time.Second, StatusRetention: time.Minute}, Log: log, Decisions: log,
 		Metrics:   metrics.NewRegistry(),
 		Supersede: func(context.Context, fleet.EntryHostID, infra.Token) (time.Duration, bool) { return 0, true },
 	})
