flow: await silent workers for as long as the lease is not confirmed

A scheduler whose lease was not confirmed stopped waiting for the workers of its predecessor when their leases must have ended by its own count. If a successor had been elected meanwhile and had reached such a worker, the successor had renewed the lease, and the former scheduler, which may act for 5 s more, started the worker's tasks elsewhere (TWICE). For runs that a scheduler knows the same was ruled out already.

--- a/coord/flow/partition_test.go
+++ b/coord/flow/partition_test.go
@@ -170,3 +170,26 @@
 	h.advance(time.Second)
 	assert.Equal(t, len(h.starts()), 1)
 }
+
+// A scheduler whose lease is not confirmed took the leases of its predecessor for expired, and started tasks of a worker that it
+// did not reach. Its successor may have reached the worker and renewed the lease.
+func TestUnconfirmedSchedulerAwaitsSilentWorkers(t *testing.T) {
+	h := newHarness(t, flow.Restored{
+		Jobs:   []flow.StoredJob{{Job: singleStepJob("j", smallStep(1))}},
+		Roster: []flow.RosterEntry{{Worker: "a", Address: "a:1"}, {Worker: "b", Address: "b:1"}}, Term: 1,
+	}, newPoolWorker("a"), newPoolWorker("b"))
+	h.step(flow.PredecessorStopped{})
+	h.reportTwice("b", infra.Report{})
+	began := h.now
+	for h.now.Sub(began) < 8*time.Second {
+		h.renewalFails("a")
+		h.report("b", infra.Report{})
+		for range 4 {
+			h.now = h.now.Add(25 * time.Millisecond)
+			h.step(flow.Tick{Wall: h.now, LeaseUnconfirmed: h.now.Sub(began) > 3*time.Second})
+		}
+		for _, s := range h.starts() {
+			t.Fatalf("%v started on %s after %v, unconfirmed since 3 s", s.Order.Task, s.To.Worker, h.now.Sub(began))
+		}
+	}
+}
--- a/coord/flow/sweep.go
+++ b/coord/flow/sweep.go
@@ -31,7 +31,8 @@
 	for _, j := range m.scheduledJobs {
 		m.createDueOccurrences(j)
 	}
-	if len(m.unreconciledWorkers) > 0 && m.now.After(m.unreconciledUntil) {
+	// While another scheduler may have been elected, it may also have renewed the leases.
+	if len(m.unreconciledWorkers) > 0 && m.now.After(m.unreconciledUntil) && !m.leaseUnconfirmed {
 		m.expireUnreconciled()
 	}
 	for _, w := range m.workersByID {
