flow: hold the end of an unknown job once for each life of its worker

A worker that was announced as restarted, by another writer, and reports on counts as two lives with one start time. The end of a run of an unknown job was held for both and counted down for both, so that the count fell below zero and the end of another job was acknowledged before that job had been looked up. A fault of the lookup of unknown jobs, found by its reviewer.

TestEndIsHeldOnceForEachLife failed before (2 acknowledged, 1 wanted). Lives are now counted.

--- a/coord/flow/unknown.go
+++ b/coord/flow/unknown.go
@@ -19,11 +19,11 @@
 	ends []heldEnd
 }
 
-// heldEnd is the reported end of a run of an unknown job. It counts for the life of the worker that began at startedAt.
+// heldEnd is the reported end of a run of an unknown job. It counts for one life of the worker.
 type heldEnd struct {
-	worker    *worker
-	startedAt int64
-	end       infra.EndedRun
+	worker *worker
+	life   int
+	end    infra.EndedRun
 }
 
 // unknownJob returns the entry of an unknown job, which lookUpJobs asks the store about.
@@ -40,7 +40,7 @@
 // holdEnd keeps the end of a run of an unknown job until it is known whether the job exists.
 func (m *Machine) holdEnd(w *worker, e infra.EndedRun) {
 	u := m.unknownJob(e.Task.Job)
-	u.ends = append(u.ends, heldEnd{worker: w, startedAt: w.StartedAt, end: e})
+	u.ends = append(u.ends, heldEnd{worker: w, life: w.life, end: e})
 	w.heldEnds++
 }
 
@@ -97,7 +97,7 @@
 func (m *Machine) releaseEnds(u *unknownJob) {
 	for _, h := range u.ends {
 		w := h.worker
-		if w.StartedAt != h.startedAt {
+		if w.life != h.life {
 			continue
 		}
 		w.heldEnds--
--- a/coord/flow/unknown_test.go
+++ b/coord/flow/unknown_test.go
@@ -125,3 +125,27 @@
 	assert.Equal(t, len(started), 1)
 	assert.Equal(t, started[0].To.Worker, fleet.WorkerID("b"))
 }
+
+// The end of an unknown job counted twice if its worker was announced as restarted and reported it again. The end of another
+// job was then acknowledged before that job was looked up.
+func TestEndIsHeldOnceForEachLife(t *testing.T) {
+	a := newPoolWorker("a")
+	a.StartedAt = 5000
+	h := newHarness(t, flow.Restored{}, a)
+	end := func(n int64, job string) infra.EndedRun {
+		return infra.EndedRun{Number: n, Task: infra.TaskID{Job: fleet.JobID(job)}, Run: 1, Outcome: infra.OutcomeDone}
+	}
+	first := infra.Report{StartedAt: 5000, Ended: []infra.EndedRun{end(1, "j")}}
+	h.report("a", first)
+	foreign := a
+	foreign.StartedAt = 6000
+	h.step(flow.WorkerListed{Worker: foreign})
+	h.advance(50 * time.Millisecond)
+	h.report("a", first) // "restarted" back
+	h.advance(50 * time.Millisecond)
+	h.report("a", first)
+	h.step(flow.JobsLookedUp{Jobs: []fleet.JobID{"j"}})
+	h.advance(50 * time.Millisecond)
+	second := infra.Report{StartedAt: 5000, Ended: []infra.EndedRun{end(2, "k")}}
+	assert.Equal(t, h.acknowledged("a", second), int64(1), "the job k has not been looked up")
+}
--- a/coord/flow/worker.go
+++ b/coord/flow/worker.go
@@ -180,8 +180,9 @@
 	secondReportDue bool
 	// unsavedSeq is the sequence number of the save that makes the ends up to seenEnd durable; 0 if all are durable.
 	unsavedSeq int64
-	// heldEnds is the number of reported ends of unknown jobs.
+	// heldEnds is the number of ends of unknown jobs that the present life has reported, and life the number of that life.
 	heldEnds int
+	life     int
 	// headroomBudgets caches the headroom budgets of the serving images as of budgetsAt. budgetsValid is cleared when a
 	// run changes.
 	headroomBudgets []headroomBudget
--- a/coord/flow/worker_lifecycle.go
+++ b/coord/flow/worker_lifecycle.go
@@ -176,6 +176,7 @@
 	w.tokenAccepted, w.leadershipConfirmed = false, false
 	w.clock, w.leaseEnd, w.seenEnd, w.durableEnd, w.unsavedSeq = 0, 0, 0, 0, 0
 	w.heldEnds, w.hasMoreEnds, w.crashCounted = 0, false, false
+	w.life++
 	w.endWeight, w.speed = 0, 1
 	clear(w.failures)
 	w.quarantinedUntil = time.Time{}
