flow: confirm an announced restart of a worker that holds ends

A registration with a later start time may come from another writer, so that the worker's own report has to confirm it, but only if the worker had runs. One without runs, whose ends were not stored, was taken to have restarted: the ends counted as nothing to wait for, and a draining worker left the roster (the cause of the forgotten ends, by another way).

TestAnnouncedRestartKeepsEnds failed before (24 of 60 jobs stored when the worker had left the roster).

--- a/coord/flow/roster_test.go
+++ b/coord/flow/roster_test.go
@@ -91,6 +91,15 @@
 	assert.Assert(t, h.evacuated())
 }
 
+// The same holds when the time for the evacuation is up.
+func TestMachineIsNotEvacuatedAtItsDeadlineBeforeEndsAreStored(t *testing.T) {
+	h, _, started := runOnOneWorker(t)
+	h.step(flow.Cordon{Worker: "a", Deadline: h.now.Add(50 * time.Millisecond)})
+	h.endAll(started)
+	h.advance(time.Second)
+	assert.Assert(t, !h.evacuated())
+}
+
 // A worker that had no runs left was taken off the stored roster while the ends of its runs were not stored. The successor
 // neither knew the ends nor waited for the worker, and started tasks that were done.
 func TestWorkerStaysInRosterUntilItsEndsAreStored(t *testing.T) {
@@ -176,3 +185,38 @@
 	h.advance(50 * time.Millisecond)
 	assert.Equal(t, len(h.starts()), 1)
 }
+
+// A registration that announces a restart may come from another writer. That of a worker without runs was believed, the worker
+// left the roster, and its ends were forgotten although they were not stored.
+func TestAnnouncedRestartKeepsEnds(t *testing.T) {
+	step := smallStep(1)
+	step.Size = fleet.Resources{MilliCPU: 100, MemoryBytes: 1 << 20}
+	a := newPoolWorker("a")
+	a.StartedAt = 5000
+	h := newHarness(t, flow.Restored{}, a)
+	h.report("a", infra.Report{StartedAt: 5000})
+	var started []flow.Start
+	for n := range moreThanOneBatch {
+		h.step(flow.Submitted{Job: singleStepJob(fmt.Sprintf("%016x", n), step)})
+	}
+	for range moreThanOneBatch {
+		h.advance(50 * time.Millisecond)
+		started = append(started, h.answerStarts()...)
+	}
+	assert.Equal(t, len(started), moreThanOneBatch)
+	var ended []infra.EndedRun
+	for n, s := range started {
+		ended = append(ended, infra.EndedRun{Number: int64(n + 1), Task: s.Order.Task, Run: s.Order.Run, Outcome: infra.OutcomeDone})
+	}
+	h.effects, h.isStoreDown = nil, true
+	h.report("a", infra.Report{StartedAt: 5000, Ended: ended})
+	foreign := a
+	foreign.StartedAt, foreign.Draining = 6000, true
+	h.step(flow.WorkerListed{Worker: foreign})
+	h.advance(100 * time.Millisecond)
+	h.storeBatches(func(stored map[fleet.JobID]bool, roster []flow.RosterEntry) {
+		if len(roster) == 0 {
+			assert.Equal(t, len(stored), moreThanOneBatch, "jobs stored when the worker has left the roster")
+		}
+	})
+}
--- a/coord/flow/takeover_test.go
+++ b/coord/flow/takeover_test.go
@@ -551,3 +551,33 @@
 		}
 	}
 }
+
+// A worker that was announced as restarted between its first and its second report, and did not answer again, was awaited
+// without end, and the tasks of its predecessor never started.
+func TestRestartAfterFirstReportDoesNotHoldUpTasks(t *testing.T) {
+	a := newPoolWorker("a")
+	a.StartedAt = 5000
+	h := newHarness(t, flow.Restored{
+		Jobs:   []flow.StoredJob{{Job: singleStepJob("j", smallStep(1))}},
+		Roster: []flow.RosterEntry{{Worker: "a", Address: "a:1"}, {Worker: "b", Address: "b:1"}}, Term: 1,
+	}, a, newPoolWorker("b"))
+	h.step(flow.PredecessorStopped{})
+	h.reportTwice("b", infra.Report{})
+	h.report("a", infra.Report{StartedAt: 5000})
+	h.renewalFails("a")
+	again := a
+	again.StartedAt = 6000
+	h.step(flow.WorkerListed{Worker: again})
+	h.advance(100 * time.Millisecond)
+	h.step(flow.WorkerUnlisted{Worker: "a"})
+	began := h.now
+	for h.now.Sub(began) < 120*time.Second {
+		h.renewalFails("a")
+		h.report("b", infra.Report{})
+		h.advance(300 * time.Millisecond)
+		if s := h.starts(); len(s) > 0 {
+			return
+		}
+	}
+	t.Fatalf("not started within 120 s, although the worker is gone and its former life has ended")
+}
--- a/coord/flow/worker_lifecycle.go
+++ b/coord/flow/worker_lifecycle.go
@@ -109,7 +109,8 @@
 		return
 	}
 	if w.StartedAt != 0 && info.StartedAt > w.StartedAt {
-		if len(w.runs) > 0 && w.clock > 0 && !w.leaseExpired(m.now) {
+		mustKeep := len(w.runs) > 0 || w.hasUnsavedEnds() || w.hasMoreEnds
+		if mustKeep && w.clock > 0 && !w.leaseExpired(m.now) {
 			m.confirmRestart(w, info)
 			return
 		}
