flow: take a draining worker that holds ends into the roster

A scheduler that was not told of a draining worker by the roster did not add it, because it has no runs, although it may report ends that take several batches to store.

A worker now enters the roster with its first new ends, as long as they are not durable. TestDrainedWorkerWithEndsEntersRoster failed before (in no stored roster while 60 ends were stored).

--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -148,6 +148,7 @@
 	if hasNew {
 		w.unsavedSeq = m.dirtySeq
 		m.confirmEnds(w)
+		m.addToRoster(w)
 	}
 	if w.hasUnsavedEnds() {
 		w.nextRenewal = m.now.Add(renewUnsavedPause)
--- a/coord/flow/roster_test.go
+++ b/coord/flow/roster_test.go
@@ -186,6 +186,36 @@
 	assert.Equal(t, len(h.starts()), 1)
 }
 
+// A drained worker that held ends was not taken into the roster by a successor that did not find it there. The next one did not
+// wait for it either.
+func TestDrainedWorkerWithEndsEntersRoster(t *testing.T) {
+	step := smallStep(1)
+	var jobs []flow.StoredJob
+	var ended []infra.EndedRun
+	for n := range moreThanOneBatch {
+		j := singleStepJob(fmt.Sprintf("%016x", n), step)
+		jobs = append(jobs, flow.StoredJob{Job: j})
+		ended = append(ended, infra.EndedRun{Number: int64(n + 1), Task: infra.TaskID{Job: j.ID}, Run: 1, Outcome: infra.OutcomeDone})
+	}
+	a := newPoolWorker("a")
+	a.Draining, a.Remaining = true, 7*time.Second
+	h := newHarness(t, flow.Restored{Jobs: jobs, Term: 1}, a)
+	h.isStoreDown = true
+	h.report("a", infra.Report{Ended: ended})
+	h.advance(100 * time.Millisecond)
+	inRoster := false
+	for at := 0; at < len(h.effects); at++ {
+		if e, ok := h.effects[at].(flow.Save); ok {
+			for _, r := range e.Roster {
+				inRoster = inRoster || r.Worker == "a"
+			}
+			h.step(flow.Saved{Batch: e.Batch})
+			h.advance(50 * time.Millisecond)
+		}
+	}
+	assert.Assert(t, inRoster, "60 ends were stored in several batches, the worker was in no stored roster")
+}
+
 // A registration that announces a restart may come from another writer. That of a worker without runs was believed, the worker
 // left the roster, and its ends were forgotten although they were not stored.
 func TestAnnouncedRestartKeepsEnds(t *testing.T) {
--- a/coord/flow/worker_lifecycle.go
+++ b/coord/flow/worker_lifecycle.go
@@ -65,10 +65,10 @@
 	m.sendRenewal(w)
 }
 
-// addToRoster adds a listed worker to the roster once it has answered at its address. Until then no task is started there,
-// and a successor would wait for an entry that names no worker.
+// addToRoster adds a listed worker to the roster once it has answered at its address, unless it drains and nothing of it is
+// needed. Until then no task is started there, and a successor would wait for an entry that names no worker.
 func (m *Machine) addToRoster(w *worker) {
-	if !w.listed || !w.tokenAccepted || w.isDrained() || m.roster[w.ID] == w.Address {
+	if !w.listed || !w.tokenAccepted || w.Draining && m.isForgettable(w) || m.roster[w.ID] == w.Address {
 		return
 	}
 	m.roster[w.ID] = w.Address
@@ -84,9 +84,6 @@
 	m.rosterDirty, w.inStoredRoster = true, false
 }
 
-// isDrained reports whether a worker is draining and has no runs left. It gets none any more.
-func (w *worker) isDrained() bool { return w.Draining && len(w.runs) == 0 }
-
 // isForgettable reports whether a successor need not hear from a worker: nothing runs there, and all ends are durable. Ends
 // that were never reported do not count once the lease has expired.
 func (m *Machine) isForgettable(w *worker) bool {
