flow: store the worker of a trial before its start

Callers saw a task that crashes its workers started three more times after three workers had crashed under it (BUDGET), if schedulers died meanwhile.

Cause: a crash counted only once the scheduler that noticed it had stored it. A worker that crashes silently is known to have crashed only when it returns, some seconds later; a scheduler that died before that took the crash with it, and its successor knew neither that the task had been started nor where. The class of the fault is state that is forgotten before it is durable.

A suspect's record now names the worker of its trial, and that worker's start time, before the start is sent. The successor counts a crash when the worker answers with a later start time, or refuses connections before it has answered, which is the evidence that counts within one scheduler too. It counts none when the worker answers as the same incarnation, whether or not the start was carried out. While the worker is silent nothing is counted. The entry goes when the run ends or the crash is counted, in the same record, so that no crash counts twice. A trial that was never sent counts if its worker crashes all the same, once and as not confirmed.

The cost is one save before the start of a suspect and one after its end. While it is in flight the worker is kept for the trial, and the next search prefers it. Records without the entry are read as before.

--- a/coord/flow/crash.go
+++ b/coord/flow/crash.go
@@ -1,7 +1,9 @@
 package flow
 
 import (
+	"cmp"
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -46,6 +48,14 @@
 	// losses counts all workers that crashed under the task, and crashedOn is the last one that made it a suspect.
 	losses    int
 	crashedOn fleet.WorkerID
+	openRun   openRun
+}
+
+// openRun names the worker that may have crashed under a run of a task, and the start time of that incarnation. It is durable
+// before a trial starts, so that a successor can find out whether the trial ended in a crash.
+type openRun struct {
+	worker    fleet.WorkerID
+	startedAt int64
 }
 
 // exceedsCrashes reports whether the task has to be given up however the last crash happened.
@@ -97,7 +107,13 @@
 // workerCrashed handles the unplanned end of a worker's process. The runs that had not lasted long are suspected of
 // having caused it; in an isolated trial only the run on trial is.
 func (m *Machine) workerCrashed(w *worker, reason string) {
-	if len(w.runs) == 0 || w.Draining || w.cordoned {
+	if w.Draining || w.cordoned {
+		return
+	}
+	if !w.tokenAccepted {
+		m.blameSilencedRuns(w.ID, math.MaxInt64)
+	}
+	if len(w.runs) == 0 {
 		return
 	}
 	m.counts.Crashes++
@@ -108,6 +124,11 @@
 		m.recentCrashes = slices.DeleteFunc(m.recentCrashes, func(c time.Time) bool { return m.now.Sub(c) > 4*correlationWindow })
 		m.recentCrashes = append(m.recentCrashes, m.now)
 	}
+	for _, r := range w.runsByTask {
+		if _, t := m.lookupTask(r.id); t != nil {
+			m.closeRun(r.id.Job, t, w.ID)
+		}
+	}
 	steps := make(map[*step]struct{})
 	for _, r := range suspects {
 		steps[r.step] = struct{}{}
@@ -179,7 +200,7 @@
 	}
 	j.crashed = true
 	m.markDirty(j)
-	t.crashSeq, t.crashedAt = j.dirtySeq, m.now
+	t.unsavedSeq, t.crashedAt = j.dirtySeq, m.now
 	// Two crashes of one worker are no better evidence against the task than against the worker.
 	t.verdictDue = t.exceedsCrashes() || t.confirmed >= minConfirmedCrashes && confirmed && isolated && t.crashedOn != on
 	t.crashedOn = on
@@ -222,11 +243,11 @@
 	return count >= minCorrelatedCrashes
 }
 
-// mayStart reports whether a task may be started now as far as crashes are concerned. A crash must be durable first, so
-// that a successor counts on from it. The tasks of a step behave alike: while several workers crashed under it, they start
-// one at a time.
+// mayStart reports whether a task may be started now as far as crashes are concerned. A crash and the open run of a trial must
+// be durable first, so that a successor counts on from them. The tasks of a step behave alike: while several workers crashed
+// under it, they start one at a time.
 func (m *Machine) mayStart(s *step, t *task) bool {
-	if t.crashSeq > m.savedSeq || t.verdictDue || m.now.Before(t.trialRetryAt) {
+	if t.unsavedSeq > m.savedSeq || t.verdictDue || m.now.Before(t.trialRetryAt) {
 		return false
 	}
 	return s.crashes < 2 || s.spec.Gang || !s.hasRecentRun()
@@ -340,7 +361,73 @@
 		return
 	}
 	t.reservedUntil = m.now.Add(soundRunTime + placeRetryInterval)
-	best.reservedUntil = t.reservedUntil
+	best.reservedUntil, best.reservedFor = t.reservedUntil, nil
+}
+
+// recordTrial reports whether the record of a task has the open run that a trial on a worker needs, and otherwise enters it.
+// Until the record is durable no other trial begins on the worker.
+func (m *Machine) recordTrial(r *readyStep, t *task, w *worker) bool {
+	suspected := r.step.mostSuspected(t)
+	open := openRun{worker: w.ID, startedAt: w.StartedAt}
+	if suspected.crashes == 0 || t.openRun == open {
+		return true
+	}
+	j := r.occ.job
+	t.openRun, j.crashed = open, true
+	m.markDirty(j)
+	t.unsavedSeq = j.dirtySeq
+	if m.needsIsolation(r.step, t) {
+		w.reservedUntil, w.reservedFor = m.now.Add(soundRunTime), suspected
+	}
+	return false
+}
+
+// recordGangTrial does the same for all members of a gang. The workers are sorted, so that another search finds the same
+// worker for each member.
+func (m *Machine) recordGangTrial(r *readyStep, chosen []*worker) bool {
+	if r.step.mostSuspected(nil).crashes == 0 {
+		return true
+	}
+	slices.SortFunc(chosen, func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) })
+	recorded := true
+	for i, w := range chosen {
+		recorded = m.recordTrial(r, &r.step.tasks[i], w) && recorded
+	}
+	return recorded
+}
+
+// hasOpenRunOn reports whether the record of a task, or of any member of a gang, has an open run on a worker.
+func (s *step) hasOpenRunOn(t *task, w *worker) bool {
+	open := openRun{worker: w.ID, startedAt: w.StartedAt}
+	if !s.spec.Gang {
+		return t.openRun == open
+	}
+	for i := range s.tasks {
+		if s.tasks[i].openRun == open {
+			return true
+		}
+	}
+	return false
+}
+
+// isReservedForOther reports whether a worker is kept for the trial of another task, which is being recorded.
+func (w *worker) isReservedForOther(now time.Time, t *task) bool {
+	return w.reservedFor != nil && w.reservedFor != t && now.Before(w.reservedUntil)
+}
+
+// closeRun removes the open run of a task on a worker from its record.
+func (m *Machine) closeRun(id fleet.JobID, t *task, on fleet.WorkerID) {
+	if t.openRun.worker == on {
+		t.openRun = openRun{}
+		m.markDirty(m.jobs[id])
+	}
+}
+
+// closeReleasedRun does the same for a run that no longer exists, unless its worker is silent and may have crashed.
+func (m *Machine) closeReleasedRun(r *run, t *task) {
+	if _, silenced := m.silenced[r.worker.ID]; !silenced {
+		m.closeRun(r.id.Job, t, r.worker.ID)
+	}
 }
 
 // beginTrial records the start of a run on its worker.
@@ -353,7 +440,7 @@
 		if w.trial != nil {
 			w.trial.isolated = false
 		}
-		w.trial, w.reservedUntil = r, time.Time{}
+		w.trial, w.reservedUntil, w.reservedFor = r, time.Time{}, nil
 		m.counts.Trials++
 	}
 	w.lastStart = m.now
@@ -376,6 +463,8 @@
 	lossPenalty      = 100
 	freshReportBonus = 1e6
 	crashedOnPenalty = 1e7
+	// openRunBonus exceeds all other terms, because the choice of another worker would have to be durable first.
+	openRunBonus = 1e9
 )
 
 // trialScore rates a worker for the trial of a task, in addition to [Machine.score].
@@ -398,17 +487,13 @@
 	return float64(len(w.runs) + longRunningLoss*w.longRunning)
 }
 
-// silencedWorker is a worker whose leases expired while it could not be reached.
-type silencedWorker struct {
-	startedAt int64
-	runs      []silencedRun
-}
-
-// silencedRun is a run on a silenced worker; suspect is set if the run was recent.
+// silencedRun is a run on a worker whose leases expired while it could not be reached, or an open run in the record of a
+// predecessor. startedAt is the start time of the worker, and suspect is set if the run was recent.
 type silencedRun struct {
-	task    infra.TaskID
-	number  infra.Run
-	suspect bool
+	task      infra.TaskID
+	number    infra.Run
+	startedAt int64
+	suspect   bool
 }
 
 // rememberRuns keeps the runs of an unreachable worker. Only its return shows whether it had crashed.
@@ -416,36 +501,63 @@
 	if w.Draining || w.cordoned || w.StartedAt == 0 {
 		return
 	}
-	s := silencedWorker{startedAt: w.StartedAt}
+	var runs []silencedRun
 	suspects := w.suspects()
 	for _, r := range w.runsByTask {
 		if suspect := slices.Contains(suspects, r); suspect || r.existed() {
-			s.runs = append(s.runs, silencedRun{r.id, r.number, suspect})
+			runs = append(runs, silencedRun{r.id, r.number, w.StartedAt, suspect})
 		}
 	}
-	if len(s.runs) > 0 {
-		m.silenced[w.ID] = s
+	if len(runs) > 0 {
+		m.silenced[w.ID] = runs
+	}
+}
+
+// rememberOpenRuns keeps the open runs in the record of a job until their workers answer.
+func (m *Machine) rememberOpenRuns(j *job) {
+	if !j.live() {
+		return
+	}
+	for _, o := range j.occurrences {
+		for i := range o.steps {
+			for index := range o.steps[i].tasks {
+				t := &o.steps[i].tasks[index]
+				on := t.openRun.worker
+				if t.phase == done || t.openRun.startedAt == 0 {
+					continue
+				}
+				id := infra.TaskID{Job: j.spec.ID, Occurrence: o.number, Step: i, Index: index}
+				m.silenced[on] = append(m.silenced[on], silencedRun{id, t.lastRun, t.openRun.startedAt, true})
+			}
+		}
 	}
 }
 
-// blameSilencedRuns counts the crash of a worker that returns as a new incarnation after its leases had expired. A task
-// that has run soundly elsewhere since is not blamed.
-func (m *Machine) blameSilencedRuns(info infra.Worker) {
-	s, found := m.silenced[info.ID]
-	if !found || info.StartedAt <= s.startedAt {
+// workerAnswered resolves the silenced runs of a worker with its first answer. An incarnation that answers has not crashed.
+func (m *Machine) workerAnswered(w *worker) {
+	m.blameSilencedRuns(w.ID, w.StartedAt)
+	delete(m.silenced, w.ID)
+}
+
+// blameSilencedRuns counts the crash of a worker that returns as a new incarnation, started at the given time. A task that
+// has run soundly elsewhere since is not blamed.
+func (m *Machine) blameSilencedRuns(id fleet.WorkerID, startedAt int64) {
+	runs := slices.DeleteFunc(slices.Clone(m.silenced[id]), func(r silencedRun) bool { return r.startedAt >= startedAt })
+	if len(runs) == 0 {
 		return
 	}
-	delete(m.silenced, info.ID)
+	delete(m.silenced, id)
 	m.counts.Crashes++
-	for i, r := range s.runs {
+	for i, r := range runs {
 		j := m.jobs[r.task.Job]
 		_, t := m.lookupTask(r.task)
 		if t == nil || t.phase == done || !j.live() || slices.ContainsFunc(t.runs, func(r *run) bool { return r.sound }) {
 			continue
 		}
+		m.closeRun(r.task.Job, t, id)
 		m.countLoss(j, t)
 		if r.suspect {
-			m.suspect(r.task, r.number, info.ID, false, false, i < maxLoggedSuspects)
+			m.suspect(r.task, r.number, id, false, false, i < maxLoggedSuspects)
 		}
 	}
 }
--- a/coord/flow/crash_test.go
+++ b/coord/flow/crash_test.go
@@ -266,9 +266,9 @@
 	})
 }
 
-// savedCrashes returns the number of crashes in the last saved record of a job with one task.
-func (h *harness) savedCrashes(id fleet.JobID) int {
-	crashes := 0
+// savedRecord returns the last saved record of a job, or nil.
+func (h *harness) savedRecord(id fleet.JobID) *flow.Record {
+	var record *flow.Record
 	for _, e := range h.effects {
 		s, ok := e.(flow.Save)
 		if !ok {
@@ -276,14 +276,25 @@
 		}
 		for _, j := range s.Jobs {
 			if j.Job == id {
-				crashes = 0
-				for _, o := range j.Record.Occurrences {
-					for _, step := range o.Steps {
-						for _, t := range step.Tasks {
-							crashes += t.Crashes
-						}
-					}
-				}
+				record = &j.Record
+			}
+		}
+	}
+	return record
+}
+
+// savedCrashes returns the number of crashes in the last saved record of a job with one task.
+func (h *harness) savedCrashes(id fleet.JobID) int { return crashesIn(h.savedRecord(id)) }
+
+func crashesIn(record *flow.Record) int {
+	if record == nil {
+		return 0
+	}
+	crashes := 0
+	for _, o := range record.Occurrences {
+		for _, step := range o.Steps {
+			for _, t := range step.Tasks {
+				crashes += t.Crashes
 			}
 		}
 	}
@@ -620,3 +631,138 @@
 	state, _ := h.m.State("j")
 	assert.Equal(t, state, infra.StateRunning)
 }
+
+// A crash that its scheduler had not stored when it died was lost, so that a task which crashes its workers was started more
+// often than allowed after several takeovers. The successor finds the trial, and counts a crash only if there was one.
+func TestCrashOfATrialOutlivesItsScheduler(t *testing.T) {
+	refused := &infra.NotSentError{Worker: "a", ConnRefused: true}
+	for _, c := range []struct {
+		name string
+		// answer lets the worker answer the successor.
+		answer func(h *harness, trial flow.Start)
+		want   int
+	}{
+		{"the worker has restarted", func(h *harness, _ flow.Start) { h.reportTwice("a", infra.Report{StartedAt: 2}) }, 2},
+		{"the worker is listed as another incarnation", func(h *harness, _ flow.Start) {
+			restarted := newPoolWorker("a")
+			restarted.StartedAt = 2
+			h.step(flow.WorkerListed{Worker: restarted})
+			h.reportTwice("a", infra.Report{StartedAt: 2})
+		}, 2},
+		{"the worker refuses connections", func(h *harness, _ flow.Start) {
+			for range 2 {
+				h.step(flow.RenewFailed{Worker: "a", Sequence: h.seq["a"], Err: refused})
+				h.advance(300 * time.Millisecond)
+			}
+		}, 2},
+		{"the worker refuses connections and restarts", func(h *harness, _ flow.Start) {
+			for range 2 {
+				h.step(flow.RenewFailed{Worker: "a", Sequence: h.seq["a"], Err: refused})
+				h.advance(300 * time.Millisecond)
+			}
+			h.reportTwice("a", infra.Report{StartedAt: 2})
+		}, 2},
+		{"the worker is silent", func(h *harness, _ flow.Start) {
+			for range 10 {
+				h.step(flow.RenewFailed{Worker: "a", Sequence: h.seq["a"], Err: &infra.NoAnswerError{Worker: "a"}})
+				h.advance(300 * time.Millisecond)
+			}
+		}, 1},
+		{"the start was not carried out", func(h *harness, _ flow.Start) { h.reportTwice("a", infra.Report{StartedAt: 1}) }, 1},
+		{"the task runs", func(h *harness, trial flow.Start) {
+			running := infra.ActiveRun{Task: trial.Order.Task, Run: trial.Order.Run, Progress: 10}
+			h.reportTwice("a", infra.Report{StartedAt: 1, Running: []infra.ActiveRun{running}})
+		}, 1},
+		{"the run was stopped", func(h *harness, trial flow.Start) {
+			end := infra.EndedRun{Number: 1, Task: trial.Order.Task, Run: trial.Order.Run, Outcome: infra.OutcomeStopped}
+			h.reportTwice("a", infra.Report{StartedAt: 1, Ended: []infra.EndedRun{end}})
+		}, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			j := singleStepJob("j", smallStep(1))
+			record, trial := startTrial(t, j)
+			roster := []flow.RosterEntry{{Worker: "a", Address: "a:1"}}
+			h := newHarness(t, flow.Restored{Jobs: []flow.StoredJob{{Job: j, Record: record}}, Roster: roster, Term: 2})
+			c.answer(h, trial)
+			h.advance(100 * time.Millisecond)
+			if saved := h.savedRecord("j"); saved != nil {
+				record = saved
+			}
+			assert.Equal(t, crashesIn(record), c.want)
+			// A later successor does not count the crash again.
+			h = newHarness(t, flow.Restored{Jobs: []flow.StoredJob{{Job: j, Record: record}}, Roster: roster, Term: 3})
+			h.reportTwice("a", infra.Report{StartedAt: 2})
+			h.advance(100 * time.Millisecond)
+			if saved := h.savedRecord("j"); saved != nil {
+				record = saved
+			}
+			assert.Assert(t, crashesIn(record) <= 2)
+		})
+	}
+}
+
+// startTrial starts the only task of a job, which is suspected of a crash, on the first incarnation of worker a. It returns the
+// job's last record before the start.
+func startTrial(t *testing.T, j infra.Job) (*flow.Record, flow.Start) {
+	record := &flow.Record{State: infra.StateRunning, Occurrences: []flow.OccurrenceRecord{{
+		Steps: []flow.StepRecord{{Tasks: []flow.TaskRecord{{Run: 5, Crashes: 1, Confirmed: 1, CrashedOn: "z", Losses: 1}}}},
+	}}}
+	a := newPoolWorker("a")
+	a.StartedAt = 1
+	h := newHarness(t, flow.Restored{Jobs: []flow.StoredJob{{Job: j, Record: record}}, Term: 1}, a)
+	h.report("a", infra.Report{StartedAt: 1})
+	h.advance(550 * time.Millisecond)
+	for range 10 {
+		h.report("a", infra.Report{StartedAt: 1})
+		h.advance(25 * time.Millisecond)
+		for i, e := range h.effects {
+			if s, ok := e.(flow.Start); ok {
+				h.effects = h.effects[:i]
+				if saved := h.savedRecord(j.ID); saved != nil {
+					record = saved
+				}
+				return record, s
+			}
+		}
+	}
+	t.Fatal("no trial was started")
+	return nil, flow.Start{}
+}
+
+// Schedulers that die between the save and the start of a trial must not fail the job: the worker has not restarted.
+func TestSchedulersThatDieBeforeATrialDoNotFailTheJob(t *testing.T) {
+	j := singleStepJob("j", smallStep(1))
+	record, _ := startTrial(t, j)
+	for term := range int64(6) {
+		h := newHarness(t, flow.Restored{
+			Jobs: []flow.StoredJob{{Job: j, Record: record}}, Roster: []flow.RosterEntry{{Worker: "a", Address: "a:1"}}, Term: term + 2,
+		})
+		a := newPoolWorker("a")
+		a.StartedAt = 1
+		h.step(flow.WorkerListed{Worker: a})
+		for range 30 {
+			h.report("a", infra.Report{StartedAt: 1})
+			h.advance(25 * time.Millisecond)
+		}
+		if saved := h.savedRecord("j"); saved != nil {
+			record = saved
+		}
+		assert.Equal(t, crashesIn(record), 1)
+		assert.Equal(t, len(h.starts()), 1)
+	}
+}
+
+// A trial began although no save had succeeded since the last crash had been counted, so that the next crash could be lost.
+func TestTrialIsDurableBeforeItsStart(t *testing.T) {
+	stored := flow.Record{State: infra.StateRunning, Occurrences: []flow.OccurrenceRecord{{
+		Steps: []flow.StepRecord{{Tasks: []flow.TaskRecord{{Run: 5, Crashes: 1, Confirmed: 1}}}},
+	}}}
+	h := newHarness(t, flow.Restored{Jobs: []flow.StoredJob{{Job: singleStepJob("j", smallStep(1)), Record: &stored}}, Term: 1}, newPoolWorker("a"))
+	h.report("a", infra.Report{})
+	h.isStoreDown = true
+	for range 20 {
+		h.advance(50 * time.Millisecond)
+		h.report("a", infra.Report{})
+	}
+	assert.Equal(t, len(h.starts()), 0)
+}
--- a/coord/flow/job.go
+++ b/coord/flow/job.go
@@ -38,9 +38,10 @@
 	// moves counts how often the task was moved because of its progress.
 	moves int
 	crashRecord
-	// crashSeq is the sequence number of the save that makes the last crash durable, and crashedAt its time.
-	crashSeq  int64
-	crashedAt time.Time
+	// unsavedSeq is the sequence number of the save that makes the last crash and the open run of a trial durable, and
+	// crashedAt is the time of that crash.
+	unsavedSeq int64
+	crashedAt  time.Time
 	// trialSince is when the task began to wait for a trial, trialRetryAt when a worker is searched for it again, and
 	// reservedUntil the end of the reservation of a worker for it.
 	trialSince    time.Time
@@ -105,7 +106,7 @@
 	queue     infra.Queue
 	cancelled bool
 	failed    bool
-	// crashed is set once a worker has crashed under a recent run of the job.
+	// crashed is set once a worker has crashed under a recent run of the job, or a trial of one of its tasks has been recorded.
 	crashed              bool
 	started              bool
 	occurrences          map[int64]*occurrence
@@ -241,6 +242,10 @@
 	Confirmed int            `cbor:"confirmed,omitempty"`
 	CrashedOn fleet.WorkerID `cbor:"crashed_on,omitempty"`
 	Losses    int            `cbor:"losses,omitempty"`
+	// OpenRunOn is the worker that may have crashed under a run of the task, and OpenRunWorkerStartedAt the start time of
+	// that incarnation. A later one shows the crash.
+	OpenRunOn              fleet.WorkerID `cbor:"open_run_on,omitempty"`
+	OpenRunWorkerStartedAt int64          `cbor:"open_run_worker_started_at,omitempty"`
 }
 
 // record returns the durable form of a job's progress. A job in a final state is represented by its state alone.
@@ -295,6 +300,7 @@
 			r.Tasks = append(r.Tasks, TaskRecord{
 				Index: i, Run: t.lastRun, Failed: slices.Clone(t.failedRuns), Checkpoint: t.checkpoint, CheckpointRun: t.checkpointRun,
 				Crashes: t.crashes, Confirmed: t.confirmed, CrashedOn: t.crashedOn, Losses: t.losses,
+				OpenRunOn: t.openRun.worker, OpenRunWorkerStartedAt: t.openRun.startedAt,
 			})
 		}
 	}
@@ -357,6 +363,7 @@
 			t.checkpoint, t.checkpointRun = record.Checkpoint, record.CheckpointRun
 			t.crashRecord = crashRecord{
 				crashes: record.Crashes, confirmed: record.Confirmed, crashedOn: record.CrashedOn, losses: record.Losses,
+				openRun: openRun{worker: record.OpenRunOn, startedAt: record.OpenRunWorkerStartedAt},
 			}
 			t.verdictDue = t.exceedsCrashes()
 		}
--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -166,7 +166,7 @@
 	earlyCancelQueue []earlyCancel
 	// recentCrashes are the crashes without a suspect that was suspected before.
 	recentCrashes []time.Time
-	silenced      map[fleet.WorkerID]silencedWorker
+	silenced      map[fleet.WorkerID][]silencedRun
 	// unknownJobs are the jobs of reported runs that were not received. lookupInFlight is set while the store is asked for
 	// some of them.
 	unknownJobs    map[fleet.JobID]*unknownJob
@@ -214,7 +214,7 @@
 		fillerImages:       imageIndex{numbers: make(map[string]int)},
 		lateStarts:         make(map[fleet.WorkerID][]lateStart),
 		earlyCancels:       make(map[fleet.JobID]struct{}),
-		silenced:           make(map[fleet.WorkerID]silencedWorker),
+		silenced:           make(map[fleet.WorkerID][]silencedRun),
 		unknownJobs:        make(map[fleet.JobID]*unknownJob),
 	}
 	for _, opt := range opts {
@@ -315,6 +315,7 @@
 			j.durableState = infra.StateCancelled
 		}
 		m.activate(j)
+		m.rememberOpenRuns(j)
 		for _, o := range j.occurrences {
 			o.raiseRunNumbers(base)
 		}
--- a/coord/flow/place.go
+++ b/coord/flow/place.go
@@ -180,7 +180,7 @@
 			}
 			break
 		}
-		if m.awaitReport(r, t, w) {
+		if !m.recordTrial(r, t, w) || m.awaitReport(r, t, w) {
 			continue
 		}
 		m.start(r, i, w, t.lastRun+1)
@@ -223,6 +223,9 @@
 		if chosen == nil {
 			continue
 		}
+		if !m.recordGangTrial(r, chosen) {
+			return
+		}
 		for i, w := range chosen {
 			s.tasks[i].checkpoint = checkpoint
 			m.start(r, i, w, number)
@@ -301,14 +304,21 @@
 		return nil
 	}
 	isolated, ignoresTrials := m.needsIsolation(r.step, t), m.ignoresTrials(r.step, t)
+	suspected := r.step.mostSuspected(t)
 	for _, w := range candidates.workers {
 		m.counts.Examined++
 		if !m.fits(r, w, rack) || !w.accepts(m.now, isolated, ignoresTrials) {
 			continue
 		}
+		if isolated && w.isReservedForOther(m.now, suspected) {
+			continue
+		}
 		score := m.score(r, w)
 		if isolated {
-			score += m.trialScore(r.step.mostSuspected(t), w)
+			score += m.trialScore(suspected, w)
+		}
+		if suspected != nil && suspected.crashes > 0 && r.step.hasOpenRunOn(t, w) {
+			score += openRunBonus
 		}
 		if t != nil && t.avoidWorker == w.ID {
 			score -= avoidPenalty
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -118,6 +118,9 @@
 	if w.StartedAt == 0 {
 		w.StartedAt = ev.Report.StartedAt
 	}
+	if !w.tokenAccepted {
+		m.workerAnswered(w)
+	}
 	if !w.reachable {
 		m.emit(Log{Text: "worker reachable", Worker: w.ID})
 		delete(m.silenced, w.ID)
@@ -192,6 +195,7 @@
 	}
 	t.lastRun = max(t.lastRun, e.Run)
 	t.updateCheckpoint(e.Run, e.Checkpoint)
+	m.closeRun(e.Task.Job, t, w.ID)
 	o := m.jobs[e.Task.Job].occurrences[e.Task.Occurrence]
 	switch e.Outcome {
 	case infra.OutcomeDone:
@@ -337,6 +341,7 @@
 	if t == nil {
 		return
 	}
+	m.closeReleasedRun(r, t)
 	for i, other := range t.runs {
 		if other == r {
 			t.runs = append(append([]*run(nil), t.runs[:i]...), t.runs[i+1:]...)
--- a/coord/flow/worker.go
+++ b/coord/flow/worker.go
@@ -155,10 +155,12 @@
 	laggedAt   time.Time
 	runs       map[infra.TaskID]*run
 	// trial is the run of a suspect task that is not sound yet; the worker takes no other tasks meanwhile. lastStart is
-	// when the last start was sent, and until reservedUntil the worker takes only trials.
+	// when the last start was sent, and until reservedUntil the worker takes only trials, or only that of reservedFor unless
+	// it is nil.
 	trial         *run
 	lastStart     time.Time
 	reservedUntil time.Time
+	reservedFor   *task
 	// probed is set while a trial waits for the worker's report.
 	probed bool
 	// runsByTask is sorted by task, so that iteration is deterministic.
--- a/coord/flow/worker_lifecycle.go
+++ b/coord/flow/worker_lifecycle.go
@@ -95,7 +95,7 @@
 	w := m.workers[info.ID]
 	if w == nil {
 		w = m.addWorker(info)
-		m.blameSilencedRuns(info)
+		m.blameSilencedRuns(info.ID, info.StartedAt)
 		m.emit(Log{Text: "worker listed", Worker: info.ID, Reason: info.Service})
 	}
 	if w.StartedAt != 0 && info.StartedAt != 0 && info.StartedAt < w.StartedAt {
@@ -156,7 +156,7 @@
 // without an answer may still reach the new one.
 func (m *Machine) workerRestarted(w *worker, startedAt int64) {
 	m.emit(Log{Text: "worker restarted", Worker: w.ID})
-	m.blameSilencedRuns(infra.Worker{ID: w.ID, StartedAt: startedAt})
+	m.blameSilencedRuns(w.ID, startedAt)
 	if !w.crashCounted {
 		m.workerCrashed(w, "worker restarted")
 	}
