--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -164,7 +164,7 @@
 	earlyCancelQueue []earlyCancel
 	// recentCrashes are the crashes without a suspect that was suspected before.
 	recentCrashes []time.Time
-	silenced      map[fleet.WorkerID]silencedWorker
+	silenced      map[fleet.WorkerID][]silencedRun
 	// unknownJobs are the jobs of reported runs that were not received. lookupInFlight is set while the store is asked for
 	// some of them.
 	unknownJobs    map[fleet.JobID]*unknownJob
@@ -213,7 +213,7 @@
 		lateStarts:         make(map[fleet.WorkerID][]lateStart),
 		cordons:            make(map[fleet.WorkerID]struct{}),
 		earlyCancels:       make(map[fleet.JobID]struct{}),
-		silenced:           make(map[fleet.WorkerID]silencedWorker),
+		silenced:           make(map[fleet.WorkerID][]silencedRun),
 		unknownJobs:        make(map[fleet.JobID]*unknownJob),
 	}
 	for _, opt := range opts {
@@ -317,6 +317,7 @@
 			j.durableState = infra.StateCancelled
 		}
 		m.activate(j)
+		m.rememberOpenRuns(j)
 		for _, o := range j.occurrences {
 			o.raiseRunNumbers(base)
 		}
