admit: do not take the wait for the first slot for the rate of a queue

Cause: the forecast of a new request's wait divides the time since a queue has formed by the requests sent since. At a process without own slots, the first are sent when a peer has reported its slots, at once and after up to some hundred milliseconds. The forecast then multiplies that wait: with 38 requests queued, 8 sent and 343 ms gone, it is 1.6 s, and a request with 1.46 s left is rejected with deadline_unreachable, while all others are answered within 1.04 s. So fails TestPeerSlotsAreUsed when load delays some of its requests until after the first are sent: the test is right.

Change: the measurement begins at the first request sent, less the expected time of a request, within which a slot in use becomes free.

TestWaitForFirstSlot, in virtual time, fails before in its two cases of a fast queue and passes; slow queues still reject.

--- a/coord/admit/policy.go
+++ b/coord/admit/policy.go
@@ -170,7 +170,7 @@
 	q := class.customers[e.Customer]
 	class.virtualTime = max(class.virtualTime, q.virtualFinish)
 	q.virtualFinish += e.serviceSeconds() / m.weight(e.Customer)
-	q.drainRate.recordDispatch(now)
+	q.drainRate.recordDispatch(now, e.Cost)
 }
 
 func (m *Machine) weight(id fleet.CustomerID) float64 {
--- a/coord/admit/queue.go
+++ b/coord/admit/queue.go
@@ -111,7 +111,12 @@
 // drainWindow limits the period that a drain rate covers, so that the rate follows a recovery within seconds.
 const drainWindow = 2 * time.Second
 
-func (d *drainRate) recordDispatch(now time.Time) {
+func (d *drainRate) recordDispatch(now time.Time, cost time.Duration) {
+	if start := now.Add(-cost); d.count == 0 && start.After(d.since) {
+		// Slots that are in use become free within the time of a request. A longer wait for the first one, such as for a
+		// peer's report of its slots, is not repeated for each request.
+		d.since = start
+	}
 	d.count++
 	if age := now.Sub(d.since); age > drainWindow {
 		d.count /= 2
