drain: note a next request over TLS that is read early

Cause: over TLS the server's background read can take a whole request from the socket before the connection is noted as idle, and the note of it was cleared then, so that a shutdown in the next moment could close the connection under the request.

Change: the note is cleared before each write instead, which precedes the caller's next request. unwrap looks below all wrappers.

--- a/entryd/drain/drain.go
+++ b/entryd/drain/drain.go
@@ -35,9 +35,6 @@
 }
 
 func (c *Connections) track(conn net.Conn, state http.ConnState) {
-	if tcp := unwrap(conn); tcp != nil && state == http.StateIdle {
-		tcp.wasRead.Store(false)
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if state == http.StateClosed || state == http.StateHijacked {
--- a/entryd/drain/listener.go
+++ b/entryd/drain/listener.go
@@ -99,7 +99,7 @@
 	}
 }
 
-// conn is a TCP connection that records whether the server has read from it.
+// conn is a TCP connection that records whether the server has read from it since it last wrote to it.
 type conn struct {
 	*net.TCPConn
 	wasRead atomic.Bool
@@ -124,7 +124,14 @@
 	return n, err
 }
 
-// hasInput reports whether bytes have arrived since wasRead was reset.
+// Write writes to the connection. What is read after the last write of a response belongs to the next request, even if it
+// is read before the server has noted that the connection is idle.
+func (c *conn) Write(b []byte) (int, error) {
+	c.wasRead.Store(false)
+	return c.TCPConn.Write(b)
+}
+
+// hasInput reports whether bytes have arrived since the last write.
 func (c *conn) hasInput() bool {
 	raw, err := c.SyscallConn()
 	if err != nil {
@@ -137,11 +144,14 @@
 	return n > 0 || c.wasRead.Load()
 }
 
-// unwrap returns the conn below TLS, or nil if there is none.
+// unwrap returns the conn below TLS or other wrappers, or nil if there is none.
 func unwrap(c net.Conn) *conn {
-	if wrapper, ok := c.(interface{ NetConn() net.Conn }); ok {
+	for {
+		wrapper, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			tcp, _ := c.(*conn)
+			return tcp
+		}
 		c = wrapper.NetConn()
 	}
-	tcp, _ := c.(*conn)
-	return tcp
 }
