soak: put the links of a new worker into their mode before it listens

The first connections of a worker that starts behind disturbed links could pass. The printed counts also name the faults that have struck nothing.

--- a/soak/stand/fleet.go
+++ b/soak/stand/fleet.go
@@ -61,6 +61,10 @@
 		return err
 	}
 	m.listener = listener
+	// The first connections meet the faults too.
+	if err := listener.SetMode(links.Strongest(m.modes()...)); err != nil {
+		return err
+	}
 	info := infra.Worker{
 		ID: fleet.WorkerID(fmt.Sprintf("w%d-%d", m.index, m.lives)), Service: serviceName, Zone: fleet.AvailabilityZone(fmt.Sprintf("z%d", m.index%3)),
 		Version: "1", Labels: []string{"a", fmt.Sprintf("r%d", m.index/6)}, Capacity: workerCapacity,
--- a/soak/stand/hits.go
+++ b/soak/stand/hits.go
@@ -35,7 +35,11 @@
 	if h.Of != "" {
 		text += " of " + h.Of
 	}
-	return fmt.Sprintf("%s %d/%d", text, h.Struck, h.Aimed)
+	text += fmt.Sprintf(" %d/%d", h.Struck, h.Aimed)
+	if h.Missed > 0 {
+		text += fmt.Sprintf(" (%d of %d faults missed)", h.Missed, h.Faults)
+	}
+	return text
 }
 
 // strike is what one fault has done to the targets of one sort.
--- a/soak/stand/stand_test.go
+++ b/soak/stand/stand_test.go
@@ -117,6 +117,7 @@
 		{Kind: plan.WorkersSilent, Of: "workers_refuse", Faults: 1, Missed: 1, Aimed: 2},
 	})
 	assert.Assert(t, report.Elections >= 2, "%d elections", report.Elections)
+	assert.Equal(t, report.Hits[0].String(), "host_kill of scheduler 1/2 (1 of 2 faults missed)")
 	jobs := 0
 	for _, n := range report.Jobs {
 		jobs += n
