soak: count starts of tasks that were done

A task that ends done on a worker that is cut off and is started again counts as broken only if the worker is heard again before its lease ends, which hangs on a few hundred milliseconds.

--- a/soak/check/check.go
+++ b/soak/check/check.go
@@ -71,6 +71,7 @@
 	stops        map[string]time.Duration
 	configuredAt time.Duration
 	violations   []Violation
+	repeats      int
 }
 
 // job is a job that a caller has sent.
@@ -282,6 +283,10 @@
 	return total
 }
 
+// Repeats returns the number of starts of tasks that had ended done on a worker, but for speculative ones. A start is a repeat
+// also if it keeps all promises, since the end was not acknowledged in time.
+func (c *Checker) Repeats() int { return c.repeats }
+
 // finish checks that what was accepted has come to its end.
 func (c *Checker) finish() {
 	for id, j := range c.jobs {
--- a/soak/check/check_test.go
+++ b/soak/check/check_test.go
@@ -263,3 +263,18 @@
 		assert.Equal(t, len(observe(append(append(cancelled[:len(cancelled):len(cancelled)], fault...), observation{6, started("a", 0, 1)}))), 0)
 	}
 }
+
+// Guards against repeated work that is not counted because its end was not acknowledged.
+func TestRepeatsAreCounted(t *testing.T) {
+	t.Parallel()
+	count := func(j infra.Job) int {
+		c := check.New()
+		for _, o := range append(accepted(j), observation{2, started("a", 0, 1)}, observation{3, ended("a", 1, infra.OutcomeDone)},
+			observation{4, started("b", 0, 2)}) {
+			assert.Equal(t, len(c.Step(time.Duration(o.at*float64(time.Second)), o.ev)), 0)
+		}
+		return c.Repeats()
+	}
+	assert.Equal(t, count(oneStep(nil)), 1)
+	assert.Equal(t, count(oneStep(func(j *infra.Job) { j.Steps[0].Speculative = true })), 0)
+}
--- a/soak/check/run.go
+++ b/soak/check/run.go
@@ -63,6 +63,9 @@
 	if s.Speculative {
 		return
 	}
+	if c.isDone(ev.Task) {
+		c.repeats++
+	}
 	name := platform.FormatTask(ev.Task)
 	for other, since := range t.active {
 		c.fail(OnePlace, "%s run %d starts on %s while run %d is on %s since %.3fs", name, ev.Run, ev.Worker, other.Run, other.Worker, since.Seconds())
--- a/soak/main.go
+++ b/soak/main.go
@@ -99,8 +99,8 @@
 	if err != nil {
 		return 0, err
 	}
-	fmt.Printf("%s: %d faults, %d starts, jobs %v, %d violations in %.0f s\n",
-		p.Name, len(p.Faults), report.Starts, report.Jobs, len(report.Violations), report.Took.Seconds())
+	fmt.Printf("%s: %d faults, %d starts, %d of them of tasks that were done, jobs %v, %d violations in %.0f s\n",
+		p.Name, len(p.Faults), report.Starts, report.Repeats, report.Jobs, len(report.Violations), report.Took.Seconds())
 	fmt.Printf("  struck: %s; %d schedulers elected\n", hitsText(report.Hits), report.Elections)
 	for _, v := range report.Violations {
 		fmt.Println("  " + v.String())
--- a/soak/stand/stand.go
+++ b/soak/stand/stand.go
@@ -88,9 +88,11 @@
 	Plan plan.Plan     `json:"plan"`
 	Took time.Duration `json:"took_ns"`
 	// LoadBegan is when the load began, from which the times of the plan count.
-	LoadBegan  time.Duration     `json:"load_began_ns"`
-	Jobs       map[string]int    `json:"jobs"`
-	Starts     int               `json:"starts"`
+	LoadBegan time.Duration  `json:"load_began_ns"`
+	Jobs      map[string]int `json:"jobs"`
+	Starts    int            `json:"starts"`
+	// Repeats counts the starts of tasks that had ended done.
+	Repeats    int               `json:"repeats"`
 	Violations []check.Violation `json:"violations"`
 	Hits       []Hits            `json:"hits"`
 	// Elections is the number of schedulers that were elected.
@@ -351,7 +353,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return Report{
-		Plan: s.plan, Took: time.Since(s.began), LoadBegan: s.loadBegan, Jobs: s.checker.JobStates(), Starts: s.checker.Starts(), Violations: s.violations,
+		Plan: s.plan, Took: time.Since(s.began), LoadBegan: s.loadBegan, Jobs: s.checker.JobStates(), Starts: s.checker.Starts(), Repeats: s.checker.Repeats(), Violations: s.violations,
 		Hits: s.countHits(), Elections: len(s.elections),
 		Timeline: s.tally.Timeline(time.Second), Streams: s.tally.Summaries(),
 	}
