--- a/coord/flow/property_test.go
+++ b/coord/flow/property_test.go
@@ -150,3 +150,26 @@
 		assert.Equal(t, len(sim.workers[id].runs), 0, "%s still has runs", id)
 	}
 }
+
+// The same holds if batches take long, reports list few of the ends, jobs arrive late, and workers are cut off around several
+// changes of the scheduler.
+func TestInvariantsBesideSlowStore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sim := newSimulation(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(2, 5).Draw(t, "workers"))
+		sim.inputLag = time.Duration(rapid.IntRange(0, 3000).Draw(t, "input_lag")) * time.Millisecond
+		sim.storeDelay = time.Duration(rapid.IntRange(0, 600).Draw(t, "store_delay")) * time.Millisecond
+		sim.maxListedEnds = rapid.SampledFrom([]int{1, 2, 4, 500}).Draw(t, "page")
+		at := time.Duration(rapid.IntRange(1000, 4000).Draw(t, "t0")) * time.Millisecond
+		for range rapid.IntRange(1, 3).Draw(t, "takeovers") {
+			cutOff := rapid.Bool().Draw(t, "cutoff")
+			sim.after(at, func() { sim.elect(cutOff) })
+			at += time.Duration(rapid.IntRange(50, 4000).Draw(t, "gap")) * time.Millisecond
+		}
+		for range rapid.IntRange(0, 2).Draw(t, "cuts") {
+			id := sim.workerIDs[rapid.IntRange(0, len(sim.workerIDs)-1).Draw(t, "w")]
+			span := time.Duration(rapid.IntRange(300, 9000).Draw(t, "s")) * time.Millisecond
+			sim.after(time.Duration(rapid.IntRange(1000, 12000).Draw(t, "cut"))*time.Millisecond, func() { sim.partition(id, span) })
+		}
+		sim.checkInvariants(t)
+	})
+}
