flow: acknowledge the ends that are durable before later ones are

All ends of a worker were acknowledged together, once the save that followed the last of them was durable. Each report's ends now wait for their own save.

--- a/coord/flow/ends_test.go
+++ b/coord/flow/ends_test.go
@@ -1,11 +1,13 @@
 package flow_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"lovagefork.example/coord/fleet"
 	"lovagefork.example/coord/flow"
 	"lovagefork.example/coord/infra"
 )
@@ -124,3 +126,46 @@
 	h.advance(200 * time.Millisecond)
 	assert.Equal(t, len(h.starts()), 1)
 }
+
+// Ends were acknowledged only once all reported ones were durable. On a worker with a new end in each report, beside a store that
+// takes longer than that for a batch, none ever was.
+func TestEndsAreAcknowledgedBesideSlowStore(t *testing.T) {
+	h := newHarness(t, flow.Restored{}, newPoolWorker("a"))
+	h.report("a", infra.Report{})
+	step := smallStep(1)
+	step.Size = fleet.Resources{MilliCPU: 10, MemoryBytes: 1 << 20}
+	var ended []infra.EndedRun
+	h.isStoreDown = true
+	var due []struct {
+		at    time.Time
+		batch int64
+	}
+	seen := 0
+	pump := func() {
+		for ; seen < len(h.effects); seen++ {
+			if s, ok := h.effects[seen].(flow.Save); ok {
+				due = append(due, struct {
+					at    time.Time
+					batch int64
+				}{h.now.Add(500 * time.Millisecond), s.Batch})
+			}
+		}
+		for len(due) > 0 && !h.now.Before(due[0].at) {
+			b := due[0].batch
+			due = due[1:]
+			h.step(flow.Saved{Batch: b})
+		}
+	}
+	for n := range 100 {
+		id := fmt.Sprintf("%016x", n)
+		h.step(flow.Submitted{Job: singleStepJob(id, step)})
+		ended = append(ended, infra.EndedRun{Number: int64(n + 1), Task: infra.TaskID{Job: fleet.JobID(id)}, Run: 1, Outcome: infra.OutcomeDone})
+		h.report("a", infra.Report{Ended: ended})
+		for range 12 {
+			h.advance(25 * time.Millisecond)
+			pump()
+		}
+	}
+	acked := h.lastRenewal("a").Order.AckedEnd
+	assert.Assert(t, acked > 50, "after 30 s: %d of 100 ends acknowledged", acked)
+}
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -149,7 +149,7 @@
 	m.learnInterference(w)
 	m.measureSpeed(w)
 	if hasNew {
-		w.unsavedSeq = m.dirtySeq
+		m.awaitSave(w)
 		m.confirmEnds(w)
 		m.addToRoster(w)
 	}
--- a/coord/flow/save.go
+++ b/coord/flow/save.go
@@ -98,7 +98,7 @@
 		}
 	}
 	for _, w := range m.workersByID {
-		if w.unsavedSeq > 0 && m.confirmEnds(w) && !w.renewalInFlight {
+		if len(w.unsavedEnds) > 0 && m.confirmEnds(w) && !w.renewalInFlight {
 			m.sendRenewal(w)
 		}
 	}
--- a/coord/flow/unknown.go
+++ b/coord/flow/unknown.go
@@ -101,21 +101,28 @@
 			continue
 		}
 		w.heldEnds--
-		w.unsavedSeq = m.dirtySeq
+		// What the end has changed is saved later than the ends that were reported after it.
+		w.unsavedEnds = nil
+		m.awaitSave(w)
 		if m.confirmEnds(w) && !w.renewalInFlight {
 			m.sendRenewal(w)
 		}
 	}
 }
 
-// confirmEnds notes that all reported ends of a worker are durable, and reports whether they are.
+// awaitSave notes that the ends reported up to now are durable once all present changes are.
+func (m *Machine) awaitSave(w *worker) {
+	w.unsavedEnds = append(w.unsavedEnds, unsavedEnd{number: w.seenEnd, seq: m.dirtySeq})
+}
+
+// confirmEnds notes which reported ends of a worker are durable, and reports whether all are.
 func (m *Machine) confirmEnds(w *worker) bool {
-	if w.heldEnds > 0 || w.unsavedSeq > m.savedSeq {
-		return false
+	for w.heldEnds == 0 && len(w.unsavedEnds) > 0 && w.unsavedEnds[0].seq <= m.savedSeq {
+		w.durableEnd = w.unsavedEnds[0].number
+		w.unsavedEnds = w.unsavedEnds[1:]
 	}
-	w.unsavedSeq, w.durableEnd = 0, w.seenEnd
-	return true
+	return !w.hasUnsavedEnds()
 }
 
 // hasUnsavedEnds reports whether a reported end of the worker is not durable yet.
-func (w *worker) hasUnsavedEnds() bool { return w.unsavedSeq > 0 || w.heldEnds > 0 }
+func (w *worker) hasUnsavedEnds() bool { return len(w.unsavedEnds) > 0 || w.heldEnds > 0 }
--- a/coord/flow/unknown_test.go
+++ b/coord/flow/unknown_test.go
@@ -149,3 +149,19 @@
 	second := infra.Report{StartedAt: 5000, Ended: []infra.EndedRun{end(2, "k")}}
 	assert.Equal(t, h.acknowledged("a", second), int64(1), "the job k has not been looked up")
 }
+
+// The end of an unknown job must not be acknowledged when the job is received, but once its effect is durable.
+func TestEndOfUnknownJobIsAcknowledgedOnceStored(t *testing.T) {
+	ended := infra.Report{Ended: []infra.EndedRun{{Number: 1, Task: infra.TaskID{Job: "j"}, Run: 1, Outcome: infra.OutcomeDone}}}
+	h := takeOverUnknownJob(t, ended)
+	h.effects, h.isStoreDown = nil, true
+	h.step(flow.Submitted{Job: singleStepJob("j", smallStep(1))})
+	h.step(flow.JobsLookedUp{Jobs: []fleet.JobID{"j"}})
+	assert.Equal(t, h.acknowledged("a", ended), int64(0))
+	for _, e := range slices.Clone(h.effects) {
+		if s, isSave := e.(flow.Save); isSave {
+			h.step(flow.Saved{Batch: s.Batch})
+		}
+	}
+	assert.Equal(t, h.acknowledged("a", ended), int64(1))
+}
--- a/coord/flow/worker.go
+++ b/coord/flow/worker.go
@@ -103,6 +103,9 @@
 	)
 }
 
+// unsavedEnd says that the save with a sequence number makes the ends of a worker up to a number durable.
+type unsavedEnd struct{ number, seq int64 }
+
 // worker is the state of one incarnation of a worker.
 type worker struct {
 	infra.Worker
@@ -180,8 +183,8 @@
 	// secondReportDue is set if another report is needed at once, because the last one may have missed a run that has just
 	// started or ended.
 	secondReportDue bool
-	// unsavedSeq is the sequence number of the save that makes the ends up to seenEnd durable; 0 if all are durable.
-	unsavedSeq int64
+	// unsavedEnds lists up to which end which save makes the reported ends durable, in order; it is empty if all are durable.
+	unsavedEnds []unsavedEnd
 	// heldEnds is the number of ends of unknown jobs that the present life has reported, and life the number of that life.
 	heldEnds int
 	life     int
--- a/coord/flow/worker_lifecycle.go
+++ b/coord/flow/worker_lifecycle.go
@@ -172,7 +172,7 @@
 	}
 	w.StartedAt, w.restartedSinceListing, w.unconfirmed = startedAt, true, nil
 	w.tokenAccepted, w.leadershipConfirmed = false, false
-	w.clock, w.leaseEnd, w.seenEnd, w.durableEnd, w.unsavedSeq = 0, 0, 0, 0, 0
+	w.clock, w.leaseEnd, w.seenEnd, w.durableEnd, w.unsavedEnds = 0, 0, 0, 0, nil
 	w.heldEnds, w.hasMoreEnds, w.crashCounted = 0, false, false
 	w.life++
 	w.endWeight, w.speed = 0, 1
