--- /dev/null
+++ b/coord/flow/open_run.go
@@ -0,0 +1,103 @@
+package flow
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"lovagefork.example/coord/fleet"
+	"lovagefork.example/coord/infra"
+)
+
+// openRun names the worker that may have crashed under a run of a task, and the start time of that incarnation. It is durable
+// before a trial starts, so that a successor can find out whether the trial ended in a crash.
+type openRun struct {
+	worker    fleet.WorkerID
+	startedAt int64
+}
+
+// recordTrial reports whether the record of a task has the open run that a trial on a worker needs, and otherwise enters it.
+// Until the record is durable no other trial begins on the worker.
+func (m *Machine) recordTrial(r *readyStep, t *task, w *worker) bool {
+	suspected := r.step.mostSuspected(t)
+	open := openRun{worker: w.ID, startedAt: w.StartedAt}
+	if suspected.crashes == 0 || t.openRun == open {
+		return true
+	}
+	j := r.occ.job
+	t.openRun, j.crashed = open, true
+	m.markDirty(j)
+	t.unsavedSeq = j.dirtySeq
+	if m.needsIsolation(r.step, t) {
+		w.reservedUntil, w.reservedFor = m.now.Add(soundRunTime), suspected
+	}
+	return false
+}
+
+// recordGangTrial does the same for all members of a gang. The workers are sorted, so that another search finds the same
+// worker for each member.
+func (m *Machine) recordGangTrial(r *readyStep, chosen []*worker) bool {
+	if r.step.mostSuspected(nil).crashes == 0 {
+		return true
+	}
+	slices.SortFunc(chosen, func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) })
+	recorded := true
+	for i, w := range chosen {
+		recorded = m.recordTrial(r, &r.step.tasks[i], w) && recorded
+	}
+	return recorded
+}
+
+// hasOpenRunOn reports whether the record of a task, or of any member of a gang, has an open run on a worker.
+func (s *step) hasOpenRunOn(t *task, w *worker) bool {
+	open := openRun{worker: w.ID, startedAt: w.StartedAt}
+	if !s.spec.Gang {
+		return t.openRun == open
+	}
+	for i := range s.tasks {
+		if s.tasks[i].openRun == open {
+			return true
+		}
+	}
+	return false
+}
+
+// isReservedForOther reports whether a worker is kept for the trial of another task, which is being recorded.
+func (w *worker) isReservedForOther(now time.Time, t *task) bool {
+	return w.reservedFor != nil && w.reservedFor != t && now.Before(w.reservedUntil)
+}
+
+// closeRun removes the open run of a task on a worker from its record.
+func (m *Machine) closeRun(id fleet.JobID, t *task, on fleet.WorkerID) {
+	if t.openRun.worker == on {
+		t.openRun = openRun{}
+		m.markDirty(m.jobs[id])
+	}
+}
+
+// closeReleasedRun does the same for a run that no longer exists, unless its worker is silent and may have crashed.
+func (m *Machine) closeReleasedRun(r *run, t *task) {
+	if _, silenced := m.silenced[r.worker.ID]; !silenced {
+		m.closeRun(r.id.Job, t, r.worker.ID)
+	}
+}
+
+// rememberOpenRuns keeps the open runs in the record of a job until their workers answer.
+func (m *Machine) rememberOpenRuns(j *job) {
+	if !j.live() {
+		return
+	}
+	for _, o := range j.occurrences {
+		for i := range o.steps {
+			for index := range o.steps[i].tasks {
+				t := &o.steps[i].tasks[index]
+				on := t.openRun.worker
+				if t.phase == done || t.openRun.startedAt == 0 {
+					continue
+				}
+				id := infra.TaskID{Job: j.spec.ID, Occurrence: o.number, Step: i, Index: index}
+				m.silenced[on] = append(m.silenced[on], silencedRun{id, t.lastRun, t.openRun.startedAt, true})
+			}
+		}
+	}
+}
--- a/coord/flow/reconcile.go
+++ b/coord/flow/reconcile.go
@@ -109,7 +109,7 @@
 		r.size, r.sizeUnknown = m.sizeOf(row.Task)
 		w.add(m.now, r)
 		if m.jobs[row.Task.Job] == nil {
-			u := m.unknownJob(row.Task.Job)
+			u := m.noteUnknown(row.Task.Job)
 			u.runs = append(u.runs, r)
 			return
 		}
--- a/coord/flow/roster_test.go
+++ b/coord/flow/roster_test.go
@@ -17,11 +17,16 @@
 // moreThanOneBatch is a number of jobs whose progress takes several batches to store.
 const moreThanOneBatch = 60
 
+// runStartedAt is the start time of the worker of runOnOneWorker.
+const runStartedAt = 5000
+
 // runOnOneWorker returns a scheduler with a job for each task that runs on the worker a, with the jobs and the orders.
 func runOnOneWorker(t *testing.T) (*harness, []infra.Job, []flow.Start) {
 	step := smallStep(1)
 	step.Size = fleet.Resources{MilliCPU: 100, MemoryBytes: 1 << 20}
-	h := newHarness(t, flow.Restored{}, newPoolWorker("a"))
+	a := newPoolWorker("a")
+	a.StartedAt = runStartedAt
+	h := newHarness(t, flow.Restored{}, a)
 	h.report("a", infra.Report{})
 	var jobs []infra.Job
 	for n := range moreThanOneBatch {
@@ -219,34 +224,15 @@
 // A registration that announces a restart may come from another writer. That of a worker without runs was believed, the worker
 // left the roster, and its ends were forgotten although they were not stored.
 func TestAnnouncedRestartKeepsEnds(t *testing.T) {
-	step := smallStep(1)
-	step.Size = fleet.Resources{MilliCPU: 100, MemoryBytes: 1 << 20}
-	a := newPoolWorker("a")
-	a.StartedAt = 5000
-	h := newHarness(t, flow.Restored{}, a)
-	h.report("a", infra.Report{StartedAt: 5000})
-	var started []flow.Start
-	for n := range moreThanOneBatch {
-		h.step(flow.Submitted{Job: singleStepJob(fmt.Sprintf("%016x", n), step)})
-	}
-	for range moreThanOneBatch {
-		h.advance(50 * time.Millisecond)
-		started = append(started, h.answerStarts()...)
-	}
-	assert.Equal(t, len(started), moreThanOneBatch)
-	var ended []infra.EndedRun
-	for n, s := range started {
-		ended = append(ended, infra.EndedRun{Number: int64(n + 1), Task: s.Order.Task, Run: s.Order.Run, Outcome: infra.OutcomeDone})
-	}
-	h.effects, h.isStoreDown = nil, true
-	h.report("a", infra.Report{StartedAt: 5000, Ended: ended})
-	foreign := a
-	foreign.StartedAt, foreign.Draining = 6000, true
+	h, jobs, started := runOnOneWorker(t)
+	h.endAll(started)
+	foreign := newPoolWorker("a")
+	foreign.StartedAt, foreign.Draining = runStartedAt+1000, true
 	h.step(flow.WorkerListed{Worker: foreign})
 	h.advance(100 * time.Millisecond)
 	h.storeBatches(func(stored map[fleet.JobID]bool, roster []flow.RosterEntry) {
 		if len(roster) == 0 {
-			assert.Equal(t, len(stored), moreThanOneBatch, "jobs stored when the worker has left the roster")
+			assert.Equal(t, len(stored), len(jobs), "jobs stored when the worker has left the roster")
 		}
 	})
 }
--- a/coord/flow/save.go
+++ b/coord/flow/save.go
@@ -104,3 +104,23 @@
 	}
 	m.save()
 }
+
+// unsavedEnd says that the save with a sequence number makes the ends of a worker up to a number durable.
+type unsavedEnd struct{ number, seq int64 }
+
+// awaitSave notes that the ends reported up to now are durable once all present changes are.
+func (m *Machine) awaitSave(w *worker) {
+	w.unsavedEnds = append(w.unsavedEnds, unsavedEnd{number: w.seenEnd, seq: m.dirtySeq})
+}
+
+// confirmEnds notes which reported ends of a worker are durable, and reports whether all are.
+func (m *Machine) confirmEnds(w *worker) bool {
+	for w.heldEnds == 0 && len(w.unsavedEnds) > 0 && w.unsavedEnds[0].seq <= m.savedSeq {
+		w.durableEnd = w.unsavedEnds[0].number
+		w.unsavedEnds = w.unsavedEnds[1:]
+	}
+	return !w.hasUnsavedEnds()
+}
+
+// hasUnsavedEnds reports whether a reported end of the worker is not durable yet.
+func (w *worker) hasUnsavedEnds() bool { return len(w.unsavedEnds) > 0 || w.heldEnds > 0 }
--- a/coord/flow/unknown.go
+++ b/coord/flow/unknown.go
@@ -26,8 +26,8 @@
 	end    infra.EndedRun
 }
 
-// unknownJob returns the entry of an unknown job, which lookUpJobs asks the store about.
-func (m *Machine) unknownJob(id fleet.JobID) *unknownJob {
+// noteUnknown returns the entry of an unknown job, which lookUpJobs asks the store about.
+func (m *Machine) noteUnknown(id fleet.JobID) *unknownJob {
 	u := m.unknownJobs[id]
 	if u == nil {
 		u = &unknownJob{}
@@ -39,7 +39,7 @@
 
 // holdEnd keeps the end of a run of an unknown job until it is known whether the job exists.
 func (m *Machine) holdEnd(w *worker, e infra.EndedRun) {
-	u := m.unknownJob(e.Task.Job)
+	u := m.noteUnknown(e.Task.Job)
 	u.ends = append(u.ends, heldEnd{worker: w, life: w.life, end: e})
 	w.heldEnds++
 }
@@ -109,20 +109,3 @@
 		}
 	}
 }
-
-// awaitSave notes that the ends reported up to now are durable once all present changes are.
-func (m *Machine) awaitSave(w *worker) {
-	w.unsavedEnds = append(w.unsavedEnds, unsavedEnd{number: w.seenEnd, seq: m.dirtySeq})
-}
-
-// confirmEnds notes which reported ends of a worker are durable, and reports whether all are.
-func (m *Machine) confirmEnds(w *worker) bool {
-	for w.heldEnds == 0 && len(w.unsavedEnds) > 0 && w.unsavedEnds[0].seq <= m.savedSeq {
-		w.durableEnd = w.unsavedEnds[0].number
-		w.unsavedEnds = w.unsavedEnds[1:]
-	}
-	return !w.hasUnsavedEnds()
-}
-
-// hasUnsavedEnds reports whether a reported end of the worker is not durable yet.
-func (w *worker) hasUnsavedEnds() bool { return len(w.unsavedEnds) > 0 || w.heldEnds > 0 }
--- a/coord/flow/worker.go
+++ b/coord/flow/worker.go
@@ -103,9 +103,6 @@
 	)
 }
 
-// unsavedEnd says that the save with a sequence number makes the ends of a worker up to a number durable.
-type unsavedEnd struct{ number, seq int64 }
-
 // worker is the state of one incarnation of a worker.
 type worker struct {
 	infra.Worker
--- a/entryd/leader/scheduler.go
+++ b/entryd/leader/scheduler.go
@@ -5,7 +5,6 @@
 	"errors"
 	"log/slog"
 	"maps"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -16,7 +15,6 @@
 	"lovagefork.example/coord/fleet"
 	"lovagefork.example/coord/flow"
 	"lovagefork.example/coord/infra"
-	"lovagefork.example/coord/retry"
 	"lovagefork.example/coord/store"
 	"lovagefork.example/coord/upkeep"
 )
@@ -384,79 +382,6 @@
 	l.log.Info("scheduler: stopped", "counts", l.machine.Counts(), "held_events", len(l.heldEvents))
 }
 
-// predecessorPollInterval is the interval of calls to the entry hosts of previous schedulers.
-const predecessorPollInterval = 150 * time.Millisecond
-
-// awaitPredecessors waits until all previous schedulers that may have acted at the election confirm that they send no more
-// orders, which shortens the wait for workers that cannot be reached.
-func (l *loop) awaitPredecessors(ctx context.Context) {
-	hosts := l.leadership.leader.Predecessors
-	if len(hosts) == 0 {
-		return
-	}
-	stoppedAt := make([]time.Time, len(hosts))
-	var calls sync.WaitGroup
-	for i, host := range hosts {
-		calls.Go(func() { stoppedAt[i] = l.awaitPredecessor(ctx, host) })
-	}
-	calls.Wait()
-	if ctx.Err() != nil {
-		return
-	}
-	ago := Now().Sub(slices.MaxFunc(stoppedAt, time.Time.Compare))
-	l.log.Info("scheduler: all previous schedulers have stopped", "former", hosts, "ago_ms", ago.Milliseconds())
-	l.post(flow.PredecessorStopped{Ago: ago})
-}
-
-// awaitPredecessor waits until an entry host confirms that it runs no previous scheduler, and returns since when.
-func (l *loop) awaitPredecessor(ctx context.Context, host fleet.EntryHostID) time.Time {
-	for ctx.Err() == nil {
-		if ago, stopped := l.supersede(ctx, host, l.leadership.leader.Token); stopped {
-			return Now().Add(-ago)
-		}
-		sleep(ctx, predecessorPollInterval)
-	}
-	return time.Time{}
-}
-
-// predecessorLeaseWait is how long after the election a predecessor may take its lease as confirmed, because the store can end a
-// lease early. The clocks of two hosts may differ in rate.
-const predecessorLeaseWait = leaderTTL + leaderTTL/20
-
-// awaitPredecessorLeases reads a revision of the store once no predecessor takes new jobs any more.
-func (l *loop) awaitPredecessorLeases(ctx context.Context) {
-	// Without a predecessor, none has taken a job.
-	revision := store.Revision(l.leadership.leader.Token)
-	if len(l.leadership.leader.Predecessors) > 0 {
-		sleep(ctx, predecessorLeaseWait)
-		revision = l.currentRevision(ctx)
-	}
-	if ctx.Err() != nil {
-		return
-	}
-	l.log.Info("scheduler: leases of all previous schedulers have ended", "revision", revision)
-	l.post(flow.PredecessorLeaseEnded{Revision: int64(revision)})
-}
-
-// currentRevision returns a revision of the store that is at least as high as that of each entry stored before the call. It
-// repeats the read until it succeeds or ctx ends.
-func (l *loop) currentRevision(ctx context.Context) store.Revision {
-	token := l.leadership.leader.Token
-	backoff := retry.NewBackoff(retryMinDelay, retryMaxDelay, rand.New(rand.NewPCG(uint64(token), 0)))
-	for ctx.Err() == nil {
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		found, err := l.store.Range(callCtx, store.Get{Key: leaderKey})
-		cancel()
-		// The answer to a read of a missing key may have no revision.
-		if err == nil && found.Revision >= store.Revision(token) {
-			return found.Revision
-		}
-		l.log.Warn("scheduler: reading the revision of the store failed", "revision", found.Revision, "error", err)
-		sleep(ctx, backoff.Next())
-	}
-	return 0
-}
-
 // handleQueued handles queued events without blocking, up to maxEventsPerTick.
 func (l *loop) handleQueued(ctx context.Context) {
 	for range maxEventsPerTick {
@@ -494,29 +419,6 @@
 	l.handle(ctx, ev.event)
 }
 
-// hold keeps a new job, or the end of a lookup, from the state machine until the lease is confirmed again. If a successor has
-// been elected meanwhile, it may take the job for one that this scheduler does not have. It reads the job from the store, so
-// that none is lost if this leadership ends.
-func (l *loop) hold(ev flow.Event) {
-	if len(l.heldEvents) == 0 {
-		l.log.Warn("scheduler: new jobs are held back, the lease is not confirmed")
-	}
-	l.heldEvents = append(l.heldEvents, ev)
-}
-
-// releaseHeldEvents passes on what was held back if the lease is confirmed again: it has not ended meanwhile.
-func (l *loop) releaseHeldEvents(ctx context.Context) {
-	if len(l.heldEvents) == 0 || !l.leadership.LeaseConfirmed() {
-		return
-	}
-	l.log.Info("scheduler: lease confirmed again, held jobs are taken", "events", len(l.heldEvents))
-	held := l.heldEvents
-	l.heldEvents = nil
-	for _, ev := range held {
-		l.handle(ctx, ev)
-	}
-}
-
 func (l *loop) handle(ctx context.Context, ev flow.Event) {
 	began := time.Now()
 	effects := l.machine.Step(Now(), ev)
