drain: report connections that could not be kept at shutdown

A waiting connection whose socket could not be taken over, and a failed shutdown of the listening socket, were ignored. Both are now in the error of the shutdown, which is logged.

--- a/entryd/drain/drain.go
+++ b/entryd/drain/drain.go
@@ -55,8 +55,9 @@
 // before, Shutdown returns the error of ctx.
 func (c *Connections) Shutdown(ctx context.Context, server *http.Server) error {
 	c.CloseAfterResponse()
-	if err := c.listener.stop(); err != nil {
-		return errors.Join(err, server.Shutdown(ctx))
+	lost, err := c.listener.stop()
+	if err != nil {
+		return errors.Join(lost, err, server.Shutdown(ctx))
 	}
 	select {
 	case <-ctx.Done():
@@ -70,7 +71,7 @@
 		case <-ticker.C:
 		}
 	}
-	return server.Shutdown(ctx)
+	return errors.Join(lost, server.Shutdown(ctx))
 }
 
 // closeUnused closes the connections on which nothing was sent after their last response, and returns how many the server
--- a/entryd/drain/listener.go
+++ b/entryd/drain/listener.go
@@ -1,6 +1,7 @@
 package drain
 
 import (
+	"errors"
 	"net"
 	"os"
 	"sync"
@@ -64,28 +65,33 @@
 	return l.TCPListener.Close()
 }
 
-// stop refuses connections from now on and keeps the waiting ones for Accept.
-func (l *listener) stop() error {
+// stop refuses connections from now on and keeps the waiting ones for Accept. If err is set, it may go on listening; lost says
+// which of the waiting ones could not be kept.
+func (l *listener) stop() (lost, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.stopped = true
 	raw, err := l.SyscallConn()
 	if err != nil {
-		return err
+		return nil, err
 	}
 	var fds []int
-	err = raw.Control(func(fd uintptr) { fds = stopListening(int(fd)) })
+	var stopErr error
+	err = raw.Control(func(fd uintptr) { fds, stopErr = stopListening(int(fd)) })
 	for _, fd := range fds {
-		if c, err := newConn(fd); err == nil {
-			l.waiting = append(l.waiting, c)
+		c, connErr := newConn(fd)
+		if connErr != nil {
+			lost = errors.Join(lost, connErr)
+			continue
 		}
+		l.waiting = append(l.waiting, c)
 	}
-	return err
+	return lost, errors.Join(err, stopErr)
 }
 
 // stopListening returns the waiting connections of a listening socket and shuts it down. Closing it instead would leave it
 // listening until a blocked Accept has returned.
-func stopListening(fd int) (waiting []int) {
+func stopListening(fd int) (waiting []int, err error) {
 	for {
 		c, _, err := unix.Accept4(fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
 		switch err {
@@ -93,8 +99,7 @@
 			waiting = append(waiting, c)
 		case unix.EINTR, unix.ECONNABORTED:
 		default:
-			_ = unix.Shutdown(fd, unix.SHUT_RD)
-			return waiting
+			return waiting, unix.Shutdown(fd, unix.SHUT_RD)
 		}
 	}
 }
