flow: one check for a cordoned worker that starts nothing

Two tests of cordons repeated the same nine lines. The assertions are the same; with a cordon that is forgotten when the worker is added, both fail as before ("1 (int) != 0 (int)").

--- a/coord/flow/evacuation_test.go
+++ b/coord/flow/evacuation_test.go
@@ -143,20 +143,26 @@
 	assert.Equal(t, len(h.stops()), 0)
 }
 
-// Guards against a start on a worker whose machine is taken down: the scheduler may learn of the worker after its cordon.
-func TestCordonOfUnlistedWorkerIsKept(t *testing.T) {
-	h := newHarness(t, flow.Restored{})
-	h.step(flow.Cordon{Worker: "a", Deadline: h.now.Add(8 * time.Second)})
-	assert.Assert(t, h.evacuated())
-	h.step(flow.WorkerListed{Worker: newPoolWorker("a")})
+// checkNoStartBeforeUncordon submits a job for the cordoned worker a, which must start once the cordon is reverted.
+func (h *harness) checkNoStartBeforeUncordon() {
+	h.t.Helper()
 	h.advance(50 * time.Millisecond)
 	h.report("a", infra.Report{})
 	h.step(flow.Submitted{Job: singleStepJob("j", smallStep(1))})
 	h.advance(100 * time.Millisecond)
-	assert.Equal(t, len(h.starts()), 0)
+	assert.Equal(h.t, len(h.starts()), 0)
 	h.step(flow.Uncordon{Worker: "a"})
 	h.advance(100 * time.Millisecond)
-	assert.Equal(t, len(h.starts()), 1)
+	assert.Equal(h.t, len(h.starts()), 1)
+}
+
+// Guards against a start on a worker whose machine is taken down: the scheduler may learn of the worker after its cordon.
+func TestCordonOfUnlistedWorkerIsKept(t *testing.T) {
+	h := newHarness(t, flow.Restored{})
+	h.step(flow.Cordon{Worker: "a", Deadline: h.now.Add(8 * time.Second)})
+	assert.Assert(t, h.evacuated())
+	h.step(flow.WorkerListed{Worker: newPoolWorker("a")})
+	h.checkNoStartBeforeUncordon()
 }
 
 // Guards against a start on a worker whose machine is taken down: the worker may have been forgotten since its cordon, because its
@@ -171,14 +177,7 @@
 	h.advance(time.Second)
 	assert.Equal(t, len(h.m.Workers()), 0, "the worker has not been forgotten")
 	h.step(flow.WorkerListed{Worker: a})
-	h.advance(50 * time.Millisecond)
-	h.report("a", infra.Report{})
-	h.step(flow.Submitted{Job: singleStepJob("j", smallStep(1))})
-	h.advance(100 * time.Millisecond)
-	assert.Equal(t, len(h.starts()), 0)
-	h.step(flow.Uncordon{Worker: "a"})
-	h.advance(100 * time.Millisecond)
-	assert.Equal(t, len(h.starts()), 1)
+	h.checkNoStartBeforeUncordon()
 }
 
 // A cordon without a deadline stops no task: its machine may go down at any time, or may have been down before.
