flow, leader: a successor waits for one bound, not for the sum of two

What callers saw: long-running tasks of lost workers did not run again for 13 s and more after a change of the scheduler (LOST), where 9 s are allowed.

Cause: a predecessor that the store no longer confirms acts for leadershipTimeout (6.8 s), and can grant leases of 6 s until then. A successor that can reach neither the predecessor's host nor a worker therefore waited for both, 13.1 s from the election. The 6.8 s bridge outages of the store, and a scheduler has no other evidence that nobody has replaced it.

Change: the workers are that evidence. Without the store a scheduler acts only while more than half of the workers in the stored roster have accepted its orders within 2.5 s, and each lease ends 5 s after the last confirmation, by the store or by these workers. Once a successor's token has been accepted by more than half of the workers in the same roster, one of them rejects the predecessor, so that the successor waits for one lease from then on. If it does not reach half of them, the former bound holds. A roster in which workers come or go would make the two halves incomparable, so it stays as it is until then. An incarnation of a worker that has accepted the token only after the last confirmation by the store is no witness.

The simulation now ends a scheduler that is cut off when the rule says so, and all predecessors when they confirm that they have stopped. TestInvariantsOfSchedulersInTurn (TWICE) fails if cut-off schedulers act without witnesses, if leases count from the renewal instead of the last confirmation, and if one worker in place of most is enough. TestUnconfirmedLeaseHoldsJobsBack gets a worker that answers, since a scheduler without any now ends after its lease.

--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -53,11 +53,12 @@
 // Option configures a [Machine] in [New].
 type Option func(*options)
 
-// WithTaskLease sets the maximum lease of the tasks on a worker.
+// WithTaskLease sets the maximum lease of the tasks on a worker, which counts from the last confirmation of the scheduler by
+// the store, or by most workers.
 func WithTaskLease(d time.Duration) Option { return func(o *options) { o.taskLease = d } }
 
 // WithLeadershipTimeout sets how long a scheduler may remain active after the store last confirmed its leadership. A
-// successor waits at least that long for workers that it cannot reach.
+// successor that most workers do not answer waits at least that long for workers that it cannot reach.
 func WithLeadershipTimeout(d time.Duration) Option {
 	return func(o *options) { o.leadershipTimeout = d }
 }
@@ -82,9 +83,13 @@
 	workersByID []*worker
 
 	// unreconciledWorkers holds the workers that may run tasks which a predecessor started and this scheduler has not
-	// seen yet. Such tasks have ended by unreconciledUntil, when their leases have expired.
-	unreconciledWorkers map[fleet.WorkerID]struct{}
-	unreconciledUntil   time.Time
+	// seen yet, with the time at which the leases of such tasks have expired.
+	unreconciledWorkers map[fleet.WorkerID]time.Time
+	// isFenced is set once more than half of the predecessorWorkers in the restored roster have accepted the token;
+	// fencedWorkers are those that have.
+	isFenced           bool
+	predecessorWorkers int
+	fencedWorkers      map[fleet.WorkerID]struct{}
 	// predecessorEnd is the time from which a predecessor sends no more orders.
 	predecessorEnd time.Time
 	restored       bool
@@ -93,8 +98,14 @@
 	// predecessorRevision is the store revision up to which a predecessor may have taken the jobs that were stored; 0 if it is
 	// not known yet.
 	predecessorRevision int64
-	roster              map[fleet.WorkerID]string
+	roster              map[fleet.WorkerID]RosterEntry
 	rosterDirty         bool
+	// rosterOpened is set once workers may join and leave the roster, and storedRoster lists the workers in the stored one.
+	rosterOpened bool
+	storedRoster []fleet.WorkerID
+	// confirmedAt and witnessedAt are when the store and most workers have last confirmed this scheduler.
+	confirmedAt time.Time
+	witnessedAt time.Time
 
 	// runTimes holds a model of the run times for each queue.
 	runTimes map[string]*runTimeModel
@@ -123,6 +134,8 @@
 	saveInFlight bool
 	batchJobs    []batchJob
 	batchRoster  []RosterEntry
+	// batchHasRoster is set if the batch in flight replaces the stored roster, also by an empty one.
+	batchHasRoster bool
 	// dirtySeq is the sequence number of the last entry of dirtyJobs, and savedSeq that of the last entry that is durable.
 	dirtySeq int64
 	savedSeq int64
@@ -201,8 +214,9 @@
 		token:               token,
 		jobs:                make(map[fleet.JobID]*job),
 		workers:             make(map[fleet.WorkerID]*worker),
-		unreconciledWorkers: make(map[fleet.WorkerID]struct{}),
-		roster:              make(map[fleet.WorkerID]string),
+		unreconciledWorkers: make(map[fleet.WorkerID]time.Time),
+		fencedWorkers:       make(map[fleet.WorkerID]struct{}),
+		roster:              make(map[fleet.WorkerID]RosterEntry),
 		readySteps:          make(map[*step]*readyStep),
 
 		candidates:         make(map[string]*candidateSet),
@@ -266,6 +280,7 @@
 		m.searchAgain()
 	case Tick:
 		m.leaseUnconfirmed = ev.LeaseUnconfirmed
+		m.confirm(m.now.Add(-ev.ConfirmedAgo))
 		m.tick(ev.Wall)
 	}
 	out := m.effects
@@ -328,32 +343,11 @@
 	for _, r := range ev.Interference {
 		m.interferenceModels[r.Image] = m.restoreInterference(r)
 	}
-	for _, e := range ev.Roster {
-		m.roster[e.Worker] = e.Address
-		m.unreconciledWorkers[e.Worker] = struct{}{}
-		w := m.workers[e.Worker]
-		if w == nil {
-			w = m.addWorker(infra.Worker{ID: e.Worker, Address: e.Address})
-		}
-		w.inStoredRoster, w.answeredAt = true, e.Address
-	}
-	m.unreconciledUntil = m.now.Add(m.opts.leadershipTimeout + time.Duration(float64(m.opts.taskLease)*(1+2*maxClockDrift)) + clockMargin)
-	m.predecessorEnd = m.now.Add(m.opts.leadershipTimeout)
+	m.restoreRoster(ev)
 	m.restored = true
 	m.searchAgain()
 }
 
-// predecessorStopped shortens the wait for unreachable workers to one task lease from the last order of the predecessor.
-func (m *Machine) predecessorStopped(at time.Time) {
-	if at.Before(m.predecessorEnd) {
-		m.predecessorEnd = at
-	}
-	until := at.Add(time.Duration(float64(m.opts.taskLease)*(1+2*maxClockDrift)) + clockMargin)
-	if until.Before(m.unreconciledUntil) {
-		m.unreconciledUntil = until
-	}
-}
-
 // raiseRunNumbers raises the run numbers of open tasks above those of all predecessors.
 func (o *occurrence) raiseRunNumbers(base infra.Run) {
 	for i := range o.steps {
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -20,8 +20,9 @@
 	isImmediate := m.now.Equal(w.immediateRenewalAt)
 	// The lease of an unreachable worker is not renewed, so that it ends at a known time. A worker that an immediate renewal
 	// asks for a report may be one.
-	if w.clock > 0 && w.reachable && isSameIncarnation && !isImmediate {
-		order.Deadline = w.maxClock(m.now) + m.opts.taskLease.Milliseconds()
+	lease := m.opts.taskLease - m.now.Sub(m.lastConfirmed())
+	if w.clock > 0 && w.reachable && isSameIncarnation && !isImmediate && lease > 0 {
+		order.Deadline = w.maxClock(m.now) + lease.Milliseconds()
 		w.leaseEnd = max(w.leaseEnd, order.Deadline)
 	}
 	if isSameIncarnation && !w.hasUnsavedEnds() && w.tokenAccepted && w.reachable && !isImmediate && !w.secondReportDue {
@@ -29,7 +30,11 @@
 		if len(w.servingSteps) > 0 && w.fillerCPU > 0 {
 			order.Wait = reportWaitColocated
 		}
+		if m.needsWitnesses() {
+			order.Wait = min(order.Wait, reportWaitUnconfirmed)
+		}
 	}
+	w.renewalSentAt = m.now
 	w.renewalInFlight = true
 	w.renewalSequence++
 	m.emit(Renew{To: w.address(), Sequence: w.renewalSequence, Order: order})
@@ -129,14 +134,18 @@
 	}
 	m.markChanged(w)
 	w.observeClock(m.now, ev.Report.Clock)
+	w.askedAt = w.renewalSentAt
 	if !w.tokenAccepted {
-		w.tokenAccepted, w.leadershipConfirmed = true, !m.leaseUnconfirmed
+		w.tokenAccepted, w.acceptedAt, w.leadershipConfirmed = true, m.now, !m.leaseUnconfirmed
 		if m.isUnreconciled(w) {
 			// A predecessor may have renewed the lease until now.
 			w.leaseEnd = max(w.leaseEnd, w.maxClock(m.now)+m.opts.taskLease.Milliseconds())
 		}
 		m.addToRoster(w)
-		m.save()
+		m.acceptedBy(w)
+		if m.isFenced {
+			m.save()
+		}
 		m.fenceLateStarts(w)
 		m.searchAgain()
 	}
--- a/coord/flow/save.go
+++ b/coord/flow/save.go
@@ -57,12 +57,13 @@
 		s.Delete = append(s.Delete, m.jobsToDelete[:k]...)
 		m.jobsToDelete = m.jobsToDelete[k:]
 	}
+	m.batchHasRoster = m.rosterDirty
 	if m.rosterDirty {
 		m.rosterDirty = false
 		s.Roster = make([]RosterEntry, 0, len(m.roster))
 		for _, w := range m.workersByID {
-			if address, found := m.roster[w.ID]; found {
-				s.Roster = append(s.Roster, RosterEntry{Worker: w.ID, Address: address})
+			if e, found := m.roster[w.ID]; found {
+				s.Roster = append(s.Roster, e)
 			}
 		}
 		m.batchRoster = append(m.batchRoster, s.Roster...)
@@ -92,11 +93,14 @@
 		}
 	}
 	for _, e := range m.batchRoster {
-		if w := m.workers[e.Worker]; w != nil && !w.inStoredRoster && m.roster[w.ID] == e.Address {
+		if w := m.workers[e.Worker]; w != nil && !w.inStoredRoster && m.roster[w.ID] == e {
 			w.inStoredRoster = true
 			m.searchAgain()
 		}
 	}
+	if m.batchHasRoster {
+		m.storedRoster = rosterIDs(m.batchRoster)
+	}
 	for _, w := range m.workersByID {
 		if len(w.unsavedEnds) > 0 && m.confirmEnds(w) && !w.renewalInFlight {
 			m.sendRenewal(w)
--- a/coord/flow/simulation_test.go
+++ b/coord/flow/simulation_test.go
@@ -90,6 +90,8 @@
 	// nevertheless, and takes new jobs, which the processes that store them announce.
 	cutOff         bool
 	confirmedUntil time.Time
+	// confirmedAt is when the store last confirmed this scheduler.
+	confirmedAt time.Time
 	// incarnations are the incarnations of the workers that the scheduler knows and names in its orders.
 	incarnations map[fleet.WorkerID]int64
 }
@@ -237,12 +239,14 @@
 		}
 	}
 	sim.token += infra.Token(1 + sim.rng.IntN(5))
-	sched := &simScheduler{incarnations: make(map[fleet.WorkerID]int64), token: sim.token, alive: true, m: flow.New(sim.token, flow.WithTaskLease(maxTaskLease), flow.WithLeadershipTimeout(leadershipTimeout))}
+	sched := &simScheduler{incarnations: make(map[fleet.WorkerID]int64), token: sim.token, alive: true, confirmedAt: sim.now, m: flow.New(sim.token, flow.WithTaskLease(maxTaskLease), flow.WithLeadershipTimeout(leadershipTimeout))}
 	sim.leader = sched
 	sim.schedulers = append(sim.schedulers, sched)
 	sim.revision++
 	hasPredecessor := sim.term > 0
-	restored := flow.Restored{Term: sim.term, Roster: append([]flow.RosterEntry(nil), sim.roster...), Interference: sim.interference}
+	restored := flow.Restored{
+		Term: sim.term, Roster: append([]flow.RosterEntry(nil), sim.roster...), Interference: sim.interference,
+	}
 	sim.term++
 	for _, id := range sim.jobIDs {
 		j := sim.jobs[id]
@@ -277,14 +281,10 @@
 		sim.step(sched, flow.PredecessorLeaseEnded{Revision: sim.revision})
 	}
 	if old != nil && sim.rng.IntN(2) == 0 {
-		// The entry host of the previous scheduler confirms that it has stopped, and it does stop.
+		// The entry hosts of the previous schedulers confirm that they have stopped, and they do stop.
+		earlier := sim.schedulers[:len(sim.schedulers)-1]
 		sim.after(time.Duration(10+sim.rng.IntN(2000))*time.Millisecond, func() {
-			old.alive = false
-			stopped := flow.PredecessorStopped{}
-			if !old.killedAt.IsZero() {
-				stopped.Ago = sim.now.Sub(old.killedAt)
-			}
-			sim.step(sched, stopped)
+			sim.step(sched, flow.PredecessorStopped{Ago: sim.stop(earlier, old)})
 		})
 	}
 }
@@ -309,11 +309,17 @@
 	if !sched.alive {
 		return
 	}
-	sim.step(sched, flow.Tick{Wall: sim.now, LeaseUnconfirmed: !sim.leaseConfirmed(sched)})
+	if !sched.cutOff && !sim.storeDown {
+		sched.confirmedAt = sim.now
+	}
+	sim.step(sched, flow.Tick{Wall: sim.now, ConfirmedAgo: sim.now.Sub(sched.confirmedAt), LeaseUnconfirmed: !sim.leaseConfirmed(sched)})
 	sim.after(20*time.Millisecond, func() { sim.tick(sched) })
 }
 
 func (sim *simulation) step(sched *simScheduler, ev flow.Event) {
+	if sched.cutOff && !sim.mayAct(sched) {
+		sched.alive = false
+	}
 	if !sched.alive {
 		return
 	}
--- a/coord/flow/sweep.go
+++ b/coord/flow/sweep.go
@@ -1,11 +1,8 @@
 package flow
 
 import (
-	"maps"
 	"slices"
 	"time"
-
-	"lovagefork.example/coord/fleet"
 )
 
 // tick advances time and starts the work that is due: the sweep, placement and saving.
@@ -32,9 +29,15 @@
 		m.createDueOccurrences(j)
 	}
 	// While another scheduler may have been elected, it may also have renewed the leases.
-	if len(m.unreconciledWorkers) > 0 && m.now.After(m.unreconciledUntil) && !m.leaseUnconfirmed {
+	if m.needsWitnesses() {
+		m.countWitnesses()
+	}
+	if len(m.unreconciledWorkers) > 0 && !m.leaseUnconfirmed {
 		m.expireUnreconciled()
 	}
+	if m.isRosterOpen() {
+		m.openRoster()
+	}
 	for _, w := range m.workersByID {
 		m.tickWorker(w)
 	}
@@ -73,7 +76,7 @@
 	if slices.ContainsFunc(w.runsByTask, func(r *run) bool { return r.state == stopping || r.state == fencing }) {
 		m.repeatStops(w)
 	}
-	if !m.isForgettable(w) {
+	if !m.rosterOpened || !m.isForgettable(w) {
 		return
 	}
 	if w.Draining {
@@ -97,28 +100,3 @@
 		}
 	}
 }
-
-// expireUnreconciled stops waiting for the workers that have not answered, except those whose ends are not all known, and
-// those on which runs may go on under a lease that this scheduler has renewed.
-func (m *Machine) expireUnreconciled() {
-	known := len(m.unreconciledWorkers)
-	maps.DeleteFunc(m.unreconciledWorkers, func(id fleet.WorkerID, _ struct{}) bool {
-		w := m.workers[id]
-		switch {
-		case w == nil:
-			return true
-		case w.clock > 0 && !w.leaseExpired(m.now):
-			return false
-		}
-		return !w.hasMoreEnds || !w.reachable
-	})
-	if len(m.unreconciledWorkers) < known {
-		m.emit(Log{Text: "leases of the previous scheduler have expired"})
-		m.searchAgain()
-	}
-}
-
-func (m *Machine) isUnreconciled(w *worker) bool {
-	_, found := m.unreconciledWorkers[w.ID]
-	return found
-}
--- /dev/null
+++ b/coord/flow/takeover.go
@@ -0,0 +1,148 @@
+package flow
+
+import (
+	"fmt"
+	"maps"
+	"time"
+
+	"lovagefork.example/coord/fleet"
+	"lovagefork.example/coord/infra"
+)
+
+// WitnessTimeout is how long a scheduler that the store does not confirm may act after most workers have last shown that they
+// know no newer one.
+const WitnessTimeout = 2500 * time.Millisecond
+
+// leaseBound returns when the lease of a worker has certainly expired if it was renewed by a scheduler that was confirmed
+// last at a time, by the store or by most workers.
+func (m *Machine) leaseBound(confirmed time.Time) time.Time {
+	return confirmed.Add(time.Duration(float64(m.opts.taskLease)*(1+2*maxClockDrift)) + clockMargin)
+}
+
+// restoreRoster restores the workers on which predecessors may have started tasks, and determines until when the leases that
+// they have granted can last.
+func (m *Machine) restoreRoster(ev Restored) {
+	m.predecessorEnd = m.now.Add(m.opts.leadershipTimeout)
+	for _, e := range ev.Roster {
+		m.roster[e.Worker] = e
+		m.storedRoster = append(m.storedRoster, e.Worker)
+		m.unreconciledWorkers[e.Worker] = m.leaseBound(m.predecessorEnd)
+		w := m.workers[e.Worker]
+		if w == nil {
+			w = m.addWorker(infra.Worker{ID: e.Worker, Address: e.Address})
+		}
+		w.inStoredRoster, w.answeredAt = true, e.Address
+	}
+	m.predecessorWorkers = len(ev.Roster)
+	if m.predecessorWorkers > 0 {
+		m.emit(Log{Text: "awaiting the workers of previous schedulers", Reason: m.waitSummary()})
+	}
+	m.fencePredecessors()
+}
+
+// acceptedBy notes that a worker has accepted the token of this scheduler.
+func (m *Machine) acceptedBy(w *worker) {
+	if _, isKnown := m.roster[w.ID]; !isKnown || m.isFenced {
+		return
+	}
+	m.fencedWorkers[w.ID] = struct{}{}
+	m.fencePredecessors()
+}
+
+// fencePredecessors ends the wait for silent workers one lease after more than half of the workers in the roster have
+// accepted the token. A predecessor that the store does not confirm acts only while more than half of them know no newer
+// token, and one of these must be the same worker. Until then no worker joins or leaves the roster.
+func (m *Machine) fencePredecessors() {
+	if m.isFenced || m.predecessorWorkers > 0 && len(m.fencedWorkers) <= m.predecessorWorkers/2 {
+		return
+	}
+	m.isFenced = true
+	m.predecessorEnd = earlier(m.predecessorEnd, m.now.Add(WitnessTimeout))
+	m.shortenWaits(m.now)
+	if m.predecessorWorkers > 0 {
+		m.emit(Log{Text: "most workers of the previous schedulers have accepted the token", Reason: m.waitSummary()})
+	}
+	m.openRoster()
+}
+
+// predecessorStopped notes that no predecessor has sent an order since a time.
+func (m *Machine) predecessorStopped(at time.Time) {
+	m.predecessorEnd = earlier(m.predecessorEnd, at)
+	m.shortenWaits(at)
+}
+
+// shortenWaits takes into account that no predecessor was confirmed after a time.
+func (m *Machine) shortenWaits(confirmed time.Time) {
+	for id, until := range m.unreconciledWorkers {
+		m.unreconciledWorkers[id] = earlier(until, m.leaseBound(confirmed))
+	}
+}
+
+// AwaitedWorkers returns the number of workers that may run tasks which a predecessor started and this scheduler has not seen
+// yet.
+func (m *Machine) AwaitedWorkers() int { return len(m.unreconciledWorkers) }
+
+// waitSummary states for how many workers the scheduler waits, and for how long at most.
+func (m *Machine) waitSummary() string {
+	longest := time.Duration(0)
+	for _, until := range m.unreconciledWorkers {
+		longest = max(longest, until.Sub(m.now))
+	}
+	return fmt.Sprintf("%d workers are awaited, for at most %d ms", len(m.unreconciledWorkers), longest.Milliseconds())
+}
+
+// isRosterOpen reports whether workers may join and leave the roster. Most workers of a roster that has changed need not be
+// most workers of that by which a predecessor counts.
+func (m *Machine) isRosterOpen() bool { return m.isFenced || !m.now.Before(m.predecessorEnd) }
+
+// openRoster adds the workers that could not join before.
+func (m *Machine) openRoster() {
+	if m.rosterOpened {
+		return
+	}
+	m.rosterOpened = true
+	for _, w := range m.workersByID {
+		m.addToRoster(w)
+	}
+}
+
+// expireUnreconciled stops waiting for the workers on which the leases of all predecessors have expired, except those whose
+// ends are not all known, and those on which runs may go on under a lease that this scheduler has renewed.
+func (m *Machine) expireUnreconciled() {
+	known := len(m.unreconciledWorkers)
+	maps.DeleteFunc(m.unreconciledWorkers, func(id fleet.WorkerID, until time.Time) bool {
+		w := m.workers[id]
+		switch {
+		case !m.now.After(until):
+			return false
+		case w == nil:
+			return true
+		case w.clock > 0 && !w.leaseExpired(m.now):
+			return false
+		}
+		return !w.hasMoreEnds || !w.reachable
+	})
+	if expired := known - len(m.unreconciledWorkers); expired > 0 {
+		m.emit(Log{Text: "leases of the previous schedulers have expired", Reason: fmt.Sprintf("on %d workers; %s", expired, m.waitSummary())})
+		m.searchAgain()
+	}
+}
+
+func (m *Machine) isUnreconciled(w *worker) bool {
+	_, found := m.unreconciledWorkers[w.ID]
+	return found
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
--- a/coord/flow/view.go
+++ b/coord/flow/view.go
@@ -273,7 +273,7 @@
 	case ready == nil:
 		v.BlockedReason = "not released"
 	case m.mayAllRunUnseen(ready):
-		v.BlockedReason = "workers of the former scheduler have not answered yet"
+		v.BlockedReason = "workers of previous schedulers have not answered yet: " + m.waitSummary()
 	default:
 		m.setRank(ready)
 		v.WorkersByReason = m.placementObstacles(ready)
--- a/coord/flow/worker.go
+++ b/coord/flow/worker.go
@@ -116,8 +116,12 @@
 	unconfirmed *infra.Worker
 	// inStoredRoster is set once the stored roster lists the worker, so that a later scheduler expects tasks on it.
 	inStoredRoster bool
-	// tokenAccepted is set once the worker has accepted this scheduler's fencing token.
+	// tokenAccepted is set once the worker has accepted this scheduler's fencing token, at acceptedAt.
 	tokenAccepted bool
+	acceptedAt    time.Time
+	// renewalSentAt is when the last renewal was sent, and askedAt when the last one was sent that was answered.
+	renewalSentAt time.Time
+	askedAt       time.Time
 	// leadershipConfirmed is set if the store has confirmed this scheduler's leadership since the worker accepted its
 	// token. A successor assumes that a restarted worker runs no task of a predecessor, so a scheduler that may have
 	// been replaced must not start tasks on such a worker.
--- a/coord/flow/worker_lifecycle.go
+++ b/coord/flow/worker_lifecycle.go
@@ -68,10 +68,11 @@
 // addToRoster adds a listed worker to the roster once it has answered at its address, unless it drains and nothing of it is
 // needed. Until then no task is started there, and a successor would wait for an entry that names no worker.
 func (m *Machine) addToRoster(w *worker) {
-	if !w.listed || !w.tokenAccepted || w.Draining && m.isForgettable(w) || m.roster[w.ID] == w.Address {
+	stored, isKnown := m.roster[w.ID]
+	if !w.listed || !w.tokenAccepted || w.Draining && m.isForgettable(w) || stored.Address == w.Address || !isKnown && !m.rosterOpened {
 		return
 	}
-	m.roster[w.ID] = w.Address
+	m.roster[w.ID] = RosterEntry{Worker: w.ID, Address: w.Address}
 	m.rosterDirty, w.inStoredRoster = true, false
 }
 
--- a/entryd/leader/group.go
+++ b/entryd/leader/group.go
@@ -24,11 +24,14 @@
 	// lease.
 	leaderTTL     = 1800 * time.Millisecond
 	renewInterval = 300 * time.Millisecond
-	// outageTolerance is how long a leader continues after its lease may have expired while the store is unreachable.
-	// Outages of the store last 4 to 9 s.
+	// outageTolerance is how long a leader continues after its lease may have expired while the store is unreachable and most
+	// workers know no newer leader. Outages of the store last 4 to 9 s.
 	outageTolerance = 5 * time.Second
 	// leadershipTimeout is how long a leader may act after the store last confirmed its leadership.
 	leadershipTimeout = leaderTTL + outageTolerance
+	// maxTaskLease bounds the lease of tasks. A successor waits for it before it restarts the tasks of workers that do not answer,
+	// and a long-running task must run again 9 s after its worker was lost, including the election.
+	maxTaskLease = 5 * time.Second
 	// hostTTL is the lease time of the entry that registers a running entry process.
 	hostTTL           = 6 * time.Second
 	hostRenewInterval = 2 * time.Second
--- a/entryd/leader/inputs_test.go
+++ b/entryd/leader/inputs_test.go
@@ -238,10 +238,14 @@
 // notifications of jobs took account of the lease, not the watch.
 func TestUnconfirmedLeaseHoldsJobsBack(t *testing.T) {
 	m := newMemStore()
+	// Worker b takes no tasks, since it is not listed, and shows that there is no newer scheduler.
+	put(t, m, "lovagefork/roster", encode(t, []flow.RosterEntry{{Worker: "b", Address: "b:1"}}))
 	f := startInputs(t, m, newInputsClient(m), infra.Bounds{MaxLease: 6 * time.Second, StatusRetention: time.Minute}, "a")
 	close(f.client.released)
 	f.storeJob("known")
 	waitFor(t, "job", func() bool { _, known := f.isKnown("known"); return known })
+	// Its answers count once the lease has been renewed after the first of them.
+	time.Sleep(time.Second)
 	f.client.setKeepFails(true)
 	time.Sleep(2200 * time.Millisecond)
 	revision := f.storeJob("new")
--- a/entryd/leader/leadership.go
+++ b/entryd/leader/leadership.go
@@ -8,6 +8,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"lovagefork.example/coord/flow"
 	"lovagefork.example/coord/store"
 )
 
@@ -25,12 +26,15 @@
 	mu sync.Mutex
 	// confirmedAt is when the last renewal that the store confirmed was sent.
 	confirmedAt time.Time
+	// witnessedAt is when most workers last knew no newer leader.
+	witnessedAt time.Time
 	reason      string
 }
 
 func newLeadership(client store.Client, lease store.LeaseID, leader Leader, sent time.Time) *Leadership {
 	return &Leadership{
-		store: client, lease: lease, leader: leader, confirmedAt: sent, ended: make(chan struct{}), released: make(chan struct{}),
+		store: client, lease: lease, leader: leader, confirmedAt: sent,
+		ended: make(chan struct{}), released: make(chan struct{}),
 	}
 }
 
@@ -45,12 +49,35 @@
 	return Now().Before(l.confirmedAt.Add(leaderTTL))
 }
 
-// Valid reports whether orders may be sent: the leadership has not ended, and the lease is confirmed, or may have
-// expired less than outageTolerance ago.
+// confirmedAgo returns the time since the last renewal that the store confirmed was sent.
+func (l *Leadership) confirmedAgo() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return Now().Sub(l.confirmedAt)
+}
+
+// witnessedAgo returns the time since most workers last knew no newer leader.
+func (l *Leadership) witnessedAgo() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return Now().Sub(l.witnessedAt)
+}
+
+// witness notes when most workers last knew no newer leader.
+func (l *Leadership) witness(at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.witnessedAt = at
+}
+
+// Valid reports whether orders may be sent: the leadership has not ended, and the lease is confirmed, or may have expired less
+// than outageTolerance ago while most workers know no newer leader.
 func (l *Leadership) Valid() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.reason == "" && Now().Before(l.confirmedAt.Add(leadershipTimeout))
+	now := Now()
+	isWitnessed := now.Before(l.witnessedAt.Add(flow.WitnessTimeout)) && now.Before(l.confirmedAt.Add(leadershipTimeout))
+	return l.reason == "" && (isWitnessed || now.Before(l.confirmedAt.Add(leaderTTL)))
 }
 
 // Reason returns why the leadership ended; it is empty while the leadership lasts.
@@ -100,6 +127,7 @@
 			log.Warn("group: store unreachable", "error", err)
 		}
 		if !l.Valid() {
+			log.Warn("group: leadership is not confirmed", "store_ago_ms", l.confirmedAgo().Milliseconds(), "workers_ago_ms", l.witnessedAgo().Milliseconds())
 			l.end("the store was unreachable for too long")
 			return
 		}
--- a/entryd/leader/scheduler.go
+++ b/entryd/leader/scheduler.go
@@ -52,6 +52,8 @@
 	saves          metrics.Counter
 	longWaits      metrics.Gauge
 	unsavedJobs    metrics.Gauge
+	awaitedWorkers metrics.Gauge
+	elections      metrics.Counter
 	registry       metrics.Registry
 
 	mu      sync.Mutex
@@ -82,13 +84,15 @@
 func NewScheduler(d Deps) *Scheduler {
 	return &Scheduler{
 		store: d.Store, agents: d.Agents, policy: d.Policy, machineService: d.Machines, format: d.Format, bounds: d.Bounds, log: d.Log, decisions: d.Decisions, supersede: d.Supersede,
-		registry:     d.Metrics,
-		startLatency: metrics.GetOrRegisterTimer("scheduler.start_seconds", d.Metrics),
-		renewals:     metrics.GetOrRegisterCounter("scheduler.holds.total", d.Metrics),
-		orders:       metrics.GetOrRegisterCounter("scheduler.orders.total", d.Metrics),
-		saves:        metrics.GetOrRegisterCounter("scheduler.saves.total", d.Metrics),
-		longWaits:    metrics.GetOrRegisterGauge("scheduler.waiting_long_running_steps", d.Metrics),
-		unsavedJobs:  metrics.GetOrRegisterGauge("scheduler.unsaved_jobs", d.Metrics),
+		registry:       d.Metrics,
+		startLatency:   metrics.GetOrRegisterTimer("scheduler.start_seconds", d.Metrics),
+		renewals:       metrics.GetOrRegisterCounter("scheduler.holds.total", d.Metrics),
+		orders:         metrics.GetOrRegisterCounter("scheduler.orders.total", d.Metrics),
+		saves:          metrics.GetOrRegisterCounter("scheduler.saves.total", d.Metrics),
+		longWaits:      metrics.GetOrRegisterGauge("scheduler.waiting_long_running_steps", d.Metrics),
+		unsavedJobs:    metrics.GetOrRegisterGauge("scheduler.unsaved_jobs", d.Metrics),
+		awaitedWorkers: metrics.GetOrRegisterGauge("scheduler.awaited_workers", d.Metrics),
+		elections:      metrics.GetOrRegisterCounter("scheduler.elections.total", d.Metrics),
 	}
 }
 
@@ -148,9 +152,10 @@
 		meter:     newLoadMeter(s.registry),
 		events:    make(chan queuedEvent, eventQueueSize), queries: make(chan query), stopped: make(chan struct{}),
 		machine: flow.New(leadership.leader.Token,
-			flow.WithTaskLease(s.bounds.MaxLease), flow.WithLeadershipTimeout(leadershipTimeout),
+			flow.WithTaskLease(min(s.bounds.MaxLease, maxTaskLease)), flow.WithLeadershipTimeout(leadershipTimeout),
 			flow.WithRetention(retentionFactor*s.bounds.StatusRetention), flow.WithMaxTargetMiss(s.bounds.MaxTargetMiss)),
 	}
+	s.elections.Inc(1)
 	defer close(l.stopped)
 	if !l.load(ctx) {
 		return
@@ -244,7 +249,7 @@
 		restored, err := l.readState(ctx)
 		if err == nil {
 			l.log.Info("scheduler: state read", "jobs", len(restored.Jobs), "roster", len(restored.Roster), "took", Now().Sub(started))
-			l.handle(ctx, flow.Tick{Wall: time.Now()})
+			l.handle(ctx, flow.Tick{Wall: time.Now(), ConfirmedAgo: l.leadership.confirmedAgo()})
 			l.handle(ctx, restored)
 			return true
 		}
@@ -369,13 +374,16 @@
 			l.waves.handle(ctx, upkeep.Tick{})
 		}
 		l.releaseHeldEvents(ctx)
-		l.handle(ctx, flow.Tick{Wall: time.Now(), LeaseUnconfirmed: !l.leadership.LeaseConfirmed()})
+		l.handle(ctx, flow.Tick{Wall: time.Now(), ConfirmedAgo: l.leadership.confirmedAgo(), LeaseUnconfirmed: !l.leadership.LeaseConfirmed()})
+		l.leadership.witness(l.machine.WitnessedAt())
+		l.awaitedWorkers.Update(int64(l.machine.AwaitedWorkers()))
 		l.longWaits.Update(int64(l.machine.LongWaits()))
 		l.unsavedJobs.Update(int64(l.machine.UnsavedJobs()))
 		l.meter.report(l.log, len(l.events))
 	}
 	l.longWaits.Update(0)
 	l.unsavedJobs.Update(0)
+	l.awaitedWorkers.Update(0)
 	go l.discard()
 	sources.Wait()
 	l.effects.Wait()
