flow, leader: the wait for a lost worker does not begin anew with each scheduler

What callers saw: the tasks of lost workers did not run again while schedulers were lost in turn, every 4.5 s (LOST).

Cause: a successor did not know which earlier schedulers can have renewed the lease of a worker that it does not reach, nor when these were elected, and counted its wait from its own election.

Change: an entry of the stored roster says before which term the worker's lease was last renewed. A scheduler renews the lease of a worker, and starts tasks there, only once the entry with its own term is stored. Each process remembers on its own clock when it saw each election, and when the record of the election said that most workers reject the earlier schedulers; a successor counts the wait for a worker from the first of these after the worker's last term. It is later than the event itself, so that no wait is too short; a process that saw nothing counts from its own election as before.

--- a/coord/flow/event.go
+++ b/coord/flow/event.go
@@ -17,6 +17,9 @@
 	Cancelled []fleet.JobID
 	// Roster lists the workers on which predecessors may have started tasks.
 	Roster []RosterEntry
+	// Takeovers are the elections that this process has observed, in any order. They shorten the wait for workers that do not
+	// answer.
+	Takeovers []Takeover
 	// Term is the number of schedulers elected before this one.
 	Term int64
 	// Interference holds the interference models that a predecessor stored.
@@ -31,10 +34,12 @@
 	Record *Record
 }
 
-// RosterEntry is a worker that may run tasks, with the address of its agent.
+// RosterEntry is a worker that may run tasks, with the address of its agent. Only schedulers of terms before RenewedBefore
+// have renewed the lease of the tasks, or have started any; 0 stands for the term of the reader.
 type RosterEntry struct {
-	Worker  fleet.WorkerID `cbor:"worker"`
-	Address string         `cbor:"address"`
+	Worker        fleet.WorkerID `cbor:"worker"`
+	Address       string         `cbor:"address"`
+	RenewedBefore int64          `cbor:"renewed_before,omitempty"`
 }
 
 // Cordon takes a worker out of service and requests its evacuation by Deadline, because its machine will be taken
@@ -213,6 +218,10 @@
 // Resign reports that a worker has seen a newer scheduler's token, so that this scheduler must step down.
 type Resign struct{ Worker fleet.WorkerID }
 
+// Fenced reports that more than half of the workers on which predecessors may have started tasks have accepted this
+// scheduler's token, so that no predecessor renews a lease any more.
+type Fenced struct{}
+
 // Evacuated reports that the machine of a cordoned worker may be taken down.
 type Evacuated struct{ Worker fleet.WorkerID }
 
@@ -242,5 +251,6 @@
 func (Save) effect()            {}
 func (LookUpJobs) effect()      {}
 func (Resign) effect()          {}
+func (Fenced) effect()          {}
 func (Evacuated) effect()       {}
 func (Log) effect()             {}
--- a/coord/flow/save.go
+++ b/coord/flow/save.go
@@ -93,9 +93,12 @@
 		}
 	}
 	for _, e := range m.batchRoster {
-		if w := m.workers[e.Worker]; w != nil && !w.inStoredRoster && m.roster[w.ID] == e {
+		if w := m.workers[e.Worker]; w != nil && !w.inStoredRoster && m.roster[w.ID] == e && e.RenewedBefore > m.term {
 			w.inStoredRoster = true
 			m.searchAgain()
+			if !w.renewalInFlight && !w.hasUnsavedEnds() {
+				m.sendRenewal(w)
+			}
 		}
 	}
 	if m.batchHasRoster {
--- a/coord/flow/sim_takeover_test.go
+++ b/coord/flow/sim_takeover_test.go
@@ -1,6 +1,7 @@
 package flow_test
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -11,6 +12,12 @@
 	"lovagefork.example/coord/flow"
 )
 
+// simTakeover is an election; fencedAt is zero until the scheduler has stored that most workers have accepted its token.
+type simTakeover struct {
+	term                int64
+	electedAt, fencedAt time.Time
+}
+
 // mayAct reports whether a scheduler that is cut off from the store may still send orders.
 func (sim *simulation) mayAct(sched *simScheduler) bool {
 	switch {
@@ -34,6 +41,70 @@
 	return sim.now.Sub(last.killedAt)
 }
 
+// recordFence stores that most workers have accepted the token of a scheduler, if it is the newest and reaches the store.
+func (sim *simulation) recordFence(sched *simScheduler) {
+	sim.after(5*time.Millisecond+sim.storeDelay, func() {
+		switch {
+		case !sched.alive || sched != sim.leader:
+		case sched.cutOff || sim.storeDown:
+			sim.recordFence(sched)
+		default:
+			sim.takeovers[sched.term].fencedAt = sim.now
+		}
+	})
+}
+
+// observedTakeovers returns what the process of the next scheduler knows of earlier elections. It may have been started only
+// now, or may have seen them late.
+func (sim *simulation) observedTakeovers() []flow.Takeover {
+	rng := rand.New(rand.NewPCG(uint64(sim.term), 3))
+	if rng.IntN(3) == 0 {
+		return nil
+	}
+	var out []flow.Takeover
+	for _, t := range sim.takeovers {
+		lag := time.Duration(rng.Int64N(int64(300 * time.Millisecond)))
+		seen := flow.Takeover{Term: t.term, ElectedAgo: max(0, sim.now.Sub(t.electedAt)-lag)}
+		if !t.fencedAt.IsZero() {
+			seen.IsFenced, seen.FencedAgo = true, max(0, sim.now.Sub(t.fencedAt)-lag)
+		}
+		out = append(out, seen)
+	}
+	return out
+}
+
+// Each scheduler waited anew for the workers that its predecessors had not heard of, so that the tasks of a lost worker did not
+// run again while schedulers were lost in turn (LOST).
+func TestLongRunningTasksAfterSchedulersLostInTurn(t *testing.T) {
+	for seed := range uint64(20) {
+		c := newLastingCheck(newSimulation(seed, 6))
+		c.elect(false)
+		c.run(time.Second)
+		j := singleStepJob("lasting", lastingStep(12, 1000))
+		j.Steps[0].MaxPerWorker = 3
+		c.submit(j)
+		c.run(5 * time.Second)
+		c.impair(0)
+		lostAt := c.now
+		c.replace("w00")
+		for n := range 3 {
+			c.after(400*time.Millisecond+time.Duration(n)*4500*time.Millisecond, func() {
+				c.impair(0)
+				c.killScheduler(electionTime)
+			})
+		}
+		running := 0
+		c.after(11*time.Second, func() {
+			for _, id := range c.workerIDs {
+				running += len(c.workers[id].runs)
+			}
+		})
+		c.run(30 * time.Second)
+		assert.Assert(t, len(c.violations) == 0, "seed %d: %q", seed, c.violations)
+		assert.Equal(t, running, 12, "seed %d: tasks that run %v after their worker was lost", seed, lostAt)
+	}
+}
+
 // partitionSchedulers lets the scheduler and its successors reach different workers for a while. The figure of each worker
 // says which of them do not reach it: 0 the present scheduler, 1 the others.
 func (sim *simulation) partitionSchedulers(reach []int, span time.Duration) {
--- a/coord/flow/takeover.go
+++ b/coord/flow/takeover.go
@@ -13,6 +13,15 @@
 // know no newer one.
 const WitnessTimeout = 2500 * time.Millisecond
 
+// Takeover is an election that this process has observed. The schedulers of earlier terms have lost the store at least
+// ElectedAgo ago, and if IsFenced is set, most workers of their rosters have rejected them for at least FencedAgo.
+type Takeover struct {
+	Term       int64
+	ElectedAgo time.Duration
+	IsFenced   bool
+	FencedAgo  time.Duration
+}
+
 // leaseBound returns when the lease of a worker has certainly expired if it was renewed by a scheduler that was confirmed
 // last at a time, by the store or by most workers.
 func (m *Machine) leaseBound(confirmed time.Time) time.Time {
@@ -24,14 +33,17 @@
 func (m *Machine) restoreRoster(ev Restored) {
 	m.predecessorEnd = m.now.Add(m.opts.leadershipTimeout)
 	for _, e := range ev.Roster {
+		if e.RenewedBefore <= 0 || e.RenewedBefore > ev.Term {
+			e.RenewedBefore = ev.Term
+		}
 		m.roster[e.Worker] = e
 		m.storedRoster = append(m.storedRoster, e.Worker)
-		m.unreconciledWorkers[e.Worker] = m.leaseBound(m.predecessorEnd)
+		m.unreconciledWorkers[e.Worker] = m.leaseBound(m.lastConfirmation(e.RenewedBefore, ev.Takeovers))
 		w := m.workers[e.Worker]
 		if w == nil {
 			w = m.addWorker(infra.Worker{ID: e.Worker, Address: e.Address})
 		}
-		w.inStoredRoster, w.answeredAt = true, e.Address
+		w.answeredAt = e.Address
 	}
 	m.predecessorWorkers = len(ev.Roster)
 	if m.predecessorWorkers > 0 {
@@ -40,6 +52,21 @@
 	m.fencePredecessors()
 }
 
+// lastConfirmation returns the latest time at which a scheduler of a term before the given one can have been confirmed.
+func (m *Machine) lastConfirmation(before int64, takeovers []Takeover) time.Time {
+	last := m.predecessorEnd
+	for _, t := range takeovers {
+		if t.Term < before {
+			continue
+		}
+		last = earlier(last, m.now.Add(m.opts.leadershipTimeout-t.ElectedAgo))
+		if t.IsFenced {
+			last = earlier(last, m.now.Add(-t.FencedAgo))
+		}
+	}
+	return last
+}
+
 // acceptedBy notes that a worker has accepted the token of this scheduler.
 func (m *Machine) acceptedBy(w *worker) {
 	if _, isKnown := m.roster[w.ID]; !isKnown || m.isFenced {
@@ -59,6 +86,7 @@
 	m.isFenced = true
 	m.predecessorEnd = earlier(m.predecessorEnd, m.now.Add(WitnessTimeout))
 	m.shortenWaits(m.now)
+	m.emit(Fenced{})
 	if m.predecessorWorkers > 0 {
 		m.emit(Log{Text: "most workers of the previous schedulers have accepted the token", Reason: m.waitSummary()})
 	}
--- a/coord/flow/worker.go
+++ b/coord/flow/worker.go
@@ -114,7 +114,8 @@
 	answeredAt string
 	// unconfirmed is a registration that announces a restart which the worker has not confirmed; nil if there is none.
 	unconfirmed *infra.Worker
-	// inStoredRoster is set once the stored roster lists the worker, so that a later scheduler expects tasks on it.
+	// inStoredRoster is set once the stored roster lists the worker as one whose lease this scheduler may renew, so that a
+	// later one expects tasks on it.
 	inStoredRoster bool
 	// tokenAccepted is set once the worker has accepted this scheduler's fencing token, at acceptedAt.
 	tokenAccepted bool
--- a/coord/flow/worker_lifecycle.go
+++ b/coord/flow/worker_lifecycle.go
@@ -66,13 +66,23 @@
 }
 
 // addToRoster adds a listed worker to the roster once it has answered at its address, unless it drains and nothing of it is
-// needed. Until then no task is started there, and a successor would wait for an entry that names no worker.
+// needed, and notes there that this scheduler may renew its lease. Until that is stored no task is started there, and no
+// lease renewed; a successor would wait for an entry that names no worker.
 func (m *Machine) addToRoster(w *worker) {
 	stored, isKnown := m.roster[w.ID]
-	if !w.listed || !w.tokenAccepted || w.Draining && m.isForgettable(w) || stored.Address == w.Address || !isKnown && !m.rosterOpened {
+	entry := RosterEntry{Worker: w.ID, Address: w.Address, RenewedBefore: m.term + 1}
+	switch {
+	case !w.tokenAccepted || stored == entry:
+		return
+	case isKnown && !w.listed:
+		entry.Address = stored.Address
+		if stored == entry {
+			return
+		}
+	case !w.listed || !isKnown && !m.rosterOpened || w.Draining && m.isForgettable(w):
 		return
 	}
-	m.roster[w.ID] = RosterEntry{Worker: w.ID, Address: w.Address}
+	m.roster[w.ID] = entry
 	m.rosterDirty, w.inStoredRoster = true, false
 }
 
@@ -279,3 +289,9 @@
 func (w *worker) offersSame(info infra.Worker) bool {
 	return w.Service == info.Service && w.Capacity == info.Capacity && w.Draining == info.Draining && slices.Equal(w.Labels, info.Labels)
 }
+
+// isRosterPending reports whether an entry of the worker in the roster is not stored yet.
+func (m *Machine) isRosterPending(w *worker) bool {
+	e, found := m.roster[w.ID]
+	return found && !w.inStoredRoster && e.RenewedBefore > m.term
+}
--- a/entryd/leader/group.go
+++ b/entryd/leader/group.go
@@ -59,6 +59,8 @@
 	Term      int64               `cbor:"term"`
 	EntryHost fleet.EntryHostID   `cbor:"entry_host"`
 	Earlier   []fleet.EntryHostID `cbor:"earlier,omitempty"`
+	// Fenced is set once most workers reject the leaders before this one.
+	Fenced bool `cbor:"fenced,omitempty"`
 }
 
 // predecessors returns the entry hosts on which a leader may act when the next one is elected, the latest first.
@@ -86,6 +88,8 @@
 	// onLeader is called with each newer leader, this process included.
 	onLeader func(Leader)
 
+	history *takeoverHistory
+
 	mu     sync.Mutex
 	leader Leader
 	// vacant receives a value when there is no leader.
@@ -108,7 +112,7 @@
 	g := &Group{
 		hosts: &hostRegistry{byID: make(map[fleet.EntryHostID]registration)},
 		self:  self, address: address, store: client, log: log, onElected: onElected, onHost: onHost, onLeader: onLeader,
-		vacant: make(chan struct{}, 1), idleSince: Now(),
+		vacant: make(chan struct{}, 1), idleSince: Now(), history: newTakeoverHistory(),
 	}
 	for _, opt := range opts {
 		opt(g)
@@ -247,7 +251,15 @@
 			return
 		}
 		elected.Token = infra.Token(c.Entry.ModRevision)
+		g.history.observe(elected.Term, false)
 		g.Observe(elected)
+	case key == termKey && !c.Deleted:
+		var record termRecord
+		if err := cbor.Unmarshal(c.Entry.Value, &record); err != nil {
+			g.log.Error("group: cannot decode entry", "key", key, "error", err)
+			return
+		}
+		g.history.observe(record.Term, record.Fenced)
 	case strings.HasPrefix(key, hostPrefix):
 		g.applyHost(fleet.EntryHostID(strings.TrimPrefix(key, hostPrefix)), c)
 	}
@@ -337,6 +349,7 @@
 			if err := cbor.Unmarshal(e.Value, &last); err != nil {
 				return nil, err
 			}
+			g.history.observe(last.Term, last.Fenced)
 			elected.Term, elected.Predecessors = last.Term+1, last.predecessors()
 			termCondition = store.KeyUnchanged{Key: termKey, ModRevision: e.ModRevision}
 		}
@@ -381,7 +394,7 @@
 		return nil, nil
 	}
 	elected.Token = infra.Token(result.Revision)
-	return newLeadership(g.store, lease, elected, sent), nil
+	return newLeadership(g.store, lease, elected, sent, g.history), nil
 }
 
 // hasLeader reports whether a failed transaction found a leader. If it did not, no removal of a leader follows that would start
@@ -422,7 +435,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { l.renew(leadCtx, g.log) })
 	wg.Go(func() { g.hosts.handOver(leadCtx, l) })
-	wg.Go(func() { l.forgetEarlier(leadCtx, g.log) })
+	wg.Go(func() { l.keepRecord(leadCtx, g.log) })
 	wg.Go(func() {
 		select {
 		case <-l.ended:
--- a/entryd/leader/leadership.go
+++ b/entryd/leader/leadership.go
@@ -6,8 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"lovagefork.example/coord/flow"
 	"lovagefork.example/coord/store"
 )
@@ -18,7 +16,12 @@
 	store  store.Client
 	lease  store.LeaseID
 	leader Leader
+	// history holds the elections that this process has observed.
+	history *takeoverHistory
 
+	// fenced is closed once most workers reject the earlier leaders.
+	fenced     chan struct{}
+	fencedOnce sync.Once
 	// ended is closed when the leadership ends, released when the scheduler has also stopped.
 	ended    chan struct{}
 	released chan struct{}
@@ -31,10 +34,10 @@
 	reason      string
 }
 
-func newLeadership(client store.Client, lease store.LeaseID, leader Leader, sent time.Time) *Leadership {
+func newLeadership(client store.Client, lease store.LeaseID, leader Leader, sent time.Time, history *takeoverHistory) *Leadership {
 	return &Leadership{
-		store: client, lease: lease, leader: leader, confirmedAt: sent,
-		ended: make(chan struct{}), released: make(chan struct{}),
+		store: client, lease: lease, leader: leader, history: history, confirmedAt: sent,
+		fenced: make(chan struct{}), ended: make(chan struct{}), released: make(chan struct{}),
 	}
 }
 
@@ -70,6 +73,9 @@
 	l.witnessedAt = at
 }
 
+// fence notes that most workers reject the earlier leaders.
+func (l *Leadership) fence() { l.fencedOnce.Do(func() { close(l.fenced) }) }
+
 // Valid reports whether orders may be sent: the leadership has not ended, and the lease is confirmed, or may have expired less
 // than outageTolerance ago while most workers know no newer leader.
 func (l *Leadership) Valid() bool {
@@ -133,31 +139,3 @@
 		}
 	}
 }
-
-// forgetEarlier removes the earlier leaders from the record of this leader's election once none of them can act any more. A
-// successor would wait for their entry hosts, which may be gone.
-func (l *Leadership) forgetEarlier(ctx context.Context, log *slog.Logger) {
-	if len(l.leader.Predecessors) == 0 {
-		return
-	}
-	sleep(ctx, leadershipTimeout)
-	record, err := cbor.Marshal(termRecord{Term: l.leader.Term, EntryHost: l.leader.EntryHost})
-	if err != nil {
-		log.Error("group: cannot encode the record of the election", "error", err)
-		return
-	}
-	txn := store.Txn{
-		If:   []store.Compare{store.KeyUnchanged{Key: termKey, ModRevision: store.Revision(l.leader.Token)}},
-		Then: []store.Op{store.Put{Key: termKey, Value: record}},
-	}
-	for ; ctx.Err() == nil; sleep(ctx, renewInterval) {
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		_, err := l.store.Txn(callCtx, txn)
-		cancel()
-		if err == nil {
-			// If the condition was false, an earlier attempt without an answer was carried out, or there is a newer leader.
-			return
-		}
-		log.Info("group: record of the election not updated", "error", err)
-	}
-}
--- /dev/null
+++ b/entryd/leader/record.go
@@ -0,0 +1,80 @@
+package leader
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"lovagefork.example/coord/flow"
+	"lovagefork.example/coord/store"
+)
+
+// keepRecord updates the record of this leader's election. It notes there when most workers reject the earlier leaders, from
+// which the processes that observe the record count what a later leader has to wait for. It removes the earlier leaders once
+// none of them can act any more, because a successor would wait for their entry hosts, which may be gone.
+func (l *Leadership) keepRecord(ctx context.Context, log *slog.Logger) {
+	if len(l.leader.Predecessors) == 0 {
+		return
+	}
+	record := termRecord{Term: l.leader.Term, EntryHost: l.leader.EntryHost, Earlier: l.leader.Predecessors}
+	revision, isOurs := store.Revision(l.leader.Token), true
+	timeout := time.NewTimer(leadershipTimeout)
+	defer timeout.Stop()
+	select {
+	case <-ctx.Done():
+		return
+	case <-timeout.C:
+	case <-l.fenced:
+		record.Fenced = true
+		if revision, isOurs = l.putRecord(ctx, log, record, revision); !isOurs {
+			return
+		}
+		sleep(ctx, flow.WitnessTimeout)
+	}
+	record.Earlier = nil
+	l.putRecord(ctx, log, record, revision)
+}
+
+// putRecord replaces the record of the election that was stored at a revision and returns the new revision. It returns false if
+// there is a newer leader or the leadership has ended.
+func (l *Leadership) putRecord(ctx context.Context, log *slog.Logger, record termRecord, revision store.Revision) (store.Revision, bool) {
+	value, err := cbor.Marshal(record)
+	if err != nil {
+		log.Error("group: cannot encode the record of the election", "error", err)
+		return 0, false
+	}
+	txn := store.Txn{
+		If:   []store.Compare{store.KeyUnchanged{Key: termKey, ModRevision: revision}},
+		Then: []store.Op{store.Put{Key: termKey, Value: value}},
+	}
+	for ; ctx.Err() == nil; sleep(ctx, renewInterval) {
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		result, err := l.store.Txn(callCtx, txn)
+		cancel()
+		switch {
+		case err != nil:
+			log.Info("group: record of the election not updated", "error", err)
+		case result.Committed:
+			return result.Revision, true
+		default:
+			return ownRecord(result, record.Term)
+		}
+	}
+	return 0, false
+}
+
+// ownRecord returns the revision of the record that a failed transaction has found, and whether it is of a term, in which case
+// an earlier attempt without an answer was carried out.
+func ownRecord(result store.TxnResult, term int64) (store.Revision, bool) {
+	for _, read := range result.Reads {
+		for _, e := range read {
+			var found termRecord
+			if e.Key == termKey && cbor.Unmarshal(e.Value, &found) == nil && found.Term == term {
+				return e.ModRevision, true
+			}
+		}
+	}
+	return 0, false
+}
--- a/entryd/leader/scheduler.go
+++ b/entryd/leader/scheduler.go
@@ -250,6 +250,7 @@
 		if err == nil {
 			l.log.Info("scheduler: state read", "jobs", len(restored.Jobs), "roster", len(restored.Roster), "took", Now().Sub(started))
 			l.handle(ctx, flow.Tick{Wall: time.Now(), ConfirmedAgo: l.leadership.confirmedAgo()})
+			restored.Takeovers = l.leadership.history.takeovers()
 			l.handle(ctx, restored)
 			return true
 		}
@@ -462,6 +463,8 @@
 		l.effects.Go(func() { l.save(ctx, e) })
 	case flow.LookUpJobs:
 		l.effects.Go(func() { l.lookUpJobs(ctx, e) })
+	case flow.Fenced:
+		l.leadership.fence()
 	case flow.Resign:
 		l.leadership.end("a worker has orders of a newer scheduler")
 	case flow.Evacuated:
