flow: ticks carry when the store confirmed the scheduler, not how long ago

A process that is suspended between reading the age and handling the tick took the confirmation for younger by the time of its suspension, and granted leases that last longer than a successor waits for.

--- a/coord/flow/event.go
+++ b/coord/flow/event.go
@@ -131,11 +131,11 @@
 // had ended when the store was at that revision, which is above 0, and a scheduler without a lease takes no new jobs.
 type PredecessorLeaseEnded struct{ Revision int64 }
 
-// Tick advances time; Wall is the time of day. ConfirmedAgo is the time since the last renewal of the leadership that the
-// store has confirmed was sent, and LeaseUnconfirmed is set while that is longer than the lease.
+// Tick advances time; Wall is the time of day. ConfirmedAt is when the last renewal of the leadership that the store has
+// confirmed was sent, zero for the present, and LeaseUnconfirmed is set while the lease is shorter than the time since then.
 type Tick struct {
 	Wall             time.Time
-	ConfirmedAgo     time.Duration
+	ConfirmedAt      time.Time
 	LeaseUnconfirmed bool
 }
 
--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -280,7 +280,7 @@
 		m.searchAgain()
 	case Tick:
 		m.leaseUnconfirmed = ev.LeaseUnconfirmed
-		m.confirm(m.now.Add(-ev.ConfirmedAgo))
+		m.confirm(ev.ConfirmedAt)
 		m.tick(ev.Wall)
 	}
 	out := m.effects
--- a/coord/flow/simulation_test.go
+++ b/coord/flow/simulation_test.go
@@ -316,7 +316,7 @@
 	if !sched.cutOff && !sim.storeDown {
 		sched.confirmedAt = sim.now
 	}
-	sim.step(sched, flow.Tick{Wall: sim.now, ConfirmedAgo: sim.now.Sub(sched.confirmedAt), LeaseUnconfirmed: !sim.leaseConfirmed(sched)})
+	sim.step(sched, flow.Tick{Wall: sim.now, ConfirmedAt: sched.confirmedAt, LeaseUnconfirmed: !sim.leaseConfirmed(sched)})
 	sim.after(20*time.Millisecond, func() { sim.tick(sched) })
 }
 
--- a/coord/flow/witness.go
+++ b/coord/flow/witness.go
@@ -15,8 +15,11 @@
 	reportWaitUnconfirmed = 500 * time.Millisecond
 )
 
-// confirm notes when the renewal of this scheduler's leadership that the store confirmed last was sent.
+// confirm notes when the renewal of this scheduler's leadership that the store confirmed last was sent, zero for the present.
 func (m *Machine) confirm(at time.Time) {
+	if at.IsZero() {
+		at = m.now
+	}
 	m.confirmedAt = later(m.confirmedAt, at)
 }
 
--- a/coord/flow/witness_test.go
+++ b/coord/flow/witness_test.go
@@ -15,12 +15,13 @@
 // unconfirm advances the time while the store does not confirm the scheduler, and the workers report.
 func (h *harness) unconfirm(d time.Duration, reports map[fleet.WorkerID]infra.Report) {
 	const tick = 25 * time.Millisecond
+	confirmed := h.now
 	for ago := tick; ago <= d; ago += tick {
 		h.now = h.now.Add(tick)
 		for id, r := range reports {
 			h.report(id, r)
 		}
-		h.step(flow.Tick{Wall: h.now, ConfirmedAgo: ago, LeaseUnconfirmed: ago > 1800*time.Millisecond})
+		h.step(flow.Tick{Wall: h.now, ConfirmedAt: confirmed, LeaseUnconfirmed: ago > 1800*time.Millisecond})
 	}
 }
 
--- a/entryd/leader/leadership.go
+++ b/entryd/leader/leadership.go
@@ -52,11 +52,11 @@
 	return Now().Before(l.confirmedAt.Add(leaderTTL))
 }
 
-// confirmedAgo returns the time since the last renewal that the store confirmed was sent.
-func (l *Leadership) confirmedAgo() time.Duration {
+// lastConfirmed returns when the last renewal that the store confirmed was sent.
+func (l *Leadership) lastConfirmed() time.Time {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return Now().Sub(l.confirmedAt)
+	return l.confirmedAt
 }
 
 // witnessedAgo returns the time since most workers last knew no newer leader.
@@ -133,7 +133,7 @@
 			log.Warn("group: store unreachable", "error", err)
 		}
 		if !l.Valid() {
-			log.Warn("group: leadership is not confirmed", "store_ago_ms", l.confirmedAgo().Milliseconds(), "workers_ago_ms", l.witnessedAgo().Milliseconds())
+			log.Warn("group: leadership is not confirmed", "store_ago_ms", Now().Sub(l.lastConfirmed()).Milliseconds(), "workers_ago_ms", l.witnessedAgo().Milliseconds())
 			l.end("the store was unreachable for too long")
 			return
 		}
--- a/entryd/leader/scheduler.go
+++ b/entryd/leader/scheduler.go
@@ -249,7 +249,7 @@
 		restored, err := l.readState(ctx)
 		if err == nil {
 			l.log.Info("scheduler: state read", "jobs", len(restored.Jobs), "roster", len(restored.Roster), "took", Now().Sub(started))
-			l.handle(ctx, flow.Tick{Wall: time.Now(), ConfirmedAgo: l.leadership.confirmedAgo()})
+			l.handle(ctx, flow.Tick{Wall: time.Now(), ConfirmedAt: l.leadership.lastConfirmed()})
 			restored.Takeovers = l.leadership.history.takeovers()
 			l.handle(ctx, restored)
 			return true
@@ -375,7 +375,7 @@
 			l.waves.handle(ctx, upkeep.Tick{})
 		}
 		l.releaseHeldEvents(ctx)
-		l.handle(ctx, flow.Tick{Wall: time.Now(), ConfirmedAgo: l.leadership.confirmedAgo(), LeaseUnconfirmed: !l.leadership.LeaseConfirmed()})
+		l.handle(ctx, flow.Tick{Wall: time.Now(), ConfirmedAt: l.leadership.lastConfirmed(), LeaseUnconfirmed: !l.leadership.LeaseConfirmed()})
 		l.leadership.witness(l.machine.WitnessedAt())
 		l.awaitedWorkers.Update(int64(l.machine.AwaitedWorkers()))
 		l.longWaits.Update(int64(l.machine.LongWaits()))
