flow: a worker is not given up before the scheduler has heard what runs there

A cordoned worker whose time was up was reported as evacuated at once after a takeover: the successor knew of no runs there yet, and took that for none. Its machine then went down with tasks of a step of which others were away (AVAIL). A wave that is late gives its workers no time, so that the first list after the takeover was enough.

A worker that answers is reported as evacuated only after its first reports, which follow the takeover within a few round trips. One that does not answer holds nothing up.

--- a/coord/flow/evacuation.go
+++ b/coord/flow/evacuation.go
@@ -44,10 +44,12 @@
 
 // reportEvacuated reports that the machine of a cordoned worker may be taken down, which ends all that the worker knows. That
 // is the case when the worker is not needed any more, or when its time is up, the ends that it has reported are durable, and its
-// remaining long-running tasks may be interrupted.
+// remaining long-running tasks may be interrupted. Until a worker that answers has reported to this scheduler, its tasks are not
+// known.
 func (m *Machine) reportEvacuated(w *worker) {
 	isNeeded := !w.tokenAccepted || !m.isForgettable(w)
-	if w.evacuationReported || w.hasUnsavedEnds() || isNeeded && m.now.Before(w.leavesAt) {
+	isUnknown := m.isUnreconciled(w) && w.reachable
+	if w.evacuationReported || w.hasUnsavedEnds() || isUnknown || isNeeded && m.now.Before(w.leavesAt) {
 		return
 	}
 	interrupted := make(map[*step]int)
--- a/coord/flow/evacuation_test.go
+++ b/coord/flow/evacuation_test.go
@@ -1,6 +1,7 @@
 package flow_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -196,3 +197,43 @@
 	h.advance(500 * time.Millisecond)
 	assert.Equal(t, len(h.stops()), 0)
 }
+
+// Guards against too many tasks of a step away at a time (AVAIL) when a wave is late and the scheduler has changed: the successor
+// gave up a worker whose time was up before it had heard what runs there.
+func TestSuccessorHearsFromWorkerBeforeItGoes(t *testing.T) {
+	s := smallStep(2)
+	s.LongRunning, s.MaxUnavailable = true, 1
+	restored := flow.Restored{
+		Jobs: []flow.StoredJob{{Job: singleStepJob("j", s)}}, Term: 1,
+		Roster: []flow.RosterEntry{{Worker: "a", Address: "a:1"}, {Worker: "b", Address: "b:1"}},
+	}
+	evacuated := func(h *harness) bool {
+		return slices.ContainsFunc(h.effects, func(e flow.Effect) bool { _, is := e.(flow.Evacuated); return is })
+	}
+	run := infra.ActiveRun{Task: infra.TaskID{Job: "j"}, Run: 1, Progress: 100}
+	h := newHarness(t, restored, newPoolWorker("a"), newPoolWorker("b"))
+	h.step(flow.Cordon{Worker: "a", Deadline: h.now})
+	h.advance(100 * time.Millisecond)
+	h.report("a", infra.Report{Running: []infra.ActiveRun{run}})
+	h.advance(100 * time.Millisecond)
+	h.report("a", infra.Report{Running: []infra.ActiveRun{run}})
+	h.advance(time.Second)
+	assert.Assert(t, !evacuated(h), "the other task is not known to run")
+
+	h = newHarness(t, restored, newPoolWorker("a"), newPoolWorker("b"))
+	h.step(flow.Cordon{Worker: "a", Deadline: h.now})
+	h.reportTwice("a", infra.Report{})
+	h.advance(50 * time.Millisecond)
+	assert.Assert(t, evacuated(h), "nothing runs there")
+
+	h = newHarness(t, restored, newPoolWorker("a"), newPoolWorker("b"))
+	h.step(flow.Cordon{Worker: "a", Deadline: h.now})
+	h.advance(50 * time.Millisecond)
+	for _, e := range h.effects {
+		if e, ok := e.(flow.Renew); ok && e.To.Worker == "a" {
+			h.step(flow.RenewFailed{Worker: "a", Sequence: e.Sequence, Order: e.Order, Err: &infra.OutcomeUnknownError{Reason: "no answer"}})
+		}
+	}
+	h.advance(50 * time.Millisecond)
+	assert.Assert(t, evacuated(h), "a worker that does not answer holds nothing up")
+}
