upkeep: an evacuation and the time of its wave go on after a takeover

What callers see: a wave stands still while schedulers replace each other. Each planner counted the wave's duration from its own start, and gave the workers whose evacuation its predecessor had begun their whole time again, up to 8 s. With a new scheduler every 4.5 s, no machine with longer tasks was ever taken down. After a single takeover the wave was late by as much as its first planner had led.

The record of a wave holds when the wave was requested, by the time of day, and until when each evacuation lasts, relative to that. A successor continues these evacuations first. The age of a wave that the clocks of two hosts give is limited to its duration; a clock that is ahead hurries evacuations, which never take down more tasks of a step than allowed. A step of the planner makes one record for each wave, so that the end of one maintenance and the next evacuation cost one write.

TestRecordsPrecedeCordons expected one record of a step in which one wave orders a machine and another one begins an evacuation, which makes a record now too. It checks both records and what they contain.

--- a/coord/upkeep/cordon_test.go
+++ b/coord/upkeep/cordon_test.go
@@ -71,6 +71,7 @@
 	}
 	other := infra.Machine{ID: "other", Up: true, Worker: "other"}
 	machines := []infra.Machine{other}
+	var ordered, evacuating []infra.MachineID
 	records, cordons := 0, 0
 	for i := range 3 {
 		if i == 2 {
@@ -78,16 +79,23 @@
 		}
 		records, cordons = 0, 0
 		for _, e := range p.Step(now, upkeep.MachinesListed{Machines: machines, StartedAt: now}) {
-			switch e.(type) {
+			switch e := e.(type) {
 			case upkeep.SaveRecord:
 				records++
+				ordered = append(ordered, e.Record.Ordered...)
+				for _, ev := range e.Record.Evacuating {
+					evacuating = append(evacuating, ev.Machine)
+				}
 				assert.Equal(t, cordons, 0, "a record follows a cordon")
 			case upkeep.CordonWorker:
 				cordons++
 			}
 		}
 	}
-	assert.Equal(t, records, 1)
+	// One for the evacuation of m1, and one for the order for m2, which may be gone.
+	assert.Equal(t, records, 2)
+	assert.DeepEqual(t, evacuating, []infra.MachineID{"m1"})
+	assert.DeepEqual(t, ordered, []infra.MachineID{"m2"})
 	assert.Equal(t, cordons, 1)
 }
 
--- a/coord/upkeep/event.go
+++ b/coord/upkeep/event.go
@@ -10,10 +10,12 @@
 // Event is an input of [Planner.Step].
 type Event interface{ event() }
 
-// WaveRequested adds a wave with the progress that an earlier planner saved for it; the zero Record if there is none.
+// WaveRequested adds a wave with the progress that an earlier planner saved for it; the zero Record if there is none. Wall is
+// the time of day.
 type WaveRequested struct {
 	Wave   infra.Wave
 	Record Record
+	Wall   time.Time
 }
 
 // MachinesListed carries the result of a [ListMachines] call that started at StartedAt. Machines is nil if the call
@@ -100,7 +102,16 @@
 // Record is the durable progress of a wave. A machine is added to Ordered before its order is sent, so that a later
 // planner counts orders that may still be carried out.
 type Record struct {
-	Ordered   []infra.MachineID `cbor:"ordered,omitempty"`
-	Done      []infra.MachineID `cbor:"done,omitempty"`
-	Completed bool              `cbor:"completed,omitempty"`
+	// RequestedAt is the time of day in Unix milliseconds when a planner first received the wave; 0 if it is not known.
+	RequestedAt int64             `cbor:"requested_at,omitempty"`
+	Evacuating  []Evacuation      `cbor:"evacuating,omitempty"`
+	Ordered     []infra.MachineID `cbor:"ordered,omitempty"`
+	Done        []infra.MachineID `cbor:"done,omitempty"`
+	Completed   bool              `cbor:"completed,omitempty"`
+}
+
+// Evacuation is a machine whose worker finishes or moves its tasks. Deadline is in milliseconds since the request of the wave.
+type Evacuation struct {
+	Machine  infra.MachineID `cbor:"machine"`
+	Deadline int64           `cbor:"deadline_ms"`
 }
--- a/coord/upkeep/planner.go
+++ b/coord/upkeep/planner.go
@@ -52,7 +52,9 @@
 	// orderVersion is the first record version that contains the order for this machine.
 	orderVersion int64
 	nextOrderAt  time.Time
-	downAt       time.Time
+	// evacuateBy is the end of the evacuation, which this planner or an earlier one has begun; zero if none has.
+	evacuateBy time.Time
+	downAt     time.Time
 }
 
 // listedMachine is the last list entry of a machine. missing is the number of lists since then.
@@ -65,10 +67,15 @@
 
 type wave struct {
 	infra.Wave
-	machines      []*machine
+	machines []*machine
+	// requestedAt is when a planner first received the wave, by the clock of this one; recordedAt is the same as in the
+	// record. receivedAt is when this planner received it.
 	requestedAt   time.Time
+	recordedAt    int64
+	receivedAt    time.Time
 	recordVersion int64 // of the last SaveRecord
 	savedVersion  int64 // of the last durable record
+	unsaved       bool  // since the last SaveRecord
 	completed     bool
 }
 
@@ -110,6 +117,7 @@
 	case Tick:
 	}
 	p.advance()
+	p.save()
 	out := append(p.records, p.effects...)
 	p.records, p.effects = nil, nil
 	return out
@@ -121,7 +129,14 @@
 	if p.waves[ev.Wave.Number] != nil {
 		return
 	}
-	w := &wave{Wave: ev.Wave, requestedAt: p.now, completed: ev.Record.Completed}
+	w := &wave{
+		Wave: ev.Wave, requestedAt: p.now, recordedAt: ev.Wall.UnixMilli(), receivedAt: p.now, completed: ev.Record.Completed,
+	}
+	if r := ev.Record.RequestedAt; r != 0 {
+		// The clocks of two hosts may differ.
+		w.requestedAt = p.now.Add(-min(max(0, ev.Wall.Sub(time.UnixMilli(r))), w.Duration))
+		w.recordedAt = r
+	}
 	for _, id := range ev.Wave.Machines {
 		m := &machine{id: id}
 		switch {
@@ -130,18 +145,41 @@
 		case slices.Contains(ev.Record.Ordered, id):
 			m.state = ordered
 		}
+		for _, e := range ev.Record.Evacuating {
+			if e.Machine == id {
+				m.evacuateBy = w.requestedAt.Add(time.Duration(e.Deadline) * time.Millisecond)
+			}
+		}
 		w.machines = append(w.machines, m)
 	}
+	// An evacuation that an earlier planner has begun continues before another one begins.
+	slices.SortStableFunc(w.machines, func(a, b *machine) int { return cmp.Compare(a.evacuationRank(), b.evacuationRank()) })
 	p.waves[ev.Wave.Number] = w
 	p.emit(Log{Text: "wave requested", Wave: w.Number})
-	if !w.completed {
-		p.save(w)
+	w.unsaved = !w.completed
+}
+
+// evacuationRank is 0 for a machine whose evacuation has begun, and 1 for others.
+func (m *machine) evacuationRank() int {
+	if m.evacuateBy.IsZero() {
+		return 1
+	}
+	return 0
+}
+
+// save requests that the changes of a step become durable, with one record for each wave.
+func (p *Planner) save() {
+	for _, w := range p.sortedWaves() {
+		if w.unsaved {
+			w.unsaved = false
+			w.recordVersion++
+			p.records = append(p.records, SaveRecord{Wave: w.Number, Version: w.recordVersion, Record: w.record()})
+		}
 	}
 }
 
-func (p *Planner) save(w *wave) {
-	w.recordVersion++
-	r := Record{Completed: w.completed}
+func (w *wave) record() Record {
+	r := Record{RequestedAt: w.recordedAt, Completed: w.completed}
 	for _, m := range w.machines {
 		switch m.state {
 		case evacuated, ordered, down:
@@ -149,9 +187,12 @@
 		case done:
 			r.Done = append(r.Done, m.id)
 		case waiting, evacuating:
+			if !m.evacuateBy.IsZero() {
+				r.Evacuating = append(r.Evacuating, Evacuation{Machine: m.id, Deadline: m.evacuateBy.Sub(w.requestedAt).Milliseconds()})
+			}
 		}
 	}
-	p.records = append(p.records, SaveRecord{Wave: w.Number, Version: w.recordVersion, Record: r})
+	return r
 }
 
 // applyList applies a read of the machine list. A machine counts as up again only if the read was started after its
@@ -177,9 +218,7 @@
 				m.state = ordered
 			}
 		}
-		if changed {
-			p.save(w)
-		}
+		w.unsaved = w.unsaved || changed
 	}
 }
 
@@ -228,8 +267,8 @@
 
 func (p *Planner) recordOrder(w *wave, m *machine) {
 	m.state = evacuated
-	p.save(w)
-	m.orderVersion = w.recordVersion
+	w.unsaved = true
+	m.orderVersion = w.recordVersion + 1
 }
 
 func (p *Planner) applyAnswer(ev OrderAnswered) {
@@ -251,7 +290,7 @@
 		case errors.As(ev.Err, &refused) && (refused.Reason == infra.MachineUnknown || refused.Reason == infra.MachineNotInWave):
 			p.emit(Log{Text: "machine skipped, order refused", Wave: w.Number, Machine: m.id, Reason: string(refused.Reason)})
 			p.finish(m)
-			p.save(w)
+			w.unsaved = true
 		default:
 			p.emit(Log{Text: "order not confirmed yet", Wave: w.Number, Machine: m.id, Reason: ev.Err.Error()})
 		}
@@ -281,7 +320,7 @@
 }
 
 func (p *Planner) advanceWave(w *wave) {
-	if w.completed || p.listStartedAt.IsZero() || p.listStartedAt.Before(w.requestedAt) {
+	if w.completed || p.listStartedAt.IsZero() || p.listStartedAt.Before(w.receivedAt) {
 		return
 	}
 	// busy counts the machines of the wave that are down, may be down, or are being evacuated to go down.
@@ -302,7 +341,7 @@
 	if remaining == 0 {
 		w.completed = true
 		p.emit(Log{Text: "wave completed", Wave: w.Number})
-		p.save(w)
+		w.unsaved = true
 		return
 	}
 	for _, m := range w.machines {
@@ -320,7 +359,11 @@
 
 func (p *Planner) startEvacuation(w *wave, m *machine, worker fleet.WorkerID, remaining int) {
 	m.state, m.worker = evacuating, worker
-	p.emit(CordonWorker{Worker: worker, Deadline: p.now.Add(w.evacuationTime(remaining, p.now))})
+	if m.evacuateBy.IsZero() {
+		m.evacuateBy = p.now.Add(w.evacuationTime(remaining, p.now))
+		w.unsaved = true
+	}
+	p.emit(CordonWorker{Worker: worker, Deadline: m.evacuateBy})
 }
 
 // followWorker cordons the present worker of a machine that is to go down. An earlier planner, or this one for an earlier life of
--- a/coord/upkeep/planner_test.go
+++ b/coord/upkeep/planner_test.go
@@ -34,6 +34,8 @@
 	lossPercent int
 	// shortListPercent is the percentage of lists that lack their last machines.
 	shortListPercent int
+	// longTasks is set if each worker has tasks until the deadline of its evacuation.
+	longTasks bool
 	// listed is the last list that the planner has received.
 	listed     []infra.Machine
 	violations []string
@@ -81,7 +83,10 @@
 		})
 	case upkeep.CordonWorker:
 		s.cordoned[e.Worker] = true
-		wait := min(time.Duration(rapid.SampledFrom([]int{0, 500, 3000, 20000}).Draw(s.t, "evacuation ms"))*time.Millisecond, max(0, e.Deadline.Sub(s.now)))
+		wait := max(0, e.Deadline.Sub(s.now))
+		if !s.longTasks {
+			wait = min(wait, time.Duration(rapid.SampledFrom([]int{0, 500, 3000, 20000}).Draw(s.t, "evacuation ms"))*time.Millisecond)
+		}
 		s.schedule(wait, func() { s.step(p, upkeep.WorkerEvacuated{Worker: e.Worker}) })
 	case upkeep.UncordonWorker:
 		delete(s.cordoned, e.Worker)
@@ -173,7 +178,7 @@
 func (s *simulation) replacePlanner() {
 	s.p, s.listed = upkeep.New(), nil
 	clear(s.cordoned)
-	s.step(s.p, upkeep.WaveRequested{Wave: s.wave, Record: s.record})
+	s.step(s.p, upkeep.WaveRequested{Wave: s.wave, Record: s.record, Wall: s.now})
 }
 
 func (s *simulation) run(d time.Duration) {
--- a/entryd/leader/waves.go
+++ b/entryd/leader/waves.go
@@ -154,7 +154,7 @@
 				l.log.Error("upkeep: cannot decode record", "wave", wave.Number, "error", err)
 			}
 		}
-		w.post(upkeep.WaveRequested{Wave: wave, Record: record})
+		w.post(upkeep.WaveRequested{Wave: wave, Record: record, Wall: time.Now()})
 		return
 	}
 }
