batch: an owner that claims its partition again goes on with its waits

What callers see: tasks on lost workers wait without end, though there is room for them elsewhere. An owner whose session lapses while the store is away claims its partition again and recovers it. Each time it waited anew for a task lease, and, if it had found tasks of an owner that was lost with their workers, for the whole outage horizon (75 min).

No other process has owned the partition in between, so that nothing new can have renewed these leases. The new state machine takes over the end of each lease from the former one, unless an answer to a start or a renewal is outstanding.

--- a/coord/jobs/machine.go
+++ b/coord/jobs/machine.go
@@ -112,6 +112,21 @@
 	}
 }
 
+// Continue takes over from the former machine of this process what it knows about the leases of running attempts. Call it after
+// [Machine.Recover], and only if no other process has owned the partition since.
+func (m *Machine) Continue(former *Machine) {
+	for _, t := range m.sortedTasks() {
+		old := former.tasks[t.id]
+		if !t.inherited || old == nil || old.ref() != t.ref() || old.mayRunUntil.IsZero() {
+			continue
+		}
+		isKnown := !old.startInFlight && !former.worker(old.worker).renewInFlight
+		if isKnown || old.mayRunUntil.After(t.mayRunUntil) {
+			t.mayRunUntil = old.mayRunUntil
+		}
+	}
+}
+
 // RecoveryComplete reports whether every attempt that a former owner may have started is confirmed or has ended. Until
 // then, a former owner may still renew the leases of such attempts.
 func (m *Machine) RecoveryComplete() bool {
--- a/entryd/batch/owner.go
+++ b/entryd/batch/owner.go
@@ -176,14 +176,14 @@
 func (r *Runtime) installPartition(e lease.Gained, read *ledger.Recovery) {
 	now := time.Now()
 	old := r.ownedPartitions[e.Partition]
-	clean := e.Handover == lease.HandoverClean
-	if e.Handover == lease.HandoverSelf {
-		clean = old != nil && old.machine.RecoveryComplete()
-	}
+	continues := e.Handover == lease.HandoverSelf && old != nil
 	r.dropPartition(e.Partition, 0)
 	p := &ownedPartition{id: e.Partition, epoch: e.Epoch, ownerValue: e.OwnerValue, snapshotHead: read.Head()}
 	p.machine = jobs.New(e.Partition, e.Epoch, r.newPlacer())
-	p.machine.Recover(now, read.Records(), clean, r.outageHorizon)
+	p.machine.Recover(now, read.Records(), continues || e.Handover == lease.HandoverClean, r.outageHorizon)
+	if continues {
+		p.machine.Continue(old.machine)
+	}
 	r.ownedPartitions[e.Partition] = p
 	r.stepLedger(now, ledger.Open{
 		Partition: e.Partition, Epoch: e.Epoch, OwnerKey: lease.OwnerKey(e.Partition), OwnerValue: e.OwnerValue,
