flow, leader: repeat a throttle order that may not have been carried out

What callers would see: a filler beside a serving task keeps the wrong speed (HARM), or a paused one stands still and is moved as stalled (LATE).

Cause: a leader that cannot confirm its lease sends no order. Starts and renewals report that to the scheduler, a throttle order did not, so that it counted as carried out if the leadership went on. A throttle order without an answer was assumed to have left the filler at full speed. That covers a pause, which the next adjustment repeats, but nothing repeated an order to resume; and a filler that was paused after all counted as stalled after 0.7 s.

Change: throttleTask reports an order that it does not send. The scheduler sends an order that has failed again at the next adjustment of a reachable worker, counts the filler at full speed until then, and does not measure its progress meanwhile.

Evidence: on the code before, TestFailedResumeOfFillerIsRepeated ("the order was not repeated", both cases), TestFillerOfUnknownSpeedIsNotStalled (1 stall) and TestThrottleThatWasNotSentIsRepeated ("no repeated order within 10 s") fail. With the change they pass, as do the tests of coord/flow and entryd/leader with the race detector.

--- a/coord/flow/answer.go
+++ b/coord/flow/answer.go
@@ -148,8 +148,9 @@
 		return
 	}
 	if r := w.runs[ev.Order.Task]; r != nil && r.number == ev.Order.Run && r.speedPercent == ev.Order.SpeedPercent {
-		// It is unknown whether the order was carried out. Full speed is assumed, so that the next adjustment slows
-		// the run again.
+		// It is unknown whether the order was carried out. Full speed, which disturbs others most, is assumed until the
+		// order is repeated.
 		m.applySpeed(r, fullSpeedPercent)
+		r.throttleFailed = true
 	}
 }
--- a/coord/flow/colocation.go
+++ b/coord/flow/colocation.go
@@ -267,7 +267,7 @@
 		switch {
 		case len(w.servingSteps) > 0 && m.protectServing(w):
 			w.adjustedAt = m.now
-		case m.raiseSpeeds(w):
+		case m.repeatThrottles(w), m.raiseSpeeds(w):
 			w.adjustedAt = m.now
 		}
 	}
@@ -303,12 +303,27 @@
 // setSpeeds orders all fillers of a worker to run at a percentage of their full speed.
 func (m *Machine) setSpeeds(w *worker, percent int) {
 	for _, r := range w.fillerRuns() {
-		if r.speedPercent != percent {
+		if r.speedPercent != percent || r.throttleFailed {
 			m.setSpeed(r, percent)
 		}
 	}
 }
 
+// repeatThrottles sends the failed throttle orders of a worker again, and reports whether there were any.
+func (m *Machine) repeatThrottles(w *worker) bool {
+	if !w.reachable || !slices.ContainsFunc(w.runsByTask, func(r *run) bool { return r.throttleFailed }) {
+		return false
+	}
+	repeated := false
+	for _, r := range w.fillerRuns() {
+		if r.throttleFailed {
+			m.setSpeed(r, r.orderedPercent)
+			repeated = true
+		}
+	}
+	return repeated
+}
+
 const (
 	// adjustInterval is the pause between two adjustments of the fillers on a worker. The effect of one is visible
 	// after that time.
@@ -359,6 +374,7 @@
 func (m *Machine) setSpeed(r *run, percent int) {
 	m.counts.Paced++
 	m.applySpeed(r, percent)
+	r.throttleFailed, r.orderedPercent = false, percent
 	m.emit(Log{Text: "throttle", Task: r.id, Run: r.number, Worker: r.worker.ID, Reason: strconv.Itoa(percent) + " %"})
 	m.emit(Throttle{To: r.worker.address(), Order: infra.ThrottleOrder{Task: r.id, Run: r.number, SpeedPercent: percent, Token: m.token}})
 }
--- a/coord/flow/speed.go
+++ b/coord/flow/speed.go
@@ -44,7 +44,7 @@
 // used for this because they are off by half and more.
 func (m *Machine) measureSpeed(w *worker) {
 	for _, r := range w.sortedRuns() {
-		if r.step == nil || r.step.spec.LongRunning || r.state != running || r.speedPercent != fullSpeedPercent {
+		if r.step == nil || r.step.spec.LongRunning || r.state != running || r.speedPercent != fullSpeedPercent || r.throttleFailed {
 			continue
 		}
 		elapsed := m.now.Sub(r.measuredAt)
--- a/coord/flow/worker.go
+++ b/coord/flow/worker.go
@@ -86,6 +86,9 @@
 	startUnanswered bool
 	// speedPercent is the speed of a filler in percent of its full speed.
 	speedPercent int
+	// throttleFailed is set while the last order of a filler's speed, orderedPercent, may not have been carried out.
+	throttleFailed bool
+	orderedPercent int
 	// observation is the last one that the interference model has learned from, and learnedMeasurement the measurement
 	// behind it.
 	observation        observation
--- a/entryd/leader/calls.go
+++ b/entryd/leader/calls.go
@@ -54,6 +54,7 @@
 
 func (l *loop) throttleTask(ctx context.Context, e flow.Throttle) {
 	if !l.leadership.Valid() {
+		l.post(flow.ThrottleAnswered{Worker: e.To.Worker, Order: e.Order, Err: errLeadershipEnded(e.To.Worker)})
 		return
 	}
 	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
