flow: keep the end of an occurrence that is due in more than 10 s

What callers would see: a task that is done runs again when its occurrence is due (TWICE). Found by a reader; it needs a predecessor whose clock was ahead by more than 10 s, which itself breaks ORDER.

Cause: a successor creates the occurrence of a run that a worker reports only if it is due within maxClockLead. An end beyond that found no task, so that it was acknowledged and dropped; a run was stopped as one of an unknown task.

Change: beyond maxClockLead the occurrence is created by itself, outside of the row of those that are due. Its runs are adopted and its ends recorded, and none of its tasks starts until the schedule reaches it. The record of a job lists it behind the others, and a successor counts as created only the occurrences without a gap before them. Holding the end until the occurrence is due would keep the worker from having later ends acknowledged for as long.

Evidence: on the code before, TestEndOfOccurrenceFarAheadIsKept ("the task that is done was started again"; nothing was saved), TestRunOfOccurrenceFarAheadIsAdopted (1 stop) and TestJobWithEarlyOccurrenceCompletes (7 ends of 6 tasks) fail. With the change they pass, as do the tests of coord/flow with the race detector.

--- a/coord/flow/job.go
+++ b/coord/flow/job.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -107,9 +108,11 @@
 	cancelled bool
 	failed    bool
 	// crashed is set once a worker has crashed under a recent run of the job, or a trial of one of its tasks has been recorded.
-	crashed              bool
-	started              bool
-	occurrences          map[int64]*occurrence
+	crashed     bool
+	started     bool
+	occurrences map[int64]*occurrence
+	// createdOccurrences is the number of the first occurrence that is not created yet. Later ones are known if a worker has
+	// reported a run of them.
 	createdOccurrences   int64
 	completedOccurrences int64
 	// durableState is the state reported to callers.
@@ -255,15 +258,14 @@
 		return r
 	}
 	for n := j.firstOpenOccurrence(); n < j.createdOccurrences; n++ {
-		o := j.occurrences[n]
-		if o == nil {
-			continue
+		if o := j.occurrences[n]; o != nil {
+			r.Occurrences = append(r.Occurrences, o.record())
 		}
-		if o.complete() {
-			r.Occurrences = append(r.Occurrences, OccurrenceRecord{Number: n, Completed: true})
-			continue
+	}
+	for _, n := range slices.Sorted(maps.Keys(j.occurrences)) {
+		if n >= j.createdOccurrences {
+			r.Occurrences = append(r.Occurrences, j.occurrences[n].record())
 		}
-		r.Occurrences = append(r.Occurrences, o.record())
 	}
 	return r
 }
@@ -279,6 +281,9 @@
 }
 
 func (o *occurrence) record() OccurrenceRecord {
+	if o.complete() {
+		return OccurrenceRecord{Number: o.number, Completed: true}
+	}
 	r := OccurrenceRecord{Number: o.number, Steps: make([]StepRecord, len(o.steps))}
 	for i := range o.steps {
 		r.Steps[i] = o.steps[i].record()
@@ -327,10 +332,12 @@
 	j.started = j.started || j.createdOccurrences > 0
 	for _, occurrenceRecord := range r.Occurrences {
 		o := j.occurrence(occurrenceRecord.Number)
-		j.createdOccurrences = max(j.createdOccurrences, occurrenceRecord.Number+1)
 		o.restore(occurrenceRecord)
 		j.started = true
 	}
+	for j.occurrences[j.createdOccurrences] != nil {
+		j.createdOccurrences++
+	}
 }
 
 func (o *occurrence) restore(r OccurrenceRecord) {
--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -398,7 +398,7 @@
 func (m *Machine) updateReady(o *occurrence) {
 	for i := range o.steps {
 		s := &o.steps[i]
-		if s.waiting > 0 && o.job.live() && o.released(i) {
+		if s.waiting > 0 && o.job.live() && o.number < o.job.createdOccurrences && o.released(i) {
 			if m.readySteps[s] == nil {
 				r := &readyStep{occ: o, index: i, step: s, readySince: m.now}
 				m.readySteps[s] = r
--- a/coord/flow/schedule.go
+++ b/coord/flow/schedule.go
@@ -24,10 +24,15 @@
 const maxClockLead = 10 * time.Second
 
 // createReportedOccurrence creates the occurrence of a run that a worker reports. A predecessor whose clock is ahead has
-// created it before it is due here.
+// created it before it is due here. If it is ahead by more than maxClockLead, no task of the occurrence starts until it is due.
 func (m *Machine) createReportedOccurrence(id infra.TaskID) {
 	j := m.scheduledJobs[id.Job]
-	if j == nil || m.wall.IsZero() || id.Occurrence >= j.totalOccurrences() || m.untilDue(j, id.Occurrence) > maxClockLead {
+	if j == nil || m.wall.IsZero() || id.Occurrence < j.createdOccurrences || id.Occurrence >= j.totalOccurrences() {
+		return
+	}
+	if m.untilDue(j, id.Occurrence) > maxClockLead {
+		j.occurrence(id.Occurrence).raiseRunNumbers(infra.Run(m.term) * runsPerTerm)
+		m.markDirty(j)
 		return
 	}
 	for j.createdOccurrences <= id.Occurrence {
