jobs, batch: do not delete the inbox entry of a returned job with a former one

What callers would see: a job that was moved to another partition and back is lost (own settings only). Found by a reader; not seen.

Cause: a job's inbox entry is deleted in the transaction that records the job, without a condition on the entry. A watch that lags goes on to show an entry that was received; it was recorded again, without effect, and deleted the key, which may hold the returned job by then, its only copy.

Change: an entry with no more moves than the known job was received before, and is not recorded again. Its key is deleted in a transaction of its own, if it was last written at the revision of the entry. The condition cannot be part of a commit of the ledger, which joins several records and takes a false condition for lost ownership.

Evidence: on the code before, TestFormerInboxEntryDoesNotDeleteReturnedJob (the former entry is recorded and deleted again) and TestInboxEntryBesideWatchThatLags ("the returned job was deleted") fail. With the change they pass, as do the tests of coord/jobs and entryd/batch with the race detector.

--- a/coord/jobs/requests.go
+++ b/coord/jobs/requests.go
@@ -86,6 +86,11 @@
 	if !m.permit.Write || m.pendingReceived[ev.Job.Spec.Job] {
 		return
 	}
+	if j := m.jobs[ev.Job.Spec.Job]; j != nil && ev.Job.Moves <= j.moves {
+		// The job may have returned since, and the key hold its only copy.
+		m.emit(DiscardInboxEntry{Key: ev.Key, Revision: ev.Revision})
+		return
+	}
 	m.pendingReceived[ev.Job.Spec.Job] = true
 	m.emit(Append{Records: []ledger.Record{ev.Job}, Ops: []store.Op{store.Delete{Key: ev.Key}}})
 }
--- a/coord/jobs/types.go
+++ b/coord/jobs/types.go
@@ -96,10 +96,12 @@
 		Job  fleet.JobID
 		Task fleet.TaskID
 	}
-	// JobReceived adds a job that another partition moved to this one by writing it to the inbox key Key.
+	// JobReceived adds a job that another partition moved to this one by writing it to the inbox key Key at Revision. The
+	// entry may have been received before, and the key may hold another one since.
 	JobReceived struct {
-		Key string
-		Job ledger.JobSubmitted
+		Key      string
+		Revision store.Revision
+		Job      ledger.JobSubmitted
 	}
 	// Committed reports that records of this machine are durable.
 	Committed struct{ Records []ledger.Record }
@@ -178,6 +180,11 @@
 		Ops     []store.Op
 		Urgent  bool
 	}
+	// DiscardInboxEntry deletes an inbox key if it was last written at Revision.
+	DiscardInboxEntry struct {
+		Key      string
+		Revision store.Revision
+	}
 	// Start starts a claimed attempt.
 	Start struct {
 		Worker fleet.Worker
@@ -232,14 +239,15 @@
 	}
 )
 
-func (Append) effect()           {}
-func (Start) effect()            {}
-func (Renew) effect()            {}
-func (ReadStatus) effect()       {}
-func (Stop) effect()             {}
-func (Throttle) effect()         {}
-func (Ack) effect()              {}
-func (PublishEndpoints) effect() {}
-func (Response) effect()         {}
-func (Superseded) effect()       {}
-func (Log) effect()              {}
+func (Append) effect()            {}
+func (DiscardInboxEntry) effect() {}
+func (Start) effect()             {}
+func (Renew) effect()             {}
+func (ReadStatus) effect()        {}
+func (Stop) effect()              {}
+func (Throttle) effect()          {}
+func (Ack) effect()               {}
+func (PublishEndpoints) effect()  {}
+func (Response) effect()          {}
+func (Superseded) effect()        {}
+func (Log) effect()               {}
--- a/entryd/batch/batch.go
+++ b/entryd/batch/batch.go
@@ -121,7 +121,10 @@
 // inboxEntry is a job that another partition has passed on to this one through the store.
 type inboxEntry struct {
 	partition fleet.PartitionID
+	revision  store.Revision
 	job       ledger.JobSubmitted
+	// discarding is set while the entry is being deleted because it was received before.
+	discarding bool
 }
 
 // Option changes a [Runtime] under construction.
--- a/entryd/batch/batch_test.go
+++ b/entryd/batch/batch_test.go
@@ -75,6 +75,8 @@
 	// storeCut makes calls to the store fail, and cutWorkers calls to workers whose names begin with it.
 	storeCut   bool
 	cutWorkers string
+	// inboxHeld holds the changes of the inbox, and holdInbox sets it after the next one.
+	inboxHeld, holdInbox bool
 }
 
 func newCluster(workersPerZone int) *cluster {
--- a/entryd/batch/effects.go
+++ b/entryd/batch/effects.go
@@ -60,6 +60,8 @@
 	switch e := e.(type) {
 	case jobs.Append:
 		r.stepLedger(now, ledger.Append{Partition: p.id, Records: e.Records, Ops: e.Ops, Urgent: e.Urgent})
+	case jobs.DiscardInboxEntry:
+		r.discardInboxEntry(e)
 	case jobs.Response:
 		r.completeCall(e)
 	case jobs.Log:
--- a/entryd/batch/kv_test.go
+++ b/entryd/batch/kv_test.go
@@ -143,6 +143,9 @@
 	case store.KeyAbsent:
 		_, exists := s.entries[c.Key]
 		return !exists
+	case store.KeyUnchanged:
+		e, exists := s.entries[c.Key]
+		return exists && e.ModRevision == c.ModRevision
 	case store.ValueEqual:
 		e, exists := s.entries[c.Key]
 		return exists && bytes.Equal(e.Value, c.Value)
--- a/entryd/batch/owner.go
+++ b/entryd/batch/owner.go
@@ -320,7 +320,7 @@
 			continue
 		}
 		p := fleet.PartitionID(strings.TrimPrefix(c.Entry.Key[:end], inboxPrefix))
-		r.inbox[c.Entry.Key] = inboxEntry{partition: p, job: job}
+		r.inbox[c.Entry.Key] = inboxEntry{partition: p, revision: c.Entry.ModRevision, job: job}
 	}
 }
 
@@ -328,7 +328,34 @@
 func (r *Runtime) deliverInbox(now time.Time, p *ownedPartition) {
 	for key, entry := range r.inbox {
 		if entry.partition == p.id {
-			r.stepJobs(now, p, jobs.JobReceived{Key: key, Job: entry.job})
+			r.stepJobs(now, p, jobs.JobReceived{Key: key, Revision: entry.revision, Job: entry.job})
 		}
 	}
 }
+
+func (r *Runtime) discardInboxEntry(e jobs.DiscardInboxEntry) {
+	entry := r.inbox[e.Key]
+	if entry.discarding {
+		return
+	}
+	entry.discarding = true
+	r.inbox[e.Key] = entry
+	r.spawn(storeTimeout, func(ctx context.Context) {
+		_, err := r.Store.Txn(budget.WithPriority(ctx, budget.PriorityLedger), store.Txn{
+			If:   []store.Compare{store.KeyUnchanged{Key: e.Key, ModRevision: e.Revision}},
+			Then: []store.Op{store.Delete{Key: e.Key}},
+		})
+		r.warnOnError("jobs: inbox entry not deleted", err)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		entry := r.inbox[e.Key]
+		switch {
+		case entry.revision != e.Revision:
+		case err == nil:
+			delete(r.inbox, e.Key)
+		default:
+			entry.discarding = false
+			r.inbox[e.Key] = entry
+		}
+	})
+}
