leader: the throttle test has workers that confirm the scheduler

A scheduler without the store ends after its lease unless most workers answer, so that the test needs two of three that do. It still fails if an order that is not sent is not reported.

--- a/entryd/leader/throttle_test.go
+++ b/entryd/leader/throttle_test.go
@@ -18,22 +18,28 @@
 	"lovagefork.example/entryd/leader"
 )
 
-// stalledClient fails renewals of the lease for stallAfter, and then answers one only once released is closed. The lease holds
-// all the while, as in a store that pauses leases.
+// stalledClient fails renewals of the lease after failAfter, and after stallAfter answers one only once released is closed. The
+// lease holds all the while, as in a store that pauses leases.
 type stalledClient struct {
 	client
 	began    func() time.Time
 	released chan struct{}
 }
 
-const stallAfter = 5 * time.Second
+const (
+	failAfter  = time.Second
+	stallAfter = 6 * time.Second
+)
 
 // KeepAlive implements [store.Client].
 func (c stalledClient) KeepAlive(ctx context.Context, id store.LeaseID) (time.Duration, error) {
 	c.m.mu.Lock()
 	c.m.leases[id] = time.Now().Add(time.Minute)
 	c.m.mu.Unlock()
-	if time.Since(c.began()) < stallAfter {
+	switch since := time.Since(c.began()); {
+	case since < failAfter:
+		return c.client.KeepAlive(ctx, id)
+	case since < stallAfter:
 		return 0, &store.OutcomeUnknownError{Op: "keep", Cause: errNoAnswer}
 	}
 	<-c.released
@@ -75,10 +81,11 @@
 func TestThrottleThatWasNotSentIsRepeated(t *testing.T) {
 	t.Parallel()
 	m := newMemStore()
-	for _, id := range []string{"a", "z"} {
+	// Without the answers of most workers, the leadership ends with its lease.
+	for _, id := range []string{"a", "b", "z"} {
 		put(t, m, "workers/"+id, []byte(id+":1"))
 	}
-	put(t, m, "lovagefork/roster", encode(t, []flow.RosterEntry{{Worker: "a", Address: "a:1"}, {Worker: "z", Address: "z:1"}}))
+	put(t, m, "lovagefork/roster", encode(t, []flow.RosterEntry{{Worker: "a", Address: "a:1"}, {Worker: "b", Address: "b:1"}, {Worker: "z", Address: "z:1"}}))
 	job := poolJob("filler")
 	job.Steps[0].Filler, job.Steps[0].Image = true, "image"
 	data, err := leader.EncodeJob(job)
