soak: check that long-running tasks run again in time

No promise said that a long-running task that lost its worker runs again, so a soak could not see that it stays down. A task that has not run for 6 s, and then for 3 s more with room for two of its size on workers that are up and not draining, is a violation if there was no fault, planned ones and starts of processes included, in these 3 s and the 4 s before. The check goes by ticks; of the workers it knows what really runs there, and their labels.

--- a/soak/check/check.go
+++ b/soak/check/check.go
@@ -43,6 +43,7 @@
 	PlannedStop  Promise = "a planned stop breaks no call"
 	InForce      Promise = "a configuration is in force in time"
 	Available    Promise = "callers are served again after faults"
+	Restarted    Promise = "a long-running task runs again in time"
 )
 
 // Violation is a broken promise.
@@ -68,6 +69,12 @@
 	unplanned    int
 	plannedEnd   time.Duration
 	unplannedEnd time.Duration
+	// disturbedAt is when a fault or a process has begun or ended last.
+	disturbedAt time.Duration
+	// longRunning are the jobs with long-running steps that go on, and roomSince is since when there is room for tasks of a
+	// step, by its first one.
+	longRunning  []*job
+	roomSince    map[infra.TaskID]time.Duration
 	stops        map[string]time.Duration
 	configuredAt time.Duration
 	violations   []Violation
@@ -95,8 +102,11 @@
 
 type task struct {
 	active map[wkfake.RunID]time.Duration
-	starts []time.Duration
-	ends   map[wkfake.RunID]*end
+	// lastRun is when a run has ended last, and isOverdue is set from a violation until the next start.
+	lastRun   time.Duration
+	isOverdue bool
+	starts    []time.Duration
+	ends      map[wkfake.RunID]*end
 	// crashes counts the workers that have ended while they ran the task.
 	crashes int
 }
@@ -110,7 +120,9 @@
 
 type worker struct {
 	capacity   fleet.Resources
+	labels     []string
 	used       fleet.Resources
+	isGone     bool
 	isDraining bool
 	drainingAt time.Duration
 	runs       map[wkfake.RunID]fleet.Resources
@@ -120,7 +132,8 @@
 func New() *Checker {
 	return &Checker{
 		jobs: make(map[fleet.JobID]*job), tasks: make(map[infra.TaskID]*task), workers: make(map[fleet.WorkerID]*worker),
-		stops: make(map[string]time.Duration), plannedEnd: -contactTimeout, unplannedEnd: -contactTimeout,
+		roomSince: make(map[infra.TaskID]time.Duration),
+		stops:     make(map[string]time.Duration), plannedEnd: -contactTimeout, unplannedEnd: -contactTimeout,
 	}
 }
 
@@ -129,7 +142,7 @@
 	c.now, c.violations = at, nil
 	switch ev := ev.(type) {
 	case WorkerJoined:
-		c.workers[ev.Worker] = &worker{capacity: ev.Capacity, runs: make(map[wkfake.RunID]fleet.Resources)}
+		c.workers[ev.Worker] = &worker{capacity: ev.Capacity, labels: ev.Labels, runs: make(map[wkfake.RunID]fleet.Resources)}
 	case WorkerSaw:
 		c.workerSaw(ev.Event)
 	case Submitted:
@@ -150,6 +163,8 @@
 		c.countFault(ev.IsPlanned, 1)
 	case FaultEnded:
 		c.countFault(ev.IsPlanned, -1)
+	case HostStarted:
+		c.disturbedAt = at
 	case StopRequested:
 		c.stops[ev.Host] = at
 	case CallBroken:
@@ -160,7 +175,10 @@
 		c.routeAsked(ev)
 	case HostUnavailable:
 		c.fail(Available, "%s: %s", ev.Host, ev.Reason)
+	case Ticked:
+		c.checkLongRunning()
 	case Finished:
+		c.checkLongRunning()
 		c.finish()
 	}
 	return c.violations
@@ -177,6 +195,7 @@
 	}
 	*count += change
 	*end = c.now
+	c.disturbedAt = c.now
 }
 
 // isCalm reports whether there has been no fault since contactTimeout before a time, so that bounds of time hold.
@@ -194,6 +213,9 @@
 	if j == nil {
 		j = &job{spec: ev.Job, maxAttempts: ev.MaxAttempts}
 		c.jobs[ev.Job.ID] = j
+		if hasLongRunning(ev.Job) {
+			c.longRunning = append(c.longRunning, j)
+		}
 	}
 	j.open++
 }
--- a/soak/check/event.go
+++ b/soak/check/event.go
@@ -11,10 +11,11 @@
 // Event is an observation from outside the entry processes.
 type Event interface{ event() }
 
-// WorkerJoined reports a new worker with its capacity.
+// WorkerJoined reports a new worker with its capacity and its labels.
 type WorkerJoined struct {
 	Worker   fleet.WorkerID
 	Capacity fleet.Resources
+	Labels   []string
 }
 
 // WorkerSaw carries what a worker has seen.
@@ -73,6 +74,9 @@
 	IsPlanned bool
 }
 
+// HostStarted reports that an entry process was started.
+type HostStarted struct{ Host string }
+
 // StopRequested reports that an entry process was told to stop in order.
 type StopRequested struct{ Host string }
 
@@ -101,6 +105,9 @@
 	Reason string
 }
 
+// Ticked reports that time has passed. Bounds of time without an event at their end are checked by it.
+type Ticked struct{}
+
 // Finished reports the end of the observation; the jobs had time to complete.
 type Finished struct{}
 
@@ -114,9 +121,11 @@
 func (UnknownSeen) event()     {}
 func (FaultBegan) event()      {}
 func (FaultEnded) event()      {}
+func (HostStarted) event()     {}
 func (StopRequested) event()   {}
 func (CallBroken) event()      {}
 func (Configured) event()      {}
 func (RouteAsked) event()      {}
 func (HostUnavailable) event() {}
+func (Ticked) event()          {}
 func (Finished) event()        {}
--- a/soak/check/run.go
+++ b/soak/check/run.go
@@ -27,11 +27,7 @@
 
 func (c *Checker) started(ev wkfake.Started) {
 	name := platform.FormatTask(ev.Task)
-	t := c.tasks[ev.Task]
-	if t == nil {
-		t = &task{active: make(map[wkfake.RunID]time.Duration), ends: make(map[wkfake.RunID]*end)}
-		c.tasks[ev.Task] = t
-	}
+	t := c.task(ev.Task)
 	j, s := c.lookup(ev.Task)
 	if s == nil || j.spec.Spec != ev.Spec {
 		c.fail(OnlyAsked, "%s run %d starts on %s, and no caller has submitted it so", name, ev.Run, ev.Worker)
@@ -42,6 +38,7 @@
 	c.checkDuplicates(ev, t, s)
 	t.active[ev.RunID] = c.now
 	t.starts = append(t.starts, c.now)
+	t.isOverdue = false
 	c.checkAttempts(ev.RunID, t, j, s)
 	c.checkOrder(ev.RunID, j, s)
 	c.checkWorker(ev, s)
@@ -50,6 +47,16 @@
 	}
 }
 
+// task returns what is known of a task.
+func (c *Checker) task(id infra.TaskID) *task {
+	t := c.tasks[id]
+	if t == nil {
+		t = &task{active: make(map[wkfake.RunID]time.Duration), ends: make(map[wkfake.RunID]*end)}
+		c.tasks[id] = t
+	}
+	return t
+}
+
 // lookup returns the job and the step of a task; the step is nil if nobody has submitted the task.
 func (c *Checker) lookup(id infra.TaskID) (*job, *infra.Step) {
 	j := c.jobs[id.Job]
@@ -129,6 +136,7 @@
 	c.release(ev.RunID)
 	t := c.tasks[ev.Task]
 	delete(t.active, ev.RunID)
+	t.lastRun = c.now
 	t.ends[ev.RunID] = &end{at: c.now, outcome: ev.Outcome}
 }
 
@@ -162,9 +170,11 @@
 
 func (c *Checker) gone(id fleet.WorkerID) {
 	w := c.workers[id]
+	w.isGone = true
 	for run := range w.runs {
 		t := c.tasks[run.Task]
 		delete(t.active, run)
+		t.lastRun = c.now
 		t.crashes++
 	}
 	clear(w.runs)
