soak: lose workers and hosts for good

Hosts came back a second after each kill and confirmed that their scheduler had ended, and workers that crashed returned, so that no plan had a successor that hears of neither. Now workers_loss ends workers that never return, up to half of them, and host_loss a host for good; if the fault has a duration, an empty host takes its place after it, with a name, an address and a view of the store of its own. Both are disturbances at a moment. lasting_jobs adds long-running jobs that stay for 25 s beyond the load.

Four drawn plans of ten begin with workers and then one to four schedulers in turn that are lost or killed, and a calm after it.

--- a/soak/plan/draw.go
+++ b/soak/plan/draw.go
@@ -33,6 +33,19 @@
 // maxKinds limits the kinds of faults in one plan, so that each combination of a few kinds is played at many moments.
 const maxKinds = 6
 
+// The incidents in which workers are lost and schedulers soon afterwards. Plans that have them have long-running jobs.
+const (
+	incidentChance  = 0.4
+	maxLossGapMS    = 1500
+	minTermMS       = 2500
+	maxTermMS       = 6000
+	maxSchedulers   = 4
+	restartedChance = 0.3
+	unreplacedShare = 0.25
+	// calmAfter is the time after an incident in which tasks of lost workers run again.
+	calmAfter = 12 * time.Second
+)
+
 // Draw returns the plan of a seed with some hosts and workers and a time of load.
 func Draw(seed uint64, hosts, workers int, load time.Duration) Plan {
 	random := rand.New(rand.NewPCG(seed, 0))
@@ -51,6 +64,11 @@
 		p.ReportMS = 1 + random.Int64N(5)
 	}
 	at := firstFault
+	if random.Float64() < incidentChance {
+		p.LastingJobs = 2 + random.IntN(4)
+		p.Faults = drawIncident(random, at, workers)
+		at = time.Duration(p.Faults[len(p.Faults)-1].AtMS)*time.Millisecond + calmAfter
+	}
 	for at < load {
 		f := drawFault(random, kinds[random.IntN(len(kinds))], hosts, workers)
 		repeats := 1
@@ -68,6 +86,33 @@
 	return p
 }
 
+// drawIncident returns the loss of workers and that of one or several schedulers in turn, which may come back.
+func drawIncident(random *rand.Rand, at time.Duration, workers int) []Fault {
+	atMS := at.Milliseconds()
+	faults := []Fault{{Kind: WorkerLoss, AtMS: atMS, Count: 1 + random.IntN(max(1, workers/4))}}
+	isRestarted := random.Float64() < restartedChance
+	atMS += random.Int64N(maxLossGapMS)
+	for range 1 + random.IntN(maxSchedulers) {
+		f := drawLoss(random)
+		if isRestarted {
+			f = Fault{Kind: HostKill, Count: 1}
+		}
+		f.AtMS, f.OnLeader = atMS, true
+		faults = append(faults, f)
+		atMS += minTermMS + random.Int64N(maxTermMS-minTermMS)
+	}
+	return faults
+}
+
+// drawLoss returns the loss of a host without its time.
+func drawLoss(random *rand.Rand) Fault {
+	f := Fault{Kind: HostLoss, Count: 1, ForMS: 500 + random.Int64N(2500)}
+	if random.Float64() < unreplacedShare {
+		f.ForMS = 0
+	}
+	return f
+}
+
 // drawAmong returns the kind of a former fault of workers that lasts when a fault begins, or none.
 func drawAmong(random *rand.Rand, former []Fault, f Fault) Kind {
 	var lasting []Kind
@@ -87,7 +132,7 @@
 // crash or drain, and one that drains is not told so again.
 func canMeet(kind, other Kind) bool {
 	switch kind {
-	case WorkerCrash:
+	case WorkerCrash, WorkerLoss:
 		return other != WorkerCrash
 	case WorkerDrain:
 		return other != WorkerCrash && other != WorkerDrain
@@ -98,8 +143,11 @@
 // drawFault returns a fault of a kind without its time.
 func drawFault(random *rand.Rand, kind Kind, hosts, workers int) Fault {
 	f := Fault{Kind: kind}
+	if kind == HostLoss {
+		f = drawLoss(random)
+	}
 	switch kind {
-	case HostKill, HostStop, HostPause, HostReload, StoreExcludes:
+	case HostKill, HostStop, HostPause, HostReload, HostLoss, StoreExcludes:
 		f.OnLeader = random.IntN(2) == 0
 	}
 	between := func(low, high int64) int64 { return low + random.Int64N(high-low+1) }
@@ -132,6 +180,8 @@
 		f.Share = 0.2 + 0.6*random.Float64()
 	case WorkerCrash:
 		f.Count, f.ForMS, f.NewID = someWorkers, between(500, 8000), random.IntN(2) == 0
+	case WorkerLoss:
+		f.Count = 1 + random.IntN(max(1, workers/8))
 	case WorkerDrain:
 		f.Count, f.ForMS = someWorkers, between(3000, 8000)
 	}
--- a/soak/plan/plan.go
+++ b/soak/plan/plan.go
@@ -11,12 +11,14 @@
 // Kind is a kind of fault.
 type Kind string
 
-// The kinds of faults. Hosts run an entry process each.
+// The kinds of faults. Hosts run an entry process each. Hosts and workers that are lost do not return; a lost host is replaced
+// by an empty one, with another identity, if its fault has a duration.
 const (
 	HostKill   Kind = "host_kill"
 	HostStop   Kind = "host_stop"
 	HostPause  Kind = "host_pause"
 	HostReload Kind = "host_reload"
+	HostLoss   Kind = "host_loss"
 
 	StoreDown     Kind = "store_down"
 	StoreSlow     Kind = "store_slow"
@@ -34,18 +36,19 @@
 	WorkersLate   Kind = "workers_late_orders"
 	WorkerCrash   Kind = "workers_crash"
 	WorkerDrain   Kind = "workers_drain"
+	WorkerLoss    Kind = "workers_loss"
 )
 
 // Kinds are all kinds of faults.
 var Kinds = []Kind{
 	HostKill, HostStop, HostPause, HostReload, StoreDown, StoreSlow, StoreLost, StoreLate, StoreExcludes, StoreCompact, StoreWatchLag,
-	WorkersRefuse, WorkersReset, WorkersSilent, WorkersOneWay, WorkersDelay, WorkersLate, WorkerCrash, WorkerDrain,
+	WorkersRefuse, WorkersReset, WorkersSilent, WorkersOneWay, WorkersDelay, WorkersLate, WorkerCrash, WorkerDrain, HostLoss, WorkerLoss,
 }
 
 // DisturbsWorkers reports whether the targets of faults of a kind are workers.
 func (k Kind) DisturbsWorkers() bool {
 	switch k {
-	case WorkersRefuse, WorkersReset, WorkersSilent, WorkersOneWay, WorkersDelay, WorkersLate, WorkerCrash, WorkerDrain:
+	case WorkersRefuse, WorkersReset, WorkersSilent, WorkersOneWay, WorkersDelay, WorkersLate, WorkerCrash, WorkerDrain, WorkerLoss:
 		return true
 	}
 	return false
@@ -95,6 +98,8 @@
 	MinTasks  int   `json:"min_tasks,omitempty"`
 	MaxTasks  int   `json:"max_tasks,omitempty"`
 	MaxWorkMS int64 `json:"max_work_ms,omitempty"`
+	// LastingJobs is the number of further jobs, long-running ones that are submitted at the beginning and stay beyond the load.
+	LastingJobs int `json:"lasting_jobs,omitempty"`
 	// ConfigEveryMS is the interval of changes of the configuration; 0 means that there are none.
 	ConfigEveryMS int64 `json:"config_every_ms,omitempty"`
 	// ReportMS is how long workers take between the parts of a report; 0 means that they read them at one moment.
@@ -117,6 +122,8 @@
 	maxWorkers = 1000
 	maxLoadMS  = 3600_000
 	maxTasks   = 100
+	// maxLastingJobs limits the long-running jobs of a plan.
+	maxLastingJobs = 100
 )
 
 // Load reads and validates a plan; its error is an [*InvalidError] or that of the file system.
@@ -148,10 +155,16 @@
 		return invalid("a rate or an interval is not positive")
 	case p.MinTasks < 0 || p.MaxTasks < p.MinTasks || p.MaxTasks > maxTasks:
 		return invalid("%d to %d tasks in a step, want at most %d", p.MinTasks, p.MaxTasks, maxTasks)
+	case p.LastingJobs < 0 || p.LastingJobs > maxLastingJobs:
+		return invalid("%d long-running jobs, want at most %d", p.LastingJobs, maxLastingJobs)
 	case p.MaxWorkMS < 0 || p.MaxWorkMS > maxLoadMS:
 		return invalid("%d ms of work, want at most %d", p.MaxWorkMS, maxLoadMS)
 	}
+	lost := 0
 	for i, f := range p.Faults {
+		if f.Kind == HostLoss {
+			lost += f.Count
+		}
 		if !slices.Contains(Kinds, f.Kind) {
 			return invalid("fault %d: unknown kind %q", i, f.Kind)
 		}
@@ -162,6 +175,9 @@
 			return invalid("fault %d: %s among %s, want two kinds of faults of workers", i, f.Kind, f.Among)
 		}
 	}
+	if p.Hosts+lost > maxHosts {
+		return invalid("%d hosts and %d lost ones, want at most %d", p.Hosts, lost, maxHosts)
+	}
 	return nil
 }
 
--- a/soak/plan/plan_test.go
+++ b/soak/plan/plan_test.go
@@ -35,6 +35,7 @@
 		``, `[]`, `{}`, head + `,"faults":[{"kind":"flood","at_ms":1}]}`, head + `,"faults":[{"kind":"host_kill","at_ms":-1}]}`,
 		head + `,"faults":[{"kind":"store_slow","share":2}]}`, head + `,"faults":[{"kind":"host_kill","among":"workers_drain"}]}`,
 		head + `,"faults":[{"kind":"workers_silent","among":"host_kill"}]}`, head + `,"min_tasks":5,"max_tasks":2}`, head + `,"max_work_ms":-1}`,
+		head + `,"lasting_jobs":-1}`, head + `,"faults":[{"kind":"host_loss","count":200}]}`,
 		`{"hosts":9999,"workers":2,"load_ms":1000,"jobs_per_second":1}`,
 	} {
 		assert.NilError(t, os.WriteFile(file, []byte(text), 0o600))
@@ -80,3 +81,24 @@
 		assert.NilError(t, err)
 	}
 }
+
+// Guards against drawn plans that never lose workers and their scheduler shortly after, with time for what ran there to run again.
+func TestDrawnPlansLoseWorkersAndSchedulers(t *testing.T) {
+	t.Parallel()
+	found := 0
+	for seed := range uint64(100) {
+		p := plan.Draw(seed, 4, 18, 40*time.Second)
+		for i, f := range p.Faults {
+			if i+1 >= len(p.Faults) || f.Kind != plan.WorkerLoss || p.LastingJobs == 0 {
+				continue
+			}
+			next := p.Faults[i+1]
+			isNear := next.OnLeader && (next.Kind == plan.HostLoss || next.Kind == plan.HostKill) && next.AtMS <= f.AtMS+2000
+			if isNear {
+				found++
+				break
+			}
+		}
+	}
+	assert.Assert(t, found >= 20, "%d of 100 plans", found)
+}
--- a/soak/stand/faults.go
+++ b/soak/stand/faults.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"lovagefork.example/platform/kvfake"
+	"lovagefork.example/platform/wkfake"
 	"lovagefork.example/soak/check"
 	"lovagefork.example/soak/links"
 	"lovagefork.example/soak/plan"
@@ -33,7 +34,7 @@
 		return
 	}
 	switch f.Kind {
-	case plan.HostKill, plan.HostStop, plan.HostPause, plan.HostReload:
+	case plan.HostKill, plan.HostStop, plan.HostPause, plan.HostReload, plan.HostLoss:
 		s.disturbHosts(f)
 	case plan.StoreExcludes:
 		s.excludeHosts(f)
@@ -83,14 +84,18 @@
 // chooseHosts returns the hosts of a fault. If the fault asks for the scheduler, its host is the first, and the number of its
 // election is returned, or 0 if there is no scheduler.
 func (s *soak) chooseHosts(f plan.Fault) (found []*host, term int) {
-	for _, index := range s.permutation(len(s.hosts)) {
-		found = append(found, s.hosts[index])
+	present := s.presentHosts()
+	for _, index := range s.permutation(len(present)) {
+		found = append(found, present[index])
 	}
 	if f.OnLeader {
 		var leader *host
 		if leader, term = s.scheduler(); leader != nil {
-			i := slices.Index(found, leader)
-			found[0], found[i] = found[i], found[0]
+			if i := slices.Index(found, leader); i >= 0 {
+				found[0], found[i] = found[i], found[0]
+			} else {
+				term = 0
+			}
 		}
 	}
 	return found[:min(f.Count, len(found))], term
@@ -113,6 +118,8 @@
 		return h.signal(syscall.SIGKILL)
 	case plan.HostReload:
 		return h.signal(syscall.SIGHUP)
+	case plan.HostLoss:
+		return s.loseHost(h, f.Duration())
 	case plan.HostStop:
 		s.observe(check.StopRequested{Host: h.Name})
 		ended := h.currentEnd()
@@ -180,6 +187,14 @@
 		if e.worker != nil {
 			e.worker.Drain(f.Duration())
 		}
+	case plan.WorkerLoss:
+		w := m.crash()
+		m.mu.Lock()
+		e.isStruck, m.isLost = e.isAimed && w != nil, m.isLost || w != nil
+		m.mu.Unlock()
+		if w != nil {
+			s.unlistLater(w)
+		}
 	case plan.WorkerCrash:
 		w := m.crash()
 		m.mu.Lock()
@@ -188,15 +203,20 @@
 		e.worker, e.fault.NewID = w, f.NewID || wasDraining
 		m.mu.Unlock()
 		if w != nil && e.fault.NewID {
-			s.faults.Go(func() {
-				s.sleep(workerRemovalTime)
-				w.Unlist()
-			})
+			s.unlistLater(w)
 		}
 	}
 	return e
 }
 
+// unlistLater removes the entry of a worker that does not return, as the platform does.
+func (s *soak) unlistLater(w *wkfake.Worker) {
+	s.faults.Go(func() {
+		s.sleep(workerRemovalTime)
+		w.Unlist()
+	})
+}
+
 // restore ends a fault on a machine. Another fault may have ended the worker that it met, or may still disturb the machine.
 func (s *soak) restore(m *machine, e *effect) {
 	m.mu.Lock()
--- a/soak/stand/fleet.go
+++ b/soak/stand/fleet.go
@@ -33,6 +33,8 @@
 	lives    int
 	// worker is nil while the machine is down.
 	worker *wkfake.Worker
+	// isLost is set once the machine is down for good.
+	isLost bool
 	// effects are those of the faults in force.
 	effects []*effect
 }
@@ -76,7 +78,7 @@
 	if m.isCutFromStore() {
 		opts = append(opts, wkfake.WithoutStore())
 	}
-	s.observe(check.WorkerJoined{Worker: info.ID, Capacity: workerCapacity})
+	s.observe(check.WorkerJoined{Worker: info.ID, Capacity: workerCapacity, Labels: info.Labels})
 	m.worker = wkfake.New(info, listener, s.store, func(ev wkfake.Event) { s.workerSaw(m, ev) }, opts...)
 	return m.apply()
 }
@@ -143,10 +145,10 @@
 	})
 }
 
-// isStruck reports whether a fault in force meets the present worker. A crash is noted where it is caused.
+// isStruck reports whether a fault in force meets the present worker. Crashes and losses are noted where they are caused.
 func (m *machine) isStruck(e *effect) bool {
 	switch {
-	case !e.isAimed || e.fault.Kind == plan.WorkerCrash:
+	case !e.isAimed || e.fault.Kind == plan.WorkerCrash || e.fault.Kind == plan.WorkerLoss:
 		return false
 	case e.fault.Kind == plan.WorkerDrain:
 		return e.isAnnounced
@@ -176,6 +178,7 @@
 		switch {
 		case len(m.effects) > 0:
 			reason = fmt.Sprintf("%d faults are in force", len(m.effects))
+		case m.isLost:
 		case m.worker == nil:
 			reason = "it is down"
 		case m.listener.Mode() != links.Mode(links.Open{}):
@@ -202,19 +205,36 @@
 		return false
 	}
 	// The links of a machine that is down meet its next worker.
-	return m.worker != nil || f.Among == plan.WorkerCrash && f.Kind != plan.WorkerCrash && f.Kind != plan.WorkerDrain
+	return m.worker != nil || f.Among == plan.WorkerCrash && f.Kind != plan.WorkerCrash && f.Kind != plan.WorkerDrain && f.Kind != plan.WorkerLoss
 }
 
 // chooseMachines returns up to as many machines as a fault disturbs.
 func (s *soak) chooseMachines(f plan.Fault) (found []*machine) {
+	count := f.Count
+	if f.Kind == plan.WorkerLoss {
+		count = min(count, s.spareMachines())
+	}
 	for _, i := range s.permutation(len(s.machines)) {
-		if m := s.machines[i]; len(found) < f.Count && m.isTarget(f) {
+		if m := s.machines[i]; len(found) < count && m.isTarget(f) {
 			found = append(found, m)
 		}
 	}
 	return found
 }
 
+// spareMachines returns how many machines may be lost so that half of them remain.
+func (s *soak) spareMachines() int {
+	spare := len(s.machines) / 2
+	for _, m := range s.machines {
+		m.mu.Lock()
+		if m.isLost {
+			spare--
+		}
+		m.mu.Unlock()
+	}
+	return max(0, spare)
+}
+
 // crash ends the worker of a machine without notice and returns it. It returns nil if another fault has ended it.
 func (m *machine) crash() *wkfake.Worker {
 	m.mu.Lock()
--- a/soak/stand/host.go
+++ b/soak/stand/host.go
@@ -7,12 +7,14 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 
 	"lovagefork.example/platform"
 	"lovagefork.example/platform/conf"
+	"lovagefork.example/soak/check"
 )
 
 // restartDelay is the pause after which the platform restarts a process that has ended.
@@ -26,6 +28,8 @@
 	logFile  string
 	// onEnd is called when the process has ended; isExpected is set if it was told to.
 	onEnd func(h *host, isExpected bool, err error)
+	// onStart is called when a process is started.
+	onStart func(h *host)
 
 	mu  sync.Mutex
 	cmd *exec.Cmd
@@ -54,14 +58,23 @@
 
 // start starts the process; it does nothing if the host is closed.
 func (h *host) start() error {
+	isStarted, err := h.launch()
+	if isStarted {
+		h.onStart(h)
+	}
+	return err
+}
+
+// launch starts the process and reports whether it did.
+func (h *host) launch() (bool, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.isClosed {
-		return nil
+		return false, nil
 	}
 	log, err := os.OpenFile(h.logFile, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
 	if err != nil {
-		return err
+		return false, err
 	}
 	cmd := exec.Command(h.program, "hosted")
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), platform.SettingsVariable + "=" + h.settings}
@@ -69,13 +82,13 @@
 	// The process ends with the soak, also if that is killed.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
-		return errors.Join(err, log.Close())
+		return false, errors.Join(err, log.Close())
 	}
 	ended := make(chan struct{})
 	h.cmd, h.ended, h.isStopping, h.isKilled = cmd, ended, false, false
 	h.life++
 	go h.await(cmd, log, ended)
-	return nil
+	return true, nil
 }
 
 // await waits for the end of the process, and starts another one as the platform does.
@@ -132,17 +145,69 @@
 	return h.ended
 }
 
-// close ends the process for good.
-func (h *host) close() {
+// close ends the process for good, and reports whether it ran.
+func (h *host) close() bool {
 	h.mu.Lock()
 	h.isClosed = true
 	ended := h.ended
 	h.mu.Unlock()
 	if ended == nil {
-		return
+		return false
 	}
-	h.signal(syscall.SIGKILL)
+	isStruck := h.signal(syscall.SIGKILL)
 	<-ended
+	return isStruck
+}
+
+// addHost starts an entry process on a new host, which has a name, an address and a view of the store of its own.
+func (s *soak) addHost() error {
+	s.mu.Lock()
+	index := s.bornHosts
+	s.bornHosts++
+	s.mu.Unlock()
+	storeAddr, err := s.serveStore(index)
+	if err != nil {
+		return err
+	}
+	h, err := newHost(index, s.network, s.program, s.dir, storeAddr)
+	if err != nil {
+		return err
+	}
+	h.onEnd = s.processEnded
+	h.onStart = func(h *host) { s.observe(check.HostStarted{Host: h.Name}) }
+	s.mu.Lock()
+	s.hosts = append(s.hosts, h)
+	s.mu.Unlock()
+	return h.start()
+}
+
+// presentHosts returns the hosts that are not lost.
+func (s *soak) presentHosts() []*host {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.hosts)
+}
+
+// loseHost ends a host for good, and reports whether its process ran. An empty one takes its place after a delay, unless that
+// is 0. The last host stays, and one that is lost is not replaced again.
+func (s *soak) loseHost(h *host, delay time.Duration) bool {
+	s.mu.Lock()
+	i := slices.Index(s.hosts, h)
+	if i < 0 || len(s.hosts) == 1 {
+		s.mu.Unlock()
+		return false
+	}
+	s.hosts = slices.Delete(s.hosts, i, i+1)
+	s.mu.Unlock()
+	isStruck := h.close()
+	if delay > 0 {
+		s.faults.Go(func() {
+			if s.sleep(delay) {
+				s.abortOn(s.addHost())
+			}
+		})
+	}
+	return isStruck
 }
 
 // isReady reports whether the process takes callers' connections.
--- a/soak/stand/load.go
+++ b/soak/stand/load.go
@@ -42,10 +42,14 @@
 
 // submitJobs submits jobs at random times until ctx ends. Each caller follows its job to its end.
 func (s *soak) submitJobs(ctx context.Context, callers *sync.WaitGroup) {
+	for n := range s.plan.LastingJobs {
+		o := drawLastingOrder(rand.New(rand.NewPCG(s.plan.Seed, lastingStream+uint64(n))), s.plan, n)
+		callers.Go(func() { s.follow(o, n) })
+	}
 	random := rand.New(rand.NewPCG(s.plan.Seed, 2))
 	for n := 0; ctx.Err() == nil; n++ {
 		o := drawOrder(random, s.plan, n)
-		first := random.IntN(len(s.hosts))
+		first := random.IntN(s.plan.Hosts)
 		callers.Go(func() { s.follow(o, first) })
 		s.sleep(time.Duration(random.ExpFloat64() / s.plan.JobsPerSecond * float64(time.Second)))
 	}
@@ -97,8 +101,34 @@
 	return o
 }
 
+// lastingStream is the random stream of the first long-running job; each has its own.
+const lastingStream = 1000
+
+// The bounds of jobs that last beyond the load, and their time beyond it, in which tasks run again after the last faults.
+const (
+	minLastingTasks = 2
+	maxLastingTasks = 8
+	lastingBeyond   = 25 * time.Second
+)
+
+// drawLastingOrder returns the n-th long-running job that stays beyond the load.
+func drawLastingOrder(random *rand.Rand, p plan.Plan, n int) order {
+	step := infra.Step{
+		Count: minLastingTasks + random.IntN(maxLastingTasks-minLastingTasks+1), LongRunning: true, Estimate: 500 * time.Millisecond,
+		Size: fleet.Resources{MilliCPU: 500 * (1 + random.Int64N(4)), MemoryBytes: 256 << 20},
+	}
+	return order{
+		job:         infra.Job{ID: fleet.JobID(fmt.Sprintf("1a%06x%08x", uint32(p.Seed)&0xffffff, n)), Queue: queueName, Spec: wkfake.Work{}.Spec(), Steps: []infra.Step{step}},
+		cancelAfter: time.Duration(p.LoadMS)*time.Millisecond + lastingBeyond,
+	}
+}
+
 // host returns the n-th host that a caller tries.
-func (s *soak) host(n int) *host { return s.hosts[n%len(s.hosts)] }
+func (s *soak) host(n int) *host {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.hosts[n%len(s.hosts)]
+}
 
 // follow submits a job and follows it to its end.
 func (s *soak) follow(o order, first int) {
@@ -108,7 +138,7 @@
 	}
 	accepted := time.Now()
 	isCancelled := false
-	for deadline := accepted.Add(settleTime); time.Now().Before(deadline); n++ {
+	for deadline := accepted.Add(o.cancelAfter + settleTime); time.Now().Before(deadline); n++ {
 		if o.cancelAfter > 0 && !isCancelled && time.Since(accepted) > o.cancelAfter {
 			isCancelled = s.cancelJob(o.job.ID, &n)
 		}
--- a/soak/stand/stand.go
+++ b/soak/stand/stand.go
@@ -55,9 +55,6 @@
 	client  *caller.Client
 	tally   *tally.Tally
 	record  *record
-	hosts   []*host
-	// servers serve the store, each to one host.
-	servers []*http.Server
 	// machines are the hosts of the workers.
 	machines []*machine
 	// faults are the faults in force.
@@ -66,6 +63,11 @@
 	extra     extraQueue
 
 	mu sync.Mutex
+	// hosts are the present ones, and bornHosts counts all that there were.
+	hosts     []*host
+	bornHosts int
+	// servers serve the store, each to one host.
+	servers []*http.Server
 	// random draws the targets of faults.
 	random *rand.Rand
 	// elections are those of schedulers, in their order.
@@ -149,7 +151,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	at := time.Since(s.began)
-	s.record.add(at, ev)
+	if _, isTick := ev.(check.Ticked); !isTick {
+		s.record.add(at, ev)
+	}
 	for _, v := range s.checker.Step(at, ev) {
 		s.record.addText(at, "VIOLATION "+v.String())
 		s.violations = append(s.violations, v)
@@ -169,24 +173,12 @@
 		}
 		s.machines = append(s.machines, m)
 	}
-	for i := range s.plan.Hosts {
-		storeAddr, err := s.serveStore(i)
-		if err != nil {
-			return err
-		}
-		h, err := newHost(i, s.network, s.program, s.dir, storeAddr)
-		if err != nil {
-			return err
-		}
-		h.onEnd = s.processEnded
-		s.hosts = append(s.hosts, h)
-	}
-	for _, h := range s.hosts {
-		if err := h.start(); err != nil {
+	for range s.plan.Hosts {
+		if err := s.addHost(); err != nil {
 			return err
 		}
 	}
-	for _, h := range s.hosts {
+	for _, h := range s.presentHosts() {
 		if !s.awaitReady(h, readyTimeout) {
 			return &NotReadyError{Host: h.Name, LogFile: h.logFile}
 		}
@@ -214,7 +206,9 @@
 		return "", err
 	}
 	server := &http.Server{Handler: s.store.Handler(hostName(index))}
+	s.mu.Lock()
 	s.servers = append(s.servers, server)
+	s.mu.Unlock()
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			s.abortOn(err)
@@ -244,7 +238,7 @@
 
 // close ends all processes, workers and servers.
 func (s *soak) close() {
-	for _, h := range s.hosts {
+	for _, h := range s.presentHosts() {
 		h.close()
 	}
 	for _, m := range s.machines {
@@ -272,6 +266,7 @@
 	probing, endProbes := context.WithCancel(s.ctx)
 	defer endProbes()
 	probes.Go(func() { s.watchDelays(probing) })
+	probes.Go(func() { s.tick(probing) })
 	probes.Go(func() { s.changeConfiguration(probing, load) })
 	s.faults.Go(s.injectAll)
 	s.submitJobs(load, &callers)
@@ -289,7 +284,7 @@
 
 // awaitAvailability checks that all entry processes serve callers by a time after the last fault.
 func (s *soak) awaitAvailability(limit time.Time) {
-	for _, h := range s.hosts {
+	for _, h := range s.presentHosts() {
 		reason := s.unavailableReason(h)
 		for reason != "" && time.Now().Before(limit) && s.sleep(checkInterval) {
 			reason = s.unavailableReason(h)
@@ -329,6 +324,23 @@
 	}
 }
 
+// checkTick is the interval at which bounds of time are checked.
+const checkTick = 100 * time.Millisecond
+
+// tick lets the checker see that time passes.
+func (s *soak) tick(ctx context.Context) {
+	ticker := time.NewTicker(checkTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			s.observe(check.Ticked{})
+		}
+	}
+}
+
 // configure writes the configuration with the extra queue in its present state.
 func (s *soak) configure() {
 	c := infra.Catalog{
