soak: keep plans of lost workers and hosts

Workers that are lost for good and the host of the scheduler 0.4 to 0.5 s later, with an empty one in its place 1 s later; the same with three schedulers' hosts in turn every 4.5 s; and workers that are lost with schedulers killed every 4.5 s whose processes are restarted after 1 s.

Every leadership ended by a kill; no process logged the end of one.

--- a/soak/stand/stand_test.go
+++ b/soak/stand/stand_test.go
@@ -78,6 +78,12 @@
 	playKept(t, "../plans/*.json")
 }
 
+// Guards against long-running tasks of workers that are lost for good, which stay down because schedulers are lost too.
+func TestKeptPlansOfLostHosts(t *testing.T) {
+	t.Parallel()
+	playKept(t, "../plans/lost/*.json")
+}
+
 // Guards against faults of several kinds that overlap, by two plans that are the same in each run.
 func TestDrawnPlans(t *testing.T) {
 	t.Parallel()
