soak: draw incidents of lost and restarted schedulers in turn

A drawn incident had either lost schedulers or restarted ones. A plan with both showed a further cause, so each scheduler of an incident is now lost or restarted by itself.

--- a/soak/plan/draw.go
+++ b/soak/plan/draw.go
@@ -40,7 +40,7 @@
 	minTermMS       = 2500
 	maxTermMS       = 6000
 	maxSchedulers   = 4
-	restartedChance = 0.3
+	restartedChance = 0.4
 	unreplacedShare = 0.25
 	// calmAfter is the time after an incident in which tasks of lost workers run again.
 	calmAfter = 12 * time.Second
@@ -86,15 +86,14 @@
 	return p
 }
 
-// drawIncident returns the loss of workers and that of one or several schedulers in turn, which may come back.
+// drawIncident returns the loss of workers and that of one or several schedulers in turn, some of which come back.
 func drawIncident(random *rand.Rand, at time.Duration, workers int) []Fault {
 	atMS := at.Milliseconds()
 	faults := []Fault{{Kind: WorkerLoss, AtMS: atMS, Count: 1 + random.IntN(max(1, workers/4))}}
-	isRestarted := random.Float64() < restartedChance
 	atMS += random.Int64N(maxLossGapMS)
 	for range 1 + random.IntN(maxSchedulers) {
 		f := drawLoss(random)
-		if isRestarted {
+		if random.Float64() < restartedChance {
 			f = Fault{Kind: HostKill, Count: 1}
 		}
 		f.AtMS, f.OnLeader = atMS, true
