--- a/entryd/leader/leadership.go
+++ b/entryd/leader/leadership.go
@@ -6,8 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
+	"lovagefork.example/coord/flow"
 	"lovagefork.example/coord/store"
 )
 
@@ -17,7 +16,12 @@
 	store  store.Client
 	lease  store.LeaseID
 	leader Leader
+	// history holds the elections that this process has observed.
+	history *takeoverHistory
 
+	// fenced is closed once most workers reject the earlier leaders.
+	fenced     chan struct{}
+	fencedOnce sync.Once
 	// ended is closed when the leadership ends, released when the scheduler has also stopped.
 	ended    chan struct{}
 	released chan struct{}
@@ -25,12 +29,15 @@
 	mu sync.Mutex
 	// confirmedAt is when the last renewal that the store confirmed was sent.
 	confirmedAt time.Time
+	// witnessedAt is when most workers last knew no newer leader.
+	witnessedAt time.Time
 	reason      string
 }
 
-func newLeadership(client store.Client, lease store.LeaseID, leader Leader, sent time.Time) *Leadership {
+func newLeadership(client store.Client, lease store.LeaseID, leader Leader, sent time.Time, history *takeoverHistory) *Leadership {
 	return &Leadership{
-		store: client, lease: lease, leader: leader, confirmedAt: sent, ended: make(chan struct{}), released: make(chan struct{}),
+		store: client, lease: lease, leader: leader, history: history, confirmedAt: sent,
+		fenced: make(chan struct{}), ended: make(chan struct{}), released: make(chan struct{}),
 	}
 }
 
@@ -45,12 +52,38 @@
 	return Now().Before(l.confirmedAt.Add(leaderTTL))
 }
 
-// Valid reports whether orders may be sent: the leadership has not ended, and the lease is confirmed, or may have
-// expired less than outageTolerance ago.
+// confirmedAgo returns the time since the last renewal that the store confirmed was sent.
+func (l *Leadership) confirmedAgo() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return Now().Sub(l.confirmedAt)
+}
+
+// witnessedAgo returns the time since most workers last knew no newer leader.
+func (l *Leadership) witnessedAgo() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return Now().Sub(l.witnessedAt)
+}
+
+// witness notes when most workers last knew no newer leader.
+func (l *Leadership) witness(at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.witnessedAt = at
+}
+
+// fence notes that most workers reject the earlier leaders.
+func (l *Leadership) fence() { l.fencedOnce.Do(func() { close(l.fenced) }) }
+
+// Valid reports whether orders may be sent: the leadership has not ended, and the lease is confirmed, or may have expired less
+// than outageTolerance ago while most workers know no newer leader.
 func (l *Leadership) Valid() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.reason == "" && Now().Before(l.confirmedAt.Add(leadershipTimeout))
+	now := Now()
+	isWitnessed := now.Before(l.witnessedAt.Add(flow.WitnessTimeout)) && now.Before(l.confirmedAt.Add(leadershipTimeout))
+	return l.reason == "" && (isWitnessed || now.Before(l.confirmedAt.Add(leaderTTL)))
 }
 
 // Reason returns why the leadership ended; it is empty while the leadership lasts.
@@ -100,36 +133,9 @@
 			log.Warn("group: store unreachable", "error", err)
 		}
 		if !l.Valid() {
+			log.Warn("group: leadership is not confirmed", "store_ago_ms", l.confirmedAgo().Milliseconds(), "workers_ago_ms", l.witnessedAgo().Milliseconds())
 			l.end("the store was unreachable for too long")
 			return
 		}
 	}
 }
-
-// forgetEarlier removes the earlier leaders from the record of this leader's election once none of them can act any more. A
-// successor would wait for their entry hosts, which may be gone.
-func (l *Leadership) forgetEarlier(ctx context.Context, log *slog.Logger) {
-	if len(l.leader.Predecessors) == 0 {
-		return
-	}
-	sleep(ctx, leadershipTimeout)
-	record, err := cbor.Marshal(termRecord{Term: l.leader.Term, EntryHost: l.leader.EntryHost})
-	if err != nil {
-		log.Error("group: cannot encode the record of the election", "error", err)
-		return
-	}
-	txn := store.Txn{
-		If:   []store.Compare{store.KeyUnchanged{Key: termKey, ModRevision: store.Revision(l.leader.Token)}},
-		Then: []store.Op{store.Put{Key: termKey, Value: record}},
-	}
-	for ; ctx.Err() == nil; sleep(ctx, renewInterval) {
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		_, err := l.store.Txn(callCtx, txn)
-		cancel()
-		if err == nil {
-			// If the condition was false, an earlier attempt without an answer was carried out, or there is a newer leader.
-			return
-		}
-		log.Info("group: record of the election not updated", "error", err)
-	}
-}
