--- a/entryd/leader/group.go
+++ b/entryd/leader/group.go
@@ -148,7 +148,7 @@
 		current.end("a newer scheduler was elected")
 	}
 	if newer {
-		g.log.Info("group: new leader", "entry_host", l.EntryHost, "token", l.Token)
+		g.log.Info("group: new leader", "leader", l.EntryHost, "token", l.Token, "term", l.Term)
 		g.onLeader(l)
 	}
 }
@@ -422,7 +422,7 @@
 	g.current = l
 	resigned, isSuperseded := g.resigned, l.leader.Token < g.superseded
 	g.mu.Unlock()
-	g.log.Info("group: elected", "token", l.leader.Token, "term", l.leader.Term)
+	g.log.Info("group: elected", "token", l.leader.Token, "term", l.leader.Term, "predecessors", l.leader.Predecessors)
 	switch {
 	case resigned:
 		l.end("resigned")
