--- a/coord/flow/registration_test.go
+++ b/coord/flow/registration_test.go
@@ -152,3 +152,15 @@
 	assert.Equal(t, h.lastRenewal("a").Order.AckedEnd, int64(0))
 	assert.Equal(t, h.acknowledged("a", infra.Report{StartedAt: 5000}), int64(3))
 }
+
+// A worker that refused connections and whose address another worker then had counted as crashed twice, so that a sound job was
+// given up earlier (LOST).
+func TestWorkerWhoseAddressIsTakenCrashedOnce(t *testing.T) {
+	h, _, _ := runningWorker(t)
+	for range 2 {
+		h.step(flow.RenewFailed{Worker: "a", Sequence: h.seq["a"], Err: &infra.NotSentError{Worker: "a", ConnRefused: true}})
+		h.advance(300 * time.Millisecond)
+	}
+	h.step(flow.RenewFailed{Worker: "a", Sequence: h.seq["a"], Err: &infra.RefusedError{Worker: "a", Reason: infra.ReasonInstance}})
+	assert.Equal(t, h.m.Counts().Crashes, int64(1))
+}
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -89,7 +89,9 @@
 	if w.Address != w.answeredAt {
 		return
 	}
-	m.workerCrashed(w, "address belongs to another worker")
+	if !w.crashCounted {
+		m.workerCrashed(w, "address belongs to another worker")
+	}
 	m.clearWorker(w, "address belongs to another worker")
 	delete(m.unreconciledWorkers, w.ID)
 }
