flow: renew leases while the scheduler's term is being stored in the roster

What callers saw: nothing yet; found by review.

Cause: a scheduler renews no lease before the roster entry with its term is stored, which takes one or two calls of the store after the election, the campaign and the reads. With leases of 5 s that count from the last confirmation, that was too late for some workers at 300 ms a call, and for nearly all at 500 ms.

Change: the mark is needed only so that a successor does not count the wait for the worker from before this election. If the restored entry says that the scheduler of the term before may have renewed the lease, each successor counts from this election or later anyway. Until the entry is stored, such a worker gets leases that count from the election; the others get none, as before.

The simulation now models the age of confirmations by a slow store.

--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -106,6 +106,8 @@
 	// confirmedAt and witnessedAt are when the store and most workers have last confirmed this scheduler.
 	confirmedAt time.Time
 	witnessedAt time.Time
+	// electedAt is the last confirmation by the store before the state was restored, which is not later than the election.
+	electedAt time.Time
 
 	// runTimes holds a model of the run times for each queue.
 	runTimes map[string]*runTimeModel
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -20,8 +20,8 @@
 	isImmediate := m.now.Equal(w.immediateRenewalAt)
 	// The lease of an unreachable worker is not renewed, so that it ends at a known time. A worker that an immediate renewal
 	// asks for a report may be one.
-	lease := m.opts.taskLease - m.now.Sub(m.lastConfirmed())
-	if w.clock > 0 && w.reachable && w.inStoredRoster && isSameIncarnation && !isImmediate && lease > 0 {
+	lease := m.maxLease(w)
+	if w.clock > 0 && w.reachable && isSameIncarnation && !isImmediate && lease > 0 {
 		order.Deadline = w.maxClock(m.now) + lease.Milliseconds()
 		w.leaseEnd = max(w.leaseEnd, order.Deadline)
 	}
@@ -162,7 +162,7 @@
 		m.confirmEnds(w)
 		m.addToRoster(w)
 	}
-	if w.hasUnsavedEnds() || m.isRosterPending(w) {
+	if w.hasUnsavedEnds() || m.isRosterPending(w) && m.maxLease(w) <= 0 {
 		w.nextRenewal = m.now.Add(renewUnsavedPause)
 		return
 	}
--- a/coord/flow/simulation_test.go
+++ b/coord/flow/simulation_test.go
@@ -43,6 +43,8 @@
 	// storeDown delays all saves, and storeDelay is the time of one.
 	storeDown  bool
 	storeDelay time.Duration
+	// taskLease is the longest lease that the schedulers grant.
+	taskLease time.Duration
 	// storeDownAt and storeUpAt are the start and the end of the last [simulation.storeOutage].
 	storeDownAt, storeUpAt time.Time
 	// maxListedEnds is the number of ends that a report lists at most.
@@ -92,8 +94,8 @@
 	cutOff         bool
 	confirmedUntil time.Time
 	// term is the number of schedulers before, and confirmedAt when the store last confirmed this one.
-	term        int64
-	confirmedAt time.Time
+	term                   int64
+	electedAt, confirmedAt time.Time
 	// incarnations are the incarnations of the workers that the scheduler knows and names in its orders.
 	incarnations map[fleet.WorkerID]int64
 }
@@ -124,6 +126,8 @@
 	maxStopTime       = 200 * time.Millisecond
 	leadershipTimeout = 6800 * time.Millisecond
 	leaderLease       = 1800 * time.Millisecond
+	// leaderRenewInterval is the pause between two renewals of a leadership.
+	leaderRenewInterval = 300 * time.Millisecond
 )
 
 type fakeRun struct {
@@ -176,7 +180,7 @@
 
 func newSimulation(seed uint64, workers int) *simulation {
 	sim := &simulation{
-		rng: rand.New(rand.NewPCG(seed, 1)), inputRNG: rand.New(rand.NewPCG(seed, 2)), now: time.Unix(1000, 0), maxListedEnds: 4,
+		rng: rand.New(rand.NewPCG(seed, 1)), inputRNG: rand.New(rand.NewPCG(seed, 2)), now: time.Unix(1000, 0), maxListedEnds: 4, taskLease: maxTaskLease,
 		workers: make(map[fleet.WorkerID]*fakeWorker), jobs: make(map[fleet.JobID]*simJob), records: make(map[fleet.JobID]flow.Record),
 		catalog: &infra.Catalog{
 			Version: 1,
@@ -241,7 +245,7 @@
 		}
 	}
 	sim.token += infra.Token(1 + sim.rng.IntN(5))
-	sched := &simScheduler{incarnations: make(map[fleet.WorkerID]int64), token: sim.token, alive: true, confirmedAt: sim.now, m: flow.New(sim.token, flow.WithTaskLease(maxTaskLease), flow.WithLeadershipTimeout(leadershipTimeout))}
+	sched := &simScheduler{incarnations: make(map[fleet.WorkerID]int64), token: sim.token, alive: true, electedAt: sim.now, confirmedAt: sim.now.Add(-3 * sim.storeDelay), m: flow.New(sim.token, flow.WithTaskLease(sim.taskLease), flow.WithLeadershipTimeout(leadershipTimeout))}
 	sim.leader = sched
 	sim.schedulers = append(sim.schedulers, sched)
 	sim.revision++
@@ -261,7 +265,7 @@
 		j.known = true
 		restored.Jobs = append(restored.Jobs, stored)
 	}
-	sim.step(sched, flow.Tick{Wall: sim.now})
+	sim.step(sched, flow.Tick{Wall: sim.now, ConfirmedAgo: sim.now.Sub(sched.confirmedAt)})
 	sim.step(sched, restored)
 	sim.step(sched, flow.Configured{Catalog: sim.catalog})
 	for _, id := range sim.workerIDs {
@@ -314,12 +318,21 @@
 		return
 	}
 	if !sched.cutOff && !sim.storeDown {
-		sched.confirmedAt = sim.now
+		sched.confirmedAt = sim.lastRenewal(sched)
 	}
 	sim.step(sched, flow.Tick{Wall: sim.now, ConfirmedAgo: sim.now.Sub(sched.confirmedAt), LeaseUnconfirmed: !sim.leaseConfirmed(sched)})
 	sim.after(20*time.Millisecond, func() { sim.tick(sched) })
 }
 
+// lastRenewal returns when the last renewal of a leadership that the store has answered by now was sent.
+func (sim *simulation) lastRenewal(sched *simScheduler) time.Time {
+	if sim.storeDelay == 0 {
+		return sim.now
+	}
+	cycle := leaderRenewInterval + sim.storeDelay
+	return later(sched.confirmedAt, sim.now.Add(-sim.storeDelay-sim.now.Sub(sched.electedAt)%cycle))
+}
+
 func (sim *simulation) step(sched *simScheduler, ev flow.Event) {
 	if sched.cutOff && !sim.mayAct(sched) {
 		sched.alive = false
@@ -908,3 +921,10 @@
 		}
 	})
 }
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
--- a/coord/flow/takeover.go
+++ b/coord/flow/takeover.go
@@ -31,7 +31,7 @@
 // restoreRoster restores the workers on which predecessors may have started tasks, and determines until when the leases that
 // they have granted can last.
 func (m *Machine) restoreRoster(ev Restored) {
-	m.predecessorEnd = m.now.Add(m.opts.leadershipTimeout)
+	m.predecessorEnd, m.electedAt = m.now.Add(m.opts.leadershipTimeout), m.confirmedAt
 	for _, e := range ev.Roster {
 		if e.RenewedBefore <= 0 || e.RenewedBefore > ev.Term {
 			e.RenewedBefore = ev.Term
@@ -43,7 +43,7 @@
 		if w == nil {
 			w = m.addWorker(infra.Worker{ID: e.Worker, Address: e.Address})
 		}
-		w.answeredAt = e.Address
+		w.answeredAt, w.isLeaseKnown = e.Address, e.RenewedBefore == ev.Term
 	}
 	m.predecessorWorkers = len(ev.Roster)
 	if m.predecessorWorkers > 0 {
@@ -67,6 +67,20 @@
 	return last
 }
 
+// maxLease returns the longest lease that may be granted on a worker; it is not positive if there is none. Until the roster
+// entry with this scheduler's term is stored, a successor may count from this election, if the worker was renewed until then.
+func (m *Machine) maxLease(w *worker) time.Duration {
+	confirmed := m.lastConfirmed()
+	switch {
+	case w.inStoredRoster:
+	case w.isLeaseKnown:
+		confirmed = earlier(confirmed, m.electedAt)
+	default:
+		return 0
+	}
+	return m.opts.taskLease - m.now.Sub(confirmed)
+}
+
 // acceptedBy notes that a worker has accepted the token of this scheduler.
 func (m *Machine) acceptedBy(w *worker) {
 	if _, isKnown := m.roster[w.ID]; !isKnown || m.isFenced {
--- a/coord/flow/worker.go
+++ b/coord/flow/worker.go
@@ -117,6 +117,8 @@
 	// inStoredRoster is set once the stored roster lists the worker as one whose lease this scheduler may renew, so that a
 	// later one expects tasks on it.
 	inStoredRoster bool
+	// isLeaseKnown is set if the restored roster says that the scheduler before this one may have renewed the worker's lease.
+	isLeaseKnown bool
 	// tokenAccepted is set once the worker has accepted this scheduler's fencing token, at acceptedAt.
 	tokenAccepted bool
 	acceptedAt    time.Time
--- a/coord/flow/worker_lifecycle.go
+++ b/coord/flow/worker_lifecycle.go
@@ -92,7 +92,7 @@
 	}
 	m.emit(Log{Text: "worker left the roster", Worker: w.ID, Reason: fmt.Sprintf("%s; %d jobs are not stored yet", reason, m.UnsavedJobs())})
 	delete(m.roster, w.ID)
-	m.rosterDirty, w.inStoredRoster = true, false
+	m.rosterDirty, w.inStoredRoster, w.isLeaseKnown = true, false, false
 }
 
 // isForgettable reports whether a successor need not hear from a worker: nothing runs there, and all ends are durable. Ends
