flow: call a crashed worker of a predecessor while its starts may be late

What callers saw: nothing yet; found by review.

Cause: a start without an answer can be carried out up to 12 s later, also by the next incarnation of a worker under the same ID, until that has seen a newer token. The wait of 13 s for such a worker covered the starts of a predecessor. Since it is one lease only, the task runs elsewhere sooner, and the worker is then called every 2 s.

Change: a worker of the roster that has not accepted the token is called every 250 ms for as long as a predecessor's start can be late. That narrows the window; it doesn't close it.

Evidence: TestCrashedWorkerOfPredecessorIsCalledWhileStartsMayBeLate fails before (0 calls in the second, 4 after).

--- a/coord/flow/late_start_test.go
+++ b/coord/flow/late_start_test.go
@@ -89,3 +89,31 @@
 	}
 	assert.Equal(t, len(h.starts()), 1)
 }
+
+// A worker of a predecessor that had crashed was called every 2 s once the leases had expired. If it restarted under its ID, it
+// could carry out a late start of the predecessor before it had seen the token, while the task ran elsewhere (TWICE).
+func TestCrashedWorkerOfPredecessorIsCalledWhileStartsMayBeLate(t *testing.T) {
+	h := newHarness(t, flow.Restored{
+		Term: 1, Roster: []flow.RosterEntry{{Worker: "a", Address: "a:1", RenewedBefore: 1}},
+	}, newPoolWorker("a"))
+	refuse := func() {
+		h.step(flow.RenewFailed{Worker: "a", Sequence: h.seq["a"], Err: &infra.NotSentError{Worker: "a", ConnRefused: true}})
+		h.advance(250 * time.Millisecond)
+	}
+	for h.m.AwaitedWorkers() > 0 {
+		refuse()
+	}
+	// Several failures later the pause of an unknown worker would be at its longest.
+	h.advance(2 * time.Second)
+	h.effects = nil
+	for range 4 {
+		refuse()
+	}
+	calls := 0
+	for _, e := range h.effects {
+		if _, ok := e.(flow.Renew); ok {
+			calls++
+		}
+	}
+	assert.Equal(t, calls, 4)
+}
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -95,9 +95,10 @@
 }
 
 // retryPause returns the pause after a failed renewal. It doubles for a worker that has not answered yet and on which no
-// task can run.
+// task can run. Unanswered starts of a predecessor can reach a worker of its roster that restarts, until that has seen the token.
 func (m *Machine) retryPause(w *worker) time.Duration {
-	if w.clock > 0 || len(w.runs) > 0 || m.isUnreconciled(w) {
+	mayGetLateStart := !w.tokenAccepted && m.roster[w.ID].Worker != "" && m.now.Before(m.electedAt.Add(m.opts.leadershipTimeout+maxOrderDelay))
+	if w.clock > 0 || len(w.runs) > 0 || m.isUnreconciled(w) || mayGetLateStart {
 		return renewRetryPause
 	}
 	return min(renewRetryPause<<min(w.failedRenewals, 10), maxFirstContactPause)
