--- a/coord/flow/witness_test.go
+++ b/coord/flow/witness_test.go
@@ -96,6 +96,7 @@
 // A successor that does not know of a renewal does not wait for the lease (TWICE). The roster that tells it so was not stored.
 func TestLeaseIsRenewedOnceRosterIsStored(t *testing.T) {
 	workers, roster := poolWorkers("a")
+	roster[0].RenewedBefore = 1
 	h := newHarness(t, flow.Restored{Roster: roster, Term: 3}, workers...)
 	h.isStoreDown = true
 	for range 10 {
