flow: count the crash of an unreachable worker after a takeover

Cause: a crash without a refused connection is known only when the worker returns or its lease has expired. Until then no record named the run, unless it was a trial, so that a scheduler that died meanwhile left the crash out of account.

Change: the recent runs on a worker that becomes unreachable are recorded as open, like those of trials, so that a successor counts the crash as the predecessor would have, without confirmation, once the worker answers as another incarnation or refuses connections. The entries are removed when the same incarnation answers, by the same scheduler or a successor.

Evidence: on the code before, TestCrashOfUnreachableWorkerOutlivesItsScheduler and TestReturnOfUnreachableWorkerIsRecorded fail (no record is saved). The tests of coord/flow pass with the race detector.

--- a/coord/flow/answer.go
+++ b/coord/flow/answer.go
@@ -31,10 +31,11 @@
 	case errors.As(ev.Err, &refused):
 		m.startRefused(w, r, refused)
 	case errors.As(ev.Err, &unsent):
+		m.notStarted(r, "worker unreachable")
 		if w.reachable && unsent.ConnRefused {
 			w.reachable, w.unreachableSince = false, m.now
+			m.recordSuspects(w)
 		}
-		m.notStarted(r, "worker unreachable")
 	default:
 		// The start may have been carried out or may still be. A report shows the former, and a stop prevents the
 		// latter.
--- a/coord/flow/crash.go
+++ b/coord/flow/crash.go
@@ -442,6 +442,12 @@
 // workerAnswered resolves the silenced runs of a worker with its first answer. An incarnation that answers has not crashed.
 func (m *Machine) workerAnswered(w *worker) {
 	m.blameSilencedRuns(w.ID, w.StartedAt)
+	for _, r := range m.silenced[w.ID] {
+		// The record of a trial remains until the trial has begun.
+		if _, t := m.lookupTask(r.task); t != nil && t.crashes == 0 {
+			m.closeRun(r.task.Job, t, w.ID)
+		}
+	}
 	delete(m.silenced, w.ID)
 }
 
--- a/coord/flow/open_run.go
+++ b/coord/flow/open_run.go
@@ -10,7 +10,8 @@
 )
 
 // openRun names the worker that may have crashed under a run of a task, and the start time of that incarnation. It is durable
-// before a trial starts, so that a successor can find out whether the trial ended in a crash.
+// before a trial starts, so that a successor can find out whether the trial ended in a crash. For other recent runs it is
+// recorded once their worker is unreachable.
 type openRun struct {
 	worker    fleet.WorkerID
 	startedAt int64
@@ -101,3 +102,33 @@
 		}
 	}
 }
+
+// recordSuspects records the recent runs on a worker that has become unreachable as open. Whether it has crashed shows later,
+// maybe to a successor.
+func (m *Machine) recordSuspects(w *worker) {
+	if w.Draining || w.cordoned || w.StartedAt == 0 {
+		return
+	}
+	for _, r := range w.suspects() {
+		if _, t := m.lookupTask(r.id); t != nil && t.openRun.worker == "" {
+			t.openRun = openRun{worker: w.ID, startedAt: w.StartedAt}
+			m.markDirty(r.occ.job)
+		}
+	}
+}
+
+// workerReturned closes the open runs on a worker that is reachable again and has not crashed, except that of a trial which
+// goes on.
+func (m *Machine) workerReturned(w *worker) {
+	for _, r := range w.runsByTask {
+		if _, t := m.lookupTask(r.id); t != nil && r != w.trial {
+			m.closeRun(r.id.Job, t, w.ID)
+		}
+	}
+	for _, r := range m.silenced[w.ID] {
+		if _, t := m.lookupTask(r.task); t != nil {
+			m.closeRun(r.task.Job, t, w.ID)
+		}
+	}
+	delete(m.silenced, w.ID)
+}
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -59,6 +59,7 @@
 	if w.reachable {
 		w.unreachableSince = m.now
 		m.emit(Log{Text: "worker unreachable", Worker: w.ID, Reason: ev.Err.Error()})
+		m.recordSuspects(w)
 	}
 	w.reachable = false
 	if !errors.As(ev.Err, &unsent) || !unsent.ConnRefused {
@@ -123,7 +124,7 @@
 	}
 	if !w.reachable {
 		m.emit(Log{Text: "worker reachable", Worker: w.ID})
-		delete(m.silenced, w.ID)
+		m.workerReturned(w)
 		w.reachable = true
 		m.searchAgain()
 	}
