--- a/entryd/leader/group.go
+++ b/entryd/leader/group.go
@@ -24,11 +24,14 @@
 	// lease.
 	leaderTTL     = 1800 * time.Millisecond
 	renewInterval = 300 * time.Millisecond
-	// outageTolerance is how long a leader continues after its lease may have expired while the store is unreachable.
-	// Outages of the store last 4 to 9 s.
+	// outageTolerance is how long a leader continues after its lease may have expired while the store is unreachable and most
+	// workers know no newer leader. Outages of the store last 4 to 9 s.
 	outageTolerance = 5 * time.Second
 	// leadershipTimeout is how long a leader may act after the store last confirmed its leadership.
 	leadershipTimeout = leaderTTL + outageTolerance
+	// maxTaskLease bounds the lease of tasks. A successor waits for it before it restarts the tasks of workers that do not answer,
+	// and a long-running task must run again 9 s after its worker was lost, including the election.
+	maxTaskLease = 5 * time.Second
 	// hostTTL is the lease time of the entry that registers a running entry process.
 	hostTTL           = 6 * time.Second
 	hostRenewInterval = 2 * time.Second
@@ -56,6 +59,8 @@
 	Term      int64               `cbor:"term"`
 	EntryHost fleet.EntryHostID   `cbor:"entry_host"`
 	Earlier   []fleet.EntryHostID `cbor:"earlier,omitempty"`
+	// Fenced is set once most workers reject the leaders before this one.
+	Fenced bool `cbor:"fenced,omitempty"`
 }
 
 // predecessors returns the entry hosts on which a leader may act when the next one is elected, the latest first.
@@ -83,6 +88,8 @@
 	// onLeader is called with each newer leader, this process included.
 	onLeader func(Leader)
 
+	history *takeoverHistory
+
 	mu     sync.Mutex
 	leader Leader
 	// vacant receives a value when there is no leader.
@@ -105,7 +112,7 @@
 	g := &Group{
 		hosts: &hostRegistry{byID: make(map[fleet.EntryHostID]registration)},
 		self:  self, address: address, store: client, log: log, onElected: onElected, onHost: onHost, onLeader: onLeader,
-		vacant: make(chan struct{}, 1), idleSince: Now(),
+		vacant: make(chan struct{}, 1), idleSince: Now(), history: newTakeoverHistory(),
 	}
 	for _, opt := range opts {
 		opt(g)
@@ -141,7 +148,7 @@
 		current.end("a newer scheduler was elected")
 	}
 	if newer {
-		g.log.Info("group: new leader", "entry_host", l.EntryHost, "token", l.Token)
+		g.log.Info("group: new leader", "leader", l.EntryHost, "token", l.Token, "term", l.Term)
 		g.onLeader(l)
 	}
 }
@@ -244,7 +251,15 @@
 			return
 		}
 		elected.Token = infra.Token(c.Entry.ModRevision)
+		g.history.observe(elected.Term, false)
 		g.Observe(elected)
+	case key == termKey && !c.Deleted:
+		var record termRecord
+		if err := cbor.Unmarshal(c.Entry.Value, &record); err != nil {
+			g.log.Error("group: cannot decode entry", "key", key, "error", err)
+			return
+		}
+		g.history.observe(record.Term, record.Fenced)
 	case strings.HasPrefix(key, hostPrefix):
 		g.applyHost(fleet.EntryHostID(strings.TrimPrefix(key, hostPrefix)), c)
 	}
@@ -334,6 +349,7 @@
 			if err := cbor.Unmarshal(e.Value, &last); err != nil {
 				return nil, err
 			}
+			g.history.observe(last.Term, last.Fenced)
 			elected.Term, elected.Predecessors = last.Term+1, last.predecessors()
 			termCondition = store.KeyUnchanged{Key: termKey, ModRevision: e.ModRevision}
 		}
@@ -378,7 +394,7 @@
 		return nil, nil
 	}
 	elected.Token = infra.Token(result.Revision)
-	return newLeadership(g.store, lease, elected, sent), nil
+	return newLeadership(g.store, lease, elected, sent, g.history), nil
 }
 
 // hasLeader reports whether a failed transaction found a leader. If it did not, no removal of a leader follows that would start
@@ -406,7 +422,7 @@
 	g.current = l
 	resigned, isSuperseded := g.resigned, l.leader.Token < g.superseded
 	g.mu.Unlock()
-	g.log.Info("group: elected", "token", l.leader.Token, "term", l.leader.Term)
+	g.log.Info("group: elected", "token", l.leader.Token, "term", l.leader.Term, "predecessors", l.leader.Predecessors)
 	switch {
 	case resigned:
 		l.end("resigned")
@@ -419,7 +435,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { l.renew(leadCtx, g.log) })
 	wg.Go(func() { g.hosts.handOver(leadCtx, l) })
-	wg.Go(func() { l.forgetEarlier(leadCtx, g.log) })
+	wg.Go(func() { l.keepRecord(leadCtx, g.log) })
 	wg.Go(func() {
 		select {
 		case <-l.ended:
