--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -20,8 +20,8 @@
 	isImmediate := m.now.Equal(w.immediateRenewalAt)
 	// The lease of an unreachable worker is not renewed, so that it ends at a known time. A worker that an immediate renewal
 	// asks for a report may be one.
-	lease := m.opts.taskLease - m.now.Sub(m.lastConfirmed())
-	if w.clock > 0 && w.reachable && w.inStoredRoster && isSameIncarnation && !isImmediate && lease > 0 {
+	lease := m.maxLease(w)
+	if w.clock > 0 && w.reachable && isSameIncarnation && !isImmediate && lease > 0 {
 		order.Deadline = w.maxClock(m.now) + lease.Milliseconds()
 		w.leaseEnd = max(w.leaseEnd, order.Deadline)
 	}
@@ -90,15 +90,18 @@
 	if w.Address != w.answeredAt {
 		return
 	}
-	m.workerCrashed(w, "address belongs to another worker")
+	if !w.crashCounted {
+		m.workerCrashed(w, "address belongs to another worker")
+	}
 	m.clearWorker(w, "address belongs to another worker")
 	delete(m.unreconciledWorkers, w.ID)
 }
 
 // retryPause returns the pause after a failed renewal. It doubles for a worker that has not answered yet and on which no
-// task can run.
+// task can run. Unanswered starts of a predecessor can reach a worker of its roster that restarts, until that has seen the token.
 func (m *Machine) retryPause(w *worker) time.Duration {
-	if w.clock > 0 || len(w.runs) > 0 || m.isUnreconciled(w) {
+	mayGetLateStart := !w.tokenAccepted && m.roster[w.ID].Worker != "" && m.now.Before(m.electedAt.Add(m.opts.leadershipTimeout+maxOrderDelay))
+	if w.clock > 0 || len(w.runs) > 0 || m.isUnreconciled(w) || mayGetLateStart {
 		return renewRetryPause
 	}
 	return min(renewRetryPause<<min(w.failedRenewals, 10), maxFirstContactPause)
@@ -163,7 +166,7 @@
 		m.confirmEnds(w)
 		m.addToRoster(w)
 	}
-	if w.hasUnsavedEnds() || m.isRosterPending(w) {
+	if w.hasUnsavedEnds() || m.isRosterPending(w) && m.maxLease(w) <= 0 {
 		w.nextRenewal = m.now.Add(renewUnsavedPause)
 		return
 	}
