--- a/entryd/leader/leadership.go
+++ b/entryd/leader/leadership.go
@@ -132,7 +132,7 @@
 			unreachable = true
 			log.Warn("group: store unreachable", "error", err)
 		}
-		if !l.Valid() {
+		if l.Reason() == "" && !l.Valid() {
 			log.Warn("group: leadership is not confirmed", "store_ago_ms", Now().Sub(l.lastConfirmed()).Milliseconds(), "workers_ago_ms", l.witnessedAgo().Milliseconds())
 			l.end("the store was unreachable for too long")
 			return
