batch: an owner that claims its partition again asks silent workers first

Only the lease of a worker that did not answer the former state machine is taken over, and its report is awaited for recoveryMargin (10 s) after each claim. Other workers get the whole wait, as before.

--- a/coord/jobs/machine.go
+++ b/coord/jobs/machine.go
@@ -112,17 +112,20 @@
 	}
 }
 
-// Continue takes over from the former machine of this process what it knows about the leases of running attempts. Call it after
-// [Machine.Recover], and only if no other process has owned the partition since.
-func (m *Machine) Continue(former *Machine) {
+// Continue takes over from the former machine of this process what it knows about the leases of attempts on workers that did not
+// answer. Such a worker may answer again, so that its report is awaited for recoveryMargin. Call it after [Machine.Recover], and
+// only if no other process has owned the partition since.
+func (m *Machine) Continue(now time.Time, former *Machine) {
 	for _, t := range m.sortedTasks() {
 		old := former.tasks[t.id]
 		if !t.inherited || old == nil || old.ref() != t.ref() || old.mayRunUntil.IsZero() {
 			continue
 		}
-		isKnown := !old.startInFlight && !former.worker(old.worker).renewInFlight
+		w := former.worker(old.worker)
+		isSilent := w.suspect() || !w.epochAccepted
+		isKnown := isSilent && !old.startInFlight && !w.renewInFlight
 		if isKnown || old.mayRunUntil.After(t.mayRunUntil) {
-			t.mayRunUntil = old.mayRunUntil
+			t.mayRunUntil = slices.MaxFunc([]time.Time{old.mayRunUntil, now.Add(recoveryMargin)}, time.Time.Compare)
 		}
 	}
 }
--- a/entryd/batch/owner.go
+++ b/entryd/batch/owner.go
@@ -182,7 +182,7 @@
 	p.machine = jobs.New(e.Partition, e.Epoch, r.newPlacer())
 	p.machine.Recover(now, read.Records(), continues || e.Handover == lease.HandoverClean, r.outageHorizon)
 	if continues {
-		p.machine.Continue(old.machine)
+		p.machine.Continue(now, old.machine)
 	}
 	r.ownedPartitions[e.Partition] = p
 	r.stepLedger(now, ledger.Open{
--- a/entryd/batch/recovery_test.go
+++ b/entryd/batch/recovery_test.go
@@ -71,3 +71,31 @@
 		}
 	})
 }
+
+// Guards against an end that is given up although its worker answers again: an owner that claimed its partition again ended the
+// attempts on silent workers before it had asked them.
+func TestSilentWorkerIsAskedAfterStoreOutage(t *testing.T) {
+	withCluster(t, 2, func(t *testing.T, c *cluster) {
+		p := c.start("e1", "b", batch.WithOutageHorizon(5*time.Minute))
+		time.Sleep(10 * time.Second)
+		const count = 4
+		for i := range count {
+			p.requestJob(http.MethodPost, "/v1/jobs", jobBody(fmt.Sprintf("j%d", i), "standard", 2, 20_000))
+		}
+		time.Sleep(5 * time.Second)
+		c.store.setDown(true, true)
+		p.set(func(p *process) { p.cutWorkers = "a" })
+		time.Sleep(2 * time.Minute)
+		c.store.setDown(false, true)
+		time.Sleep(5 * time.Second)
+		p.set(func(p *process) { p.cutWorkers = "" })
+		time.Sleep(20 * time.Second)
+		for i := range count {
+			_, v := p.requestJob(http.MethodGet, fmt.Sprintf("/v1/jobs/j%d", i), "")
+			assert.Equal(t, v.State, jobs.StateSucceeded, "%+v\n%s", v, c.logs)
+			for _, task := range v.Tasks {
+				assert.Equal(t, task.Attempt, fleet.Attempt(1), "%+v", task)
+			}
+		}
+	})
+}
