lease: a claim without an answer does not begin the wait for other candidates anew

What callers see: a partition stays without an owner (503 not_run) for 4 s more for each candidate that ranks before the claiming one, with each claim whose answer is lost. The wait gives the candidates before it time to claim; it counts from when the partition was seen free, which the lost answer forgot.

If it has not, the claim is repeated at once, with the same conditions.

TestClaimWithoutAnswerIsRepeatedAtOnce failed before ("claims is false"), and passes.

--- a/coord/lease/lease.go
+++ b/coord/lease/lease.go
@@ -34,6 +34,8 @@
 	epochRecords   map[fleet.PartitionID]store.Entry
 	freeSince      map[fleet.PartitionID]time.Time
 	misplacedSince map[fleet.PartitionID]time.Time
+	// unansweredSince is freeSince of the partitions whose last claim got no answer, until the next snapshot.
+	unansweredSince map[fleet.PartitionID]time.Time
 
 	owned      map[fleet.PartitionID]ownership
 	claiming   map[fleet.PartitionID]bool
@@ -71,17 +73,18 @@
 // New returns a machine without a session for the process self; partitions lists all partitions of the system.
 func New(self Member, partitions []fleet.PartitionID, opts ...Option) *Machine {
 	m := &Machine{
-		self:           self,
-		partitions:     partitions,
-		outageHorizon:  OutageHorizon,
-		owners:         make(map[fleet.PartitionID]Owner),
-		epochRecords:   make(map[fleet.PartitionID]store.Entry),
-		freeSince:      make(map[fleet.PartitionID]time.Time),
-		misplacedSince: make(map[fleet.PartitionID]time.Time),
-		owned:          make(map[fleet.PartitionID]ownership),
-		claiming:       make(map[fleet.PartitionID]bool),
-		lastClaims:     make(map[fleet.PartitionID]claimAttempt),
-		releasing:      make(map[fleet.PartitionID]EpochRecord),
+		self:            self,
+		partitions:      partitions,
+		outageHorizon:   OutageHorizon,
+		owners:          make(map[fleet.PartitionID]Owner),
+		epochRecords:    make(map[fleet.PartitionID]store.Entry),
+		freeSince:       make(map[fleet.PartitionID]time.Time),
+		misplacedSince:  make(map[fleet.PartitionID]time.Time),
+		unansweredSince: make(map[fleet.PartitionID]time.Time),
+		owned:           make(map[fleet.PartitionID]ownership),
+		claiming:        make(map[fleet.PartitionID]bool),
+		lastClaims:      make(map[fleet.PartitionID]claimAttempt),
+		releasing:       make(map[fleet.PartitionID]EpochRecord),
 	}
 	for _, opt := range opts {
 		opt(m)
@@ -273,8 +276,12 @@
 			delete(m.freeSince, p)
 		} else if _, known := m.freeSince[p]; !known {
 			m.freeSince[p] = now
+			if since, unanswered := m.unansweredSince[p]; unanswered {
+				m.freeSince[p] = since
+			}
 		}
 	}
+	clear(m.unansweredSince)
 	return append(effects, m.claimFree(now)...)
 }
 
--- a/coord/lease/lease_test.go
+++ b/coord/lease/lease_test.go
@@ -1,6 +1,7 @@
 package lease_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -102,3 +103,32 @@
 		}
 	})
 }
+
+// Guards against a partition without an owner for longer than the candidates are to wait for each other (4 s for each that ranks
+// first): a candidate whose claim got no answer waited anew.
+func TestClaimWithoutAnswerIsRepeatedAtOnce(t *testing.T) {
+	const rankDelay = 4 * time.Second
+	first := lease.Member{EntryHost: "e2", Boot: "b2", Zone: "b"}
+	for n := 3; fleet.Rendezvous(string(p), []fleet.EntryHostID{self.EntryHost, first.EntryHost}) == self.EntryHost; n++ {
+		first.EntryHost = fleet.EntryHostID(fmt.Sprintf("e%d", n))
+	}
+	free := lease.Snapshot{OK: true, Entries: []store.Entry{
+		{Key: "members/" + string(self.EntryHost), Value: encode(t, self)},
+		{Key: "members/" + string(first.EntryHost), Value: encode(t, first)},
+	}}
+	now := time.Now()
+	m := lease.New(self, []fleet.PartitionID{p})
+	m.Step(now, lease.Tick{})
+	m.Step(now, lease.Granted{ID: 1, SentAt: now})
+	m.Step(now, lease.Registered{ID: 1, OK: true})
+	_, claims := findEffect[lease.Claim](m.Step(now, free))
+	assert.Assert(t, !claims, "the first candidate has time to claim")
+	now = now.Add(rankDelay)
+	claim, claims := findEffect[lease.Claim](m.Step(now, free))
+	assert.Assert(t, claims)
+	now = now.Add(2 * time.Second)
+	m.Step(now, lease.ClaimDone{Partition: p, Owner: claim.Owner})
+	repeated, claims := findEffect[lease.Claim](m.Step(now, free))
+	assert.Assert(t, claims)
+	assert.DeepEqual(t, repeated.Txn, claim.Txn)
+}
--- a/coord/lease/owner.go
+++ b/coord/lease/owner.go
@@ -106,6 +106,9 @@
 	if c.owner != ev.Owner {
 		return nil
 	}
+	if since, free := m.freeSince[ev.Partition]; free && !ev.OutcomeKnown {
+		m.unansweredSince[ev.Partition] = since
+	}
 	delete(m.freeSince, ev.Partition)
 	var effects []Effect
 	if ev.OutcomeKnown && ev.Committed {
