flow: workers join the roster at once, and count later

What callers see: new jobs wait although there is a new worker for them. After the loss of more than half of the workers in the roster no worker joined it until a scheduler had led for leadershipTimeout (6.8 s), and tasks start only on workers in the stored roster. Each scheduler began that wait anew, so that nothing started there while schedulers were lost every 4.5 s.

Cause: the roster stays as it is so that the most workers of a successor and those of a predecessor have one in common. That needs only the workers that count to stay.

Change: a worker that answers before most workers have joins as one that does not count. It does once the roster opens. Workers still leave only then.

TestRosterStaysUntilMostWorkersHaveAnswered required that no worker joins; it now requires that none counts, and TestJoiningWorkersDoNotCount that a successor does not count them either, which fails if acceptedBy does.

--- a/coord/flow/event.go
+++ b/coord/flow/event.go
@@ -35,11 +35,13 @@
 }
 
 // RosterEntry is a worker that may run tasks, with the address of its agent. Only schedulers of terms before RenewedBefore
-// have renewed the lease of the tasks, or have started any; 0 stands for the term of the reader.
+// have renewed the lease of the tasks, or have started any; 0 stands for the term of the reader. A worker that is Joining does
+// not count when most workers are needed, because a scheduler that may still act counts by the workers without it.
 type RosterEntry struct {
 	Worker        fleet.WorkerID `cbor:"worker"`
 	Address       string         `cbor:"address"`
 	RenewedBefore int64          `cbor:"renewed_before,omitempty"`
+	Joining       bool           `cbor:"joining,omitempty"`
 }
 
 // Cordon takes a worker out of service and requests its evacuation by Deadline, because its machine will be taken
--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -100,7 +100,7 @@
 	predecessorRevision int64
 	roster              map[fleet.WorkerID]RosterEntry
 	rosterDirty         bool
-	// rosterOpened is set once workers may join and leave the roster, and storedRoster lists the workers in the stored one.
+	// rosterOpened is set once the workers that count may change, and storedRoster lists those of the stored roster.
 	rosterOpened bool
 	storedRoster []fleet.WorkerID
 	// confirmedAt and witnessedAt are when the store and most workers have last confirmed this scheduler.
--- a/coord/flow/save.go
+++ b/coord/flow/save.go
@@ -102,7 +102,7 @@
 		}
 	}
 	if m.batchHasRoster {
-		m.storedRoster = rosterIDs(m.batchRoster)
+		m.storedRoster = witnessIDs(m.batchRoster)
 	}
 	for _, w := range m.workersByID {
 		if len(w.unsavedEnds) > 0 && m.confirmEnds(w) && !w.renewalInFlight {
--- a/coord/flow/takeover.go
+++ b/coord/flow/takeover.go
@@ -37,7 +37,6 @@
 			e.RenewedBefore = ev.Term
 		}
 		m.roster[e.Worker] = e
-		m.storedRoster = append(m.storedRoster, e.Worker)
 		m.unreconciledWorkers[e.Worker] = m.leaseBound(m.lastConfirmation(e.RenewedBefore, ev.Term, ev.Takeovers))
 		w := m.workers[e.Worker]
 		if w == nil {
@@ -45,8 +44,9 @@
 		}
 		w.answeredAt, w.isLeaseKnown = e.Address, e.RenewedBefore == ev.Term
 	}
-	m.predecessorWorkers = len(ev.Roster)
-	if m.predecessorWorkers > 0 {
+	m.storedRoster = witnessIDs(ev.Roster)
+	m.predecessorWorkers = len(m.storedRoster)
+	if len(ev.Roster) > 0 {
 		m.emit(Log{Text: "awaiting the workers of previous schedulers", Reason: m.waitSummary()})
 	}
 	m.fencePredecessors()
@@ -85,7 +85,7 @@
 
 // acceptedBy notes that a worker has accepted the token of this scheduler.
 func (m *Machine) acceptedBy(w *worker) {
-	if _, isKnown := m.roster[w.ID]; !isKnown || m.isFenced {
+	if e, isKnown := m.roster[w.ID]; !isKnown || e.Joining || m.isFenced {
 		return
 	}
 	m.fencedWorkers[w.ID] = struct{}{}
@@ -94,7 +94,7 @@
 
 // fencePredecessors ends the wait for silent workers one lease after more than half of the workers in the roster have
 // accepted the token. A predecessor that the store does not confirm acts only while more than half of them know no newer
-// token, and one of these must be the same worker. Until then no worker joins or leaves the roster.
+// token, and one of these must be the same worker. Until then no worker leaves the roster, and those that join do not count.
 func (m *Machine) fencePredecessors() {
 	if m.isFenced || m.predecessorWorkers > 0 && len(m.fencedWorkers) <= m.predecessorWorkers/2 {
 		return
@@ -135,11 +135,11 @@
 	return fmt.Sprintf("%d workers are awaited, for at most %d ms", len(m.unreconciledWorkers), longest.Milliseconds())
 }
 
-// isRosterOpen reports whether workers may join and leave the roster. Most workers of a roster that has changed need not be
+// isRosterOpen reports whether the workers that count may change. Most workers of a roster that has changed need not be
 // most workers of that by which a predecessor counts.
 func (m *Machine) isRosterOpen() bool { return m.isFenced || !m.now.Before(m.predecessorEnd) }
 
-// openRoster adds the workers that could not join before.
+// openRoster lets the workers that have joined count.
 func (m *Machine) openRoster() {
 	if m.rosterOpened {
 		return
--- a/coord/flow/witness.go
+++ b/coord/flow/witness.go
@@ -40,7 +40,7 @@
 func (m *Machine) countWitnesses() {
 	at := m.medianWitness(m.storedRoster)
 	if m.saveInFlight && m.batchHasRoster {
-		at = earlier(at, m.medianWitness(rosterIDs(m.batchRoster)))
+		at = earlier(at, m.medianWitness(witnessIDs(m.batchRoster)))
 	}
 	m.witnessedAt = later(m.witnessedAt, at)
 }
@@ -68,10 +68,13 @@
 	return w.tokenAccepted && w.acceptedAt.Before(m.confirmedAt)
 }
 
-func rosterIDs(roster []RosterEntry) []fleet.WorkerID {
+// witnessIDs returns the workers in a roster that count when most workers are needed.
+func witnessIDs(roster []RosterEntry) []fleet.WorkerID {
 	ids := make([]fleet.WorkerID, 0, len(roster))
 	for _, e := range roster {
-		ids = append(ids, e.Worker)
+		if !e.Joining {
+			ids = append(ids, e.Worker)
+		}
 	}
 	return ids
 }
--- a/coord/flow/witness_test.go
+++ b/coord/flow/witness_test.go
@@ -116,17 +116,36 @@
 	newcomers, _ := poolWorkers("d", "e", "f")
 	h := newHarness(t, flow.Restored{Roster: roster, Term: 1}, append(workers, newcomers...)...)
 	alive := infra.Report{StartedAt: 5000}
-	hasJoined := func() bool {
-		return slices.ContainsFunc(h.lastRoster(), func(e flow.RosterEntry) bool { return e.Worker == "d" })
+	counts := func() bool {
+		return slices.ContainsFunc(h.lastRoster(), func(e flow.RosterEntry) bool { return e.Worker == "d" && !e.Joining })
 	}
 	for _, id := range []fleet.WorkerID{"a", "d", "e", "f"} {
 		h.report(id, alive)
 	}
 	h.advance(100 * time.Millisecond)
-	assert.Assert(t, !hasJoined())
+	assert.Assert(t, !counts())
 	h.report("b", alive)
 	h.advance(100 * time.Millisecond)
-	assert.Assert(t, hasJoined())
+	assert.Assert(t, counts())
+}
+
+// A successor that counts the workers that were joining may miss those by which a predecessor counts (TWICE).
+func TestJoiningWorkersDoNotCount(t *testing.T) {
+	workers, roster := poolWorkers("a", "b", "c", "d", "e", "f")
+	for i := range roster[3:] {
+		roster[3+i].Joining = true
+	}
+	h := newHarness(t, flow.Restored{Roster: roster, Term: 1}, workers...)
+	isFenced := func() bool {
+		return slices.ContainsFunc(h.effects, func(e flow.Effect) bool { _, is := e.(flow.Fenced); return is })
+	}
+	for _, id := range []fleet.WorkerID{"a", "d", "e", "f"} {
+		h.report(id, infra.Report{StartedAt: 5000})
+	}
+	h.advance(100 * time.Millisecond)
+	assert.Assert(t, !isFenced())
+	h.report("b", infra.Report{StartedAt: 5000})
+	assert.Assert(t, isFenced())
 }
 
 // Without most of the workers a successor waits until no predecessor can act any more, and takes in new workers then.
--- a/coord/flow/worker_lifecycle.go
+++ b/coord/flow/worker_lifecycle.go
@@ -70,7 +70,9 @@
 // lease renewed; a successor would wait for an entry that names no worker.
 func (m *Machine) addToRoster(w *worker) {
 	stored, isKnown := m.roster[w.ID]
-	entry := RosterEntry{Worker: w.ID, Address: w.Address, RenewedBefore: m.term + 1}
+	entry := RosterEntry{
+		Worker: w.ID, Address: w.Address, RenewedBefore: m.term + 1, Joining: !m.rosterOpened && (!isKnown || stored.Joining),
+	}
 	switch {
 	case !w.tokenAccepted || stored == entry:
 		return
@@ -79,11 +81,13 @@
 		if stored == entry {
 			return
 		}
-	case !w.listed || !isKnown && !m.rosterOpened || w.Draining && m.isForgettable(w):
+	case !w.listed || w.Draining && m.isForgettable(w):
 		return
 	}
 	m.roster[w.ID] = entry
-	m.rosterDirty, w.inStoredRoster = true, false
+	m.rosterDirty = true
+	stored.Joining = entry.Joining
+	w.inStoredRoster = w.inStoredRoster && stored == entry
 }
 
 func (m *Machine) removeFromRoster(w *worker, reason string) {
