flow: fewer writes of the roster in a takeover

Cause: each answer of a worker in a takeover changes the roster, which holds 490 entries (about 50 KB) on a grown site, whose hosts have links of 10 Mbit/s and a fraction of a core; the batches that enable renewals and starts followed each other with a copy each. Change: while workers of predecessors are awaited, the roster is written once most workers have answered, and then every 100 ms at most.

--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -30,6 +30,9 @@
 	runsPerTerm = 1000
 	// maxBatchJobs limits the jobs in one durable batch. A transaction of the platform's store has at most 32 entries.
 	maxBatchJobs = 24
+	// rosterSaveInterval is the minimum interval of batches with the roster while workers of predecessors are awaited. Each of
+	// their answers changes it, and that of a large fleet takes a slow link tens of milliseconds.
+	rosterSaveInterval = 100 * time.Millisecond
 	// sweepInterval and placeInterval are the minimum intervals between two passes over all workers and over all
 	// waiting steps. Each pass takes one or two milliseconds of processor time on an entry host.
 	sweepInterval = 20 * time.Millisecond
@@ -100,6 +103,8 @@
 	predecessorRevision int64
 	roster              map[fleet.WorkerID]RosterEntry
 	rosterDirty         bool
+	// rosterDueAt is the earliest time of the next batch with the roster.
+	rosterDueAt time.Time
 	// rosterOpened is set once the workers that count may change, and storedRoster lists those of the stored roster.
 	rosterOpened bool
 	storedRoster []fleet.WorkerID
--- a/coord/flow/save.go
+++ b/coord/flow/save.go
@@ -38,7 +38,8 @@
 
 // save starts a durable batch unless one is in flight or there is nothing to save.
 func (m *Machine) save() {
-	if m.saveInFlight || (len(m.dirtyJobs) == 0 && len(m.jobsToDelete) == 0 && !m.rosterDirty && !m.interferenceDirty) {
+	isRosterDue := m.rosterDirty && !m.now.Before(m.rosterDueAt)
+	if m.saveInFlight || (len(m.dirtyJobs) == 0 && len(m.jobsToDelete) == 0 && !isRosterDue && !m.interferenceDirty) {
 		return
 	}
 	m.batch++
@@ -57,9 +58,12 @@
 		s.Delete = append(s.Delete, m.jobsToDelete[:k]...)
 		m.jobsToDelete = m.jobsToDelete[k:]
 	}
-	m.batchHasRoster = m.rosterDirty
-	if m.rosterDirty {
+	m.batchHasRoster = isRosterDue
+	if isRosterDue {
 		m.rosterDirty = false
+		if len(m.unreconciledWorkers) > 0 {
+			m.rosterDueAt = m.now.Add(rosterSaveInterval)
+		}
 		s.Roster = make([]RosterEntry, 0, len(m.roster))
 		for _, w := range m.workersByID {
 			if e, found := m.roster[w.ID]; found {
--- a/coord/flow/takeover.go
+++ b/coord/flow/takeover.go
@@ -49,6 +49,9 @@
 	if len(ev.Roster) > 0 {
 		m.emit(Log{Text: "awaiting the workers of previous schedulers", Reason: m.waitSummary()})
 	}
+	if len(ev.Roster) > 0 {
+		m.rosterDueAt = m.now.Add(rosterSaveInterval)
+	}
 	m.fencePredecessors()
 }
 
@@ -99,7 +102,7 @@
 	if m.isFenced || m.predecessorWorkers > 0 && len(m.fencedWorkers) <= m.predecessorWorkers/2 {
 		return
 	}
-	m.isFenced = true
+	m.isFenced, m.rosterDueAt = true, m.now
 	m.predecessorEnd = earlier(m.predecessorEnd, m.now.Add(WitnessTimeout))
 	m.shortenWaits(m.now)
 	m.emit(Fenced{})
