flow: workers are asked no more often while the store does not confirm the scheduler

Cause: once the last confirmation was 0.7 s old, renewals waited for 0.5 s in place of 1 s. Most workers answer within 2.1 s without it, and a scheduler may act for 2.5 s after their answers.

--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -30,9 +30,6 @@
 		if len(w.servingSteps) > 0 && w.fillerCPU > 0 {
 			order.Wait = reportWaitColocated
 		}
-		if m.needsWitnesses() {
-			order.Wait = min(order.Wait, reportWaitUnconfirmed)
-		}
 	}
 	w.renewalSentAt = m.now
 	w.renewalInFlight = true
--- a/coord/flow/witness.go
+++ b/coord/flow/witness.go
@@ -7,13 +7,9 @@
 	"lovagefork.example/coord/fleet"
 )
 
-const (
-	// witnessDelay is how old the last confirmation by the store is when the answers of the workers begin to count. It covers
-	// a renewal that is lost.
-	witnessDelay = 700 * time.Millisecond
-	// reportWaitUnconfirmed replaces reportWait while the answers of the workers count.
-	reportWaitUnconfirmed = 500 * time.Millisecond
-)
+// witnessDelay is how old the last confirmation by the store is when the answers of the workers begin to count. It covers a
+// renewal that is lost.
+const witnessDelay = 700 * time.Millisecond
 
 // confirm notes when the renewal of this scheduler's leadership that the store confirmed last was sent, zero for the present.
 func (m *Machine) confirm(at time.Time) {
