leader: the test of a superseded election supersedes it before the process runs

The process is now superseded before it runs, which is the same order of events without the race. The test fails if a superseded election is used. 20 runs with the race detector pass.

--- a/entryd/leader/group_test.go
+++ b/entryd/leader/group_test.go
@@ -24,6 +24,13 @@
 }
 
 func startMember(t *testing.T, m *memStore, name string, opts ...leader.Option) *member {
+	p := newMember(m, name, opts...)
+	p.stop = runGroup(t, p.group)
+	return p
+}
+
+// newMember returns a process that does not run yet.
+func newMember(m *memStore, name string, opts ...leader.Option) *member {
 	p := &member{elected: make(chan leader.Leader, 9), ended: make(chan string, 9)}
 	onElected := func(ctx context.Context, l *leader.Leadership) {
 		p.elected <- l.Leader()
@@ -33,7 +40,6 @@
 	log := slog.New(slog.DiscardHandler)
 	p.group = leader.NewGroup(fleet.EntryHostID(name), name+":1", client{m, name}, log, onElected,
 		func(fleet.EntryHostID, string) {}, func(leader.Leader) {}, opts...)
-	p.stop = runGroup(t, p.group)
 	return p
 }
 
--- a/entryd/leader/predecessors_test.go
+++ b/entryd/leader/predecessors_test.go
@@ -107,14 +107,10 @@
 // A process that stands still between its election and its first order was told to end what it leads before it knew that it
 // does, confirmed that it led nothing, and led on.
 func TestElectionThatWasSupersededIsNotUsed(t *testing.T) {
-	m := newMemStore()
-	m.unreachable["a"] = true
-	a := startMember(t, m, "a")
+	a := newMember(newMemStore(), "a")
 	_, stopped := a.group.Supersede(infra.Token(1 << 40))
 	assert.Assert(t, stopped)
-	m.mu.Lock()
-	m.unreachable["a"] = false
-	m.mu.Unlock()
+	runGroup(t, a.group)
 	receive(t, "leadership of a", a.elected)
 	assert.Equal(t, receive(t, "end of a's leadership", a.ended), "superseded by a newly elected peer")
 }
