platform: settings hold the bandwidth of the entry host's link

The settings file names the bandwidth of the host's link, which nothing in the program knew: limits and time-outs assume a link that is never full.

--- a/coord/infra/settings.go
+++ b/coord/infra/settings.go
@@ -27,6 +27,8 @@
 	StoreLimits StoreLimits
 	// MilliCPU is the processor time of the entry host in thousandths of a core.
 	MilliCPU int64
+	// LinkBitsPerSecond is the bandwidth of the entry host's link in each direction; 0 if it is unknown.
+	LinkBitsPerSecond int64
 	// MemoryBytes is the limit above which the platform kills the process.
 	MemoryBytes int64
 }
