stats: count calls and bytes of the store and of workers by kind

Calls and the bytes of their bodies are counted by kind, in metrics and in the line 'scheduler: load'. Announcements of a leader between entry processes carry the term, which was logged as 0 by every host that heard of the leader from a peer first.

--- a/coord/wire/hosted.go
+++ b/coord/wire/hosted.go
@@ -76,6 +76,7 @@
 type SchedulerElected struct {
 	EntryHost fleet.EntryHostID `cbor:"entry_host"`
 	Token     infra.Token       `cbor:"token"`
+	Term      int64             `cbor:"term,omitempty"`
 }
 
 // CatalogDoc holds the operator's configuration as stored, or a part of its compressed form; Version is 0 if the sender
--- a/entryd/hosted/app.go
+++ b/entryd/hosted/app.go
@@ -35,6 +35,8 @@
 	// Reload rereads the settings. Hangups receives the signals that ask for it, for as long as the process runs.
 	Reload  func() (infra.Settings, error)
 	Hangups <-chan os.Signal
+	// Traffic counts the calls of the clients.
+	Traffic *stats.Traffic
 	Store   store.Client
 	Agents  infra.Agents
 	// Policy is called only for queues that have an approval policy.
@@ -69,7 +71,7 @@
 			func() *logs.Writer { return logs.New(out) },
 			newLogger,
 			newTaskLogger,
-			metrics.NewRegistry,
+			newRegistry,
 			newMesh,
 			func() *intakeRef { return &intakeRef{} },
 			newCatalogWatcher,
@@ -101,6 +103,18 @@
 	return taskLogger{newLogger(s, w.Derive(logs.WithLimit(taskLinesPerSecond)))}
 }
 
+// newRegistry returns the process's metrics, with the traffic of its clients among them.
+func newRegistry(p Platform) metrics.Registry {
+	r := metrics.NewRegistry()
+	p.Traffic.Register(r)
+	return r
+}
+
+// electionMessage announces a leader to peers.
+func electionMessage(l leader.Leader) wire.SchedulerElected {
+	return wire.SchedulerElected{EntryHost: l.EntryHost, Token: l.Token, Term: l.Term}
+}
+
 func newMesh(s infra.Settings, r metrics.Registry, log *slog.Logger) *peers.Mesh {
 	self := wire.Hello{EntryHost: s.EntryHost, Boot: fleet.BootID(rand.Text()), Zone: s.Zone}
 	return peers.New(self, map[fleet.EntryHostID]string{}, log, peers.WithMetrics(r), peers.WithUnlistedPeers())
@@ -108,7 +122,7 @@
 
 func newScheduler(p Platform, r metrics.Registry, log *slog.Logger, tasks taskLogger, ref *intakeRef) *leader.Scheduler {
 	return leader.NewScheduler(leader.Deps{
-		Store: p.Store, Agents: p.Agents, Policy: p.Policy, Machines: p.Machines, Format: p.Format, Bounds: p.Settings.Bounds, Log: log, Decisions: tasks.Logger, Metrics: r, Supersede: ref.supersede,
+		Store: p.Store, Agents: p.Agents, Policy: p.Policy, Machines: p.Machines, Format: p.Format, Bounds: p.Settings.Bounds, Log: log, Decisions: tasks.Logger, Metrics: r, Traffic: p.Traffic, Supersede: ref.supersede,
 	})
 }
 
@@ -149,7 +163,7 @@
 func newGroup(p Platform, mesh *peers.Mesh, sched *leader.Scheduler, log *slog.Logger) (*leader.Group, *meshUpdater) {
 	updater := &meshUpdater{mesh: mesh, log: log, ctx: context.Background()}
 	onLeader := func(elected leader.Leader) {
-		mesh.Broadcast(wire.SchedulerElected{EntryHost: elected.EntryHost, Token: elected.Token})
+		mesh.Broadcast(electionMessage(elected))
 	}
 	s := p.Settings
 	return leader.NewGroup(s.EntryHost, s.PeerAddr, p.Store, log, sched.Run, updater.onMemberChange, onLeader, leader.WithMilliCPU(s.MilliCPU)), updater
@@ -175,7 +189,7 @@
 		if !ok {
 			return nil
 		}
-		group.Observe(leader.Leader{EntryHost: elected.EntryHost, Token: elected.Token})
+		group.Observe(leader.Leader{EntryHost: elected.EntryHost, Token: elected.Token, Term: elected.Term})
 		return wire.Ack{}
 	})
 	mesh.OnLinkChange(func(peer fleet.EntryHostID, up bool) {
@@ -184,7 +198,7 @@
 		}
 		c.Announce(peer)
 		if elected, known := group.Leader(); known {
-			if err := mesh.Send(peer, wire.SchedulerElected{EntryHost: elected.EntryHost, Token: elected.Token}); err != nil {
+			if err := mesh.Send(peer, electionMessage(elected)); err != nil {
 				return
 			}
 		}
--- a/entryd/leader/load.go
+++ b/entryd/leader/load.go
@@ -2,12 +2,15 @@
 
 import (
 	"log/slog"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sys/unix"
 
 	"lovagefork.example/coord/flow"
+	"lovagefork.example/entryd/stats"
 )
 
 // loadInterval is the interval of the log lines about the load of the event loop.
@@ -47,19 +50,26 @@
 	waits metrics.Timer
 	// totals are the milliseconds spent with each activity.
 	totals [activities]metrics.Counter
+	// traffic counts the calls of the store and of workers; nil if they are not counted.
+	traffic *stats.Traffic
 
-	since   time.Time
-	cpu     time.Duration
-	spent   [activities]time.Duration
-	count   [activities]int
-	longest [activities]time.Duration
+	// transferred is what the traffic was at the beginning of the measurement.
+	transferred map[string]stats.Transfer
+	since       time.Time
+	cpu         time.Duration
+	spent       [activities]time.Duration
+	count       [activities]int
+	longest     [activities]time.Duration
 	// longestWait is that of an event, and longestTransit the time of a job from its submission to this process.
 	longestWait    time.Duration
 	longestTransit time.Duration
 }
 
-func newLoadMeter(r metrics.Registry) *loadMeter {
-	l := &loadMeter{waits: metrics.GetOrRegisterTimer("scheduler.event_wait_seconds", r), since: time.Now(), cpu: processorTime()}
+func newLoadMeter(r metrics.Registry, traffic *stats.Traffic) *loadMeter {
+	l := &loadMeter{
+		waits: metrics.GetOrRegisterTimer("scheduler.event_wait_seconds", r), traffic: traffic, transferred: traffic.Totals(), since: time.Now(),
+		cpu: processorTime(),
+	}
 	for a, name := range activityNames {
 		l.totals[a] = metrics.GetOrRegisterCounter("scheduler.loop_"+name+"_ms.total", r)
 	}
@@ -103,10 +113,16 @@
 			name, "count", l.count[a], "ms", l.spent[a].Milliseconds(), "longest_ms", l.longest[a].Milliseconds(),
 		))
 	}
+	transferred := l.traffic.Totals()
+	for _, name := range slices.Sorted(maps.Keys(transferred)) {
+		if d := transferred[name].Sub(l.transferred[name]); d.Calls > 0 {
+			attrs = append(attrs, slog.Group("traffic_"+name, "calls", d.Calls, "sent_bytes", d.Sent, "received_bytes", d.Received))
+		}
+	}
 	log.Info("scheduler: load", attrs...)
 	// The timer takes longer than most events, so that it is updated once for all of them.
 	l.waits.Update(l.longestWait)
-	*l = loadMeter{waits: l.waits, totals: l.totals, since: now, cpu: cpu}
+	*l = loadMeter{waits: l.waits, totals: l.totals, traffic: l.traffic, transferred: transferred, since: now, cpu: cpu}
 }
 
 // processorTime returns the processor time that this process has used, or 0 if it is not known.
--- a/entryd/leader/load_test.go
+++ b/entryd/leader/load_test.go
@@ -15,6 +15,7 @@
 	"lovagefork.example/coord/fleet"
 	"lovagefork.example/coord/infra"
 	"lovagefork.example/entryd/leader"
+	"lovagefork.example/entryd/stats"
 )
 
 // logBuffer collects log lines.
@@ -48,14 +49,16 @@
 func TestLoadOfEventLoopIsReported(t *testing.T) {
 	lines, registry := &logBuffer{}, metrics.NewRegistry()
 	log := slog.New(slog.NewJSONHandler(lines, nil))
-	m := newMemStore()
+	m, traffic := newMemStore(), stats.NewTraffic()
 	s := leader.NewScheduler(leader.Deps{
 		Store: client{m, "a"}, Agents: unreachableAgents{}, Format: format{}, Bounds: infra.Bounds{MaxLease: 6 * time.Second},
-		Log: log, Decisions: log, Metrics: registry,
+		Log: log, Decisions: log, Metrics: registry, Traffic: traffic,
 		Supersede: func(context.Context, fleet.EntryHostID, infra.Token) (time.Duration, bool) { return 0, true },
 	})
 	g := leader.NewGroup("a", "a:1", client{m, "a"}, log, s.Run, func(fleet.EntryHostID, string) {}, func(leader.Leader) {})
 	runGroup(t, g)
+	waitFor(t, "election", func() bool { return lines.find(t, "scheduler: state read") != nil })
+	traffic.Add("start", 2400, 20)
 	waitFor(t, "line about the load", func() bool { return lines.find(t, "scheduler: load") != nil })
 	load := lines.find(t, "scheduler: load")
 	for _, field := range []string{"over_ms", "processor_ms", "queued", "longest_wait_ms", "longest_transit_ms"} {
@@ -68,6 +71,8 @@
 		assert.Equal(t, len(of), 3, "count, ms and longest_ms of %s", activity)
 		assert.Assert(t, registry.Get("scheduler.loop_"+activity+"_ms.total") != nil, activity)
 	}
+	starts, found := load["traffic_start"].(map[string]any)
+	assert.Assert(t, found && starts["sent_bytes"] == 2400.0 && starts["received_bytes"] == 20.0, "%v", load)
 	ticks := load["tick"].(map[string]any)["count"].(float64)
 	assert.Assert(t, ticks > 0)
 }
--- a/entryd/leader/scheduler.go
+++ b/entryd/leader/scheduler.go
@@ -17,6 +17,7 @@
 	"lovagefork.example/coord/infra"
 	"lovagefork.example/coord/store"
 	"lovagefork.example/coord/upkeep"
+	"lovagefork.example/entryd/stats"
 )
 
 const (
@@ -55,6 +56,7 @@
 	awaitedWorkers metrics.Gauge
 	elections      metrics.Counter
 	registry       metrics.Registry
+	traffic        *stats.Traffic
 
 	mu      sync.Mutex
 	catalog *infra.Catalog
@@ -75,6 +77,8 @@
 	// Decisions receives a line for each start, end and move of a task; there are many under load.
 	Decisions *slog.Logger
 	Metrics   metrics.Registry
+	// Traffic counts the calls of Store and Agents; nil if they are not counted.
+	Traffic *stats.Traffic
 	// Supersede ends a leadership with a lower token on an entry host. It returns true if none is running there any
 	// more, and for how long; see [Group.Supersede].
 	Supersede func(ctx context.Context, host fleet.EntryHostID, token infra.Token) (time.Duration, bool)
@@ -85,6 +89,7 @@
 	return &Scheduler{
 		store: d.Store, agents: d.Agents, policy: d.Policy, machineService: d.Machines, format: d.Format, bounds: d.Bounds, log: d.Log, decisions: d.Decisions, supersede: d.Supersede,
 		registry:       d.Metrics,
+		traffic:        d.Traffic,
 		startLatency:   metrics.GetOrRegisterTimer("scheduler.start_seconds", d.Metrics),
 		renewals:       metrics.GetOrRegisterCounter("scheduler.holds.total", d.Metrics),
 		orders:         metrics.GetOrRegisterCounter("scheduler.orders.total", d.Metrics),
@@ -149,7 +154,7 @@
 	l := &loop{
 		Scheduler: s, leadership: leadership, log: s.log.With("token", int64(leadership.leader.Token)),
 		decisions: s.decisions.With("token", int64(leadership.leader.Token)),
-		meter:     newLoadMeter(s.registry),
+		meter:     newLoadMeter(s.registry, s.traffic),
 		events:    make(chan queuedEvent, eventQueueSize), queries: make(chan query), stopped: make(chan struct{}),
 		machine: flow.New(leadership.leader.Token,
 			flow.WithTaskLease(min(s.bounds.MaxLease, maxTaskLease)), flow.WithLeadershipTimeout(leadershipTimeout),
--- a/entryd/main.go
+++ b/entryd/main.go
@@ -13,6 +13,7 @@
 	"lovagefork.example/entryd/daemon"
 	"lovagefork.example/entryd/hosted"
 	"lovagefork.example/entryd/setup"
+	"lovagefork.example/entryd/stats"
 	"lovagefork.example/platform"
 )
 
@@ -48,13 +49,15 @@
 	if settings.MachinesAddr != "" {
 		machines = platform.NewMachines(settings.MachinesAddr)
 	}
+	traffic := stats.NewTraffic()
 	hosted.New(hosted.Platform{
 		Machines: machines,
 		Settings: settings,
 		Reload:   read,
 		Hangups:  hangups,
-		Store:    platform.NewStore(settings.StoreAddr),
-		Agents:   platform.NewAgents(),
+		Traffic:  traffic,
+		Store:    platform.NewStore(settings.StoreAddr, platform.WithStoreTraffic(traffic.Add)),
+		Agents:   platform.NewAgents(platform.WithAgentsTraffic(traffic.Add)),
 		Policy:   platform.NewPolicyService(settings.PolicyAddr),
 		Format:   platform.Format{},
 		Ingress: func(jobs infra.Jobs, log *slog.Logger) http.Handler {
