flow: starts on their way are bounded by the bytes that the host's link carries

A scheduler sent up to 128 starts without an answer, 0.4 s of a link of 10 Mbit/s, and took a start for unanswered after 0.4 s. Now the starts on their way fit 0.1 s of the link; a task whose start does not fit waits and stays ranked. The time-out of an order covers the wait behind other starts.

--- a/coord/flow/answer.go
+++ b/coord/flow/answer.go
@@ -8,8 +8,9 @@
 )
 
 func (m *Machine) startAnswered(ev StartAnswered) {
-	m.placementDue = m.placementDue || m.unansweredStarts >= maxUnansweredStarts
+	m.placementDue = m.placementDue || m.unansweredStarts >= maxUnansweredStarts || m.linkFull
 	m.unansweredStarts--
+	m.link.remove(startID{ev.Order.Task, ev.Order.Run})
 	w := m.workers[ev.Worker]
 	if w == nil {
 		return
@@ -42,7 +43,9 @@
 		m.emit(Log{Text: "start not answered", Task: r.id, Run: r.number, Worker: w.ID, Reason: ev.Err.Error()})
 		w.unhealthyUntil = m.now.Add(lostOrderPause)
 		r.startUnanswered = true
-		m.copyRun(r, "start not answered")
+		if _, t := m.lookupTask(r.id); t != nil && m.link.hasRoom(startBytes(r.occ.job, t)) {
+			m.copyRun(r, "start not answered")
+		}
 		m.sendImmediateRenewal(w)
 	}
 }
--- a/coord/flow/flow_test.go
+++ b/coord/flow/flow_test.go
@@ -25,7 +25,11 @@
 }
 
 func newHarness(t *testing.T, restored flow.Restored, workers ...infra.Worker) *harness {
-	h := &harness{t: t, m: flow.New(7), now: time.Unix(1000, 0), seq: make(map[fleet.WorkerID]int64)}
+	return newHarnessOf(t, flow.New(7), restored, workers...)
+}
+
+func newHarnessOf(t *testing.T, m *flow.Machine, restored flow.Restored, workers ...infra.Worker) *harness {
+	h := &harness{t: t, m: m, now: time.Unix(1000, 0), seq: make(map[fleet.WorkerID]int64)}
 	h.step(flow.Tick{Wall: h.now})
 	h.step(restored)
 	h.step(flow.Configured{Catalog: &infra.Catalog{
--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -51,6 +51,7 @@
 	leadershipTimeout time.Duration
 	retention         time.Duration
 	maxTargetMiss     time.Duration
+	linkBitsPerSecond int64
 }
 
 // Option configures a [Machine] in [New].
@@ -130,6 +131,9 @@
 	rankedWorkers rankedWorkers
 	// unansweredStarts counts the starts without an answer.
 	unansweredStarts int
+	// link is that of this host. linkFull is set if the last round of placement ended because it was full.
+	link     *lane
+	linkFull bool
 	// scheduledJobs holds the jobs with occurrences that are not created yet.
 	scheduledJobs map[fleet.JobID]*job
 
@@ -240,6 +244,7 @@
 	for _, opt := range opts {
 		opt(&m.opts)
 	}
+	m.link = newLane(m.opts.linkBitsPerSecond)
 	return m
 }
 
--- a/coord/flow/place.go
+++ b/coord/flow/place.go
@@ -31,9 +31,11 @@
 	m.rankReady()
 	m.unplaceableShapes = m.unplaceableShapes[:0]
 	clear(m.candidates)
+	m.linkFull = false
+	m.link.expire(m.now)
 	for _, r := range m.rankedSteps {
 		switch {
-		case m.unansweredStarts >= maxUnansweredStarts:
+		case m.unansweredStarts >= maxUnansweredStarts || m.linkFull:
 			return
 		case r.removed:
 		case r.step.spec.Gang:
@@ -186,6 +188,9 @@
 			}
 			break
 		}
+		if !m.mayStartAnother(startBytes(r.occ.job, t)) {
+			break
+		}
 		if !m.recordTrial(r, t, w) || m.awaitReport(r, t, w) {
 			continue
 		}
@@ -229,6 +234,13 @@
 		if chosen == nil {
 			continue
 		}
+		size := int64(0)
+		for i := range s.tasks {
+			size += startBytes(r.occ.job, &s.tasks[i])
+		}
+		if !m.mayStartAnother(size) {
+			return
+		}
 		if !m.recordGangTrial(r, chosen) {
 			return
 		}
@@ -465,6 +477,7 @@
 	s.setPhase(index, active)
 	r.occ.job.started = true
 	m.unansweredStarts++
+	m.link.add(m.now, startID{id, number}, startBytes(r.occ.job, t))
 	m.counts.Starts++
 	m.emit(Log{
 		Text: "start", Task: id, Run: number, Worker: w.ID, Reason: r.queue.Name, Slack: r.rank.slack,
--- a/coord/flow/sweep.go
+++ b/coord/flow/sweep.go
@@ -49,7 +49,7 @@
 	m.logSummary()
 	m.reportWaits()
 	m.interferenceDirty = m.interferenceDirty || len(m.interferenceModels) > 0 && m.now.Sub(m.interferenceSavedAt) >= interferenceSaveInterval
-	if len(m.readySteps) > 0 && m.now.Sub(m.placedAt) >= placeRetryInterval {
+	if len(m.readySteps) > 0 && (m.linkFull || m.now.Sub(m.placedAt) >= placeRetryInterval) {
 		m.placementDue = true
 	}
 }
--- a/entryd/hosted/app.go
+++ b/entryd/hosted/app.go
@@ -108,7 +108,7 @@
 
 func newScheduler(p Platform, r metrics.Registry, log *slog.Logger, tasks taskLogger, ref *intakeRef) *leader.Scheduler {
 	return leader.NewScheduler(leader.Deps{
-		Store: p.Store, Agents: p.Agents, Policy: p.Policy, Machines: p.Machines, Format: p.Format, Bounds: p.Settings.Bounds, Log: log, Decisions: tasks.Logger, Metrics: r, Supersede: ref.supersede,
+		Store: p.Store, Agents: p.Agents, Policy: p.Policy, Machines: p.Machines, Format: p.Format, Bounds: p.Settings.Bounds, LinkBitsPerSecond: p.Settings.LinkBitsPerSecond, Log: log, Decisions: tasks.Logger, Metrics: r, Supersede: ref.supersede,
 	})
 }
 
--- a/entryd/leader/calls.go
+++ b/entryd/leader/calls.go
@@ -34,7 +34,7 @@
 		l.post(flow.StartAnswered{Worker: e.To.Worker, Order: e.Order, Err: errLeadershipEnded(e.To.Worker)})
 		return
 	}
-	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, l.orderTimeout)
 	defer cancel()
 	began := time.Now()
 	clock, err := l.agents.Start(callCtx, e.To, e.Order)
@@ -46,7 +46,7 @@
 	if !l.leadership.Valid() {
 		return
 	}
-	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, l.orderTimeout)
 	defer cancel()
 	clock, err := l.agents.Stop(callCtx, e.To, e.Order)
 	l.post(flow.StopAnswered{Worker: e.To.Worker, Order: e.Order, Clock: clock, Err: err})
@@ -57,7 +57,7 @@
 		l.post(flow.ThrottleAnswered{Worker: e.To.Worker, Order: e.Order, Err: errLeadershipEnded(e.To.Worker)})
 		return
 	}
-	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, l.orderTimeout)
 	defer cancel()
 	err := l.agents.Throttle(callCtx, e.To, e.Order)
 	l.post(flow.ThrottleAnswered{Worker: e.To.Worker, Order: e.Order, Err: err})
--- a/entryd/leader/scheduler.go
+++ b/entryd/leader/scheduler.go
@@ -25,8 +25,8 @@
 	tickInterval = 10 * time.Millisecond
 	// eventQueueSize is enough for the answers to several seconds of orders.
 	eventQueueSize = 8192
-	// orderTimeout bounds a start, stop or throttle order. A round trip between zones takes up to 10 ms; the timeout
-	// allows for one retransmitted packet.
+	// orderTimeout bounds a start, stop or throttle order that need not wait for the link, see [flow.MaxLinkDelay]. A round
+	// trip between zones takes up to 10 ms; the timeout allows for one retransmitted packet.
 	orderTimeout = 400 * time.Millisecond
 	// renewTimeoutMargin is how much longer a renewal may take than the Wait of its order.
 	renewTimeoutMargin = 700 * time.Millisecond
@@ -43,18 +43,21 @@
 	machineService infra.Machines
 	format         infra.Format
 	bounds         infra.Bounds
-	log            *slog.Logger
-	decisions      *slog.Logger
-	supersede      func(ctx context.Context, host fleet.EntryHostID, token infra.Token) (time.Duration, bool)
-	startLatency   metrics.Timer
-	renewals       metrics.Counter
-	orders         metrics.Counter
-	saves          metrics.Counter
-	longWaits      metrics.Gauge
-	unsavedJobs    metrics.Gauge
-	awaitedWorkers metrics.Gauge
-	elections      metrics.Counter
-	registry       metrics.Registry
+	// linkBitsPerSecond is the bandwidth of this host's link, and orderTimeout that of an order on it.
+	linkBitsPerSecond int64
+	orderTimeout      time.Duration
+	log               *slog.Logger
+	decisions         *slog.Logger
+	supersede         func(ctx context.Context, host fleet.EntryHostID, token infra.Token) (time.Duration, bool)
+	startLatency      metrics.Timer
+	renewals          metrics.Counter
+	orders            metrics.Counter
+	saves             metrics.Counter
+	longWaits         metrics.Gauge
+	unsavedJobs       metrics.Gauge
+	awaitedWorkers    metrics.Gauge
+	elections         metrics.Counter
+	registry          metrics.Registry
 
 	mu      sync.Mutex
 	catalog *infra.Catalog
@@ -71,7 +74,9 @@
 	Machines infra.Machines
 	Format   infra.Format
 	Bounds   infra.Bounds
-	Log      *slog.Logger
+	// LinkBitsPerSecond is the bandwidth of this host's link; 0 if it is unknown.
+	LinkBitsPerSecond int64
+	Log               *slog.Logger
 	// Decisions receives a line for each start, end and move of a task; there are many under load.
 	Decisions *slog.Logger
 	Metrics   metrics.Registry
@@ -84,6 +89,7 @@
 func NewScheduler(d Deps) *Scheduler {
 	return &Scheduler{
 		store: d.Store, agents: d.Agents, policy: d.Policy, machineService: d.Machines, format: d.Format, bounds: d.Bounds, log: d.Log, decisions: d.Decisions, supersede: d.Supersede,
+		linkBitsPerSecond: d.LinkBitsPerSecond, orderTimeout: orderTimeout + flow.MaxLinkDelay(d.LinkBitsPerSecond),
 		registry:       d.Metrics,
 		startLatency:   metrics.GetOrRegisterTimer("scheduler.start_seconds", d.Metrics),
 		renewals:       metrics.GetOrRegisterCounter("scheduler.holds.total", d.Metrics),
@@ -153,7 +159,8 @@
 		events:    make(chan queuedEvent, eventQueueSize), queries: make(chan query), stopped: make(chan struct{}),
 		machine: flow.New(leadership.leader.Token,
 			flow.WithTaskLease(min(s.bounds.MaxLease, maxTaskLease)), flow.WithLeadershipTimeout(leadershipTimeout),
-			flow.WithRetention(retentionFactor*s.bounds.StatusRetention), flow.WithMaxTargetMiss(s.bounds.MaxTargetMiss)),
+			flow.WithRetention(retentionFactor*s.bounds.StatusRetention), flow.WithMaxTargetMiss(s.bounds.MaxTargetMiss),
+			flow.WithLink(s.linkBitsPerSecond)),
 	}
 	s.elections.Inc(1)
 	defer close(l.stopped)
