leader: registrations hold the bandwidth of the entry host's link

Nothing in the group knew the links of its hosts, so that one of 10 Mbit/s counted like one of 200 Mbit/s. Each registration now holds it beside the processor time, WithCapacity replaces WithMilliCPU, and Hosts returns the other registered processes with their capacity.

--- a/entryd/hosted/app.go
+++ b/entryd/hosted/app.go
@@ -152,7 +152,8 @@
 		mesh.Broadcast(wire.SchedulerElected{EntryHost: elected.EntryHost, Token: elected.Token})
 	}
 	s := p.Settings
-	return leader.NewGroup(s.EntryHost, s.PeerAddr, p.Store, log, sched.Run, updater.onMemberChange, onLeader, leader.WithMilliCPU(s.MilliCPU)), updater
+	capacity := leader.Capacity{MilliCPU: s.MilliCPU, LinkBitsPerSecond: s.LinkBitsPerSecond}
+	return leader.NewGroup(s.EntryHost, s.PeerAddr, p.Store, log, sched.Run, updater.onMemberChange, onLeader, leader.WithCapacity(capacity)), updater
 }
 
 func newIntake(
--- a/entryd/leader/group.go
+++ b/entryd/leader/group.go
@@ -123,9 +123,8 @@
 // Option configures a [Group].
 type Option func(*Group)
 
-// WithMilliCPU sets the processor time of this process's entry host in thousandths of a core. Much larger entry hosts
-// are preferred as leader.
-func WithMilliCPU(milliCPU int64) Option { return func(g *Group) { g.hosts.ownMilliCPU = milliCPU } }
+// WithCapacity sets the capacity of this process's entry host. Much larger entry hosts are preferred as leader.
+func WithCapacity(c Capacity) Option { return func(g *Group) { g.hosts.own = c } }
 
 // Leader returns the newest leader known to this process, and false if none is known.
 func (g *Group) Leader() (Leader, bool) {
@@ -134,6 +133,9 @@
 	return g.leader, g.leader.EntryHost != ""
 }
 
+// Hosts returns the other registered entry processes in the order of their IDs.
+func (g *Group) Hosts() []Host { return g.hosts.hosts() }
+
 // Observe records a leader reported by the store or by a peer, and ends a leadership of this process with a lower
 // token. A leader that is not newer than the known one is ignored.
 func (g *Group) Observe(l Leader) {
@@ -279,7 +281,7 @@
 		g.log.Error("group: cannot decode entry", "key", c.Entry.Key, "error", err)
 		return
 	}
-	g.hosts.add(host, entry.MilliCPU)
+	g.hosts.add(host, entry.Capacity)
 	g.onHost(host, entry.Address)
 }
 
--- a/entryd/leader/group_test.go
+++ b/entryd/leader/group_test.go
@@ -157,10 +157,10 @@
 func TestLargerHostIsPreferred(t *testing.T) {
 	t.Run("election", func(t *testing.T) {
 		m := newMemStore()
-		first := startMember(t, m, "first", leader.WithMilliCPU(200))
+		first := startMember(t, m, "first", leader.WithCapacity(leader.Capacity{MilliCPU: 200}))
 		receive(t, "leadership of the first host", first.elected)
-		small := startMember(t, m, "small", leader.WithMilliCPU(200))
-		large := startMember(t, m, "large", leader.WithMilliCPU(800))
+		small := startMember(t, m, "small", leader.WithCapacity(leader.Capacity{MilliCPU: 200}))
+		large := startMember(t, m, "large", leader.WithCapacity(leader.Capacity{MilliCPU: 800}))
 		time.Sleep(500 * time.Millisecond)
 		first.group.Resign()
 		receive(t, "leadership of the large host", large.elected)
@@ -168,9 +168,9 @@
 	})
 	t.Run("handover", func(t *testing.T) {
 		m := newMemStore()
-		small := startMember(t, m, "small", leader.WithMilliCPU(200))
+		small := startMember(t, m, "small", leader.WithCapacity(leader.Capacity{MilliCPU: 200}))
 		receive(t, "leadership of the small host", small.elected)
-		large := startMember(t, m, "large", leader.WithMilliCPU(800))
+		large := startMember(t, m, "large", leader.WithCapacity(leader.Capacity{MilliCPU: 800}))
 		select {
 		case <-large.elected:
 			t.Fatal("handed over to a host whose process may have died")
--- a/entryd/leader/hosts.go
+++ b/entryd/leader/hosts.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -26,25 +28,47 @@
 	handOverCheckInterval = time.Second
 )
 
-// hostRecord is the stored registration of an entry process: the address where it accepts peer links, and the processor
-// time of its entry host.
-type hostRecord struct {
-	Address  string `cbor:"address"`
-	MilliCPU int64  `cbor:"milli_cpu,omitempty"`
+// Capacity is what an entry host has for the work of its process. A field that is unknown is 0.
+type Capacity struct {
+	// MilliCPU is processor time in thousandths of a core.
+	MilliCPU int64 `cbor:"milli_cpu,omitempty"`
+	// LinkBitsPerSecond is the bandwidth of the host's link.
+	LinkBitsPerSecond int64 `cbor:"link_bits_per_second,omitempty"`
+}
+
+// maxMilliCPU and maxLinkBitsPerSecond exceed the capacity of any entry host.
+const (
+	maxMilliCPU          = 100_000_000
+	maxLinkBitsPerSecond = 1_000_000_000_000_000
+)
+
+// isValid reports whether an entry host can have this capacity.
+func (c Capacity) isValid() bool {
+	return c.MilliCPU >= 0 && c.MilliCPU <= maxMilliCPU && c.LinkBitsPerSecond >= 0 && c.LinkBitsPerSecond <= maxLinkBitsPerSecond
 }
 
-// maxMilliCPU exceeds the processor time of any entry host.
-const maxMilliCPU = 100_000_000
+// Host is a registered entry process.
+type Host struct {
+	ID       fleet.EntryHostID
+	Capacity Capacity
+}
+
+// hostRecord is the stored registration of an entry process: the address where it accepts peer links, and the capacity of
+// its entry host.
+type hostRecord struct {
+	Address string `cbor:"address"`
+	Capacity
+}
 
 // HostRecordError reports an entry of the group that names no entry process.
 type HostRecordError struct {
 	Address  string
-	MilliCPU int64
+	Capacity Capacity
 }
 
 // Error returns the contents of the entry.
 func (e *HostRecordError) Error() string {
-	return fmt.Sprintf("address %.60q or processor time %d is invalid", e.Address, e.MilliCPU)
+	return fmt.Sprintf("address %.60q or capacity %+v is invalid", e.Address, e.Capacity)
 }
 
 // decodeHost decodes the registration of an entry process; its error is a [*HostRecordError] or that of the decoder.
@@ -55,16 +79,16 @@
 	}
 	host, port, err := net.SplitHostPort(r.Address)
 	number, portErr := strconv.ParseUint(port, 10, 16)
-	if err != nil || portErr != nil || host == "" || number == 0 || r.MilliCPU < 0 || r.MilliCPU > maxMilliCPU {
-		return r, &HostRecordError{Address: r.Address, MilliCPU: r.MilliCPU}
+	if err != nil || portErr != nil || host == "" || number == 0 || !r.isValid() {
+		return r, &HostRecordError{Address: r.Address, Capacity: r.Capacity}
 	}
 	return r, nil
 }
 
 // hostRegistry holds the other entry processes that are registered in the store.
 type hostRegistry struct {
-	// ownMilliCPU is the processor time of this process's entry host, in thousandths of a core; 0 if unknown.
-	ownMilliCPU int64
+	// own is the capacity of this process's entry host.
+	own Capacity
 
 	mu   sync.Mutex
 	byID map[fleet.EntryHostID]registration
@@ -73,7 +97,7 @@
 // registration is the entry of another process; since is when its present registration was first seen. passes counts how
 // often it did not take the leadership when it could have, the last time at passedAt.
 type registration struct {
-	milliCPU int64
+	capacity Capacity
 	since    time.Time
 	passes   int
 	passedAt time.Time
@@ -92,14 +116,14 @@
 	return Now().Sub(since) >= age<<min(r.passes, maxPasses)
 }
 
-func (h *hostRegistry) add(host fleet.EntryHostID, milliCPU int64) {
+func (h *hostRegistry) add(host fleet.EntryHostID, capacity Capacity) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	r, found := h.byID[host]
 	if !found {
 		r.since = Now()
 	}
-	r.milliCPU = milliCPU
+	r.capacity = capacity
 	h.byID[host] = r
 }
 
@@ -109,6 +133,17 @@
 	delete(h.byID, host)
 }
 
+// hosts returns the registered processes in the order of their IDs.
+func (h *hostRegistry) hosts() []Host {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out := make([]Host, 0, len(h.byID))
+	for _, id := range slices.Sorted(maps.Keys(h.byID)) {
+		out = append(out, Host{ID: id, Capacity: h.byID[id].capacity})
+	}
+	return out
+}
+
 // hasLarger reports whether a larger entry host has been registered for at least age, see [registration.isDue].
 func (h *hostRegistry) hasLarger(age time.Duration) bool {
 	h.mu.Lock()
@@ -123,7 +158,7 @@
 
 // isLarger reports whether an entry host exceeds this one by largerHostRatio.
 func (h *hostRegistry) isLarger(r registration) bool {
-	return h.ownMilliCPU > 0 && float64(r.milliCPU) >= largerHostRatio*float64(h.ownMilliCPU)
+	return h.own.MilliCPU > 0 && float64(r.capacity.MilliCPU) >= largerHostRatio*float64(h.own.MilliCPU)
 }
 
 // recordPasses records that this process won a campaign for which larger entry hosts had a head start.
--- a/entryd/leader/registration.go
+++ b/entryd/leader/registration.go
@@ -43,7 +43,7 @@
 	if err != nil {
 		return 0, err
 	}
-	value, err := cbor.Marshal(hostRecord{Address: g.address, MilliCPU: g.hosts.ownMilliCPU})
+	value, err := cbor.Marshal(hostRecord{Address: g.address, Capacity: g.hosts.own})
 	if err != nil {
 		return 0, err
 	}
--- a/entryd/leader/registration_test.go
+++ b/entryd/leader/registration_test.go
@@ -45,9 +45,11 @@
 		"number too large": encode(t, map[string]any{
 			"address": "z:1", "milli_cpu": uint64(1) << 63,
 		}),
-		"larger than any host": encode(t, map[string]any{"address": "z:1", "milli_cpu": int64(1) << 62}),
-		"nested":               bytes.Repeat([]byte{0x81}, 100000),
-		"no encoding":          {0xff, 0xfe},
+		"larger than any host":        encode(t, map[string]any{"address": "z:1", "milli_cpu": int64(1) << 62}),
+		"link larger than any host's": encode(t, map[string]any{"address": "z:1", "link_bits_per_second": int64(1) << 62}),
+		"negative link":               encode(t, map[string]any{"address": "z:1", "link_bits_per_second": -1}),
+		"nested":                      bytes.Repeat([]byte{0x81}, 100000),
+		"no encoding":                 {0xff, 0xfe},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -62,7 +64,7 @@
 			}
 			dialled := make(chan string, 99)
 			onHost := func(_ fleet.EntryHostID, address string) { dialled <- address }
-			g := leader.NewGroup("a", "a:1", client{m, "a"}, slog.New(slog.DiscardHandler), onElected, onHost, func(leader.Leader) {}, leader.WithMilliCPU(200))
+			g := leader.NewGroup("a", "a:1", client{m, "a"}, slog.New(slog.DiscardHandler), onElected, onHost, func(leader.Leader) {}, leader.WithCapacity(leader.Capacity{MilliCPU: 200}))
 			runGroup(t, g)
 			receive(t, "leadership", p.elected)
 			select {
@@ -77,6 +79,18 @@
 	}
 }
 
+// Guards against a scheduler that does not know the links of the hosts that it compares and sends to.
+func TestHostsAreListedWithTheirCapacity(t *testing.T) {
+	m := newMemStore()
+	put(t, m, "lovagefork/group/host/x", encode(t, map[string]any{"address": "x:1"}))
+	put(t, m, "lovagefork/group/host/y", encode(t, map[string]any{"address": "y:1", "milli_cpu": 192}))
+	large := leader.Capacity{MilliCPU: 800, LinkBitsPerSecond: 200_000_000}
+	startMember(t, m, "z", leader.WithCapacity(large))
+	a := startMember(t, m, "a")
+	waitFor(t, "three other hosts", func() bool { return len(a.group.Hosts()) == 3 })
+	assert.DeepEqual(t, a.group.Hosts(), []leader.Host{{ID: "x"}, {ID: "y", Capacity: leader.Capacity{MilliCPU: 192}}, {ID: "z", Capacity: large}})
+}
+
 // strictFormat decodes registrations that consist of the address of a worker of a service.
 type strictFormat struct{ format }
 
