flow: starts go out through relays when the host's link is full

A scheduler on a link of 10 Mbit/s started 350 tasks a second, whatever waited. It can now send a start through another entry host, which reads the spec of the job itself. Direct starts leave half of the link to relayed ones while there are relays; a link with room uses none. A start that a relay has not sent is sent again without blame for its worker; one that a relay has not answered for may have been carried out, and is settled like any other. No runtime posts relays yet.

--- a/coord/flow/answer.go
+++ b/coord/flow/answer.go
@@ -4,13 +4,15 @@
 	"errors"
 	"time"
 
+	"lovagefork.example/coord/fleet"
 	"lovagefork.example/coord/infra"
 )
 
 func (m *Machine) startAnswered(ev StartAnswered) {
 	m.placementDue = m.placementDue || m.unansweredStarts >= maxUnansweredStarts || m.linkFull
 	m.unansweredStarts--
-	m.link.remove(startID{ev.Order.Task, ev.Order.Run})
+	m.settle(startID{ev.Order.Task, ev.Order.Run})
+	m.judgeRelay(ev.Via, ev.Err)
 	w := m.workers[ev.Worker]
 	if w == nil {
 		return
@@ -21,6 +23,7 @@
 	}
 	var refused *infra.RefusedError
 	var unsent *infra.NotSentError
+	var unrelayed *RelayError
 	switch {
 	case ev.Err == nil:
 		if r.state == starting {
@@ -31,8 +34,10 @@
 		return
 	case errors.As(ev.Err, &refused):
 		m.startRefused(w, r, refused)
+	case errors.As(ev.Err, &unrelayed) && unrelayed.NotSent:
+		m.notStarted(r, unrelayed.Error(), "")
 	case errors.As(ev.Err, &unsent):
-		m.notStarted(r, "worker unreachable")
+		m.notStarted(r, "worker unreachable", w.ID)
 		if w.reachable && unsent.ConnRefused {
 			w.reachable, w.unreachableSince = false, m.now
 			m.recordSuspects(w)
@@ -41,7 +46,9 @@
 		// The start may have been carried out or may still be. A report shows the former, and a stop prevents the
 		// latter.
 		m.emit(Log{Text: "start not answered", Task: r.id, Run: r.number, Worker: w.ID, Reason: ev.Err.Error()})
-		w.unhealthyUntil = m.now.Add(lostOrderPause)
+		if unrelayed == nil {
+			w.unhealthyUntil = m.now.Add(lostOrderPause)
+		}
 		r.startUnanswered = true
 		if _, t := m.lookupTask(r.id); t != nil && m.link.hasRoom(startBytes(r.occ.job, t)) {
 			m.copyRun(r, "start not answered")
@@ -50,6 +57,23 @@
 	}
 }
 
+// judgeRelay puts a relay aside that has not sent a start or got no answer.
+func (m *Machine) judgeRelay(relay fleet.EntryHostID, err error) {
+	var unrelayed *RelayError
+	var refused *infra.RefusedError
+	switch {
+	case errors.As(err, &unrelayed):
+		m.counts.RelayFailures++
+		pause := relayPause
+		if unrelayed.NotSent {
+			pause = relayDoubtPause
+		}
+		m.rest(relay, pause)
+	case relay != "" && err != nil && !errors.As(err, &refused):
+		m.rest(relay, relayDoubtPause)
+	}
+}
+
 // lostOrderPause is how long a worker takes no new tasks after an unanswered order. Workers fail to answer for seconds
 // at a time.
 const lostOrderPause = 2 * time.Second
@@ -76,14 +100,15 @@
 	if r.confirmedClock > 0 {
 		return
 	}
-	m.notStarted(r, string(refused.Reason))
+	m.notStarted(r, string(refused.Reason), w.ID)
 }
 
-// notStarted requeues a task whose start has definitely not been carried out and will not be.
-func (m *Machine) notStarted(r *run, reason string) {
+// notStarted requeues a task whose start has definitely not been carried out and will not be; avoid is the worker to blame, if
+// any.
+func (m *Machine) notStarted(r *run, reason string, avoid fleet.WorkerID) {
 	m.emit(Log{Text: "task not started", Task: r.id, Run: r.number, Worker: r.worker.ID, Reason: reason})
 	m.releaseRun(r)
-	m.requeue(r, r.worker.ID)
+	m.requeue(r, avoid)
 	m.searchAgain()
 }
 
--- a/coord/flow/copy.go
+++ b/coord/flow/copy.go
@@ -28,6 +28,10 @@
 	}
 	m.counts.Copied++
 	m.emit(Log{Text: "speculative copy", Task: r.id, Run: r.number, Worker: r.worker.ID, Reason: reason})
-	m.start(ready, r.id.Index, w, t.lastRun+1)
+	via := m.chooseLane(r.id.Job, 1, startBytes(r.occ.job, t))
+	if via == nil {
+		via = m.link
+	}
+	m.start(ready, r.id.Index, w, t.lastRun+1, via)
 	return true
 }
--- a/coord/flow/event.go
+++ b/coord/flow/event.go
@@ -88,9 +88,13 @@
 	Err      error
 }
 
-// StartAnswered carries the outcome of a [Start]; Clock is the worker's clock in milliseconds.
+// Relays lists the entry hosts through which starts can be sent. It replaces the last one.
+type Relays struct{ Relays []Relay }
+
+// StartAnswered carries the outcome of a [Start]; Clock is the worker's clock in milliseconds, and Via the relay of the start.
 type StartAnswered struct {
 	Worker fleet.WorkerID
+	Via    fleet.EntryHostID
 	Order  infra.StartOrder
 	Clock  int64
 	Err    error
@@ -149,6 +153,7 @@
 func (WorkerUnlisted) event()        {}
 func (RenewAnswered) event()         {}
 func (RenewFailed) event()           {}
+func (Relays) event()                {}
 func (StartAnswered) event()         {}
 func (StopAnswered) event()          {}
 func (ThrottleAnswered) event()      {}
@@ -172,9 +177,10 @@
 	Order    infra.RenewOrder
 }
 
-// Start orders a worker to start a task.
+// Start orders a worker to start a task, through the relay Via unless that is empty.
 type Start struct {
 	To    infra.AgentAddress
+	Via   fleet.EntryHostID
 	Order infra.StartOrder
 }
 
@@ -239,6 +245,8 @@
 	// started. Both are 0 for other decisions.
 	Slack     time.Duration
 	ReportAge time.Duration
+	// Via is the relay of a start; empty if there is none.
+	Via fleet.EntryHostID
 	// Revision is the store revision at which a received job was stored. MayHaveRun is set if a predecessor may have
 	// started it.
 	Revision   int64
--- a/coord/flow/link.go
+++ b/coord/flow/link.go
@@ -1,8 +1,13 @@
 package flow
 
 import (
+	"cmp"
+	"fmt"
+	"hash/fnv"
+	"slices"
 	"time"
 
+	"lovagefork.example/coord/fleet"
 	"lovagefork.example/coord/infra"
 )
 
@@ -11,10 +16,45 @@
 	linkWindow = 100 * time.Millisecond
 	// startOverhead is the size of the names, headers and packets of a start, in bytes.
 	startOverhead = 1200
+	// relayedStartBytes is the size of a start on its way to a relay, without its checkpoint.
+	relayedStartBytes = 400
 	// maxStartBytes is the size of a large start, in bytes.
 	maxStartBytes = 4 << 10
+	// maxRelays limits the entry hosts through which starts are sent, because each has connections of its own to the workers.
+	maxRelays = 8
+	// relayPause is how long a relay that has not answered takes no starts, and relayDoubtPause how long one takes none that
+	// has not sent a start or got no answer.
+	relayPause      = 2 * time.Second
+	relayDoubtPause = 500 * time.Millisecond
 )
 
+// Relay is an entry host that can send starts for the scheduler. It reads the spec of a job once, so that the link of the
+// scheduler's host need not carry it with each start.
+type Relay struct {
+	EntryHost fleet.EntryHostID
+	// LinkBitsPerSecond is the bandwidth of its link; 0 if it is unknown.
+	LinkBitsPerSecond int64
+}
+
+// RelayError reports a start that a relay has not answered for. If NotSent is set, the worker has not received the start and
+// will not; otherwise it may have been carried out.
+type RelayError struct {
+	Relay   fleet.EntryHostID
+	NotSent bool
+	Cause   error
+}
+
+// Error returns the relay and the cause.
+func (e *RelayError) Error() string {
+	if e.NotSent {
+		return fmt.Sprintf("relay %s: not sent: %v", e.Relay, e.Cause)
+	}
+	return fmt.Sprintf("relay %s: outcome unknown: %v", e.Relay, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *RelayError) Unwrap() error { return e.Cause }
+
 // WithLink sets the bandwidth of this host's link, which bounds the starts on their way; 0 if it is unknown.
 func WithLink(bitsPerSecond int64) Option {
 	return func(o *options) { o.linkBitsPerSecond = bitsPerSecond }
@@ -43,18 +83,22 @@
 	until time.Time
 }
 
-// lane is a link that carries starts.
+// lane is a link that carries starts: that of this host or of a relay.
 type lane struct {
+	// relay is empty for the link of this host.
+	relay fleet.EntryHostID
 	// window limits the bytes on their way; 0 if the bandwidth is unknown.
 	window int64
 	bytes  int64
 	onWay  map[startID]int64
 	// sent lists the starts in the order of their ends, with those that were answered.
 	sent []sentStart
+	// restsUntil is the end of the time for which a relay takes no starts.
+	restsUntil time.Time
 }
 
-func newLane(bitsPerSecond int64) *lane {
-	return &lane{window: int64(linkWindow.Seconds() * float64(bitsPerSecond) / 8), onWay: make(map[startID]int64)}
+func newLane(relay fleet.EntryHostID, bitsPerSecond int64) *lane {
+	return &lane{relay: relay, window: int64(linkWindow.Seconds() * float64(bitsPerSecond) / 8), onWay: make(map[startID]int64)}
 }
 
 // hasRoom reports whether starts of a size may be sent. Larger ones than the window go alone.
@@ -68,12 +112,10 @@
 	l.sent = append(l.sent, sentStart{id: id, until: now.Add(2 * linkWindow)})
 }
 
-// remove ends the way of a start, and reports whether it was on its way.
-func (l *lane) remove(id startID) bool {
-	size, found := l.onWay[id]
-	l.bytes -= size
+// remove ends the way of a start.
+func (l *lane) remove(id startID) {
+	l.bytes -= l.onWay[id]
 	delete(l.onWay, id)
-	return found
 }
 
 // expire removes the starts that have been on their way for too long to count.
@@ -90,11 +132,75 @@
 	return int64(len(j.spec.Spec)+len(t.checkpoint)) + startOverhead
 }
 
-// mayStartAnother reports whether another start may be sent now. If not, its task waits, and those that are ranked below it do
-// too, so that large starts are not passed over.
-func (m *Machine) mayStartAnother(size int64) bool {
-	m.linkFull = !m.link.hasRoom(size)
-	return !m.linkFull
+// setRelays replaces the relays. Those with the fastest links are used; one that was used before keeps its state.
+func (m *Machine) setRelays(all []Relay) {
+	all = slices.Clone(all)
+	slices.SortFunc(all, func(a, b Relay) int {
+		return cmp.Or(cmp.Compare(b.LinkBitsPerSecond, a.LinkBitsPerSecond), cmp.Compare(a.EntryHost, b.EntryHost))
+	})
+	old := m.relays
+	m.relays = nil
+	for _, r := range all[:min(maxRelays, len(all))] {
+		if r.LinkBitsPerSecond <= 0 {
+			r.LinkBitsPerSecond = m.opts.linkBitsPerSecond
+		}
+		l := newLane(r.EntryHost, r.LinkBitsPerSecond)
+		if at := slices.IndexFunc(old, func(l *lane) bool { return l.relay == r.EntryHost }); at >= 0 {
+			old[at].window = l.window
+			l = old[at]
+		}
+		m.relays = append(m.relays, l)
+	}
+	m.placementDue = m.placementDue || m.linkFull
+}
+
+// affinity orders the relays for a job, so that all of its tasks go through the same one while that has room.
+func (l *lane) affinity(id fleet.JobID) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(l.relay))
+	_, _ = h.Write([]byte(id))
+	return h.Sum64()
+}
+
+// chooseLane returns the link on which starts of a job may be sent now, or nil if all are full. Then their tasks wait, and those
+// that are ranked below them do too, so that large starts are not passed over. While there are relays, starts that this host
+// sends itself leave half of its link to those that relays send.
+func (m *Machine) chooseLane(id fleet.JobID, starts int, size int64) *lane {
+	var best *lane
+	bestAffinity := uint64(0)
+	for _, l := range m.relays {
+		if m.now.Before(l.restsUntil) || !l.hasRoom(size) {
+			continue
+		}
+		if a := l.affinity(id); best == nil || a > bestAffinity {
+			best, bestAffinity = l, a
+		}
+	}
+	switch {
+	case best == nil && m.link.hasRoom(size), best != nil && m.link.hasRoom(size+m.link.window/2):
+		return m.link
+	case best != nil && m.link.hasRoom(int64(starts)*relayedStartBytes):
+		return best
+	}
+	m.linkFull = true
+	return nil
+}
+
+// settle ends the way of a start on all links.
+func (m *Machine) settle(id startID) {
+	m.link.remove(id)
+	for _, l := range m.relays {
+		l.remove(id)
+	}
+}
+
+// rest gives a relay no starts for a while.
+func (m *Machine) rest(relay fleet.EntryHostID, pause time.Duration) {
+	for _, l := range m.relays {
+		if until := m.now.Add(pause); l.relay == relay && until.After(l.restsUntil) {
+			l.restsUntil = until
+		}
+	}
 }
 
 // LinkUse describes how starts use this host's link.
@@ -102,13 +208,21 @@
 	// OnWay is the estimated size of the starts on their way, and Window its limit, in bytes; 0 if there is none.
 	OnWay  int64 `json:"bytes"`
 	Window int64 `json:"window_bytes"`
+	// Relays counts the relays in use, and Resting those of them that take no starts at the moment.
+	Relays  int `json:"relays"`
+	Resting int `json:"resting_relays"`
 	// HeldBack counts the tasks that wait while the link is full.
 	HeldBack int `json:"held_back"`
 }
 
 // LinkUse returns how starts use this host's link.
 func (m *Machine) LinkUse() LinkUse {
-	use := LinkUse{OnWay: m.link.bytes, Window: m.link.window}
+	use := LinkUse{OnWay: m.link.bytes, Window: m.link.window, Relays: len(m.relays)}
+	for _, l := range m.relays {
+		if m.now.Before(l.restsUntil) {
+			use.Resting++
+		}
+	}
 	if m.linkFull {
 		for _, r := range m.rankedSteps {
 			if !r.removed {
--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -131,8 +131,10 @@
 	rankedWorkers rankedWorkers
 	// unansweredStarts counts the starts without an answer.
 	unansweredStarts int
-	// link is that of this host. linkFull is set if the last round of placement ended because it was full.
+	// link is that of this host, and relays are those of other entry hosts. linkFull is set if the last round of placement ended
+	// because none had room.
 	link     *lane
+	relays   []*lane
 	linkFull bool
 	// scheduledJobs holds the jobs with occurrences that are not created yet.
 	scheduledJobs map[fleet.JobID]*job
@@ -209,10 +211,10 @@
 // runs that disappeared from a worker without an end, Stalled runs without progress or with slow progress, Paced
 // changes of the speed of fillers, Copied copies of speculative tasks, Crashes workers whose process ended while they
 // had runs, Trials starts of tasks that are suspected of a crash, and GivenUp jobs that failed because a task crashes its
-// workers. Examined counts how often a worker was considered for a task, which is most of the work of placement, and
+// workers. Relayed counts the starts that relays have sent, and RelayFailures those that their relay has not answered for. Examined counts how often a worker was considered for a task, which is most of the work of placement, and
 // Estimates how often the critical path and the work of an occurrence were computed.
 type Counts struct {
-	Starts, Refused, Lost, Done, Failed, Stopped, Vanished, Stalled, Paced, Copied, Crashes, Trials, GivenUp, Examined, Estimates int64
+	Starts, Refused, Lost, Done, Failed, Stopped, Vanished, Stalled, Paced, Copied, Crashes, Trials, GivenUp, Relayed, RelayFailures, Examined, Estimates int64
 }
 
 // New returns a scheduler that issues its orders under a fencing token.
@@ -244,7 +246,7 @@
 	for _, opt := range opts {
 		opt(&m.opts)
 	}
-	m.link = newLane(m.opts.linkBitsPerSecond)
+	m.link = newLane("", m.opts.linkBitsPerSecond)
 	return m
 }
 
@@ -275,6 +277,8 @@
 		m.stopAnswered(ev)
 	case ThrottleAnswered:
 		m.throttleAnswered(ev)
+	case Relays:
+		m.setRelays(ev.Relays)
 	case Cordon:
 		m.cordon(ev)
 	case Uncordon:
--- a/coord/flow/place.go
+++ b/coord/flow/place.go
@@ -33,6 +33,9 @@
 	clear(m.candidates)
 	m.linkFull = false
 	m.link.expire(m.now)
+	for _, l := range m.relays {
+		l.expire(m.now)
+	}
 	for _, r := range m.rankedSteps {
 		switch {
 		case m.unansweredStarts >= maxUnansweredStarts || m.linkFull:
@@ -188,13 +191,14 @@
 			}
 			break
 		}
-		if !m.mayStartAnother(startBytes(r.occ.job, t)) {
+		via := m.chooseLane(r.occ.job.spec.ID, 1, startBytes(r.occ.job, t))
+		if via == nil {
 			break
 		}
 		if !m.recordTrial(r, t, w) || m.awaitReport(r, t, w) {
 			continue
 		}
-		m.start(r, i, w, t.lastRun+1)
+		m.start(r, i, w, t.lastRun+1, via)
 		ordinary.stale = true
 		if m.unansweredStarts >= maxUnansweredStarts {
 			break
@@ -238,7 +242,8 @@
 		for i := range s.tasks {
 			size += startBytes(r.occ.job, &s.tasks[i])
 		}
-		if !m.mayStartAnother(size) {
+		via := m.chooseLane(r.occ.job.spec.ID, len(s.tasks), size)
+		if via == nil {
 			return
 		}
 		if !m.recordGangTrial(r, chosen) {
@@ -246,7 +251,7 @@
 		}
 		for i, w := range chosen {
 			s.tasks[i].checkpoint = checkpoint
-			m.start(r, i, w, number)
+			m.start(r, i, w, number, via)
 		}
 		m.removeReady(s)
 		return
@@ -454,7 +459,7 @@
 	return -imageDifferencePenalty * difference
 }
 
-func (m *Machine) start(r *readyStep, index int, w *worker, number infra.Run) {
+func (m *Machine) start(r *readyStep, index int, w *worker, number infra.Run, via *lane) {
 	s := r.step
 	t := &s.tasks[index]
 	id := r.task(index)
@@ -477,14 +482,20 @@
 	s.setPhase(index, active)
 	r.occ.job.started = true
 	m.unansweredStarts++
-	m.link.add(m.now, startID{id, number}, startBytes(r.occ.job, t))
+	size := startBytes(r.occ.job, t)
+	if via != m.link {
+		via.add(m.now, startID{id, number}, size)
+		size = relayedStartBytes
+		m.counts.Relayed++
+	}
+	m.link.add(m.now, startID{id, number}, size)
 	m.counts.Starts++
 	m.emit(Log{
 		Text: "start", Task: id, Run: number, Worker: w.ID, Reason: r.queue.Name, Slack: r.rank.slack,
-		ReportAge: m.now.Sub(w.clockAt),
+		ReportAge: m.now.Sub(w.clockAt), Via: via.relay,
 	})
 	ticket, _ := m.ticketFor(s, w)
-	m.emit(Start{To: w.address(), Order: infra.StartOrder{
+	m.emit(Start{To: w.address(), Via: via.relay, Order: infra.StartOrder{
 		Task: id, Run: number, Ticket: ticket, Spec: r.occ.job.spec.Spec, Checkpoint: t.checkpoint, Deadline: newRun.deadline, Token: m.token,
 	}})
 }
--- a/coord/flow/simulation_test.go
+++ b/coord/flow/simulation_test.go
@@ -52,10 +52,15 @@
 	// listingDelay is the longest time until a new scheduler has read the registrations.
 	listingDelay time.Duration
 	// lostShare is the share of orders without an answer. Half of those are carried out late, the others never.
-	lostShare  float64
-	violations []string
-	starts     int
-	crashes    crashModel
+	lostShare float64
+	// linkBitsPerSecond is the bandwidth of the links of all entry hosts. relays are those that send starts for the scheduler,
+	// and relayFaultShare is the share of the starts with which a relay fails.
+	linkBitsPerSecond int64
+	relays            []flow.Relay
+	relayFaultShare   float64
+	violations        []string
+	starts            int
+	crashes           crashModel
 	// trace is called for every effect, for debugging.
 	trace func(*simScheduler, flow.Event, flow.Effect)
 }
@@ -245,7 +250,7 @@
 		}
 	}
 	sim.token += infra.Token(1 + sim.rng.IntN(5))
-	sched := &simScheduler{incarnations: make(map[fleet.WorkerID]int64), token: sim.token, alive: true, electedAt: sim.now, confirmedAt: sim.now.Add(-3 * sim.storeDelay), m: flow.New(sim.token, flow.WithTaskLease(sim.taskLease), flow.WithLeadershipTimeout(leadershipTimeout))}
+	sched := &simScheduler{incarnations: make(map[fleet.WorkerID]int64), token: sim.token, alive: true, electedAt: sim.now, confirmedAt: sim.now.Add(-3 * sim.storeDelay), m: flow.New(sim.token, flow.WithTaskLease(sim.taskLease), flow.WithLeadershipTimeout(leadershipTimeout), flow.WithLink(sim.linkBitsPerSecond))}
 	sim.leader = sched
 	sim.schedulers = append(sim.schedulers, sched)
 	sim.revision++
@@ -268,6 +273,7 @@
 	sim.step(sched, flow.Tick{Wall: sim.now, ConfirmedAt: sched.confirmedAt})
 	sim.step(sched, restored)
 	sim.step(sched, flow.Configured{Catalog: sim.catalog})
+	sim.step(sched, flow.Relays{Relays: sim.relays})
 	for _, id := range sim.workerIDs {
 		if f := sim.workers[id]; f.up && sim.listingDelay > 0 {
 			sim.after(time.Duration(sim.rng.Int64N(int64(sim.listingDelay))), func() { sim.register(f, f.startedAt) })
@@ -358,8 +364,11 @@
 					return flow.RenewFailed{Worker: e.To.Worker, Sequence: e.Sequence, Order: e.Order, Err: err}
 				})
 		case flow.Start:
-			sim.send(sched, e.To.Worker, true, func(f *fakeWorker) { f.start(sched, e.Order) },
-				func(err error) flow.Event { return flow.StartAnswered{Worker: e.To.Worker, Order: e.Order, Err: err} })
+			if e.Via != "" {
+				sim.relay(sched, e)
+				continue
+			}
+			sim.sendStart(sched, e)
 		case flow.Stop:
 			sim.send(sched, e.To.Worker, true, func(f *fakeWorker) { f.stop(sched, e.Order) },
 				func(err error) flow.Event { return flow.StopAnswered{Worker: e.To.Worker, Order: e.Order, Err: err} })
@@ -415,6 +424,13 @@
 	})
 }
 
+func (sim *simulation) sendStart(sched *simScheduler, e flow.Start) {
+	sim.send(sched, e.To.Worker, true, func(f *fakeWorker) { f.start(sched, e) },
+		func(err error) flow.Event {
+			return flow.StartAnswered{Worker: e.To.Worker, Via: e.Via, Order: e.Order, Err: err}
+		})
+}
+
 // save makes a batch durable if its scheduler is still the newest one.
 func (sim *simulation) save(sched *simScheduler, s flow.Save) {
 	sim.after(sim.delay()+sim.storeDelay, func() {
@@ -613,9 +629,10 @@
 	})
 }
 
-func (f *fakeWorker) start(sched *simScheduler, s infra.StartOrder) {
+func (f *fakeWorker) start(sched *simScheduler, e flow.Start) {
+	s := e.Order
 	answer := func(err error) {
-		f.reply(sched, flow.StartAnswered{Worker: f.info.ID, Order: s, Clock: f.clock(), Err: err})
+		f.reply(sched, flow.StartAnswered{Worker: f.info.ID, Via: e.Via, Order: s, Clock: f.clock(), Err: err})
 	}
 	if !f.fence(s.Token) {
 		answer(f.refusal(infra.ReasonFenced))
