--- a/entryd/hosted/app.go
+++ b/entryd/hosted/app.go
@@ -122,7 +122,7 @@
 
 func newScheduler(p Platform, r metrics.Registry, log *slog.Logger, tasks taskLogger, ref *intakeRef) *leader.Scheduler {
 	return leader.NewScheduler(leader.Deps{
-		Store: p.Store, Agents: p.Agents, Policy: p.Policy, Machines: p.Machines, Format: p.Format, Bounds: p.Settings.Bounds, Log: log, Decisions: tasks.Logger, Metrics: r, Traffic: p.Traffic, Supersede: ref.supersede,
+		Store: p.Store, Agents: p.Agents, Policy: p.Policy, Machines: p.Machines, Format: p.Format, Bounds: p.Settings.Bounds, LinkBitsPerSecond: p.Settings.LinkBitsPerSecond, Log: log, Decisions: tasks.Logger, Metrics: r, Traffic: p.Traffic, Supersede: ref.supersede,
 	})
 }
 
@@ -166,7 +166,8 @@
 		mesh.Broadcast(electionMessage(elected))
 	}
 	s := p.Settings
-	return leader.NewGroup(s.EntryHost, s.PeerAddr, p.Store, log, sched.Run, updater.onMemberChange, onLeader, leader.WithMilliCPU(s.MilliCPU)), updater
+	capacity := leader.Capacity{MilliCPU: s.MilliCPU, LinkBitsPerSecond: s.LinkBitsPerSecond}
+	return leader.NewGroup(s.EntryHost, s.PeerAddr, p.Store, log, sched.Run, updater.onMemberChange, onLeader, leader.WithCapacity(capacity)), updater
 }
 
 func newIntake(
