flow, leader: leases are renewed while the jobs are read

After an election a scheduler read all jobs before it sent the first renewal. On a link of 10 Mbit/s that took 2.0 to 2.4 s for 510 to 590 jobs (1.3 to 1.5 MB of values); with 2.2 s for the election, leases of 5 s lapsed.

The roster (30 KB for 490 workers) and the sequence key are read beside the jobs and passed on as RosterRestored. From then on the reducer renews leases under the same bounds as before and stores the roster, takes clocks and acceptances from reports, acknowledges nothing and decides nothing about runs. The first report after Restored counts as the first answer, also for crashes in the records. A failed page is read again alone.

TestLeasesSurviveTakeoverBesideSlowStore reads jobs for 2.4 s and 20 s besides; the simulations of schedulers in turn draw 0, 0.3 and 2.5 s.

--- a/coord/flow/crash.go
+++ b/coord/flow/crash.go
@@ -102,7 +102,7 @@
 	if w.Draining || w.cordoned {
 		return
 	}
-	if !w.tokenAccepted {
+	if !w.hasAnswered {
 		m.blameSilencedRuns(w.ID, math.MaxInt64)
 	}
 	if len(w.runs) == 0 {
--- a/coord/flow/event.go
+++ b/coord/flow/event.go
@@ -10,7 +10,15 @@
 // Event is an input of the scheduler: a change in the store, a worker's answer, or the passing of time.
 type Event interface{ event() }
 
-// Restored is the first event of a scheduler and carries the complete state from the store.
+// RosterRestored carries the part of the stored state that the leases of tasks depend on. It may precede [Restored], whose
+// fields of the same names have no effect then, so that leases are renewed while the jobs are being read.
+type RosterRestored struct {
+	Roster    []RosterEntry
+	Takeovers []Takeover
+	Term      int64
+}
+
+// Restored is the first event of a scheduler, except for [RosterRestored], and carries the complete state from the store.
 type Restored struct {
 	Jobs []StoredJob
 	// Cancelled lists the stored cancellations without a job.
@@ -141,6 +149,7 @@
 	LeaseUnconfirmed bool
 }
 
+func (RosterRestored) event()        {}
 func (Restored) event()              {}
 func (Configured) event()            {}
 func (Submitted) event()             {}
--- a/coord/flow/flow_test.go
+++ b/coord/flow/flow_test.go
@@ -24,15 +24,19 @@
 	isStoreDown bool
 }
 
+func testCatalog() *infra.Catalog {
+	return &infra.Catalog{
+		Version:  1,
+		Queues:   []infra.Queue{{Name: "batch", Service: "pool", Priority: 2, MaxAttempts: 3, StretchFactor: 2, TargetLatency: time.Second}},
+		Services: []infra.Service{{Name: "pool"}},
+	}
+}
+
 func newHarness(t *testing.T, restored flow.Restored, workers ...infra.Worker) *harness {
 	h := &harness{t: t, m: flow.New(7), now: time.Unix(1000, 0), seq: make(map[fleet.WorkerID]int64)}
 	h.step(flow.Tick{Wall: h.now})
 	h.step(restored)
-	h.step(flow.Configured{Catalog: &infra.Catalog{
-		Version:  1,
-		Queues:   []infra.Queue{{Name: "batch", Service: "pool", Priority: 2, MaxAttempts: 3, StretchFactor: 2, TargetLatency: time.Second}},
-		Services: []infra.Service{{Name: "pool"}},
-	}})
+	h.step(flow.Configured{Catalog: testCatalog()})
 	for _, w := range workers {
 		h.step(flow.WorkerListed{Worker: w})
 	}
--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -95,6 +95,8 @@
 	fencedWorkers      map[fleet.WorkerID]struct{}
 	// predecessorEnd is the time from which a predecessor sends no more orders.
 	predecessorEnd time.Time
+	// rosterRestored is set once the roster is known, and restored once the jobs are.
+	rosterRestored bool
 	restored       bool
 	// leaseUnconfirmed is set while another scheduler may have been elected.
 	leaseUnconfirmed bool
@@ -111,7 +113,7 @@
 	// confirmedAt and witnessedAt are when the store and most workers have last confirmed this scheduler.
 	confirmedAt time.Time
 	witnessedAt time.Time
-	// electedAt is the last confirmation by the store before the state was restored, which is not later than the election.
+	// electedAt is the last confirmation by the store before the roster was restored, which is not later than the election.
 	electedAt time.Time
 
 	// runTimes holds a model of the run times for each queue.
@@ -248,6 +250,8 @@
 func (m *Machine) Step(now time.Time, ev Event) []Effect {
 	m.now = now
 	switch ev := ev.(type) {
+	case RosterRestored:
+		m.restoreRoster(ev)
 	case Restored:
 		m.restore(ev)
 	case Configured:
@@ -324,8 +328,10 @@
 }
 
 func (m *Machine) restore(ev Restored) {
-	m.term = ev.Term
-	base := infra.Run(ev.Term) * runsPerTerm
+	if !m.rosterRestored {
+		m.restoreRoster(RosterRestored{Roster: ev.Roster, Takeovers: ev.Takeovers, Term: ev.Term})
+	}
+	base := infra.Run(m.term) * runsPerTerm
 	for _, s := range ev.Jobs {
 		if m.jobs[s.Job.ID] != nil {
 			continue
@@ -350,8 +356,8 @@
 	for _, r := range ev.Interference {
 		m.interferenceModels[r.Image] = m.restoreInterference(r)
 	}
-	m.restoreRoster(ev)
 	m.restored = true
+	m.resumeReports()
 	m.searchAgain()
 }
 
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -25,7 +25,7 @@
 		order.Deadline = w.maxClock(m.now) + lease.Milliseconds()
 		w.leaseEnd = max(w.leaseEnd, order.Deadline)
 	}
-	if isSameIncarnation && !w.hasUnsavedEnds() && w.tokenAccepted && w.reachable && !isImmediate && !w.secondReportDue {
+	if m.restored && isSameIncarnation && !w.hasUnsavedEnds() && w.tokenAccepted && w.reachable && !isImmediate && !w.secondReportDue {
 		order.Wait = reportWait
 		if len(w.servingSteps) > 0 && w.fillerCPU > 0 {
 			order.Wait = reportWaitColocated
@@ -51,7 +51,7 @@
 	case errors.As(ev.Err, &refused) && refused.Reason == infra.ReasonFenced:
 		m.emit(Resign{Worker: w.ID})
 		return
-	case errors.As(ev.Err, &refused) && refused.Reason == infra.ReasonInstance:
+	case errors.As(ev.Err, &refused) && refused.Reason == infra.ReasonInstance && m.restored:
 		m.addressTaken(w)
 		return
 	case errors.As(ev.Err, &refused):
@@ -64,7 +64,8 @@
 		m.recordSuspects(w)
 	}
 	w.reachable = false
-	if !errors.As(ev.Err, &unsent) || !unsent.ConnRefused {
+	// What a crash means is in the records of the jobs.
+	if !errors.As(ev.Err, &unsent) || !unsent.ConnRefused || !m.restored {
 		w.connRefusals = 0
 		return
 	}
@@ -124,7 +125,8 @@
 	if w.StartedAt == 0 {
 		w.StartedAt = ev.Report.StartedAt
 	}
-	if !w.tokenAccepted {
+	if m.restored && !w.hasAnswered {
+		w.hasAnswered = true
 		m.workerAnswered(w)
 	}
 	if !w.reachable {
@@ -150,6 +152,10 @@
 		m.fenceLateStarts(w)
 		m.searchAgain()
 	}
+	if !m.restored {
+		m.renewedBeforeJobs(w, ev.Order)
+		return
+	}
 	m.placementDue = m.placementDue || w.probed
 	w.probed = false
 	hasNew := m.applyEnds(w, ev.Report.Ended)
--- a/coord/flow/save.go
+++ b/coord/flow/save.go
@@ -100,7 +100,8 @@
 		if w := m.workers[e.Worker]; w != nil && !w.inStoredRoster && m.roster[w.ID] == e && e.RenewedBefore > m.term {
 			w.inStoredRoster = true
 			m.searchAgain()
-			if !w.renewalInFlight && !w.hasUnsavedEnds() {
+			hasLease := !m.restored && w.isLeaseKnown
+			if !w.renewalInFlight && !w.hasUnsavedEnds() && !hasLease {
 				m.sendRenewal(w)
 			}
 		}
--- a/coord/flow/sim_takeover_test.go
+++ b/coord/flow/sim_takeover_test.go
@@ -121,11 +121,17 @@
 	sim.after(span, func() { clear(unreached) })
 }
 
+// drawReadTime draws how long schedulers read the jobs: at once, on a fast link, or on a slow one.
+func drawReadTime(t *rapid.T) time.Duration {
+	return time.Duration(rapid.SampledFrom([]int{0, 300, 2500}).Draw(t, "read_time")) * time.Millisecond
+}
+
 // Schedulers are elected in turn while earlier ones are cut off from the store and reach some of the workers, and workers
 // restart. What one of them may run must not be started elsewhere, however the waits of the others were shortened (TWICE).
 func TestInvariantsOfSchedulersInTurn(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		c := newSimulation(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(2, 9).Draw(t, "workers"))
+		c.readTime = drawReadTime(t)
 		c.elect(false)
 		c.run(time.Second)
 		for n := range rapid.IntRange(1, 3).Draw(t, "lasting_jobs") {
--- a/coord/flow/sim_turns_test.go
+++ b/coord/flow/sim_turns_test.go
@@ -21,6 +21,7 @@
 		c.inputLag = time.Duration(rapid.SampledFrom([]int{0, 2000}).Draw(t, "input_lag")) * time.Millisecond
 		c.listingDelay = time.Duration(rapid.SampledFrom([]int{0, 3000}).Draw(t, "listing_delay")) * time.Millisecond
 		c.lostShare = rapid.SampledFrom([]float64{0, 0, 0.05, 0.2}).Draw(t, "lost_share")
+		c.readTime = drawReadTime(t)
 		c.elect(false)
 		c.run(2 * time.Second)
 		for n := range rapid.IntRange(1, 3).Draw(t, "lasting_jobs") {
@@ -79,25 +80,35 @@
 	})
 }
 
-// A scheduler renewed no lease before the roster entry with its term was stored. Beside a store that takes 300 ms a call, the
-// leases of workers expired after a change of the scheduler, and their work was lost.
+// A scheduler renewed no lease before the roster entry with its term was stored, and none before it had read the jobs. Beside a
+// store that takes 300 ms a call, or on a link on which the jobs take 2.4 s, the leases of workers expired after a change of the
+// scheduler, and their work was lost.
 func TestLeasesSurviveTakeoverBesideSlowStore(t *testing.T) {
 	const tasks = 24
-	for _, delay := range []time.Duration{0, 100 * time.Millisecond, 300 * time.Millisecond} {
+	for _, slow := range []struct{ delay, readTime time.Duration }{
+		{0, 0},
+		{100 * time.Millisecond, 0},
+		{300 * time.Millisecond, 0},
+		{0, 2400 * time.Millisecond},
+		{100 * time.Millisecond, 2400 * time.Millisecond},
+		{300 * time.Millisecond, 2400 * time.Millisecond},
+		{0, 20 * time.Second},
+	} {
 		for seed := range uint64(10) {
 			c := newSimulation(seed, 12)
-			c.taskLease, c.storeDelay = 5*time.Second, delay
+			c.taskLease, c.storeDelay = 5*time.Second, slow.delay
 			c.elect(false)
 			c.run(3 * time.Second)
 			j := singleStepJob("lasting", lastingStep(tasks, 1000))
 			j.Steps[0].MaxPerWorker = 3
 			c.submit(j)
 			c.run(8*time.Second + time.Duration(c.rng.IntN(1000))*time.Millisecond)
+			c.readTime = slow.readTime
 			// The lease of the leader ends up to 1.8 s after it was killed. The watch, the campaign and the reads of the state make
 			// five calls in turn.
-			c.killScheduler(leaderLease + 5*delay)
-			c.run(8 * time.Second)
-			assert.Equal(t, c.starts, tasks, "store delay %v, seed %d: starts", delay, seed)
+			c.killScheduler(leaderLease + 5*slow.delay)
+			c.run(8*time.Second + slow.readTime)
+			assert.Equal(t, c.starts, tasks, "store delay %v, jobs read in %v, seed %d: starts", slow.delay, slow.readTime, seed)
 		}
 	}
 }
--- a/coord/flow/simulation_test.go
+++ b/coord/flow/simulation_test.go
@@ -43,6 +43,8 @@
 	// storeDown delays all saves, and storeDelay is the time of one.
 	storeDown  bool
 	storeDelay time.Duration
+	// readTime is how long a new scheduler reads the jobs after the roster; at 0 it gets both at once.
+	readTime time.Duration
 	// taskLease is the longest lease that the schedulers grant.
 	taskLease time.Duration
 	// storeDownAt and storeUpAt are the start and the end of the last [simulation.storeOutage].
@@ -87,6 +89,8 @@
 	m     *flow.Machine
 	token infra.Token
 	alive bool
+	// restored is set once the scheduler has read the state; until then it reads no changes.
+	restored bool
 	// killedAt is when the scheduler was killed; zero if it was not.
 	killedAt time.Time
 	// cutOff is set while the scheduler is cut off from the store. Until confirmedUntil it takes its lease as confirmed
@@ -250,12 +254,41 @@
 	sim.schedulers = append(sim.schedulers, sched)
 	sim.revision++
 	hasPredecessor := sim.term > 0
-	restored := flow.Restored{
-		Term: sim.term, Roster: append([]flow.RosterEntry(nil), sim.roster...), Interference: sim.interference, Takeovers: sim.observedTakeovers(),
-	}
+	roster := flow.RosterRestored{Term: sim.term, Roster: append([]flow.RosterEntry(nil), sim.roster...), Takeovers: sim.observedTakeovers()}
 	sim.takeovers = append(sim.takeovers, simTakeover{term: sim.term, electedAt: sim.now})
 	sched.term = sim.term
 	sim.term++
+	sim.step(sched, flow.Tick{Wall: sim.now, ConfirmedAt: sched.confirmedAt})
+	if sim.readTime == 0 {
+		sim.restore(sched, roster)
+	} else {
+		sim.step(sched, roster)
+		sim.after(sim.readTime, func() { sim.restore(sched, roster) })
+	}
+	sim.after(10*time.Millisecond, func() { sim.tick(sched) })
+	if hasPredecessor {
+		sim.after(leaderLease, func() { sim.reportPredecessorLeases(sched) })
+	} else {
+		sim.step(sched, flow.PredecessorLeaseEnded{Revision: sim.revision})
+	}
+	if old != nil && sim.rng.IntN(2) == 0 {
+		// The entry hosts of the previous schedulers confirm that they have stopped, and they do stop.
+		earlier := sim.schedulers[:len(sim.schedulers)-1]
+		sim.after(time.Duration(10+sim.rng.IntN(2000))*time.Millisecond, func() {
+			sim.step(sched, flow.PredecessorStopped{Ago: sim.stop(earlier, old)})
+		})
+	}
+}
+
+// restore passes the stored state to a scheduler as soon as it can have read it, and then the list of workers.
+func (sim *simulation) restore(sched *simScheduler, roster flow.RosterRestored) {
+	if sim.readTime > 0 && (sim.storeDown || sched.cutOff) {
+		if sched.alive {
+			sim.after(100*time.Millisecond, func() { sim.restore(sched, roster) })
+		}
+		return
+	}
+	restored := flow.Restored{Term: roster.Term, Roster: roster.Roster, Takeovers: roster.Takeovers, Interference: sim.interference}
 	for _, id := range sim.jobIDs {
 		j := sim.jobs[id]
 		stored := flow.StoredJob{Job: j.spec, Cancelled: !j.cancelled.IsZero()}
@@ -265,7 +298,7 @@
 		j.known = true
 		restored.Jobs = append(restored.Jobs, stored)
 	}
-	sim.step(sched, flow.Tick{Wall: sim.now, ConfirmedAt: sched.confirmedAt})
+	sched.restored = true
 	sim.step(sched, restored)
 	sim.step(sched, flow.Configured{Catalog: sim.catalog})
 	for _, id := range sim.workerIDs {
@@ -282,19 +315,6 @@
 			}
 		})
 	}
-	sim.after(10*time.Millisecond, func() { sim.tick(sched) })
-	if hasPredecessor {
-		sim.after(leaderLease, func() { sim.reportPredecessorLeases(sched) })
-	} else {
-		sim.step(sched, flow.PredecessorLeaseEnded{Revision: sim.revision})
-	}
-	if old != nil && sim.rng.IntN(2) == 0 {
-		// The entry hosts of the previous schedulers confirm that they have stopped, and they do stop.
-		earlier := sim.schedulers[:len(sim.schedulers)-1]
-		sim.after(time.Duration(10+sim.rng.IntN(2000))*time.Millisecond, func() {
-			sim.step(sched, flow.PredecessorStopped{Ago: sim.stop(earlier, old)})
-		})
-	}
 }
 
 // reportPredecessorLeases posts the revision of the store as soon as the scheduler can read it.
@@ -341,9 +361,16 @@
 		return
 	}
 	switch ev := ev.(type) {
+	case flow.Submitted, flow.CancelRequested, flow.WorkerUnlisted:
+		if !sched.restored {
+			return
+		}
 	case flow.RenewAnswered:
 		sched.incarnations[ev.Worker] = ev.Report.StartedAt
 	case flow.WorkerListed:
+		if !sched.restored {
+			return
+		}
 		sched.incarnations[ev.Worker.ID] = ev.Worker.StartedAt
 	default:
 	}
--- a/coord/flow/sweep.go
+++ b/coord/flow/sweep.go
@@ -8,12 +8,20 @@
 // tick advances time and starts the work that is due: the sweep, placement and saving.
 func (m *Machine) tick(wall time.Time) {
 	m.wall, m.wallAt = wall, m.now
-	if !m.restored {
+	if !m.rosterRestored {
 		return
 	}
 	if m.now.Sub(m.sweptAt) >= sweepInterval {
 		m.sweptAt = m.now
-		m.sweep()
+		if m.restored {
+			m.sweep()
+		} else {
+			m.renewBeforeJobs()
+		}
+	}
+	if !m.restored {
+		m.save()
+		return
 	}
 	if m.placementDue && m.now.Sub(m.placedAt) >= placeInterval {
 		m.placedAt = m.now
@@ -59,7 +67,7 @@
 		w.leadershipConfirmed = true
 		m.searchAgain()
 	}
-	if !w.renewalInFlight && !m.now.Before(w.nextRenewal) && (w.listed || !m.isForgettable(w)) {
+	if m.isRenewalDue(w) {
 		m.sendRenewal(w)
 	}
 	// While another scheduler may have been elected, it may also have renewed the lease.
@@ -87,6 +95,11 @@
 	}
 }
 
+// isRenewalDue reports whether a renewal must be sent to a worker.
+func (m *Machine) isRenewalDue(w *worker) bool {
+	return !w.renewalInFlight && !m.now.Before(w.nextRenewal) && (w.listed || !m.isForgettable(w))
+}
+
 // repeatStops sends the stops that are due again, and gives up starts that can no longer be carried out.
 func (m *Machine) repeatStops(w *worker) {
 	for _, r := range w.sortedRuns() {
--- a/coord/flow/takeover.go
+++ b/coord/flow/takeover.go
@@ -30,7 +30,8 @@
 
 // restoreRoster restores the workers on which predecessors may have started tasks, and determines until when the leases that
 // they have granted can last.
-func (m *Machine) restoreRoster(ev Restored) {
+func (m *Machine) restoreRoster(ev RosterRestored) {
+	m.term, m.rosterRestored = ev.Term, true
 	m.predecessorEnd, m.electedAt = m.now.Add(m.opts.leadershipTimeout), m.confirmedAt
 	for _, e := range ev.Roster {
 		if e.RenewedBefore <= 0 || e.RenewedBefore > ev.Term {
--- a/coord/flow/worker.go
+++ b/coord/flow/worker.go
@@ -125,6 +125,8 @@
 	// tokenAccepted is set once the worker has accepted this scheduler's fencing token, at acceptedAt.
 	tokenAccepted bool
 	acceptedAt    time.Time
+	// hasAnswered is set once a report of the worker has been applied.
+	hasAnswered bool
 	// renewalSentAt is when the last renewal was sent, and askedAt when the last one was sent that was answered.
 	renewalSentAt time.Time
 	askedAt       time.Time
--- a/coord/flow/worker_lifecycle.go
+++ b/coord/flow/worker_lifecycle.go
@@ -186,7 +186,7 @@
 		r.state, r.nextStop, r.stopReason, r.fromPreviousIncarnation = fencing, m.now, "worker restarted", true
 	}
 	w.StartedAt, w.restartedSinceListing, w.unconfirmed = startedAt, true, nil
-	w.tokenAccepted, w.leadershipConfirmed = false, false
+	w.tokenAccepted, w.hasAnswered, w.leadershipConfirmed = false, false, false
 	w.clock, w.leaseEnd, w.seenEnd, w.durableEnd, w.unsavedEnds = 0, 0, 0, 0, nil
 	w.heldEnds, w.hasMoreEnds, w.crashCounted = 0, false, false
 	w.life++
--- a/entryd/leader/scheduler.go
+++ b/entryd/leader/scheduler.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
-	"maps"
-	"slices"
 	"sync"
 	"time"
 
@@ -150,7 +147,7 @@
 		Scheduler: s, leadership: leadership, log: s.log.With("token", int64(leadership.leader.Token)),
 		decisions: s.decisions.With("token", int64(leadership.leader.Token)),
 		meter:     newLoadMeter(s.registry),
-		events:    make(chan queuedEvent, eventQueueSize), queries: make(chan query), stopped: make(chan struct{}),
+		events:    make(chan queuedEvent, eventQueueSize), queries: make(chan query), stopped: make(chan struct{}), startedAt: Now(),
 		machine: flow.New(leadership.leader.Token,
 			flow.WithTaskLease(min(s.bounds.MaxLease, maxTaskLease)), flow.WithLeadershipTimeout(leadershipTimeout),
 			flow.WithRetention(retentionFactor*s.bounds.StatusRetention), flow.WithMaxTargetMiss(s.bounds.MaxTargetMiss)),
@@ -158,6 +155,7 @@
 	s.elections.Inc(1)
 	defer close(l.stopped)
 	if !l.load(ctx) {
+		l.finish()
 		return
 	}
 	s.mu.Lock()
@@ -191,6 +189,9 @@
 	heldEvents []flow.Event
 	// stopped is closed when the loop has ended and handles no more events.
 	stopped chan struct{}
+	// startedAt is when the loop began, and renewedLeases counts the renewals of leases that it has sent since.
+	startedAt     time.Time
+	renewedLeases int
 
 	sequenceRevision store.Revision
 	workersRevision  store.Revision
@@ -242,93 +243,6 @@
 	}
 }
 
-// load restores the state that earlier leaders stored; it returns false if ctx ends first.
-func (l *loop) load(ctx context.Context) bool {
-	started := Now()
-	for ctx.Err() == nil {
-		restored, err := l.readState(ctx)
-		if err == nil {
-			l.log.Info("scheduler: state read", "jobs", len(restored.Jobs), "roster", len(restored.Roster), "took", Now().Sub(started))
-			l.handle(ctx, flow.Tick{Wall: time.Now(), ConfirmedAt: l.leadership.lastConfirmed()})
-			restored.Takeovers = l.leadership.history.takeovers()
-			l.handle(ctx, restored)
-			return true
-		}
-		l.log.Warn("scheduler: reading the state failed", "error", err)
-		sleep(ctx, retryMinDelay)
-	}
-	return false
-}
-
-// readState reads what earlier leaders and the entry processes stored. The reads run in parallel, because a slow store
-// takes 400 ms for each. They need no common revision: writes of a predecessor are conditional on its leadership, and
-// jobs that callers add are covered by the watch that follows.
-func (l *loop) readState(ctx context.Context) (flow.Restored, error) {
-	out := flow.Restored{Term: l.leadership.leader.Term}
-	var inputs, records []store.Entry
-	var inputsRevision store.Revision
-	var reads sync.WaitGroup
-	var errs [5]error
-	reads.Go(func() { inputs, inputsRevision, errs[0] = readAll(ctx, l.store, inputPrefix) })
-	reads.Go(func() { records, _, errs[1] = readAll(ctx, l.store, recordPrefix) })
-	reads.Go(func() { _, errs[2] = l.readKey(ctx, rosterKey, &out.Roster) })
-	reads.Go(func() { _, errs[3] = l.readKey(ctx, interferenceKey, &out.Interference) })
-	reads.Go(func() { l.sequenceRevision, errs[4] = l.readKey(ctx, sequenceKey, nil) })
-	reads.Wait()
-	if err := errors.Join(errs[:]...); err != nil {
-		return out, err
-	}
-	l.inputs = newDelivery(inputsRevision, inputs)
-	progress := make(map[fleet.JobID]*flow.Record, len(records))
-	for _, e := range records {
-		var record flow.Record
-		if err := cbor.Unmarshal(e.Value, &record); err != nil {
-			l.log.Error("scheduler: cannot decode record", "key", e.Key, "error", err)
-			continue
-		}
-		progress[fleet.JobID(e.Key[len(recordPrefix):])] = &record
-	}
-	cancelled := make(map[fleet.JobID]bool)
-	for _, e := range inputs {
-		if id, isCancel := parseInput(e.Key); isCancel {
-			cancelled[id] = true
-		}
-	}
-	for _, e := range inputs {
-		id, isCancel := parseInput(e.Key)
-		if isCancel {
-			continue
-		}
-		isCancelled := cancelled[id]
-		delete(cancelled, id)
-		job, err := DecodeJob(e.Value)
-		if err != nil {
-			l.log.Error("scheduler: cannot decode job", "key", e.Key, "error", err)
-			continue
-		}
-		out.Jobs = append(out.Jobs, flow.StoredJob{Job: job, Cancelled: isCancelled, Record: progress[id]})
-	}
-	out.Cancelled = slices.Sorted(maps.Keys(cancelled))
-	return out, nil
-}
-
-// readKey decodes the value of a key into a variable, if that is not nil, and returns the revision of the key; 0 if
-// there is none. A value that cannot be decoded is logged and ignored.
-func (l *loop) readKey(ctx context.Context, key string, into any) (store.Revision, error) {
-	found, err := l.store.Range(ctx, store.Get{Key: key})
-	if err != nil || len(found.Entries) == 0 {
-		return 0, err
-	}
-	e := found.Entries[0]
-	if into == nil {
-		return e.ModRevision, nil
-	}
-	if err := cbor.Unmarshal(e.Value, into); err != nil {
-		l.log.Error("scheduler: cannot decode entry", "key", key, "error", err)
-	}
-	return e.ModRevision, nil
-}
-
 // EncodeJob returns the stored form of a job.
 func EncodeJob(j infra.Job) ([]byte, error) { return cbor.Marshal(j) }
 
@@ -375,8 +289,7 @@
 			l.waves.handle(ctx, upkeep.Tick{})
 		}
 		l.releaseHeldEvents(ctx)
-		l.handle(ctx, flow.Tick{Wall: time.Now(), ConfirmedAt: l.leadership.lastConfirmed(), LeaseUnconfirmed: !l.leadership.LeaseConfirmed()})
-		l.leadership.witness(l.machine.WitnessedAt())
+		l.tick(ctx)
 		l.awaitedWorkers.Update(int64(l.machine.AwaitedWorkers()))
 		l.longWaits.Update(int64(l.machine.LongWaits()))
 		l.unsavedJobs.Update(int64(l.machine.UnsavedJobs()))
@@ -385,10 +298,23 @@
 	l.longWaits.Update(0)
 	l.unsavedJobs.Update(0)
 	l.awaitedWorkers.Update(0)
+	l.finish(&sources)
+	l.log.Info("scheduler: stopped", "counts", l.machine.Counts(), "held_events", len(l.heldEvents))
+}
+
+// finish waits for the effects in progress and for other goroutines.
+func (l *loop) finish(others ...*sync.WaitGroup) {
 	go l.discard()
-	sources.Wait()
+	for _, o := range others {
+		o.Wait()
+	}
 	l.effects.Wait()
-	l.log.Info("scheduler: stopped", "counts", l.machine.Counts(), "held_events", len(l.heldEvents))
+}
+
+// tick advances the time of the state machine.
+func (l *loop) tick(ctx context.Context) {
+	l.handle(ctx, flow.Tick{Wall: time.Now(), ConfirmedAt: l.leadership.lastConfirmed(), LeaseUnconfirmed: !l.leadership.LeaseConfirmed()})
+	l.leadership.witness(l.machine.WitnessedAt())
 }
 
 // handleQueued handles queued events without blocking, up to maxEventsPerTick.
@@ -446,6 +372,7 @@
 	switch e := e.(type) {
 	case flow.Renew:
 		l.renewals.Inc(1)
+		l.countRenewal(e)
 		l.effects.Go(func() { l.renewLeases(ctx, e) })
 	case flow.Start:
 		l.orders.Inc(1)
--- a/entryd/leader/takeover_test.go
+++ b/entryd/leader/takeover_test.go
@@ -3,13 +3,19 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"gotest.tools/v3/assert"
 
 	"lovagefork.example/coord/fleet"
+	"lovagefork.example/coord/flow"
 	"lovagefork.example/coord/infra"
+	"lovagefork.example/coord/store"
 	"lovagefork.example/entryd/leader"
 )
 
@@ -34,3 +40,95 @@
 	// The state consists of jobs, records, the roster, the sequence key and the interference models.
 	waitFor(t, "parallel reads", func() bool { m.mu.Lock(); defer m.mu.Unlock(); return m.maxReading >= 5 })
 }
+
+// slowPagesClient is a client of the store that returns one entry in a page of jobs. The pages after the first one wait until
+// released is closed, and every second read fails.
+type slowPagesClient struct {
+	client
+	released chan struct{}
+
+	mu    sync.Mutex
+	reads []string
+}
+
+// Range implements [store.Client].
+func (c *slowPagesClient) Range(ctx context.Context, get store.Get) (store.RangeResult, error) {
+	out, err := c.client.Range(ctx, get)
+	if err != nil || get.Key != inputPrefix {
+		return out, err
+	}
+	if get.After != "" {
+		select {
+		case <-c.released:
+		case <-ctx.Done():
+			return store.RangeResult{}, ctx.Err()
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reads = append(c.reads, get.After)
+	if len(c.reads)%2 == 0 {
+		return store.RangeResult{}, &store.OutcomeUnknownError{Op: "range", Cause: errNoAnswer}
+	}
+	slices.SortFunc(out.Entries, func(a, b store.Entry) int { return strings.Compare(a.Key, b.Key) })
+	at := slices.IndexFunc(out.Entries, func(e store.Entry) bool { return e.Key > get.After })
+	out.More = at >= 0 && at < len(out.Entries)-1
+	if at >= 0 {
+		out.Entries = out.Entries[at : at+1]
+	}
+	return out, nil
+}
+
+// renewedAgents are workers that note whether their lease has been renewed.
+type renewedAgents struct {
+	promptAgents
+	renewed chan struct{}
+}
+
+func (a *renewedAgents) Renew(ctx context.Context, to infra.AgentAddress, o infra.RenewOrder) (infra.Report, error) {
+	if o.Deadline > 0 {
+		select {
+		case a.renewed <- struct{}{}:
+		default:
+		}
+	}
+	return a.promptAgents.Renew(ctx, to, o)
+}
+
+// No lease was renewed until all jobs had been read, and a page that failed began the read anew. On a slow link, beside a store
+// that loses answers, all leases lapsed meanwhile.
+func TestLeasesAreRenewedWhileJobsAreRead(t *testing.T) {
+	m := newMemStore()
+	put(t, m, "workers/a", []byte("a:1"))
+	put(t, m, "lovagefork/roster", encode(t, []flow.RosterEntry{{Worker: "a", Address: "a:1"}}))
+	put(t, m, termKey, encode(t, map[string]any{"term": 3, "entry_host": "b"}))
+	for _, id := range []fleet.JobID{"j1", "j2", "j3"} {
+		data, err := leader.EncodeJob(poolJob(id))
+		assert.NilError(t, err)
+		put(t, m, leader.JobKey(id), data)
+	}
+	c := &slowPagesClient{client: client{m, "a"}, released: make(chan struct{})}
+	agents := &renewedAgents{promptAgents: promptAgents{ended: make(map[fleet.WorkerID][]infra.EndedRun)}, renewed: make(chan struct{}, 1)}
+	log := slog.New(slog.DiscardHandler)
+	s := leader.NewScheduler(leader.Deps{
+		Store: c, Agents: agents, Format: strictFormat{}, Bounds: infra.Bounds{MaxLease: 6 * time.Second, StatusRetention: time.Minute}, Log: log,
+		Decisions: log, Metrics: metrics.NewRegistry(),
+		Supersede: func(context.Context, fleet.EntryHostID, infra.Token) (time.Duration, bool) { return time.Hour, true },
+	})
+	s.Configure(&infra.Catalog{
+		Version:  1,
+		Queues:   []infra.Queue{{Name: "batch", Service: "pool", MaxAttempts: 3, StretchFactor: 2, TargetLatency: time.Second}},
+		Services: []infra.Service{{Name: "pool"}},
+	})
+	runGroup(t, leader.NewGroup("a", "a:1", c, log, s.Run, func(fleet.EntryHostID, string) {}, func(leader.Leader) {}))
+	receive(t, "renewal of a lease", agents.renewed)
+	assert.Equal(t, agents.started("j1"), 0)
+	close(c.released)
+	for _, id := range []fleet.JobID{"j1", "j2", "j3"} {
+		waitFor(t, "start of a job", func() bool { return agents.started(id) == 1 })
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	assert.Equal(t, c.reads[0], "")
+	assert.Assert(t, !slices.Contains(c.reads[1:], ""), "the read began anew: %q", c.reads)
+}
