platform: connections to workers leave from the host's own address

On a machine with several addresses the system selected the source of connections to workers, so that a worker could not tell entry hosts apart by address. They now leave from the address of the settings, at which the process also listens.

--- a/entryd/main.go
+++ b/entryd/main.go
@@ -54,7 +54,7 @@
 		Reload:   read,
 		Hangups:  hangups,
 		Store:    platform.NewStore(settings.StoreAddr),
-		Agents:   platform.NewAgents(),
+		Agents:   platform.NewAgents(platform.WithSourceIP(settings.IP)),
 		Policy:   platform.NewPolicyService(settings.PolicyAddr),
 		Format:   platform.Format{},
 		Ingress: func(jobs infra.Jobs, log *slog.Logger) http.Handler {
