--- a/soak/links/links.go
+++ b/soak/links/links.go
@@ -72,6 +72,8 @@
 // Listener is a TCP listener with a [Mode].
 type Listener struct {
 	address string
+	// linkOf returns the link of the host at an address, or nil.
+	linkOf func(remote net.Addr) *Link
 
 	mu sync.Mutex
 	// inner is nil while new connections are refused.
@@ -84,15 +86,28 @@
 
 var _ net.Listener = (*Listener)(nil)
 
+// Option changes a [Listener] under construction.
+type Option func(*Listener)
+
+// WithLinks lets connections share the links of the hosts that they come from. A host without a link has unlimited bandwidth.
+func WithLinks(linkOf func(remote net.Addr) *Link) Option {
+	return func(l *Listener) { l.linkOf = linkOf }
+}
+
 // Listen listens at a TCP address.
-func Listen(address string) (*Listener, error) {
+func Listen(address string, opts ...Option) (*Listener, error) {
 	inner, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	return &Listener{
+	l := &Listener{
 		address: inner.Addr().String(), inner: inner, mode: Open{}, conns: make(map[*conn]struct{}), changed: make(chan struct{}),
-	}, nil
+		linkOf: func(net.Addr) *Link { return nil },
+	}
+	for _, opt := range opts {
+		opt(l)
+	}
+	return l, nil
 }
 
 // SetMode changes what happens to the connections. It fails if the address cannot be listened at again.
@@ -179,7 +194,10 @@
 
 // admit returns a connection with the listener's mode, or nil if the mode resets it.
 func (l *Listener) admit(accepted net.Conn) net.Conn {
-	c := &conn{Conn: accepted, listener: l, done: make(chan struct{})}
+	c := &conn{Conn: accepted, socket: accepted, listener: l, done: make(chan struct{})}
+	if link := l.linkOf(accepted.RemoteAddr()); link != nil {
+		c.Conn = link.Wrap(accepted)
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch l.mode.(type) {
@@ -216,13 +234,15 @@
 // conn is an accepted connection.
 type conn struct {
 	net.Conn
+	// socket is the connection without its link.
+	socket   net.Conn
 	listener *Listener
 	once     sync.Once
 	done     chan struct{}
 }
 
 func (c *conn) reset() {
-	if tcp, isTCP := c.Conn.(*net.TCPConn); isTCP {
+	if tcp, isTCP := c.socket.(*net.TCPConn); isTCP {
 		// Without lingering, closing a connection resets it. A connection that is closed already needs no reset.
 		_ = tcp.SetLinger(0)
 	}
