soak/plan: groups of hosts with links, sizes of specs, dark hosts

Plans could only describe hosts that are alike, with links that are never full and specs of a few bytes, so that no play came near the limits of a small host. Plans now hold groups of hosts with a bandwidth and processor time, sizes of specs and of long-running jobs, and faults of one group; a killed host can stay down, and a dark one keeps its connections open. A third of the drawn plans has small links.

Measured: go test ./soak/plan passes.

--- a/soak/plan/draw.go
+++ b/soak/plan/draw.go
@@ -46,6 +46,22 @@
 	calmAfter = 12 * time.Second
 )
 
+// The links of drawn plans. A start carries the spec of its job and about as much again in headers and answers.
+const (
+	linksChance     = 0.35
+	linksStream     = 1
+	drawnSpecBytes  = 2400
+	bytesPerStart   = 2 * drawnSpecBytes
+	meanJobTasks    = 4.5
+	minLinkShare    = 0.5
+	maxLinkShare    = 3
+	minLinkMbps     = 1
+	largeLinkMbps   = 200
+	largeMilliCPU   = 800
+	smallMilliCPU   = 192
+	largeHostsShare = 0.2
+)
+
 // Draw returns the plan of a seed with some hosts and workers and a time of load.
 func Draw(seed uint64, hosts, workers int, load time.Duration) Plan {
 	random := rand.New(rand.NewPCG(seed, 0))
@@ -83,6 +99,27 @@
 		}
 	}
 	p.Faults = slices.DeleteFunc(p.Faults, func(f Fault) bool { return f.AtMS >= p.LoadMS })
+	return drawLinks(rand.New(rand.NewPCG(seed, linksStream)), p)
+}
+
+// drawLinks gives the hosts of some plans links with a bandwidth, from half of what all starts need on. If there are several
+// hosts, some of them may be larger.
+func drawLinks(random *rand.Rand, p Plan) Plan {
+	if random.Float64() >= linksChance {
+		return p
+	}
+	tasks := meanJobTasks
+	if p.MaxTasks > 0 {
+		tasks = float64(p.MinTasks+p.MaxTasks) / 2
+	}
+	need := p.JobsPerSecond * tasks * bytesPerStart * 8 / 1e6
+	small := HostGroup{Count: p.Hosts, MilliCPU: smallMilliCPU, LinkMbps: max(minLinkMbps, need*(minLinkShare+(maxLinkShare-minLinkShare)*random.Float64()))}
+	p.SpecBytes = drawnSpecBytes
+	if large := max(1, int(largeHostsShare*float64(p.Hosts))); large < p.Hosts && random.IntN(3) > 0 {
+		small.Count -= large
+		p.HostGroups = append(p.HostGroups, HostGroup{Count: large, LinkMbps: largeLinkMbps, MilliCPU: largeMilliCPU})
+	}
+	p.HostGroups = append(p.HostGroups, small)
 	return p
 }
 
@@ -146,7 +183,7 @@
 		f = drawLoss(random)
 	}
 	switch kind {
-	case HostKill, HostStop, HostPause, HostReload, HostLoss, StoreExcludes:
+	case HostKill, HostStop, HostPause, HostReload, HostLoss, HostDark, StoreExcludes:
 		f.OnLeader = random.IntN(2) == 0
 	}
 	between := func(low, high int64) int64 { return low + random.Int64N(high-low+1) }
@@ -154,6 +191,11 @@
 	switch f.Kind {
 	case HostKill, HostReload:
 		f.Count = 1 + random.IntN(hosts)
+		if kind == HostKill && random.IntN(3) == 0 {
+			f.Count, f.ForMS = hosts, between(1000, 7000)
+		}
+	case HostDark:
+		f.Count, f.ForMS = 1+random.IntN(max(1, hosts/2)), between(500, 6000)
 	case HostStop:
 		f.Count = 1
 	case HostPause:
--- a/soak/plan/plan.go
+++ b/soak/plan/plan.go
@@ -12,13 +12,15 @@
 type Kind string
 
 // The kinds of faults. Hosts run an entry process each. Hosts and workers that are lost do not return; a lost host is replaced
-// by an empty one, with another identity, if its fault has a duration.
+// by an empty one, with another identity, if its fault has a duration. The process of a dark host is silent, with its connections
+// open, until it is killed at the end of the fault. Killed processes return after their fault's duration, or after a second.
 const (
 	HostKill   Kind = "host_kill"
 	HostStop   Kind = "host_stop"
 	HostPause  Kind = "host_pause"
 	HostReload Kind = "host_reload"
 	HostLoss   Kind = "host_loss"
+	HostDark   Kind = "host_dark"
 
 	StoreDown     Kind = "store_down"
 	StoreSlow     Kind = "store_slow"
@@ -43,6 +45,7 @@
 var Kinds = []Kind{
 	HostKill, HostStop, HostPause, HostReload, StoreDown, StoreSlow, StoreLost, StoreLate, StoreExcludes, StoreCompact, StoreWatchLag,
 	WorkersRefuse, WorkersReset, WorkersSilent, WorkersOneWay, WorkersDelay, WorkersLate, WorkerCrash, WorkerDrain, HostLoss, WorkerLoss,
+	HostDark,
 }
 
 // DisturbsWorkers reports whether the targets of faults of a kind are workers.
@@ -61,6 +64,8 @@
 	ForMS int64 `json:"for_ms,omitempty"`
 	// Count is the number of hosts or workers.
 	Count int `json:"count,omitempty"`
+	// Group selects the hosts of a group, counted from 1; 0 stands for all hosts.
+	Group int `json:"group,omitempty"`
 	// OnLeader selects the host of the scheduler first.
 	OnLeader bool `json:"on_leader,omitempty"`
 	// Among selects the targets among the workers that faults of this kind disturb at the time.
@@ -88,18 +93,24 @@
 type Plan struct {
 	Name string `json:"name"`
 	// Cause says what a plan that is kept has found.
-	Cause         string  `json:"cause,omitempty"`
-	Seed          uint64  `json:"seed"`
-	Hosts         int     `json:"hosts"`
-	Workers       int     `json:"workers"`
-	LoadMS        int64   `json:"load_ms"`
-	JobsPerSecond float64 `json:"jobs_per_second"`
+	Cause string `json:"cause,omitempty"`
+	Seed  uint64 `json:"seed"`
+	Hosts int    `json:"hosts"`
+	// HostGroups describes the hosts in their order; without it they are alike and their links unlimited.
+	HostGroups    []HostGroup `json:"host_groups,omitempty"`
+	Workers       int         `json:"workers"`
+	LoadMS        int64       `json:"load_ms"`
+	JobsPerSecond float64     `json:"jobs_per_second"`
 	// MinTasks and MaxTasks bound the number of tasks of a step, and MaxWorkMS the work of most of them; 0 stands for the default.
 	MinTasks  int   `json:"min_tasks,omitempty"`
 	MaxTasks  int   `json:"max_tasks,omitempty"`
 	MaxWorkMS int64 `json:"max_work_ms,omitempty"`
+	// SpecBytes is the size of the specs of jobs; 0 leaves them as short as they are.
+	SpecBytes int `json:"spec_bytes,omitempty"`
 	// LastingJobs is the number of further jobs, long-running ones that are submitted at the beginning and stay beyond the load.
 	LastingJobs int `json:"lasting_jobs,omitempty"`
+	// LastingTasks is the number of tasks of each of them; 0 stands for a few, drawn for each job.
+	LastingTasks int `json:"lasting_tasks,omitempty"`
 	// ConfigEveryMS is the interval of changes of the configuration; 0 means that there are none.
 	ConfigEveryMS int64 `json:"config_every_ms,omitempty"`
 	// ReportMS is how long workers take between the parts of a report; 0 means that they read them at one moment.
@@ -107,6 +118,33 @@
 	Faults   []Fault `json:"faults"`
 }
 
+// HostGroup describes some hosts that are alike.
+type HostGroup struct {
+	Count int `json:"count"`
+	// LinkMbps is the bandwidth of each host's link in Mbit/s in each direction; 0 if it is unlimited.
+	LinkMbps float64 `json:"link_mbps,omitempty"`
+	// MilliCPU is the processor time in the settings of each host, in thousandths of a core; 0 stands for the default.
+	MilliCPU int64 `json:"milli_cpu,omitempty"`
+}
+
+// GroupOf returns the number of the group of the n-th host, counted from 1, or 0 if the plan has no groups.
+func (p Plan) GroupOf(n int) int {
+	for i, g := range p.HostGroups {
+		if n -= g.Count; n < 0 {
+			return i + 1
+		}
+	}
+	return 0
+}
+
+// Group returns the group with a number, which is the zero value for 0.
+func (p Plan) Group(number int) HostGroup {
+	if number == 0 {
+		return HostGroup{}
+	}
+	return p.HostGroups[number-1]
+}
+
 // InvalidError reports a plan that cannot be carried out.
 type InvalidError struct {
 	Source string
@@ -124,6 +162,7 @@
 	maxTasks   = 100
 	// maxLastingJobs limits the long-running jobs of a plan.
 	maxLastingJobs = 100
+	maxSpecBytes   = 64 << 10
 )
 
 // Load reads and validates a plan; its error is an [*InvalidError] or that of the file system.
@@ -155,11 +194,18 @@
 		return invalid("a rate or an interval is not positive")
 	case p.MinTasks < 0 || p.MaxTasks < p.MinTasks || p.MaxTasks > maxTasks:
 		return invalid("%d to %d tasks in a step, want at most %d", p.MinTasks, p.MaxTasks, maxTasks)
+	case p.SpecBytes < 0 || p.SpecBytes > maxSpecBytes:
+		return invalid("specs of %d bytes, want at most %d", p.SpecBytes, maxSpecBytes)
+	case p.LastingTasks < 0 || p.LastingTasks > maxTasks:
+		return invalid("%d tasks of a long-running job, want at most %d", p.LastingTasks, maxTasks)
 	case p.LastingJobs < 0 || p.LastingJobs > maxLastingJobs:
 		return invalid("%d long-running jobs, want at most %d", p.LastingJobs, maxLastingJobs)
 	case p.MaxWorkMS < 0 || p.MaxWorkMS > maxLoadMS:
 		return invalid("%d ms of work, want at most %d", p.MaxWorkMS, maxLoadMS)
 	}
+	if reason := p.invalidGroups(); reason != "" {
+		return invalid("%s", reason)
+	}
 	lost := 0
 	for i, f := range p.Faults {
 		if f.Kind == HostLoss {
@@ -171,6 +217,9 @@
 		if f.AtMS < 0 || f.ForMS < 0 || f.Count < 0 || f.Share < 0 || f.Share > 1 || f.DelayMS < 0 {
 			return invalid("fault %d: a figure is out of range", i)
 		}
+		if f.Group < 0 || f.Group > len(p.HostGroups) {
+			return invalid("fault %d: group %d of %d", i, f.Group, len(p.HostGroups))
+		}
 		if f.Among != "" && (!f.Kind.DisturbsWorkers() || !f.Among.DisturbsWorkers()) {
 			return invalid("fault %d: %s among %s, want two kinds of faults of workers", i, f.Kind, f.Among)
 		}
@@ -181,6 +230,24 @@
 	return nil
 }
 
+// invalidGroups returns why the groups of hosts cannot be set up, or an empty text.
+func (p Plan) invalidGroups() string {
+	if len(p.HostGroups) == 0 {
+		return ""
+	}
+	total := 0
+	for i, g := range p.HostGroups {
+		if g.Count < 1 || g.LinkMbps < 0 || g.MilliCPU < 0 {
+			return fmt.Sprintf("group %d: a figure is out of range", i+1)
+		}
+		total += g.Count
+	}
+	if total != p.Hosts {
+		return fmt.Sprintf("%d hosts in groups, want %d", total, p.Hosts)
+	}
+	return ""
+}
+
 // Save writes a plan.
 func (p Plan) Save(file string) error {
 	data, err := json.MarshalIndent(p, "", "  ")
--- a/soak/plan/plan_test.go
+++ b/soak/plan/plan_test.go
@@ -36,6 +36,9 @@
 		head + `,"faults":[{"kind":"store_slow","share":2}]}`, head + `,"faults":[{"kind":"host_kill","among":"workers_drain"}]}`,
 		head + `,"faults":[{"kind":"workers_silent","among":"host_kill"}]}`, head + `,"min_tasks":5,"max_tasks":2}`, head + `,"max_work_ms":-1}`,
 		head + `,"lasting_jobs":-1}`, head + `,"faults":[{"kind":"host_loss","count":200}]}`,
+		head + `,"host_groups":[{"count":2}]}`, head + `,"host_groups":[{"count":3},{"count":0}]}`,
+		head + `,"host_groups":[{"count":3,"link_mbps":-1}]}`, head + `,"faults":[{"kind":"host_kill","group":1}]}`,
+		head + `,"spec_bytes":99999}`, head + `,"lasting_tasks":101}`,
 		`{"hosts":9999,"workers":2,"load_ms":1000,"jobs_per_second":1}`,
 	} {
 		assert.NilError(t, os.WriteFile(file, []byte(text), 0o600))
@@ -48,6 +51,38 @@
 	assert.NilError(t, err)
 }
 
+// Guards against hosts that are set up as those of another group.
+func TestHostGroups(t *testing.T) {
+	t.Parallel()
+	p := plan.Plan{Hosts: 3, HostGroups: []plan.HostGroup{{Count: 1, LinkMbps: 200}, {Count: 2, LinkMbps: 10}}}
+	for n, number := range []int{1, 2, 2, 0} {
+		assert.Equal(t, p.GroupOf(n), number)
+	}
+	assert.Equal(t, p.Group(2), p.HostGroups[1])
+	assert.Equal(t, p.Group(0), plan.HostGroup{})
+	assert.Equal(t, plan.Plan{Hosts: 3}.GroupOf(0), 0)
+}
+
+// Guards against drawn plans without small links, or whose links no host could do with.
+func TestDrawnPlansHaveSmallLinks(t *testing.T) {
+	t.Parallel()
+	limited, mixed := 0, 0
+	for seed := range uint64(100) {
+		p := plan.Draw(seed, 12, 140, 30*time.Second)
+		if len(p.HostGroups) == 0 {
+			continue
+		}
+		limited++
+		if len(p.HostGroups) > 1 {
+			mixed++
+		}
+		for _, g := range p.HostGroups {
+			assert.Assert(t, g.LinkMbps >= 1 && g.MilliCPU > 0, "%+v", g)
+		}
+	}
+	assert.Assert(t, limited >= 20 && mixed >= 10, "%d with links, %d with two groups", limited, mixed)
+}
+
 // Guards against drawn plans that stay below the sizes of deployments, or whose faults never meet on one worker.
 func TestDrawnPlansReachSizes(t *testing.T) {
 	t.Parallel()
