soak/stand, check: hosts are behind their links, and the report tells a collapse

All that a host exchanges with the store, the workers and the callers passes its link; connections between entry hosts do not. The report holds how long first starts and restarts of long-running tasks took, what each scheduler started by second, and lapsed runs and starts without an answer. The checker looked through all tasks of all jobs for each long-running one and now keeps them by job, without which large plans take the processor.

--- a/soak/check/check.go
+++ b/soak/check/check.go
@@ -79,12 +79,20 @@
 	configuredAt time.Duration
 	violations   []Violation
 	repeats      int
+	// The figures of the summaries.
+	startTimes  []time.Duration
+	firstStarts []time.Duration
+	restarts    []time.Duration
+	lapsed      int
 }
 
 // job is a job that a caller has sent.
 type job struct {
 	spec        infra.Job
 	maxAttempts int
+	submittedAt time.Duration
+	// tasks are those that are known of the job.
+	tasks []*task
 	// open counts the submissions without an answer yet.
 	open int
 	// mayRun is set once a submission was accepted or remained without an answer.
@@ -211,7 +219,7 @@
 func (c *Checker) submitted(ev Submitted) {
 	j := c.jobs[ev.Job.ID]
 	if j == nil {
-		j = &job{spec: ev.Job, maxAttempts: ev.MaxAttempts}
+		j = &job{spec: ev.Job, maxAttempts: ev.MaxAttempts, submittedAt: c.now}
 		c.jobs[ev.Job.ID] = j
 		if hasLongRunning(ev.Job) {
 			c.longRunning = append(c.longRunning, j)
--- a/soak/check/run.go
+++ b/soak/check/run.go
@@ -36,6 +36,7 @@
 	j.hasStarted = true
 	c.checkRejected(j)
 	c.checkDuplicates(ev, t, s)
+	c.noteStart(ev, t, j, s)
 	t.active[ev.RunID] = c.now
 	t.starts = append(t.starts, c.now)
 	t.isOverdue = false
@@ -53,6 +54,9 @@
 	if t == nil {
 		t = &task{active: make(map[wkfake.RunID]time.Duration), ends: make(map[wkfake.RunID]*end)}
 		c.tasks[id] = t
+		if j := c.jobs[id.Job]; j != nil {
+			j.tasks = append(j.tasks, t)
+		}
 	}
 	return t
 }
@@ -137,6 +141,9 @@
 	t := c.tasks[ev.Task]
 	delete(t.active, ev.RunID)
 	t.lastRun = c.now
+	if ev.Outcome == infra.OutcomeLeaseExpired {
+		c.lapsed++
+	}
 	t.ends[ev.RunID] = &end{at: c.now, outcome: ev.Outcome}
 }
 
@@ -211,10 +218,7 @@
 
 // hasFailed reports whether a task of a job has used up its attempts, or may be given up because workers crashed under it.
 func (c *Checker) hasFailed(j *job) bool {
-	for id, t := range c.tasks {
-		if id.Job != j.spec.ID {
-			continue
-		}
+	for _, t := range j.tasks {
 		failures := 0
 		for _, e := range t.ends {
 			if e.outcome == infra.OutcomeFailed {
--- a/soak/main.go
+++ b/soak/main.go
@@ -18,6 +18,7 @@
 
 	"lovagefork.example/lovload/chart"
 	"lovagefork.example/lovload/tally"
+	"lovagefork.example/soak/check"
 	"lovagefork.example/soak/plan"
 	"lovagefork.example/soak/stand"
 )
@@ -29,6 +30,9 @@
 	exitViolation = 3
 )
 
+// maxPrinted limits the violations of a plan that are printed.
+const maxPrinted = 20
+
 func main() {
 	program, outDir, planFile := "bin/entryd", "out/soak", ""
 	var seed uint64
@@ -102,12 +106,26 @@
 	fmt.Printf("%s: %d faults, %d starts, %d of them of tasks that were done, jobs %v, %d violations in %.0f s\n",
 		p.Name, len(p.Faults), report.Starts, report.Repeats, report.Jobs, len(report.Violations), report.Took.Seconds())
 	fmt.Printf("  struck: %s; %d schedulers elected\n", hitsText(report.Hits), report.Elections)
-	for _, v := range report.Violations {
+	fmt.Printf("  first starts: %s; long-running tasks run again: %s; %d runs lapsed, %d starts not answered, %d stalls of the machine\n",
+		waitsText(report.FirstStarts), waitsText(report.Restarts), report.Lapsed, report.Unanswered, report.Stalls)
+	for _, l := range report.Leaderships {
+		fmt.Printf("  %7.3fs %s, %g Mbit/s, starts by second: %v\n", l.At.Seconds(), l.Host, l.LinkMbps, l.StartsPerSecond)
+	}
+	for i, v := range report.Violations {
+		if i == maxPrinted {
+			fmt.Printf("  %d more in report.json\n", len(report.Violations)-i)
+			break
+		}
 		fmt.Println("  " + v.String())
 	}
 	return len(report.Violations), writeReport(report, dir)
 }
 
+// waitsText returns a summary of waits in a few words.
+func waitsText(w check.Waits) string {
+	return fmt.Sprintf("%d, p50 %.1f s, p95 %.1f s, max %.1f s", w.Count, w.P50.Seconds(), w.P95.Seconds(), w.Max.Seconds())
+}
+
 // hitsText returns the counts of all kinds of faults in one line.
 func hitsText(all []stand.Hits) string {
 	var texts []string
--- a/soak/stand/faults.go
+++ b/soak/stand/faults.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"sync"
 	"syscall"
 	"time"
 
@@ -34,7 +35,7 @@
 		return
 	}
 	switch f.Kind {
-	case plan.HostKill, plan.HostStop, plan.HostPause, plan.HostReload, plan.HostLoss:
+	case plan.HostKill, plan.HostStop, plan.HostPause, plan.HostReload, plan.HostLoss, plan.HostDark:
 		s.disturbHosts(f)
 	case plan.StoreExcludes:
 		s.excludeHosts(f)
@@ -85,6 +86,9 @@
 // election is returned, or 0 if there is no scheduler.
 func (s *soak) chooseHosts(f plan.Fault) (found []*host, term int) {
 	present := s.presentHosts()
+	if f.Group > 0 {
+		present = slices.DeleteFunc(present, func(h *host) bool { return h.group != f.Group })
+	}
 	for _, index := range s.permutation(len(present)) {
 		found = append(found, present[index])
 	}
@@ -104,10 +108,12 @@
 func (s *soak) disturbHosts(f plan.Fault) {
 	hosts, term := s.chooseHosts(f)
 	began := time.Since(s.began)
-	var isStruck []bool
-	for _, h := range hosts {
-		isStruck = append(isStruck, s.disturbHost(h, f))
+	isStruck := make([]bool, len(hosts))
+	var disturbed sync.WaitGroup
+	for i, h := range hosts {
+		disturbed.Go(func() { isStruck[i] = s.disturbHost(h, f) })
 	}
+	disturbed.Wait()
 	s.noteHosts(f, began, term, isStruck)
 }
 
@@ -115,7 +121,7 @@
 func (s *soak) disturbHost(h *host, f plan.Fault) bool {
 	switch f.Kind {
 	case plan.HostKill:
-		return h.signal(syscall.SIGKILL)
+		return h.kill(f.Duration())
 	case plan.HostReload:
 		return h.signal(syscall.SIGHUP)
 	case plan.HostLoss:
@@ -134,6 +140,10 @@
 	}
 	isStruck := h.signal(syscall.SIGSTOP)
 	s.sleep(f.Duration())
+	if f.Kind == plan.HostDark {
+		h.kill(restartDelay)
+		return isStruck
+	}
 	h.signal(syscall.SIGCONT)
 	return isStruck
 }
--- a/soak/stand/fleet.go
+++ b/soak/stand/fleet.go
@@ -58,7 +58,7 @@
 	if newID || m.lives == 0 {
 		m.lives++
 	}
-	listener, err := links.Listen(s.network.address(workersHost, firstWorkerPort+m.index))
+	listener, err := links.Listen(s.network.address(workersHost, firstWorkerPort+m.index), links.WithLinks(s.links.of))
 	if err != nil {
 		return err
 	}
--- a/soak/stand/hits.go
+++ b/soak/stand/hits.go
@@ -79,7 +79,7 @@
 		if term > 0 {
 			hit.struck = count(isStruck[:1])
 		}
-		if f.Kind == plan.HostKill || f.Kind == plan.HostStop || f.Kind == plan.HostLoss {
+		if f.Kind == plan.HostKill || f.Kind == plan.HostStop || f.Kind == plan.HostLoss || f.Kind == plan.HostDark {
 			hit.term = term
 		}
 		s.noteStrike(hit)
--- a/soak/stand/host.go
+++ b/soak/stand/host.go
@@ -1,6 +1,7 @@
 package stand
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"net/http"
@@ -15,6 +16,8 @@
 	"lovagefork.example/platform"
 	"lovagefork.example/platform/conf"
 	"lovagefork.example/soak/check"
+	"lovagefork.example/soak/links"
+	"lovagefork.example/soak/plan"
 )
 
 // restartDelay is the pause after which the platform restarts a process that has ended.
@@ -23,6 +26,8 @@
 // host is an entry host with its process.
 type host struct {
 	conf.Host
+	// group is the number of the host's group in the plan.
+	group    int
 	program  string
 	settings string
 	logFile  string
@@ -40,17 +45,19 @@
 	isStopping bool
 	isKilled   bool
 	isClosed   bool
-	ended      chan struct{}
+	// downTime is the pause after which another process is started.
+	downTime time.Duration
+	ended    chan struct{}
 }
 
 func hostName(index int) string { return fmt.Sprintf("edge-%d", index) }
 
 // newHost prepares the settings of an entry host.
-func newHost(index int, n *network, program, dir, storeAddr string) (*host, error) {
-	h := &host{program: program}
+func newHost(index, group int, g plan.HostGroup, n *network, program, dir, storeAddr string) (*host, error) {
+	h := &host{program: program, group: group}
 	h.Host = conf.Host{
 		Name: hostName(index), IP: n.ip(firstHost + index), Zone: fmt.Sprintf("z%d", index%3), StoreAddr: storeAddr,
-		FrontPort: frontPort, ReadyPort: readyPort, PeerPort: peerPort,
+		FrontPort: frontPort, ReadyPort: readyPort, PeerPort: peerPort, Cores: float64(g.MilliCPU) / 1000, LinkMbps: g.LinkMbps,
 	}
 	h.settings, h.logFile = filepath.Join(dir, h.Name+".conf"), filepath.Join(dir, h.Name+".log")
 	return h, os.WriteFile(h.settings, []byte(conf.Settings(h.Host)), 0o600)
@@ -85,7 +92,7 @@
 		return false, errors.Join(err, log.Close())
 	}
 	ended := make(chan struct{})
-	h.cmd, h.ended, h.isStopping, h.isKilled = cmd, ended, false, false
+	h.cmd, h.ended, h.isStopping, h.isKilled, h.downTime = cmd, ended, false, false, restartDelay
 	h.life++
 	go h.await(cmd, log, ended)
 	return true, nil
@@ -95,7 +102,7 @@
 func (h *host) await(cmd *exec.Cmd, log *os.File, ended chan struct{}) {
 	err := errors.Join(cmd.Wait(), log.Close())
 	h.mu.Lock()
-	isExpected, isClosed := h.isStopping, h.isClosed
+	isExpected, isClosed, downTime := h.isStopping, h.isClosed, h.downTime
 	h.isKilled = true
 	h.mu.Unlock()
 	close(ended)
@@ -103,7 +110,7 @@
 		return
 	}
 	h.onEnd(h, isExpected, err)
-	time.AfterFunc(restartDelay, func() {
+	time.AfterFunc(downTime, func() {
 		if err := h.start(); err != nil {
 			panic(err)
 		}
@@ -124,6 +131,17 @@
 	return h.cmd.Process.Signal(s) == nil && !isRepeated
 }
 
+// kill ends the process, and reports whether one ran that was not killed before. The next one starts after a time, or after
+// restartDelay if that is 0.
+func (h *host) kill(downTime time.Duration) bool {
+	h.mu.Lock()
+	if h.cmd != nil && !h.isKilled {
+		h.downTime = cmp.Or(downTime, restartDelay)
+	}
+	h.mu.Unlock()
+	return h.signal(syscall.SIGKILL)
+}
+
 // currentLife returns the number of the process that was started last.
 func (h *host) currentLife() int {
 	h.mu.Lock()
@@ -159,17 +177,23 @@
 	return isStruck
 }
 
-// addHost starts an entry process on a new host, which has a name, an address and a view of the store of its own.
-func (s *soak) addHost() error {
+// addHost starts an entry process on a new host of a group, which has a name, an address, a link and a view of the store of its own.
+func (s *soak) addHost(group int) error {
 	s.mu.Lock()
 	index := s.bornHosts
 	s.bornHosts++
 	s.mu.Unlock()
-	storeAddr, err := s.serveStore(index)
+	g := s.plan.Group(group)
+	var link *links.Link
+	if g.LinkMbps > 0 {
+		link = links.NewLink(g.LinkMbps * 1e6)
+		s.links.add(s.network.ip(firstHost+index), link)
+	}
+	storeAddr, err := s.serveStore(index, link)
 	if err != nil {
 		return err
 	}
-	h, err := newHost(index, s.network, s.program, s.dir, storeAddr)
+	h, err := newHost(index, group, g, s.network, s.program, s.dir, storeAddr)
 	if err != nil {
 		return err
 	}
@@ -203,7 +227,7 @@
 	if delay > 0 {
 		s.faults.Go(func() {
 			if s.sleep(delay) {
-				s.abortOn(s.addHost())
+				s.abortOn(s.addHost(h.group))
 			}
 		})
 	}
--- a/soak/stand/load.go
+++ b/soak/stand/load.go
@@ -66,7 +66,7 @@
 // drawOrder returns the n-th job of a plan.
 func drawOrder(random *rand.Rand, p plan.Plan, n int) order {
 	minTasks, maxTasks := cmp.Or(p.MinTasks, defaultMinTasks), cmp.Or(p.MaxTasks, defaultMaxTasks)
-	work := wkfake.Work{Milliseconds: minWorkMS + random.Int64N(max(1, cmp.Or(p.MaxWorkMS, defaultMaxWorkMS)-minWorkMS))}
+	work := wkfake.Work{Padding: padding(p), Milliseconds: minWorkMS + random.Int64N(max(1, cmp.Or(p.MaxWorkMS, defaultMaxWorkMS)-minWorkMS))}
 	if random.IntN(6) == 0 {
 		work.Milliseconds *= 3
 	}
@@ -101,6 +101,19 @@
 	return o
 }
 
+// padding returns what makes the specs of a plan's jobs as large as the plan says. It does not compress.
+func padding(p plan.Plan) string {
+	random := rand.New(rand.NewPCG(p.Seed, paddingStream))
+	text := make([]byte, p.SpecBytes)
+	for i := range text {
+		text[i] = 'a' + byte(random.IntN(26))
+	}
+	return string(text)
+}
+
+// paddingStream is the random stream of the padding.
+const paddingStream = 3
+
 // lastingStream is the random stream of the first long-running job; each has its own.
 const lastingStream = 1000
 
@@ -114,11 +127,11 @@
 // drawLastingOrder returns the n-th long-running job that stays beyond the load.
 func drawLastingOrder(random *rand.Rand, p plan.Plan, n int) order {
 	step := infra.Step{
-		Count: minLastingTasks + random.IntN(maxLastingTasks-minLastingTasks+1), LongRunning: true, Estimate: 500 * time.Millisecond,
+		Count: cmp.Or(p.LastingTasks, minLastingTasks+random.IntN(maxLastingTasks-minLastingTasks+1)), LongRunning: true, Estimate: 500 * time.Millisecond,
 		Size: fleet.Resources{MilliCPU: 500 * (1 + random.Int64N(4)), MemoryBytes: 256 << 20},
 	}
 	return order{
-		job:         infra.Job{ID: fleet.JobID(fmt.Sprintf("1a%06x%08x", uint32(p.Seed)&0xffffff, n)), Queue: queueName, Spec: wkfake.Work{}.Spec(), Steps: []infra.Step{step}},
+		job:         infra.Job{ID: fleet.JobID(fmt.Sprintf("1a%06x%08x", uint32(p.Seed)&0xffffff, n)), Queue: queueName, Spec: wkfake.Work{Padding: padding(p)}.Spec(), Steps: []infra.Step{step}},
 		cancelAfter: time.Duration(p.LoadMS)*time.Millisecond + lastingBeyond,
 	}
 }
@@ -232,7 +245,7 @@
 	if s.plan.ConfigEveryMS == 0 {
 		return
 	}
-	client := caller.New(queueHost, extraPrefix, callerTimeout)
+	client := caller.New(queueHost, extraPrefix, callerTimeout, caller.WithDialer(s.links.dial))
 	interval := time.Duration(s.plan.ConfigEveryMS) * time.Millisecond
 	next := time.Now().Add(interval)
 	for n := 0; probing.Err() == nil; n++ {
--- a/soak/stand/network.go
+++ b/soak/stand/network.go
@@ -1,9 +1,13 @@
 package stand
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"os"
+	"sync"
+
+	"lovagefork.example/soak/links"
 )
 
 // network is a part of the loopback network that one soak has for itself, 127.a.b.0/24.
@@ -62,6 +66,41 @@
 // release allows other soaks to use the network.
 func (n *network) release() error { return n.lock.Close() }
 
+// hostLinks are the links of the hosts that have a limited bandwidth, by the address of the host.
+type hostLinks struct {
+	mu   sync.Mutex
+	byIP map[string]*links.Link
+}
+
+func (h *hostLinks) add(ip string, link *links.Link) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.byIP[ip] = link
+}
+
+// of returns the link of the host at an address; nil if its bandwidth is unlimited.
+func (h *hostLinks) of(address net.Addr) *links.Link {
+	tcp, isTCP := address.(*net.TCPAddr)
+	if !isTCP {
+		return nil
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.byIP[tcp.IP.String()]
+}
+
+// dial connects to a host through its link.
+func (h *hostLinks) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	if link := h.of(conn.RemoteAddr()); link != nil {
+		return link.Wrap(conn), nil
+	}
+	return conn, nil
+}
+
 func (n *network) ip(host int) string { return fmt.Sprintf("127.%d.%d.%d", n.a, n.b, host) }
 
 func (n *network) address(host, port int) string { return fmt.Sprintf("%s:%d", n.ip(host), port) }
--- a/soak/stand/record.go
+++ b/soak/stand/record.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"strings"
 	"time"
 
 	"lovagefork.example/soak/check"
@@ -14,6 +15,8 @@
 type record struct {
 	file *os.File
 	out  *bufio.Writer
+	// padding is what the specs of jobs are padded with, which is left out.
+	padding string
 }
 
 func newRecord(file string) (*record, error) {
@@ -34,6 +37,9 @@
 
 // addText writes a line. Its errors remain until close.
 func (r *record) addText(at time.Duration, text string) {
+	if r.padding != "" {
+		text = strings.ReplaceAll(text, r.padding, "")
+	}
 	_, _ = fmt.Fprintf(r.out, "%9.3f %s\n", at.Seconds(), text)
 }
 
--- a/soak/stand/scheduler.go
+++ b/soak/stand/scheduler.go
@@ -1,6 +1,9 @@
 package stand
 
 import (
+	"bytes"
+	"os"
+	"path/filepath"
 	"slices"
 	"time"
 )
@@ -31,6 +34,52 @@
 	}
 }
 
+// observedLeadership is the number of seconds of a leadership whose starts are reported.
+const observedLeadership = 15
+
+// Leadership is what a scheduler did after its election.
+type Leadership struct {
+	Host     string        `json:"host"`
+	LinkMbps float64       `json:"link_mbps,omitempty"`
+	At       time.Duration `json:"at_ns"`
+	// StartsPerSecond counts the starts that workers saw in each second from the election on, until the next one.
+	StartsPerSecond []int `json:"starts_per_second"`
+}
+
+// leaderships returns what the elected schedulers did. The caller holds the lock.
+func (s *soak) leaderships() (out []Leadership) {
+	for i, e := range s.elections {
+		end := time.Since(s.began)
+		if i+1 < len(s.elections) {
+			end = s.elections[i+1].at
+		}
+		seconds := min(observedLeadership, 1+int((end-e.at)/time.Second))
+		out = append(out, Leadership{
+			Host: e.host.Name, LinkMbps: s.plan.Group(e.host.group).LinkMbps, At: e.at, StartsPerSecond: s.checker.StartsPerSecond(e.at, seconds),
+		})
+	}
+	return out
+}
+
+// unansweredText is in the log line of a start that its worker did not answer in time.
+const unansweredText = `"start not answered"`
+
+// countUnanswered returns the number of starts without an answer in the logs in a directory.
+func countUnanswered(dir string) (count int, err error) {
+	files, err := filepath.Glob(filepath.Join(dir, "*.log"))
+	if err != nil {
+		return 0, err
+	}
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			return 0, err
+		}
+		count += bytes.Count(text, []byte(unansweredText))
+	}
+	return count, nil
+}
+
 // scheduler returns the host whose running process holds the leader's entry, and the number of its election; nil and 0 if
 // there is none.
 func (s *soak) scheduler() (*host, int) {
--- a/soak/stand/stand.go
+++ b/soak/stand/stand.go
@@ -17,6 +17,7 @@
 	"lovagefork.example/platform/caller"
 	"lovagefork.example/platform/kvfake"
 	"lovagefork.example/soak/check"
+	"lovagefork.example/soak/links"
 	"lovagefork.example/soak/plan"
 )
 
@@ -51,6 +52,7 @@
 	cancel context.CancelCauseFunc
 
 	network *network
+	links   *hostLinks
 	store   *kvfake.Store
 	client  *caller.Client
 	tally   *tally.Tally
@@ -74,6 +76,7 @@
 	elections []election
 	// strikes are those of the faults that have ended.
 	strikes    []strike
+	stalls     int
 	checker    *check.Checker
 	violations []check.Violation
 }
@@ -97,8 +100,17 @@
 	Repeats    int               `json:"repeats"`
 	Violations []check.Violation `json:"violations"`
 	Hits       []Hits            `json:"hits"`
-	// Elections is the number of schedulers that were elected.
-	Elections int `json:"elections"`
+	// Elections is the number of schedulers that were elected, and Leaderships says what they did.
+	Elections   int          `json:"elections"`
+	Leaderships []Leadership `json:"leaderships"`
+	// FirstStarts is how long tasks waited for their first start, and Restarts how long long-running ones were down.
+	FirstStarts check.Waits `json:"first_starts"`
+	Restarts    check.Waits `json:"restarts"`
+	// Lapsed counts the runs that ended with a lease, and Unanswered the starts that schedulers logged as not answered.
+	Lapsed     int `json:"lapsed"`
+	Unanswered int `json:"unanswered"`
+	// Stalls counts the times at which this process did not get the processor; they can hide violations.
+	Stalls int `json:"stalls"`
 	// Timeline holds what callers saw, and Streams its summaries.
 	Timeline []tally.Point   `json:"-"`
 	Streams  []tally.Summary `json:"streams"`
@@ -113,8 +125,10 @@
 	}
 	s := &soak{
 		plan: p, program: program, dir: dir, record: record, tally: &tally.Tally{}, random: rand.New(rand.NewPCG(p.Seed, 1)), checker: check.New(),
-		began: time.Now(), client: caller.New(queueHost, queuePrefix, callerTimeout),
+		began: time.Now(), links: &hostLinks{byIP: make(map[string]*links.Link)},
 	}
+	s.client = caller.New(queueHost, queuePrefix, callerTimeout, caller.WithDialer(s.links.dial))
+	record.padding = padding(p)
 	s.ctx, s.cancel = context.WithCancelCause(ctx)
 	defer s.cancel(nil)
 	s.store = kvfake.New(kvfake.WithLatency(storeLatency), kvfake.WithSeed(p.Seed), kvfake.WithCommitHook(s.committed))
@@ -126,7 +140,7 @@
 	if err := context.Cause(s.ctx); err != nil {
 		return Report{}, err
 	}
-	return s.report(), nil
+	return s.report()
 }
 
 // abortOn ends the soak if it cannot go on.
@@ -173,8 +187,8 @@
 		}
 		s.machines = append(s.machines, m)
 	}
-	for range s.plan.Hosts {
-		if err := s.addHost(); err != nil {
+	for n := range s.plan.Hosts {
+		if err := s.addHost(s.plan.GroupOf(n)); err != nil {
 			return err
 		}
 	}
@@ -199,9 +213,10 @@
 	return fmt.Sprintf("%s is not ready, see %s", e.Host, e.LogFile)
 }
 
-// serveStore serves the store to the host with an index and returns its address.
-func (s *soak) serveStore(index int) (string, error) {
-	listener, err := net.Listen("tcp", s.network.address(storeHost, firstStorePort+index))
+// serveStore serves the store to the host with an index, behind its link unless that is nil, and returns its address.
+func (s *soak) serveStore(index int, link *links.Link) (string, error) {
+	linkOf := func(net.Addr) *links.Link { return link }
+	listener, err := links.Listen(s.network.address(storeHost, firstStorePort+index), links.WithLinks(linkOf))
 	if err != nil {
 		return "", err
 	}
@@ -318,6 +333,9 @@
 		time.Sleep(delayTick)
 		if late := time.Since(last); late > maxDelay {
 			text := fmt.Sprintf("the machine is busy, %v late", late)
+			s.mu.Lock()
+			s.stalls++
+			s.mu.Unlock()
 			s.observe(check.FaultBegan{Text: text})
 			s.observe(check.FaultEnded{Text: text})
 		}
@@ -361,12 +379,17 @@
 	s.store.Put(platform.CatalogKey, caller.Catalog(c))
 }
 
-func (s *soak) report() Report {
+func (s *soak) report() (Report, error) {
+	unanswered, err := countUnanswered(s.dir)
+	if err != nil {
+		return Report{}, err
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return Report{
 		Plan: s.plan, Took: time.Since(s.began), LoadBegan: s.loadBegan, Jobs: s.checker.JobStates(), Starts: s.checker.Starts(), Repeats: s.checker.Repeats(), Violations: s.violations,
-		Hits: s.countHits(), Elections: len(s.elections),
+		Hits: s.countHits(), Elections: len(s.elections), Leaderships: s.leaderships(),
+		FirstStarts: s.checker.FirstStarts(), Restarts: s.checker.Restarts(), Lapsed: s.checker.Lapsed(), Unanswered: unanswered, Stalls: s.stalls,
 		Timeline: s.tally.Timeline(time.Second), Streams: s.tally.Summaries(),
-	}
+	}, nil
 }
--- a/soak/stand/stand_test.go
+++ b/soak/stand/stand_test.go
@@ -158,3 +158,41 @@
 	})
 	assert.Assert(t, report.Jobs["cancelled"] >= 2, "%v", report.Jobs)
 }
+
+// Guards against links without an effect on real processes, and against settings that do not name them.
+func TestLinksLimitStarts(t *testing.T) {
+	t.Parallel()
+	p := plan.Plan{
+		Name: "links", Seed: 1, Hosts: 2, Workers: 12, LoadMS: 3000, JobsPerSecond: 8, MinTasks: 10, MaxTasks: 12, MaxWorkMS: 600, SpecBytes: 2400,
+		HostGroups: []plan.HostGroup{{Count: 2, LinkMbps: 1, MilliCPU: 192}},
+	}
+	report := play(t, p)
+	assert.Assert(t, report.FirstStarts.Count >= 100, "%+v", report.FirstStarts)
+	assert.Equal(t, len(report.Leaderships), 1)
+	assert.Equal(t, report.Leaderships[0].LinkMbps, 1.0)
+	// 125,000 bytes carry 52 specs.
+	for _, count := range report.Leaderships[0].StartsPerSecond {
+		assert.Assert(t, count <= 56, "%v", report.Leaderships[0].StartsPerSecond)
+	}
+}
+
+// Guards against hosts that answer while they are dark, and against killed ones that return too early.
+func TestDarkAndKilledHosts(t *testing.T) {
+	t.Parallel()
+	p := plan.Plan{
+		Name: "dark", Seed: 1, Hosts: 3, Workers: 8, LoadMS: 15000, JobsPerSecond: 2, MaxWorkMS: 600,
+		HostGroups: []plan.HostGroup{{Count: 1}, {Count: 2}},
+		Faults: []plan.Fault{
+			{Kind: plan.HostDark, AtMS: 1000, ForMS: 4000, Count: 1, OnLeader: true},
+			{Kind: plan.HostKill, AtMS: 11000, ForMS: 3000, Count: 3},
+		},
+	}
+	report := play(t, p)
+	assert.DeepEqual(t, report.Hits, []stand.Hits{
+		{Kind: plan.HostDark, Of: "scheduler", Faults: 1, Aimed: 1, Struck: 1},
+		{Kind: plan.HostKill, Faults: 1, Aimed: 3, Struck: 3},
+	})
+	assert.Equal(t, report.Elections, 3)
+	last := report.Leaderships[2].At - report.LoadBegan
+	assert.Assert(t, last >= 14*time.Second, "%v", last)
+}
