soak: plans can limit how long first starts take

A play in which tasks waited for 29 s broke no promise, as long as none that lasts was down for too long. A plan may now say within which time 95 of 100 tasks have to start.

--- a/soak/check/check.go
+++ b/soak/check/check.go
@@ -44,6 +44,7 @@
 	InForce      Promise = "a configuration is in force in time"
 	Available    Promise = "callers are served again after faults"
 	Restarted    Promise = "a long-running task runs again in time"
+	Prompt       Promise = "tasks start soon after their submission"
 )
 
 // Violation is a broken promise.
@@ -84,6 +85,8 @@
 	firstStarts []time.Duration
 	restarts    []time.Duration
 	lapsed      int
+	// startLimit is the limit of the first starts' 95th percentile; 0 if there is none.
+	startLimit time.Duration
 }
 
 // job is a job that a caller has sent.
@@ -136,13 +139,23 @@
 	runs       map[wkfake.RunID]fleet.Resources
 }
 
+// Option changes a [Checker] under construction.
+type Option func(*Checker)
+
+// WithStartLimit sets within which time 95 of 100 tasks have to start.
+func WithStartLimit(d time.Duration) Option { return func(c *Checker) { c.startLimit = d } }
+
 // New returns a checker that has seen nothing.
-func New() *Checker {
-	return &Checker{
+func New(opts ...Option) *Checker {
+	c := &Checker{
 		jobs: make(map[fleet.JobID]*job), tasks: make(map[infra.TaskID]*task), workers: make(map[fleet.WorkerID]*worker),
 		roomSince: make(map[infra.TaskID]time.Duration),
 		stops:     make(map[string]time.Duration), plannedEnd: -contactTimeout, unplannedEnd: -contactTimeout,
 	}
+	for _, opt := range opts {
+		opt(c)
+	}
+	return c
 }
 
 // Step applies an observation and returns the promises that it shows to be broken. At is the time since the beginning.
@@ -319,6 +332,9 @@
 
 // finish checks that what was accepted has come to its end.
 func (c *Checker) finish() {
+	if w := c.FirstStarts(); c.startLimit > 0 && w.P95 > c.startLimit {
+		c.fail(Prompt, "95 of 100 tasks of %d started within %v, want %v", w.Count, w.P95, c.startLimit)
+	}
 	for id, j := range c.jobs {
 		if j.isAccepted && !j.cancelSent && !j.state.Final() {
 			c.fail(Kept, "job %s, accepted at %.3fs, is %q at the end; open: %s", id, j.acceptedAt.Seconds(), j.state, c.firstOpenTask(j))
--- a/soak/check/stats_test.go
+++ b/soak/check/stats_test.go
@@ -41,3 +41,19 @@
 	assert.DeepEqual(t, c.StartsPerSecond(3*time.Second, 7), []int{1, 0, 1, 0, 0, 0, 1})
 	assert.Equal(t, check.New().FirstStarts(), check.Waits{})
 }
+
+// Guards against plays in which tasks wait for long and no other promise is broken.
+func TestStartsAreInTime(t *testing.T) {
+	t.Parallel()
+	for _, limit := range []time.Duration{0, time.Second, 2 * time.Second} {
+		c := check.New(check.WithStartLimit(limit))
+		c.Step(0, check.WorkerJoined{Worker: "a"})
+		c.Step(0, check.Submitted{Job: infra.Job{ID: "j", Steps: []infra.Step{{Count: 1}}}, MaxAttempts: 4})
+		c.Step(1500*time.Millisecond, check.WorkerSaw{Event: wkfake.Started{RunID: wkfake.RunID{Worker: "a", Task: infra.TaskID{Job: "j"}, Run: 1}}})
+		violations := c.Step(3*time.Second, check.Finished{})
+		assert.Equal(t, len(violations), map[time.Duration]int{time.Second: 1}[limit], "%v", violations)
+		for _, v := range violations {
+			assert.Equal(t, v.Promise, check.Prompt)
+		}
+	}
+}
--- a/soak/plan/plan.go
+++ b/soak/plan/plan.go
@@ -113,6 +113,8 @@
 	LastingTasks int `json:"lasting_tasks,omitempty"`
 	// ConfigEveryMS is the interval of changes of the configuration; 0 means that there are none.
 	ConfigEveryMS int64 `json:"config_every_ms,omitempty"`
+	// MaxStartMS is the time within which 95 of 100 tasks have to start; 0 if there is no limit.
+	MaxStartMS int64 `json:"max_start_ms,omitempty"`
 	// ReportMS is how long workers take between the parts of a report; 0 means that they read them at one moment.
 	ReportMS int64   `json:"report_ms,omitempty"`
 	Faults   []Fault `json:"faults"`
@@ -190,7 +192,7 @@
 		return invalid("%d workers, want 1 to %d", p.Workers, maxWorkers)
 	case p.LoadMS < 1 || p.LoadMS > maxLoadMS:
 		return invalid("%d ms of load, want 1 to %d", p.LoadMS, maxLoadMS)
-	case p.JobsPerSecond <= 0 || p.ConfigEveryMS < 0 || p.ReportMS < 0:
+	case p.JobsPerSecond <= 0 || p.ConfigEveryMS < 0 || p.ReportMS < 0 || p.MaxStartMS < 0:
 		return invalid("a rate or an interval is not positive")
 	case p.MinTasks < 0 || p.MaxTasks < p.MinTasks || p.MaxTasks > maxTasks:
 		return invalid("%d to %d tasks in a step, want at most %d", p.MinTasks, p.MaxTasks, maxTasks)
--- a/soak/stand/stand.go
+++ b/soak/stand/stand.go
@@ -124,8 +124,9 @@
 		return Report{}, err
 	}
 	s := &soak{
-		plan: p, program: program, dir: dir, record: record, tally: &tally.Tally{}, random: rand.New(rand.NewPCG(p.Seed, 1)), checker: check.New(),
-		began: time.Now(), links: &hostLinks{byIP: make(map[string]*links.Link)},
+		plan: p, program: program, dir: dir, record: record, tally: &tally.Tally{}, random: rand.New(rand.NewPCG(p.Seed, 1)),
+		checker: check.New(check.WithStartLimit(time.Duration(p.MaxStartMS) * time.Millisecond)),
+		began:   time.Now(), links: &hostLinks{byIP: make(map[string]*links.Link)},
 	}
 	s.client = caller.New(queueHost, queuePrefix, callerTimeout, caller.WithDialer(s.links.dial))
 	record.padding = padding(p)
