soak/links: links can have a delay

With a delay, orders of a host with a full link take longer than the time-outs of its scheduler, as on links between zones.

--- a/soak/links/link.go
+++ b/soak/links/link.go
@@ -17,11 +17,22 @@
 type Link struct {
 	upload   lane
 	download lane
+	delay    time.Duration
 }
 
+// LinkOption changes a [Link] under construction.
+type LinkOption func(*Link)
+
+// WithDelay sets how long a segment takes besides its time on the link. A connection has one segment on its way at a time.
+func WithDelay(d time.Duration) LinkOption { return func(l *Link) { l.delay = d } }
+
 // NewLink returns a link that carries a number of bits per second in each direction.
-func NewLink(bitsPerSecond float64) *Link {
-	return &Link{upload: lane{bytesPerSecond: bitsPerSecond / 8}, download: lane{bytesPerSecond: bitsPerSecond / 8}}
+func NewLink(bitsPerSecond float64, opts ...LinkOption) *Link {
+	l := &Link{upload: lane{bytesPerSecond: bitsPerSecond / 8}, download: lane{bytesPerSecond: bitsPerSecond / 8}}
+	for _, opt := range opts {
+		opt(l)
+	}
+	return l
 }
 
 // Wrap returns a connection to the host behind the link: what is read is the host's upload, and what is written its download.
@@ -43,7 +54,9 @@
 // Read implements [net.Conn].
 func (c *linkedConn) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data[:min(len(data), segmentBytes)])
-	c.link.upload.pass(n)
+	if n > 0 {
+		time.Sleep(time.Until(c.link.upload.reserve(n).Add(c.link.delay)))
+	}
 	return n, err
 }
 
@@ -51,7 +64,7 @@
 func (c *linkedConn) Write(data []byte) (written int, err error) {
 	for written < len(data) && err == nil {
 		segment := data[written:min(len(data), written+segmentBytes)]
-		c.link.download.pass(len(segment))
+		time.Sleep(time.Until(c.link.download.reserve(len(segment)).Add(c.link.delay)))
 		var n int
 		n, err = c.Conn.Write(segment)
 		written += n
@@ -67,17 +80,13 @@
 	freeAt time.Time
 }
 
-// pass returns when a number of bytes has passed, behind those that were before them.
-func (l *lane) pass(count int) {
-	if count == 0 {
-		return
-	}
+// reserve returns when a number of bytes will have passed, behind those that were before them.
+func (l *lane) reserve(count int) time.Time {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	if now := time.Now(); l.freeAt.Before(now) {
 		l.freeAt = now
 	}
 	l.freeAt = l.freeAt.Add(time.Duration(float64(count) / l.bytesPerSecond * float64(time.Second)))
-	until := l.freeAt
-	l.mu.Unlock()
-	time.Sleep(time.Until(until))
+	return l.freeAt
 }
--- a/soak/links/link_test.go
+++ b/soak/links/link_test.go
@@ -58,6 +58,22 @@
 	transfers.Wait()
 }
 
+// Guards against links whose delay occupies them, or does not reach both directions.
+func TestLinkHasDelay(t *testing.T) {
+	t.Parallel()
+	const delay = 100 * time.Millisecond
+	link := links.NewLink(8e6, links.WithDelay(delay))
+	var transfers sync.WaitGroup
+	for range 5 {
+		host, other := pair(t, link)
+		transfers.Go(func() {
+			took := transfer(t, host, other, 1000) + transfer(t, other, host, 1000)
+			assert.Check(t, took >= 2*delay && took < 4*delay, "%v", took)
+		})
+	}
+	transfers.Wait()
+}
+
 // Guards against connections that have a link each, and against a connection that keeps others from theirs.
 func TestConnectionsShareLink(t *testing.T) {
 	t.Parallel()
--- a/soak/plan/plan.go
+++ b/soak/plan/plan.go
@@ -125,6 +125,8 @@
 	Count int `json:"count"`
 	// LinkMbps is the bandwidth of each host's link in Mbit/s in each direction; 0 if it is unlimited.
 	LinkMbps float64 `json:"link_mbps,omitempty"`
+	// DelayMS is how long a segment takes on a limited link besides.
+	DelayMS int64 `json:"delay_ms,omitempty"`
 	// MilliCPU is the processor time in the settings of each host, in thousandths of a core; 0 stands for the default.
 	MilliCPU int64 `json:"milli_cpu,omitempty"`
 }
@@ -239,7 +241,7 @@
 	}
 	total := 0
 	for i, g := range p.HostGroups {
-		if g.Count < 1 || g.LinkMbps < 0 || g.MilliCPU < 0 {
+		if g.Count < 1 || g.LinkMbps < 0 || g.DelayMS < 0 || g.MilliCPU < 0 {
 			return fmt.Sprintf("group %d: a figure is out of range", i+1)
 		}
 		total += g.Count
--- a/soak/stand/host.go
+++ b/soak/stand/host.go
@@ -186,7 +186,7 @@
 	g := s.plan.Group(group)
 	var link *links.Link
 	if g.LinkMbps > 0 {
-		link = links.NewLink(g.LinkMbps * 1e6)
+		link = links.NewLink(g.LinkMbps*1e6, links.WithDelay(time.Duration(g.DelayMS)*time.Millisecond))
 		s.links.add(s.network.ip(firstHost+index), link)
 	}
 	storeAddr, err := s.serveStore(index, link)
