leader: a small host hands over at once to a larger one that is in touch

Cause: after the loss of the scheduler's host or of all hosts a host of 0.192 core and 10 Mbit/s is often elected and leads for 9 s and more: hosts are compared by processor time alone, a hand-over waits for 8 s because an entry of the store outlives its process by 6 s, and after the loss of all hosts no registration of a larger one is left for which small ones would wait.

Change: hosts are compared by the starts a second that the scarcer of processor time and link carries. A leader on a small host asks the larger ones over the mesh whether they would take over: one that answers has read that leader from the store, is not stopping and has not lost a leadership within 5 s. The leader notes the hand-over in the record of its election, and resigns before the state is read. The record counts hand-overs that no larger host has taken; the next ones wait 2 s, 4 s and so on. It also holds the capacity of the elected host, for which smaller ones wait after all registrations have ended.

--- a/coord/wire/hosted.go
+++ b/coord/wire/hosted.go
@@ -30,6 +30,9 @@
 	// RequestSupersede ends the receiver's leadership as scheduler if its token is lower than Token. The response is
 	// [ResponseOK] once no such leadership is running.
 	RequestSupersede HostedRequestKind = "over"
+	// RequestEligible asks whether the receiver would take over from the scheduler with Token. The response is [ResponseOK] if it
+	// would.
+	RequestEligible HostedRequestKind = "eligible"
 )
 
 // HostedRequest is a request about jobs, or about the scheduler, to another entry process of a hosted deployment. Data
--- a/entryd/hosted/app.go
+++ b/entryd/hosted/app.go
@@ -121,6 +121,10 @@
 	return r.intake.Supersede(ctx, host, token)
 }
 
+func (r *intakeRef) askEligible(ctx context.Context, host fleet.EntryHostID, token infra.Token) error {
+	return r.intake.AskEligible(ctx, host, token)
+}
+
 func newCatalogWatcher(p Platform, mesh *peers.Mesh, s *leader.Scheduler, r metrics.Registry, log *slog.Logger) *CatalogWatcher {
 	return NewCatalogWatcher(p.Store, p.Format, mesh, log, s.Configure, WithCatalogMetrics(r))
 }
@@ -146,14 +150,17 @@
 	u.mesh.AddPeer(ctx, host, address)
 }
 
-func newGroup(p Platform, mesh *peers.Mesh, sched *leader.Scheduler, log *slog.Logger) (*leader.Group, *meshUpdater) {
+func newGroup(p Platform, mesh *peers.Mesh, sched *leader.Scheduler, log *slog.Logger, ref *intakeRef) (*leader.Group, *meshUpdater) {
 	updater := &meshUpdater{mesh: mesh, log: log, ctx: context.Background()}
 	onLeader := func(elected leader.Leader) {
 		mesh.Broadcast(wire.SchedulerElected{EntryHost: elected.EntryHost, Token: elected.Token})
 	}
 	s := p.Settings
 	capacity := leader.Capacity{MilliCPU: s.MilliCPU, LinkBitsPerSecond: s.LinkBitsPerSecond}
-	return leader.NewGroup(s.EntryHost, s.PeerAddr, p.Store, log, sched.Run, updater.onMemberChange, onLeader, leader.WithCapacity(capacity)), updater
+	return leader.NewGroup(
+		s.EntryHost, s.PeerAddr, p.Store, log, sched.Run, updater.onMemberChange, onLeader,
+		leader.WithCapacity(capacity), leader.WithHandOver(ref.askEligible),
+	), updater
 }
 
 func newIntake(
--- a/entryd/hosted/intake.go
+++ b/entryd/hosted/intake.go
@@ -292,6 +292,16 @@
 	return time.Duration(resp.IdleMS) * time.Millisecond, err == nil && resp.Status == wire.ResponseOK
 }
 
+// AskEligible asks the process on an entry host whether it would take over from the scheduler with a token, see
+// [leader.Group.Eligible].
+func (i *Intake) AskEligible(ctx context.Context, host fleet.EntryHostID, token infra.Token) error {
+	resp, err := i.call(ctx, host, wire.HostedRequest{Kind: wire.RequestEligible, Token: token}, queryTimeout)
+	if err == nil && resp.Status != wire.ResponseOK {
+		return &leader.IneligibleError{Reason: resp.Reason}
+	}
+	return err
+}
+
 // notification returns the notification of the scheduler about a change that was written. That of a job that existed already
 // contains the job as it was stored before.
 func notification(req wire.HostedRequest, stored store.Entry) wire.HostedRequest {
--- a/entryd/hosted/peers.go
+++ b/entryd/hosted/peers.go
@@ -85,6 +85,11 @@
 			return wire.HostedResponse{Status: wire.ResponseOK, IdleMS: idle.Milliseconds()}
 		}
 		return wire.HostedResponse{Status: wire.ResponseNotRun, Reason: "the reign is being ended"}
+	case wire.RequestEligible:
+		if err := i.group.Eligible(ctx, req.Token); err != nil {
+			return wire.HostedResponse{Status: wire.ResponseNotRun, Reason: err.Error()}
+		}
+		return wire.HostedResponse{Status: wire.ResponseOK}
 	case wire.RequestJobState, wire.RequestPendingCount, wire.RequestOverview, wire.RequestWorkers, wire.RequestJobDetails:
 		resp, answered := i.queryLocalScheduler(ctx, req)
 		if !answered {
--- a/entryd/leader/group.go
+++ b/entryd/leader/group.go
@@ -61,6 +61,20 @@
 	Earlier   []fleet.EntryHostID `cbor:"earlier,omitempty"`
 	// Fenced is set once most workers reject the leaders before this one.
 	Fenced bool `cbor:"fenced,omitempty"`
+	// Capacity is that of the leader's entry host. It outlives registrations, so that smaller hosts wait for such a host after
+	// all have failed.
+	Capacity Capacity `cbor:"capacity,omitzero"`
+	// HandOvers counts the leaderships in a row that ended for a larger entry host without one having been elected.
+	HandOvers int `cbor:"hand_overs,omitempty"`
+}
+
+// next returns the record of the election of a leader after this one.
+func (r termRecord) next(elected Leader, capacity Capacity) termRecord {
+	next := termRecord{Term: elected.Term, EntryHost: elected.EntryHost, Earlier: elected.Predecessors, Capacity: capacity}
+	if !capacity.Exceeds(r.Capacity) {
+		next.HandOvers = r.HandOvers
+	}
+	return next
 }
 
 // predecessors returns the entry hosts on which a leader may act when the next one is elected, the latest first.
@@ -88,16 +102,23 @@
 	// onLeader is called with each newer leader, this process included.
 	onLeader func(Leader)
 
+	// askEligible is nil if leaderships are not handed over.
+	askEligible AskEligible
+
 	history *takeoverHistory
 
 	mu     sync.Mutex
 	leader Leader
+	// lastCapacity is that of the entry host that won the last election.
+	lastCapacity Capacity
 	// vacant receives a value when there is no leader.
 	vacant   chan struct{}
 	resigned bool
 	// current is the leadership of this process; nil if it is not the leader, which it has not been since idleSince.
 	current   *Leadership
 	idleSince time.Time
+	// lostAt is when a leadership of this process ended because it could not be kept; zero if none did.
+	lostAt time.Time
 	// superseded is the highest token to which this process has confirmed that it leads with no lower one.
 	superseded infra.Token
 }
@@ -110,7 +131,7 @@
 	onElected func(ctx context.Context, l *Leadership), onHost func(fleet.EntryHostID, string), onLeader func(Leader), opts ...Option,
 ) *Group {
 	g := &Group{
-		hosts: &hostRegistry{byID: make(map[fleet.EntryHostID]registration)},
+		hosts: &hostRegistry{byID: make(map[fleet.EntryHostID]Capacity)},
 		self:  self, address: address, store: client, log: log, onElected: onElected, onHost: onHost, onLeader: onLeader,
 		vacant: make(chan struct{}, 1), idleSince: Now(), history: newTakeoverHistory(),
 	}
@@ -261,12 +282,29 @@
 			g.log.Error("group: cannot decode entry", "key", key, "error", err)
 			return
 		}
-		g.history.observe(record.Term, record.Fenced)
+		g.observeRecord(record)
 	case strings.HasPrefix(key, hostPrefix):
 		g.applyHost(fleet.EntryHostID(strings.TrimPrefix(key, hostPrefix)), c)
 	}
 }
 
+// observeRecord notes the record of the last election.
+func (g *Group) observeRecord(record termRecord) {
+	g.history.observe(record.Term, record.Fenced)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.lastCapacity = record.Capacity
+}
+
+// expectsLarger reports whether a larger entry host is registered or, because registrations end with their leases, has won the
+// last election.
+func (g *Group) expectsLarger() bool {
+	g.mu.Lock()
+	last := g.lastCapacity
+	g.mu.Unlock()
+	return last.Exceeds(g.hosts.own) || len(g.hosts.larger()) > 0
+}
+
 func (g *Group) applyHost(host fleet.EntryHostID, c store.Change) {
 	if host == g.self {
 		return
@@ -302,7 +340,7 @@
 		case <-g.vacant:
 		}
 		sleep(ctx, rand.N(campaignJitter))
-		if g.hosts.hasLarger(0) {
+		if g.expectsLarger() {
 			sleep(ctx, largerHostHeadStart)
 		}
 		l, err := g.campaign(ctx)
@@ -318,7 +356,6 @@
 			sleep(ctx, retryMinDelay)
 			g.signalVacant()
 		case l != nil:
-			g.hosts.recordPasses()
 			g.lead(ctx, l)
 		}
 	}
@@ -340,6 +377,7 @@
 		return nil, err
 	}
 	elected := Leader{EntryHost: g.self}
+	var last termRecord
 	var termCondition store.Compare = store.KeyAbsent{Key: termKey}
 	for _, e := range entries {
 		switch e.Key {
@@ -347,16 +385,15 @@
 			g.applyChange(store.Change{Entry: e})
 			return nil, nil
 		case termKey:
-			var last termRecord
 			if err := cbor.Unmarshal(e.Value, &last); err != nil {
 				return nil, err
 			}
-			g.history.observe(last.Term, last.Fenced)
+			g.observeRecord(last)
 			elected.Term, elected.Predecessors = last.Term+1, last.predecessors()
 			termCondition = store.KeyUnchanged{Key: termKey, ModRevision: e.ModRevision}
 		}
 	}
-	return g.acquire(ctx, elected, termCondition)
+	return g.acquire(ctx, elected, last.next(elected, g.hosts.own), termCondition)
 }
 
 // errElectionChanged reports a campaign that no process has won: only the record of the last election has changed since it was
@@ -365,7 +402,7 @@
 
 // acquire writes the leader's entry under a new lease if there is no leader and termKey is unchanged since it was read;
 // it returns nil without an error if another process was faster.
-func (g *Group) acquire(ctx context.Context, elected Leader, termCondition store.Compare) (*Leadership, error) {
+func (g *Group) acquire(ctx context.Context, elected Leader, record termRecord, termCondition store.Compare) (*Leadership, error) {
 	sent := Now()
 	lease, err := g.store.Grant(ctx, leaderTTL)
 	if err != nil {
@@ -375,7 +412,7 @@
 	if err != nil {
 		return nil, err
 	}
-	term, err := cbor.Marshal(termRecord{Term: elected.Term, EntryHost: elected.EntryHost, Earlier: elected.Predecessors})
+	term, err := cbor.Marshal(record)
 	if err != nil {
 		return nil, err
 	}
@@ -396,7 +433,7 @@
 		return nil, nil
 	}
 	elected.Token = infra.Token(result.Revision)
-	return newLeadership(g.store, lease, elected, sent, g.history), nil
+	return newLeadership(g.store, lease, elected, record, sent, g.history), nil
 }
 
 // hasLeader reports whether a failed transaction found a leader. If it did not, no removal of a leader follows that would start
@@ -436,7 +473,7 @@
 	defer cancel()
 	var wg sync.WaitGroup
 	wg.Go(func() { l.renew(leadCtx, g.log) })
-	wg.Go(func() { g.hosts.handOver(leadCtx, l) })
+	wg.Go(func() { g.handOver(leadCtx, l) })
 	wg.Go(func() { l.keepRecord(leadCtx, g.log) })
 	wg.Go(func() {
 		select {
@@ -453,6 +490,9 @@
 	g.log.Info("group: leadership ended", "token", l.leader.Token, "reason", l.Reason())
 	g.mu.Lock()
 	g.current, g.idleSince = nil, Now()
+	if l.Reason() != reasonHandedOver {
+		g.lostAt = Now()
+	}
 	g.mu.Unlock()
 	g.signalVacant()
 }
--- a/entryd/leader/hosts.go
+++ b/entryd/leader/hosts.go
@@ -1,7 +1,6 @@
 package leader
 
 import (
-	"context"
 	"fmt"
 	"maps"
 	"net"
@@ -16,16 +15,12 @@
 )
 
 const (
-	// largerHostRatio is the ratio of processor time from which an entry host is preferred over another one; a smaller
-	// difference is not worth a change of leader.
+	// largerHostRatio is the ratio of capacity from which an entry host is preferred over another one; a smaller difference
+	// is not worth a change of leader.
 	largerHostRatio = 1.5
-	// largerHostHeadStart is how long a process delays its campaign if a larger entry host is registered, which needs
-	// two calls of the store to win.
+	// largerHostHeadStart is how long a process delays its campaign for a larger entry host, which needs three calls of the
+	// store to win.
 	largerHostHeadStart = 400 * time.Millisecond
-	// handOverAge is how long a larger entry host must have been registered before leadership is handed over to it. It
-	// is longer than hostTTL, for which the entry of a process that has died remains.
-	handOverAge           = hostTTL + 2*time.Second
-	handOverCheckInterval = time.Second
 )
 
 // Capacity is what an entry host has for the work of its process. A field that is unknown is 0.
@@ -47,6 +42,32 @@
 	return c.MilliCPU >= 0 && c.MilliCPU <= maxMilliCPU && c.LinkBitsPerSecond >= 0 && c.LinkBitsPerSecond <= maxLinkBitsPerSecond
 }
 
+const (
+	// startsPerMilliCPU is the number of starts a second that a thousandth of a core carries (0.49 ms each, docs/CAPACITY.md).
+	startsPerMilliCPU = 2
+	// bitsPerStart is what a start and what follows from it send over the scheduler's link (3.6 KB, measured).
+	bitsPerStart = 28_800
+)
+
+// Exceeds reports whether a scheduler on a host of this capacity starts more tasks a second than on one of the other, by
+// largerHostRatio. The scarcer of processor time and link bounds the starts. If one of the links is unknown, the processor time
+// decides; if that is unknown too, neither host exceeds the other.
+func (c Capacity) Exceeds(other Capacity) bool {
+	if c.MilliCPU == 0 || other.MilliCPU == 0 {
+		return false
+	}
+	knowsLinks := c.LinkBitsPerSecond > 0 && other.LinkBitsPerSecond > 0
+	return c.startsPerSecond(knowsLinks) >= largerHostRatio*other.startsPerSecond(knowsLinks)
+}
+
+func (c Capacity) startsPerSecond(knowsLink bool) float64 {
+	starts := float64(c.MilliCPU) * startsPerMilliCPU
+	if knowsLink {
+		starts = min(starts, float64(c.LinkBitsPerSecond)/bitsPerStart)
+	}
+	return starts
+}
+
 // Host is a registered entry process.
 type Host struct {
 	ID       fleet.EntryHostID
@@ -91,40 +112,13 @@
 	own Capacity
 
 	mu   sync.Mutex
-	byID map[fleet.EntryHostID]registration
-}
-
-// registration is the entry of another process; since is when its present registration was first seen. passes counts how
-// often it did not take the leadership when it could have, the last time at passedAt.
-type registration struct {
-	capacity Capacity
-	since    time.Time
-	passes   int
-	passedAt time.Time
-}
-
-// maxPasses limits the effect of [registration].passes.
-const maxPasses = 10
-
-// isDue reports whether a leadership is handed over to an entry host that has been registered for at least age. The age
-// doubles each time it did not take the leadership, because its entry may be that of no running process.
-func (r registration) isDue(age time.Duration) bool {
-	since := r.since
-	if r.passes > 0 {
-		since = r.passedAt
-	}
-	return Now().Sub(since) >= age<<min(r.passes, maxPasses)
+	byID map[fleet.EntryHostID]Capacity
 }
 
 func (h *hostRegistry) add(host fleet.EntryHostID, capacity Capacity) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	r, found := h.byID[host]
-	if !found {
-		r.since = Now()
-	}
-	r.capacity = capacity
-	h.byID[host] = r
+	h.byID[host] = capacity
 }
 
 func (h *hostRegistry) remove(host fleet.EntryHostID) {
@@ -139,50 +133,12 @@
 	defer h.mu.Unlock()
 	out := make([]Host, 0, len(h.byID))
 	for _, id := range slices.Sorted(maps.Keys(h.byID)) {
-		out = append(out, Host{ID: id, Capacity: h.byID[id].capacity})
+		out = append(out, Host{ID: id, Capacity: h.byID[id]})
 	}
 	return out
 }
 
-// hasLarger reports whether a larger entry host has been registered for at least age, see [registration.isDue].
-func (h *hostRegistry) hasLarger(age time.Duration) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for _, r := range h.byID {
-		if h.isLarger(r) && r.isDue(age) {
-			return true
-		}
-	}
-	return false
-}
-
-// isLarger reports whether an entry host exceeds this one by largerHostRatio.
-func (h *hostRegistry) isLarger(r registration) bool {
-	return h.own.MilliCPU > 0 && float64(r.capacity.MilliCPU) >= largerHostRatio*float64(h.own.MilliCPU)
-}
-
-// recordPasses records that this process won a campaign for which larger entry hosts had a head start.
-func (h *hostRegistry) recordPasses() {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for host, r := range h.byID {
-		if h.isLarger(r) {
-			r.passes++
-			r.passedAt = Now()
-			h.byID[host] = r
-		}
-	}
-}
-
-// handOver ends a leadership when a larger entry host can take over, because the scheduler's work grows with the fleet
-// and a small host falls behind under load.
-func (h *hostRegistry) handOver(ctx context.Context, l *Leadership) {
-	began := Now()
-	for ctx.Err() == nil {
-		sleep(ctx, handOverCheckInterval)
-		if Now().Sub(began) >= handOverAge && h.hasLarger(handOverAge) && l.LeaseConfirmed() {
-			l.end("a larger entry host can take over")
-			return
-		}
-	}
+// larger returns the registered processes whose entry hosts exceed this one.
+func (h *hostRegistry) larger() []Host {
+	return slices.DeleteFunc(h.hosts(), func(other Host) bool { return !other.Capacity.Exceeds(h.own) })
 }
--- a/entryd/leader/leadership.go
+++ b/entryd/leader/leadership.go
@@ -19,6 +19,11 @@
 	// history holds the elections that this process has observed.
 	history *takeoverHistory
 
+	// recordMu is held while the record of the election is written. record is what was stored at recordRevision.
+	recordMu       sync.Mutex
+	record         termRecord
+	recordRevision store.Revision
+
 	// fenced is closed once most workers reject the earlier leaders.
 	fenced     chan struct{}
 	fencedOnce sync.Once
@@ -34,9 +39,10 @@
 	reason      string
 }
 
-func newLeadership(client store.Client, lease store.LeaseID, leader Leader, sent time.Time, history *takeoverHistory) *Leadership {
+func newLeadership(client store.Client, lease store.LeaseID, leader Leader, record termRecord, sent time.Time, history *takeoverHistory) *Leadership {
 	return &Leadership{
 		store: client, lease: lease, leader: leader, history: history, confirmedAt: sent,
+		record: record, recordRevision: store.Revision(leader.Token),
 		fenced: make(chan struct{}), ended: make(chan struct{}), released: make(chan struct{}),
 	}
 }
--- a/entryd/leader/record.go
+++ b/entryd/leader/record.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"bytes"
 	"context"
 	"log/slog"
 	"time"
@@ -18,8 +19,6 @@
 	if len(l.leader.Predecessors) == 0 {
 		return
 	}
-	record := termRecord{Term: l.leader.Term, EntryHost: l.leader.EntryHost, Earlier: l.leader.Predecessors}
-	revision, isOurs := store.Revision(l.leader.Token), true
 	timeout := time.NewTimer(leadershipTimeout)
 	defer timeout.Stop()
 	select {
@@ -27,14 +26,33 @@
 		return
 	case <-timeout.C:
 	case <-l.fenced:
-		record.Fenced = true
-		if revision, isOurs = l.putRecord(ctx, log, record, revision); !isOurs {
+		if !l.updateRecord(ctx, log, func(r *termRecord) { r.Fenced = true }) {
 			return
 		}
 		sleep(ctx, flow.WitnessTimeout)
 	}
-	record.Earlier = nil
-	l.putRecord(ctx, log, record, revision)
+	l.updateRecord(ctx, log, func(r *termRecord) { r.Earlier = nil })
+}
+
+// handOvers returns the number of hand-overs before this leadership that no larger entry host has taken.
+func (l *Leadership) handOvers() int {
+	l.recordMu.Lock()
+	defer l.recordMu.Unlock()
+	return l.record.HandOvers
+}
+
+// updateRecord changes the stored record of this leader's election. It returns false if there is a newer leader or the leadership
+// has ended.
+func (l *Leadership) updateRecord(ctx context.Context, log *slog.Logger, change func(*termRecord)) bool {
+	l.recordMu.Lock()
+	defer l.recordMu.Unlock()
+	record := l.record
+	change(&record)
+	revision, isOurs := l.putRecord(ctx, log, record, l.recordRevision)
+	if isOurs {
+		l.record, l.recordRevision = record, revision
+	}
+	return isOurs
 }
 
 // putRecord replaces the record of the election that was stored at a revision and returns the new revision. It returns false if
@@ -45,11 +63,11 @@
 		log.Error("group: cannot encode the record of the election", "error", err)
 		return 0, false
 	}
-	txn := store.Txn{
-		If:   []store.Compare{store.KeyUnchanged{Key: termKey, ModRevision: revision}},
-		Then: []store.Op{store.Put{Key: termKey, Value: value}},
-	}
 	for ; ctx.Err() == nil; sleep(ctx, renewInterval) {
+		txn := store.Txn{
+			If:   []store.Compare{store.KeyUnchanged{Key: termKey, ModRevision: revision}},
+			Then: []store.Op{store.Put{Key: termKey, Value: value}},
+		}
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		result, err := l.store.Txn(callCtx, txn)
 		cancel()
@@ -59,22 +77,27 @@
 		case result.Committed:
 			return result.Revision, true
 		default:
-			return ownRecord(result, record.Term)
+			found, isOurs := ownRecord(result, record.Term)
+			if !isOurs || bytes.Equal(found.Value, value) {
+				return found.ModRevision, isOurs
+			}
+			// An earlier change without an answer was carried out.
+			revision = found.ModRevision
 		}
 	}
 	return 0, false
 }
 
-// ownRecord returns the revision of the record that a failed transaction has found, and whether it is of a term, in which case
-// an earlier attempt without an answer was carried out.
-func ownRecord(result store.TxnResult, term int64) (store.Revision, bool) {
+// ownRecord returns the entry of the record that a failed transaction has found, and whether it is of a term, in which case an
+// earlier attempt without an answer was carried out.
+func ownRecord(result store.TxnResult, term int64) (store.Entry, bool) {
 	for _, read := range result.Reads {
 		for _, e := range read {
 			var found termRecord
 			if e.Key == termKey && cbor.Unmarshal(e.Value, &found) == nil && found.Term == term {
-				return e.ModRevision, true
+				return e, true
 			}
 		}
 	}
-	return 0, false
+	return store.Entry{}, false
 }
