leader: a host that is gone is forgotten beside short leaderships

Cause: only a leadership of 6.8 s, or of 2.5 s with most workers, removes earlier hosts from the record of its election. Beside shorter ones a host that is gone stays a predecessor, is never told to have stopped, and each successor waits 12.1 s.

Change: the record holds the last term of each earlier host. A campaign leaves a host out once this process has seen an election after that term 7.1 s ago; the host could act for 6.8 s from before that election.

--- a/entryd/leader/group.go
+++ b/entryd/leader/group.go
@@ -59,6 +59,8 @@
 	Term      int64               `cbor:"term"`
 	EntryHost fleet.EntryHostID   `cbor:"entry_host"`
 	Earlier   []fleet.EntryHostID `cbor:"earlier,omitempty"`
+	// EarlierTerms holds the last terms of the leaders in Earlier, as far as they are known.
+	EarlierTerms map[fleet.EntryHostID]int64 `cbor:"earlier_terms,omitempty"`
 	// Fenced is set once most workers reject the leaders before this one.
 	Fenced bool `cbor:"fenced,omitempty"`
 	// Capacity is that of the leader's entry host. It outlives registrations, so that smaller hosts wait for such a host after
@@ -71,17 +73,35 @@
 // next returns the record of the election of a leader after this one.
 func (r termRecord) next(elected Leader, capacity Capacity) termRecord {
 	next := termRecord{Term: elected.Term, EntryHost: elected.EntryHost, Earlier: elected.Predecessors, Capacity: capacity}
+	for _, h := range elected.Predecessors {
+		if term, known := r.termOf(h); known {
+			if next.EarlierTerms == nil {
+				next.EarlierTerms = make(map[fleet.EntryHostID]int64)
+			}
+			next.EarlierTerms[h] = term
+		}
+	}
 	if !capacity.Exceeds(r.Capacity) {
 		next.HandOvers = r.HandOvers
 	}
 	return next
 }
 
+// termOf returns the last term of an entry host that has led, and false if it is unknown.
+func (r termRecord) termOf(host fleet.EntryHostID) (int64, bool) {
+	if host == r.EntryHost {
+		return r.Term, true
+	}
+	term, known := r.EarlierTerms[host]
+	return term, known
+}
+
 // predecessors returns the entry hosts on which a leader may act when the next one is elected, the latest first.
-func (r termRecord) predecessors() []fleet.EntryHostID {
+func (r termRecord) predecessors(history *takeoverHistory) []fleet.EntryHostID {
 	hosts := []fleet.EntryHostID{r.EntryHost}
 	for _, h := range r.Earlier {
-		if !slices.Contains(hosts, h) {
+		term, known := r.termOf(h)
+		if !slices.Contains(hosts, h) && !(known && history.hasStopped(term)) {
 			hosts = append(hosts, h)
 		}
 	}
@@ -389,7 +409,7 @@
 				return nil, err
 			}
 			g.observeRecord(last)
-			elected.Term, elected.Predecessors = last.Term+1, last.predecessors()
+			elected.Term, elected.Predecessors = last.Term+1, last.predecessors(g.history)
 			termCondition = store.KeyUnchanged{Key: termKey, ModRevision: e.ModRevision}
 		}
 	}
--- a/entryd/leader/predecessors_test.go
+++ b/entryd/leader/predecessors_test.go
@@ -66,6 +66,40 @@
 	assert.DeepEqual(t, fourth.Predecessors, []fleet.EntryHostID{"c"})
 }
 
+// Guards against a successor that waits for a host that is gone, because each leadership since then was too short to remove it from
+// the record. The host cannot act any more if the election after its own was seen long enough ago.
+func TestHostThatIsGoneIsForgottenBesideShortLeaderships(t *testing.T) {
+	t.Parallel()
+	m := newMemStore()
+	a := startMember(t, m, "a")
+	receive(t, "leadership of a", a.elected)
+	var elected [3]leader.Leader
+	members := make(map[fleet.EntryHostID]*member)
+	elections := make(chan leader.Leader)
+	for _, name := range []string{"b", "c", "d"} {
+		p := startMember(t, m, name)
+		members[fleet.EntryHostID(name)] = p
+		go func() {
+			for l := range p.elected {
+				elections <- l
+			}
+		}()
+	}
+	m.mu.Lock()
+	m.unreachable["a"] = true
+	m.mu.Unlock()
+	for i := range elected {
+		elected[i] = receive(t, "next leadership", elections)
+		if i < 2 {
+			time.Sleep(4 * time.Second)
+			members[elected[i].EntryHost].group.Resign()
+		}
+	}
+	assert.DeepEqual(t, elected[1].Predecessors, []fleet.EntryHostID{elected[0].EntryHost, "a"})
+	// The election after that of a was seen 8 s ago, the one after that 4 s ago.
+	assert.DeepEqual(t, elected[2].Predecessors, []fleet.EntryHostID{elected[1].EntryHost, elected[0].EntryHost})
+}
+
 // The wait for leases must not end before each scheduler that may have renewed them has stopped, and counts from the last of
 // them.
 func TestAllPredecessorsAreAwaited(t *testing.T) {
--- a/entryd/leader/record.go
+++ b/entryd/leader/record.go
@@ -31,7 +31,7 @@
 		}
 		sleep(ctx, flow.WitnessTimeout)
 	}
-	l.updateRecord(ctx, log, func(r *termRecord) { r.Earlier = nil })
+	l.updateRecord(ctx, log, func(r *termRecord) { r.Earlier, r.EarlierTerms = nil, nil })
 }
 
 // handOvers returns the number of hand-overs before this leadership that no larger entry host has taken.
--- a/entryd/leader/takeovers.go
+++ b/entryd/leader/takeovers.go
@@ -45,6 +45,20 @@
 	}
 }
 
+// hasStopped reports whether the leader of a term can act no longer: it cannot longer than leadershipTimeout after a later election.
+// The clocks of two hosts may differ in rate.
+func (h *takeoverHistory) hasStopped(term int64) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	latest := Now().Add(-leadershipTimeout - leadershipTimeout/20)
+	for later, seen := range h.byTerm {
+		if later > term && !seen.electedAt.After(latest) {
+			return true
+		}
+	}
+	return false
+}
+
 // takeovers returns the recorded elections in the form of the state machine.
 func (h *takeoverHistory) takeovers() []flow.Takeover {
 	h.mu.Lock()
