leader: questions before a hand-over outlast the queue of a full link

A leader on a small link asks larger hosts while up to 128 starts of 3.6 KB wait on its link, 0.37 s at 10 Mbit/s. The question had 0.4 s, the note of the hand-over in the record 0.7 s; both have 1.4 s now.

--- a/entryd/hosted/intake.go
+++ b/entryd/hosted/intake.go
@@ -25,6 +25,9 @@
 	storeTimeout = 700 * time.Millisecond
 	// queryTimeout limits a query to the scheduler, which takes one round trip between zones.
 	queryTimeout = 400 * time.Millisecond
+	// eligibleTimeout limits the question whether a peer would take over, which reads from the store and may wait behind the orders on
+	// a small link.
+	eligibleTimeout = 1400 * time.Millisecond
 	// peerWriteTimeout limits a write to the store through a peer.
 	peerWriteTimeout = 900 * time.Millisecond
 	// retryAfter is the delay after which callers should retry while the store is unreachable. Outages of the store
@@ -295,7 +298,7 @@
 // AskEligible asks the process on an entry host whether it would take over from the scheduler with a token, see
 // [leader.Group.Eligible].
 func (i *Intake) AskEligible(ctx context.Context, host fleet.EntryHostID, token infra.Token) error {
-	resp, err := i.call(ctx, host, wire.HostedRequest{Kind: wire.RequestEligible, Token: token}, queryTimeout)
+	resp, err := i.call(ctx, host, wire.HostedRequest{Kind: wire.RequestEligible, Token: token}, eligibleTimeout)
 	if err == nil && resp.Status != wire.ResponseOK {
 		return &leader.IneligibleError{Reason: resp.Reason}
 	}
--- a/entryd/leader/handover.go
+++ b/entryd/leader/handover.go
@@ -94,7 +94,7 @@
 // recordHandOver notes in the record of the election that the leadership is handed over. It does not wait for a store that does
 // not answer, since the other host may not reach it either.
 func (l *Leadership) recordHandOver(ctx context.Context, log *slog.Logger, handOvers int) bool {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
 	defer cancel()
 	return l.updateRecord(ctx, log, func(r *termRecord) { r.HandOvers = handOvers })
 }
