leader, hosted: schedulers on slow links send starts through relays

A peer takes a start with the sum of the job's spec, reads the spec from its cache or once from the store, checks its time and the newest token that it knows, and sends the start with its own client. The time by which it must be sent is one of the relay's clock, which advances while the host is suspended, and counts for one process only, so that a start that waited in a suspended relay is not sent. A start that may have left the relay is never reported as not sent. Peers that do not answer the question for their clock, such as those of an earlier version, are no relays.

--- a/coord/flow/link.go
+++ b/coord/flow/link.go
@@ -20,8 +20,8 @@
 	relayedStartBytes = 400
 	// maxStartBytes is the size of a large start, in bytes.
 	maxStartBytes = 4 << 10
-	// maxRelays limits the entry hosts through which starts are sent, because each has connections of its own to the workers.
-	maxRelays = 8
+	// MaxRelays limits the entry hosts through which starts are sent, because each has connections of its own to the workers.
+	MaxRelays = 8
 	// relayPause is how long a relay that has not answered takes no starts, and relayDoubtPause how long one takes none that
 	// has not sent a start or got no answer.
 	relayPause      = 2 * time.Second
@@ -60,6 +60,11 @@
 	return func(o *options) { o.linkBitsPerSecond = bitsPerSecond }
 }
 
+// LimitsStarts reports whether a link of a known bandwidth carries fewer starts than a scheduler sends at once.
+func LimitsStarts(bitsPerSecond int64) bool {
+	return bitsPerSecond > 0 && MaxLinkDelay(bitsPerSecond) == 2*linkWindow
+}
+
 // MaxLinkDelay returns how long an order may wait for a link of a known bandwidth behind the starts of a scheduler, and 0 if
 // the bandwidth is unknown. The link may carry as much other traffic.
 func MaxLinkDelay(bitsPerSecond int64) time.Duration {
@@ -140,7 +145,7 @@
 	})
 	old := m.relays
 	m.relays = nil
-	for _, r := range all[:min(maxRelays, len(all))] {
+	for _, r := range all[:min(MaxRelays, len(all))] {
 		if r.LinkBitsPerSecond <= 0 {
 			r.LinkBitsPerSecond = m.opts.linkBitsPerSecond
 		}
--- a/coord/wire/codec.go
+++ b/coord/wire/codec.go
@@ -60,6 +60,9 @@
 	CatalogDoc{}.kind():       decodeAs[CatalogDoc],
 	CatalogVersion{}.kind():   decodeAs[CatalogVersion],
 	CatalogRequest{}.kind():   decodeAs[CatalogRequest],
+
+	RelayedStart{}.kind():         decodeAs[RelayedStart],
+	RelayedStartResponse{}.kind(): decodeAs[RelayedStartResponse],
 }
 
 func decodeAs[T Message](data []byte) (Message, error) {
--- a/coord/wire/codec_test.go
+++ b/coord/wire/codec_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"lovagefork.example/coord/fleet"
+	"lovagefork.example/coord/infra"
 	"lovagefork.example/coord/wire"
 )
 
@@ -16,6 +17,8 @@
 		wire.Hello{EntryHost: "e1", Boot: "b", Zone: "a"},
 		wire.ForwardRequest{Service: "c/s", Class: fleet.Deferrable, RequestID: "r", Method: "PUT", Body: []byte("x")},
 		wire.ForwardResponse{Outcome: "ran", Status: 200, Body: []byte("y")},
+		wire.RelayedStart{Process: 1 << 63, Until: 9, Worker: "w", Job: "j", Index: 4, Run: 1001, SpecSum: wire.SpecSum("s"), Ticket: "t", Token: 8},
+		wire.RelayedStartResponse{Outcome: wire.RelayRefused, Refusal: infra.ReasonNoRoom, Clock: 12},
 		wire.Loan{ID: "l", Parts: []wire.LoanPart{{Worker: "w", Slots: 2}}, TTLMS: 5000},
 	} {
 		sent := wire.Envelope{ID: 7, IsResponse: true, Message: m}
--- a/coord/wire/hosted.go
+++ b/coord/wire/hosted.go
@@ -30,6 +30,9 @@
 	// RequestSupersede ends the receiver's leadership as scheduler if its token is lower than Token. The response is
 	// [ResponseOK] once no such leadership is running.
 	RequestSupersede HostedRequestKind = "over"
+	// RequestRelayClock asks whether the receiver takes a [RelayedStart]. The response is [ResponseOK] with a [RelayClock]. A process
+	// of an earlier version does not know the kind, and would break the link on a RelayedStart.
+	RequestRelayClock HostedRequestKind = "relay_clock"
 )
 
 // HostedRequest is a request about jobs, or about the scheduler, to another entry process of a hosted deployment. Data
--- a/entryd/hosted/app.go
+++ b/entryd/hosted/app.go
@@ -76,6 +76,7 @@
 			newScheduler,
 			newGroup,
 			newIntake,
+			newRelay,
 		),
 		fx.Invoke(registerHandlers, registerGauges, registerHooks),
 		fx.StopTimeout(p.Settings.Bounds.GracePeriod),
@@ -106,9 +107,10 @@
 	return peers.New(self, map[fleet.EntryHostID]string{}, log, peers.WithMetrics(r), peers.WithUnlistedPeers())
 }
 
-func newScheduler(p Platform, r metrics.Registry, log *slog.Logger, tasks taskLogger, ref *intakeRef) *leader.Scheduler {
+func newScheduler(p Platform, mesh *peers.Mesh, r metrics.Registry, log *slog.Logger, tasks taskLogger, ref *intakeRef) *leader.Scheduler {
 	return leader.NewScheduler(leader.Deps{
 		Store: p.Store, Agents: p.Agents, Policy: p.Policy, Machines: p.Machines, Format: p.Format, Bounds: p.Settings.Bounds, LinkBitsPerSecond: p.Settings.LinkBitsPerSecond, Log: log, Decisions: tasks.Logger, Metrics: r, Supersede: ref.supersede,
+		Relays: NewRelayClient(mesh, ref.hosts, r),
 	})
 }
 
@@ -121,6 +123,12 @@
 	return r.intake.Supersede(ctx, host, token)
 }
 
+func (r *intakeRef) hosts() []leader.Host { return r.intake.group.Hosts() }
+
+func newRelay(p Platform, i *Intake, r metrics.Registry, tasks taskLogger) *Relay {
+	return NewRelay(i, p.Agents, p.Settings.LinkBitsPerSecond, r, tasks.Logger)
+}
+
 func newCatalogWatcher(p Platform, mesh *peers.Mesh, s *leader.Scheduler, r metrics.Registry, log *slog.Logger) *CatalogWatcher {
 	return NewCatalogWatcher(p.Store, p.Format, mesh, log, s.Configure, WithCatalogMetrics(r))
 }
@@ -167,8 +175,10 @@
 }
 
 // registerHandlers registers the handlers of peers' messages and link changes.
-func registerHandlers(mesh *peers.Mesh, group *leader.Group, intake *Intake, c *CatalogWatcher, ref *intakeRef) {
+func registerHandlers(mesh *peers.Mesh, group *leader.Group, intake *Intake, relay *Relay, c *CatalogWatcher, ref *intakeRef) {
 	ref.intake = intake
+	// The intake answers all other requests of peers, known or not.
+	mesh.AddHandler(relay.HandleMessage)
 	mesh.AddHandler(intake.HandleMessage)
 	mesh.AddHandler(c.HandleMessage)
 	mesh.AddHandler(func(_ context.Context, _ fleet.EntryHostID, m wire.Message) wire.Message {
--- a/entryd/hosted/intake.go
+++ b/entryd/hosted/intake.go
@@ -46,6 +46,7 @@
 	scheduler *leader.Scheduler
 	mesh      *peers.Mesh
 	catalog   *CatalogWatcher
+	specs     *specCache
 	log       *slog.Logger
 
 	submits metrics.Timer
@@ -83,6 +84,7 @@
 	i := &Intake{
 		self: self, store: client, health: &storeHealth{store: client, log: log}, log: log, pending: make(map[string]pendingCount),
 	}
+	i.specs = newSpecCache(i.readSpec)
 	i.registerMetrics(metrics.NewRegistry())
 	for _, opt := range opts {
 		opt(i)
@@ -128,6 +130,9 @@
 	stored, via, err := i.persist(ctx, req)
 	i.submits.UpdateSince(start)
 	i.logCall("submit", j.ID, q.Name, via, start, err)
+	if err == nil {
+		i.specs.add(j.ID, j.Spec)
+	}
 	if err == nil && via == viaStore {
 		i.notifyScheduler(notification(req, stored))
 	}
@@ -436,6 +441,19 @@
 	return &found.Entries[0], nil
 }
 
+// readSpec reads the spec of a job from the store.
+func (i *Intake) readSpec(ctx context.Context, id fleet.JobID) (string, error) {
+	found, err := i.read(ctx, leader.JobKey(id))
+	if err != nil {
+		return "", err
+	}
+	if found == nil {
+		return "", &infra.JobNotFoundError{Job: id}
+	}
+	job, err := leader.DecodeJob(found.Value)
+	return job.Spec, err
+}
+
 // Pending implements [infra.Jobs].
 func (i *Intake) Pending(ctx context.Context, q infra.Queue) (int, error) {
 	resp, answered := i.queryScheduler(ctx, wire.HostedRequest{Kind: wire.RequestPendingCount, Queue: q.Name})
--- a/entryd/leader/calls.go
+++ b/entryd/leader/calls.go
@@ -30,16 +30,22 @@
 }
 
 func (l *loop) startTask(ctx context.Context, e flow.Start) {
+	answer := flow.StartAnswered{Worker: e.To.Worker, Via: e.Via, Order: e.Order}
 	if !l.leadership.Valid() {
-		l.post(flow.StartAnswered{Worker: e.To.Worker, Order: e.Order, Err: errLeadershipEnded(e.To.Worker)})
+		answer.Err = errLeadershipEnded(e.To.Worker)
+		l.post(answer)
 		return
 	}
-	callCtx, cancel := context.WithTimeout(ctx, l.orderTimeout)
-	defer cancel()
 	began := time.Now()
-	clock, err := l.agents.Start(callCtx, e.To, e.Order)
+	if e.Via != "" {
+		answer.Clock, answer.Err = l.relays.Start(ctx, e.Via, e.To, e.Order)
+	} else {
+		callCtx, cancel := context.WithTimeout(ctx, l.orderTimeout)
+		defer cancel()
+		answer.Clock, answer.Err = l.agents.Start(callCtx, e.To, e.Order)
+	}
 	l.startLatency.UpdateSince(began)
-	l.post(flow.StartAnswered{Worker: e.To.Worker, Order: e.Order, Clock: clock, Err: err})
+	l.post(answer)
 }
 
 func (l *loop) stopTask(ctx context.Context, e flow.Stop) {
--- a/entryd/leader/scheduler.go
+++ b/entryd/leader/scheduler.go
@@ -34,10 +34,16 @@
 	maxEventsPerTick = 512
 )
 
+// OrderTimeout returns the time-out of an order on a link with a bandwidth, 0 if that is unknown.
+func OrderTimeout(bitsPerSecond int64) time.Duration {
+	return orderTimeout + flow.MaxLinkDelay(bitsPerSecond)
+}
+
 // Scheduler runs the scheduler's state machine while this process is the leader.
 type Scheduler struct {
 	store  store.Client
 	agents infra.Agents
+	relays Relays
 	policy infra.PolicyService
 	// machineService is nil if the platform has no machine maintenance.
 	machineService infra.Machines
@@ -68,6 +74,8 @@
 type Deps struct {
 	Store  store.Client
 	Agents infra.Agents
+	// Relays is nil if all starts are sent from here.
+	Relays Relays
 	// Policy is called only for queues that have a policy.
 	Policy infra.PolicyService
 	// Machines takes machines down for maintenance; it is nil if the platform has no such service.
@@ -88,8 +96,8 @@
 // NewScheduler returns a scheduler that does nothing until [Scheduler.Run].
 func NewScheduler(d Deps) *Scheduler {
 	return &Scheduler{
-		store: d.Store, agents: d.Agents, policy: d.Policy, machineService: d.Machines, format: d.Format, bounds: d.Bounds, log: d.Log, decisions: d.Decisions, supersede: d.Supersede,
-		linkBitsPerSecond: d.LinkBitsPerSecond, orderTimeout: orderTimeout + flow.MaxLinkDelay(d.LinkBitsPerSecond),
+		store: d.Store, agents: d.Agents, relays: d.Relays, policy: d.Policy, machineService: d.Machines, format: d.Format, bounds: d.Bounds, log: d.Log, decisions: d.Decisions, supersede: d.Supersede,
+		linkBitsPerSecond: d.LinkBitsPerSecond, orderTimeout: OrderTimeout(d.LinkBitsPerSecond),
 		registry:       d.Metrics,
 		startLatency:   metrics.GetOrRegisterTimer("scheduler.start_seconds", d.Metrics),
 		renewals:       metrics.GetOrRegisterCounter("scheduler.holds.total", d.Metrics),
@@ -351,6 +359,9 @@
 	var sources sync.WaitGroup
 	sources.Go(func() { l.watchInputs(ctx) })
 	sources.Go(func() { l.watchWorkers(ctx) })
+	if l.relays != nil && flow.LimitsStarts(l.linkBitsPerSecond) {
+		sources.Go(func() { l.watchRelays(ctx) })
+	}
 	sources.Go(func() { l.awaitPredecessors(ctx) })
 	sources.Go(func() { l.awaitPredecessorLeases(ctx) })
 	var waveEvents chan upkeep.Event
