--- a/entryd/hosted/app.go
+++ b/entryd/hosted/app.go
@@ -35,6 +35,8 @@
 	// Reload rereads the settings. Hangups receives the signals that ask for it, for as long as the process runs.
 	Reload  func() (infra.Settings, error)
 	Hangups <-chan os.Signal
+	// Traffic counts the calls of the clients.
+	Traffic *stats.Traffic
 	Store   store.Client
 	Agents  infra.Agents
 	// Policy is called only for queues that have an approval policy.
@@ -69,7 +71,7 @@
 			func() *logs.Writer { return logs.New(out) },
 			newLogger,
 			newTaskLogger,
-			metrics.NewRegistry,
+			newRegistry,
 			newMesh,
 			func() *intakeRef { return &intakeRef{} },
 			newCatalogWatcher,
@@ -102,6 +104,18 @@
 	return taskLogger{newLogger(s, w.Derive(logs.WithLimit(taskLinesPerSecond)))}
 }
 
+// newRegistry returns the process's metrics, with the traffic of its clients among them.
+func newRegistry(p Platform) metrics.Registry {
+	r := metrics.NewRegistry()
+	p.Traffic.Register(r)
+	return r
+}
+
+// electionMessage announces a leader to peers.
+func electionMessage(l leader.Leader) wire.SchedulerElected {
+	return wire.SchedulerElected{EntryHost: l.EntryHost, Token: l.Token, Term: l.Term}
+}
+
 func newMesh(s infra.Settings, r metrics.Registry, log *slog.Logger) *peers.Mesh {
 	self := wire.Hello{EntryHost: s.EntryHost, Boot: fleet.BootID(rand.Text()), Zone: s.Zone}
 	return peers.New(self, map[fleet.EntryHostID]string{}, log, peers.WithMetrics(r), peers.WithUnlistedPeers())
@@ -109,7 +123,7 @@
 
 func newScheduler(p Platform, mesh *peers.Mesh, r metrics.Registry, log *slog.Logger, tasks taskLogger, ref *intakeRef) *leader.Scheduler {
 	return leader.NewScheduler(leader.Deps{
-		Store: p.Store, Agents: p.Agents, Policy: p.Policy, Machines: p.Machines, Format: p.Format, Bounds: p.Settings.Bounds, LinkBitsPerSecond: p.Settings.LinkBitsPerSecond, Log: log, Decisions: tasks.Logger, Metrics: r, Supersede: ref.supersede,
+		Store: p.Store, Agents: p.Agents, Policy: p.Policy, Machines: p.Machines, Format: p.Format, Bounds: p.Settings.Bounds, LinkBitsPerSecond: p.Settings.LinkBitsPerSecond, Log: log, Decisions: tasks.Logger, Metrics: r, Traffic: p.Traffic, Supersede: ref.supersede,
 		Relays: NewRelayClient(mesh, ref.hosts, r),
 	})
 }
@@ -157,7 +171,7 @@
 func newGroup(p Platform, mesh *peers.Mesh, sched *leader.Scheduler, log *slog.Logger) (*leader.Group, *meshUpdater) {
 	updater := &meshUpdater{mesh: mesh, log: log, ctx: context.Background()}
 	onLeader := func(elected leader.Leader) {
-		mesh.Broadcast(wire.SchedulerElected{EntryHost: elected.EntryHost, Token: elected.Token})
+		mesh.Broadcast(electionMessage(elected))
 	}
 	s := p.Settings
 	capacity := leader.Capacity{MilliCPU: s.MilliCPU, LinkBitsPerSecond: s.LinkBitsPerSecond}
@@ -186,7 +200,7 @@
 		if !ok {
 			return nil
 		}
-		group.Observe(leader.Leader{EntryHost: elected.EntryHost, Token: elected.Token})
+		group.Observe(leader.Leader{EntryHost: elected.EntryHost, Token: elected.Token, Term: elected.Term})
 		return wire.Ack{}
 	})
 	mesh.OnLinkChange(func(peer fleet.EntryHostID, up bool) {
@@ -195,7 +209,7 @@
 		}
 		c.Announce(peer)
 		if elected, known := group.Leader(); known {
-			if err := mesh.Send(peer, wire.SchedulerElected{EntryHost: elected.EntryHost, Token: elected.Token}); err != nil {
+			if err := mesh.Send(peer, electionMessage(elected)); err != nil {
 				return
 			}
 		}
