leader: logs and metrics of the link, and the thin-link test passes

The load line, the metrics and lovctl show the bytes on the way, the window, the tasks held back, and the starts and failures of relays. The harness behind TestLongRunningTasksStartInTimeOnThinLink tells the scheduler its link, as the program does; nothing else of the test is changed.

--- a/coord/flow/link.go
+++ b/coord/flow/link.go
@@ -218,11 +218,18 @@
 	Resting int `json:"resting_relays"`
 	// HeldBack counts the tasks that wait while the link is full.
 	HeldBack int `json:"held_back"`
+	// Starts, Relayed and RelayFailures are those of [Counts].
+	Starts        int64 `json:"starts"`
+	Relayed       int64 `json:"relayed"`
+	RelayFailures int64 `json:"relay_failures"`
 }
 
 // LinkUse returns how starts use this host's link.
 func (m *Machine) LinkUse() LinkUse {
-	use := LinkUse{OnWay: m.link.bytes, Window: m.link.window, Relays: len(m.relays)}
+	use := LinkUse{
+		OnWay: m.link.bytes, Window: m.link.window, Relays: len(m.relays),
+		Starts: m.counts.Starts, Relayed: m.counts.Relayed, RelayFailures: m.counts.RelayFailures,
+	}
 	for _, l := range m.relays {
 		if m.now.Before(l.restsUntil) {
 			use.Resting++
--- a/coord/flow/relay_test.go
+++ b/coord/flow/relay_test.go
@@ -161,7 +161,7 @@
 	h, s := startThroughRelay(t)
 	h.step(flow.Relays{})
 	h.step(flow.StartAnswered{Worker: s.To.Worker, Via: s.Via, Order: s.Order, Clock: h.now.UnixMilli()})
-	assert.DeepEqual(t, h.m.LinkUse(), flow.LinkUse{Window: 12_500})
+	assert.DeepEqual(t, h.m.LinkUse(), flow.LinkUse{Window: 12_500, Starts: 2, Relayed: 1})
 	h.step(flow.Submitted{Job: specJob("k", smallStep(2))})
 	h.advance(25 * time.Millisecond)
 	assert.DeepEqual(t, lanes(h.starts()), map[fleet.EntryHostID]int{"": 2})
--- a/coord/flow/view.go
+++ b/coord/flow/view.go
@@ -72,13 +72,15 @@
 	Unanswered int    `json:"unanswered_starts"`
 	Unsaved    int    `json:"unsaved_jobs"`
 	Counts     Counts `json:"counts"`
+	// Link is the use of the scheduler's link by starts.
+	Link LinkUse `json:"link"`
 }
 
 // Overview returns a summary of the scheduler's state.
 func (m *Machine) Overview() Overview {
 	o := Overview{
 		Token: m.token, Term: m.term, Jobs: make(map[infra.State]int), Ready: len(m.readySteps), Workers: len(m.workers), LongWaits: m.longWaits,
-		Unsettled: len(m.unreconciledWorkers), Unanswered: m.unansweredStarts, Unsaved: len(m.dirtyJobs), Counts: m.counts,
+		Unsettled: len(m.unreconciledWorkers), Unanswered: m.unansweredStarts, Unsaved: len(m.dirtyJobs), Counts: m.counts, Link: m.LinkUse(),
 	}
 	if m.catalog != nil {
 		o.Catalog = m.catalog.Version
--- a/entryd/leader/link_test.go
+++ b/entryd/leader/link_test.go
@@ -82,11 +82,12 @@
 		put(t, m, "workers/w", []byte("w:1"))
 		agents := timedAgents{allowed: make(chan time.Duration, 99)}
 		relay := oneRelay{via: make(chan fleet.EntryHostID, 99)}
-		logger := slog.New(slog.DiscardHandler)
+		lines, registry := &logBuffer{}, metrics.NewRegistry()
+		logger := slog.New(slog.NewJSONHandler(lines, nil))
 		s := leader.NewScheduler(leader.Deps{
 			Store: client{m, "a"}, Agents: agents, Relays: relay, Format: strictFormat{},
 			Bounds: infra.Bounds{MaxLease: 6 * time.Second, StatusRetention: time.Minute},
-			Log:    logger, Decisions: logger, Metrics: metrics.NewRegistry(), LinkBitsPerSecond: c.bitsPerSecond,
+			Log:    logger, Decisions: logger, Metrics: registry, LinkBitsPerSecond: c.bitsPerSecond,
 			Supersede: func(context.Context, fleet.EntryHostID, infra.Token) (time.Duration, bool) { return 0, true },
 		})
 		s.Configure(&infra.Catalog{
@@ -107,6 +108,10 @@
 		receive(t, "start", agents.allowed)
 		if c.isUsed {
 			assert.Equal(t, receive(t, "relayed start", relay.via), fleet.EntryHostID("e2"))
+			relayed := metrics.GetOrRegisterCounter("scheduler.starts_relayed.total", registry)
+			waitFor(t, "report of relayed starts", func() bool { return relayed.Count() > 0 })
+			assert.Assert(t, lines.find(t, "scheduler: load")["link"] != nil)
+			assert.Equal(t, metrics.GetOrRegisterGauge("scheduler.link_window_bytes", registry).Value(), int64(3750))
 			continue
 		}
 		receive(t, "second start", agents.allowed)
--- a/entryd/leader/load.go
+++ b/entryd/leader/load.go
@@ -53,6 +53,9 @@
 	// traffic counts the calls of the store and of workers; nil if they are not counted.
 	traffic *stats.Traffic
 
+	linkGauges linkGauges
+	// link is the use of the link at the last report.
+	link flow.LinkUse
 	// transferred is what the traffic was at the beginning of the measurement.
 	transferred map[string]stats.Transfer
 	since       time.Time
@@ -67,8 +70,8 @@
 
 func newLoadMeter(r metrics.Registry, traffic *stats.Traffic) *loadMeter {
 	l := &loadMeter{
-		waits: metrics.GetOrRegisterTimer("scheduler.event_wait_seconds", r), traffic: traffic, transferred: traffic.Totals(), since: time.Now(),
-		cpu: processorTime(),
+		waits: metrics.GetOrRegisterTimer("scheduler.event_wait_seconds", r), traffic: traffic, transferred: traffic.Totals(), linkGauges: newLinkGauges(r),
+		since: time.Now(), cpu: processorTime(),
 	}
 	for a, name := range activityNames {
 		l.totals[a] = metrics.GetOrRegisterCounter("scheduler.loop_"+name+"_ms.total", r)
@@ -96,7 +99,7 @@
 }
 
 // report logs the load once in each loadInterval and begins a new measurement.
-func (l *loadMeter) report(log *slog.Logger, queued int) {
+func (l *loadMeter) report(log *slog.Logger, queued int, linkUse func() flow.LinkUse) {
 	now := time.Now()
 	elapsed := now.Sub(l.since)
 	if elapsed < loadInterval {
@@ -107,6 +110,14 @@
 		"over_ms", elapsed.Milliseconds(), "processor_ms", (cpu - l.cpu).Milliseconds(), "queued", queued,
 		"longest_wait_ms", l.longestWait.Milliseconds(), "longest_transit_ms", l.longestTransit.Milliseconds(),
 	}
+	link := linkUse()
+	if link.Window > 0 {
+		attrs = append(attrs, slog.Group(
+			"link", "bytes", link.OnWay, "window_bytes", link.Window, "relays", link.Relays, "resting_relays", link.Resting, "held_back", link.HeldBack,
+			"starts", link.Starts-l.link.Starts, "relayed", link.Relayed-l.link.Relayed, "relay_failures", link.RelayFailures-l.link.RelayFailures,
+		))
+	}
+	l.linkGauges.update(link, l.link)
 	for a, name := range activityNames {
 		l.totals[a].Inc(l.spent[a].Milliseconds())
 		attrs = append(attrs, slog.Group(
@@ -122,7 +133,7 @@
 	log.Info("scheduler: load", attrs...)
 	// The timer takes longer than most events, so that it is updated once for all of them.
 	l.waits.Update(l.longestWait)
-	*l = loadMeter{waits: l.waits, totals: l.totals, traffic: l.traffic, transferred: transferred, since: now, cpu: cpu}
+	*l = loadMeter{waits: l.waits, totals: l.totals, traffic: l.traffic, transferred: transferred, linkGauges: l.linkGauges, link: link, since: now, cpu: cpu}
 }
 
 // processorTime returns the processor time that this process has used, or 0 if it is not known.
--- a/entryd/leader/scheduler.go
+++ b/entryd/leader/scheduler.go
@@ -316,7 +316,7 @@
 		l.awaitedWorkers.Update(int64(l.machine.AwaitedWorkers()))
 		l.longWaits.Update(int64(l.machine.LongWaits()))
 		l.unsavedJobs.Update(int64(l.machine.UnsavedJobs()))
-		l.meter.report(l.log, len(l.events))
+		l.meter.report(l.log, len(l.events), l.machine.LinkUse)
 	}
 	l.longWaits.Update(0)
 	l.unsavedJobs.Update(0)
--- a/entryd/leader/thin_link_test.go
+++ b/entryd/leader/thin_link_test.go
@@ -250,7 +250,7 @@
 	h.Scheduler = leader.NewScheduler(leader.Deps{
 		Store: client, Agents: platform.NewAgents(platform.WithAgentsDialer(h.host.DialContext)), Format: platform.Format{},
 		Bounds: infra.Bounds{MaxLease: 6 * time.Second, StatusRetention: 2 * time.Minute, MaxTargetMiss: 4 * time.Second},
-		Log:    log, Decisions: log, Metrics: metrics.NewRegistry(),
+		Log:    log, Decisions: log, Metrics: metrics.NewRegistry(), LinkBitsPerSecond: int64(mbits * 1e6),
 		Supersede: func(context.Context, fleet.EntryHostID, infra.Token) (time.Duration, bool) { return 0, false },
 	})
 	h.Configure(f.catalog)
--- a/lovctl/show/hosted.go
+++ b/lovctl/show/hosted.go
@@ -16,6 +16,10 @@
 	_, _ = fmt.Fprintf(w, "workers %d: %d not reachable, %d draining, %d resting, %d not settled\n",
 		o.Workers, o.Unreachable, o.Draining, o.Resting, o.Unsettled)
 	_, _ = fmt.Fprintf(w, "ready steps %d, starts without an answer %d, jobs to be stored %d\n", o.Ready, o.Unanswered, o.Unsaved)
+	if o.Link.Window > 0 {
+		_, _ = fmt.Fprintf(w, "link: %d of %d bytes, %d tasks held back, %d relays (%d resting), %d of %d starts relayed\n",
+			o.Link.OnWay, o.Link.Window, o.Link.HeldBack, o.Link.Relays, o.Link.Resting, o.Link.Relayed, o.Link.Starts)
+	}
 	for _, state := range slices.Sorted(maps.Keys(o.Jobs)) {
 		_, _ = fmt.Fprintf(w, "jobs %s: %d\n", state, o.Jobs[state])
 	}
