flow, leader: finished jobs are stored without spec and steps

A job stays in the store for three times the time for which its state is shown (6 min), and a successor read it whole, 2.5 KB a job, before it scheduled anything. Once a final state is durable, nothing of the job runs and no worker of a predecessor is awaited, its value is replaced by the job without spec and steps, in batches that are written anyway (at least two jobs each, or 24 of their own). The key remains, so that conditional writes of a repeated submission and of a cancellation work as before; a watch, a notification or a lookup that delivers the short form starts nothing.

A successor stored the progress of all finished jobs again before that of its own runs, 24 a batch; it no longer does. A completed job with a later cancellation was shown as cancelled after a takeover; it stays completed.

--- a/coord/flow/event.go
+++ b/coord/flow/event.go
@@ -210,6 +210,8 @@
 	Batch  int64
 	Jobs   []JobRecord
 	Delete []fleet.JobID
+	// Finished replaces stored jobs by the form that [Finished] returns.
+	Finished []infra.Job
 	// Roster replaces the stored roster unless it is nil.
 	Roster []RosterEntry
 	// Interference replaces the stored interference models unless it is nil.
--- a/coord/flow/job.go
+++ b/coord/flow/job.go
@@ -121,6 +121,8 @@
 	// dirtySeq is the job's sequence number among the jobs to be saved.
 	dirtySeq   int64
 	finishedAt time.Time
+	// reduceAt is when the stored form of a finished job may be reduced.
+	reduceAt time.Time
 }
 
 func (j *job) live() bool { return !j.cancelled && !j.failed && !j.complete() }
--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -28,7 +28,8 @@
 	// runsPerTerm is the distance between the first run numbers of two consecutive terms. It exceeds the number of
 	// runs of one task in a term.
 	runsPerTerm = 1000
-	// maxBatchJobs limits the jobs in one durable batch. A transaction of the platform's store has at most 32 entries.
+	// maxBatchJobs limits the jobs in one durable batch, without minReductions. A transaction of the platform's store has at most
+	// 32 entries.
 	maxBatchJobs = 24
 	// rosterSaveInterval is the minimum interval of batches with the roster while workers of predecessors are awaited. Each of
 	// their answers changes it, and that of a large fleet takes a slow link tens of milliseconds.
@@ -139,6 +140,8 @@
 	// the contents of the batch in flight.
 	dirtyJobs    []*job
 	jobsToDelete []fleet.JobID
+	// jobsToReduce lists the finished jobs whose stored form is complete, in the order of their ends.
+	jobsToReduce []*job
 	batch        int64
 	saveInFlight bool
 	batchJobs    []batchJob
@@ -340,10 +343,15 @@
 		if s.Record != nil {
 			j.restore(s.Record)
 		}
-		j.cancelled = j.cancelled || s.Cancelled
+		j.cancelled = j.cancelled || s.Cancelled && !j.durableState.Final()
 		if j.cancelled {
 			j.durableState = infra.StateCancelled
 		}
+		if s.Record != nil && s.Record.State.Final() && s.Record.State == j.state() {
+			// To store all finished jobs again would hold up the ends of the runs.
+			m.retain(j)
+			continue
+		}
 		m.activate(j)
 		m.rememberOpenRuns(j)
 		for _, o := range j.occurrences {
@@ -427,7 +435,7 @@
 }
 
 func (m *Machine) submit(spec infra.Job, revision int64) {
-	if m.jobs[spec.ID] != nil {
+	if m.jobs[spec.ID] != nil || IsFinished(spec) {
 		return
 	}
 	j := m.newJob(spec)
@@ -467,8 +475,14 @@
 func (m *Machine) finish(j *job) {
 	delete(m.scheduledJobs, j.spec.ID)
 	m.markDirty(j)
+	m.retain(j)
+}
+
+// retain starts the retention time of a finished job.
+func (m *Machine) retain(j *job) {
 	m.finishedJobs = append(m.finishedJobs, j)
 	j.finishedAt = m.now
+	m.awaitReduction(j)
 }
 
 func (m *Machine) markDirty(j *job) {
--- a/coord/flow/save.go
+++ b/coord/flow/save.go
@@ -39,7 +39,7 @@
 // save starts a durable batch unless one is in flight or there is nothing to save.
 func (m *Machine) save() {
 	isRosterDue := m.rosterDirty && !m.now.Before(m.rosterDueAt)
-	if m.saveInFlight || (len(m.dirtyJobs) == 0 && len(m.jobsToDelete) == 0 && !isRosterDue && !m.interferenceDirty) {
+	if m.saveInFlight || (len(m.dirtyJobs) == 0 && len(m.jobsToDelete) == 0 && !isRosterDue && !m.interferenceDirty && !m.isReductionDue()) {
 		return
 	}
 	m.batch++
@@ -54,10 +54,11 @@
 	}
 	m.dirtyJobs = append([]*job(nil), m.dirtyJobs[n:]...)
 	if n == 0 {
-		k := min(len(m.jobsToDelete), maxBatchJobs/3)
+		k := min(len(m.jobsToDelete), maxBatchJobs/deleteEntries)
 		s.Delete = append(s.Delete, m.jobsToDelete[:k]...)
 		m.jobsToDelete = m.jobsToDelete[k:]
 	}
+	s.Finished = m.reduceFinished(max(minReductions, maxBatchJobs-n-deleteEntries*len(s.Delete)))
 	m.batchHasRoster = isRosterDue
 	if isRosterDue {
 		m.rosterDirty = false
--- a/coord/flow/simulation_test.go
+++ b/coord/flow/simulation_test.go
@@ -63,7 +63,9 @@
 }
 
 type simJob struct {
-	spec         infra.Job
+	spec infra.Job
+	// stored is the form of the job that the store holds.
+	stored       infra.Job
 	revision     int64
 	known        bool
 	cancelled    time.Time
@@ -291,7 +293,7 @@
 	restored := flow.Restored{Term: roster.Term, Roster: roster.Roster, Takeovers: roster.Takeovers, Interference: sim.interference}
 	for _, id := range sim.jobIDs {
 		j := sim.jobs[id]
-		stored := flow.StoredJob{Job: j.spec, Cancelled: !j.cancelled.IsZero()}
+		stored := flow.StoredJob{Job: j.stored, Cancelled: !j.cancelled.IsZero()}
 		if r, found := sim.records[id]; found {
 			stored.Record = &r
 		}
@@ -460,6 +462,12 @@
 		for _, r := range s.Jobs {
 			sim.records[r.Job] = r.Record
 		}
+		for _, j := range s.Finished {
+			if !sim.records[j.ID].State.Final() {
+				sim.violation("job %s is stored without steps and has no final state", j.ID)
+			}
+			sim.jobs[j.ID].stored = j
+		}
 		if s.Roster != nil {
 			sim.roster = s.Roster
 		}
@@ -485,7 +493,7 @@
 			if j == nil {
 				continue
 			}
-			sim.step(sched, flow.Submitted{Job: j.spec, Revision: j.revision})
+			sim.step(sched, flow.Submitted{Job: j.stored, Revision: j.revision})
 			if !j.cancelled.IsZero() {
 				sim.step(sched, flow.CancelRequested{Job: id})
 			}
@@ -496,7 +504,7 @@
 
 func (sim *simulation) submit(j infra.Job, failing ...int) {
 	job := &simJob{
-		spec: j, failingSteps: make(map[int]bool), done: make(map[infra.TaskID]bool), acknowledged: make(map[infra.TaskID]time.Time),
+		spec: j, stored: j, failingSteps: make(map[int]bool), done: make(map[infra.TaskID]bool), acknowledged: make(map[infra.TaskID]time.Time),
 		failures: make(map[infra.TaskID][]*failedRun), startTimes: make(map[infra.TaskID][]time.Time),
 	}
 	for _, p := range failing {
--- a/entryd/leader/inputs_test.go
+++ b/entryd/leader/inputs_test.go
@@ -317,3 +317,36 @@
 	time.Sleep(300 * time.Millisecond)
 	assert.Equal(f.t, f.agents.started(id), 1)
 }
+
+// Finished jobs were kept with their steps, which a successor had to read before it scheduled anything. The watch delivers the
+// form without steps to the scheduler that has stored it; it must not start the job again.
+func TestFinishedJobsAreStoredWithoutSteps(t *testing.T) {
+	m := newMemStore()
+	f := startInputs(t, m, newInputsClient(m), infra.Bounds{MaxLease: 6 * time.Second, StatusRetention: time.Minute})
+	close(f.client.released)
+	ids := make([]fleet.JobID, 24)
+	for n := range ids {
+		ids[n] = fleet.JobID(string(rune('a' + n)))
+		f.storeJob(ids[n])
+	}
+	stored := func(id fleet.JobID) infra.Job {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		j, err := leader.DecodeJob(m.entries[leader.JobKey(id)].Value)
+		assert.NilError(t, err)
+		return j
+	}
+	for _, id := range ids {
+		waitFor(t, "end of "+string(id), func() bool { state, _ := f.isKnown(id); return state == infra.StateCompleted })
+	}
+	for _, id := range ids {
+		waitFor(t, "reduced "+string(id), func() bool { return len(stored(id).Steps) == 0 })
+		assert.Equal(t, stored(id).ID, id)
+	}
+	time.Sleep(500 * time.Millisecond)
+	for _, id := range ids {
+		state, _ := f.isKnown(id)
+		assert.Equal(t, state, infra.StateCompleted)
+		assert.Equal(t, f.agents.started(id), 1)
+	}
+}
--- a/entryd/leader/save.go
+++ b/entryd/leader/save.go
@@ -67,6 +67,12 @@
 	for _, job := range s.Delete {
 		txn.Then = append(txn.Then, store.Delete{Key: JobKey(job)}, store.Delete{Key: CancelKey(job)}, store.Delete{Key: RecordKey(job)})
 	}
+	for _, j := range s.Finished {
+		if value, err = EncodeJob(j); err != nil {
+			return txn, err
+		}
+		txn.Then = append(txn.Then, store.Put{Key: JobKey(j.ID), Value: value})
+	}
 	if s.Roster != nil {
 		if value, err = cbor.Marshal(s.Roster); err != nil {
 			return txn, err
--- a/entryd/leader/watch.go
+++ b/entryd/leader/watch.go
@@ -80,8 +80,13 @@
 	return l.deliverJob(job, e.ModRevision)
 }
 
-// deliverJob posts a job that was stored at a revision unless it was posted before, and reports whether it has.
+// deliverJob posts a job that was stored at a revision unless it was posted before, and reports whether it has. The form of a
+// finished job is none.
 func (l *loop) deliverJob(j infra.Job, revision store.Revision) bool {
+	if flow.IsFinished(j) {
+		l.inputs.deliver(revision, func() {})
+		return false
+	}
 	return l.inputs.deliver(revision, func() { l.post(flow.Submitted{Job: j, Revision: int64(revision)}) })
 }
 
