--- a/entryd/leader/thin_link_test.go
+++ b/entryd/leader/thin_link_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -18,7 +19,10 @@
 	"lovagefork.example/coord/fleet"
 	"lovagefork.example/coord/infra"
 	"lovagefork.example/coord/vnet"
+	"lovagefork.example/coord/wire"
+	"lovagefork.example/entryd/hosted"
 	"lovagefork.example/entryd/leader"
+	"lovagefork.example/entryd/peers"
 	"lovagefork.example/platform"
 	"lovagefork.example/platform/kvfake"
 	"lovagefork.example/platform/wkfake"
@@ -242,20 +246,20 @@
 	stop func()
 }
 
-// startHost starts an entry host with a link of some Mbit/s.
-func (f *linkFleet) startHost(name string, mbits float64) *linkHost {
+// startHost starts an entry host with a link of some Mbit/s, and relays with the same link.
+func (f *linkFleet) startHost(name fleet.EntryHostID, mbits float64, relays int) *linkHost {
 	h := &linkHost{host: f.network.AddHost(mbits * 1e6), log: newMessageCounts()}
 	log := slog.New(h.log)
 	client := platform.NewStore("store:1", platform.WithDialer(h.host.DialContext))
 	h.Scheduler = leader.NewScheduler(leader.Deps{
 		Store: client, Agents: platform.NewAgents(platform.WithAgentsDialer(h.host.DialContext)), Format: platform.Format{},
 		Bounds: infra.Bounds{MaxLease: 6 * time.Second, StatusRetention: 2 * time.Minute, MaxTargetMiss: 4 * time.Second},
-		Log:    log, Decisions: log, Metrics: metrics.NewRegistry(), LinkBitsPerSecond: int64(mbits * 1e6),
+		Log:    log, Decisions: log, Metrics: metrics.NewRegistry(), LinkBitsPerSecond: int64(mbits * 1e6), Relays: f.startRelays(name, h.host, relays, mbits),
 		Supersede: func(context.Context, fleet.EntryHostID, infra.Token) (time.Duration, bool) { return 0, false },
 	})
 	h.Configure(f.catalog)
 	group := leader.NewGroup(
-		fleet.EntryHostID(name), "10.0.0.1:1", client, log, h.Run, func(fleet.EntryHostID, string) {}, func(leader.Leader) {},
+		name, "10.0.0.1:1", client, log, h.Run, func(fleet.EntryHostID, string) {}, func(leader.Leader) {},
 	)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -268,6 +272,39 @@
 	return h
 }
 
+// startRelays starts entry hosts with links of some Mbit/s that send starts for another one.
+func (f *linkFleet) startRelays(self fleet.EntryHostID, end *vnet.Host, n int, mbits float64) leader.Relays {
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	log, roster := slog.New(slog.DiscardHandler), map[fleet.EntryHostID]string{self: string(self) + ":1"}
+	var hosts []leader.Host
+	for i := range n {
+		id := fleet.EntryHostID(fmt.Sprintf("relay%d", i))
+		roster[id] = string(id) + ":1"
+		hosts = append(hosts, leader.Host{ID: id, Capacity: leader.Capacity{LinkBitsPerSecond: int64(mbits * 1e6)}})
+	}
+	link := func(id fleet.EntryHostID, end *vnet.Host, handlers ...peers.Handler) *peers.Mesh {
+		client := &http.Client{Transport: &http.Transport{DialContext: end.DialContext}}
+		mesh := peers.New(wire.Hello{EntryHost: id}, roster, log, peers.WithClient(client, "ws"))
+		for _, h := range handlers {
+			mesh.AddHandler(h)
+		}
+		server, listener := &http.Server{Handler: mesh}, end.Listen(roster[id])
+		running.Go(func() { _ = server.Serve(listener) })
+		running.Go(func() { mesh.Run(ctx) })
+		f.stops = append(f.stops, func() { cancel(); mesh.Close(); _ = server.Close() })
+		return mesh
+	}
+	for _, h := range hosts {
+		end := f.network.AddHost(mbits * 1e6)
+		intake := hosted.NewIntake(h.ID, platform.NewStore("store:1", platform.WithDialer(end.DialContext)), log)
+		agents := platform.NewAgents(platform.WithAgentsDialer(end.DialContext))
+		relay := hosted.NewRelay(intake, agents, h.Capacity.LinkBitsPerSecond, metrics.NewRegistry(), log)
+		link(h.ID, end, relay.HandleMessage)
+	}
+	return hosted.NewRelayClient(link(self, end), func() []leader.Host { return slices.Clone(hosts) }, metrics.NewRegistry())
+}
+
 // awaitElection waits until a host is elected, and returns since when it has been.
 func (f *linkFleet) awaitElection(h *linkHost) time.Time {
 	f.t.Helper()
@@ -286,7 +323,7 @@
 func (f *linkFleet) lapse(jobs linkJobs) {
 	f.t.Helper()
 	f.submit(jobs)
-	first := f.startHost("first", wideLink)
+	first := f.startHost("first", wideLink, 0)
 	f.awaitElection(first)
 	for range 200 {
 		if f.running("") == jobs.longRunning+jobs.batch {
@@ -303,6 +340,9 @@
 // thinLink is the bandwidth of the scheduler's host in Mbit/s.
 var thinLink = flag.Float64("mbits", 10, "bandwidth of the scheduler's host in Mbit/s")
 
+// thinLinkRelays is the number of relays of the scheduler.
+var thinLinkRelays = flag.Int("relays", 0, "number of relays, with links as the scheduler's host has")
+
 // thinLinkJobs are the jobs of a deployment with some 200 workers. The longest tasks of such a deployment take 7 s.
 var thinLinkJobs = linkJobs{longRunning: 1200, batch: 3000, tasks: 10, batchTime: 7 * time.Second}
 
@@ -313,7 +353,7 @@
 func TestLongRunningTasksStartInTimeOnThinLink(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newLinkFleet(t, thinLinkWorkers)
-		h, elected := f.restart(thinLinkJobs, *thinLink)
+		h, elected := f.restart(thinLinkJobs, *thinLink, *thinLinkRelays)
 		for time.Since(elected) < lostTime {
 			f.logSecond(h, elected)
 		}
@@ -323,15 +363,30 @@
 	})
 }
 
+// Guards against a scheduler whose link limits what starts, although the links of its peers could carry more (LOST, LATE).
+func TestRelaysCarryStartsOfThinLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newLinkFleet(t, thinLinkWorkers)
+		h, elected := f.restart(thinLinkJobs, 10, 8)
+		for f.running("") < thinLinkJobs.longRunning+thinLinkJobs.batch && time.Since(elected) < lostTime {
+			f.logSecond(h, elected)
+		}
+		assert.Equal(t, h.log.of(notAnswered), 0)
+		read := h.log.firstAt("scheduler: state read")
+		assert.Equal(t, f.running(""), thinLinkJobs.longRunning+thinLinkJobs.batch)
+		assert.Assert(t, time.Since(read) < 6*time.Second, "the last of %d tasks runs %v after the state was read", f.running(""), time.Since(read))
+	})
+}
+
 const notAnswered = "scheduler: start not answered"
 
-// restart elects a host with a link of some Mbit/s after the leases of all long-running tasks have lapsed, with other jobs
+// restart elects a host with a link of some Mbit/s, and relays, after the leases of all long-running tasks have lapsed, with other jobs
 // waiting.
-func (f *linkFleet) restart(jobs linkJobs, mbits float64) (*linkHost, time.Time) {
+func (f *linkFleet) restart(jobs linkJobs, mbits float64, relays int) (*linkHost, time.Time) {
 	f.t.Helper()
 	f.lapse(linkJobs{longRunning: jobs.longRunning, tasks: jobs.tasks})
 	f.submit(linkJobs{batch: jobs.batch, tasks: jobs.tasks, batchTime: jobs.batchTime})
-	h := f.startHost("thin", mbits)
+	h := f.startHost("thin", mbits, relays)
 	return h, f.awaitElection(h)
 }
 
