--- a/coord/flow/copy.go
+++ b/coord/flow/copy.go
@@ -28,7 +28,7 @@
 	}
 	m.counts.Copied++
 	m.emit(Log{Text: "speculative copy", Task: r.id, Run: r.number, Worker: r.worker.ID, Reason: reason})
-	via := m.chooseLane(r.id.Job, 1, startBytes(r.occ.job, t))
+	via := m.chooseLane(r.occ.job, t)
 	if via == nil {
 		via = m.link
 	}
--- a/coord/flow/link.go
+++ b/coord/flow/link.go
@@ -16,7 +16,7 @@
 	linkWindow = 100 * time.Millisecond
 	// startOverhead is the size of the names, headers and packets of a start, in bytes.
 	startOverhead = 1200
-	// relayedStartBytes is the size of a start on its way to a relay, without its checkpoint.
+	// relayedStartBytes is the size of a start without its checkpoint on its way to a relay.
 	relayedStartBytes = 400
 	// maxStartBytes is the size of a large start, in bytes.
 	maxStartBytes = 4 << 10
@@ -167,24 +167,29 @@
 	return h.Sum64()
 }
 
-// chooseLane returns the link on which starts of a job may be sent now, or nil if all are full. Then their tasks wait, and those
+// chooseLane returns the link on which starts of tasks may be sent now, or nil if all are full. Then their tasks wait, and those
 // that are ranked below them do too, so that large starts are not passed over. While there are relays, starts that this host
 // sends itself leave half of its link to those that relays send.
-func (m *Machine) chooseLane(id fleet.JobID, starts int, size int64) *lane {
+func (m *Machine) chooseLane(j *job, tasks ...*task) *lane {
+	size, relayed := int64(0), int64(0)
+	for _, t := range tasks {
+		size += startBytes(j, t)
+		relayed += relayedBytes(t)
+	}
 	var best *lane
 	bestAffinity := uint64(0)
 	for _, l := range m.relays {
 		if m.now.Before(l.restsUntil) || !l.hasRoom(size) {
 			continue
 		}
-		if a := l.affinity(id); best == nil || a > bestAffinity {
+		if a := l.affinity(j.spec.ID); best == nil || a > bestAffinity {
 			best, bestAffinity = l, a
 		}
 	}
 	switch {
 	case best == nil && m.link.hasRoom(size), best != nil && m.link.hasRoom(size+m.link.window/2):
 		return m.link
-	case best != nil && m.link.hasRoom(int64(starts)*relayedStartBytes):
+	case best != nil && m.link.hasRoom(relayed):
 		return best
 	}
 	m.linkFull = true
@@ -208,6 +213,9 @@
 	}
 }
 
+// relayedBytes estimates the size of a start of a task on its way to a relay.
+func relayedBytes(t *task) int64 { return int64(len(t.checkpoint)) + relayedStartBytes }
+
 // LinkUse describes how starts use this host's link.
 type LinkUse struct {
 	// OnWay is the estimated size of the starts on their way, and Window its limit, in bytes; 0 if there is none.
--- a/coord/flow/place.go
+++ b/coord/flow/place.go
@@ -191,7 +191,7 @@
 			}
 			break
 		}
-		via := m.chooseLane(r.occ.job.spec.ID, 1, startBytes(r.occ.job, t))
+		via := m.chooseLane(r.occ.job, t)
 		if via == nil {
 			break
 		}
@@ -238,11 +238,11 @@
 		if chosen == nil {
 			continue
 		}
-		size := int64(0)
+		all := make([]*task, len(s.tasks))
 		for i := range s.tasks {
-			size += startBytes(r.occ.job, &s.tasks[i])
+			all[i] = &s.tasks[i]
 		}
-		via := m.chooseLane(r.occ.job.spec.ID, len(s.tasks), size)
+		via := m.chooseLane(r.occ.job, all...)
 		if via == nil {
 			return
 		}
@@ -485,7 +485,7 @@
 	size := startBytes(r.occ.job, t)
 	if via != m.link {
 		via.add(m.now, startID{id, number}, size)
-		size = relayedStartBytes
+		size = relayedBytes(t)
 		m.counts.Relayed++
 	}
 	m.link.add(m.now, startID{id, number}, size)
