leader: tests of stops, renewals and reports behind a thin link

Cause: as for starts; all calls of workers share the link of the scheduler's host, and their time-outs do not know it.

--- a/entryd/leader/thin_link_test.go
+++ b/entryd/leader/thin_link_test.go
@@ -5,7 +5,9 @@
 	"flag"
 	"fmt"
 	"log/slog"
+	"maps"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -130,7 +132,7 @@
 		address := fmt.Sprintf("10.1.%d.%d:1", i/250, i%250+1)
 		info := infra.Worker{
 			ID: fleet.WorkerID(fmt.Sprintf("w%03d", i)), Service: "pool", Zone: "z", Version: "1",
-			Capacity: fleet.Resources{MilliCPU: 64000, MemoryBytes: 64 << 30},
+			Capacity: fleet.Resources{MilliCPU: 256_000, MemoryBytes: 256 << 30},
 		}
 		f.workers = append(f.workers, wkfake.New(
 			info, f.network.AddHost(wideLink*1e6).Listen(address), f.store, f.observe, wkfake.WithWorkInterval(50*time.Millisecond),
@@ -179,6 +181,13 @@
 	batchJob = "b"
 )
 
+// lapsed returns how many runs have ended because their lease had expired.
+func (f *linkFleet) lapsed() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.outcomes[infra.OutcomeLeaseExpired]
+}
+
 // spec returns a spec of the usual size for a task that works for a time, or without end.
 func spec(work time.Duration) string {
 	s := wkfake.Work{Milliseconds: work.Milliseconds()}.Spec()
@@ -219,6 +228,20 @@
 	return n
 }
 
+// startedSince returns up to a number of jobs of which a task was started after a time.
+func (f *linkFleet) startedSince(from time.Time, limit int) []fleet.JobID {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	jobs := make(map[fleet.JobID]struct{})
+	for id, t := range f.tasks {
+		if t.starts[len(t.starts)-1].After(from) {
+			jobs[id.Job] = struct{}{}
+		}
+	}
+	found := slices.Sorted(maps.Keys(jobs))
+	return found[:min(limit, len(found))]
+}
+
 // startsBetween returns how many runs workers have begun in a period.
 func (f *linkFleet) startsBetween(from, to time.Time) int {
 	f.mu.Lock()
@@ -306,13 +329,13 @@
 // thinLinkJobs are the jobs of a deployment with some 200 workers. The longest tasks of such a deployment take 7 s.
 var thinLinkJobs = linkJobs{longRunning: 1200, batch: 3000, tasks: 10, batchTime: 7 * time.Second}
 
-const thinLinkWorkers = 200
+var thinLinkWorkers = flag.Int("workers", 200, "number of workers behind a thin link")
 
 // Guards against long-running tasks that do not run again for too long after all leases have lapsed (rule LOST), because the
 // link of the scheduler's host is full: starts waited there behind each other, timed out and paused their workers.
 func TestLongRunningTasksStartInTimeOnThinLink(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newLinkFleet(t, thinLinkWorkers)
+		f := newLinkFleet(t, *thinLinkWorkers)
 		h, elected := f.restart(thinLinkJobs, *thinLink)
 		for time.Since(elected) < lostTime {
 			f.logSecond(h, elected)
@@ -358,3 +381,85 @@
 	}
 	assert.Check(f.t, inTime == want, "%d of %d run in time", inTime, want)
 }
+
+// Guards against tasks of cancelled jobs that run on for too long (rule UNASKED), because their stops wait behind starts on a
+// link that is full, or for a connection that a start has, and time out.
+func TestCancelledTasksStopInTimeOnThinLink(t *testing.T) {
+	const cancelTime, stopTimeout = 3 * time.Second, 200 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		jobs := thinLinkJobs
+		jobs.batch = 6000
+		f := newLinkFleet(t, *thinLinkWorkers)
+		// Callers and their requests take the other half of the link.
+		h, elected := f.restart(jobs, *thinLink/2)
+		cancelled := make(map[fleet.JobID]time.Time)
+		for time.Since(elected) < lostTime {
+			time.Sleep(200 * time.Millisecond)
+			for _, id := range f.startedSince(time.Now().Add(-100*time.Millisecond), 2) {
+				if _, isCancelled := cancelled[id]; !isCancelled {
+					cancelled[id] = time.Now()
+					f.store.Put(leader.CancelKey(id), []byte("cancelled"))
+					h.NotifyCancel(id)
+				}
+			}
+		}
+		time.Sleep(cancelTime + stopTimeout)
+		late, latest := 0, time.Duration(0)
+		f.mu.Lock()
+		for id, task := range f.tasks {
+			at, isCancelled := cancelled[id.Job]
+			if !isCancelled {
+				continue
+			}
+			end := task.lastEnd
+			if task.running > 0 {
+				end = time.Now()
+			}
+			latest = max(latest, end.Sub(at))
+			if end.Sub(at) > cancelTime+stopTimeout {
+				late++
+			}
+		}
+		f.mu.Unlock()
+		t.Logf("%d jobs cancelled, the last of their tasks ended after %v; %d starts not answered", len(cancelled), latest, h.log.of(notAnswered))
+		assert.Check(t, len(cancelled) > 20)
+		assert.Check(t, late == 0, "%d tasks of cancelled jobs ran on, up to %v after the cancellation", late, latest)
+	})
+}
+
+// Guards against leases that lapse while starts fill the link of the scheduler's host, and workers that seem unreachable.
+func TestLeasesAreRenewedOnThinLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		jobs := thinLinkJobs
+		jobs.batch = 6000
+		f := newLinkFleet(t, *thinLinkWorkers)
+		h, elected := f.restart(jobs, *thinLink)
+		before := f.lapsed()
+		for time.Since(elected) < 12*time.Second {
+			f.logSecond(h, elected)
+		}
+		lapsed := f.lapsed() - before
+		assert.Check(t, lapsed == 0, "%d runs lapsed", lapsed)
+		unreachable := h.log.of("scheduler: worker unreachable")
+		assert.Check(t, unreachable == 0, "%d workers unreachable that answer at once", unreachable)
+	})
+}
+
+// Guards against reports that never arrive, because their transfer takes longer than a renewal may: all workers report
+// hundreds of ends at once to a scheduler with a small link.
+func TestLargeReportsArriveOnThinLink(t *testing.T) {
+	const workers, ends, mbits = 25, 200, 1
+	synctest.Test(t, func(t *testing.T) {
+		f := newLinkFleet(t, workers)
+		f.lapse(linkJobs{longRunning: workers * ends, tasks: 200})
+		h := f.startHost("thin", mbits)
+		elected := f.awaitElection(h)
+		for time.Since(elected) < 8*time.Second {
+			f.logSecond(h, elected)
+		}
+		t.Logf("%d ends known", h.log.of("scheduler: run ended"))
+		assert.Check(t, h.log.of("scheduler: run ended") == workers*ends, "%d ends known of %d", h.log.of("scheduler: run ended"), workers*ends)
+		unreachable := h.log.of("scheduler: worker unreachable")
+		assert.Check(t, unreachable == 0, "%d workers unreachable that answer at once", unreachable)
+	})
+}
