--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -51,6 +51,7 @@
 	leadershipTimeout time.Duration
 	retention         time.Duration
 	maxTargetMiss     time.Duration
+	linkBitsPerSecond int64
 }
 
 // Option configures a [Machine] in [New].
@@ -95,6 +96,8 @@
 	fencedWorkers      map[fleet.WorkerID]struct{}
 	// predecessorEnd is the time from which a predecessor sends no more orders.
 	predecessorEnd time.Time
+	// rosterRestored is set once the roster is known, and restored once the jobs are.
+	rosterRestored bool
 	restored       bool
 	// leaseUnconfirmed is set while another scheduler may have been elected.
 	leaseUnconfirmed bool
@@ -111,7 +114,7 @@
 	// confirmedAt and witnessedAt are when the store and most workers have last confirmed this scheduler.
 	confirmedAt time.Time
 	witnessedAt time.Time
-	// electedAt is the last confirmation by the store before the state was restored, which is not later than the election.
+	// electedAt is the last confirmation by the store before the roster was restored, which is not later than the election.
 	electedAt time.Time
 
 	// runTimes holds a model of the run times for each queue.
@@ -130,6 +133,11 @@
 	rankedWorkers rankedWorkers
 	// unansweredStarts counts the starts without an answer.
 	unansweredStarts int
+	// link is that of this host, and relays are those of other entry hosts. linkFull is set if the last round of placement ended
+	// because none had room.
+	link     *lane
+	relays   []*lane
+	linkFull bool
 	// scheduledJobs holds the jobs with occurrences that are not created yet.
 	scheduledJobs map[fleet.JobID]*job
 
@@ -205,10 +213,10 @@
 // runs that disappeared from a worker without an end, Stalled runs without progress or with slow progress, Paced
 // changes of the speed of fillers, Copied copies of speculative tasks, Crashes workers whose process ended while they
 // had runs, Trials starts of tasks that are suspected of a crash, and GivenUp jobs that failed because a task crashes its
-// workers. Examined counts how often a worker was considered for a task, which is most of the work of placement, and
+// workers. Relayed counts the starts that relays have sent, and RelayFailures those that their relay has not answered for. Examined counts how often a worker was considered for a task, which is most of the work of placement, and
 // Estimates how often the critical path and the work of an occurrence were computed.
 type Counts struct {
-	Starts, Refused, Lost, Done, Failed, Stopped, Vanished, Stalled, Paced, Copied, Crashes, Trials, GivenUp, Examined, Estimates int64
+	Starts, Refused, Lost, Done, Failed, Stopped, Vanished, Stalled, Paced, Copied, Crashes, Trials, GivenUp, Relayed, RelayFailures, Examined, Estimates int64
 }
 
 // New returns a scheduler that issues its orders under a fencing token.
@@ -240,6 +248,7 @@
 	for _, opt := range opts {
 		opt(&m.opts)
 	}
+	m.link = newLane("", m.opts.linkBitsPerSecond)
 	return m
 }
 
@@ -248,6 +257,8 @@
 func (m *Machine) Step(now time.Time, ev Event) []Effect {
 	m.now = now
 	switch ev := ev.(type) {
+	case RosterRestored:
+		m.restoreRoster(ev)
 	case Restored:
 		m.restore(ev)
 	case Configured:
@@ -270,6 +281,8 @@
 		m.stopAnswered(ev)
 	case ThrottleAnswered:
 		m.throttleAnswered(ev)
+	case Relays:
+		m.setRelays(ev.Relays)
 	case Cordon:
 		m.cordon(ev)
 	case Uncordon:
@@ -324,8 +337,10 @@
 }
 
 func (m *Machine) restore(ev Restored) {
-	m.term = ev.Term
-	base := infra.Run(ev.Term) * runsPerTerm
+	if !m.rosterRestored {
+		m.restoreRoster(RosterRestored{Roster: ev.Roster, Takeovers: ev.Takeovers, Term: ev.Term})
+	}
+	base := infra.Run(m.term) * runsPerTerm
 	for _, s := range ev.Jobs {
 		if m.jobs[s.Job.ID] != nil {
 			continue
@@ -350,8 +365,8 @@
 	for _, r := range ev.Interference {
 		m.interferenceModels[r.Image] = m.restoreInterference(r)
 	}
-	m.restoreRoster(ev)
 	m.restored = true
+	m.resumeReports()
 	m.searchAgain()
 }
 
