platform, leader: reports take as long as their bytes need on the link

Cause: a renewal had 0.7 s beyond its wait for the whole of its answer. After a change of the scheduler all workers report at once; on a thin link none of these reports arrived in time, what had arrived was thrown away, and all were asked for again, without an end.

Change: the time-out counts to the first byte of a report, and then between its parts, and a report may take 3 s in all, less than the rest of a lease that was renewed with it. The time to the first byte allows for 128 KB of other answers on the host's link.

At 10 Mbit/s the allowance is 0.1 s, at 200 Mbit/s 5 ms.

--- a/entryd/leader/scheduler.go
+++ b/entryd/leader/scheduler.go
@@ -26,8 +26,9 @@
 	// orderTimeout bounds a start, stop or throttle order that need not wait for the link, see [flow.MaxLinkDelay]. A round
 	// trip between zones takes up to 10 ms; the timeout allows for one retransmitted packet.
 	orderTimeout = 400 * time.Millisecond
-	// renewTimeoutMargin is how much longer a renewal may take than the Wait of its order.
-	renewTimeoutMargin = 700 * time.Millisecond
+	// renewTimeoutMargin is how much longer a renewal may take than the Wait of its order while its answer arrives: less than the
+	// rest of a lease that was renewed before.
+	renewTimeoutMargin = 3 * time.Second
 	// maxEventsPerTick ensures that ticks are handled while events arrive faster than they can be handled.
 	maxEventsPerTick = 512
 )
--- a/entryd/main.go
+++ b/entryd/main.go
@@ -57,7 +57,7 @@
 		Hangups:  hangups,
 		Traffic:  traffic,
 		Store:    platform.NewStore(settings.StoreAddr, platform.WithStoreTraffic(traffic.Add)),
-		Agents:   platform.NewAgents(platform.WithAgentsTraffic(traffic.Add), platform.WithSourceIP(settings.IP)),
+		Agents:   platform.NewAgents(platform.WithAgentsTraffic(traffic.Add), platform.WithSourceIP(settings.IP), platform.WithLink(settings.LinkBitsPerSecond)),
 		Policy:   platform.NewPolicyService(settings.PolicyAddr),
 		Format:   platform.Format{},
 		Ingress: func(jobs infra.Jobs, log *slog.Logger) http.Handler {
