flow: relayed starts have a limit of their own

A start through a relay takes two calls and, for the first task of a job, a read of the spec: 140 ms beside the reports after a loss of all hosts. The 128 starts without an answer then bounded the starts at 860 a second while links were idle.

--- a/coord/flow/answer.go
+++ b/coord/flow/answer.go
@@ -9,8 +9,11 @@
 )
 
 func (m *Machine) startAnswered(ev StartAnswered) {
-	m.placementDue = m.placementDue || m.unansweredStarts >= maxUnansweredStarts || m.linkFull
+	m.placementDue = m.placementDue || m.tooManyUnanswered() || m.linkFull
 	m.unansweredStarts--
+	if ev.Via != "" {
+		m.unansweredRelayed--
+	}
 	m.settle(startID{ev.Order.Task, ev.Order.Run})
 	m.judgeRelay(ev.Via, ev.Err)
 	w := m.workers[ev.Worker]
--- a/coord/flow/link.go
+++ b/coord/flow/link.go
@@ -137,8 +137,12 @@
 	return int64(len(j.spec.Spec)+len(t.checkpoint)) + startOverhead
 }
 
-// setRelays replaces the relays. Those with the fastest links are used; one that was used before keeps its state.
+// setRelays replaces the relays. Those with the fastest links are used; one that was used before keeps its state. A link that
+// carries all starts that may be on their way needs none.
 func (m *Machine) setRelays(all []Relay) {
+	if !LimitsStarts(m.opts.linkBitsPerSecond) {
+		return
+	}
 	all = slices.Clone(all)
 	slices.SortFunc(all, func(a, b Relay) int {
 		return cmp.Or(cmp.Compare(b.LinkBitsPerSecond, a.LinkBitsPerSecond), cmp.Compare(a.EntryHost, b.EntryHost))
@@ -179,15 +183,16 @@
 	var best *lane
 	bestAffinity := uint64(0)
 	for _, l := range m.relays {
-		if m.now.Before(l.restsUntil) || !l.hasRoom(size) {
+		if m.unansweredRelayed >= maxUnansweredRelayed || m.now.Before(l.restsUntil) || !l.hasRoom(size) {
 			continue
 		}
 		if a := l.affinity(j.spec.ID); best == nil || a > bestAffinity {
 			best, bestAffinity = l, a
 		}
 	}
+	mayBeDirect := m.unansweredStarts-m.unansweredRelayed < maxUnansweredStarts
 	switch {
-	case best == nil && m.link.hasRoom(size), best != nil && m.link.hasRoom(size+m.link.window/2):
+	case mayBeDirect && best == nil && m.link.hasRoom(size), mayBeDirect && best != nil && m.link.hasRoom(size+m.link.window/2):
 		return m.link
 	case best != nil && m.link.hasRoom(relayed):
 		return best
@@ -196,6 +201,12 @@
 	return nil
 }
 
+// tooManyUnanswered reports whether no start may be sent before another one is answered.
+func (m *Machine) tooManyUnanswered() bool {
+	return m.unansweredStarts-m.unansweredRelayed >= maxUnansweredStarts &&
+		(len(m.relays) == 0 || m.unansweredRelayed >= maxUnansweredRelayed)
+}
+
 // settle ends the way of a start on all links.
 func (m *Machine) settle(id startID) {
 	m.link.remove(id)
--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -132,8 +132,9 @@
 	candidates map[string]*candidateSet
 	// rankedWorkers is the memory of the last [ranking].
 	rankedWorkers rankedWorkers
-	// unansweredStarts counts the starts without an answer.
-	unansweredStarts int
+	// unansweredStarts counts the starts without an answer, and unansweredRelayed those of them that relays send.
+	unansweredStarts  int
+	unansweredRelayed int
 	// link is that of this host, and relays are those of other entry hosts. linkFull is set if the last round of placement ended
 	// because none had room.
 	link     *lane
--- a/coord/flow/place.go
+++ b/coord/flow/place.go
@@ -9,9 +9,11 @@
 )
 
 const (
-	// maxUnansweredStarts limits the starts without an answer. At 750 starts per second it allows an answer to take
+	// maxUnansweredStarts limits the starts of this host without an answer. At 750 starts per second it allows an answer to take
 	// 170 ms, so that an overloaded process sends fewer starts rather than starts that arrive too late.
 	maxUnansweredStarts = 128
+	// maxUnansweredRelayed limits those that relays send, which takes longer and less of this process.
+	maxUnansweredRelayed = 256
 	// remoteWaitFactor is the fraction of a step's estimate for which its tasks wait for a worker in the rack of their
 	// data.
 	remoteWaitFactor = 0.5
@@ -38,7 +40,7 @@
 	}
 	for _, r := range m.rankedSteps {
 		switch {
-		case m.unansweredStarts >= maxUnansweredStarts || m.linkFull:
+		case m.tooManyUnanswered() || m.linkFull:
 			return
 		case r.removed:
 		case r.step.spec.Gang:
@@ -200,7 +202,7 @@
 		}
 		m.start(r, i, w, t.lastRun+1, via)
 		ordinary.stale = true
-		if m.unansweredStarts >= maxUnansweredStarts {
+		if m.tooManyUnanswered() {
 			break
 		}
 	}
@@ -484,6 +486,7 @@
 	m.unansweredStarts++
 	size := startBytes(r.occ.job, t)
 	if via != m.link {
+		m.unansweredRelayed++
 		via.add(m.now, startID{id, number}, size)
 		size = relayedBytes(t)
 		m.counts.Relayed++
--- a/coord/flow/relay_test.go
+++ b/coord/flow/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -64,6 +65,23 @@
 	}
 }
 
+// A start through a relay takes two calls and a read of the spec, so that 128 of them without an answer left the links of relays
+// idle.
+func TestRelayedStartsHaveALimitOfTheirOwn(t *testing.T) {
+	h := newLinkHarness(t, 30_000_000)
+	var ev flow.Relays
+	for n := range 4 {
+		ev.Relays = append(ev.Relays, flow.Relay{EntryHost: fleet.EntryHostID(fmt.Sprintf("e%d", n)), LinkBitsPerSecond: 200_000_000})
+	}
+	h.step(ev)
+	h.step(flow.Submitted{Job: specJob("j", smallStep(600))})
+	h.advance(50 * time.Millisecond)
+	n := lanes(h.starts())
+	direct := n[""]
+	assert.Assert(t, direct <= 128)
+	assert.Equal(t, n["e0"]+n["e1"]+n["e2"]+n["e3"], 256, "%v", n)
+}
+
 // startThroughRelay returns a scheduler whose task was started through the only relay, and that start.
 func startThroughRelay(t *testing.T) (*harness, flow.Start) {
 	h := newLinkHarness(t, 1_000_000)
