--- a/coord/flow/link.go
+++ b/coord/flow/link.go
@@ -16,6 +16,9 @@
 	linkWindow = 100 * time.Millisecond
 	// startOverhead is the size of the names, headers and packets of a start, in bytes.
 	startOverhead = 1200
+	// directShare divides the window for the starts that this host sends itself while there are relays. Relayed ones take a ninth of
+	// their room.
+	directShare = 4
 	// relayedStartBytes is the size of a start without its checkpoint on its way to a relay.
 	relayedStartBytes = 400
 	// maxStartBytes is the size of a large start, in bytes.
@@ -173,7 +176,7 @@
 
 // chooseLane returns the link on which starts of tasks may be sent now, or nil if all are full. Then their tasks wait, and those
 // that are ranked below them do too, so that large starts are not passed over. While there are relays, starts that this host
-// sends itself leave half of its link to those that relays send.
+// sends itself leave most of its link to those that relays send.
 func (m *Machine) chooseLane(j *job, tasks ...*task) *lane {
 	size, relayed := int64(0), int64(0)
 	for _, t := range tasks {
@@ -183,18 +186,21 @@
 	var best *lane
 	bestAffinity := uint64(0)
 	for _, l := range m.relays {
-		if m.unansweredRelayed >= maxUnansweredRelayed || m.now.Before(l.restsUntil) || !l.hasRoom(size) {
+		if m.now.Before(l.restsUntil) || !l.hasRoom(size) {
 			continue
 		}
 		if a := l.affinity(j.spec.ID); best == nil || a > bestAffinity {
 			best, bestAffinity = l, a
 		}
 	}
-	mayBeDirect := m.unansweredStarts-m.unansweredRelayed < maxUnansweredStarts
+	reserved := int64(0)
+	if best != nil {
+		reserved = m.link.window - m.link.window/directShare
+	}
 	switch {
-	case mayBeDirect && best == nil && m.link.hasRoom(size), mayBeDirect && best != nil && m.link.hasRoom(size+m.link.window/2):
+	case m.unansweredStarts-m.unansweredRelayed < maxUnansweredStarts && m.link.hasRoom(size+reserved):
 		return m.link
-	case best != nil && m.link.hasRoom(relayed):
+	case best != nil && m.unansweredRelayed < maxUnansweredRelayed && m.link.hasRoom(relayed):
 		return best
 	}
 	m.linkFull = true
