--- a/coord/flow/link.go
+++ b/coord/flow/link.go
@@ -16,6 +16,9 @@
 	linkWindow = 100 * time.Millisecond
 	// startOverhead is the size of the names, headers and packets of a start, in bytes.
 	startOverhead = 1200
+	// directShare divides the window for the starts that this host sends itself while there are relays. Relayed ones take a ninth of
+	// their room.
+	directShare = 4
 	// relayedStartBytes is the size of a start without its checkpoint on its way to a relay.
 	relayedStartBytes = 400
 	// maxStartBytes is the size of a large start, in bytes.
@@ -137,8 +140,12 @@
 	return int64(len(j.spec.Spec)+len(t.checkpoint)) + startOverhead
 }
 
-// setRelays replaces the relays. Those with the fastest links are used; one that was used before keeps its state.
+// setRelays replaces the relays. Those with the fastest links are used; one that was used before keeps its state. A link that
+// carries all starts that may be on their way needs none.
 func (m *Machine) setRelays(all []Relay) {
+	if !LimitsStarts(m.opts.linkBitsPerSecond) {
+		return
+	}
 	all = slices.Clone(all)
 	slices.SortFunc(all, func(a, b Relay) int {
 		return cmp.Or(cmp.Compare(b.LinkBitsPerSecond, a.LinkBitsPerSecond), cmp.Compare(a.EntryHost, b.EntryHost))
@@ -169,7 +176,7 @@
 
 // chooseLane returns the link on which starts of tasks may be sent now, or nil if all are full. Then their tasks wait, and those
 // that are ranked below them do too, so that large starts are not passed over. While there are relays, starts that this host
-// sends itself leave half of its link to those that relays send.
+// sends itself leave most of its link to those that relays send.
 func (m *Machine) chooseLane(j *job, tasks ...*task) *lane {
 	size, relayed := int64(0), int64(0)
 	for _, t := range tasks {
@@ -186,16 +193,26 @@
 			best, bestAffinity = l, a
 		}
 	}
+	reserved := int64(0)
+	if best != nil {
+		reserved = m.link.window - m.link.window/directShare
+	}
 	switch {
-	case best == nil && m.link.hasRoom(size), best != nil && m.link.hasRoom(size+m.link.window/2):
+	case m.unansweredStarts-m.unansweredRelayed < maxUnansweredStarts && m.link.hasRoom(size+reserved):
 		return m.link
-	case best != nil && m.link.hasRoom(relayed):
+	case best != nil && m.unansweredRelayed < maxUnansweredRelayed && m.link.hasRoom(relayed):
 		return best
 	}
 	m.linkFull = true
 	return nil
 }
 
+// tooManyUnanswered reports whether no start may be sent before another one is answered.
+func (m *Machine) tooManyUnanswered() bool {
+	return m.unansweredStarts-m.unansweredRelayed >= maxUnansweredStarts &&
+		(len(m.relays) == 0 || m.unansweredRelayed >= maxUnansweredRelayed)
+}
+
 // settle ends the way of a start on all links.
 func (m *Machine) settle(id startID) {
 	m.link.remove(id)
