soak/links: the delay of a link is charged once for a stream

It was charged for each segment of 4 KB, so that a transfer without a pause had 4 KB per delay: with 15 ms a scheduler of 200 Mbit/s read its state for more than 15 s.

--- a/soak/links/link.go
+++ b/soak/links/link.go
@@ -11,6 +11,8 @@
 	segmentBytes = 4 << 10
 	// socketBytes is the size of the socket buffers at a link, so that most of what waits for it waits at the sender.
 	socketBytes = 32 << 10
+	// streamPause is the pause after which bytes belong to another stream.
+	streamPause = 5 * time.Millisecond
 )
 
 // Link is the network link of a host, with a bandwidth in each direction that all connections of the host share.
@@ -23,7 +25,7 @@
 // LinkOption changes a [Link] under construction.
 type LinkOption func(*Link)
 
-// WithDelay sets how long a segment takes besides its time on the link. A connection has one segment on its way at a time.
+// WithDelay sets how long bytes take besides their time on the link. It is charged once for a stream without pauses.
 func WithDelay(d time.Duration) LinkOption { return func(l *Link) { l.delay = d } }
 
 // NewLink returns a link that carries a number of bits per second in each direction.
@@ -49,13 +51,17 @@
 type linkedConn struct {
 	net.Conn
 	link *Link
+	// readAt and wroteAt are the ends of the last read and the last write.
+	readAt  time.Time
+	wroteAt time.Time
 }
 
 // Read implements [net.Conn].
 func (c *linkedConn) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data[:min(len(data), segmentBytes)])
 	if n > 0 {
-		time.Sleep(time.Until(c.link.upload.reserve(n).Add(c.link.delay)))
+		c.link.await(&c.link.upload, n, time.Since(c.readAt) > streamPause)
+		c.readAt = time.Now()
 	}
 	return n, err
 }
@@ -64,14 +70,24 @@
 func (c *linkedConn) Write(data []byte) (written int, err error) {
 	for written < len(data) && err == nil {
 		segment := data[written:min(len(data), written+segmentBytes)]
-		time.Sleep(time.Until(c.link.download.reserve(len(segment)).Add(c.link.delay)))
+		c.link.await(&c.link.download, len(segment), time.Since(c.wroteAt) > streamPause)
 		var n int
 		n, err = c.Conn.Write(segment)
 		written += n
+		c.wroteAt = time.Now()
 	}
 	return written, err
 }
 
+// await returns when a number of bytes has passed a direction of the link; those that begin a stream have the delay too.
+func (l *Link) await(direction *lane, count int, isFirst bool) {
+	at := direction.reserve(count)
+	if isFirst {
+		at = at.Add(l.delay)
+	}
+	time.Sleep(time.Until(at))
+}
+
 // lane is one direction of a link. Connections take turns on it, a segment at a time.
 type lane struct {
 	bytesPerSecond float64
--- a/soak/links/link_test.go
+++ b/soak/links/link_test.go
@@ -72,6 +72,11 @@
 		})
 	}
 	transfers.Wait()
+	// A long transfer has the delay once.
+	host, other := pair(t, link)
+	for _, took := range []time.Duration{transfer(t, host, other, 100_000), transfer(t, other, host, 100_000)} {
+		assert.Check(t, took >= delay && took < 4*delay, "%v", took)
+	}
 }
 
 // Guards against connections that have a link each, and against a connection that keeps others from theirs.
