--- a/soak/stand/faults.go
+++ b/soak/stand/faults.go
@@ -138,13 +138,15 @@
 		s.sleep(restartDelay)
 		return isStruck
 	}
+	life := h.currentLife()
 	isStruck := h.signal(syscall.SIGSTOP)
 	s.sleep(f.Duration())
-	if f.Kind == plan.HostDark {
+	switch {
+	case f.Kind == plan.HostPause:
+		h.signal(syscall.SIGCONT)
+	case h.isRunning(life):
 		h.kill(restartDelay)
-		return isStruck
 	}
-	h.signal(syscall.SIGCONT)
 	return isStruck
 }
 
