leader: test of the other calls behind a thin link

Cause: callers' requests, writes of the store and throttles share the link of the scheduler's host with starts.

Change: a test of all three while starts fill a link of 5 Mbit/s; the bound is what a caller waits for (4 s).

--- a/entryd/leader/thin_link_test.go
+++ b/entryd/leader/thin_link_test.go
@@ -1,9 +1,12 @@
 package leader_test
 
 import (
+	"bytes"
 	"context"
+	"errors"
 	"flag"
 	"fmt"
+	"io"
 	"log/slog"
 	"maps"
 	"net/http"
@@ -19,6 +22,7 @@
 
 	"lovagefork.example/coord/fleet"
 	"lovagefork.example/coord/infra"
+	"lovagefork.example/coord/store"
 	"lovagefork.example/coord/vnet"
 	"lovagefork.example/entryd/leader"
 	"lovagefork.example/platform"
@@ -129,7 +133,7 @@
 	listener := f.network.AddHost(wideLink * 1e6).Listen("store:1")
 	go func() { _ = server.Serve(listener) }()
 	for i := range workers {
-		address := fmt.Sprintf("10.1.%d.%d:1", i/250, i%250+1)
+		address := f.address(i)
 		info := infra.Worker{
 			ID: fleet.WorkerID(fmt.Sprintf("w%03d", i)), Service: "pool", Zone: "z", Version: "1",
 			Capacity: fleet.Resources{MilliCPU: milliCPU, MemoryBytes: 256 << 30},
@@ -154,6 +158,11 @@
 	return f
 }
 
+// address returns the address of a worker.
+func (*linkFleet) address(worker int) string {
+	return fmt.Sprintf("10.1.%d.%d:1", worker/250, worker%250+1)
+}
+
 func (f *linkFleet) observe(ev wkfake.Event) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -260,31 +269,35 @@
 // linkHost is an entry host that takes part in elections.
 type linkHost struct {
 	*leader.Scheduler
-	host *vnet.Host
-	log  *messageCounts
-	stop func()
+	group  *leader.Group
+	host   *vnet.Host
+	store  *platform.Store
+	agents *platform.Agents
+	log    *messageCounts
+	stop   func()
 }
 
 // startHost starts an entry host with a link of some Mbit/s.
 func (f *linkFleet) startHost(name string, mbits float64) *linkHost {
 	h := &linkHost{host: f.network.AddHost(mbits * 1e6), log: newMessageCounts()}
 	log := slog.New(h.log)
-	client := platform.NewStore("store:1", platform.WithDialer(h.host.DialContext))
+	h.store = platform.NewStore("store:1", platform.WithDialer(h.host.DialContext))
+	h.agents = platform.NewAgents(platform.WithAgentsDialer(h.host.DialContext))
 	h.Scheduler = leader.NewScheduler(leader.Deps{
-		Store: client, Agents: platform.NewAgents(platform.WithAgentsDialer(h.host.DialContext)), Format: platform.Format{},
+		Store: h.store, Agents: h.agents, Format: platform.Format{},
 		Bounds: infra.Bounds{MaxLease: 6 * time.Second, StatusRetention: 2 * time.Minute, MaxTargetMiss: 4 * time.Second},
 		Log:    log, Decisions: log, Metrics: metrics.NewRegistry(), LinkBitsPerSecond: int64(mbits * 1e6),
 		Supersede: func(context.Context, fleet.EntryHostID, infra.Token) (time.Duration, bool) { return 0, false },
 	})
 	h.Configure(f.catalog)
-	group := leader.NewGroup(
-		fleet.EntryHostID(name), "10.0.0.1:1", client, log, h.Run, func(fleet.EntryHostID, string) {}, func(leader.Leader) {},
+	h.group = leader.NewGroup(
+		fleet.EntryHostID(name), "10.0.0.1:1", h.store, log, h.Run, func(fleet.EntryHostID, string) {}, func(leader.Leader) {},
 	)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		group.Run(ctx)
+		h.group.Run(ctx)
 	}()
 	h.stop = func() { cancel(); <-done }
 	f.stops = append(f.stops, h.stop)
@@ -463,3 +476,75 @@
 		assert.Check(t, unreachable == 0, "%d workers unreachable that answer at once", unreachable)
 	})
 }
+
+// Guards against callers' requests and throttles that fail, or take too long, because starts fill the link of the
+// scheduler's host.
+func TestCallsAreAnsweredOnThinLink(t *testing.T) {
+	// A caller waits that long for an answer, and a filler may disturb a task for as long.
+	const limit = 4 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		jobs := thinLinkJobs
+		jobs.batch = 6000
+		f := newLinkFleet(t, *thinLinkWorkers, 64_000)
+		h, elected := f.restart(jobs, *thinLink/2)
+		body := []byte(spec(0))
+		front := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(body) })}
+		listener := h.host.Listen("front:1")
+		go func() { _ = front.Serve(listener) }()
+		defer func() { _ = front.Close() }()
+		caller := &http.Client{Transport: &http.Transport{DialContext: f.network.AddHost(wideLink * 1e6).DialContext}}
+		defer caller.CloseIdleConnections()
+		kinds := []struct {
+			name string
+			call func(ctx context.Context, n int) error
+		}{
+			{"a write of a job", func(ctx context.Context, n int) error {
+				key := fmt.Sprintf("extra/%d", n)
+				_, err := h.store.Txn(ctx, store.Txn{If: []store.Compare{store.KeyAbsent{Key: key}}, Then: []store.Op{store.Put{Key: key, Value: body}}})
+				return err
+			}},
+			{"a request of a caller", func(ctx context.Context, _ int) error {
+				req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://front:1/", bytes.NewReader(body))
+				if err != nil {
+					return err
+				}
+				resp, err := caller.Do(req)
+				if err != nil {
+					return err
+				}
+				defer func() { _ = resp.Body.Close() }()
+				_, err = io.Copy(io.Discard, resp.Body)
+				return err
+			}},
+			{"a throttle", func(ctx context.Context, n int) error {
+				l, _ := h.group.Leader()
+				w := f.workers[n%len(f.workers)]
+				to := infra.AgentAddress{Worker: w.ID(), HostPort: f.address(n % len(f.workers))}
+				return h.agents.Throttle(ctx, to, infra.ThrottleOrder{Task: infra.TaskID{Job: "none"}, SpeedPercent: 50, Token: l.Token})
+			}},
+		}
+		slowest, failed := make([]time.Duration, len(kinds)), make([]error, len(kinds))
+		var mu sync.Mutex
+		var calls sync.WaitGroup
+		for n := 0; time.Since(elected) < lostTime; n++ {
+			for k, kind := range kinds {
+				calls.Go(func() {
+					ctx, cancel := context.WithTimeout(t.Context(), limit)
+					defer cancel()
+					began := time.Now()
+					err := kind.call(ctx, n)
+					mu.Lock()
+					defer mu.Unlock()
+					slowest[k] = max(slowest[k], time.Since(began))
+					failed[k] = errors.Join(failed[k], err)
+				})
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		calls.Wait()
+		for k, kind := range kinds {
+			t.Logf("%s: the slowest took %v", kind.name, slowest[k])
+			assert.Check(t, failed[k], kind.name)
+		}
+	})
+}
