--- a/entryd/leader/thin_link_test.go
+++ b/entryd/leader/thin_link_test.go
@@ -602,3 +602,19 @@
 		}
 	})
 }
+
+// Guards against starts that time out while they wait for a connection to their worker. The first worker that answers a new
+// scheduler may get all starts that are allowed at once, and has two connections.
+func TestStartsOfOneWorkerAreAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newLinkFleet(t, 1, 256_000)
+		f.submit(linkJobs{longRunning: 250, tasks: 10})
+		h := f.startHost("wide", wideLink, 0)
+		elected := f.awaitElection(h)
+		for time.Since(elected) < 4*time.Second {
+			f.logSecond(h, elected)
+		}
+		assert.Check(t, f.running(longJob) == 250, "%d tasks run", f.running(longJob))
+		assert.Check(t, h.log.of(notAnswered) == 0, "%d starts not answered by a worker that answers at once", h.log.of(notAnswered))
+	})
+}
