flow: a worker gets at most 32 starts that wait for an answer

Cause: starts of one worker wait for its two connections, and the time-out of an order counts meanwhile. The first worker that answered a new scheduler got all 128 starts that were allowed at once.

Change: a worker has at most 32 starts without an answer; the others stay ranked.

--- a/coord/flow/answer.go
+++ b/coord/flow/answer.go
@@ -20,6 +20,7 @@
 	if w == nil {
 		return
 	}
+	m.startSettled(w)
 	r := w.runs[ev.Order.Task]
 	if r == nil || r.number != ev.Order.Run {
 		return
@@ -60,6 +61,15 @@
 	}
 }
 
+// startSettled notes that one start of a worker less is without an answer. The worker may be listed anew since the start was sent.
+func (m *Machine) startSettled(w *worker) {
+	if w.unansweredStarts == maxUnansweredOfWorker {
+		m.markChanged(w)
+		m.placementDue = true
+	}
+	w.unansweredStarts = max(0, w.unansweredStarts-1)
+}
+
 // judgeRelay puts a relay aside that has not sent a start or got no answer.
 func (m *Machine) judgeRelay(relay fleet.EntryHostID, err error) {
 	var unrelayed *RelayError
--- a/coord/flow/link_test.go
+++ b/coord/flow/link_test.go
@@ -164,3 +164,24 @@
 	assert.Equal(t, flow.MaxLinkDelay(10_000_000), 200*time.Millisecond)
 	assert.Assert(t, flow.MaxLinkDelay(200_000_000) < 50*time.Millisecond)
 }
+
+// Guards against starts that time out behind others of the same worker: they share a few connections to it.
+func TestStartsOfOneWorkerAreLimited(t *testing.T) {
+	w := newPoolWorker("w0")
+	w.Capacity = fleet.Resources{MilliCPU: 1000_000, MemoryBytes: 2000 << 30}
+	h := newHarnessOf(t, flow.New(7), flow.Restored{}, w)
+	h.report(w.ID, infra.Report{})
+	h.step(flow.Submitted{Job: specJob("j", smallStep(100))})
+	h.advance(75 * time.Millisecond)
+	started := h.starts()
+	assert.Equal(t, len(started), 32)
+	for len(started) > 0 {
+		h.answer(started[:1])
+		h.advance(25 * time.Millisecond)
+		started = append(started[1:], h.starts()...)
+		assert.Assert(t, len(started) <= 32)
+	}
+	state, _ := h.m.State("j")
+	assert.Equal(t, state, infra.StateRunning)
+	assert.Equal(t, h.m.Counts().Starts, int64(100))
+}
--- a/coord/flow/place.go
+++ b/coord/flow/place.go
@@ -14,6 +14,9 @@
 	maxUnansweredStarts = 128
 	// maxUnansweredRelayed limits those that relays send.
 	maxUnansweredRelayed = 128
+	// maxUnansweredOfWorker limits the starts of one worker without an answer. They share a few connections, where each waits for
+	// the answers to those before it.
+	maxUnansweredOfWorker = 32
 	// remoteWaitFactor is the fraction of a step's estimate for which its tasks wait for a worker in the rack of their
 	// data.
 	remoteWaitFactor = 0.5
@@ -359,7 +362,7 @@
 }
 
 func (m *Machine) fits(r *readyStep, w *worker, rack string) bool {
-	if rack != "" && !w.hasLabel(rack) {
+	if rack != "" && !w.hasLabel(rack) || w.unansweredStarts >= maxUnansweredOfWorker {
 		return false
 	}
 	if r.queue.ApprovalCost != nil {
@@ -484,6 +487,7 @@
 	s.setPhase(index, active)
 	r.occ.job.started = true
 	m.unansweredStarts++
+	w.unansweredStarts++
 	size := startBytes(r.occ.job, t)
 	if via != m.link {
 		m.unansweredRelayed++
--- a/coord/flow/worker.go
+++ b/coord/flow/worker.go
@@ -203,6 +203,9 @@
 	budgetsValid    bool
 	budgetsAt       time.Time
 
+	// unansweredStarts counts the starts without an answer.
+	unansweredStarts int
+
 	renewalInFlight bool
 	renewalSequence int64
 	nextRenewal     time.Time
