leader: small hosts wait for the one to which a leadership is handed over

Cause: a host that hands over is smaller than the one that is to follow, and the record of its election holds its own capacity. While answers of the store are lost, registrations end, so that the next small host knows of no larger one and does not wait for it.

Change: with the hand-over the record holds the capacity that is expected.

TestSmallHostWaitsForTheOneThatTakesOver fails without the change.

--- a/entryd/leader/group.go
+++ b/entryd/leader/group.go
@@ -68,6 +68,9 @@
 	Capacity Capacity `cbor:"capacity,omitzero"`
 	// HandOvers counts the leaderships in a row that ended for a larger entry host without one having been elected.
 	HandOvers int `cbor:"hand_overs,omitempty"`
+	// Expected is the capacity of the entry host to which the leadership is handed over. Smaller hosts wait for it, also those that
+	// know of no larger one because registrations cannot be renewed.
+	Expected Capacity `cbor:"expected,omitzero"`
 }
 
 // next returns the record of the election of a leader after this one.
@@ -129,8 +132,8 @@
 
 	mu     sync.Mutex
 	leader Leader
-	// lastCapacity is that of the entry host that won the last election.
-	lastCapacity Capacity
+	// expected is the capacity of the entry host that won the last election, or of the one to which it hands over.
+	expected Capacity
 	// vacant receives a value when there is no leader.
 	vacant   chan struct{}
 	resigned bool
@@ -313,16 +316,19 @@
 	g.history.observe(record.Term, record.Fenced)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.lastCapacity = record.Capacity
+	g.expected = record.Capacity
+	if record.Expected != (Capacity{}) {
+		g.expected = record.Expected
+	}
 }
 
 // expectsLarger reports whether a larger entry host is registered or, because registrations end with their leases, has won the
-// last election.
+// last election or is to take over.
 func (g *Group) expectsLarger() bool {
 	g.mu.Lock()
-	last := g.lastCapacity
+	expected := g.expected
 	g.mu.Unlock()
-	return last.Exceeds(g.hosts.own) || len(g.hosts.larger()) > 0
+	return expected.Exceeds(g.hosts.own) || len(g.hosts.larger()) > 0
 }
 
 func (g *Group) applyHost(host fleet.EntryHostID, c store.Change) {
--- a/entryd/leader/handover.go
+++ b/entryd/leader/handover.go
@@ -77,7 +77,7 @@
 			refused = true
 			g.log.Info("group: no larger entry host would take over", "token", l.leader.Token, "error", err)
 		}
-		if err != nil || !l.recordHandOver(ctx, g.log, failed+1) || !l.LeaseConfirmed() {
+		if err != nil || !l.recordHandOver(ctx, g.log, to.Capacity, failed+1) || !l.LeaseConfirmed() {
 			continue
 		}
 		g.log.Info(
@@ -93,10 +93,10 @@
 
 // recordHandOver notes in the record of the election that the leadership is handed over. It does not wait for a store that does
 // not answer, since the other host may not reach it either.
-func (l *Leadership) recordHandOver(ctx context.Context, log *slog.Logger, handOvers int) bool {
+func (l *Leadership) recordHandOver(ctx context.Context, log *slog.Logger, to Capacity, handOvers int) bool {
 	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
 	defer cancel()
-	return l.updateRecord(ctx, log, func(r *termRecord) { r.HandOvers = handOvers })
+	return l.updateRecord(ctx, log, func(r *termRecord) { r.HandOvers, r.Expected = handOvers, to })
 }
 
 // findEligible returns the first of some entry hosts that answers that it would take over. Its error is the answer that came last.
--- a/entryd/leader/handover_test.go
+++ b/entryd/leader/handover_test.go
@@ -204,3 +204,21 @@
 		assert.Equal(t, test.host.Exceeds(test.other), test.want, test.name)
 	}
 }
+
+// Guards against another small host that wins after a hand-over, because the registration of the larger one has ended: with a store
+// whose answers are lost, small hosts followed each other for seconds.
+func TestSmallHostWaitsForTheOneThatTakesOver(t *testing.T) {
+	t.Parallel()
+	m := newMemStore()
+	put(t, m, termKey, encode(t, map[string]any{"term": 3, "entry_host": "gone", "capacity": smallHost, "expected": largeHost, "hand_overs": 1}))
+	small, large := newPair(m)
+	runGroup(t, small.group)
+	time.Sleep(100 * time.Millisecond)
+	assert.Equal(t, len(small.elected), 0)
+	runGroup(t, large.group)
+	receive(t, "leadership of the large host", large.elected)
+	assert.Equal(t, len(small.elected), 0)
+	large.group.Resign()
+	receive(t, "leadership of the small host", small.elected)
+	assert.DeepEqual(t, storedCapacity(t, m), smallHost)
+}
