--- a/entryd/hosted/relay.go
+++ b/entryd/hosted/relay.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
@@ -54,7 +55,7 @@
 	case wire.RelayedStart:
 		resp := r.start(ctx, m)
 		if resp.Outcome != wire.RelayAccepted {
-			r.log.Info("relay: start failed", "scheduler", from, "job", m.Job, "run", m.Run, "worker", m.Worker, "outcome", resp.Outcome, "reason", resp.Reason)
+			r.log.Info("relay: start failed", "scheduler", from, "job", m.Job, "run", m.Run, "worker", m.Worker, "outcome", resp.Outcome, "reason", cmp.Or(resp.Reason, string(resp.Refusal)))
 		}
 		return resp
 	default:
