--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -28,7 +28,8 @@
 	// runsPerTerm is the distance between the first run numbers of two consecutive terms. It exceeds the number of
 	// runs of one task in a term.
 	runsPerTerm = 1000
-	// maxBatchJobs limits the jobs in one durable batch. A transaction of the platform's store has at most 32 entries.
+	// maxBatchJobs limits the jobs in one durable batch, without minReductions. A transaction of the platform's store has at most
+	// 32 entries.
 	maxBatchJobs = 24
 	// rosterSaveInterval is the minimum interval of batches with the roster while workers of predecessors are awaited. Each of
 	// their answers changes it, and that of a large fleet takes a slow link tens of milliseconds.
@@ -51,6 +52,7 @@
 	leadershipTimeout time.Duration
 	retention         time.Duration
 	maxTargetMiss     time.Duration
+	linkBitsPerSecond int64
 }
 
 // Option configures a [Machine] in [New].
@@ -95,6 +97,8 @@
 	fencedWorkers      map[fleet.WorkerID]struct{}
 	// predecessorEnd is the time from which a predecessor sends no more orders.
 	predecessorEnd time.Time
+	// rosterRestored is set once the roster is known, and restored once the jobs are.
+	rosterRestored bool
 	restored       bool
 	// leaseUnconfirmed is set while another scheduler may have been elected.
 	leaseUnconfirmed bool
@@ -111,7 +115,7 @@
 	// confirmedAt and witnessedAt are when the store and most workers have last confirmed this scheduler.
 	confirmedAt time.Time
 	witnessedAt time.Time
-	// electedAt is the last confirmation by the store before the state was restored, which is not later than the election.
+	// electedAt is the last confirmation by the store before the roster was restored, which is not later than the election.
 	electedAt time.Time
 
 	// runTimes holds a model of the run times for each queue.
@@ -130,6 +134,11 @@
 	rankedWorkers rankedWorkers
 	// unansweredStarts counts the starts without an answer.
 	unansweredStarts int
+	// link is that of this host, and relays are those of other entry hosts. linkFull is set if the last round of placement ended
+	// because none had room.
+	link     *lane
+	relays   []*lane
+	linkFull bool
 	// scheduledJobs holds the jobs with occurrences that are not created yet.
 	scheduledJobs map[fleet.JobID]*job
 
@@ -137,6 +146,8 @@
 	// the contents of the batch in flight.
 	dirtyJobs    []*job
 	jobsToDelete []fleet.JobID
+	// jobsToReduce lists the finished jobs whose stored form is complete, in the order of their ends.
+	jobsToReduce []*job
 	batch        int64
 	saveInFlight bool
 	batchJobs    []batchJob
@@ -205,10 +216,10 @@
 // runs that disappeared from a worker without an end, Stalled runs without progress or with slow progress, Paced
 // changes of the speed of fillers, Copied copies of speculative tasks, Crashes workers whose process ended while they
 // had runs, Trials starts of tasks that are suspected of a crash, and GivenUp jobs that failed because a task crashes its
-// workers. Examined counts how often a worker was considered for a task, which is most of the work of placement, and
+// workers. Relayed counts the starts that relays have sent, and RelayFailures those that their relay has not answered for. Examined counts how often a worker was considered for a task, which is most of the work of placement, and
 // Estimates how often the critical path and the work of an occurrence were computed.
 type Counts struct {
-	Starts, Refused, Lost, Done, Failed, Stopped, Vanished, Stalled, Paced, Copied, Crashes, Trials, GivenUp, Examined, Estimates int64
+	Starts, Refused, Lost, Done, Failed, Stopped, Vanished, Stalled, Paced, Copied, Crashes, Trials, GivenUp, Relayed, RelayFailures, Examined, Estimates int64
 }
 
 // New returns a scheduler that issues its orders under a fencing token.
@@ -240,6 +251,7 @@
 	for _, opt := range opts {
 		opt(&m.opts)
 	}
+	m.link = newLane("", m.opts.linkBitsPerSecond)
 	return m
 }
 
@@ -248,6 +260,8 @@
 func (m *Machine) Step(now time.Time, ev Event) []Effect {
 	m.now = now
 	switch ev := ev.(type) {
+	case RosterRestored:
+		m.restoreRoster(ev)
 	case Restored:
 		m.restore(ev)
 	case Configured:
@@ -270,6 +284,8 @@
 		m.stopAnswered(ev)
 	case ThrottleAnswered:
 		m.throttleAnswered(ev)
+	case Relays:
+		m.setRelays(ev.Relays)
 	case Cordon:
 		m.cordon(ev)
 	case Uncordon:
@@ -324,8 +340,10 @@
 }
 
 func (m *Machine) restore(ev Restored) {
-	m.term = ev.Term
-	base := infra.Run(ev.Term) * runsPerTerm
+	if !m.rosterRestored {
+		m.restoreRoster(RosterRestored{Roster: ev.Roster, Takeovers: ev.Takeovers, Term: ev.Term})
+	}
+	base := infra.Run(m.term) * runsPerTerm
 	for _, s := range ev.Jobs {
 		if m.jobs[s.Job.ID] != nil {
 			continue
@@ -334,10 +352,15 @@
 		if s.Record != nil {
 			j.restore(s.Record)
 		}
-		j.cancelled = j.cancelled || s.Cancelled
+		j.cancelled = j.cancelled || s.Cancelled && !j.durableState.Final()
 		if j.cancelled {
 			j.durableState = infra.StateCancelled
 		}
+		if s.Record != nil && s.Record.State.Final() && s.Record.State == j.state() {
+			// To store all finished jobs again would hold up the ends of the runs.
+			m.retain(j)
+			continue
+		}
 		m.activate(j)
 		m.rememberOpenRuns(j)
 		for _, o := range j.occurrences {
@@ -350,8 +373,8 @@
 	for _, r := range ev.Interference {
 		m.interferenceModels[r.Image] = m.restoreInterference(r)
 	}
-	m.restoreRoster(ev)
 	m.restored = true
+	m.resumeReports()
 	m.searchAgain()
 }
 
@@ -421,7 +444,7 @@
 }
 
 func (m *Machine) submit(spec infra.Job, revision int64) {
-	if m.jobs[spec.ID] != nil {
+	if m.jobs[spec.ID] != nil || IsFinished(spec) {
 		return
 	}
 	j := m.newJob(spec)
@@ -461,8 +484,14 @@
 func (m *Machine) finish(j *job) {
 	delete(m.scheduledJobs, j.spec.ID)
 	m.markDirty(j)
+	m.retain(j)
+}
+
+// retain starts the retention time of a finished job.
+func (m *Machine) retain(j *job) {
 	m.finishedJobs = append(m.finishedJobs, j)
 	j.finishedAt = m.now
+	m.awaitReduction(j)
 }
 
 func (m *Machine) markDirty(j *job) {
--- a/coord/flow/place.go
+++ b/coord/flow/place.go
@@ -31,9 +31,14 @@
 	m.rankReady()
 	m.unplaceableShapes = m.unplaceableShapes[:0]
 	clear(m.candidates)
+	m.linkFull = false
+	m.link.expire(m.now)
+	for _, l := range m.relays {
+		l.expire(m.now)
+	}
 	for _, r := range m.rankedSteps {
 		switch {
-		case m.unansweredStarts >= maxUnansweredStarts:
+		case m.unansweredStarts >= maxUnansweredStarts || m.linkFull:
 			return
 		case r.removed:
 		case r.step.spec.Gang:
@@ -186,10 +191,14 @@
 			}
 			break
 		}
+		via := m.chooseLane(r.occ.job, t)
+		if via == nil {
+			break
+		}
 		if !m.recordTrial(r, t, w) || m.awaitReport(r, t, w) {
 			continue
 		}
-		m.start(r, i, w, t.lastRun+1)
+		m.start(r, i, w, t.lastRun+1, via)
 		ordinary.stale = true
 		if m.unansweredStarts >= maxUnansweredStarts {
 			break
@@ -229,12 +238,20 @@
 		if chosen == nil {
 			continue
 		}
+		all := make([]*task, len(s.tasks))
+		for i := range s.tasks {
+			all[i] = &s.tasks[i]
+		}
+		via := m.chooseLane(r.occ.job, all...)
+		if via == nil {
+			return
+		}
 		if !m.recordGangTrial(r, chosen) {
 			return
 		}
 		for i, w := range chosen {
 			s.tasks[i].checkpoint = checkpoint
-			m.start(r, i, w, number)
+			m.start(r, i, w, number, via)
 		}
 		m.removeReady(s)
 		return
@@ -442,7 +459,7 @@
 	return -imageDifferencePenalty * difference
 }
 
-func (m *Machine) start(r *readyStep, index int, w *worker, number infra.Run) {
+func (m *Machine) start(r *readyStep, index int, w *worker, number infra.Run, via *lane) {
 	s := r.step
 	t := &s.tasks[index]
 	id := r.task(index)
@@ -465,13 +482,20 @@
 	s.setPhase(index, active)
 	r.occ.job.started = true
 	m.unansweredStarts++
+	size := startBytes(r.occ.job, t)
+	if via != m.link {
+		via.add(m.now, startID{id, number}, size)
+		size = relayedBytes(t)
+		m.counts.Relayed++
+	}
+	m.link.add(m.now, startID{id, number}, size)
 	m.counts.Starts++
 	m.emit(Log{
 		Text: "start", Task: id, Run: number, Worker: w.ID, Reason: r.queue.Name, Slack: r.rank.slack,
-		ReportAge: m.now.Sub(w.clockAt),
+		ReportAge: m.now.Sub(w.clockAt), Via: via.relay,
 	})
 	ticket, _ := m.ticketFor(s, w)
-	m.emit(Start{To: w.address(), Order: infra.StartOrder{
+	m.emit(Start{To: w.address(), Via: via.relay, Order: infra.StartOrder{
 		Task: id, Run: number, Ticket: ticket, Spec: r.occ.job.spec.Spec, Checkpoint: t.checkpoint, Deadline: newRun.deadline, Token: m.token,
 	}})
 }
--- a/coord/wire/hosted.go
+++ b/coord/wire/hosted.go
@@ -33,6 +33,9 @@
 	// RequestEligible asks whether the receiver would take over from the scheduler with Token. The response is [ResponseOK] if it
 	// would.
 	RequestEligible HostedRequestKind = "eligible"
+	// RequestRelayClock asks whether the receiver takes a [RelayedStart]. The response is [ResponseOK] with a [RelayClock]. A process
+	// of an earlier version does not know the kind, and would break the link on a RelayedStart.
+	RequestRelayClock HostedRequestKind = "relay_clock"
 )
 
 // HostedRequest is a request about jobs, or about the scheduler, to another entry process of a hosted deployment. Data
@@ -79,6 +82,7 @@
 type SchedulerElected struct {
 	EntryHost fleet.EntryHostID `cbor:"entry_host"`
 	Token     infra.Token       `cbor:"token"`
+	Term      int64             `cbor:"term,omitempty"`
 }
 
 // CatalogDoc holds the operator's configuration as stored, or a part of its compressed form; Version is 0 if the sender
