flow: reports on their way fit the link

Cause: after a change of the scheduler all workers are asked for reports at once, and those with ends that are not stored yet again each 0.3 s. Behind a thin link reports fill the download, no other answer arrives for 0.7 s, and each report times out with the others. The same holds for starts: what had no answer after 0.2 s did not count any more, also while all starts waited for the link.

Change: reports that workers send at once are bounded by 0.1 s of the link, by their mean size, and the worker that has waited longest is asked first. What is on its way stops counting only once something that was sent later is answered.

--- a/coord/flow/answer.go
+++ b/coord/flow/answer.go
@@ -14,7 +14,8 @@
 	if ev.Via != "" {
 		m.unansweredRelayed--
 	}
-	m.settle(startID{ev.Order.Task, ev.Order.Run})
+	var refused *infra.RefusedError
+	m.settle(startID{ev.Order.Task, ev.Order.Run}, ev.Err == nil || errors.As(ev.Err, &refused))
 	m.judgeRelay(ev.Via, ev.Err)
 	w := m.workers[ev.Worker]
 	if w == nil {
@@ -25,7 +26,6 @@
 	if r == nil || r.number != ev.Order.Run {
 		return
 	}
-	var refused *infra.RefusedError
 	var unsent *infra.NotSentError
 	var unrelayed *RelayError
 	switch {
--- a/coord/flow/early.go
+++ b/coord/flow/early.go
@@ -11,11 +11,7 @@
 	if m.isRosterOpen() {
 		m.openRoster()
 	}
-	for _, w := range m.workersByID {
-		if m.isRenewalDue(w) {
-			m.sendRenewal(w)
-		}
-	}
+	m.sendDueRenewals()
 }
 
 // renewedBeforeJobs schedules the next renewal of a worker that has answered one before the jobs are known. Reports share the
--- a/coord/flow/link.go
+++ b/coord/flow/link.go
@@ -12,8 +12,6 @@
 )
 
 const (
-	// linkWindow is how long the starts on their way may occupy a link. Stops and renewals wait behind them.
-	linkWindow = 100 * time.Millisecond
 	// startOverhead is the size of the names, headers and packets of a start, in bytes.
 	startOverhead = 1200
 	// directShare divides the window for the starts that this host sends itself while there are relays. Relayed ones take a ninth of
@@ -84,55 +82,17 @@
 	run  infra.Run
 }
 
-// sentStart is a start on its way. It counts until its answer, but not after until, so that silent workers do not keep a
-// link from others.
-type sentStart struct {
-	id    startID
-	until time.Time
-}
-
 // lane is a link that carries starts: that of this host or of a relay.
 type lane struct {
 	// relay is empty for the link of this host.
 	relay fleet.EntryHostID
-	// window limits the bytes on their way; 0 if the bandwidth is unknown.
-	window int64
-	bytes  int64
-	onWay  map[startID]int64
-	// sent lists the starts in the order of their ends, with those that were answered.
-	sent []sentStart
+	window[startID]
 	// restsUntil is the end of the time for which a relay takes no starts.
 	restsUntil time.Time
 }
 
 func newLane(relay fleet.EntryHostID, bitsPerSecond int64) *lane {
-	return &lane{relay: relay, window: int64(linkWindow.Seconds() * float64(bitsPerSecond) / 8), onWay: make(map[startID]int64)}
-}
-
-// hasRoom reports whether starts of a size may be sent. Larger ones than the window go alone.
-func (l *lane) hasRoom(size int64) bool {
-	return l.window <= 0 || l.bytes == 0 || l.bytes+size <= l.window
-}
-
-func (l *lane) add(now time.Time, id startID, size int64) {
-	l.bytes += size
-	l.onWay[id] = size
-	l.sent = append(l.sent, sentStart{id: id, until: now.Add(2 * linkWindow)})
-}
-
-// remove ends the way of a start.
-func (l *lane) remove(id startID) {
-	l.bytes -= l.onWay[id]
-	delete(l.onWay, id)
-}
-
-// expire removes the starts that have been on their way for too long to count.
-func (l *lane) expire(now time.Time) {
-	n := 0
-	for ; n < len(l.sent) && !now.Before(l.sent[n].until); n++ {
-		l.remove(l.sent[n].id)
-	}
-	l.sent = append(l.sent[:0], l.sent[n:]...)
+	return &lane{relay: relay, window: newWindow[startID](bitsPerSecond)}
 }
 
 // startBytes estimates the size of a start of a task.
@@ -158,7 +118,7 @@
 		}
 		l := newLane(r.EntryHost, r.LinkBitsPerSecond)
 		if at := slices.IndexFunc(old, func(l *lane) bool { return l.relay == r.EntryHost }); at >= 0 {
-			old[at].window = l.window
+			old[at].limit = l.limit
 			l = old[at]
 		}
 		m.relays = append(m.relays, l)
@@ -195,7 +155,7 @@
 	}
 	reserved := int64(0)
 	if best != nil {
-		reserved = m.link.window - m.link.window/directShare
+		reserved = m.link.limit - m.link.limit/directShare
 	}
 	switch {
 	case m.unansweredStarts-m.unansweredRelayed < maxUnansweredStarts && m.link.hasRoom(size+reserved):
@@ -213,11 +173,14 @@
 		(len(m.relays) == 0 || m.unansweredRelayed >= maxUnansweredRelayed)
 }
 
-// settle ends the way of a start on all links.
-func (m *Machine) settle(id startID) {
-	m.link.remove(id)
-	for _, l := range m.relays {
-		l.remove(id)
+// settle ends the way of a start on all links. A worker that has answered shows that what was sent before has left them.
+func (m *Machine) settle(id startID, isAnswered bool) {
+	for _, l := range append(m.relays, m.link) {
+		if isAnswered {
+			l.answer(id)
+		} else {
+			l.remove(id)
+		}
 	}
 }
 
@@ -252,7 +215,7 @@
 // LinkUse returns how starts use this host's link.
 func (m *Machine) LinkUse() LinkUse {
 	use := LinkUse{
-		OnWay: m.link.bytes, Window: m.link.window, Relays: len(m.relays),
+		OnWay: m.link.bytes, Window: m.link.limit, Relays: len(m.relays),
 		Starts: m.counts.Starts, Relayed: m.counts.Relayed, RelayFailures: m.counts.RelayFailures,
 	}
 	for _, l := range m.relays {
--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -140,6 +140,7 @@
 	link     *lane
 	relays   []*lane
 	linkFull bool
+	reports  reportRequests
 	// scheduledJobs holds the jobs with occurrences that are not created yet.
 	scheduledJobs map[fleet.JobID]*job
 
@@ -252,7 +253,7 @@
 	for _, opt := range opts {
 		opt(&m.opts)
 	}
-	m.link = newLane("", m.opts.linkBitsPerSecond)
+	m.link, m.reports = newLane("", m.opts.linkBitsPerSecond), newReportRequests(m.opts.linkBitsPerSecond)
 	return m
 }
 
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -34,6 +34,7 @@
 	w.renewalSentAt = m.now
 	w.renewalInFlight = true
 	w.renewalSequence++
+	m.reports.sent(m, w, order)
 	m.emit(Renew{To: w.address(), Sequence: w.renewalSequence, Order: order})
 }
 
@@ -43,6 +44,7 @@
 		return
 	}
 	w.renewalInFlight, w.probed = false, false
+	m.reports.remove(w.ID)
 	w.nextRenewal = m.now.Add(m.retryPause(w))
 	w.failedRenewals++
 	var refused *infra.RefusedError
@@ -112,6 +114,7 @@
 		return
 	}
 	w.renewalInFlight, w.nextRenewal, w.connRefusals, w.failedRenewals = false, m.now, 0, 0
+	m.reports.answered(w, ev.Order, ev.Report)
 	if w.StartedAt != 0 && ev.Report.StartedAt != 0 && ev.Report.StartedAt != w.StartedAt {
 		// The start time is earlier if the clock of the worker's host was set back.
 		announced := w.unconfirmed
--- a/coord/flow/sweep.go
+++ b/coord/flow/sweep.go
@@ -46,6 +46,7 @@
 	if m.isRosterOpen() {
 		m.openRoster()
 	}
+	m.sendDueRenewals()
 	for _, w := range m.workersByID {
 		m.tickWorker(w)
 	}
@@ -67,9 +68,6 @@
 		w.leadershipConfirmed = true
 		m.searchAgain()
 	}
-	if m.isRenewalDue(w) {
-		m.sendRenewal(w)
-	}
 	// While another scheduler may have been elected, it may also have renewed the lease.
 	if !w.reachable && !m.leaseUnconfirmed && len(w.runs) > 0 && w.leaseExpired(m.now) {
 		m.emit(Log{Text: "lease expired", Worker: w.ID, Reason: "worker unreachable"})
