--- a/entryd/leader/hosts.go
+++ b/entryd/leader/hosts.go
@@ -45,7 +45,7 @@
 const (
 	// startsPerMilliCPU is the number of starts a second that a thousandth of a core carries (0.49 ms each, docs/CAPACITY.md).
 	startsPerMilliCPU = 2
-	// bitsPerStart is what a start and what follows from it send over the scheduler's link (3.6 KB, measured).
+	// bitsPerStart is what a start and what follows from it send over the scheduler's link if no peer relays it (3.6 KB, measured).
 	bitsPerStart = 28_800
 )
 
