flow: a relay that is cut off from the workers pauses one of them

Cause: a worker that leaves a start unanswered takes none for 2 s. A relay that is cut off from the workers reported each of them as silent, and rested for 0.5 s only.

Change: the word of a relay on a worker counts only while another worker has answered it last, and a relay rests twice as long each time.

--- a/coord/flow/answer.go
+++ b/coord/flow/answer.go
@@ -16,6 +16,7 @@
 	}
 	var refused *infra.RefusedError
 	m.settle(startID{ev.Order.Task, ev.Order.Run}, ev.Err == nil || errors.As(ev.Err, &refused))
+	isRelayTrusted := m.isTrusted(ev.Via)
 	m.judgeRelay(ev.Via, ev.Err)
 	w := m.workers[ev.Worker]
 	if w == nil {
@@ -50,7 +51,8 @@
 		// The start may have been carried out or may still be. A report shows the former, and a stop prevents the
 		// latter.
 		m.emit(Log{Text: "start not answered", Task: r.id, Run: r.number, Worker: w.ID, Reason: ev.Err.Error()})
-		if unrelayed == nil {
+		// A relay that is cut off from the workers finds all of them silent.
+		if unrelayed == nil && isRelayTrusted {
 			w.unhealthyUntil = m.now.Add(lostOrderPause)
 		}
 		r.startUnanswered = true
@@ -82,8 +84,11 @@
 			pause = relayDoubtPause
 		}
 		m.rest(relay, pause)
-	case relay != "" && err != nil && !errors.As(err, &refused):
+	case relay == "":
+	case err != nil && !errors.As(err, &refused):
 		m.rest(relay, relayDoubtPause)
+	default:
+		m.relayWorks(relay)
 	}
 }
 
--- a/coord/flow/link.go
+++ b/coord/flow/link.go
@@ -27,6 +27,8 @@
 	// has not sent a start or got no answer.
 	relayPause      = 2 * time.Second
 	relayDoubtPause = 500 * time.Millisecond
+	// maxRests limits the growth of these times.
+	maxRests = 4
 )
 
 // Relay is an entry host that can send starts for the scheduler. It reads the spec of a job once, so that the link of the
@@ -87,8 +89,10 @@
 	// relay is empty for the link of this host.
 	relay fleet.EntryHostID
 	window[startID]
-	// restsUntil is the end of the time for which a relay takes no starts.
+	// restsUntil is the end of the time for which a relay takes no starts, and rests the number of such times since it last got an
+	// answer of a worker.
 	restsUntil time.Time
+	rests      int
 }
 
 func newLane(relay fleet.EntryHostID, bitsPerSecond int64) *lane {
@@ -184,11 +188,27 @@
 	}
 }
 
-// rest gives a relay no starts for a while.
+// rest gives a relay no starts for a while, which doubles with each further time.
 func (m *Machine) rest(relay fleet.EntryHostID, pause time.Duration) {
 	for _, l := range m.relays {
-		if until := m.now.Add(pause); l.relay == relay && until.After(l.restsUntil) {
-			l.restsUntil = until
+		if l.relay == relay && !m.now.Before(l.restsUntil) {
+			l.restsUntil = m.now.Add(pause << min(l.rests, maxRests))
+			l.rests++
+		}
+	}
+}
+
+// isTrusted reports whether the word of a relay on a worker counts, because another worker has answered it last. That of this host
+// always does.
+func (m *Machine) isTrusted(relay fleet.EntryHostID) bool {
+	return !slices.ContainsFunc(m.relays, func(l *lane) bool { return l.relay == relay && l.rests > 0 })
+}
+
+// relayWorks notes that a relay has got an answer of a worker.
+func (m *Machine) relayWorks(relay fleet.EntryHostID) {
+	for _, l := range m.relays {
+		if l.relay == relay {
+			l.rests = 0
 		}
 	}
 }
