flow: no start before a report of the worker has been applied

Cause: leases are renewed while the jobs are read, and such a report counts as the worker's answer without its runs being applied. Between the end of the read and the next report the worker was taken for empty (LIMIT).

Change: a worker takes tasks only once a report of it has been applied.

The test TestNoStartBeforeAReportHasBeenApplied fails without the change.

--- a/coord/flow/early_test.go
+++ b/coord/flow/early_test.go
@@ -127,3 +127,35 @@
 		})
 	}
 }
+
+// Guards against starts that bring a worker over its capacity (LIMIT): what runs there is unknown until a report has been applied, which
+// none is before the jobs have been read.
+func TestNoStartBeforeAReportHasBeenApplied(t *testing.T) {
+	h := newEarlyHarness(t)
+	w := newPoolWorker("a")
+	w.Address = "a:1"
+	for range 8 {
+		h.answerRenewals(infra.Report{})
+		h.advance(25 * time.Millisecond)
+	}
+	running := infra.TaskID{Job: "j", Index: 0}
+	j := singleStepJob("j", smallStep(1))
+	h.step(flow.Restored{Term: 1, Jobs: []flow.StoredJob{{Job: j}}})
+	h.step(flow.Configured{Catalog: testCatalog()})
+	h.step(flow.WorkerListed{Worker: w})
+	h.step(flow.PredecessorLeaseEnded{Revision: 1})
+	h.step(flow.Submitted{Job: singleStepJob("k", smallStep(1)), Revision: 2})
+	renewals := h.effects
+	h.advance(500 * time.Millisecond)
+	for _, e := range h.effects {
+		_, isStart := e.(flow.Start)
+		assert.Assert(t, !isStart, "%v", e)
+	}
+	h.effects = append(renewals, h.effects...)
+	for range 8 {
+		h.answerRenewals(infra.Report{Running: []infra.ActiveRun{{Task: running, Run: 1}}})
+		h.advance(25 * time.Millisecond)
+	}
+	states, _ := h.m.State("k")
+	assert.Equal(t, states, infra.StateRunning)
+}
--- a/coord/flow/view.go
+++ b/coord/flow/view.go
@@ -166,7 +166,7 @@
 		return "drains"
 	case w.cordoned:
 		return "is taken out of service"
-	case !w.tokenAccepted || w.clock == 0:
+	case !w.tokenAccepted || !w.hasAnswered || w.clock == 0:
 		return "has not answered this scheduler yet"
 	case !w.inStoredRoster:
 		return "not in the stored roster yet"
--- a/coord/flow/worker.go
+++ b/coord/flow/worker.go
@@ -260,7 +260,7 @@
 // usable reports whether new tasks may be started on the worker, apart from a quarantine.
 func (w *worker) usable(now time.Time) bool {
 	return w.listed && !w.restartedSinceListing && w.unknownSizes == 0 && w.inStoredRoster && w.leadershipConfirmed && w.reachable &&
-		!w.Draining && !w.cordoned && w.clock > 0 && !now.Before(w.unhealthyUntil)
+		!w.Draining && !w.cordoned && w.hasAnswered && w.clock > 0 && !now.Before(w.unhealthyUntil)
 }
 
 func (w *worker) isQuarantined(now time.Time) bool { return now.Before(w.quarantinedUntil) }
