--- a/coord/flow/window.go
+++ b/coord/flow/window.go
@@ -5,6 +5,9 @@
 // linkWindow is how long what a scheduler has asked for may occupy a link. Other calls wait behind it.
 const linkWindow = 100 * time.Millisecond
 
+// maxTransferTime exceeds the time-outs of all calls that are bounded by a window, which free their room if nothing else does.
+const maxTransferTime = 4 * time.Second
+
 // window bounds the bytes that are on their way over a link. What has no answer after two windows does not count any more once
 // something that was sent later has one, so that silent workers do not keep a link from others. While nothing is answered, it may
 // all wait for the link.
@@ -64,8 +67,13 @@
 // expire removes what has been on its way for too long to count.
 func (w *window[K]) expire(now time.Time) {
 	n := 0
-	for ; n < len(w.sent) && !now.Before(w.sent[n].until) && w.sent[n].number <= w.answered; n++ {
-		if s := w.sent[n]; w.onWay[s.key].number == s.number {
+	for ; n < len(w.sent); n++ {
+		s := w.sent[n]
+		isOvertaken := s.number <= w.answered && !now.Before(s.until)
+		if !isOvertaken && now.Before(s.until.Add(maxTransferTime)) {
+			break
+		}
+		if w.onWay[s.key].number == s.number {
 			w.remove(s.key)
 		}
 	}
