flow: leases count from the election, not from the read of the roster

Cause: electedAt was the last confirmation before the roster was restored. A roster that took longer than 6.8 s to read gave leases that outlast what a successor waits for.

Change: it is the confirmation in the first tick.

Measured: TestLeasesOfLateRosterCountFromTheElection failed (granted until 13.0 s after the election, awaited until 12.1 s) and passes.

--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -115,7 +115,7 @@
 	// confirmedAt and witnessedAt are when the store and most workers have last confirmed this scheduler.
 	confirmedAt time.Time
 	witnessedAt time.Time
-	// electedAt is the last confirmation by the store before the roster was restored, which is not later than the election.
+	// electedAt is the confirmation by the store in the first [Tick], which is not later than the election.
 	electedAt time.Time
 
 	// runTimes holds a model of the run times for each queue.
@@ -306,6 +306,9 @@
 	case Tick:
 		m.leaseUnconfirmed = ev.LeaseUnconfirmed
 		m.confirm(ev.ConfirmedAt)
+		if m.electedAt.IsZero() {
+			m.electedAt = m.confirmedAt
+		}
 		m.tick(ev.Wall)
 	}
 	out := m.effects
--- a/coord/flow/takeover.go
+++ b/coord/flow/takeover.go
@@ -32,7 +32,10 @@
 // they have granted can last.
 func (m *Machine) restoreRoster(ev RosterRestored) {
 	m.term, m.rosterRestored = ev.Term, true
-	m.predecessorEnd, m.electedAt = m.now.Add(m.opts.leadershipTimeout), m.confirmedAt
+	m.predecessorEnd = m.now.Add(m.opts.leadershipTimeout)
+	if m.electedAt.IsZero() {
+		m.electedAt = m.confirmedAt
+	}
 	for _, e := range ev.Roster {
 		if e.RenewedBefore <= 0 || e.RenewedBefore > ev.Term {
 			e.RenewedBefore = ev.Term
