--- a/entryd/leader/group.go
+++ b/entryd/leader/group.go
@@ -50,6 +50,8 @@
 	// Predecessors are the entry hosts of the previous leader and of those before it that may have acted shortly before
 	// this election, the latest first.
 	Predecessors []fleet.EntryHostID `cbor:"-"`
+	// HasForgotten is set if others are not among them, because they had stopped by the time of the campaign.
+	HasForgotten bool `cbor:"-"`
 }
 
 // termRecord is the stored value of termKey: the last elected leader, which outlives the leader's lease. Earlier lists the
@@ -99,16 +101,21 @@
 	return term, known
 }
 
-// predecessors returns the entry hosts on which a leader may act when the next one is elected, the latest first.
-func (r termRecord) predecessors(history *takeoverHistory) []fleet.EntryHostID {
-	hosts := []fleet.EntryHostID{r.EntryHost}
+// predecessors returns the entry hosts on which a leader may act when the next one is elected, the latest first, and whether it
+// leaves out others that have stopped by now.
+func (r termRecord) predecessors(history *takeoverHistory) (hosts []fleet.EntryHostID, hasForgotten bool) {
+	hosts = []fleet.EntryHostID{r.EntryHost}
 	for _, h := range r.Earlier {
 		term, known := r.termOf(h)
-		if !slices.Contains(hosts, h) && !(known && history.hasStopped(term)) {
+		switch {
+		case slices.Contains(hosts, h):
+		case known && history.hasStopped(term):
+			hasForgotten = true
+		default:
 			hosts = append(hosts, h)
 		}
 	}
-	return hosts
+	return hosts, hasForgotten
 }
 
 // Group tracks the elected leader and the registered entry processes, and campaigns while there is no leader.
@@ -415,7 +422,8 @@
 				return nil, err
 			}
 			g.observeRecord(last)
-			elected.Term, elected.Predecessors = last.Term+1, last.predecessors(g.history)
+			elected.Term = last.Term + 1
+			elected.Predecessors, elected.HasForgotten = last.predecessors(g.history)
 			termCondition = store.KeyUnchanged{Key: termKey, ModRevision: e.ModRevision}
 		}
 	}
--- a/entryd/leader/leadership.go
+++ b/entryd/leader/leadership.go
@@ -18,6 +18,8 @@
 	leader Leader
 	// history holds the elections that this process has observed.
 	history *takeoverHistory
+	// electedAt is when the campaign was won at the earliest.
+	electedAt time.Time
 
 	// recordMu is held while the record of the election is written. record is what was stored at recordRevision.
 	recordMu       sync.Mutex
@@ -41,7 +43,7 @@
 
 func newLeadership(client store.Client, lease store.LeaseID, leader Leader, record termRecord, sent time.Time, history *takeoverHistory) *Leadership {
 	return &Leadership{
-		store: client, lease: lease, leader: leader, history: history, confirmedAt: sent,
+		store: client, lease: lease, leader: leader, history: history, electedAt: sent, confirmedAt: sent,
 		record: record, recordRevision: store.Revision(leader.Token),
 		fenced: make(chan struct{}), ended: make(chan struct{}), released: make(chan struct{}),
 	}
--- a/entryd/leader/takeover.go
+++ b/entryd/leader/takeover.go
@@ -33,6 +33,10 @@
 		return
 	}
 	ago := Now().Sub(slices.MaxFunc(stoppedAt, time.Time.Compare))
+	if l.leadership.leader.HasForgotten {
+		// One that the campaign left out may have acted until shortly before it.
+		ago = min(ago, Now().Sub(l.leadership.electedAt))
+	}
 	l.log.Info("scheduler: all previous schedulers have stopped", "former", hosts, "ago_ms", ago.Milliseconds())
 	l.post(flow.PredecessorStopped{Ago: ago})
 }
