leader: a leadership is handed over only to a host whose writes are answered

Cause: a larger host said that it would take over once it had read the leader from the store. While answers to its writes are lost it cannot be elected, the small host gave up its leadership and was elected again.

Change: the asked host writes its registration again, on the condition that the asking leader leads; it says so once the write is answered.

TestQuestionBeforeHandOverIsAnswered has a registered process now, since one that is not registered does not take over, and checks that too.

--- a/entryd/hosted/handover_test.go
+++ b/entryd/hosted/handover_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -22,6 +24,15 @@
 	return store.RangeResult{Revision: 9, Entries: []store.Entry{{Key: get.Key, ModRevision: 5}}}, nil
 }
 
+func (leaderStore) Txn(_ context.Context, txn store.Txn) (store.TxnResult, error) {
+	for _, c := range txn.If {
+		if c, ok := c.(store.KeyUnchanged); ok && c.ModRevision != 5 {
+			return store.TxnResult{}, nil
+		}
+	}
+	return store.TxnResult{Committed: true, Revision: 9}, nil
+}
+
 // Guards against a small host that keeps the leadership (LOST) because its question is not understood, or gives it up for a refusal.
 func TestQuestionBeforeHandOverIsAnswered(t *testing.T) {
 	log := slog.New(slog.DiscardHandler)
@@ -33,7 +44,15 @@
 		assert.Assert(t, isResponse)
 		return resp.Status
 	}
-	assert.Equal(t, ask(5), wire.ResponseOK)
+	assert.Equal(t, ask(5), wire.ResponseNotRun, "the process is not registered")
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	defer running.Wait()
+	defer cancel()
+	running.Go(func() { group.Run(ctx) })
+	for deadline := time.Now().Add(5 * time.Second); ask(5) != wire.ResponseOK; time.Sleep(5 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(deadline), "the process does not say that it would take over")
+	}
 	assert.Equal(t, ask(4), wire.ResponseNotRun, "another process leads")
 	group.Resign()
 	assert.Equal(t, ask(5), wire.ResponseNotRun, "the process is stopping")
--- a/entryd/leader/group.go
+++ b/entryd/leader/group.go
@@ -147,6 +147,8 @@
 	// current is the leadership of this process; nil if it is not the leader, which it has not been since idleSince.
 	current   *Leadership
 	idleSince time.Time
+	// registration is the lease of the entry that registers this process; 0 if there is none.
+	registration store.LeaseID
 	// lostAt is when a leadership of this process ended because it could not be kept; zero if none did.
 	lostAt time.Time
 	// superseded is the highest token to which this process has confirmed that it leads with no lower one.
--- a/entryd/leader/handover.go
+++ b/entryd/leader/handover.go
@@ -31,11 +31,11 @@
 // Error returns the reason.
 func (e *IneligibleError) Error() string { return "the process would not take over: " + e.Reason }
 
-// Eligible returns nil if this process would campaign once the leadership with a token ends. It reads the leader from the
-// store to show that the store is reachable. Its error is an [*IneligibleError] or that of the store.
+// Eligible returns nil if this process would campaign once the leadership with a token ends. It writes its registration again to
+// show that the store carries out and answers its writes. Its error is an [*IneligibleError] or that of the store.
 func (g *Group) Eligible(ctx context.Context, token infra.Token) error {
 	g.mu.Lock()
-	resigned, leads, lostAt := g.resigned, g.current != nil, g.lostAt
+	resigned, leads, lostAt, lease := g.resigned, g.current != nil, g.lostAt, g.registration
 	g.mu.Unlock()
 	switch {
 	case resigned:
@@ -44,15 +44,17 @@
 		return &IneligibleError{Reason: "it leads"}
 	case !lostAt.IsZero() && Now().Sub(lostAt) < lostLeadershipPause:
 		return &IneligibleError{Reason: "it has lost a leadership"}
+	case lease == 0:
+		return &IneligibleError{Reason: "it is not registered"}
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	found, err := g.store.Range(ctx, store.Get{Key: leaderKey})
+	result, err := g.putRegistration(ctx, lease, store.KeyUnchanged{Key: leaderKey, ModRevision: store.Revision(token)})
 	if err != nil {
 		return err
 	}
-	if len(found.Entries) == 0 || infra.Token(found.Entries[0].ModRevision) != token {
-		return &IneligibleError{Reason: fmt.Sprintf("token %d is not that of the leader", token)}
+	if !result.Committed {
+		return &IneligibleError{Reason: fmt.Sprintf("token %d is not that of the leader, or its registration has changed", token)}
 	}
 	return nil
 }
--- a/entryd/leader/registration.go
+++ b/entryd/leader/registration.go
@@ -18,6 +18,9 @@
 		} else {
 			lease, err = g.renewRegistration(ctx, lease)
 		}
+		g.mu.Lock()
+		g.registration = lease
+		g.mu.Unlock()
 		wait := hostRenewInterval
 		if err != nil {
 			g.log.Warn("group: registration not renewed", "error", err)
@@ -29,31 +32,36 @@
 	}
 }
 
-// register writes the entry of this process under a new lease. The write is conditional, because one without an answer may be
-// carried out after the next one, and would tie the entry to a lease that is not renewed.
+// register writes the entry of this process under a new lease.
 func (g *Group) register(ctx context.Context) (store.LeaseID, error) {
 	ctx, cancel := context.WithTimeout(ctx, 3*callTimeout)
 	defer cancel()
-	key := hostPrefix + string(g.self)
-	condition, err := g.unchanged(ctx, key)
+	lease, err := g.store.Grant(ctx, hostTTL)
 	if err != nil {
 		return 0, err
 	}
-	lease, err := g.store.Grant(ctx, hostTTL)
-	if err != nil {
+	result, err := g.putRegistration(ctx, lease)
+	if err != nil || !result.Committed {
 		return 0, err
 	}
+	return lease, nil
+}
+
+// putRegistration writes the entry of this process under a lease if conditions hold and the entry does not change meanwhile. A
+// write without an answer may be carried out after the next one, and would tie the entry to a lease that is not renewed.
+func (g *Group) putRegistration(ctx context.Context, lease store.LeaseID, conditions ...store.Compare) (store.TxnResult, error) {
+	key := hostPrefix + string(g.self)
+	condition, err := g.unchanged(ctx, key)
+	if err != nil {
+		return store.TxnResult{}, err
+	}
 	value, err := cbor.Marshal(hostRecord{Address: g.address, Capacity: g.hosts.own})
 	if err != nil {
-		return 0, err
+		return store.TxnResult{}, err
 	}
-	result, err := g.store.Txn(ctx, store.Txn{
-		If: []store.Compare{condition}, Then: []store.Op{store.Put{Key: key, Value: value, Lease: lease}},
+	return g.store.Txn(ctx, store.Txn{
+		If: append(conditions, condition), Then: []store.Op{store.Put{Key: key, Value: value, Lease: lease}},
 	})
-	if err != nil || !result.Committed {
-		return 0, err
-	}
-	return lease, nil
 }
 
 // unchanged returns the condition that a key has not changed since this call.
