--- a/entryd/leader/scheduler.go
+++ b/entryd/leader/scheduler.go
@@ -14,6 +14,7 @@
 	"lovagefork.example/coord/infra"
 	"lovagefork.example/coord/store"
 	"lovagefork.example/coord/upkeep"
+	"lovagefork.example/entryd/stats"
 )
 
 const (
@@ -22,8 +23,8 @@
 	tickInterval = 10 * time.Millisecond
 	// eventQueueSize is enough for the answers to several seconds of orders.
 	eventQueueSize = 8192
-	// orderTimeout bounds a start, stop or throttle order. A round trip between zones takes up to 10 ms; the timeout
-	// allows for one retransmitted packet.
+	// orderTimeout bounds a start, stop or throttle order that need not wait for the link, see [flow.MaxLinkDelay]. A round
+	// trip between zones takes up to 10 ms; the timeout allows for one retransmitted packet.
 	orderTimeout = 400 * time.Millisecond
 	// renewTimeoutMargin is how much longer a renewal may take than the Wait of its order.
 	renewTimeoutMargin = 700 * time.Millisecond
@@ -40,18 +41,22 @@
 	machineService infra.Machines
 	format         infra.Format
 	bounds         infra.Bounds
-	log            *slog.Logger
-	decisions      *slog.Logger
-	supersede      func(ctx context.Context, host fleet.EntryHostID, token infra.Token) (time.Duration, bool)
-	startLatency   metrics.Timer
-	renewals       metrics.Counter
-	orders         metrics.Counter
-	saves          metrics.Counter
-	longWaits      metrics.Gauge
-	unsavedJobs    metrics.Gauge
-	awaitedWorkers metrics.Gauge
-	elections      metrics.Counter
-	registry       metrics.Registry
+	// linkBitsPerSecond is the bandwidth of this host's link, and orderTimeout that of an order on it.
+	linkBitsPerSecond int64
+	orderTimeout      time.Duration
+	log               *slog.Logger
+	decisions         *slog.Logger
+	supersede         func(ctx context.Context, host fleet.EntryHostID, token infra.Token) (time.Duration, bool)
+	startLatency      metrics.Timer
+	renewals          metrics.Counter
+	orders            metrics.Counter
+	saves             metrics.Counter
+	longWaits         metrics.Gauge
+	unsavedJobs       metrics.Gauge
+	awaitedWorkers    metrics.Gauge
+	elections         metrics.Counter
+	registry          metrics.Registry
+	traffic           *stats.Traffic
 
 	mu      sync.Mutex
 	catalog *infra.Catalog
@@ -68,10 +73,14 @@
 	Machines infra.Machines
 	Format   infra.Format
 	Bounds   infra.Bounds
-	Log      *slog.Logger
+	// LinkBitsPerSecond is the bandwidth of this host's link; 0 if it is unknown.
+	LinkBitsPerSecond int64
+	Log               *slog.Logger
 	// Decisions receives a line for each start, end and move of a task; there are many under load.
 	Decisions *slog.Logger
 	Metrics   metrics.Registry
+	// Traffic counts the calls of Store and Agents; nil if they are not counted.
+	Traffic *stats.Traffic
 	// Supersede ends a leadership with a lower token on an entry host. It returns true if none is running there any
 	// more, and for how long; see [Group.Supersede].
 	Supersede func(ctx context.Context, host fleet.EntryHostID, token infra.Token) (time.Duration, bool)
@@ -81,7 +90,9 @@
 func NewScheduler(d Deps) *Scheduler {
 	return &Scheduler{
 		store: d.Store, agents: d.Agents, policy: d.Policy, machineService: d.Machines, format: d.Format, bounds: d.Bounds, log: d.Log, decisions: d.Decisions, supersede: d.Supersede,
+		linkBitsPerSecond: d.LinkBitsPerSecond, orderTimeout: orderTimeout + flow.MaxLinkDelay(d.LinkBitsPerSecond),
 		registry:       d.Metrics,
+		traffic:        d.Traffic,
 		startLatency:   metrics.GetOrRegisterTimer("scheduler.start_seconds", d.Metrics),
 		renewals:       metrics.GetOrRegisterCounter("scheduler.holds.total", d.Metrics),
 		orders:         metrics.GetOrRegisterCounter("scheduler.orders.total", d.Metrics),
@@ -146,11 +157,12 @@
 	l := &loop{
 		Scheduler: s, leadership: leadership, log: s.log.With("token", int64(leadership.leader.Token)),
 		decisions: s.decisions.With("token", int64(leadership.leader.Token)),
-		meter:     newLoadMeter(s.registry),
+		meter:     newLoadMeter(s.registry, s.traffic),
 		events:    make(chan queuedEvent, eventQueueSize), queries: make(chan query), stopped: make(chan struct{}), startedAt: Now(),
 		machine: flow.New(leadership.leader.Token,
 			flow.WithTaskLease(min(s.bounds.MaxLease, maxTaskLease)), flow.WithLeadershipTimeout(leadershipTimeout),
-			flow.WithRetention(retentionFactor*s.bounds.StatusRetention), flow.WithMaxTargetMiss(s.bounds.MaxTargetMiss)),
+			flow.WithRetention(retentionFactor*s.bounds.StatusRetention), flow.WithMaxTargetMiss(s.bounds.MaxTargetMiss),
+			flow.WithLink(s.linkBitsPerSecond)),
 	}
 	s.elections.Inc(1)
 	defer close(l.stopped)
