leader, platform: calls of a takeover don't assume an idle fast link

After a takeover the scheduler asked all workers at once and gave each call 0.7 s for all of it. The answers share the link: 490 take 0.3 s of 10 Mbit/s, 1,000 with 1.5 KB each 1.2 s, and workers were taken for unreachable while their answers were on the way.

A lookup of a job had 0.7 s for the whole job, 256 KB of input take a link of 2 Mbit/s 1.4 s; it is now bounded by progress like other reads.

--- a/entryd/leader/lookup_test.go
+++ b/entryd/leader/lookup_test.go
@@ -120,3 +120,30 @@
 	awaitCompleted()
 	assert.Equal(t, agents.starts.Load(), int64(0))
 }
+
+// thinLinkClient answers a lookup of a job after a second, unless the call ends before.
+type thinLinkClient struct {
+	silentWatchClient
+	job string
+}
+
+func (c thinLinkClient) Range(ctx context.Context, get store.Get) (store.RangeResult, error) {
+	if get.Key == c.job {
+		select {
+		case <-time.After(time.Second):
+		case <-ctx.Done():
+			return store.RangeResult{}, &store.OutcomeUnknownError{Op: "range", Cause: ctx.Err()}
+		}
+	}
+	return c.client.Range(ctx, get)
+}
+
+// A lookup had 0.7 s for all of a job. A large job on a full link was looked up without end, and its runs held their workers.
+func TestLookupTakesAsLongAsItsBytes(t *testing.T) {
+	m := newMemStore()
+	agents := &finishedAgents{task: infra.TaskID{Job: "0123456789abcdef"}}
+	c := thinLinkClient{silentWatchClient: silentWatchClient{client{m, "a"}}, job: leader.JobKey(agents.task.Job)}
+	awaitCompleted := runFinishedJob(t, m, c, agents)
+	awaitCompleted()
+	assert.Equal(t, agents.starts.Load(), int64(0))
+}
--- a/entryd/leader/save.go
+++ b/entryd/leader/save.go
@@ -22,6 +22,11 @@
 // outcome is known or the leadership has ended; the next batch waits for it. The condition on sequenceKey lets each batch take
 // effect at most once and in order, and that on leaderKey prevents writes of a leader that was replaced.
 func (l *loop) save(ctx context.Context, s flow.Save) {
+	select {
+	case <-l.sequenceRead:
+	case <-ctx.Done():
+		return
+	}
 	id := batchID{Token: l.leadership.leader.Token, Batch: s.Batch}
 	txn, err := l.encodeBatch(s, id)
 	if err != nil {
--- a/entryd/leader/state.go
+++ b/entryd/leader/state.go
@@ -24,6 +24,11 @@
 	var reads sync.WaitGroup
 	defer reads.Wait()
 	reads.Go(func() { l.readRoster(ctx, roster) })
+	reads.Go(func() {
+		if l.sequenceRevision, _ = l.readKey(ctx, sequenceKey, nil); ctx.Err() == nil {
+			close(l.sequenceRead)
+		}
+	})
 	reads.Go(func() { l.readJobs(ctx, jobs) })
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
@@ -66,15 +71,11 @@
 // readRoster reads what leases depend on.
 func (l *loop) readRoster(ctx context.Context, out chan<- flow.RosterRestored) {
 	restored := flow.RosterRestored{Term: l.leadership.leader.Term}
-	var reads sync.WaitGroup
-	var roster, sequence readSize
-	reads.Go(func() { _, roster = l.readKey(ctx, rosterKey, &restored.Roster) })
-	reads.Go(func() { l.sequenceRevision, sequence = l.readKey(ctx, sequenceKey, nil) })
-	reads.Wait()
+	_, size := l.readKey(ctx, rosterKey, &restored.Roster)
 	if ctx.Err() != nil {
 		return
 	}
-	l.log.Info("scheduler: roster read", "workers", len(restored.Roster), "took", Now().Sub(l.startedAt), roster.attr("roster"), sequence.attr("sequence"))
+	l.log.Info("scheduler: roster read", "workers", len(restored.Roster), size.attr("roster"))
 	out <- restored
 }
 
--- a/entryd/leader/takeover_test.go
+++ b/entryd/leader/takeover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"slices"
 	"strings"
@@ -41,8 +42,8 @@
 	waitFor(t, "parallel reads", func() bool { m.mu.Lock(); defer m.mu.Unlock(); return m.maxReading >= 5 })
 }
 
-// slowPagesClient is a client of the store that returns one entry in a page of jobs. The pages after the first one wait until
-// released is closed, and every second read fails.
+// slowPagesClient is a client of the store that returns one entry in a page of jobs. The pages after the first one and the
+// number of the last batch wait until released is closed, and every second page fails.
 type slowPagesClient struct {
 	client
 	released chan struct{}
@@ -54,16 +55,19 @@
 // Range implements [store.Client].
 func (c *slowPagesClient) Range(ctx context.Context, get store.Get) (store.RangeResult, error) {
 	out, err := c.client.Range(ctx, get)
-	if err != nil || get.Key != inputPrefix {
+	if err != nil || get.Key != inputPrefix && get.Key != "lovagefork/sequence" {
 		return out, err
 	}
-	if get.After != "" {
+	if get.After != "" || get.Key != inputPrefix {
 		select {
 		case <-c.released:
 		case <-ctx.Done():
 			return store.RangeResult{}, ctx.Err()
 		}
 	}
+	if get.Key != inputPrefix {
+		return out, nil
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reads = append(c.reads, get.After)
@@ -132,3 +136,61 @@
 	assert.Equal(t, c.reads[0], "")
 	assert.Assert(t, !slices.Contains(c.reads[1:], ""), "the read began anew: %q", c.reads)
 }
+
+// sharedLinkAgents are workers whose answers pass one link in turn, each for answerTime.
+type sharedLinkAgents struct {
+	infra.Agents
+	answerTime time.Duration
+
+	mu       sync.Mutex
+	freeAt   time.Time
+	answered map[fleet.WorkerID]int
+}
+
+func (a *sharedLinkAgents) Renew(ctx context.Context, to infra.AgentAddress, o infra.RenewOrder) (infra.Report, error) {
+	now := time.Now()
+	a.mu.Lock()
+	if a.freeAt.Before(now) {
+		a.freeAt = now
+	}
+	a.freeAt = a.freeAt.Add(a.answerTime)
+	arrival := a.freeAt
+	a.mu.Unlock()
+	select {
+	case <-time.After(time.Until(arrival) + o.Wait):
+	case <-ctx.Done():
+		return infra.Report{}, &infra.NoAnswerError{Worker: to.Worker, Cause: ctx.Err()}
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.answered[to.Worker]++
+	return infra.Report{Clock: time.Now().UnixMilli(), StartedAt: 1}, nil
+}
+
+// All workers were asked at once after a takeover. The answers of a large fleet take a slow link longer than a renewal may take,
+// so that workers were taken for unreachable, and their leases were not renewed.
+func TestRenewalsAfterTakeoverShareASlowLink(t *testing.T) {
+	const workers = 1000
+	m := newMemStore()
+	var roster []flow.RosterEntry
+	for n := range workers {
+		id := fmt.Sprintf("w%04d", n)
+		roster = append(roster, flow.RosterEntry{Worker: fleet.WorkerID(id), Address: id + ":1"})
+	}
+	put(t, m, "lovagefork/roster", encode(t, roster))
+	put(t, m, termKey, encode(t, map[string]any{"term": 3, "entry_host": "b"}))
+	// 1.2 ms are 1.5 KB on 10 Mbit/s.
+	agents := &sharedLinkAgents{answerTime: 1200 * time.Microsecond, answered: make(map[fleet.WorkerID]int)}
+	log := &logBuffer{}
+	logger := slog.New(slog.NewJSONHandler(log, nil))
+	s := leader.NewScheduler(leader.Deps{
+		Store: client{m, "a"}, Agents: agents, Format: strictFormat{}, Bounds: infra.Bounds{MaxLease: 6 * time.Second, StatusRetention: time.Minute}, Log: logger,
+		Decisions: logger, Metrics: metrics.NewRegistry(),
+		Supersede: func(context.Context, fleet.EntryHostID, infra.Token) (time.Duration, bool) { return time.Hour, true },
+	})
+	runGroup(t, leader.NewGroup("a", "a:1", client{m, "a"}, logger, s.Run, func(fleet.EntryHostID, string) {}, func(leader.Leader) {}))
+	waitFor(t, "an answer of each worker", func() bool { agents.mu.Lock(); defer agents.mu.Unlock(); return len(agents.answered) == workers })
+	log.mu.Lock()
+	defer log.mu.Unlock()
+	assert.Equal(t, strings.Count(log.text.String(), "worker unreachable"), 0)
+}
--- a/entryd/leader/watch.go
+++ b/entryd/leader/watch.go
@@ -108,9 +108,8 @@
 			// A job that was stored since belongs to the scheduler that may have been elected.
 			continue
 		}
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		found, err := l.store.Range(callCtx, store.Get{Key: JobKey(id), Prefix: true})
-		cancel()
+		// A job takes as long as its bytes need; the store's client gives up a read that makes no progress.
+		found, err := l.store.Range(ctx, store.Get{Key: JobKey(id), Prefix: true})
 		if err != nil {
 			l.log.Warn("scheduler: looking a job up failed, will retry", "job", id, "error", err)
 			continue
