--- a/coord/flow/finished_test.go
+++ b/coord/flow/finished_test.go
@@ -161,3 +161,31 @@
 	state, _ := h.m.State("j")
 	assert.Equal(t, state, infra.StateCompleted)
 }
+
+// Jobs without steps counted as jobs without work. After a takeover the mean work of their queue was close to zero, so that its
+// jobs earned the highest credit and went before those of other queues.
+func TestFinishedFormsDoNotCountAsWork(t *testing.T) {
+	step := infra.Step{Count: 1, Size: fleet.Resources{MilliCPU: 10000, MemoryBytes: 1 << 30}}
+	newJob := func(id, queue string, estimate time.Duration) infra.Job {
+		step.Estimate = estimate
+		return infra.Job{ID: fleet.JobID(id), Queue: queue, Steps: []infra.Step{step}}
+	}
+	restored := flow.Restored{Jobs: []flow.StoredJob{{Job: newJob("long", "old", time.Second)}, {Job: newJob("short", "new", 900*time.Millisecond)}}}
+	for n := range 100 {
+		j := newJob(fmt.Sprintf("j%02d", n), "old", time.Second)
+		restored.Jobs = append(restored.Jobs, flow.StoredJob{Job: flow.Finished(j), Record: &completedRecord})
+	}
+	h := newHarness(t, restored, newPoolWorker("a"))
+	catalog := testCatalog()
+	catalog.Version = 2
+	old, fresh := catalog.Queues[0], catalog.Queues[0]
+	old.Name, fresh.Name = "old", "new"
+	catalog.Queues = append(catalog.Queues, old, fresh)
+	h.step(flow.Configured{Catalog: catalog})
+	h.advance(200 * time.Millisecond)
+	h.report("a", infra.Report{})
+	h.advance(200 * time.Millisecond)
+	started := h.starts()
+	assert.Equal(t, len(started), 1)
+	assert.Equal(t, started[0].Order.Task.Job, fleet.JobID("short"))
+}
--- a/coord/flow/run_time.go
+++ b/coord/flow/run_time.go
@@ -161,8 +161,11 @@
 	workSmoothing = 0.05
 )
 
-// updateMeanWork adds the work of a new job to the mean of its queue.
+// updateMeanWork adds the work of a new job to the mean of its queue. That of a job in its [Finished] form is unknown.
 func (m *Machine) updateMeanWork(j *job) {
+	if IsFinished(j.spec) {
+		return
+	}
 	rt := m.runTimeModel(j.spec.Queue)
 	work := 0.0
 	for i := range j.spec.Steps {
