--- a/entryd/leader/scheduler.go
+++ b/entryd/leader/scheduler.go
@@ -159,7 +159,7 @@
 		decisions: s.decisions.With("token", int64(leadership.leader.Token)),
 		meter:     newLoadMeter(s.registry, s.traffic),
 		events:    make(chan queuedEvent, eventQueueSize), queries: make(chan query), stopped: make(chan struct{}), startedAt: Now(),
-		renewalsOnWay: newRenewalWindow(), sequenceRead: make(chan struct{}),
+		sequenceRead: make(chan struct{}),
 		machine: flow.New(leadership.leader.Token,
 			flow.WithTaskLease(min(s.bounds.MaxLease, maxTaskLease)), flow.WithLeadershipTimeout(leadershipTimeout),
 			flow.WithRetention(retentionFactor*s.bounds.StatusRetention), flow.WithMaxTargetMiss(s.bounds.MaxTargetMiss),
@@ -205,7 +205,6 @@
 	// startedAt is when the loop began, and renewedLeases counts the renewals of leases that it has sent since.
 	startedAt     time.Time
 	renewedLeases int
-	renewalsOnWay renewalWindow
 
 	// sequenceRead is closed when sequenceRevision has been read, before which no batch is written.
 	sequenceRead     chan struct{}
@@ -389,10 +388,7 @@
 	case flow.Renew:
 		l.renewals.Inc(1)
 		l.countRenewal(e)
-		l.effects.Go(func() {
-			defer l.renewalsOnWay.enter(ctx, e)()
-			l.renewLeases(ctx, e)
-		})
+		l.effects.Go(func() { l.renewLeases(ctx, e) })
 	case flow.Start:
 		l.orders.Inc(1)
 		l.effects.Go(func() { l.startTask(ctx, e) })
