--- a/coord/flow/answer.go
+++ b/coord/flow/answer.go
@@ -9,19 +9,23 @@
 )
 
 func (m *Machine) startAnswered(ev StartAnswered) {
-	m.placementDue = m.placementDue || m.unansweredStarts >= maxUnansweredStarts || m.linkFull
+	m.placementDue = m.placementDue || m.tooManyUnanswered() || m.linkFull
 	m.unansweredStarts--
-	m.settle(startID{ev.Order.Task, ev.Order.Run})
+	if ev.Via != "" {
+		m.unansweredRelayed--
+	}
+	var refused *infra.RefusedError
+	m.settle(startID{ev.Order.Task, ev.Order.Run}, ev.Err == nil || errors.As(ev.Err, &refused))
 	m.judgeRelay(ev.Via, ev.Err)
 	w := m.workers[ev.Worker]
 	if w == nil {
 		return
 	}
+	m.startSettled(w)
 	r := w.runs[ev.Order.Task]
 	if r == nil || r.number != ev.Order.Run {
 		return
 	}
-	var refused *infra.RefusedError
 	var unsent *infra.NotSentError
 	var unrelayed *RelayError
 	switch {
@@ -57,6 +61,15 @@
 	}
 }
 
+// startSettled notes that one start of a worker less is without an answer. The worker may be listed anew since the start was sent.
+func (m *Machine) startSettled(w *worker) {
+	if w.unansweredStarts == maxUnansweredOfWorker {
+		m.markChanged(w)
+		m.placementDue = true
+	}
+	w.unansweredStarts = max(0, w.unansweredStarts-1)
+}
+
 // judgeRelay puts a relay aside that has not sent a start or got no answer.
 func (m *Machine) judgeRelay(relay fleet.EntryHostID, err error) {
 	var unrelayed *RelayError
--- a/coord/flow/link.go
+++ b/coord/flow/link.go
@@ -12,16 +12,17 @@
 )
 
 const (
-	// linkWindow is how long the starts on their way may occupy a link. Stops and renewals wait behind them.
-	linkWindow = 100 * time.Millisecond
 	// startOverhead is the size of the names, headers and packets of a start, in bytes.
 	startOverhead = 1200
-	// relayedStartBytes is the size of a start on its way to a relay, without its checkpoint.
+	// directShare divides the window for the starts that this host sends itself while there are relays. Relayed ones take a ninth of
+	// their room.
+	directShare = 4
+	// relayedStartBytes is the size of a start without its checkpoint on its way to a relay.
 	relayedStartBytes = 400
 	// maxStartBytes is the size of a large start, in bytes.
 	maxStartBytes = 4 << 10
-	// maxRelays limits the entry hosts through which starts are sent, because each has connections of its own to the workers.
-	maxRelays = 8
+	// MaxRelays limits the entry hosts through which starts are sent, because each has connections of its own to the workers.
+	MaxRelays = 8
 	// relayPause is how long a relay that has not answered takes no starts, and relayDoubtPause how long one takes none that
 	// has not sent a start or got no answer.
 	relayPause      = 2 * time.Second
@@ -60,6 +61,11 @@
 	return func(o *options) { o.linkBitsPerSecond = bitsPerSecond }
 }
 
+// LimitsStarts reports whether a link of a known bandwidth carries fewer starts than a scheduler sends at once.
+func LimitsStarts(bitsPerSecond int64) bool {
+	return bitsPerSecond > 0 && MaxLinkDelay(bitsPerSecond) == 2*linkWindow
+}
+
 // MaxLinkDelay returns how long an order may wait for a link of a known bandwidth behind the starts of a scheduler, and 0 if
 // the bandwidth is unknown. The link may carry as much other traffic.
 func MaxLinkDelay(bitsPerSecond int64) time.Duration {
@@ -76,55 +82,17 @@
 	run  infra.Run
 }
 
-// sentStart is a start on its way. It counts until its answer, but not after until, so that silent workers do not keep a
-// link from others.
-type sentStart struct {
-	id    startID
-	until time.Time
-}
-
 // lane is a link that carries starts: that of this host or of a relay.
 type lane struct {
 	// relay is empty for the link of this host.
 	relay fleet.EntryHostID
-	// window limits the bytes on their way; 0 if the bandwidth is unknown.
-	window int64
-	bytes  int64
-	onWay  map[startID]int64
-	// sent lists the starts in the order of their ends, with those that were answered.
-	sent []sentStart
+	window[startID]
 	// restsUntil is the end of the time for which a relay takes no starts.
 	restsUntil time.Time
 }
 
 func newLane(relay fleet.EntryHostID, bitsPerSecond int64) *lane {
-	return &lane{relay: relay, window: int64(linkWindow.Seconds() * float64(bitsPerSecond) / 8), onWay: make(map[startID]int64)}
-}
-
-// hasRoom reports whether starts of a size may be sent. Larger ones than the window go alone.
-func (l *lane) hasRoom(size int64) bool {
-	return l.window <= 0 || l.bytes == 0 || l.bytes+size <= l.window
-}
-
-func (l *lane) add(now time.Time, id startID, size int64) {
-	l.bytes += size
-	l.onWay[id] = size
-	l.sent = append(l.sent, sentStart{id: id, until: now.Add(2 * linkWindow)})
-}
-
-// remove ends the way of a start.
-func (l *lane) remove(id startID) {
-	l.bytes -= l.onWay[id]
-	delete(l.onWay, id)
-}
-
-// expire removes the starts that have been on their way for too long to count.
-func (l *lane) expire(now time.Time) {
-	n := 0
-	for ; n < len(l.sent) && !now.Before(l.sent[n].until); n++ {
-		l.remove(l.sent[n].id)
-	}
-	l.sent = append(l.sent[:0], l.sent[n:]...)
+	return &lane{relay: relay, window: newWindow[startID](bitsPerSecond)}
 }
 
 // startBytes estimates the size of a start of a task.
@@ -132,21 +100,25 @@
 	return int64(len(j.spec.Spec)+len(t.checkpoint)) + startOverhead
 }
 
-// setRelays replaces the relays. Those with the fastest links are used; one that was used before keeps its state.
+// setRelays replaces the relays. Those with the fastest links are used; one that was used before keeps its state. A link that
+// carries all starts that may be on their way needs none.
 func (m *Machine) setRelays(all []Relay) {
+	if !LimitsStarts(m.opts.linkBitsPerSecond) {
+		return
+	}
 	all = slices.Clone(all)
 	slices.SortFunc(all, func(a, b Relay) int {
 		return cmp.Or(cmp.Compare(b.LinkBitsPerSecond, a.LinkBitsPerSecond), cmp.Compare(a.EntryHost, b.EntryHost))
 	})
 	old := m.relays
 	m.relays = nil
-	for _, r := range all[:min(maxRelays, len(all))] {
+	for _, r := range all[:min(MaxRelays, len(all))] {
 		if r.LinkBitsPerSecond <= 0 {
 			r.LinkBitsPerSecond = m.opts.linkBitsPerSecond
 		}
 		l := newLane(r.EntryHost, r.LinkBitsPerSecond)
 		if at := slices.IndexFunc(old, func(l *lane) bool { return l.relay == r.EntryHost }); at >= 0 {
-			old[at].window = l.window
+			old[at].limit = l.limit
 			l = old[at]
 		}
 		m.relays = append(m.relays, l)
@@ -162,35 +134,53 @@
 	return h.Sum64()
 }
 
-// chooseLane returns the link on which starts of a job may be sent now, or nil if all are full. Then their tasks wait, and those
+// chooseLane returns the link on which starts of tasks may be sent now, or nil if all are full. Then their tasks wait, and those
 // that are ranked below them do too, so that large starts are not passed over. While there are relays, starts that this host
-// sends itself leave half of its link to those that relays send.
-func (m *Machine) chooseLane(id fleet.JobID, starts int, size int64) *lane {
+// sends itself leave most of its link to those that relays send.
+func (m *Machine) chooseLane(j *job, tasks ...*task) *lane {
+	size, relayed := int64(0), int64(0)
+	for _, t := range tasks {
+		size += startBytes(j, t)
+		relayed += relayedBytes(t)
+	}
 	var best *lane
 	bestAffinity := uint64(0)
 	for _, l := range m.relays {
 		if m.now.Before(l.restsUntil) || !l.hasRoom(size) {
 			continue
 		}
-		if a := l.affinity(id); best == nil || a > bestAffinity {
+		if a := l.affinity(j.spec.ID); best == nil || a > bestAffinity {
 			best, bestAffinity = l, a
 		}
 	}
+	reserved := int64(0)
+	if best != nil {
+		reserved = m.link.limit - m.link.limit/directShare
+	}
 	switch {
-	case best == nil && m.link.hasRoom(size), best != nil && m.link.hasRoom(size+m.link.window/2):
+	case m.unansweredStarts-m.unansweredRelayed < maxUnansweredStarts && m.link.hasRoom(size+reserved):
 		return m.link
-	case best != nil && m.link.hasRoom(int64(starts)*relayedStartBytes):
+	case best != nil && m.unansweredRelayed < maxUnansweredRelayed && m.link.hasRoom(relayed):
 		return best
 	}
 	m.linkFull = true
 	return nil
 }
 
-// settle ends the way of a start on all links.
-func (m *Machine) settle(id startID) {
-	m.link.remove(id)
-	for _, l := range m.relays {
-		l.remove(id)
+// tooManyUnanswered reports whether no start may be sent before another one is answered.
+func (m *Machine) tooManyUnanswered() bool {
+	return m.unansweredStarts-m.unansweredRelayed >= maxUnansweredStarts &&
+		(len(m.relays) == 0 || m.unansweredRelayed >= maxUnansweredRelayed)
+}
+
+// settle ends the way of a start on all links. A worker that has answered shows that what was sent before has left them.
+func (m *Machine) settle(id startID, isAnswered bool) {
+	for _, l := range append(m.relays, m.link) {
+		if isAnswered {
+			l.answer(id)
+		} else {
+			l.remove(id)
+		}
 	}
 }
 
@@ -203,6 +193,9 @@
 	}
 }
 
+// relayedBytes estimates the size of a start of a task on its way to a relay.
+func relayedBytes(t *task) int64 { return int64(len(t.checkpoint)) + relayedStartBytes }
+
 // LinkUse describes how starts use this host's link.
 type LinkUse struct {
 	// OnWay is the estimated size of the starts on their way, and Window its limit, in bytes; 0 if there is none.
@@ -213,11 +206,18 @@
 	Resting int `json:"resting_relays"`
 	// HeldBack counts the tasks that wait while the link is full.
 	HeldBack int `json:"held_back"`
+	// Starts, Relayed and RelayFailures are those of [Counts].
+	Starts        int64 `json:"starts"`
+	Relayed       int64 `json:"relayed"`
+	RelayFailures int64 `json:"relay_failures"`
 }
 
 // LinkUse returns how starts use this host's link.
 func (m *Machine) LinkUse() LinkUse {
-	use := LinkUse{OnWay: m.link.bytes, Window: m.link.window, Relays: len(m.relays)}
+	use := LinkUse{
+		OnWay: m.link.bytes, Window: m.link.limit, Relays: len(m.relays),
+		Starts: m.counts.Starts, Relayed: m.counts.Relayed, RelayFailures: m.counts.RelayFailures,
+	}
 	for _, l := range m.relays {
 		if m.now.Before(l.restsUntil) {
 			use.Resting++
--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -132,13 +132,15 @@
 	candidates map[string]*candidateSet
 	// rankedWorkers is the memory of the last [ranking].
 	rankedWorkers rankedWorkers
-	// unansweredStarts counts the starts without an answer.
-	unansweredStarts int
+	// unansweredStarts counts the starts without an answer, and unansweredRelayed those of them that relays send.
+	unansweredStarts  int
+	unansweredRelayed int
 	// link is that of this host, and relays are those of other entry hosts. linkFull is set if the last round of placement ended
 	// because none had room.
 	link     *lane
 	relays   []*lane
 	linkFull bool
+	reports  reportRequests
 	// scheduledJobs holds the jobs with occurrences that are not created yet.
 	scheduledJobs map[fleet.JobID]*job
 
@@ -251,7 +253,7 @@
 	for _, opt := range opts {
 		opt(&m.opts)
 	}
-	m.link = newLane("", m.opts.linkBitsPerSecond)
+	m.link, m.reports = newLane("", m.opts.linkBitsPerSecond), newReportRequests(m.opts.linkBitsPerSecond)
 	return m
 }
 
--- a/coord/flow/place.go
+++ b/coord/flow/place.go
@@ -9,9 +9,14 @@
 )
 
 const (
-	// maxUnansweredStarts limits the starts without an answer. At 750 starts per second it allows an answer to take
+	// maxUnansweredStarts limits the starts of this host without an answer. At 750 starts per second it allows an answer to take
 	// 170 ms, so that an overloaded process sends fewer starts rather than starts that arrive too late.
 	maxUnansweredStarts = 128
+	// maxUnansweredRelayed limits those that relays send.
+	maxUnansweredRelayed = 128
+	// maxUnansweredOfWorker limits the starts of one worker without an answer. They share a few connections, where each waits for
+	// the answers to those before it.
+	maxUnansweredOfWorker = 32
 	// remoteWaitFactor is the fraction of a step's estimate for which its tasks wait for a worker in the rack of their
 	// data.
 	remoteWaitFactor = 0.5
@@ -38,7 +43,7 @@
 	}
 	for _, r := range m.rankedSteps {
 		switch {
-		case m.unansweredStarts >= maxUnansweredStarts || m.linkFull:
+		case m.tooManyUnanswered() || m.linkFull:
 			return
 		case r.removed:
 		case r.step.spec.Gang:
@@ -191,7 +196,7 @@
 			}
 			break
 		}
-		via := m.chooseLane(r.occ.job.spec.ID, 1, startBytes(r.occ.job, t))
+		via := m.chooseLane(r.occ.job, t)
 		if via == nil {
 			break
 		}
@@ -200,7 +205,7 @@
 		}
 		m.start(r, i, w, t.lastRun+1, via)
 		ordinary.stale = true
-		if m.unansweredStarts >= maxUnansweredStarts {
+		if m.tooManyUnanswered() {
 			break
 		}
 	}
@@ -238,11 +243,11 @@
 		if chosen == nil {
 			continue
 		}
-		size := int64(0)
+		all := make([]*task, len(s.tasks))
 		for i := range s.tasks {
-			size += startBytes(r.occ.job, &s.tasks[i])
+			all[i] = &s.tasks[i]
 		}
-		via := m.chooseLane(r.occ.job.spec.ID, len(s.tasks), size)
+		via := m.chooseLane(r.occ.job, all...)
 		if via == nil {
 			return
 		}
@@ -357,7 +362,7 @@
 }
 
 func (m *Machine) fits(r *readyStep, w *worker, rack string) bool {
-	if rack != "" && !w.hasLabel(rack) {
+	if rack != "" && !w.hasLabel(rack) || w.unansweredStarts >= maxUnansweredOfWorker {
 		return false
 	}
 	if r.queue.ApprovalCost != nil {
@@ -482,10 +487,12 @@
 	s.setPhase(index, active)
 	r.occ.job.started = true
 	m.unansweredStarts++
+	w.unansweredStarts++
 	size := startBytes(r.occ.job, t)
 	if via != m.link {
+		m.unansweredRelayed++
 		via.add(m.now, startID{id, number}, size)
-		size = relayedStartBytes
+		size = relayedBytes(t)
 		m.counts.Relayed++
 	}
 	m.link.add(m.now, startID{id, number}, size)
--- a/coord/wire/hosted.go
+++ b/coord/wire/hosted.go
@@ -30,6 +30,12 @@
 	// RequestSupersede ends the receiver's leadership as scheduler if its token is lower than Token. The response is
 	// [ResponseOK] once no such leadership is running.
 	RequestSupersede HostedRequestKind = "over"
+	// RequestEligible asks whether the receiver would take over from the scheduler with Token. The response is [ResponseOK] if it
+	// would.
+	RequestEligible HostedRequestKind = "eligible"
+	// RequestRelayClock asks whether the receiver takes a [RelayedStart]. The response is [ResponseOK] with a [RelayClock]. A process
+	// of an earlier version does not know the kind, and would break the link on a RelayedStart.
+	RequestRelayClock HostedRequestKind = "relay_clock"
 )
 
 // HostedRequest is a request about jobs, or about the scheduler, to another entry process of a hosted deployment. Data
--- a/entryd/hosted/intake.go
+++ b/entryd/hosted/intake.go
@@ -25,6 +25,9 @@
 	storeTimeout = 700 * time.Millisecond
 	// queryTimeout limits a query to the scheduler, which takes one round trip between zones.
 	queryTimeout = 400 * time.Millisecond
+	// eligibleTimeout limits the question whether a peer would take over, which reads from the store and may wait behind the orders on
+	// a small link.
+	eligibleTimeout = 1400 * time.Millisecond
 	// peerWriteTimeout limits a write to the store through a peer.
 	peerWriteTimeout = 900 * time.Millisecond
 	// retryAfter is the delay after which callers should retry while the store is unreachable. Outages of the store
@@ -46,6 +49,7 @@
 	scheduler *leader.Scheduler
 	mesh      *peers.Mesh
 	catalog   *CatalogWatcher
+	specs     *specCache
 	log       *slog.Logger
 
 	submits metrics.Timer
@@ -83,6 +87,7 @@
 	i := &Intake{
 		self: self, store: client, health: &storeHealth{store: client, log: log}, log: log, pending: make(map[string]pendingCount),
 	}
+	i.specs = newSpecCache(i.readSpec)
 	i.registerMetrics(metrics.NewRegistry())
 	for _, opt := range opts {
 		opt(i)
@@ -128,6 +133,9 @@
 	stored, via, err := i.persist(ctx, req)
 	i.submits.UpdateSince(start)
 	i.logCall("submit", j.ID, q.Name, via, start, err)
+	if err == nil {
+		i.specs.add(j.ID, j.Spec)
+	}
 	if err == nil && via == viaStore {
 		i.notifyScheduler(notification(req, stored))
 	}
@@ -292,6 +300,16 @@
 	return time.Duration(resp.IdleMS) * time.Millisecond, err == nil && resp.Status == wire.ResponseOK
 }
 
+// AskEligible asks the process on an entry host whether it would take over from the scheduler with a token, see
+// [leader.Group.Eligible].
+func (i *Intake) AskEligible(ctx context.Context, host fleet.EntryHostID, token infra.Token) error {
+	resp, err := i.call(ctx, host, wire.HostedRequest{Kind: wire.RequestEligible, Token: token}, eligibleTimeout)
+	if err == nil && resp.Status != wire.ResponseOK {
+		return &leader.IneligibleError{Reason: resp.Reason}
+	}
+	return err
+}
+
 // notification returns the notification of the scheduler about a change that was written. That of a job that existed already
 // contains the job as it was stored before.
 func notification(req wire.HostedRequest, stored store.Entry) wire.HostedRequest {
@@ -436,6 +454,19 @@
 	return &found.Entries[0], nil
 }
 
+// readSpec reads the spec of a job from the store.
+func (i *Intake) readSpec(ctx context.Context, id fleet.JobID) (string, error) {
+	found, err := i.read(ctx, leader.JobKey(id))
+	if err != nil {
+		return "", err
+	}
+	if found == nil {
+		return "", &infra.JobNotFoundError{Job: id}
+	}
+	job, err := leader.DecodeJob(found.Value)
+	return job.Spec, err
+}
+
 // Pending implements [infra.Jobs].
 func (i *Intake) Pending(ctx context.Context, q infra.Queue) (int, error) {
 	resp, answered := i.queryScheduler(ctx, wire.HostedRequest{Kind: wire.RequestPendingCount, Queue: q.Name})
--- a/entryd/leader/scheduler.go
+++ b/entryd/leader/scheduler.go
@@ -26,16 +26,23 @@
 	// orderTimeout bounds a start, stop or throttle order that need not wait for the link, see [flow.MaxLinkDelay]. A round
 	// trip between zones takes up to 10 ms; the timeout allows for one retransmitted packet.
 	orderTimeout = 400 * time.Millisecond
-	// renewTimeoutMargin is how much longer a renewal may take than the Wait of its order.
-	renewTimeoutMargin = 700 * time.Millisecond
+	// renewTimeoutMargin is how much longer a renewal may take than the Wait of its order while its answer arrives: less than the
+	// rest of a lease that was renewed before.
+	renewTimeoutMargin = 3 * time.Second
 	// maxEventsPerTick ensures that ticks are handled while events arrive faster than they can be handled.
 	maxEventsPerTick = 512
 )
 
+// OrderTimeout returns the time-out of an order on a link with a bandwidth, 0 if that is unknown.
+func OrderTimeout(bitsPerSecond int64) time.Duration {
+	return orderTimeout + flow.MaxLinkDelay(bitsPerSecond)
+}
+
 // Scheduler runs the scheduler's state machine while this process is the leader.
 type Scheduler struct {
 	store  store.Client
 	agents infra.Agents
+	relays Relays
 	policy infra.PolicyService
 	// machineService is nil if the platform has no machine maintenance.
 	machineService infra.Machines
@@ -67,6 +74,8 @@
 type Deps struct {
 	Store  store.Client
 	Agents infra.Agents
+	// Relays is nil if all starts are sent from here.
+	Relays Relays
 	// Policy is called only for queues that have a policy.
 	Policy infra.PolicyService
 	// Machines takes machines down for maintenance; it is nil if the platform has no such service.
@@ -89,8 +98,8 @@
 // NewScheduler returns a scheduler that does nothing until [Scheduler.Run].
 func NewScheduler(d Deps) *Scheduler {
 	return &Scheduler{
-		store: d.Store, agents: d.Agents, policy: d.Policy, machineService: d.Machines, format: d.Format, bounds: d.Bounds, log: d.Log, decisions: d.Decisions, supersede: d.Supersede,
-		linkBitsPerSecond: d.LinkBitsPerSecond, orderTimeout: orderTimeout + flow.MaxLinkDelay(d.LinkBitsPerSecond),
+		store: d.Store, agents: d.Agents, relays: d.Relays, policy: d.Policy, machineService: d.Machines, format: d.Format, bounds: d.Bounds, log: d.Log, decisions: d.Decisions, supersede: d.Supersede,
+		linkBitsPerSecond: d.LinkBitsPerSecond, orderTimeout: OrderTimeout(d.LinkBitsPerSecond),
 		registry:       d.Metrics,
 		traffic:        d.Traffic,
 		startLatency:   metrics.GetOrRegisterTimer("scheduler.start_seconds", d.Metrics),
@@ -273,6 +282,9 @@
 	var sources sync.WaitGroup
 	sources.Go(func() { l.watchInputs(ctx) })
 	sources.Go(func() { l.watchWorkers(ctx) })
+	if l.relays != nil && flow.LimitsStarts(l.linkBitsPerSecond) {
+		sources.Go(func() { l.watchRelays(ctx) })
+	}
 	sources.Go(func() { l.awaitPredecessors(ctx) })
 	sources.Go(func() { l.awaitPredecessorLeases(ctx) })
 	var waveEvents chan upkeep.Event
@@ -308,7 +320,7 @@
 		l.awaitedWorkers.Update(int64(l.machine.AwaitedWorkers()))
 		l.longWaits.Update(int64(l.machine.LongWaits()))
 		l.unsavedJobs.Update(int64(l.machine.UnsavedJobs()))
-		l.meter.report(l.log, len(l.events))
+		l.meter.report(l.log, len(l.events), l.machine.LinkUse)
 	}
 	l.longWaits.Update(0)
 	l.unsavedJobs.Update(0)
