--- a/entryd/leader/scheduler.go
+++ b/entryd/leader/scheduler.go
@@ -168,6 +168,7 @@
 		decisions: s.decisions.With("token", int64(leadership.leader.Token)),
 		meter:     newLoadMeter(s.registry, s.traffic),
 		events:    make(chan queuedEvent, eventQueueSize), queries: make(chan query), stopped: make(chan struct{}), startedAt: Now(),
+		sequenceRead: make(chan struct{}),
 		machine: flow.New(leadership.leader.Token,
 			flow.WithTaskLease(min(s.bounds.MaxLease, maxTaskLease)), flow.WithLeadershipTimeout(leadershipTimeout),
 			flow.WithRetention(retentionFactor*s.bounds.StatusRetention), flow.WithMaxTargetMiss(s.bounds.MaxTargetMiss),
@@ -214,6 +215,8 @@
 	startedAt     time.Time
 	renewedLeases int
 
+	// sequenceRead is closed when sequenceRevision has been read, before which no batch is written.
+	sequenceRead     chan struct{}
 	sequenceRevision store.Revision
 	workersRevision  store.Revision
 	// inputs records which jobs and cancellations have been posted.
