wire, flow, leader, hosted: hashes by the library, files split by their jobs

Behaviour is the same, except that specs are identified by xxhash, which no release has used yet.

Measured: go test ./coord/flow ./coord/wire passes.

--- a/coord/flow/link.go
+++ b/coord/flow/link.go
@@ -3,15 +3,24 @@
 import (
 	"cmp"
 	"fmt"
-	"hash/fnv"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"lovagefork.example/coord/fleet"
 	"lovagefork.example/coord/infra"
 )
 
 const (
+	// maxUnansweredStarts limits the starts of this host without an answer. At 750 starts per second it allows an answer to take
+	// 170 ms, so that an overloaded process sends fewer starts rather than starts that arrive too late.
+	maxUnansweredStarts = 128
+	// maxUnansweredRelayed limits those that relays send.
+	maxUnansweredRelayed = 128
+	// maxUnansweredOfWorker limits the starts of one worker without an answer. They share a few connections, where each waits for
+	// the answers to those before it.
+	maxUnansweredOfWorker = 32
 	// startOverhead is the size of the names, headers and packets of a start, in bytes.
 	startOverhead = 1200
 	// directShare divides the window for the starts that this host sends itself while there are relays. Relayed ones take a ninth of
@@ -132,10 +141,7 @@
 
 // affinity orders the relays for a job, so that all of its tasks go through the same one while that has room.
 func (l *lane) affinity(id fleet.JobID) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(l.relay))
-	_, _ = h.Write([]byte(id))
-	return h.Sum64()
+	return xxhash.Sum64String(string(l.relay) + "/" + string(id))
 }
 
 // chooseLane returns the link on which starts of tasks may be sent now, or nil if all are full. Then their tasks wait, and those
@@ -177,14 +183,11 @@
 		(len(m.relays) == 0 || m.unansweredRelayed >= maxUnansweredRelayed)
 }
 
-// settle ends the way of a start on all links. A worker that has answered shows that what was sent before has left them.
+// settle ends the way of a start on all links.
 func (m *Machine) settle(id startID, isAnswered bool) {
-	for _, l := range append(m.relays, m.link) {
-		if isAnswered {
-			l.answer(id)
-		} else {
-			l.remove(id)
-		}
+	m.link.settle(id, isAnswered)
+	for _, l := range m.relays {
+		l.settle(id, isAnswered)
 	}
 }
 
--- a/coord/flow/place.go
+++ b/coord/flow/place.go
@@ -9,14 +9,6 @@
 )
 
 const (
-	// maxUnansweredStarts limits the starts of this host without an answer. At 750 starts per second it allows an answer to take
-	// 170 ms, so that an overloaded process sends fewer starts rather than starts that arrive too late.
-	maxUnansweredStarts = 128
-	// maxUnansweredRelayed limits those that relays send.
-	maxUnansweredRelayed = 128
-	// maxUnansweredOfWorker limits the starts of one worker without an answer. They share a few connections, where each waits for
-	// the answers to those before it.
-	maxUnansweredOfWorker = 32
 	// remoteWaitFactor is the fraction of a step's estimate for which its tasks wait for a worker in the rack of their
 	// data.
 	remoteWaitFactor = 0.5
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -34,7 +34,7 @@
 	w.renewalSentAt = m.now
 	w.renewalInFlight = true
 	w.renewalSequence++
-	m.reports.sent(m, w, order)
+	m.reports.sent(m.now, w, order)
 	m.emit(Renew{To: w.address(), Sequence: w.renewalSequence, Order: order})
 }
 
@@ -44,7 +44,7 @@
 		return
 	}
 	w.renewalInFlight, w.probed = false, false
-	m.reports.remove(w.ID)
+	m.reports.settle(w.ID, false)
 	w.nextRenewal = m.now.Add(m.retryPause(w))
 	w.failedRenewals++
 	var refused *infra.RefusedError
--- a/coord/flow/reports.go
+++ b/coord/flow/reports.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"lovagefork.example/coord/fleet"
 	"lovagefork.example/coord/infra"
@@ -29,15 +30,15 @@
 }
 
 // sent notes a renewal.
-func (r *reportRequests) sent(m *Machine, w *worker, order infra.RenewOrder) {
+func (r *reportRequests) sent(now time.Time, w *worker, order infra.RenewOrder) {
 	if order.Wait == 0 {
-		r.add(m.now, w.ID, int64(r.expectedBytes))
+		r.add(now, w.ID, int64(r.expectedBytes))
 	}
 }
 
 // answered notes the report that answers a renewal.
 func (r *reportRequests) answered(w *worker, order infra.RenewOrder, report infra.Report) {
-	r.answer(w.ID)
+	r.settle(w.ID, true)
 	if order.Wait == 0 {
 		size := float64(reportOverhead + reportRowBytes*(len(report.Running)+len(report.Ended)))
 		r.expectedBytes += reportSmoothing * (size - r.expectedBytes)
--- a/coord/flow/window.go
+++ b/coord/flow/window.go
@@ -52,13 +52,14 @@
 	w.sent = append(w.sent, sentTransfer[K]{key: key, number: w.count, until: now.Add(2 * linkWindow)})
 }
 
-// answer ends the way of something that was answered.
-func (w *window[K]) answer(key K) {
-	w.answered = max(w.answered, w.onWay[key].number)
+// settle ends the way of something. If it was answered, what was sent before it has left the link.
+func (w *window[K]) settle(key K, isAnswered bool) {
+	if isAnswered {
+		w.answered = max(w.answered, w.onWay[key].number)
+	}
 	w.remove(key)
 }
 
-// remove ends the way of something.
 func (w *window[K]) remove(key K) {
 	w.bytes -= w.onWay[key].size
 	delete(w.onWay, key)
--- a/coord/flow/worker_lifecycle.go
+++ b/coord/flow/worker_lifecycle.go
@@ -41,7 +41,7 @@
 		m.emit(Evacuated{Worker: w.ID})
 	}
 	delete(m.workers, w.ID)
-	m.reports.remove(w.ID)
+	m.reports.settle(w.ID, false)
 	for i, o := range m.workersByID {
 		if o == w {
 			m.workersByID = append(append([]*worker(nil), m.workersByID[:i]...), m.workersByID[i+1:]...)
--- a/coord/wire/relay.go
+++ b/coord/wire/relay.go
@@ -1,6 +1,8 @@
 package wire
 
 import (
+	"github.com/cespare/xxhash/v2"
+
 	"lovagefork.example/coord/fleet"
 	"lovagefork.example/coord/infra"
 )
@@ -64,14 +66,7 @@
 }
 
 // SpecSum identifies the spec of a job among those that were stored under its ID.
-func SpecSum(spec string) uint64 {
-	// FNV-1a.
-	sum := uint64(14695981039346656037)
-	for i := range len(spec) {
-		sum = (sum ^ uint64(spec[i])) * 1099511628211
-	}
-	return sum
-}
+func SpecSum(spec string) uint64 { return xxhash.Sum64String(spec) }
 
 func (RelayedStart) kind() string         { return "relayed_start" }
 func (RelayedStartResponse) kind() string { return "relayed_start_answer" }
--- a/entryd/hosted/intake.go
+++ b/entryd/hosted/intake.go
@@ -454,19 +454,6 @@
 	return &found.Entries[0], nil
 }
 
-// readSpec reads the spec of a job from the store.
-func (i *Intake) readSpec(ctx context.Context, id fleet.JobID) (string, error) {
-	found, err := i.read(ctx, leader.JobKey(id))
-	if err != nil {
-		return "", err
-	}
-	if found == nil {
-		return "", &infra.JobNotFoundError{Job: id}
-	}
-	job, err := leader.DecodeJob(found.Value)
-	return job.Spec, err
-}
-
 // Pending implements [infra.Jobs].
 func (i *Intake) Pending(ctx context.Context, q infra.Queue) (int, error) {
 	resp, answered := i.queryScheduler(ctx, wire.HostedRequest{Kind: wire.RequestPendingCount, Queue: q.Name})
--- a/entryd/hosted/specs.go
+++ b/entryd/hosted/specs.go
@@ -6,7 +6,9 @@
 	"sync"
 
 	"lovagefork.example/coord/fleet"
+	"lovagefork.example/coord/infra"
 	"lovagefork.example/coord/wire"
+	"lovagefork.example/entryd/leader"
 )
 
 // maxSpecBytes limits the specs in a [specCache], of about 2.4 KB each.
@@ -111,3 +113,16 @@
 	r.err = err
 	close(r.done)
 }
+
+// readSpec reads the spec of a job from the store.
+func (i *Intake) readSpec(ctx context.Context, id fleet.JobID) (string, error) {
+	found, err := i.read(ctx, leader.JobKey(id))
+	if err != nil {
+		return "", err
+	}
+	if found == nil {
+		return "", &infra.JobNotFoundError{Job: id}
+	}
+	job, err := leader.DecodeJob(found.Value)
+	return job.Spec, err
+}
