--- a/coord/flow/view.go
+++ b/coord/flow/view.go
@@ -390,3 +390,13 @@
 	}
 	return strings.Join(parts, ", ")
 }
+
+// Counts are totals since the scheduler was elected. Lost counts unanswered starts that were not carried out, Vanished
+// runs that disappeared from a worker without an end, Stalled runs without progress or with slow progress, Paced
+// changes of the speed of fillers, Copied copies of speculative tasks, Crashes workers whose process ended while they
+// had runs, Trials starts of tasks that are suspected of a crash, and GivenUp jobs that failed because a task crashes its
+// workers. Relayed counts the starts that relays have sent, and RelayFailures those that their relay has not answered for. Examined counts how often a worker was considered for a task, which is most of the work of placement, and
+// Estimates how often the critical path and the work of an occurrence were computed.
+type Counts struct {
+	Starts, Refused, Lost, Done, Failed, Stopped, Vanished, Stalled, Paced, Copied, Crashes, Trials, GivenUp, Relayed, RelayFailures, Examined, Estimates int64
+}
