flow, leader: calls that reach another life of their worker show in logs and metrics

Cause: 'worker restarted' and 'lease expired' did not say which life was meant, how old its last report was, nor how many runs a report had listed, and nothing showed that a start was carried out by another life or that a life had dropped ends it had not reported. Change: the two lines say so; 'start reached another life' and 'ends are missing' are new, with the gauges scheduler.other_life_starts and scheduler.missing_ends. No decision changes.

--- a/coord/flow/answer.go
+++ b/coord/flow/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"time"
 
 	"lovagefork.example/coord/fleet"
@@ -36,6 +37,9 @@
 		}
 		r.confirmedClock = max(r.confirmedClock, ev.Clock)
 		m.observeRun(r, ev.Clock)
+		if w.isOtherClock(ev.Clock) {
+			m.beganElsewhere(r, fmt.Sprintf("the answer has the clock %d, the last report had %d", ev.Clock, w.clock))
+		}
 		return
 	case errors.As(ev.Err, &refused):
 		m.startRefused(w, r, refused)
@@ -63,6 +67,12 @@
 	}
 }
 
+// beganElsewhere notes that another life of a worker than the one meant has carried out a start.
+func (m *Machine) beganElsewhere(r *run, reason string) {
+	m.counts.OtherLife++
+	m.emit(Log{Text: "start reached another life", Task: r.id, Run: r.number, Worker: r.worker.ID, Reason: reason})
+}
+
 // startSettled notes that one start of a worker less is without an answer. The worker may be listed anew since the start was sent.
 func (m *Machine) startSettled(w *worker) {
 	if w.unansweredStarts == maxUnansweredOfWorker {
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"slices"
 	"time"
 
@@ -186,6 +187,10 @@
 		if e.Number <= w.seenEnd {
 			continue
 		}
+		if missing := e.Number - w.seenEnd - 1; missing > 0 && w.life > 0 {
+			m.counts.MissingEnds += missing
+			m.emit(Log{Text: "ends are missing", Worker: w.ID, Reason: fmt.Sprintf("%d before end %d of life %d", missing, e.Number, w.life)})
+		}
 		w.seenEnd = e.Number
 		hasNew = true
 		m.applyEnd(w, e)
--- a/coord/flow/sweep.go
+++ b/coord/flow/sweep.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"fmt"
 	"slices"
 	"time"
 )
@@ -70,7 +71,10 @@
 	}
 	// While another scheduler may have been elected, it may also have renewed the lease.
 	if !w.reachable && !m.leaseUnconfirmed && len(w.runs) > 0 && w.leaseExpired(m.now) {
-		m.emit(Log{Text: "lease expired", Worker: w.ID, Reason: "worker unreachable"})
+		m.emit(Log{Text: "lease expired", Worker: w.ID, Reason: fmt.Sprintf(
+			"worker unreachable; last report %d ms ago; %d of %d runs were listed; restart announced %t",
+			w.reportAge(m.now), w.listedRuns(), len(w.runs), w.unconfirmed != nil,
+		)})
 		if !w.crashCounted {
 			m.rememberRuns(w)
 		}
--- a/coord/flow/view.go
+++ b/coord/flow/view.go
@@ -395,8 +395,10 @@
 // runs that disappeared from a worker without an end, Stalled runs without progress or with slow progress, Paced
 // changes of the speed of fillers, Copied copies of speculative tasks, Crashes workers whose process ended while they
 // had runs, Trials starts of tasks that are suspected of a crash, and GivenUp jobs that failed because a task crashes its
-// workers. Relayed counts the starts that relays have sent, and RelayFailures those that their relay has not answered for. Examined counts how often a worker was considered for a task, which is most of the work of placement, and
+// workers. Relayed counts the starts that relays have sent, and RelayFailures those that their relay has not answered for. OtherLife
+// counts the starts that another life of their worker than the one meant has carried out, and MissingEnds the ends that such a life
+// has dropped before it reported them, because a call for another life acknowledged them. Examined counts how often a worker was considered for a task, which is most of the work of placement, and
 // Estimates how often the critical path and the work of an occurrence were computed.
 type Counts struct {
-	Starts, Refused, Lost, Done, Failed, Stopped, Vanished, Stalled, Paced, Copied, Crashes, Trials, GivenUp, Relayed, RelayFailures, Examined, Estimates int64
+	Starts, Refused, Lost, Done, Failed, Stopped, Vanished, Stalled, Paced, Copied, Crashes, Trials, GivenUp, Relayed, RelayFailures, OtherLife, MissingEnds, Examined, Estimates int64
 }
--- a/coord/flow/worker.go
+++ b/coord/flow/worker.go
@@ -289,6 +289,14 @@
 	}
 }
 
+// maxAnswerDelay exceeds the time for which an answer to an order can be on its way.
+const maxAnswerDelay = 2 * time.Second
+
+// isOtherClock reports whether a clock reading is too low for the life of the worker that has reported last.
+func (w *worker) isOtherClock(clock int64) bool {
+	return clock > 0 && w.clock-clock > maxAnswerDelay.Milliseconds()
+}
+
 func (w *worker) add(now time.Time, r *run) {
 	w.runs[r.id] = r
 	at, _ := slices.BinarySearchFunc(w.runsByTask, r, compareRuns)
--- a/coord/flow/worker_lifecycle.go
+++ b/coord/flow/worker_lifecycle.go
@@ -172,7 +172,9 @@
 // workerRestarted handles a new incarnation of a worker. The runs of the previous incarnation have ended, but a start
 // without an answer may still reach the new one.
 func (m *Machine) workerRestarted(w *worker, startedAt int64) {
-	m.emit(Log{Text: "worker restarted", Worker: w.ID})
+	m.emit(Log{Text: "worker restarted", Worker: w.ID, Reason: fmt.Sprintf(
+		"started at %d, before at %d; last report %d ms ago; %d of %d runs were listed", startedAt, w.StartedAt, w.reportAge(m.now), w.listedRuns(), len(w.runs),
+	)})
 	m.blameSilencedRuns(w.ID, startedAt)
 	if !w.crashCounted {
 		m.workerCrashed(w, "worker restarted")
@@ -199,6 +201,17 @@
 	w.renewalSequence++
 }
 
+// listedRuns returns how many of the runs a report has listed.
+func (w *worker) listedRuns() int {
+	count := 0
+	for _, r := range w.runsByTask {
+		if r.listedClock > 0 {
+			count++
+		}
+	}
+	return count
+}
+
 // clearWorker drops all runs of a worker on which nothing runs any longer. Starts without an answer are kept, because
 // they may still reach a later incarnation of the worker.
 func (m *Machine) clearWorker(w *worker, reason string) {
--- a/entryd/leader/scheduler.go
+++ b/entryd/leader/scheduler.go
@@ -61,6 +61,8 @@
 	longWaits         metrics.Gauge
 	unsavedJobs       metrics.Gauge
 	awaitedWorkers    metrics.Gauge
+	otherLifeStarts   metrics.Gauge
+	missingEnds       metrics.Gauge
 	elections         metrics.Counter
 	registry          metrics.Registry
 	traffic           *stats.Traffic
@@ -109,6 +111,9 @@
 		longWaits:      metrics.GetOrRegisterGauge("scheduler.waiting_long_running_steps", d.Metrics),
 		unsavedJobs:    metrics.GetOrRegisterGauge("scheduler.unsaved_jobs", d.Metrics),
 		awaitedWorkers: metrics.GetOrRegisterGauge("scheduler.awaited_workers", d.Metrics),
+
+		otherLifeStarts: metrics.GetOrRegisterGauge("scheduler.other_life_starts", d.Metrics),
+		missingEnds:     metrics.GetOrRegisterGauge("scheduler.missing_ends", d.Metrics),
 		elections:      metrics.GetOrRegisterCounter("scheduler.elections.total", d.Metrics),
 	}
 }
@@ -319,6 +324,9 @@
 		l.tick(ctx)
 		l.awaitedWorkers.Update(int64(l.machine.AwaitedWorkers()))
 		l.longWaits.Update(int64(l.machine.LongWaits()))
+		counts := l.machine.Counts()
+		l.otherLifeStarts.Update(counts.OtherLife)
+		l.missingEnds.Update(counts.MissingEnds)
 		l.unsavedJobs.Update(int64(l.machine.UnsavedJobs()))
 		l.meter.report(l.log, len(l.events), l.machine.LinkUse)
 	}
