flow: the next life of a worker rejects calls that were meant for the former one

Callers saw tasks run twice at once. Cause: a worker that starts again under its ID has seen no token, and calls name a worker by its ID only, so that the next life carries out every call that was still on its way: a start up to 12 s after its task has been started elsewhere, a renewal with the former life's numbers of ends. Change: each worker has a token of its own within the scheduler's term. It is raised when the worker falls silent, announces a restart or has restarted, so that the first call which the next life answers fences all earlier ones; a start with a lower token that two reports do not list is lost, without a stop. Tokens stay at or below the revision of the last batch that the store has taken from this scheduler, so that those of successors, which are revisions too, are higher; a refusal of an overtaken order requeues its task and no longer ends the leadership, one of an order with the present token still does.

--- a/coord/flow/answer.go
+++ b/coord/flow/answer.go
@@ -113,8 +113,10 @@
 	m.counts.Refused++
 	switch refused.Reason {
 	case infra.ReasonFenced:
-		m.emit(Resign{Worker: w.ID})
-		return
+		if m.isFencedBySuccessor(w, r.token) {
+			m.emit(Resign{Worker: w.ID})
+			return
+		}
 	case infra.ReasonUnhealthy, infra.ReasonNoRoom:
 		w.unhealthyUntil = m.now.Add(unhealthyPause)
 	case infra.ReasonInstance:
@@ -151,7 +153,7 @@
 
 func (m *Machine) sendStop(r *run) {
 	r.nextStop = m.now.Add(stopRetryPause)
-	m.emit(Stop{To: r.worker.address(), Order: infra.StopOrder{Task: r.id, Run: r.number, Token: m.token}})
+	m.emit(Stop{To: r.worker.address(), Order: infra.StopOrder{Task: r.id, Run: r.number, Token: r.worker.token}})
 }
 
 func (m *Machine) stopAnswered(ev StopAnswered) {
@@ -161,7 +163,9 @@
 	}
 	var refused *infra.RefusedError
 	if errors.As(ev.Err, &refused) && refused.Reason == infra.ReasonFenced {
-		m.emit(Resign{Worker: w.ID})
+		if m.isFencedBySuccessor(w, ev.Order.Token) {
+			m.emit(Resign{Worker: w.ID})
+		}
 		return
 	}
 	if ev.Err == nil {
@@ -195,15 +199,15 @@
 }
 
 func (m *Machine) throttleAnswered(ev ThrottleAnswered) {
-	var refused *infra.RefusedError
-	if errors.As(ev.Err, &refused) && refused.Reason == infra.ReasonFenced {
-		m.emit(Resign{Worker: ev.Worker})
-		return
-	}
 	w := m.workers[ev.Worker]
 	if w == nil || ev.Err == nil {
 		return
 	}
+	var refused *infra.RefusedError
+	if errors.As(ev.Err, &refused) && refused.Reason == infra.ReasonFenced && m.isFencedBySuccessor(w, ev.Order.Token) {
+		m.emit(Resign{Worker: ev.Worker})
+		return
+	}
 	if r := w.runs[ev.Order.Task]; r != nil && r.number == ev.Order.Run && r.speedPercent == ev.Order.SpeedPercent {
 		// It is unknown whether the order was carried out. Full speed, which disturbs others most, is assumed until the
 		// order is repeated.
--- a/coord/flow/colocation.go
+++ b/coord/flow/colocation.go
@@ -376,7 +376,7 @@
 	m.applySpeed(r, percent)
 	r.throttleFailed, r.orderedPercent = false, percent
 	m.emit(Log{Text: "throttle", Task: r.id, Run: r.number, Worker: r.worker.ID, Reason: strconv.Itoa(percent) + " %"})
-	m.emit(Throttle{To: r.worker.address(), Order: infra.ThrottleOrder{Task: r.id, Run: r.number, SpeedPercent: percent, Token: m.token}})
+	m.emit(Throttle{To: r.worker.address(), Order: infra.ThrottleOrder{Task: r.id, Run: r.number, SpeedPercent: percent, Token: r.worker.token}})
 }
 
 // applySpeed accounts for a filler at a percentage of its full speed.
--- a/coord/flow/event.go
+++ b/coord/flow/event.go
@@ -123,8 +123,9 @@
 	Err    error
 }
 
-// Saved reports that the batch of a [Save] is durable.
-type Saved struct{ Batch int64 }
+// Saved reports that the batch of a [Save] is durable. Revision is the store revision at which it was written, on condition that
+// this scheduler leads, so that the token of any successor is higher; 0 if it is not known.
+type Saved struct{ Batch, Revision int64 }
 
 // JobsLookedUp is the end of a [LookUpJobs]. The jobs that exist were submitted before it.
 type JobsLookedUp struct{ Jobs []fleet.JobID }
--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -79,7 +79,9 @@
 type Machine struct {
 	opts  options
 	token infra.Token
-	term  int64
+	// maxToken is lower than the token of any successor.
+	maxToken infra.Token
+	term     int64
 
 	catalog *infra.Catalog
 	jobs    map[fleet.JobID]*job
@@ -222,6 +224,7 @@
 			maxTargetMiss: 4 * time.Second,
 		},
 		token:               token,
+		maxToken:            token,
 		jobs:                make(map[fleet.JobID]*job),
 		workers:             make(map[fleet.WorkerID]*worker),
 		unreconciledWorkers: make(map[fleet.WorkerID]time.Time),
@@ -283,7 +286,7 @@
 	case Uncordon:
 		m.uncordon(ev.Worker)
 	case Saved:
-		m.saved(ev.Batch)
+		m.saved(ev)
 	case JobsLookedUp:
 		m.jobsLookedUp(ev.Jobs)
 	case ApprovalAnswered:
--- a/coord/flow/place.go
+++ b/coord/flow/place.go
@@ -462,14 +462,14 @@
 	id := r.task(index)
 	newRun := &run{
 		id: id, number: number, worker: w, step: s, occ: r.occ, state: starting, size: s.spec.Reserved(),
-		startedAt: m.now, measuredAt: m.now, speedPercent: fullSpeedPercent, excludeRunTime: t.checkpoint != "",
+		token: w.token, startedAt: m.now, measuredAt: m.now, speedPercent: fullSpeedPercent, excludeRunTime: t.checkpoint != "",
 	}
 	if s.spec.Filler {
 		newRun.fillerCPU, newRun.fillerImage = s.spec.Size.MilliCPU, m.fillerImages.of(s.spec.Image)
 	}
 	m.beginTrial(newRun, t)
 	newRun.deadline = w.maxClock(m.now) + startWindow.Milliseconds()
-	w.leaseEnd = max(w.leaseEnd, newRun.deadline)
+	w.leaseEnd, w.tokenUsed = max(w.leaseEnd, newRun.deadline), true
 	t.lastRun, t.located = number, true
 	t.runs = append(t.runs, newRun)
 	w.add(m.now, newRun)
@@ -495,6 +495,6 @@
 	})
 	ticket, _ := m.ticketFor(s, w)
 	m.emit(Start{To: w.address(), Via: via.relay, Order: infra.StartOrder{
-		Task: id, Run: number, Ticket: ticket, Spec: r.occ.job.spec.Spec, Checkpoint: t.checkpoint, Deadline: newRun.deadline, Token: m.token,
+		Task: id, Run: number, Ticket: ticket, Spec: r.occ.job.spec.Spec, Checkpoint: t.checkpoint, Deadline: newRun.deadline, Token: w.token,
 	}})
 }
--- a/coord/flow/reconcile.go
+++ b/coord/flow/reconcile.go
@@ -40,7 +40,7 @@
 		// The end of a run that is not listed may follow.
 		return
 	}
-	isMissing := func(r *run) bool { return r.lastReport != w.reports && r.state != fencing }
+	isMissing := func(r *run) bool { return r.lastReport != w.reports && (r.state != fencing || w.hasFenced(r)) }
 	if !slices.ContainsFunc(w.runsByTask, isMissing) {
 		return
 	}
@@ -49,7 +49,7 @@
 			continue
 		}
 		isConfirmed := r.confirmedClock > 0
-		isLost := isConfirmed && report.Clock > r.confirmedClock || !isConfirmed && report.Clock > r.deadline
+		isLost := isConfirmed && report.Clock > r.confirmedClock || !isConfirmed && report.Clock > r.deadline || w.hasFenced(r)
 		switch {
 		case isLost && r.state != stopping && (r.missingReport == 0 || r.missingReport != w.reports-1):
 			// A worker need not read its clock and its lists at one moment.
@@ -103,7 +103,7 @@
 	if old := w.runs[row.Task]; old != nil {
 		old.lastReport = w.reports
 		if old.number > row.Run {
-			m.emit(Stop{To: w.address(), Order: infra.StopOrder{Task: row.Task, Run: row.Run, Token: m.token}})
+			m.emit(Stop{To: w.address(), Order: infra.StopOrder{Task: row.Task, Run: row.Run, Token: w.token}})
 			return
 		}
 		m.releaseRun(old)
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -12,7 +12,10 @@
 
 // sendRenewal renews a worker's lease and requests its report.
 func (m *Machine) sendRenewal(w *worker) {
-	order := infra.RenewOrder{Token: m.token}
+	if !w.reachable || w.unconfirmed != nil || !w.tokenAccepted {
+		m.raiseToken(w)
+	}
+	order := infra.RenewOrder{Token: w.token}
 	// Numbers of ends and times of the worker's clock mean nothing to another incarnation.
 	isSameIncarnation := w.unconfirmed == nil
 	if isSameIncarnation && w.reachable {
@@ -32,7 +35,8 @@
 			order.Wait = reportWaitColocated
 		}
 	}
-	w.renewalSentAt = m.now
+	w.renewalSentAt, w.renewalToken = m.now, order.Token
+	w.tokenUsed = w.tokenUsed || order.Deadline > 0 || order.AckedEnd > 0
 	w.renewalInFlight = true
 	w.renewalSequence++
 	m.reports.sent(m.now, w, order)
@@ -52,7 +56,9 @@
 	var unsent *infra.NotSentError
 	switch {
 	case errors.As(ev.Err, &refused) && refused.Reason == infra.ReasonFenced:
-		m.emit(Resign{Worker: w.ID})
+		if m.isFencedBySuccessor(w, w.renewalToken) {
+			m.emit(Resign{Worker: w.ID})
+		}
 		return
 	case errors.As(ev.Err, &refused) && refused.Reason == infra.ReasonInstance && m.restored:
 		m.addressTaken(w)
@@ -126,6 +132,7 @@
 		return
 	}
 	w.unconfirmed, w.answeredAt, w.crashCounted = nil, w.Address, false
+	w.acceptedToken = max(w.acceptedToken, w.renewalToken)
 	if w.StartedAt == 0 {
 		w.StartedAt = ev.Report.StartedAt
 	}
--- a/coord/flow/save.go
+++ b/coord/flow/save.go
@@ -1,5 +1,7 @@
 package flow
 
+import "lovagefork.example/coord/infra"
+
 // expire deletes finished jobs after the retention time. A job with unsaved changes or remaining runs is kept longer.
 func (m *Machine) expire() {
 	for len(m.finishedJobs) > 0 && m.now.Sub(m.finishedJobs[0].finishedAt) > m.opts.retention {
@@ -83,10 +85,11 @@
 
 // saved completes a batch: it publishes the saved job states, enables workers that are now in the stored roster, and
 // acknowledges the durable ends to their workers.
-func (m *Machine) saved(batch int64) {
-	if !m.saveInFlight || batch != m.batch {
+func (m *Machine) saved(ev Saved) {
+	if !m.saveInFlight || ev.Batch != m.batch {
 		return
 	}
+	m.maxToken = max(m.maxToken, infra.Token(ev.Revision))
 	m.saveInFlight = false
 	for _, b := range m.batchJobs {
 		if !b.job.durableState.Final() {
--- a/coord/flow/worker.go
+++ b/coord/flow/worker.go
@@ -28,7 +28,7 @@
 	// stopping means that a stop has been sent.
 	stopping
 	// fencing means that the run may still start in a later incarnation of the worker, until that incarnation has
-	// accepted a stop.
+	// accepted a stop or a higher token.
 	fencing
 )
 
@@ -47,7 +47,9 @@
 	fillerCPU   int64
 	fillerImage int
 	startedAt   time.Time
-	percent     int
+	// token is that of the start; 0 for a run that was adopted.
+	token   infra.Token
+	percent int
 	// measuredPercent is the progress at the last measurement, at measuredAt, and stalledFor how long there has been
 	// no progress.
 	measuredPercent int
@@ -122,6 +124,13 @@
 	inStoredRoster bool
 	// isLeaseKnown is set if the restored roster says that the scheduler before this one may have renewed the worker's lease.
 	isLeaseKnown bool
+	// token is that of the orders to the worker, see [Machine.raiseToken], and tokenUsed is set once an order has carried it
+	// which must not reach a later life. acceptedToken is the highest that the present life is known to have accepted, and
+	// renewalToken that of the last renewal.
+	token         infra.Token
+	tokenUsed     bool
+	acceptedToken infra.Token
+	renewalToken  infra.Token
 	// tokenAccepted is set once the worker has accepted this scheduler's fencing token, at acceptedAt.
 	tokenAccepted bool
 	acceptedAt    time.Time
--- a/coord/flow/worker_lifecycle.go
+++ b/coord/flow/worker_lifecycle.go
@@ -18,6 +18,8 @@
 		Worker: info, runs: make(map[infra.TaskID]*run), reachable: true, speed: 1, decayedAt: m.now,
 		servingSteps: make(map[*step]int), servingImages: make(map[string]int), failures: make(map[fleet.JobID]float64),
 		laggedAt: m.now,
+		// The worker may have been known before, with any token up to this one.
+		token: m.maxToken,
 	}
 	// [Evacuated] has been emitted for a cordoned worker that was not known.
 	_, w.cordoned = m.cordons[info.ID]
@@ -189,7 +191,8 @@
 		r.state, r.nextStop, r.stopReason, r.fromPreviousIncarnation = fencing, m.now, "worker restarted", true
 	}
 	w.StartedAt, w.restartedSinceListing, w.unconfirmed = startedAt, true, nil
-	w.tokenAccepted, w.hasAnswered, w.leadershipConfirmed = false, false, false
+	w.tokenAccepted, w.hasAnswered, w.leadershipConfirmed, w.acceptedToken = false, false, false, 0
+	m.raiseToken(w)
 	w.clock, w.leaseEnd, w.seenEnd, w.durableEnd, w.unsavedEnds = 0, 0, 0, 0, nil
 	w.heldEnds, w.hasMoreEnds, w.crashCounted = 0, false, false
 	w.life++
@@ -260,7 +263,7 @@
 			continue
 		}
 		s.nextStop = m.now.Add(stopRetryPause)
-		m.emit(Stop{To: w.address(), Order: infra.StopOrder{Task: s.task, Run: s.run, Token: m.token}})
+		m.emit(Stop{To: w.address(), Order: infra.StopOrder{Task: s.task, Run: s.run, Token: w.token}})
 	}
 }
 
--- a/entryd/leader/save.go
+++ b/entryd/leader/save.go
@@ -40,10 +40,10 @@
 		switch {
 		case err == nil && result.Committed:
 			l.sequenceRevision = result.Revision
-			l.post(flow.Saved{Batch: s.Batch})
+			l.post(flow.Saved{Batch: s.Batch, Revision: int64(l.sequenceRevision)})
 			return
 		case err == nil && l.alreadySaved(result, id):
-			l.post(flow.Saved{Batch: s.Batch})
+			l.post(flow.Saved{Batch: s.Batch, Revision: int64(l.sequenceRevision)})
 			return
 		case err == nil:
 			l.leadership.end("another scheduler has stored progress")
--- a/entryd/leader/scheduler.go
+++ b/entryd/leader/scheduler.go
@@ -114,7 +114,7 @@
 
 		otherLifeStarts: metrics.GetOrRegisterGauge("scheduler.other_life_starts", d.Metrics),
 		missingEnds:     metrics.GetOrRegisterGauge("scheduler.missing_ends", d.Metrics),
-		elections:      metrics.GetOrRegisterCounter("scheduler.elections.total", d.Metrics),
+		elections:       metrics.GetOrRegisterCounter("scheduler.elections.total", d.Metrics),
 	}
 }
 
