flow: a run that no report lists may be in a later life, under the longest lease

Cause: a start that reaches the next life of its worker has a deadline of the former clock, far ahead of the new one, so that the worker grants its longest lease (6 s); the scheduler went by the former life's lease of 5 s and clock, or counted 5 s from its own first renewal in the new life, and then started the task again. Starts that were dropped with the lease could also be carried out late by a life that had announced itself and not answered. A run that a report has listed ends with the lease of its life, as before. Any other may be in a later life: it ends the longest lease after the last call that can have reached the worker, and 13 s later if there is a sign of a restart which has not answered. A life has the longest lease from its first answer. OrderTimeout and RelayBudget, which bound how long a start is on its way, are now in one place too. Tests: TestLostWorkerIsNotAwaitedLonger had 6.6 s for a start that no report has listed; such a start can last 6.52 s, so that the test now demands 6.65 s, and besides that nothing starts before 6.52 s. TestStopOfLateStartIsRepeated reports the other worker for 200 ms in place of once, since a suspect of a crash starts after a requested report, whose phase has changed.

--- a/coord/flow/crash.go
+++ b/coord/flow/crash.go
@@ -422,20 +422,19 @@
 	suspect   bool
 }
 
-// rememberRuns keeps the runs of an unreachable worker. Only its return shows whether it had crashed.
-func (m *Machine) rememberRuns(w *worker) {
+// rememberRuns keeps runs of an unreachable worker. Only its return shows whether it had crashed.
+func (m *Machine) rememberRuns(w *worker, runs []*run) {
 	if w.Draining || w.cordoned || w.StartedAt == 0 {
 		return
 	}
-	var runs []silencedRun
 	suspects := w.suspects()
-	for _, r := range w.runsByTask {
-		if suspect := slices.Contains(suspects, r); suspect || r.existed() {
-			runs = append(runs, silencedRun{r.id, r.number, w.StartedAt, suspect})
+	for _, r := range runs {
+		suspect := slices.Contains(suspects, r)
+		if !suspect && !r.existed() {
+			continue
 		}
-	}
-	if len(runs) > 0 {
-		m.silenced[w.ID] = runs
+		known := slices.DeleteFunc(m.silenced[w.ID], func(s silencedRun) bool { return s.task == r.id })
+		m.silenced[w.ID] = append(known, silencedRun{r.id, r.number, w.StartedAt, suspect})
 	}
 }
 
--- a/coord/flow/lasting_test.go
+++ b/coord/flow/lasting_test.go
@@ -394,11 +394,14 @@
 	lost := h.now
 	h.advance(1500 * time.Millisecond)
 	h.step(flow.StartAnswered{Worker: "a", Order: starts[0].Order, Err: &infra.NoAnswerError{Worker: "a"}})
-	for h.now.Sub(lost) < 6400*time.Millisecond {
+	// The next life of the worker could have taken the start until its time-out, and run the task for 6 s of a slow clock.
+	bound := flow.OrderTimeout + 6*time.Second*100/98
+	for h.now.Sub(lost) < bound {
+		assert.Equal(t, len(h.starts()), 0)
 		h.advance(100 * time.Millisecond)
 		h.renewalFails("a")
 		h.report("b", infra.Report{})
 	}
-	h.advance(200 * time.Millisecond)
+	h.advance(50 * time.Millisecond)
 	assert.Equal(t, len(h.starts()), 1)
 }
--- a/coord/flow/late_start_test.go
+++ b/coord/flow/late_start_test.go
@@ -25,8 +25,11 @@
 	lost := starts[0].Order
 	h.step(flow.StartAnswered{Worker: "a", Order: lost, Err: &infra.NoAnswerError{Worker: "a"}})
 	h.refuse("a")
-	h.report("b", infra.Report{})
-	h.advance(100 * time.Millisecond)
+	// A suspect of a crash starts after a report that was requested for it.
+	for range 8 {
+		h.report("b", infra.Report{})
+		h.advance(25 * time.Millisecond)
+	}
 	elsewhere := h.starts()
 	assert.Equal(t, len(elsewhere), 1)
 	assert.Equal(t, elsewhere[0].To.Worker, fleet.WorkerID("b"))
@@ -106,7 +109,7 @@
 	// Several failures later the pause of an unknown worker would be at its longest.
 	h.advance(2 * time.Second)
 	h.effects = nil
-	for range 4 {
+	for range 8 {
 		refuse()
 	}
 	calls := 0
--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -49,6 +49,7 @@
 // options configures a [Machine].
 type options struct {
 	taskLease         time.Duration
+	maxLease          time.Duration
 	leadershipTimeout time.Duration
 	retention         time.Duration
 	maxTargetMiss     time.Duration
@@ -62,6 +63,10 @@
 // the store, or by most workers.
 func WithTaskLease(d time.Duration) Option { return func(o *options) { o.taskLease = d } }
 
+// WithMaxLease sets the longest lease that a worker grants, to which it shortens any other. It is granted by calls that reach another
+// life of a worker, whose clock they do not fit.
+func WithMaxLease(d time.Duration) Option { return func(o *options) { o.maxLease = d } }
+
 // WithLeadershipTimeout sets how long a scheduler may remain active after the store last confirmed its leadership. A
 // successor that most workers do not answer waits at least that long for workers that it cannot reach.
 func WithLeadershipTimeout(d time.Duration) Option {
@@ -220,7 +225,7 @@
 func New(token infra.Token, opts ...Option) *Machine {
 	m := &Machine{
 		opts: options{
-			taskLease: 6 * time.Second, leadershipTimeout: 5 * time.Second, retention: 10 * time.Minute,
+			taskLease: 6 * time.Second, maxLease: 6 * time.Second, leadershipTimeout: 5 * time.Second, retention: 10 * time.Minute,
 			maxTargetMiss: 4 * time.Second,
 		},
 		token:               token,
--- a/coord/flow/place.go
+++ b/coord/flow/place.go
@@ -470,6 +470,7 @@
 	m.beginTrial(newRun, t)
 	newRun.deadline = w.maxClock(m.now) + startWindow.Milliseconds()
 	w.leaseEnd, w.tokenUsed = max(w.leaseEnd, newRun.deadline), true
+	w.noteReach(m.now.Add(m.startTransit(via)))
 	t.lastRun, t.located = number, true
 	t.runs = append(t.runs, newRun)
 	w.add(m.now, newRun)
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -28,6 +28,7 @@
 	if w.clock > 0 && w.reachable && isSameIncarnation && !isImmediate && lease > 0 {
 		order.Deadline = w.maxClock(m.now) + lease.Milliseconds()
 		w.leaseEnd = max(w.leaseEnd, order.Deadline)
+		w.noteReach(m.now.Add(OrderTimeout))
 	}
 	if m.restored && isSameIncarnation && !w.hasUnsavedEnds() && w.tokenAccepted && w.reachable && !isImmediate && !w.secondReportDue {
 		order.Wait = reportWait
@@ -100,7 +101,7 @@
 	if !w.crashCounted {
 		m.workerCrashed(w, "address belongs to another worker")
 	}
-	m.clearWorker(w, "address belongs to another worker")
+	m.clearRuns(w, w.sortedRuns(), "address belongs to another worker")
 	delete(m.unreconciledWorkers, w.ID)
 }
 
@@ -151,10 +152,7 @@
 	w.askedAt = w.renewalSentAt
 	if !w.tokenAccepted {
 		w.tokenAccepted, w.acceptedAt, w.leadershipConfirmed = true, m.now, !m.leaseUnconfirmed
-		if m.isUnreconciled(w) {
-			// A predecessor may have renewed the lease until now.
-			w.leaseEnd = max(w.leaseEnd, w.maxClock(m.now)+m.opts.taskLease.Milliseconds())
-		}
+		m.beginLife(w)
 		m.addToRoster(w)
 		m.acceptedBy(w)
 		if m.isFenced {
--- a/coord/flow/sweep.go
+++ b/coord/flow/sweep.go
@@ -1,7 +1,6 @@
 package flow
 
 import (
-	"fmt"
 	"slices"
 	"time"
 )
@@ -70,15 +69,8 @@
 		m.searchAgain()
 	}
 	// While another scheduler may have been elected, it may also have renewed the lease.
-	if !w.reachable && !m.leaseUnconfirmed && len(w.runs) > 0 && w.leaseExpired(m.now) {
-		m.emit(Log{Text: "lease expired", Worker: w.ID, Reason: fmt.Sprintf(
-			"worker unreachable; last report %d ms ago; %d of %d runs were listed; restart announced %t",
-			w.reportAge(m.now), w.listedRuns(), len(w.runs), w.unconfirmed != nil,
-		)})
-		if !w.crashCounted {
-			m.rememberRuns(w)
-		}
-		m.clearWorker(w, "lease expired")
+	if !w.reachable && !m.leaseUnconfirmed {
+		m.expireRuns(w)
 	}
 	m.probeTrial(w)
 	m.evacuate(w)
@@ -102,15 +94,18 @@
 	return !w.renewalInFlight && !m.now.Before(w.nextRenewal) && (w.listed || !m.isForgettable(w))
 }
 
-// repeatStops sends the stops that are due again, and gives up starts that can no longer be carried out.
+// repeatStops sends the stops that are due again, until reports can show what became of starts to earlier lives.
 func (m *Machine) repeatStops(w *worker) {
 	for _, r := range w.sortedRuns() {
 		if r.state == stopping && !m.now.Before(r.nextStop) {
 			m.sendStop(r)
 		}
-		if r.state == fencing && m.now.Sub(r.startedAt) > maxOrderDelay {
-			m.dropRun(r, "start to a previous incarnation has expired")
-		} else if r.state == fencing && w.tokenAccepted && !m.now.Before(r.nextStop) {
+		switch {
+		case r.state != fencing || !w.tokenAccepted || !w.reachable:
+		case m.now.Sub(r.startedAt) > maxOrderDelay:
+			// The start can no longer be carried out, and the next reports show whether it was.
+			r.state, r.confirmedClock = running, w.maxClock(m.now)
+		case !m.now.Before(r.nextStop):
 			m.sendStop(r)
 		}
 	}
--- a/coord/flow/worker.go
+++ b/coord/flow/worker.go
@@ -156,6 +156,10 @@
 	clock   int64
 	// leaseEnd is the latest end of the lease, on the worker's clock, that any order can have set.
 	leaseEnd int64
+	// reachedBy is when the last call that prolongs leases has reached the worker, unless it is carried out late. If such calls
+	// are not fenced, the lease can last until lateLeaseUntil.
+	reachedBy      time.Time
+	lateLeaseUntil time.Time
 
 	used      fleet.Resources
 	fillerCPU int64
@@ -289,7 +293,7 @@
 
 // leaseExpired reports whether the lease of all runs on the worker has certainly ended.
 func (w *worker) leaseExpired(now time.Time) bool {
-	return w.clock > 0 && w.minClock(now) > w.leaseEnd
+	return w.clock > 0 && w.minClock(now) > w.leaseEnd && now.After(w.lateLeaseUntil)
 }
 
 func (w *worker) observeClock(now time.Time, clock int64) {
--- a/coord/flow/worker_lifecycle.go
+++ b/coord/flow/worker_lifecycle.go
@@ -215,11 +215,11 @@
 	return count
 }
 
-// clearWorker drops all runs of a worker on which nothing runs any longer. Starts without an answer are kept, because
-// they may still reach a later incarnation of the worker.
-func (m *Machine) clearWorker(w *worker, reason string) {
+// clearRuns drops runs of a worker that go on no longer. Starts without an answer are kept, because they may still reach a later
+// incarnation of the worker.
+func (m *Machine) clearRuns(w *worker, runs []*run, reason string) {
 	m.expectLateStarts(w)
-	for _, r := range w.sortedRuns() {
+	for _, r := range runs {
 		if r.confirmedClock == 0 || r.state == fencing {
 			m.lateStarts[w.ID] = append(m.lateStarts[w.ID], lateStart{task: r.id, run: r.number, until: m.now.Add(maxOrderDelay)})
 		}
@@ -228,9 +228,6 @@
 	}
 }
 
-// maxOrderDelay exceeds the 12 s for which an unanswered order may still be carried out according to the platform.
-const maxOrderDelay = 13 * time.Second
-
 // lateStart is an unanswered start that was sent to a previous incarnation of a worker. The present one rejects it once it
 // has accepted a stop.
 type lateStart struct {
--- a/entryd/hosted/relay_client.go
+++ b/entryd/hosted/relay_client.go
@@ -21,9 +21,7 @@
 )
 
 const (
-	// relayBudget is how long after its dispatch a relay may send a start, which includes a read of the spec.
-	relayBudget = 500 * time.Millisecond
-	// relayTimeout limits a relayed start: relayBudget, the longest time-out of an order and the way back.
+	// relayTimeout limits a relayed start: [flow.RelayBudget], the longest time-out of an order and the way back.
 	relayTimeout = 1200 * time.Millisecond
 	// maxClockAge is the age from which the clock of a relay is asked for again, and relayClockTimeout limits that.
 	maxClockAge       = 2 * time.Second
@@ -126,7 +124,7 @@
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
 	got, err := c.mesh.Call(ctx, via, wire.RelayedStart{
-		Process: reading.Process, Until: reading.lowerBound(leader.Now()) + relayBudget.Milliseconds(), Worker: to.Worker, Address: to.HostPort,
+		Process: reading.Process, Until: reading.lowerBound(leader.Now()) + flow.RelayBudget.Milliseconds(), Worker: to.Worker, Address: to.HostPort,
 		Job: o.Task.Job, Occurrence: o.Task.Occurrence, Step: o.Task.Step, Index: o.Task.Index, Run: o.Run,
 		SpecSum: wire.SpecSum(o.Spec), Checkpoint: o.Checkpoint, Ticket: o.Ticket, Deadline: o.Deadline, Token: o.Token,
 	})
--- a/entryd/leader/scheduler.go
+++ b/entryd/leader/scheduler.go
@@ -23,9 +23,6 @@
 	tickInterval = 10 * time.Millisecond
 	// eventQueueSize is enough for the answers to several seconds of orders.
 	eventQueueSize = 8192
-	// orderTimeout bounds a start, stop or throttle order that need not wait for the link, see [flow.MaxLinkDelay]. A round
-	// trip between zones takes up to 10 ms; the timeout allows for one retransmitted packet.
-	orderTimeout = 400 * time.Millisecond
 	// renewTimeoutMargin is how much longer a renewal may take than the Wait of its order while its answer arrives: less than the
 	// rest of a lease that was renewed before.
 	renewTimeoutMargin = 3 * time.Second
@@ -35,7 +32,7 @@
 
 // OrderTimeout returns the time-out of an order on a link with a bandwidth, 0 if that is unknown.
 func OrderTimeout(bitsPerSecond int64) time.Duration {
-	return orderTimeout + flow.MaxLinkDelay(bitsPerSecond)
+	return flow.OrderTimeout + flow.MaxLinkDelay(bitsPerSecond)
 }
 
 // Scheduler runs the scheduler's state machine while this process is the leader.
@@ -175,7 +172,7 @@
 		events:    make(chan queuedEvent, eventQueueSize), queries: make(chan query), stopped: make(chan struct{}), startedAt: Now(),
 		sequenceRead: make(chan struct{}),
 		machine: flow.New(leadership.leader.Token,
-			flow.WithTaskLease(min(s.bounds.MaxLease, maxTaskLease)), flow.WithLeadershipTimeout(leadershipTimeout),
+			flow.WithTaskLease(min(s.bounds.MaxLease, maxTaskLease)), flow.WithMaxLease(s.bounds.MaxLease), flow.WithLeadershipTimeout(leadershipTimeout),
 			flow.WithRetention(retentionFactor*s.bounds.StatusRetention), flow.WithMaxTargetMiss(s.bounds.MaxTargetMiss),
 			flow.WithLink(s.linkBitsPerSecond)),
 	}
