flow: simulate calls that reach the next life of a worker

Callers saw two runs of a task at once after workers had returned under their IDs and been cut off (docs/incidents/former-lives.md). The simulation dropped late orders after a restart and refused orders for another life, which the protocol does not do: a call names its worker by the ID only.

With callsReachNextLife late starts, stops and renewals are carried out 2 to 12 s later by whatever life is up, and a call to a silent worker reaches the next life if it is back within 0.4 s (renewals 0.7 s), with an answer or without. Restarts take 0.3 to 1.5 s, their registration reaches the store at once, late or not before the end of a cut, and a cut of 5 to 15 s follows within 2 s.

--- a/coord/flow/property_test.go
+++ b/coord/flow/property_test.go
@@ -51,6 +51,9 @@
 			t.Logf("%v token %d: %+v", sim.now.Sub(time.Unix(1000, 0)), sched.token, n)
 		}
 	}
+	sim.note = func(format string, args ...any) {
+		t.Logf("%v %s", sim.now.Sub(time.Unix(1000, 0)), fmt.Sprintf(format, args...))
+	}
 }
 
 // scheduleEvents schedules a random mix of jobs and faults.
--- /dev/null
+++ b/coord/flow/sim_lives_test.go
@@ -0,0 +1,397 @@
+package flow_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"lovagefork.example/coord/fleet"
+	"lovagefork.example/coord/flow"
+	"lovagefork.example/coord/infra"
+)
+
+const (
+	// orderTimeout and renewTimeout are how long a scheduler waits for the answers of orders and renewals if calls reach the next
+	// life of a worker. A call to a silent worker reaches it if it is back by then.
+	orderTimeout = 400 * time.Millisecond
+	renewTimeout = 700 * time.Millisecond
+	// grantedLease is the longest lease that schedulers grant then, which is shorter than [maxTaskLease].
+	grantedLease = 5 * time.Second
+	// unlistedAfter is how long a registration lasts that is not renewed.
+	unlistedAfter = 3300 * time.Millisecond
+)
+
+// fakeLives is what a simulation keeps of a worker across its lives.
+type fakeLives struct {
+	// registration is that of a former life which the store still holds; nil if it holds that of the present one. isUnlisted is set
+	// while it holds none.
+	registration *infra.Worker
+	isUnlisted   bool
+	// isContacted is set once a call that was sent in the present life has reached it.
+	isContacted bool
+	// stopped holds the highest runs that any life was ordered to stop, and clocks the clock of the last report of each life.
+	stopped map[infra.TaskID]infra.Run
+	clocks  map[time.Time]int64
+	// releasedEnds are the ends of the present life whose runs are [fakeRun.wasReleased].
+	releasedEnds map[int64]bool
+}
+
+// formerCall is a call that is carried out late; life is when the life had begun that was up when it was sent.
+type formerCall struct{ life time.Time }
+
+func (f *fakeWorker) beginLife() {
+	f.isContacted, f.releasedEnds = false, make(map[int64]bool)
+	if f.stopped == nil {
+		f.stopped, f.clocks = make(map[infra.TaskID]infra.Run), make(map[time.Time]int64)
+	}
+}
+
+func (f *fakeWorker) noteStop(s infra.StopOrder) { f.stopped[s.Task] = max(f.stopped[s.Task], s.Run) }
+
+func (f *fakeWorker) noteReport() { f.clocks[f.startedAt] = f.clock() }
+
+// wasReleased reports whether a late start is one that an earlier life has rejected, because of a stop or its deadline, so that
+// its task may run elsewhere, and that arrives before any call of the present life.
+func (f *fakeWorker) wasReleased(s infra.StartOrder) bool {
+	c := f.sim.formerCall
+	if c == nil || c.life.Equal(f.startedAt) || f.isContacted {
+		return false
+	}
+	return f.stopped[s.Task] >= s.Run || f.clocks[c.life] > s.Deadline
+}
+
+// releasedStart records a violation by a start whose task was released.
+func (sim *simulation) releasedStart(format string, args ...any) {
+	if len(sim.releasedStarts) < 10 {
+		sim.releasedStarts = append(sim.releasedStarts, sim.now.Sub(time.Unix(1000, 0)).String()+" "+fmt.Sprintf(format, args...))
+	}
+}
+
+func (sim *simulation) notef(format string, args ...any) {
+	if sim.note != nil {
+		sim.note(format, args...)
+	}
+}
+
+// savedAt is the confirmation of a batch that was stored at a revision.
+func savedAt(batch, _ int64) flow.Saved { return flow.Saved{Batch: batch} }
+
+// sendToAnyLife delivers a call to whichever life of a worker is up: a call names its worker by the ID only. A silent worker gets
+// it if it is back in time. Some calls get no answer, and are carried out at once, late, or never.
+func (sim *simulation) sendToAnyLife(sched *simScheduler, c simCall) {
+	f := sim.workers[c.worker]
+	life, sentAt := f.startedAt, sim.now
+	fail := func(err error) { sim.step(sched, c.fail(err)) }
+	unanswered := func() {
+		sim.after(c.timeout+c.wait-sim.now.Sub(sentAt), func() { fail(&infra.NoAnswerError{Worker: c.worker}) })
+	}
+	execute := func() {
+		if !sentAt.Before(f.startedAt) {
+			f.isContacted = true
+		}
+		c.execute(sched, f)
+	}
+	late := func() {
+		if f.up {
+			sim.carryOutLate(f, formerCall{life: life}, c.execute)
+		}
+	}
+	if sim.lostShare > 0 && sim.rng.Float64() < sim.lostShare {
+		unanswered()
+		switch sim.rng.IntN(4) {
+		case 0, 1:
+			sim.after(time.Duration(2000+sim.rng.IntN(10000))*time.Millisecond, late)
+		case 2:
+			sim.after(sim.delay(), late)
+		}
+		return
+	}
+	sim.after(sim.delay(), func() {
+		switch {
+		case sim.blocked != nil && sim.blocked(sched, c.worker):
+			unanswered()
+		case !f.reachable:
+			isAnswered := sim.rng.IntN(2) == 0
+			if !isAnswered {
+				unanswered()
+			}
+			sim.awaitLife(f, sentAt.Add(c.timeout), func() {
+				sim.notef("a call to %s, sent %v ago, reaches it", c.worker, sim.now.Sub(sentAt))
+				if isAnswered {
+					execute()
+					return
+				}
+				late()
+			}, func() {
+				if isAnswered {
+					unanswered()
+				}
+			})
+		case !f.up:
+			fail(&infra.NotSentError{Worker: c.worker, ConnRefused: true})
+		case f.refusesOrders:
+			fail(&infra.RefusedError{Worker: c.worker, Reason: infra.ReasonUnhealthy})
+		default:
+			execute()
+		}
+	})
+}
+
+// awaitLife does one thing as soon as a silent worker is back, and another if it is not back by a time.
+func (sim *simulation) awaitLife(f *fakeWorker, by time.Time, back, silent func()) {
+	switch {
+	case f.up && f.reachable:
+		back()
+	case !sim.now.Before(by):
+		silent()
+	default:
+		sim.after(min(sim.delay(), by.Sub(sim.now)), func() { sim.awaitLife(f, by, back, silent) })
+	}
+}
+
+// carryOutLate carries out a call whose answer nobody awaits.
+func (sim *simulation) carryOutLate(f *fakeWorker, c formerCall, execute func(*simScheduler, *fakeWorker)) {
+	if !c.life.Equal(f.startedAt) {
+		sim.notef("%s carries out a call for a former life", f.info.ID)
+	}
+	sim.formerCall = &c
+	execute(&simScheduler{}, f)
+	sim.formerCall = nil
+}
+
+// registered returns the registration of a worker that the store holds.
+func (f *fakeWorker) registered() (infra.Worker, bool) {
+	switch {
+	case f.isUnlisted:
+		return infra.Worker{}, false
+	case f.registration != nil:
+		return *f.registration, true
+	default:
+		return f.describe(), f.up
+	}
+}
+
+// register stores the registration of the present life.
+func (f *fakeWorker) register() { f.registration, f.isUnlisted = nil, false }
+
+// restart lets a worker return under its ID after a while. Until then it is dark or refuses connections. Its registration is
+// stored listedAfter later, and not before the end of its next cut if that is negative.
+func (sim *simulation) restart(id fleet.WorkerID, downTime time.Duration, dark bool, listedAfter time.Duration) {
+	f := sim.workers[id]
+	if !f.up {
+		return
+	}
+	former := f.registration
+	if former == nil {
+		info := f.describe()
+		former = &info
+	}
+	f.registration = former
+	f.up, f.reachable = false, !dark
+	sim.notef("%s ends, dark: %v", id, dark)
+	sim.crashes.record(f)
+	f.runs = make(map[infra.TaskID]*fakeRun)
+	for _, h := range f.waitingRenewals {
+		notice := sim.delay()
+		if dark {
+			notice = h.waitsUntil.Add(renewTimeout).Sub(sim.now)
+		}
+		sim.after(notice, func() {
+			sim.step(h.sched, flow.RenewFailed{Worker: id, Sequence: h.seq, Order: h.order, Err: &infra.NoAnswerError{Worker: id}})
+		})
+	}
+	f.waitingRenewals = nil
+	sim.after(unlistedAfter, func() {
+		if f.registration == former {
+			f.isUnlisted = true
+			sim.notifyLeader(flow.WorkerUnlisted{Worker: id})
+		}
+	})
+	sim.after(downTime, func() {
+		f.up, f.reachable = true, true
+		f.reset()
+		sim.notef("%s is back", id)
+		startedAt := f.startedAt
+		if listedAfter < 0 {
+			return
+		}
+		sim.after(listedAfter, func() {
+			if f.startedAt == startedAt && f.registration != nil {
+				f.register()
+				sim.notifyLeader(flow.WorkerListed{Worker: f.describe()})
+			}
+		})
+	})
+}
+
+// drawnRestart is a restart of a worker in a plan, which may be followed by another one and by a cut.
+type drawnRestart struct {
+	worker               int
+	at, down             time.Duration
+	dark                 bool
+	listedAfter          time.Duration
+	isTwice              bool
+	againAfter           time.Duration
+	downAgain            time.Duration
+	darkAgain            bool
+	isCut                bool
+	cutAfter, cutFor     time.Duration
+	lostBefore, lostSpan time.Duration
+	lostShare            float64
+}
+
+func drawMillis(t *rapid.T, low, high int, name string) time.Duration {
+	return time.Duration(rapid.IntRange(low, high).Draw(t, name)) * time.Millisecond
+}
+
+func drawRestart(t *rapid.T, workers int) drawnRestart {
+	r := drawnRestart{
+		worker: rapid.IntRange(0, workers-1).Draw(t, "worker"), at: drawMillis(t, 1000, 15000, "restart_at"),
+		down: drawMillis(t, 300, 1500, "down"), dark: rapid.Bool().Draw(t, "dark"),
+	}
+	if r.isCut = rapid.IntRange(0, 3).Draw(t, "is_cut") > 0; r.isCut {
+		r.cutAfter, r.cutFor = drawMillis(t, 50, 2000, "cut_after"), drawMillis(t, 5000, 15000, "cut_for")
+	}
+	switch rapid.IntRange(0, 2).Draw(t, "listed") {
+	case 1:
+		r.listedAfter = drawMillis(t, 100, 3000, "listed_after")
+	case 2:
+		r.listedAfter = 10 * time.Second
+		if r.isCut {
+			r.listedAfter = -1
+		}
+	}
+	if r.isTwice = rapid.IntRange(0, 2).Draw(t, "is_twice") == 0; r.isTwice {
+		r.againAfter, r.downAgain = drawMillis(t, 50, 2000, "again_after"), drawMillis(t, 300, 1500, "down_again")
+		r.darkAgain = rapid.Bool().Draw(t, "dark_again")
+	}
+	if r.lostShare = rapid.SampledFrom([]float64{0, 0.2, 0.7}).Draw(t, "lost_share"); r.lostShare > 0 {
+		r.lostBefore, r.lostSpan = drawMillis(t, 100, 3000, "lost_before"), drawMillis(t, 100, 4000, "lost_span")
+	}
+	return r
+}
+
+func (sim *simulation) schedule(r drawnRestart) {
+	id := sim.workerIDs[r.worker]
+	back := r.at + r.down
+	sim.after(r.at, func() { sim.restart(id, r.down, r.dark, r.listedAfter) })
+	if r.isTwice {
+		sim.after(back+r.againAfter, func() { sim.restart(id, r.downAgain, r.darkAgain, r.listedAfter) })
+		back += r.againAfter + r.downAgain
+	}
+	if r.isCut {
+		sim.after(back+r.cutAfter, func() { sim.partition(id, r.cutFor) })
+	}
+	if r.lostShare > 0 {
+		sim.after(max(0, r.at-r.lostBefore), func() { sim.lostShare = r.lostShare })
+		sim.after(max(0, r.at-r.lostBefore)+r.lostSpan, func() { sim.lostShare = 0 })
+	}
+}
+
+// drawLongJob draws a job whose tasks outlast a lease.
+func drawLongJob(t *rapid.T, n int) infra.Job {
+	s := infra.Step{
+		Count: rapid.IntRange(1, 12).Draw(t, "long_tasks"), Estimate: drawMillis(t, 3000, 20000, "long_ms"),
+		Size: fleet.Resources{MilliCPU: int64(rapid.IntRange(200, 2000).Draw(t, "long_cpu")), MemoryBytes: 1 << 28},
+	}
+	return infra.Job{ID: fleet.JobID(fmt.Sprintf("1b%014x", n)), Queue: "batch", Spec: "s", MaxAttempts: 4, Steps: []infra.Step{s}}
+}
+
+// drawLives draws a plan of jobs, of which some outlast a lease, and of workers that are back under their IDs.
+func drawLives(t *rapid.T) *simulation {
+	sim := newSimulation(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(2, 6).Draw(t, "workers"))
+	sim.callsReachNextLife, sim.taskLease = true, grantedLease
+	sim.maxListedEnds = rapid.SampledFrom([]int{1, 4, 500}).Draw(t, "page")
+	sim.logTo(t)
+	for n := range rapid.IntRange(0, 2).Draw(t, "lasting_jobs") {
+		j := drawLastingJob(t, n)
+		sim.after(drawMillis(t, 1000, 5000, "lasting_at"), func() { sim.submit(j) })
+	}
+	for n := range rapid.IntRange(0, 2).Draw(t, "long_jobs") {
+		j := drawLongJob(t, n)
+		sim.after(drawMillis(t, 1000, 15000, "long_at"), func() { sim.submit(j) })
+	}
+	for n := range rapid.IntRange(0, 8).Draw(t, "jobs") {
+		j, failing := drawJob(t, n)
+		sim.after(drawMillis(t, 1000, 15000, "at"), func() { sim.submit(j, failing...) })
+	}
+	for n := range rapid.IntRange(1, 4).Draw(t, "restarts") {
+		r := drawRestart(t, len(sim.workerIDs))
+		sim.schedule(r)
+		for k := range rapid.IntRange(1, 4).Draw(t, "jobs_beside") {
+			j := drawLongJob(t, 10+10*n+k)
+			sim.after(r.at+drawMillis(t, -300, 1500, "long_after"), func() { sim.submit(j) })
+		}
+	}
+	return sim
+}
+
+// livesTime is how long a plan of [drawLives] is played.
+const livesTime = 50 * time.Second
+
+// checkLives draws and plays a plan, and returns it.
+type checkLives func(*rapid.T) *simulation
+
+func playLives(t *rapid.T) *simulation {
+	sim := drawLives(t)
+	sim.elect(false)
+	sim.run(livesTime)
+	return sim
+}
+
+func playLivesOfSchedulersInTurn(t *rapid.T) *simulation {
+	sim := drawLives(t)
+	sim.storeDelay = time.Duration(rapid.SampledFrom([]int{0, 100, 500}).Draw(t, "store_delay")) * time.Millisecond
+	sim.readTime = drawReadTime(t)
+	sim.linkBitsPerSecond = rapid.SampledFrom([]int64{0, 100_000, 400_000}).Draw(t, "link")
+	sim.relayFaultShare = rapid.SampledFrom([]float64{0, 0.1, 0.5}).Draw(t, "relay_faults")
+	sim.setRelays(rapid.IntRange(0, 4).Draw(t, "relays"))
+	at := time.Second
+	for range rapid.IntRange(1, 4).Draw(t, "elections") {
+		at += drawMillis(t, 300, 6000, "election_after")
+		switch rapid.IntRange(0, 2).Draw(t, "election") {
+		case 0:
+			span := drawMillis(t, 1000, 3000, "without_scheduler")
+			sim.after(at, func() { sim.killScheduler(span) })
+		case 1:
+			sim.after(at, func() { sim.elect(true) })
+		case 2:
+			sim.after(at, func() { sim.elect(false) })
+		}
+	}
+	sim.elect(false)
+	sim.run(livesTime)
+	return sim
+}
+
+// Calls that were meant for one life of a worker act on the next one under the same ID: its tasks must not run twice, also if
+// the next life is cut off before it has answered (TWICE).
+func TestInvariantsOfWorkersBackUnderTheirIDs(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sim := playLives(t)
+		assert.Assert(t, len(sim.violations) == 0, "%q", sim.violations)
+	})
+}
+
+// The same holds while schedulers are killed, hand over, or are cut off from the store and still act, and starts go through
+// relays.
+func TestInvariantsOfSchedulersInTurnWithWorkersBackUnderTheirIDs(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sim := playLivesOfSchedulersInTurn(t)
+		assert.Assert(t, len(sim.violations) == 0, "%q", sim.violations)
+	})
+}
+
+// A late start whose task was released because the life then rejected it can reach the next life before any call of that.
+func TestReleasedStartsOfWorkersBackUnderTheirIDs(t *testing.T) {
+	for _, play := range []checkLives{playLives, playLivesOfSchedulersInTurn} {
+		rapid.Check(t, func(t *rapid.T) {
+			sim := play(t)
+			assert.Assert(t, len(sim.releasedStarts) == 0, "%q", slices.Clone(sim.releasedStarts))
+		})
+	}
+}
