--- a/coord/flow/sim_lives_test.go
+++ b/coord/flow/sim_lives_test.go
@@ -368,12 +368,25 @@
 	return sim
 }
 
+// checkJobsEnd lets the rest of a plan be played, after which each job must have ended unless lasting tasks may hold its room.
+func (sim *simulation) checkJobsEnd(t *rapid.T) {
+	if slices.ContainsFunc(sim.jobIDs, func(id fleet.JobID) bool { return sim.jobs[id].spec.Steps[0].LongRunning }) {
+		return
+	}
+	sim.run(settleTime)
+	for _, id := range sim.jobIDs {
+		state, found := sim.leader.m.State(id)
+		assert.Assert(t, found && state.Final(), "job %s has not ended, it is %s: %+v", id, state, sim.jobs[id].spec)
+	}
+}
+
 // Calls that were meant for one life of a worker act on the next one under the same ID: its tasks must not run twice, also if
 // the next life is cut off before it has answered (TWICE).
 func TestInvariantsOfWorkersBackUnderTheirIDs(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		sim := playLives(t)
 		assert.Assert(t, len(sim.violations) == 0, "%q", sim.violations)
+		sim.checkJobsEnd(t)
 	})
 }
 
@@ -383,6 +396,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		sim := playLivesOfSchedulersInTurn(t)
 		assert.Assert(t, len(sim.violations) == 0, "%q", sim.violations)
+		sim.checkJobsEnd(t)
 	})
 }
 
