--- a/coord/flow/sim_lives_test.go
+++ b/coord/flow/sim_lives_test.go
@@ -77,9 +77,6 @@
 	}
 }
 
-// savedAt is the confirmation of a batch that was stored at a revision.
-func savedAt(batch, _ int64) flow.Saved { return flow.Saved{Batch: batch} }
-
 // sendToAnyLife delivers a call to whichever life of a worker is up: a call names its worker by the ID only. A silent worker gets
 // it if it is back in time. Some calls get no answer, and are carried out at once, late, or never.
 func (sim *simulation) sendToAnyLife(sched *simScheduler, c simCall) {
--- a/coord/flow/simulation_test.go
+++ b/coord/flow/simulation_test.go
@@ -526,7 +526,7 @@
 		if s.Interference != nil {
 			sim.interference = s.Interference
 		}
-		sim.step(sched, savedAt(s.Batch, sim.revision))
+		sim.step(sched, flow.Saved{Batch: s.Batch, Revision: sim.revision})
 	})
 }
 
