--- a/coord/flow/simulation_test.go
+++ b/coord/flow/simulation_test.go
@@ -1040,6 +1040,7 @@
 	startedAt := f.startedAt
 	sim.after(3300*time.Millisecond, func() {
 		if !f.reachable && f.startedAt == startedAt {
+			f.isUnlisted = sim.callsReachNextLife
 			sim.notifyLeader(flow.WorkerUnlisted{Worker: id})
 		}
 	})
