--- a/coord/flow/former_life_test.go
+++ b/coord/flow/former_life_test.go
@@ -334,6 +334,21 @@
 	h.checkNextStart(s, next.lastsUntil())
 }
 
+// Guards against the same where the next life answers the start and is cut off before it has answered any renewal: only the clock of
+// the answer shows the restart (TWICE).
+func TestStartThatNextLifeAnswersSetsItsLongestLease(t *testing.T) {
+	h := newLivesHarness(t)
+	s := h.startOnSilentWorker()
+	h.addSpare()
+	h.elapse(orderTimeout - 75*time.Millisecond)
+	next := newLife(6, h.now.Add(-50*time.Millisecond))
+	h.lives["a"] = next
+	assert.Assert(t, next.start(h.now, s.Order))
+	assert.Assert(t, !h.settleStart(s.Start, nil))
+	h.lives["a"] = nil
+	h.checkNextStart(s, next.lastsUntil())
+}
+
 // Guards against a late start that the next life carries out seconds after it was sent, before any call has reached that life: the
 // task was started elsewhere when the lease of the former life had expired (TWICE).
 func TestLateStartAfterAnnouncedRestartIsAwaited(t *testing.T) {
