--- a/coord/flow/former_life_test.go
+++ b/coord/flow/former_life_test.go
@@ -487,3 +487,26 @@
 	}
 	t.Fatal("the task was not started")
 }
+
+// Guards against a longer wait for the runs that a silent worker has listed, whether its restart is announced or not: they end with
+// their lease (LOST).
+func TestListedRunsOfSilentWorkerAreAwaitedForTheirLease(t *testing.T) {
+	const leaseWait = 5300 * time.Millisecond
+	for _, isAnnounced := range []bool{false, true} {
+		h := newLivesHarness(t)
+		task := h.submitLasting("j")
+		h.elapse(2500 * time.Millisecond)
+		assert.Equal(t, len(h.startsOf(task)), 1)
+		h.lives["a"] = nil
+		silent := h.now
+		h.addSpare()
+		h.elapse(time.Second)
+		if isAnnounced {
+			h.list("a", 6)
+		}
+		h.elapse(10 * time.Second)
+		starts := h.startsOf(task)
+		assert.Equal(t, len(starts), 2)
+		assert.Assert(t, !starts[1].at.After(silent.Add(leaseWait)), "the task runs again %v after its worker fell silent", starts[1].at.Sub(silent))
+	}
+}
