--- a/coord/flow/late_start_test.go
+++ b/coord/flow/late_start_test.go
@@ -109,7 +109,7 @@
 	// Several failures later the pause of an unknown worker would be at its longest.
 	h.advance(2 * time.Second)
 	h.effects = nil
-	for range 8 {
+	for range 4 {
 		refuse()
 	}
 	calls := 0
