flow: a successor knows of lives of a worker that have not answered

Callers would have seen tasks run twice after a change of the scheduler: a successor waited for a silent worker as long as leases of the former scheduler last (5.3 s), although a later life of the worker may carry out calls of that scheduler, which it does not know, for 12 s and under the longest lease. The roster did not say which life of a worker it meant. Change: the roster has the start time of the life that has answered last, and whether a later one is known that has not answered. A successor that reads such an entry, or a registration of a later life, and gets no answer waits for WitnessTimeout + 13 s + 6.2 s from when the former scheduler can have been confirmed last. Without such evidence the waits are as before, since a long-running task has to run again in 9 s. The wait is computed from that moment in one place, so that it is lengthened when the evidence comes later. A registration with an earlier start time than that of the roster counts until the worker has answered: its host's clock may have been set back.

--- a/coord/flow/event.go
+++ b/coord/flow/event.go
@@ -44,12 +44,16 @@
 
 // RosterEntry is a worker that may run tasks, with the address of its agent. Only schedulers of terms before RenewedBefore
 // have renewed the lease of the tasks, or have started any; 0 stands for the term of the reader. A worker that is Joining does
-// not count when most workers are needed, because a scheduler that may still act counts by the workers without it.
+// not count when most workers are needed, because a scheduler that may still act counts by the workers without it. StartedAt is
+// the start time of the life that has answered last, in Unix milliseconds, 0 if it is not known; Restarted is set while a later one
+// has registered which has not answered.
 type RosterEntry struct {
 	Worker        fleet.WorkerID `cbor:"worker"`
 	Address       string         `cbor:"address"`
 	RenewedBefore int64          `cbor:"renewed_before,omitempty"`
 	Joining       bool           `cbor:"joining,omitempty"`
+	StartedAt     int64          `cbor:"started_at,omitempty"`
+	Restarted     bool           `cbor:"restarted,omitempty"`
 }
 
 // Cordon takes a worker out of service and requests its evacuation by Deadline, because its machine will be taken
--- a/coord/flow/life.go
+++ b/coord/flow/life.go
@@ -53,6 +53,14 @@
 	return time.Duration(float64(m.opts.maxLease)/(1-maxClockDrift)) + clockMargin
 }
 
+// noteRestart records that a later life of a worker is known which has not answered, also for a successor.
+func (m *Machine) noteRestart(w *worker) {
+	if e, found := m.roster[w.ID]; found && !e.Restarted {
+		e.Restarted = true
+		m.roster[w.ID], m.rosterDirty = e, true
+	}
+}
+
 // noteReach records until when a call that prolongs leases may have reached a worker, unless it is carried out late.
 func (w *worker) noteReach(until time.Time) { w.reachedBy = later(w.reachedBy, until) }
 
--- a/coord/flow/life_test.go
+++ b/coord/flow/life_test.go
@@ -97,3 +97,61 @@
 	waited := h.awaitStart(start)
 	assert.Assert(t, waited >= leaseFromArrival-50*time.Millisecond && waited < leaseFromArrival+500*time.Millisecond, "waited for %v", waited)
 }
+
+// A successor waited for the leases of a silent worker as if no later life of it could carry out calls of the former scheduler, up to
+// 12 s late and under the longest lease (TWICE).
+func TestSuccessorAwaitsLateCallsOnRestartedWorkers(t *testing.T) {
+	const latest = 12*time.Second + leaseFromArrival
+	entry := flow.RosterEntry{Worker: "a", Address: "a:1", RenewedBefore: 1, StartedAt: 5}
+	restarted := entry
+	restarted.Restarted = true
+	for name, c := range map[string]struct {
+		entry      flow.RosterEntry
+		registered int64
+		isAwaited  bool
+	}{
+		"same life":             {entry, 5, false},
+		"registration":          {entry, 6, true},
+		"entry of the roster":   {restarted, 5, true},
+		"removed registration":  {restarted, 0, true},
+		"earlier, life unknown": {flow.RosterEntry{Worker: "a", Address: "a:1", RenewedBefore: 1}, 6, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a := newPoolWorker("a")
+			a.StartedAt = c.registered
+			workers := []infra.Worker{newPoolWorker("b")}
+			if c.registered > 0 {
+				workers = append(workers, a)
+			}
+			h := newHarness(t, flow.Restored{Term: 1, Roster: []flow.RosterEntry{c.entry}}, workers...)
+			h.step(flow.PredecessorStopped{})
+			stopped := h.now
+			for h.m.AwaitedWorkers() > 0 {
+				h.renewalFails("a")
+				h.advance(100 * time.Millisecond)
+			}
+			waited := h.now.Sub(stopped)
+			if c.isAwaited {
+				assert.Assert(t, waited > latest && waited < latest+5*time.Second, "waited for %v", waited)
+			} else {
+				assert.Assert(t, waited < 7*time.Second, "waited for %v", waited)
+			}
+		})
+	}
+}
+
+// The successor of a scheduler that had heard of a restart did not know of it once the registration had been removed.
+func TestRosterTellsOfRestartsWithoutAnAnswer(t *testing.T) {
+	h, _ := twoWorkers(t)
+	a := newPoolWorker("a")
+	a.StartedAt = 6
+	h.step(flow.WorkerListed{Worker: a})
+	h.renewalFails("a")
+	h.advance(200 * time.Millisecond)
+	assert.DeepEqual(t, h.lastRoster()[0], flow.RosterEntry{Worker: "a", Address: "a:1", RenewedBefore: 1, StartedAt: 5, Restarted: true})
+	for range 3 {
+		h.report("a", infra.Report{StartedAt: 6})
+		h.advance(200 * time.Millisecond)
+	}
+	assert.DeepEqual(t, h.lastRoster()[0], flow.RosterEntry{Worker: "a", Address: "a:1", RenewedBefore: 1, StartedAt: 6})
+}
--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -95,7 +95,7 @@
 	workersByID []*worker
 
 	// unreconciledWorkers holds the workers that may run tasks which a predecessor started and this scheduler has not
-	// seen yet, with the time at which the leases of such tasks have expired.
+	// seen yet, with the latest time at which one that may have renewed their leases can have been confirmed.
 	unreconciledWorkers map[fleet.WorkerID]time.Time
 	// isFenced is set once more than half of the predecessorWorkers in the restored roster have accepted the token;
 	// fencedWorkers are those that have.
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -134,6 +134,9 @@
 	}
 	w.unconfirmed, w.answeredAt, w.crashCounted = nil, w.Address, false
 	w.acceptedToken = max(w.acceptedToken, w.renewalToken)
+	if m.roster[w.ID].Restarted {
+		m.addToRoster(w)
+	}
 	if w.StartedAt == 0 {
 		w.StartedAt = ev.Report.StartedAt
 	}
--- a/coord/flow/roster_test.go
+++ b/coord/flow/roster_test.go
@@ -175,7 +175,7 @@
 	h.step(flow.WorkerListed{Worker: a})
 	h.advance(50 * time.Millisecond)
 	h.report("a", infra.Report{StartedAt: 5000})
-	assert.DeepEqual(t, h.lastRoster(), []flow.RosterEntry{{Worker: "a", Address: "a:1", RenewedBefore: 1}})
+	assert.DeepEqual(t, h.lastRoster(), []flow.RosterEntry{{Worker: "a", Address: "a:1", RenewedBefore: 1, StartedAt: 5000}})
 	// The worker restarts at another address while the batch is in flight.
 	a.StartedAt, a.Address = 6000, "a:2"
 	h.step(flow.WorkerListed{Worker: a})
@@ -184,7 +184,7 @@
 	h.step(flow.Submitted{Job: singleStepJob("j", smallStep(1))})
 	h.step(flow.Saved{Batch: 1})
 	h.advance(50 * time.Millisecond)
-	assert.DeepEqual(t, h.lastRoster(), []flow.RosterEntry{{Worker: "a", Address: "a:2", RenewedBefore: 1}})
+	assert.DeepEqual(t, h.lastRoster(), []flow.RosterEntry{{Worker: "a", Address: "a:2", RenewedBefore: 1, StartedAt: 6000}})
 	assert.Equal(t, len(h.starts()), 0)
 	h.step(flow.Saved{Batch: 2})
 	h.advance(50 * time.Millisecond)
--- a/coord/flow/takeover.go
+++ b/coord/flow/takeover.go
@@ -28,6 +28,15 @@
 	return confirmed.Add(time.Duration(float64(m.opts.taskLease)*(1+2*maxClockDrift)) + clockMargin)
 }
 
+// awaitedUntil returns until when a worker that does not answer may run tasks of a scheduler that was confirmed last at a time. Without
+// a confirmation it acts for [WitnessTimeout], and a later life of the worker may carry out its calls late.
+func (m *Machine) awaitedUntil(id fleet.WorkerID, confirmed time.Time) time.Time {
+	if m.roster[id].Restarted {
+		return confirmed.Add(WitnessTimeout + maxOrderDelay + m.longestLease())
+	}
+	return m.leaseBound(confirmed)
+}
+
 // restoreRoster restores the workers on which predecessors may have started tasks, and determines until when the leases that
 // they have granted can last.
 func (m *Machine) restoreRoster(ev RosterRestored) {
@@ -41,10 +50,10 @@
 			e.RenewedBefore = ev.Term
 		}
 		m.roster[e.Worker] = e
-		m.unreconciledWorkers[e.Worker] = m.leaseBound(m.lastConfirmation(e.RenewedBefore, ev.Term, ev.Takeovers))
+		m.unreconciledWorkers[e.Worker] = m.lastConfirmation(e.RenewedBefore, ev.Term, ev.Takeovers)
 		w := m.workers[e.Worker]
 		if w == nil {
-			w = m.addWorker(infra.Worker{ID: e.Worker, Address: e.Address})
+			w = m.addWorker(infra.Worker{ID: e.Worker, Address: e.Address, StartedAt: e.StartedAt})
 		}
 		w.answeredAt, w.isLeaseKnown = e.Address, e.RenewedBefore == ev.Term
 	}
@@ -124,8 +133,8 @@
 
 // shortenWaits takes into account that no predecessor was confirmed after a time.
 func (m *Machine) shortenWaits(confirmed time.Time) {
-	for id, until := range m.unreconciledWorkers {
-		m.unreconciledWorkers[id] = earlier(until, m.leaseBound(confirmed))
+	for id, known := range m.unreconciledWorkers {
+		m.unreconciledWorkers[id] = earlier(known, confirmed)
 	}
 }
 
@@ -136,8 +145,8 @@
 // waitSummary states for how many workers the scheduler waits, and for how long at most.
 func (m *Machine) waitSummary() string {
 	longest := time.Duration(0)
-	for _, until := range m.unreconciledWorkers {
-		longest = max(longest, until.Sub(m.now))
+	for id, confirmed := range m.unreconciledWorkers {
+		longest = max(longest, m.awaitedUntil(id, confirmed).Sub(m.now))
 	}
 	return fmt.Sprintf("%d workers are awaited, for at most %d ms", len(m.unreconciledWorkers), longest.Milliseconds())
 }
@@ -161,10 +170,10 @@
 // ends are not all known, and those on which runs may go on under a lease that this scheduler has renewed.
 func (m *Machine) expireUnreconciled() {
 	known := len(m.unreconciledWorkers)
-	maps.DeleteFunc(m.unreconciledWorkers, func(id fleet.WorkerID, until time.Time) bool {
+	maps.DeleteFunc(m.unreconciledWorkers, func(id fleet.WorkerID, confirmed time.Time) bool {
 		w := m.workers[id]
 		switch {
-		case !m.now.After(until):
+		case !m.now.After(m.awaitedUntil(id, confirmed)):
 			return false
 		case w == nil:
 			return true
--- a/coord/flow/witness_test.go
+++ b/coord/flow/witness_test.go
@@ -104,7 +104,7 @@
 		h.advance(350 * time.Millisecond)
 	}
 	assert.Equal(t, h.lastDeadline("a"), int64(0))
-	assert.DeepEqual(t, h.lastRoster(), []flow.RosterEntry{{Worker: "a", Address: "a:1", RenewedBefore: 4}})
+	assert.DeepEqual(t, h.lastRoster(), []flow.RosterEntry{{Worker: "a", Address: "a:1", RenewedBefore: 4, StartedAt: 5000}})
 	h.step(flow.Saved{Batch: 1})
 	h.report("a", infra.Report{StartedAt: 5000})
 	assert.Assert(t, h.lastDeadline("a") > 0)
--- a/coord/flow/worker_lifecycle.go
+++ b/coord/flow/worker_lifecycle.go
@@ -64,6 +64,7 @@
 	if w.unconfirmed == nil {
 		m.emit(Log{Text: "restart announced", Worker: w.ID})
 	}
+	m.noteRestart(w)
 	w.Worker.Address, w.listed, w.restartedSinceListing, w.unconfirmed = info.Address, true, true, &info
 	m.sendRenewal(w)
 }
@@ -75,9 +76,10 @@
 	stored, isKnown := m.roster[w.ID]
 	entry := RosterEntry{
 		Worker: w.ID, Address: w.Address, RenewedBefore: m.term + 1, Joining: !m.rosterOpened && (!isKnown || stored.Joining),
+		StartedAt: w.StartedAt,
 	}
 	switch {
-	case !w.tokenAccepted || stored == entry:
+	case !w.tokenAccepted || w.unconfirmed != nil || stored == entry:
 		return
 	case isKnown && !w.listed:
 		entry.Address = stored.Address
@@ -89,7 +91,8 @@
 	}
 	m.roster[w.ID] = entry
 	m.rosterDirty = true
-	stored.Joining = entry.Joining
+	// Leases do not depend on the life: a successor waits longer for one that it does not know.
+	stored.Joining, stored.StartedAt, stored.Restarted = entry.Joining, entry.StartedAt, entry.Restarted
 	w.inStoredRoster = w.inStoredRoster && stored == entry
 }
 
@@ -116,7 +119,9 @@
 		m.blameSilencedRuns(info.ID, info.StartedAt)
 		m.emit(Log{Text: "worker listed", Worker: info.ID, Reason: info.Service})
 	}
-	if w.StartedAt != 0 && info.StartedAt != 0 && info.StartedAt < w.StartedAt {
+	// A worker that has not answered yet may have restarted on a host whose clock was set back.
+	isOfFormerLife := w.StartedAt != 0 && info.StartedAt != 0 && info.StartedAt < w.StartedAt
+	if isOfFormerLife && (w.clock > 0 || w.life > 0) {
 		return
 	}
 	if w.isKnownElsewhere(info) {
@@ -177,6 +182,7 @@
 	m.emit(Log{Text: "worker restarted", Worker: w.ID, Reason: fmt.Sprintf(
 		"started at %d, before at %d; last report %d ms ago; %d of %d runs were listed", startedAt, w.StartedAt, w.reportAge(m.now), w.listedRuns(), len(w.runs),
 	)})
+	m.noteRestart(w)
 	m.blameSilencedRuns(w.ID, startedAt)
 	if !w.crashCounted {
 		m.workerCrashed(w, "worker restarted")
