--- a/coord/flow/life.go
+++ b/coord/flow/life.go
@@ -93,10 +93,10 @@
 
 // expireRuns drops the runs of an unreachable worker that have certainly ended.
 func (m *Machine) expireRuns(w *worker) {
-	lapsed := slices.DeleteFunc(w.sortedRuns(), func(r *run) bool { return !m.hasLapsed(r) })
-	if len(lapsed) == 0 {
+	if !slices.ContainsFunc(w.runsByTask, m.hasLapsed) {
 		return
 	}
+	lapsed := slices.DeleteFunc(w.sortedRuns(), func(r *run) bool { return !m.hasLapsed(r) })
 	m.emit(Log{Text: "lease expired", Worker: w.ID, Reason: fmt.Sprintf(
 		"worker unreachable; last report %d ms ago; %d of %d runs were listed, %d have ended; restart announced %t",
 		w.reportAge(m.now), w.listedRuns(), len(w.runs), len(lapsed), w.unconfirmed != nil,
