flow: a late report does not shorten the time in which a start may be carried out

Cause: the deadline of a start counted from the last report as if the worker's clock had just been read. Change: it counts from the reading that says most of the clock, and grants no longer lease than a renewal does, which counts from the last report as before; so a clock that has stood still does not lengthen what a successor waits for.

--- a/coord/flow/late_report_test.go
+++ b/coord/flow/late_report_test.go
@@ -36,3 +36,21 @@
 		assert.Check(t, left >= 1400*time.Millisecond, "on its way for %v: the start may take %v", transit, left)
 	}
 }
+
+// A start whose deadline counts from the better reading must not grant a longer lease than a renewal does, if the worker's clock has
+// stood still since: a successor does not wait for it (TWICE).
+func TestStartOnAClockThatStoodStillGrantsNoLongerLease(t *testing.T) {
+	const lease = 6 * time.Second
+	h := newHarness(t, flow.Restored{}, newPoolWorker("a"))
+	still := h.now.UnixMilli()
+	for range 100 {
+		h.step(flow.RenewAnswered{Worker: "a", Sequence: h.seq["a"], Report: infra.Report{Clock: still}})
+		h.advance(100 * time.Millisecond)
+	}
+	h.step(flow.RenewAnswered{Worker: "a", Sequence: h.seq["a"], Report: infra.Report{Clock: still}})
+	h.step(flow.Submitted{Job: singleStepJob("j", smallStep(1))})
+	h.advance(25 * time.Millisecond)
+	starts := h.starts()
+	assert.Equal(t, len(starts), 1)
+	assert.Assert(t, starts[0].Order.Deadline <= still+25+lease.Milliseconds(), "%d ms after the clock", starts[0].Order.Deadline-still)
+}
--- a/coord/flow/place.go
+++ b/coord/flow/place.go
@@ -468,7 +468,8 @@
 		newRun.fillerCPU, newRun.fillerImage = s.spec.Size.MilliCPU, m.fillerImages.of(s.spec.Image)
 	}
 	m.beginTrial(newRun, t)
-	newRun.deadline = w.maxClock(m.now) + startWindow.Milliseconds()
+	// The deadline of a start grants no longer lease than a renewal.
+	newRun.deadline = min(w.likelyClock(m.now)+startWindow.Milliseconds(), w.maxClock(m.now)+m.maxLease(w).Milliseconds())
 	w.leaseEnd, w.tokenUsed = max(w.leaseEnd, newRun.deadline), true
 	w.noteReach(m.now.Add(m.startTransit(via)))
 	t.lastRun, t.located = number, true
--- a/coord/flow/worker.go
+++ b/coord/flow/worker.go
@@ -154,6 +154,9 @@
 	// clock is the last known worker clock in milliseconds, and clockAt the local time at which it was read.
 	clockAt time.Time
 	clock   int64
+	// bestClock and bestClockAt are the reading that says most of the present clock, see [worker.likelyClock].
+	bestClockAt time.Time
+	bestClock   int64
 	// leaseEnd is the latest end of the lease, on the worker's clock, that any order can have set.
 	leaseEnd int64
 	// reachedBy is when the last call that prolongs leases has reached the worker, unless it is carried out late. If such calls
@@ -285,6 +288,12 @@
 	return w.clock + now.Sub(w.clockAt).Milliseconds()
 }
 
+// likelyClock returns the highest clock that a reading shows for the present time, unless the clock has stood still since. A report
+// that was on its way for long shows a lower one.
+func (w *worker) likelyClock(now time.Time) int64 {
+	return w.bestClock + time.Duration(float64(now.Sub(w.bestClockAt))*(1-maxClockDrift)).Milliseconds()
+}
+
 // minClock returns a lower bound for the worker's clock.
 func (w *worker) minClock(now time.Time) int64 {
 	elapsed := float64(now.Sub(w.clockAt)-clockMargin) * (1 - maxClockDrift)
@@ -300,6 +309,9 @@
 	if clock >= w.clock {
 		w.clock, w.clockAt = clock, now
 	}
+	if w.bestClockAt.IsZero() || clock >= w.likelyClock(now) {
+		w.bestClock, w.bestClockAt = clock, now
+	}
 }
 
 // maxAnswerDelay exceeds the time for which an answer to an order can be on its way.
