flow: test which lives a successor knows of

A successor awaits a silent worker for late calls only with a sign of a restart, and stops to wait once the later life has answered. The roster keeps the sign while the registration is gone. Both pass on.

--- a/coord/flow/former_life_test.go
+++ b/coord/flow/former_life_test.go
@@ -110,9 +110,11 @@
 // livesHarness delivers calls to the present lives of the workers. A worker without one is silent.
 type livesHarness struct {
 	*harness
-	lives map[fleet.WorkerID]*life
-	due   []dueEvent
-	begun []sentStart
+	// roster is the last one that was stored.
+	roster []flow.RosterEntry
+	lives  map[fleet.WorkerID]*life
+	due    []dueEvent
+	begun  []sentStart
 	// answered holds the last run of each task whose start was answered.
 	answered map[infra.TaskID]infra.Run
 	renews   []flow.Renew
@@ -164,6 +166,10 @@
 // deliver carries out an effect on the present life of its worker.
 func (h *livesHarness) deliver(e flow.Effect) {
 	switch e := e.(type) {
+	case flow.Save:
+		if e.Roster != nil {
+			h.roster = e.Roster
+		}
 	case flow.Renew:
 		h.renews = append(h.renews, e)
 		h.renew(e)
@@ -510,3 +516,84 @@
 		assert.Assert(t, !starts[1].at.After(silent.Add(leaseWait)), "the task runs again %v after its worker fell silent", starts[1].at.Sub(silent))
 	}
 }
+
+// awaitedFor returns for how long a successor awaits the worker a of a roster entry after its predecessor has stopped. The worker
+// is registered by the life listed unless that is 0, and answers as the life present unless that is nil.
+func awaitedFor(t *testing.T, e flow.RosterEntry, listed int64, present *life) time.Duration {
+	m := flow.New(formerToken, flow.WithTaskLease(grantedLease), flow.WithLeadershipTimeout(leadershipTimeout))
+	h := &livesHarness{
+		harness: newHarnessOf(t, m, flow.Restored{Term: 1, Roster: []flow.RosterEntry{e}}), lives: make(map[fleet.WorkerID]*life),
+		answered: make(map[infra.TaskID]infra.Run),
+	}
+	if present != nil {
+		present.began = h.now.Add(-time.Second)
+		h.lives["a"] = present
+	}
+	if listed > 0 {
+		h.list("a", listed)
+	}
+	h.step(flow.PredecessorStopped{})
+	stopped := h.now
+	for h.m.AwaitedWorkers() > 0 && h.now.Sub(stopped) < time.Minute {
+		h.elapse(25 * time.Millisecond)
+	}
+	return h.now.Sub(stopped)
+}
+
+// Guards against a successor that awaits a silent worker for the leases of its predecessor, although the worker has restarted since
+// it answered last: a late start of the predecessor can still begin in the life that nobody has heard of (TWICE). Without a
+// sign of a restart a successor must not wait longer than the leases last (LOST).
+func TestSuccessorAwaitsSilentWorkerThatRestarted(t *testing.T) {
+	const leaseWait = 5300 * time.Millisecond
+	entry := flow.RosterEntry{Worker: "a", Address: "a:1", StartedAt: 5}
+	restarted := entry
+	restarted.Restarted = true
+	for _, c := range []struct {
+		name              string
+		entry             flow.RosterEntry
+		listed            int64
+		present           *life
+		shortest, longest time.Duration
+	}{
+		{"no sign", entry, 5, nil, grantedLease, leaseWait},
+		{"not listed", entry, 0, nil, grantedLease, leaseWait},
+		{"later life listed", entry, 6, nil, longestDelay + longestRun, time.Minute - 1},
+		{"later life in the roster", restarted, 0, nil, longestDelay + longestRun, time.Minute - 1},
+		{"both", restarted, 6, nil, longestDelay + longestRun, time.Minute - 1},
+		{"later life answers", restarted, 6, newLife(6, time.Time{}), 0, 3 * time.Second},
+		{"later life answers unheard of", entry, 0, newLife(6, time.Time{}), 0, 3 * time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			wait := awaitedFor(t, c.entry, c.listed, c.present)
+			assert.Assert(t, wait >= c.shortest, "the worker is awaited for %v only", wait)
+			assert.Assert(t, wait <= c.longest+50*time.Millisecond, "the worker is awaited for %v", wait)
+		})
+	}
+}
+
+// Guards against a successor that cannot know of a restart which its predecessor knew of: the registration of a worker that is cut
+// off expires (TWICE).
+func TestRosterSaysWhichLifeHasAnswered(t *testing.T) {
+	h := newLivesHarness(t)
+	entry := func() flow.RosterEntry {
+		assert.Equal(t, len(h.roster), 1)
+		return h.roster[0]
+	}
+	assert.Equal(t, entry().StartedAt, int64(5))
+	assert.Assert(t, !entry().Restarted)
+	s := h.startOnSilentWorker()
+	h.elapse(200 * time.Millisecond)
+	h.list("a", 6)
+	h.elapse(200 * time.Millisecond)
+	assert.Equal(t, entry().StartedAt, int64(5))
+	assert.Assert(t, entry().Restarted, "the roster does not say that a later life has registered")
+	h.step(flow.WorkerUnlisted{Worker: "a"})
+	h.elapse(6 * time.Second)
+	assert.Assert(t, entry().Restarted, "the roster forgets the later life while its runs may go on")
+	h.lives["a"] = newLife(6, h.now)
+	h.list("a", 6)
+	h.elapse(2 * time.Second)
+	assert.Equal(t, entry().StartedAt, int64(6))
+	assert.Assert(t, !entry().Restarted, "the later life has answered")
+	assert.Assert(t, !h.lives["a"].start(h.now, s.Order))
+}
