flow: the clock of a start's answer is a sign of a restart in tests

On a start that the next life has answered, which the log calls 'start reached another life', changes nothing for the scheduler: its next renewal acknowledges the former life's ends, so that an end of the next life is lost and the task started again, and other starts without an answer are awaited for 6.6 s, not for 13 s and a lease.

--- a/coord/flow/former_life_test.go
+++ b/coord/flow/former_life_test.go
@@ -597,3 +597,46 @@
 	assert.Assert(t, !entry().Restarted, "the later life has answered")
 	assert.Assert(t, !h.lives["a"].start(h.now, s.Order))
 }
+
+// startTwoOnSilentWorker silences the worker a after one of its ends was acknowledged, and sends it two starts, of which the next life
+// answers the first one. It returns that life and the starts.
+func (h *livesHarness) startTwoOnSilentWorker() (*life, []sentStart) {
+	first := h.submitLasting("first")
+	h.elapse(500 * time.Millisecond)
+	h.lives["a"].end(first, infra.OutcomeDone)
+	h.elapse(1500 * time.Millisecond)
+	assert.Equal(h.t, h.lastRenewalOf("a").AckedEnd, int64(1))
+	h.lives["a"] = nil
+	known := len(h.begun)
+	h.step(flow.Submitted{Job: singleStepJob("second", smallStep(2))})
+	h.elapse(orderTimeout - 100*time.Millisecond)
+	starts := h.begun[known:]
+	assert.Equal(h.t, len(starts), 2)
+	next := newLife(6, h.now.Add(-50*time.Millisecond))
+	h.lives["a"] = next
+	assert.Assert(h.t, next.start(h.now, starts[0].Order))
+	assert.Assert(h.t, !h.settleStart(starts[0].Start, nil))
+	return next, starts
+}
+
+// Guards against a renewal that is sent after a start was answered by the clock of another life, and still acknowledges the ends of
+// the former one: the end of the start was lost, and its task was started again (TWICE).
+func TestRenewalAfterAnswerOfNextLifeAcknowledgesNoEnds(t *testing.T) {
+	h := newLivesHarness(t)
+	next, starts := h.startTwoOnSilentWorker()
+	next.end(starts[0].Order.Task, infra.OutcomeDone)
+	h.elapse(time.Second)
+	h.list("a", 6)
+	h.elapse(10 * time.Second)
+	assert.Equal(t, len(h.startsOf(starts[0].Order.Task)), 1, "the task is started again although it was done")
+}
+
+// Guards against a late start after the next life has answered another one: the clock of that answer is a sign of a restart as much
+// as a registration is (TWICE).
+func TestLateStartAfterAnswerOfNextLifeIsAwaited(t *testing.T) {
+	h := newLivesHarness(t)
+	_, starts := h.startTwoOnSilentWorker()
+	h.lives["a"] = nil
+	h.addSpare()
+	h.checkNextStart(starts[1], starts[1].at.Add(longestDelay+longestRun))
+}
