--- a/coord/flow/former_life_test.go
+++ b/coord/flow/former_life_test.go
@@ -640,3 +640,25 @@
 	h.addSpare()
 	h.checkNextStart(starts[1], starts[1].at.Add(longestDelay+longestRun))
 }
+
+// Guards against a renewal that the next life carries out: it is on its way for longer than a start, and prolongs the lease of a start
+// that was sent after it (TWICE).
+func TestRenewalThatNextLifeCarriesOutIsAwaited(t *testing.T) {
+	h := newLivesHarness(t)
+	h.addSpare()
+	h.lives["b"] = nil
+	known := len(h.renews)
+	for !slices.ContainsFunc(h.renews[known:], func(e flow.Renew) bool { return e.To.Worker == "a" && e.Order.Deadline > 0 }) {
+		h.elapse(25 * time.Millisecond)
+	}
+	renewal, sent := h.lastRenewalOf("a"), h.now
+	s := h.startOnSilentWorker()
+	assert.Equal(t, s.To.Worker, fleet.WorkerID("a"))
+	h.lives["b"] = newLife(5, h.now.Add(-time.Hour))
+	h.elapse(orderTimeout - 75*time.Millisecond)
+	next := newLife(6, h.now.Add(-300*time.Millisecond))
+	assert.Assert(t, next.start(h.now, s.Order))
+	h.elapse(sent.Add(renewTimeout - 25*time.Millisecond).Sub(h.now))
+	assert.Assert(t, next.renew(h.now, renewal))
+	h.checkNextStart(s, next.lastsUntil())
+}
