--- a/soak/plan/plan.go
+++ b/soak/plan/plan.go
@@ -78,9 +78,11 @@
 	Silent bool `json:"silent,omitempty"`
 	// PausesLeases pauses the store's leases.
 	PausesLeases bool `json:"pauses_leases,omitempty"`
-	// Share is the share of the calls that is affected, and DelayMS a delay.
-	Share   float64 `json:"share,omitempty"`
-	DelayMS int64   `json:"delay_ms,omitempty"`
+	// Share is the share of the calls that is affected, and DelayMS a delay. Each late order of workers has its own delay up to
+	// MaxDelayMS if that is above DelayMS.
+	Share      float64 `json:"share,omitempty"`
+	DelayMS    int64   `json:"delay_ms,omitempty"`
+	MaxDelayMS int64   `json:"max_delay_ms,omitempty"`
 }
 
 // Duration returns how long the fault lasts.
@@ -89,6 +91,9 @@
 // Delay returns the delay that the fault adds.
 func (f Fault) Delay() time.Duration { return time.Duration(f.DelayMS) * time.Millisecond }
 
+// MaxDelay returns the bound up to which the delay of late orders is drawn.
+func (f Fault) MaxDelay() time.Duration { return time.Duration(f.MaxDelayMS) * time.Millisecond }
+
 // Plan is a soak. JobsPerSecond is the rate of submissions in the time LoadMS.
 type Plan struct {
 	Name string `json:"name"`
@@ -218,7 +223,7 @@
 		if !slices.Contains(Kinds, f.Kind) {
 			return invalid("fault %d: unknown kind %q", i, f.Kind)
 		}
-		if f.AtMS < 0 || f.ForMS < 0 || f.Count < 0 || f.Share < 0 || f.Share > 1 || f.DelayMS < 0 {
+		if f.AtMS < 0 || f.ForMS < 0 || f.Count < 0 || f.Share < 0 || f.Share > 1 || f.DelayMS < 0 || f.MaxDelayMS < 0 {
 			return invalid("fault %d: a figure is out of range", i)
 		}
 		if f.Group < 0 || f.Group > len(p.HostGroups) {
--- a/soak/stand/fleet.go
+++ b/soak/stand/fleet.go
@@ -128,7 +128,7 @@
 			late = e.fault
 		}
 	}
-	m.worker.SetLateOrders(late.Share, late.Delay())
+	m.worker.SetLateOrders(late.Share, late.Delay(), late.MaxDelay())
 	return m.listener.SetMode(links.Strongest(m.modes()...))
 }
 
