soak: workers that return keep the late calls of their former lives

A worker that crashes and returns under its ID gets the late calls of its former life, and one that crashes with silent set leaves its address open, where calls wait for the next life. Faults among workers_crash also meet workers that have returned within 2 s, so that a plan can cut them off.

--- a/soak/check/check.go
+++ b/soak/check/check.go
@@ -112,18 +112,26 @@
 }
 
 type task struct {
-	active map[wkfake.RunID]time.Duration
+	active map[wkfake.RunID]activeRun
 	// lastRun is when a run has ended last, and isOverdue is set from a violation until the next start.
 	lastRun   time.Duration
 	isOverdue bool
 	starts    []time.Duration
-	ends      map[wkfake.RunID]*end
+	// ends are in the order in which they were seen. One run can end in several lives of a worker.
+	ends []*end
 	// crashes counts the workers that have ended while they ran the task.
 	crashes int
 }
 
+// activeRun is a run in progress. isInherited is set if the order was meant for an earlier life of its worker.
+type activeRun struct {
+	since       time.Duration
+	isInherited bool
+}
+
 // end is the end of a run on a worker that is up.
 type end struct {
+	run     wkfake.RunID
 	at      time.Duration
 	outcome infra.Outcome
 	noted   bool
--- a/soak/check/run.go
+++ b/soak/check/run.go
@@ -37,7 +37,7 @@
 	c.checkRejected(j)
 	c.checkDuplicates(ev, t, s)
 	c.noteStart(ev, t, j, s)
-	t.active[ev.RunID] = c.now
+	t.active[ev.RunID] = activeRun{since: c.now, isInherited: ev.IsInherited}
 	t.starts = append(t.starts, c.now)
 	t.isOverdue = false
 	c.checkAttempts(ev.RunID, t, j, s)
@@ -52,7 +52,7 @@
 func (c *Checker) task(id infra.TaskID) *task {
 	t := c.tasks[id]
 	if t == nil {
-		t = &task{active: make(map[wkfake.RunID]time.Duration), ends: make(map[wkfake.RunID]*end)}
+		t = &task{active: make(map[wkfake.RunID]activeRun)}
 		c.tasks[id] = t
 		if j := c.jobs[id.Job]; j != nil {
 			j.tasks = append(j.tasks, t)
@@ -78,16 +78,26 @@
 		c.repeats++
 	}
 	name := platform.FormatTask(ev.Task)
-	for other, since := range t.active {
-		c.fail(OnePlace, "%s run %d starts on %s while run %d is on %s since %.3fs", name, ev.Run, ev.Worker, other.Run, other.Worker, since.Seconds())
+	for other, present := range t.active {
+		c.fail(OnePlace, "%s run %d starts on %s%s while run %d is on %s since %.3fs%s", name, ev.Run, ev.Worker, originText(ev.IsInherited),
+			other.Run, other.Worker, present.since.Seconds(), originText(present.isInherited))
 	}
-	for other, e := range t.ends {
+	for _, e := range t.ends {
 		if e.outcome == infra.OutcomeDone && e.noted {
-			c.fail(OnceDone, "%s run %d starts on %s, run %d ended done on %s at %.3fs", name, ev.Run, ev.Worker, other.Run, other.Worker, e.at.Seconds())
+			c.fail(OnceDone, "%s run %d starts on %s%s, run %d ended done on %s at %.3fs", name, ev.Run, ev.Worker, originText(ev.IsInherited),
+				e.run.Run, e.run.Worker, e.at.Seconds())
 		}
 	}
 }
 
+// originText returns an addition to the name of the worker on which a run has started.
+func originText(isInherited bool) string {
+	if isInherited {
+		return " (meant for an earlier life)"
+	}
+	return ""
+}
+
 // checkAttempts checks the last start of a task against the failures that were noted.
 func (c *Checker) checkAttempts(id wkfake.RunID, t *task, j *job, s *infra.Step) {
 	if s.Speculative || s.LongRunning || len(t.starts) == 0 {
@@ -129,7 +139,7 @@
 	w.runs[ev.RunID] = s.Reserved()
 	w.used = w.used.Add(s.Reserved())
 	if !w.used.Fits(w.capacity) {
-		c.fail(Capacity, "%s has %s and is given %s", ev.Worker, w.capacity, w.used)
+		c.fail(Capacity, "%s has %s and is given %s%s", ev.Worker, w.capacity, w.used, originText(ev.IsInherited))
 	}
 	if w.isDraining && c.now > w.drainingAt+drainTimeout && !ev.IsLate && c.isCalm(w.drainingAt) {
 		c.fail(Drained, "%s starts on %s, which drains since %.3fs", platform.FormatTask(ev.Task), ev.Worker, w.drainingAt.Seconds())
@@ -144,7 +154,7 @@
 	if ev.Outcome == infra.OutcomeLeaseExpired {
 		c.lapsed++
 	}
-	t.ends[ev.RunID] = &end{at: c.now, outcome: ev.Outcome}
+	t.ends = append(t.ends, &end{run: ev.RunID, at: c.now, outcome: ev.Outcome})
 }
 
 func (c *Checker) release(id wkfake.RunID) {
@@ -156,7 +166,12 @@
 // noted marks an end as acknowledged, which counts for the starts before it too.
 func (c *Checker) noted(ev wkfake.Noted) {
 	t := c.tasks[ev.Task]
-	e := t.ends[ev.RunID]
+	var e *end
+	for _, other := range t.ends {
+		if other.run == ev.RunID {
+			e = other
+		}
+	}
 	e.noted = true
 	j, s := c.lookup(ev.Task)
 	if s == nil {
--- a/soak/plan/plan.go
+++ b/soak/plan/plan.go
@@ -14,6 +14,7 @@
 // The kinds of faults. Hosts run an entry process each. Hosts and workers that are lost do not return; a lost host is replaced
 // by an empty one, with another identity, if its fault has a duration. The process of a dark host is silent, with its connections
 // open, until it is killed at the end of the fault. Killed processes return after their fault's duration, or after a second.
+// Orders that a worker carries out late reach the next life under its ID if it crashes before.
 const (
 	HostKill   Kind = "host_kill"
 	HostStop   Kind = "host_stop"
@@ -74,7 +75,8 @@
 	CutsStore bool `json:"cuts_store,omitempty"`
 	// NewID lets crashed workers return under other IDs.
 	NewID bool `json:"new_id,omitempty"`
-	// Silent lets the store leave calls unanswered instead of rejecting them.
+	// Silent lets the store leave calls unanswered instead of rejecting them. Calls of crashed workers then wait for the next one at
+	// the address instead of being refused.
 	Silent bool `json:"silent,omitempty"`
 	// PausesLeases pauses the store's leases.
 	PausesLeases bool `json:"pauses_leases,omitempty"`
--- a/soak/stand/faults.go
+++ b/soak/stand/faults.go
@@ -200,7 +200,7 @@
 			e.worker.Drain(f.Duration())
 		}
 	case plan.WorkerLoss:
-		w := m.crash()
+		w := m.crash(false)
 		m.mu.Lock()
 		e.isStruck, m.isLost = e.isAimed && w != nil, m.isLost || w != nil
 		m.mu.Unlock()
@@ -208,7 +208,7 @@
 			s.unlistLater(w)
 		}
 	case plan.WorkerCrash:
-		w := m.crash()
+		w := m.crash(f.Silent)
 		m.mu.Lock()
 		e.isStruck = e.isAimed && w != nil
 		// A worker that was told to leave does not return.
@@ -240,11 +240,14 @@
 	switch {
 	case e.worker == nil:
 	case e.fault.Kind == plan.WorkerDrain && isPresent:
-		if w := m.crash(); w != nil {
+		if w := m.crash(false); w != nil {
 			w.Unlist()
 			s.abortOn(s.boot(m, true))
 		}
 	case e.fault.Kind == plan.WorkerCrash:
 		s.abortOn(s.boot(m, e.fault.NewID))
+		m.mu.Lock()
+		m.returnedAt = time.Now()
+		m.mu.Unlock()
 	}
 }
--- a/soak/stand/fleet.go
+++ b/soak/stand/fleet.go
@@ -19,6 +19,8 @@
 	serviceName = "desk"
 	// workerRemovalTime is the time after which the platform removes the entry of a worker that has crashed.
 	workerRemovalTime = 3300 * time.Millisecond
+	// recentReturn is the time after its return for which a worker counts as one that has crashed.
+	recentReturn = 2 * time.Second
 )
 
 // workerCapacity is what each worker can carry. A few tasks fill it, so that placement has to wait for ends.
@@ -35,6 +37,12 @@
 	worker *wkfake.Worker
 	// isLost is set once the machine is down for good.
 	isLost bool
+	// isDark is set while the machine is down and its listener goes on.
+	isDark bool
+	// returnedAt is when a worker has returned last after a crash.
+	returnedAt time.Time
+	// pending are the late calls of all lives.
+	pending wkfake.Pending
 	// effects are those of the faults in force.
 	effects []*effect
 }
@@ -58,13 +66,16 @@
 	if newID || m.lives == 0 {
 		m.lives++
 	}
-	listener, err := links.Listen(s.network.address(workersHost, firstWorkerPort+m.index), links.WithLinks(s.links.of))
-	if err != nil {
-		return err
+	if !m.isDark {
+		listener, err := links.Listen(s.network.address(workersHost, firstWorkerPort+m.index), links.WithLinks(s.links.of))
+		if err != nil {
+			return err
+		}
+		m.listener = listener
 	}
-	m.listener = listener
+	m.isDark = false
 	// The first connections meet the faults too.
-	if err := listener.SetMode(links.Strongest(m.modes()...)); err != nil {
+	if err := m.listener.SetMode(links.Strongest(m.modes()...)); err != nil {
 		return err
 	}
 	info := infra.Worker{
@@ -73,13 +84,13 @@
 	}
 	opts := []wkfake.Option{
 		wkfake.WithClockRate(1 - 0.02*float64(m.index%3)/2), wkfake.WithSeed(s.plan.Seed + uint64(m.index)),
-		wkfake.WithReportTime(time.Duration(s.plan.ReportMS) * time.Millisecond),
+		wkfake.WithReportTime(time.Duration(s.plan.ReportMS) * time.Millisecond), wkfake.WithPending(&m.pending),
 	}
 	if m.isCutFromStore() {
 		opts = append(opts, wkfake.WithoutStore())
 	}
 	s.observe(check.WorkerJoined{Worker: info.ID, Capacity: workerCapacity, Labels: info.Labels})
-	m.worker = wkfake.New(info, listener, s.store, func(ev wkfake.Event) { s.workerSaw(m, ev) }, opts...)
+	m.worker = wkfake.New(info, m.listener, s.store, func(ev wkfake.Event) { s.workerSaw(m, ev) }, opts...)
 	return m.apply()
 }
 
@@ -118,22 +129,25 @@
 
 // apply makes the worker and its links follow the faults in force. The worker is cut off from the store before its links change.
 func (m *machine) apply() error {
-	if m.worker == nil {
-		return nil
-	}
-	m.worker.CutFromStore(m.isCutFromStore())
-	var late plan.Fault
-	for _, e := range m.effects {
-		if e.fault.Kind == plan.WorkersLate {
-			late = e.fault
+	if m.worker != nil {
+		m.worker.CutFromStore(m.isCutFromStore())
+		var late plan.Fault
+		for _, e := range m.effects {
+			if e.fault.Kind == plan.WorkersLate {
+				late = e.fault
+			}
 		}
+		m.worker.SetLateOrders(late.Share, late.Delay(), late.MaxDelay())
 	}
-	m.worker.SetLateOrders(late.Share, late.Delay(), late.MaxDelay())
 	return m.listener.SetMode(links.Strongest(m.modes()...))
 }
 
-// isDisturbed reports whether a fault of a kind disturbs the machine. A worker drains from its notice until it has gone.
+// isDisturbed reports whether a fault of a kind disturbs the machine. A worker drains from its notice until it has gone, and one
+// that has crashed is disturbed until some time after its return.
 func (m *machine) isDisturbed(kind plan.Kind) bool {
+	if kind == plan.WorkerCrash && time.Since(m.returnedAt) < recentReturn {
+		return true
+	}
 	return slices.ContainsFunc(m.effects, func(e *effect) bool {
 		switch {
 		case e.fault.Kind != kind:
@@ -235,13 +249,18 @@
 	return max(0, spare)
 }
 
-// crash ends the worker of a machine without notice and returns it. It returns nil if another fault has ended it.
-func (m *machine) crash() *wkfake.Worker {
+// crash ends the worker of a machine without notice and returns it. It returns nil if another fault has ended it. Calls to a dark
+// machine wait for its next worker.
+func (m *machine) crash(isDark bool) *wkfake.Worker {
 	m.mu.Lock()
 	w := m.worker
-	m.worker = nil
+	m.worker, m.isDark = nil, m.isDark || w != nil && isDark
 	m.mu.Unlock()
-	if w != nil {
+	switch {
+	case w == nil:
+	case isDark:
+		w.CrashDark()
+	default:
 		w.Crash()
 	}
 	return w
--- a/soak/stand/stand.go
+++ b/soak/stand/stand.go
@@ -258,9 +258,8 @@
 		h.close()
 	}
 	for _, m := range s.machines {
-		if m.worker != nil {
-			m.crash()
-		}
+		m.crash(false)
+		m.pending.Close()
 	}
 	for _, server := range s.servers {
 		// The processes that use the server have ended.
