--- a/soak/plan/plan_test.go
+++ b/soak/plan/plan_test.go
@@ -33,7 +33,8 @@
 	file := filepath.Join(t.TempDir(), "plan.json")
 	for _, text := range []string{
 		``, `[]`, `{}`, head + `,"faults":[{"kind":"flood","at_ms":1}]}`, head + `,"faults":[{"kind":"host_kill","at_ms":-1}]}`,
-		head + `,"faults":[{"kind":"store_slow","share":2}]}`, head + `,"faults":[{"kind":"host_kill","among":"workers_drain"}]}`,
+		head + `,"faults":[{"kind":"store_slow","share":2}]}`, head + `,"faults":[{"kind":"workers_late_orders","max_delay_ms":-1}]}`,
+		head + `,"faults":[{"kind":"host_kill","among":"workers_drain"}]}`,
 		head + `,"faults":[{"kind":"workers_silent","among":"host_kill"}]}`, head + `,"min_tasks":5,"max_tasks":2}`, head + `,"max_work_ms":-1}`,
 		head + `,"lasting_jobs":-1}`, head + `,"faults":[{"kind":"host_loss","count":200}]}`,
 		head + `,"host_groups":[{"count":2}]}`, head + `,"host_groups":[{"count":3},{"count":0}]}`,
@@ -108,12 +109,14 @@
 // Guards against large plans, which CI does not play, that can no longer be read.
 func TestLargePlansAreValid(t *testing.T) {
 	t.Parallel()
-	files, err := filepath.Glob("../plans/large/*.json")
-	assert.NilError(t, err)
-	assert.Assert(t, len(files) > 0)
-	for _, file := range files {
-		_, err := plan.Load(file)
+	for _, pattern := range []string{"../plans/large/*.json", "../plans/former-life/*.json"} {
+		files, err := filepath.Glob(pattern)
 		assert.NilError(t, err)
+		assert.Assert(t, len(files) > 0)
+		for _, file := range files {
+			_, err := plan.Load(file)
+			assert.NilError(t, err)
+		}
 	}
 }
 
--- a/soak/stand/stand_test.go
+++ b/soak/stand/stand_test.go
@@ -84,6 +84,13 @@
 	playKept(t, "../plans/lost/*.json")
 }
 
+// Guards against calls that were meant for a former life of a worker and act on the next one, which is cut off soon after its
+// return.
+func TestKeptPlansOfFormerLives(t *testing.T) {
+	t.Parallel()
+	playKept(t, "../plans/former-life/*-short.json")
+}
+
 // Guards against faults of several kinds that overlap, by two plans that are the same in each run.
 func TestDrawnPlans(t *testing.T) {
 	t.Parallel()
@@ -137,6 +144,26 @@
 	assert.Assert(t, report.Starts >= 7*jobs, "%d starts of %d jobs", report.Starts, jobs)
 }
 
+// Guards against faults that miss workers soon after their return, and against dark workers that do not return.
+func TestDarkWorkersReturn(t *testing.T) {
+	t.Parallel()
+	p := plan.Plan{
+		Name: "dark-workers", Seed: 1, Hosts: 1, Workers: 6, LoadMS: 6000, JobsPerSecond: 2, MaxWorkMS: 600,
+		Faults: []plan.Fault{
+			{Kind: plan.WorkerCrash, AtMS: 1000, ForMS: 600, Count: 2, Silent: true},
+			{Kind: plan.WorkersSilent, AtMS: 2100, ForMS: 300, Count: 3, Among: plan.WorkerCrash, CutsStore: true},
+			{Kind: plan.WorkerCrash, AtMS: 2900, ForMS: 600, Count: 1, Among: plan.WorkerCrash, Silent: true},
+			{Kind: plan.WorkersSilent, AtMS: 5700, ForMS: 300, Count: 1, Among: plan.WorkerCrash},
+		},
+	}
+	report := play(t, p)
+	assert.DeepEqual(t, report.Hits, []stand.Hits{
+		{Kind: plan.WorkerCrash, Faults: 1, Aimed: 2, Struck: 2},
+		{Kind: plan.WorkerCrash, Of: "workers_crash", Faults: 1, Aimed: 1, Struck: 1},
+		{Kind: plan.WorkersSilent, Of: "workers_crash", Faults: 2, Missed: 1, Aimed: 4, Struck: 2},
+	})
+}
+
 // Guards against hosts and workers that count as lost and return, against losses that leave nobody to serve callers, and against
 // plans without long-running jobs to lose.
 func TestLossesAreForGood(t *testing.T) {
