soak: draw workers that return and are cut off

Three drawn plans of ten have restarts of workers under their IDs with a cut soon after, most of them dark, some twice in a row, beside late orders of 2 to 12 s or with the scheduler killed.

--- a/soak/plan/draw.go
+++ b/soak/plan/draw.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -46,6 +47,24 @@
 	calmAfter = 12 * time.Second
 )
 
+// The restarts in which workers return under their IDs and are cut off soon after. Each meets other workers.
+const (
+	returnsChance    = 0.3
+	returnsStream    = 4
+	maxFirstReturnMS = 4000
+	lateChance       = 0.6
+	lateLeadMS       = 2000
+	maxLateMS        = 12000
+	darkChance       = 0.7
+	anewChance       = 0.3
+	killChance       = 0.3
+	maxDownMS        = 1500
+	maxUpMS          = 1500
+	minCutMS         = 4000
+	maxCutMS         = 9000
+	returnsPauseMS   = 3000
+)
+
 // The links of drawn plans. A start carries the spec of its job and about as much again in headers and answers.
 const (
 	linksChance     = 0.35
@@ -99,7 +118,53 @@
 		}
 	}
 	p.Faults = slices.DeleteFunc(p.Faults, func(f Fault) bool { return f.AtMS >= p.LoadMS })
-	return drawLinks(rand.New(rand.NewPCG(seed, linksStream)), p)
+	p = drawLinks(rand.New(rand.NewPCG(seed, linksStream)), p)
+	return drawReturns(rand.New(rand.NewPCG(seed, returnsStream)), p)
+}
+
+// drawReturns adds restarts of workers to some plans.
+func drawReturns(random *rand.Rand, p Plan) Plan {
+	if random.Float64() >= returnsChance {
+		return p
+	}
+	p.LastingJobs = max(2, p.LastingJobs)
+	atMS := firstFault.Milliseconds() + lateLeadMS + random.Int64N(maxFirstReturnMS)
+	for atMS < p.LoadMS {
+		faults := drawReturn(random, atMS, p.Workers)
+		p.Faults = append(p.Faults, faults...)
+		last := faults[len(faults)-1]
+		atMS = last.AtMS + last.ForMS + returnsPauseMS + random.Int64N(returnsPauseMS)
+	}
+	p.Faults = slices.DeleteFunc(p.Faults, func(f Fault) bool { return f.AtMS >= p.LoadMS })
+	slices.SortStableFunc(p.Faults, func(a, b Fault) int { return cmp.Compare(a.AtMS, b.AtMS) })
+	return p
+}
+
+// drawReturn returns a restart of some workers, once or twice, whose last fault cuts them off. Some are beside late orders, or a
+// scheduler that is killed.
+func drawReturn(random *rand.Rand, atMS int64, workers int) (faults []Fault) {
+	if random.Float64() < lateChance {
+		faults = append(faults, Fault{
+			Kind: WorkersLate, AtMS: atMS - lateLeadMS, ForMS: 2 * lateLeadMS, Count: workers, Share: 0.1 + 0.3*random.Float64(),
+			DelayMS: lateLeadMS, MaxDelayMS: maxLateMS,
+		})
+	}
+	f := Fault{Kind: WorkerCrash, Count: 1 + random.IntN(max(1, workers/3)), Silent: random.Float64() < darkChance}
+	for range 2 {
+		f.AtMS, f.ForMS = atMS, 200+random.Int64N(maxDownMS)
+		faults = append(faults, f)
+		atMS += f.ForMS + random.Int64N(maxUpMS)
+		if random.Float64() >= anewChance {
+			break
+		}
+		f.Among = WorkerCrash
+	}
+	if random.Float64() < killChance {
+		faults = append(faults, Fault{Kind: HostKill, AtMS: max(0, atMS-random.Int64N(maxUpMS)), Count: 1, OnLeader: true})
+	}
+	return append(faults, Fault{
+		Kind: WorkersSilent, AtMS: atMS, ForMS: minCutMS + random.Int64N(maxCutMS-minCutMS), Count: f.Count, Among: WorkerCrash, CutsStore: true,
+	})
 }
 
 // drawLinks gives the hosts of some plans links with a bandwidth, from half of what all starts need on. If there are several
--- a/soak/plan/plan_test.go
+++ b/soak/plan/plan_test.go
@@ -1,9 +1,11 @@
 package plan_test
 
 import (
+	"cmp"
 	"errors"
 	"os"
 	"path/filepath"
+	"slices"
 	"testing"
 	"time"
 
@@ -120,6 +122,36 @@
 	}
 }
 
+// Guards against drawn plans in which no workers that return under their IDs are cut off soon after, with and without late orders
+// for their former lives.
+func TestDrawnPlansCutReturnedWorkers(t *testing.T) {
+	t.Parallel()
+	found, late := 0, 0
+	for seed := range uint64(100) {
+		p := plan.Draw(seed, 4, 18, 40*time.Second)
+		assert.Assert(t, slices.IsSortedFunc(p.Faults, func(a, b plan.Fault) int { return cmp.Compare(a.AtMS, b.AtMS) }))
+		isLate := slices.ContainsFunc(p.Faults, func(f plan.Fault) bool { return f.Kind == plan.WorkersLate && f.MaxDelayMS > f.DelayMS })
+		isCut := slices.ContainsFunc(p.Faults, func(f plan.Fault) bool {
+			return f.Kind == plan.WorkersSilent && f.Among == plan.WorkerCrash && f.CutsStore && f.ForMS >= 4000 && hasReturned(p, f.AtMS)
+		})
+		if isCut {
+			found++
+			if isLate {
+				late++
+			}
+		}
+	}
+	assert.Assert(t, found >= 20 && late >= 10, "%d of 100 plans, %d with late orders", found, late)
+}
+
+// hasReturned reports whether workers have returned under their IDs in the 1.5 s before a time.
+func hasReturned(p plan.Plan, atMS int64) bool {
+	return slices.ContainsFunc(p.Faults, func(f plan.Fault) bool {
+		end := f.AtMS + f.ForMS
+		return f.Kind == plan.WorkerCrash && !f.NewID && end <= atMS && end > atMS-1500
+	})
+}
+
 // Guards against drawn plans that never lose workers and their scheduler shortly after, with time for what ran there to run again.
 func TestDrawnPlansLoseWorkersAndSchedulers(t *testing.T) {
 	t.Parallel()
