--- a/soak/check/check_test.go
+++ b/soak/check/check_test.go
@@ -66,6 +66,14 @@
 	return check.WorkerSaw{Event: wkfake.Noted{RunID: runID(worker, 0, number), Outcome: how}}
 }
 
+// inherited is a late start of the first run, which was meant for an earlier life of its worker.
+var inherited = check.WorkerSaw{Event: wkfake.Started{RunID: runID("a", 0, 1), Spec: "work", IsLate: true, IsInherited: true}}
+
+// anotherLife is the return of a worker under its ID after a crash.
+func anotherLife(worker fleet.WorkerID) []observation {
+	return []observation{{2.1, gone(worker)}, {2.5, check.WorkerJoined{Worker: worker, Capacity: capacity}}}
+}
+
 func gone(worker fleet.WorkerID) check.Event {
 	return check.WorkerSaw{Event: wkfake.Gone{Worker: worker}}
 }
@@ -101,6 +109,29 @@
 			check.OnePlace,
 			[]observation{{2, started("a", 0, 1)}, {3, gone("a")}, {3, started("b", 0, 2)}},
 		},
+		{
+			"two runs at once, one meant for an earlier life", job,
+			append(anotherLife("a"), observation{3, started("b", 0, 2)}, observation{4, inherited}),
+			check.OnePlace,
+			append(append([]observation{{2, started("a", 0, 1)}}, anotherLife("a")...), observation{3, inherited}),
+		},
+		{
+			"a start after a noted end of the same run in an earlier life", job,
+			[]observation{
+				{2, started("a", 0, 1)},
+				{3, ended("a", 1, infra.OutcomeDone)},
+				{3.1, noted("a", 1, infra.OutcomeDone)},
+				{4, inherited},
+			},
+			check.OnceDone,
+			[]observation{
+				{2, started("a", 0, 1)},
+				{3, ended("a", 1, infra.OutcomeDone)},
+				{4, inherited},
+				{5, ended("a", 1, infra.OutcomeStopped)},
+				{6, check.StateSeen{Job: "j", State: infra.StateCompleted}},
+			},
+		},
 		{
 			"a start after a noted end", job,
 			[]observation{{2, started("a", 0, 1)}, {3, ended("a", 1, infra.OutcomeDone)}, {3.1, noted("a", 1, infra.OutcomeDone)}, {4, started("b", 0, 2)}},
--- a/soak/plan/plan_test.go
+++ b/soak/plan/plan_test.go
@@ -1,9 +1,11 @@
 package plan_test
 
 import (
+	"cmp"
 	"errors"
 	"os"
 	"path/filepath"
+	"slices"
 	"testing"
 	"time"
 
@@ -33,7 +35,8 @@
 	file := filepath.Join(t.TempDir(), "plan.json")
 	for _, text := range []string{
 		``, `[]`, `{}`, head + `,"faults":[{"kind":"flood","at_ms":1}]}`, head + `,"faults":[{"kind":"host_kill","at_ms":-1}]}`,
-		head + `,"faults":[{"kind":"store_slow","share":2}]}`, head + `,"faults":[{"kind":"host_kill","among":"workers_drain"}]}`,
+		head + `,"faults":[{"kind":"store_slow","share":2}]}`, head + `,"faults":[{"kind":"workers_late_orders","max_delay_ms":-1}]}`,
+		head + `,"faults":[{"kind":"host_kill","among":"workers_drain"}]}`,
 		head + `,"faults":[{"kind":"workers_silent","among":"host_kill"}]}`, head + `,"min_tasks":5,"max_tasks":2}`, head + `,"max_work_ms":-1}`,
 		head + `,"lasting_jobs":-1}`, head + `,"faults":[{"kind":"host_loss","count":200}]}`,
 		head + `,"host_groups":[{"count":2}]}`, head + `,"host_groups":[{"count":3},{"count":0}]}`,
@@ -108,7 +111,7 @@
 // Guards against large plans, which CI does not play, that can no longer be read.
 func TestLargePlansAreValid(t *testing.T) {
 	t.Parallel()
-	files, err := filepath.Glob("../plans/large/*.json")
+	files, err := filepath.Glob("../plans/*/*.json")
 	assert.NilError(t, err)
 	assert.Assert(t, len(files) > 0)
 	for _, file := range files {
@@ -117,6 +120,24 @@
 	}
 }
 
+// Guards against drawn plans in which no workers that return under their IDs are cut off soon after.
+func TestDrawnPlansCutReturnedWorkers(t *testing.T) {
+	t.Parallel()
+	found := 0
+	for seed := range uint64(100) {
+		p := plan.Draw(seed, 4, 18, 40*time.Second)
+		assert.Assert(t, slices.IsSortedFunc(p.Faults, func(a, b plan.Fault) int { return cmp.Compare(a.AtMS, b.AtMS) }))
+		for i, f := range p.Faults {
+			isCut := f.Kind == plan.WorkersSilent && f.Among == plan.WorkerCrash && f.CutsStore
+			if isCut && slices.ContainsFunc(p.Faults[:i], func(c plan.Fault) bool { return c.Kind == plan.WorkerCrash && c.AtMS+c.ForMS <= f.AtMS }) {
+				found++
+				break
+			}
+		}
+	}
+	assert.Assert(t, found >= 20, "%d of 100 plans", found)
+}
+
 // Guards against drawn plans that never lose workers and their scheduler shortly after, with time for what ran there to run again.
 func TestDrawnPlansLoseWorkersAndSchedulers(t *testing.T) {
 	t.Parallel()
