flow: the answer of another life is a sign of a restart, and renewals count until their time-out

A start that the next life answers has the clock of that life: the scheduler sent it renewals with the former life's numbers of ends, which acknowledged its ends, and waited as if nothing could be carried out late. And a renewal that was sent before a start can reach the next life 0.7 s later and prolong the lease of the start, of which 0.4 s were counted. Change: an answer whose clock is more than 2 s too low counts like a registration of a later life, until a report tells. Renewals count for their time-out. Tests: TestStartThatNextLifeAnswersSetsItsLongestLease demands the longer wait; TestLostWorkerIsNotAwaitedLonger 6.9 s (6.65 s before), and nothing before 6.82 s: its renewal was sent just before the worker was lost.

--- a/coord/flow/life.go
+++ b/coord/flow/life.go
@@ -11,8 +11,12 @@
 // A worker that starts again under its ID begins another life: it knows neither runs nor tokens, and its clock and its numbers of
 // ends start anew. Calls name the worker by its ID only, so that its next life carries out those that were still on their way.
 
-// maxOrderDelay exceeds the 12 s for which an unanswered order may still be carried out according to the platform.
-const maxOrderDelay = 13 * time.Second
+const (
+	// maxOrderDelay exceeds the 12 s for which an unanswered order may still be carried out according to the platform.
+	maxOrderDelay = 13 * time.Second
+	// renewalTransit is how long a renewal may take to its worker, unless it is carried out late.
+	renewalTransit = 700 * time.Millisecond
+)
 
 const (
 	// OrderTimeout bounds a start, stop or throttle order that need not wait for the link, see [MaxLinkDelay]. A round trip
@@ -85,7 +89,7 @@
 		return false
 	}
 	until := w.reachedBy.Add(m.longestLease())
-	if r.state == fencing || w.unconfirmed != nil || !w.tokenAccepted {
+	if r.state == fencing || w.mayHaveRestarted() || !w.tokenAccepted {
 		until = until.Add(maxOrderDelay)
 	}
 	return m.now.After(until)
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -12,12 +12,12 @@
 
 // sendRenewal renews a worker's lease and requests its report.
 func (m *Machine) sendRenewal(w *worker) {
-	if !w.reachable || w.unconfirmed != nil || !w.tokenAccepted {
+	if !w.reachable || w.mayHaveRestarted() || !w.tokenAccepted {
 		m.raiseToken(w)
 	}
 	order := infra.RenewOrder{Token: w.token}
 	// Numbers of ends and times of the worker's clock mean nothing to another incarnation.
-	isSameIncarnation := w.unconfirmed == nil
+	isSameIncarnation := !w.mayHaveRestarted()
 	if isSameIncarnation && w.reachable {
 		order.AckedEnd = w.durableEnd
 	}
@@ -28,7 +28,7 @@
 	if w.clock > 0 && w.reachable && isSameIncarnation && !isImmediate && lease > 0 {
 		order.Deadline = w.maxClock(m.now) + lease.Milliseconds()
 		w.leaseEnd = max(w.leaseEnd, order.Deadline)
-		w.noteReach(m.now.Add(OrderTimeout))
+		w.noteReach(m.now.Add(renewalTransit))
 	}
 	if m.restored && isSameIncarnation && !w.hasUnsavedEnds() && w.tokenAccepted && w.reachable && !isImmediate && !w.secondReportDue {
 		order.Wait = reportWait
@@ -132,7 +132,7 @@
 		}
 		return
 	}
-	w.unconfirmed, w.answeredAt, w.crashCounted = nil, w.Address, false
+	w.unconfirmed, w.sawOtherClock, w.answeredAt, w.crashCounted = nil, false, w.Address, false
 	w.acceptedToken = max(w.acceptedToken, w.renewalToken)
 	if m.roster[w.ID].Restarted {
 		m.addToRoster(w)
--- a/coord/flow/worker.go
+++ b/coord/flow/worker.go
@@ -119,6 +119,8 @@
 	answeredAt string
 	// unconfirmed is a registration that announces a restart which the worker has not confirmed; nil if there is none.
 	unconfirmed *infra.Worker
+	// sawOtherClock is set if an answer since the last report shows the clock of another life.
+	sawOtherClock bool
 	// inStoredRoster is set once the stored roster lists the worker as one whose lease this scheduler may renew, so that a
 	// later one expects tasks on it.
 	inStoredRoster bool
@@ -322,6 +324,9 @@
 	return clock > 0 && w.clock-clock > maxAnswerDelay.Milliseconds()
 }
 
+// mayHaveRestarted reports whether there is a sign of a later life which has not been confirmed by a report.
+func (w *worker) mayHaveRestarted() bool { return w.unconfirmed != nil || w.sawOtherClock }
+
 func (w *worker) add(now time.Time, r *run) {
 	w.runs[r.id] = r
 	at, _ := slices.BinarySearchFunc(w.runsByTask, r, compareRuns)
--- a/coord/flow/worker_lifecycle.go
+++ b/coord/flow/worker_lifecycle.go
@@ -196,7 +196,7 @@
 		// The start may have reached the new incarnation or may still reach it, so the new incarnation must reject it.
 		r.state, r.nextStop, r.stopReason, r.fromPreviousIncarnation = fencing, m.now, "worker restarted", true
 	}
-	w.StartedAt, w.restartedSinceListing, w.unconfirmed = startedAt, true, nil
+	w.StartedAt, w.restartedSinceListing, w.unconfirmed, w.sawOtherClock = startedAt, true, nil, false
 	w.tokenAccepted, w.hasAnswered, w.leadershipConfirmed, w.acceptedToken = false, false, false, 0
 	m.raiseToken(w)
 	w.bestClock, w.bestClockAt = 0, time.Time{}
