flow: a worker that falls silent is asked again at once

Cause: after a renewal without an answer the next one waited for 250 ms. Change: the first renewal after one that fails goes out at once, and fences the life. Result: TestSilentWorkerIsAskedAgainAtOnce failed before (no renewal within 25 ms).

--- a/coord/flow/fence_test.go
+++ b/coord/flow/fence_test.go
@@ -85,3 +85,17 @@
 	h.effects = nil
 	return n
 }
+
+// A worker whose connection had ended with its life was asked again after 250 ms. Until then its next life, which was up already, carried
+// out late starts of tasks that ran elsewhere by then (TWICE).
+func TestSilentWorkerIsAskedAgainAtOnce(t *testing.T) {
+	h := newHarness(t, flow.Restored{}, newPoolWorker("a"))
+	h.report("a", infra.Report{})
+	h.renewals()
+	h.renewalFails("a")
+	h.advance(25 * time.Millisecond)
+	assert.Equal(t, len(h.renewals()), 1)
+	h.renewalFails("a")
+	h.advance(25 * time.Millisecond)
+	assert.Equal(t, len(h.renewals()), 0)
+}
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -72,6 +72,8 @@
 		w.unreachableSince = m.now
 		m.emit(Log{Text: "worker unreachable", Worker: w.ID, Reason: ev.Err.Error()})
 		m.recordSuspects(w)
+		// If the connection ended with a life of the worker, the next one is up, and late calls reach it until it is fenced.
+		w.nextRenewal = m.now
 	}
 	w.reachable = false
 	// What a crash means is in the records of the jobs.
