flow: the summary of waiting tasks names the reserved shares of the service

`tasks waiting` now also gives the shares of the service's processors and memory that tasks reserve.

--- a/coord/flow/view.go
+++ b/coord/flow/view.go
@@ -354,7 +354,8 @@
 	}
 	for _, queue := range slices.Sorted(maps.Keys(backlogs)) {
 		b := backlogs[queue]
-		m.emit(Log{Text: "tasks waiting", Reason: fmt.Sprintf("queue %s: %d tasks of %d steps; workers: %s", queue, b.tasks, b.steps, formatCounts(m.placementObstacles(b.first)))})
+		m.emit(Log{Text: "tasks waiting", Reason: fmt.Sprintf("queue %s: %d tasks of %d steps; %s reserved; workers: %s",
+			queue, b.tasks, b.steps, m.reservedShares(b.first.queue.Service), formatCounts(m.placementObstacles(b.first)))})
 	}
 	var reserved, load int64
 	paused, fillers := 0, 0
@@ -379,6 +380,20 @@
 	}
 }
 
+// reservedShares formats the shares of a service's capacity that its tasks reserve. The processor time of fillers is not
+// reserved.
+func (m *Machine) reservedShares(service string) string {
+	var used, capacity fleet.Resources
+	for _, w := range m.workersByID {
+		if w.Service == service {
+			used, capacity = used.Add(w.used), capacity.Add(w.Capacity)
+		}
+	}
+	percent := func(used, capacity int64) int64 { return 100 * used / max(1, capacity) }
+	return fmt.Sprintf("%d %% of the processors and %d %% of the memory",
+		percent(used.MilliCPU, capacity.MilliCPU), percent(used.MemoryBytes, capacity.MemoryBytes))
+}
+
 // formatCounts formats counts by name, the highest first.
 func formatCounts(counts map[string]int) string {
 	names := slices.SortedFunc(maps.Keys(counts), func(a, b string) int {
--- a/coord/flow/view_test.go
+++ b/coord/flow/view_test.go
@@ -63,7 +63,7 @@
 	}
 	assert.Assert(t, len(reasons) >= 4 && len(reasons) <= 6, "%q", reasons)
 	assert.DeepEqual(t, reasons[len(reasons)-2:], []string{
-		"queue batch: 2 tasks of 1 steps; workers: 1 has not answered this scheduler yet, 1 no processor time to spare",
+		"queue batch: 2 tasks of 1 steps; 0 % of the processors and 7 % of the memory reserved; workers: 1 has not answered this scheduler yet, 1 no processor time to spare",
 		"10 running, 0 of them paused; they reserve 10000m and request 10000m",
 	})
 }
