flow: a worker whose clock was set back is found at another address

What callers could see: a worker that started again under its ID at another address, after the clock of its host had been set back, took no task any more.

Cause: a registration with an earlier start time is taken for that of a former life and ignored. Only the report shows that the clock was set back, and renewals went on to the former address.

Change: if the worker does not answer, such a registration with another address is confirmed like the announcement of a restart. The next registration of the present life leads back to its address.

--- a/coord/flow/registration_test.go
+++ b/coord/flow/registration_test.go
@@ -165,3 +165,34 @@
 	h.step(flow.RenewFailed{Worker: "a", Sequence: h.seq["a"], Err: &infra.RefusedError{Worker: "a", Reason: infra.ReasonInstance}})
 	assert.Equal(t, h.m.Counts().Crashes, int64(1))
 }
+
+// Guards against a worker that takes no task any more because its host's clock was set back before it started again at another
+// address: its registrations looked like those of a former life, and only its former address was called.
+func TestRestartAtAnotherAddressWithEarlierStart(t *testing.T) {
+	h, a, _ := runningWorker(t)
+	a.StartedAt, a.Address = 3, "a:2"
+	h.step(flow.WorkerListed{Worker: a})
+	assert.Equal(t, h.lastRenewal("a").To.HostPort, "a:1", "the worker still answers there")
+	h.refuse("a")
+	h.step(flow.WorkerListed{Worker: a})
+	assert.Equal(t, h.lastRenewal("a").To.HostPort, "a:2")
+	h.report("a", infra.Report{StartedAt: 3})
+	h.advance(100 * time.Millisecond)
+	h.report("a", infra.Report{StartedAt: 3})
+	assert.Equal(t, h.unusableReason("a"), "")
+}
+
+// A registration of a former life of a silent worker must not keep its present life out of use.
+func TestRegistrationOfFormerLifeOfSilentWorker(t *testing.T) {
+	h, a, report := runningWorker(t)
+	h.renewalFails("a")
+	former := a
+	former.StartedAt, former.Address = 3, "a:0"
+	h.step(flow.WorkerListed{Worker: former})
+	h.renewalFails("a")
+	h.step(flow.WorkerListed{Worker: a})
+	h.advance(500 * time.Millisecond)
+	assert.Equal(t, h.lastRenewal("a").To.HostPort, "a:1")
+	h.report("a", report)
+	assert.Equal(t, h.unusableReason("a"), "")
+}
--- a/coord/flow/worker_lifecycle.go
+++ b/coord/flow/worker_lifecycle.go
@@ -122,6 +122,10 @@
 	// A worker that has not answered yet may have restarted on a host whose clock was set back.
 	isOfFormerLife := w.StartedAt != 0 && info.StartedAt != 0 && info.StartedAt < w.StartedAt
 	if isOfFormerLife && (w.clock > 0 || w.life > 0) {
+		// The same holds if nobody answers at the address of the later life.
+		if !w.reachable && info.Address != w.Address {
+			m.confirmRestart(w, info)
+		}
 		return
 	}
 	if w.isKnownElsewhere(info) {
