flow: test a start of a scheduler that was suspended after its decision

Callers saw: two runs of a task (TWICE). Cause: reachedBy counts from the decision, the time-out of the call from its dispatch.

--- a/coord/flow/review_life_test.go
+++ b/coord/flow/review_life_test.go
@@ -25,3 +25,15 @@
 	assert.Assert(t, next.renew(h.now, renewal))
 	h.checkNextStart(s, next.lastsUntil())
 }
+
+// Guards against a start whose call is sent late because the scheduler's host was suspended after the decision, for less time than
+// its lease lasts. The scheduler counted the way of the call from the decision (TWICE).
+func TestStartOfASuspendedSchedulerMayReachTheSilentNextLife(t *testing.T) {
+	h := newLivesHarness(t)
+	s := h.startOnSilentWorker()
+	h.addSpare()
+	h.now = h.now.Add(1500 * time.Millisecond)
+	next := newLife(6, h.now.Add(-50*time.Millisecond))
+	assert.Assert(t, next.start(h.now, s.Order))
+	h.checkNextStart(s, next.lastsUntil())
+}
