flow: test an immediate renewal that reaches the next life

Callers saw: a task that was done runs again (TWICE). Cause: the renewal that follows a start without an answer acknowledges ends of the former life.

--- a/coord/flow/review_life_test.go
+++ b/coord/flow/review_life_test.go
@@ -5,6 +5,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"lovagefork.example/coord/flow"
+	"lovagefork.example/coord/infra"
 )
 
 // Guards against a renewal that was sent just before its worker restarted, and that reaches the next life before its time-out: it
@@ -37,3 +40,32 @@
 	assert.Assert(t, next.start(h.now, s.Order))
 	h.checkNextStart(s, next.lastsUntil())
 }
+
+// Guards against an immediate renewal that reaches the next life of its worker: it acknowledged an end of that life by its number, so
+// that the task, which was done, was started again (TWICE).
+func TestImmediateRenewalDoesNotAcknowledgeEndsOfTheNextLife(t *testing.T) {
+	h := newLivesHarness(t)
+	first := h.submitLasting("first")
+	h.elapse(500 * time.Millisecond)
+	assert.Equal(t, len(h.startsOf(first)), 1)
+	h.lives["a"].end(first, infra.OutcomeDone)
+	h.elapse(1500 * time.Millisecond)
+	assert.Equal(t, h.lastRenewalOf("a").AckedEnd, int64(1))
+
+	h.lives["a"] = nil
+	h.step(flow.Submitted{Job: singleStepJob("second", smallStep(2))})
+	h.elapse(50 * time.Millisecond)
+	second := infra.TaskID{Job: "second"}
+	starts := h.startsOf(second)
+	assert.Equal(t, len(starts), 1)
+	h.elapse(100 * time.Millisecond)
+	next := newLife(6, h.now.Add(-50*time.Millisecond))
+	assert.Assert(t, next.start(h.now, starts[0].Order))
+	h.elapse(150 * time.Millisecond)
+	next.end(second, infra.OutcomeDone)
+	h.lives["a"] = next
+	h.elapse(500 * time.Millisecond)
+	h.list("a", 6)
+	h.elapse(10 * time.Second)
+	assert.Equal(t, len(h.startsOf(second)), 1, "the task is started again although it was done")
+}
