flow: test how long a successor awaits a start in an unknown life

Callers saw: two runs of a task (TWICE). Cause: the wait covers the leases that schedulers grant, 5.3 s; a start that is on its way runs for 6.5 s, and a scheduler without the store starts tasks 2.5 s longer.

--- a/coord/flow/review_life_test.go
+++ b/coord/flow/review_life_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"lovagefork.example/coord/fleet"
 	"lovagefork.example/coord/flow"
 	"lovagefork.example/coord/infra"
 )
@@ -69,3 +70,49 @@
 	h.elapse(10 * time.Second)
 	assert.Equal(t, len(h.startsOf(second)), 1, "the task is started again although it was done")
 }
+
+// awaited returns how long a successor awaits a silent worker.
+func (h *harness) awaited(silent fleet.WorkerID) time.Duration {
+	began := h.now
+	for h.m.AwaitedWorkers() > 0 && h.now.Sub(began) < time.Minute {
+		h.renewalFails(silent)
+		h.advance(25 * time.Millisecond)
+	}
+	return h.now.Sub(began)
+}
+
+// Guards against a start of the predecessor that has begun in the next life of its worker, which neither has answered nor is
+// registered: it runs under the longest lease there, and the successor waited for the leases that schedulers grant (TWICE).
+func TestSuccessorAwaitsTheLongestLease(t *testing.T) {
+	var roster []flow.RosterEntry
+	var workers []infra.Worker
+	for _, id := range []string{"a", "b", "c"} {
+		w := newPoolWorker(id)
+		w.StartedAt = 5
+		workers = append(workers, w)
+		roster = append(roster, flow.RosterEntry{Worker: w.ID, Address: w.Address, RenewedBefore: 1, StartedAt: 5})
+	}
+	for name, c := range map[string]struct {
+		isFenced bool
+		actsFor  time.Duration
+	}{
+		"handed over":                          {false, 0},
+		"cut off from the store, still acting": {true, flow.WitnessTimeout},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarnessOf(t, flow.New(7, flow.WithTaskLease(grantedLease), flow.WithLeadershipTimeout(leadershipTimeout)),
+				flow.Restored{Term: 1, Roster: roster}, workers...)
+			if c.isFenced {
+				h.reportTwice("b", infra.Report{StartedAt: 5})
+				h.reportTwice("c", infra.Report{StartedAt: 5})
+			} else {
+				h.step(flow.PredecessorStopped{})
+				h.reportTwice("b", infra.Report{StartedAt: 5})
+				h.reportTwice("c", infra.Report{StartedAt: 5})
+			}
+			waited := h.awaited("a")
+			least := c.actsFor + flow.OrderTimeout + leaseFromArrival
+			assert.Assert(t, waited >= least-100*time.Millisecond, "waited for %v, a run can last for %v", waited, least)
+		})
+	}
+}
