flow: test a registration of a life before that of the roster

Callers saw: starts beyond the capacity of a worker (LIMIT). Cause: since the roster has start times, the first report shows no restart, and the registration of the former life counts.

--- a/coord/flow/review_life_test.go
+++ b/coord/flow/review_life_test.go
@@ -116,3 +116,28 @@
 		})
 	}
 }
+
+// Guards against a registration of the former life that the store still holds when a scheduler is elected whose roster names the
+// present one: its capacity and labels were taken for those of the present life (LIMIT, ROUTE).
+func TestSuccessorDoesNotUseTheRegistrationOfAFormerLife(t *testing.T) {
+	former := newPoolWorker("a")
+	former.StartedAt = 5
+	present := former
+	present.StartedAt, present.Capacity = 6, fleet.Resources{MilliCPU: 100, MemoryBytes: 1 << 20}
+	for name, startedAt := range map[string]int64{"life not stored": 0, "life stored": 6} {
+		t.Run(name, func(t *testing.T) {
+			entry := flow.RosterEntry{Worker: "a", Address: former.Address, RenewedBefore: 1, StartedAt: startedAt}
+			h := newHarness(t, flow.Restored{Term: 1, Roster: []flow.RosterEntry{entry}}, former)
+			h.step(flow.PredecessorStopped{})
+			h.step(flow.Submitted{Job: singleStepJob("job", smallStep(1))})
+			for range 10 {
+				h.report("a", infra.Report{StartedAt: 6})
+				h.advance(100 * time.Millisecond)
+			}
+			assert.Equal(t, len(h.starts()), 0, "a task starts by the capacity of the former life")
+			h.step(flow.WorkerListed{Worker: present})
+			h.advance(100 * time.Millisecond)
+			assert.Equal(t, len(h.starts()), 0)
+		})
+	}
+}
