flow: test lasting tasks of a worker that restarts and is lost

Callers saw: long-running tasks that wait (LOST). Cause: unlisted starts wait for 19 s once a restart is announced.

--- a/coord/flow/review_life_test.go
+++ b/coord/flow/review_life_test.go
@@ -141,3 +141,35 @@
 		})
 	}
 }
+
+// newLastingLives returns a simulation in which calls reach the next life of a worker, with 12 long-running tasks on 6 workers.
+func newLastingLives(seed uint64) *lastingCheck {
+	sim := newSimulation(seed, 6)
+	sim.callsReachNextLife, sim.taskLease = true, grantedLease
+	c := newLastingCheck(sim)
+	c.elect(false)
+	c.run(time.Second)
+	j := singleStepJob("lasting", lastingStep(12, 1000))
+	j.Steps[0].MaxPerWorker = 4
+	c.submit(j)
+	c.run(4 * time.Second)
+	return c
+}
+
+// Guards against a wait of 19 s for starts on a worker that has announced a restart and is gone for good (LOST).
+func TestLongRunningTasksAfterRestartOfALostWorker(t *testing.T) {
+	for seed := range uint64(5) {
+		c := newLastingLives(seed)
+		c.restart("w00", 300*time.Millisecond, true, 100*time.Millisecond)
+		for _, id := range c.workerIDs {
+			for _, task := range sortedTasks(c.workers[id].runs) {
+				c.workers[id].endRun(task, infra.OutcomeFailed)
+			}
+		}
+		c.run(400 * time.Millisecond)
+		c.impair(0)
+		c.replace("w00")
+		c.run(30 * time.Second)
+		assert.Assert(t, len(c.violations) == 0, "seed %d: %q", seed, c.violations)
+	}
+}
