flow: test lasting tasks of a worker that restarts and is lost with its scheduler

Callers saw: long-running tasks that wait for 24 s (LOST). Cause: a successor waits for late calls to a worker that has restarted for all that ran there.

--- a/coord/flow/review_life_test.go
+++ b/coord/flow/review_life_test.go
@@ -173,3 +173,20 @@
 		assert.Assert(t, len(c.violations) == 0, "seed %d: %q", seed, c.violations)
 	}
 }
+
+// Guards against a wait of 24 s by a successor that knows of the restart, also for the runs that the former scheduler had seen in the
+// former life and would have started again after their lease (LOST).
+func TestLongRunningTasksAfterTakeoverBesideRestartOfALostWorker(t *testing.T) {
+	for seed := range uint64(5) {
+		c := newLastingLives(seed)
+		c.restart("w00", 300*time.Millisecond, true, 100*time.Millisecond)
+		c.run(400 * time.Millisecond)
+		c.impair(0)
+		c.replace("w00")
+		c.run(400 * time.Millisecond)
+		c.impair(0)
+		c.killScheduler(electionTime)
+		c.run(30 * time.Second)
+		assert.Assert(t, len(c.violations) == 0, "seed %d: %q", seed, c.violations)
+	}
+}
