flow: a registration of an earlier life than the roster names does not count before a report

Callers could have seen a worker with more tasks than it carries: since the roster has start times, a scheduler took a registration of the former life, which the store still held, for that of the present one, with its capacity and labels. Change: it counts once a report has its start time, as that of a host whose clock was set back has.

--- a/coord/flow/worker_lifecycle.go
+++ b/coord/flow/worker_lifecycle.go
@@ -119,12 +119,13 @@
 		m.blameSilencedRuns(info.ID, info.StartedAt)
 		m.emit(Log{Text: "worker listed", Worker: info.ID, Reason: info.Service})
 	}
-	// A worker that has not answered yet may have restarted on a host whose clock was set back.
-	isOfFormerLife := w.StartedAt != 0 && info.StartedAt != 0 && info.StartedAt < w.StartedAt
-	if isOfFormerLife && (w.clock > 0 || w.life > 0) {
-		// The same holds if nobody answers at the address of the later life.
-		if !w.reachable && info.Address != w.Address {
+	if w.StartedAt != 0 && info.StartedAt != 0 && info.StartedAt < w.StartedAt {
+		// The registration is that of a former life, or the clock of the worker's host was set back.
+		switch {
+		case !w.reachable && info.Address != w.Address:
 			m.confirmRestart(w, info)
+		case w.clock == 0 && w.life == 0:
+			w.unconfirmed = &info
 		}
 		return
 	}
