flow: an immediate renewal acknowledges no ends

An order without an answer is followed by a renewal at once, which may reach the next life: it acknowledged an end of that life by its number, and the task was started again although it was done (TWICE). Change: immediate renewals, which grant no lease either, carry no number of ends. Result: TestImmediateRenewalDoesNotAcknowledgeEndsOfTheNextLife failed before.

--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -18,10 +18,11 @@
 	order := infra.RenewOrder{Token: w.token}
 	// Numbers of ends and times of the worker's clock mean nothing to another incarnation.
 	isSameIncarnation := !w.mayHaveRestarted()
-	if isSameIncarnation && w.reachable {
+	// An immediate renewal may follow an order without an answer, and reach another life.
+	isImmediate := m.now.Equal(w.immediateRenewalAt)
+	if isSameIncarnation && w.reachable && !isImmediate {
 		order.AckedEnd = w.durableEnd
 	}
-	isImmediate := m.now.Equal(w.immediateRenewalAt)
 	// The lease of an unreachable worker is not renewed, so that it ends at a known time. A worker that an immediate renewal
 	// asks for a report may be one.
 	lease := m.maxLease(w)
