flow: calls on their way count for longer if the scheduler's host was suspended

A start that had been decided before a suspension went out after it, and the scheduler counted its way from the decision, so that the task could start elsewhere while the next life of the worker ran it (TWICE). Change: a pause of over 0.5 s between two events, which come every 10 ms, is added to the time by which calls that were on their way have reached their workers.

--- a/coord/flow/life.go
+++ b/coord/flow/life.go
@@ -68,6 +68,22 @@
 // noteReach records until when a call that prolongs leases may have reached a worker, unless it is carried out late.
 func (w *worker) noteReach(until time.Time) { w.reachedBy = later(w.reachedBy, until) }
 
+// maxStepPause is the longest pause between two events while the scheduler's host is not suspended. It ticks every 10 ms.
+const maxStepPause = 500 * time.Millisecond
+
+// noteSuspension takes into account that calls which were on their way when the scheduler's host was suspended may go out after it.
+func (m *Machine) noteSuspension(now time.Time) {
+	pause := now.Sub(m.now)
+	if m.now.IsZero() || pause <= maxStepPause {
+		return
+	}
+	for _, w := range m.workersByID {
+		if w.reachedBy.After(m.now) {
+			w.reachedBy = w.reachedBy.Add(pause)
+		}
+	}
+}
+
 // beginLife determines the lease of a life that has answered for the first time. Calls for another one may have prolonged it, and
 // still can if the token could not be raised.
 func (m *Machine) beginLife(w *worker) {
--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -258,6 +258,7 @@
 // Step applies an event and returns the resulting effects. now is a monotonic time that advances while the host is
 // suspended.
 func (m *Machine) Step(now time.Time, ev Event) []Effect {
+	m.noteSuspension(now)
 	m.now = now
 	switch ev := ev.(type) {
 	case RosterRestored:
