flow: a life whose calls could not be fenced has its own lease only

Change: they are not. The token can be raised by as much as the store's revision has grown since the election, which covers restarts during an outage; what remains is a late renewal after more restarts than that. Besides, of several starts that the next life answers only the first one requests a report at once.

--- a/coord/flow/answer.go
+++ b/coord/flow/answer.go
@@ -39,9 +39,11 @@
 		m.observeRun(r, ev.Clock)
 		if w.isOtherClock(ev.Clock) {
 			m.beganElsewhere(r, fmt.Sprintf("the answer has the clock %d, the last report had %d", ev.Clock, w.clock))
-			w.sawOtherClock = true
-			m.noteRestart(w)
-			m.sendRenewal(w)
+			if !w.sawOtherClock {
+				w.sawOtherClock = true
+				m.noteRestart(w)
+				m.sendRenewal(w)
+			}
 		}
 		return
 	case errors.As(ev.Err, &refused):
--- a/coord/flow/life.go
+++ b/coord/flow/life.go
@@ -84,14 +84,9 @@
 	}
 }
 
-// beginLife determines the lease of a life that has answered for the first time. Calls for another one may have prolonged it, and
-// still can if the token could not be raised.
+// beginLife determines the lease of a life that has answered for the first time, which calls for another one may have prolonged.
 func (m *Machine) beginLife(w *worker) {
 	w.leaseEnd = max(w.leaseEnd, w.maxClock(m.now)+m.opts.maxLease.Milliseconds())
-	w.lateLeaseUntil = time.Time{}
-	if w.tokenUsed {
-		w.lateLeaseUntil = w.reachedBy.Add(maxOrderDelay + m.longestLease())
-	}
 }
 
 // hasLapsed reports whether a run on a worker that does not answer has certainly ended. If a report of the present life has listed
--- a/coord/flow/worker.go
+++ b/coord/flow/worker.go
@@ -161,10 +161,8 @@
 	bestClock   int64
 	// leaseEnd is the latest end of the lease, on the worker's clock, that any order can have set.
 	leaseEnd int64
-	// reachedBy is when the last call that prolongs leases has reached the worker, unless it is carried out late. If such calls
-	// are not fenced, the lease can last until lateLeaseUntil.
-	reachedBy      time.Time
-	lateLeaseUntil time.Time
+	// reachedBy is when the last call that prolongs leases has reached the worker, unless it is carried out late.
+	reachedBy time.Time
 
 	used      fleet.Resources
 	fillerCPU int64
@@ -304,7 +302,7 @@
 
 // leaseExpired reports whether the lease of all runs on the worker has certainly ended.
 func (w *worker) leaseExpired(now time.Time) bool {
-	return w.clock > 0 && w.minClock(now) > w.leaseEnd && now.After(w.lateLeaseUntil)
+	return w.clock > 0 && w.minClock(now) > w.leaseEnd
 }
 
 func (w *worker) observeClock(now time.Time, clock int64) {
