flow: test the renewal after an unanswered start

It carries the number of an end of the former life, and acknowledges an end of the next one, whose task is started again.

--- a/coord/flow/former_life_test.go
+++ b/coord/flow/former_life_test.go
@@ -642,6 +642,31 @@
 	assert.Equal(t, len(h.startsOf(starts[0].Order.Task)), 1, "the task is started again although it was done")
 }
 
+// Guards against the same where the start has no answer: the renewal that asks at once whether it was carried out acknowledged the end
+// of the next life by the number of one of the former life (TWICE).
+func TestRenewalAfterUnansweredStartAcknowledgesNoEnds(t *testing.T) {
+	h := newLivesHarness(t)
+	first := h.submitLasting("first")
+	h.elapse(500 * time.Millisecond)
+	h.lives["a"].end(first, infra.OutcomeDone)
+	h.elapse(1500 * time.Millisecond)
+	h.acknowledgement()
+	h.lives["a"] = nil
+	second := infra.TaskID{Job: "second"}
+	h.step(flow.Submitted{Job: singleStepJob("second", smallStep(1))})
+	h.elapse(orderTimeout - 100*time.Millisecond)
+	starts := h.startsOf(second)
+	assert.Equal(t, len(starts), 1)
+	next := newLife(6, h.now.Add(-50*time.Millisecond))
+	h.lives["a"] = next
+	assert.Assert(t, next.start(h.now, starts[0].Order))
+	next.end(second, infra.OutcomeDone)
+	h.elapse(time.Second)
+	h.list("a", 6)
+	h.elapse(10 * time.Second)
+	assert.Equal(t, len(h.startsOf(second)), 1, "the task is started again although it was done")
+}
+
 // Guards against a late start after the next life has answered another one: the clock of that answer is a sign of a restart as much
 // as a registration is (TWICE).
 func TestLateStartAfterAnswerOfNextLifeIsAwaited(t *testing.T) {
