--- a/soak/stand/stand_test.go
+++ b/soak/stand/stand_test.go
@@ -88,7 +88,13 @@
 // return.
 func TestKeptPlansOfFormerLives(t *testing.T) {
 	t.Parallel()
-	playKept(t, "../plans/former-life/*-short.json")
+	playKept(t, "../plans/former-life/restart-then-cut-short.json")
+}
+
+// Guards against the same beside calls that are carried out seconds late.
+func TestKeptPlansOfFormerLivesBesideLateOrders(t *testing.T) {
+	t.Parallel()
+	playKept(t, "../plans/former-life/restart-beside-late-orders-short.json")
 }
 
 // Guards against faults of several kinds that overlap, by two plans that are the same in each run.
