--- a/coord/flow/fence_test.go
+++ b/coord/flow/fence_test.go
@@ -99,3 +99,25 @@
 	h.advance(25 * time.Millisecond)
 	assert.Equal(t, len(h.renewals()), 0)
 }
+
+// Each renewal repeated the number of the last acknowledged end. A late one acknowledged an end of the next life, which the scheduler had
+// not seen, and its task was started again although it was done (TWICE).
+func TestRenewalWithNothingToAcknowledgeHasNoNumber(t *testing.T) {
+	h := newHarness(t, flow.Restored{}, newPoolWorker("a"))
+	h.report("a", infra.Report{})
+	h.step(flow.Submitted{Job: singleStepJob("job", smallStep(1))})
+	h.advance(50 * time.Millisecond)
+	s := h.starts()[0]
+	h.answerStart(s, h.now.UnixMilli())
+	end := infra.EndedRun{Number: 1, Task: s.Order.Task, Run: s.Order.Run, Outcome: infra.OutcomeDone}
+	h.report("a", infra.Report{Ended: []infra.EndedRun{end}})
+	h.advance(50 * time.Millisecond)
+	assert.Equal(t, h.lastRenewal("a").Order.AckedEnd, int64(1))
+	// Without an answer it is repeated.
+	h.renewalFails("a")
+	h.advance(300 * time.Millisecond)
+	h.report("a", infra.Report{Ended: []infra.EndedRun{end}})
+	assert.Equal(t, h.lastRenewal("a").Order.AckedEnd, int64(1))
+	h.report("a", infra.Report{})
+	assert.Equal(t, h.lastRenewal("a").Order.AckedEnd, int64(0))
+}
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -18,9 +18,10 @@
 	order := infra.RenewOrder{Token: w.token}
 	// Numbers of ends and times of the worker's clock mean nothing to another incarnation.
 	isSameIncarnation := !w.mayHaveRestarted()
-	// An immediate renewal may follow an order without an answer, and reach another life.
 	isImmediate := m.now.Equal(w.immediateRenewalAt)
-	if isSameIncarnation && w.reachable && !isImmediate {
+	// A renewal that another life carries out must not acknowledge its ends, so that only one that has something to acknowledge
+	// does. An immediate renewal may follow an order without an answer.
+	if isSameIncarnation && w.reachable && !isImmediate && w.durableEnd > w.ackedEnd {
 		order.AckedEnd = w.durableEnd
 	}
 	// The lease of an unreachable worker is not renewed, so that it ends at a known time. A worker that an immediate renewal
@@ -37,7 +38,7 @@
 			order.Wait = reportWaitColocated
 		}
 	}
-	w.renewalSentAt, w.renewalToken = m.now, order.Token
+	w.renewalSentAt, w.renewalToken, w.renewalAckedEnd = m.now, order.Token, order.AckedEnd
 	w.tokenUsed = w.tokenUsed || order.Deadline > 0 || order.AckedEnd > 0
 	w.renewalInFlight = true
 	w.renewalSequence++
@@ -136,7 +137,7 @@
 		return
 	}
 	w.unconfirmed, w.sawOtherClock, w.answeredAt, w.crashCounted = nil, false, w.Address, false
-	w.acceptedToken = max(w.acceptedToken, w.renewalToken)
+	w.acceptedToken, w.ackedEnd = max(w.acceptedToken, w.renewalToken), max(w.ackedEnd, w.renewalAckedEnd)
 	if m.roster[w.ID].Restarted {
 		m.addToRoster(w)
 	}
--- a/coord/flow/worker.go
+++ b/coord/flow/worker.go
@@ -201,6 +201,9 @@
 	// seenEnd is the number of the last reported end, and durableEnd that of the last end whose effects are durable.
 	seenEnd    int64
 	durableEnd int64
+	// ackedEnd is the highest end that the present life has forgotten, and renewalAckedEnd that of the last renewal.
+	ackedEnd        int64
+	renewalAckedEnd int64
 	// hasMoreEnds is set if the last report did not list all ends.
 	hasMoreEnds bool
 	// hasReported is set once a report that listed all ends was received while the worker was not reconciled.
--- a/coord/flow/worker_lifecycle.go
+++ b/coord/flow/worker_lifecycle.go
@@ -205,6 +205,7 @@
 	w.tokenAccepted, w.hasAnswered, w.leadershipConfirmed, w.acceptedToken = false, false, false, 0
 	m.raiseToken(w)
 	w.bestClock, w.bestClockAt = 0, time.Time{}
+	w.ackedEnd, w.renewalAckedEnd = 0, 0
 	w.clock, w.leaseEnd, w.seenEnd, w.durableEnd, w.unsavedEnds = 0, 0, 0, 0, nil
 	w.heldEnds, w.hasMoreEnds, w.crashCounted = 0, false, false
 	w.life++
