--- a/coord/flow/overdue.go
+++ b/coord/flow/overdue.go
@@ -51,3 +51,13 @@
 
 // LongWaits returns the number of long-running steps that have waited for several seconds.
 func (m *Machine) LongWaits() int { return m.longWaits }
+
+// overdueTime is how long a long-running step waits for a worker that is not quarantined. Quarantines last longer and can
+// be prolonged, and a long-running task must run again 6 s after its last run.
+const overdueTime = 2 * time.Second
+
+// isOverdue reports whether a step uses quarantined workers too. A long-running task that fails there loses little; any
+// other task would lose its work.
+func (m *Machine) isOverdue(r *readyStep) bool {
+	return r.step.spec.LongRunning && m.readySteps[r.step] == r && m.now.Sub(r.readySince) >= overdueTime
+}
--- a/coord/flow/place.go
+++ b/coord/flow/place.go
@@ -386,16 +386,6 @@
 	return true
 }
 
-// overdueTime is how long a long-running step waits for a worker that is not quarantined. Quarantines last longer and can
-// be prolonged, and a long-running task must run again 6 s after its last run.
-const overdueTime = 2 * time.Second
-
-// isOverdue reports whether a step uses quarantined workers too. A long-running task that fails there loses little; any
-// other task would lose its work.
-func (m *Machine) isOverdue(r *readyStep) bool {
-	return r.step.spec.LongRunning && m.readySteps[r.step] == r && m.now.Sub(r.readySince) >= overdueTime
-}
-
 // servingUtilization is the assumed average utilization of the processor time reserved by serving tasks. The rest is
 // available to fillers.
 const servingUtilization = 0.5
