--- a/review/stand2/cases.go
+++ b/review/stand2/cases.go
@@ -317,6 +317,65 @@
 	return "", nil
 }
 
+// gangs submits gangs among sound jobs that need more room than there is.
+func gangs(w *world) (string, error) {
+	const workers, cpu, jobs, perGang = 66, 64000, 200, 20
+	q := newRoute("batch")
+	if err := w.ready(workers, cpu, q); err != nil {
+		return "", err
+	}
+	var mu sync.Mutex
+	used, begun := 0, make(map[string]bool)
+	w.onEvent(func(ev event) {
+		mu.Lock()
+		defer mu.Unlock()
+		switch ev.kind {
+		case "start":
+			used += 1000
+			begun[ev.job()] = true
+		case "end":
+			used -= 1000
+		}
+	})
+	hopeless := job{
+		Spec:  work{Milliseconds: 500}.spec(),
+		Steps: []step{{Count: 20000, CPU: 500, Mem: 10, Estimate: 500, Gang: true, SameRack: true}},
+	}
+	for n := range jobs {
+		if w.trouble && n%perGang == perGang-1 {
+			if err := w.submit(q, jobID(1000+n), hopeless); err != nil {
+				return "", err
+			}
+		}
+		if err := w.submit(q, jobID(n), oneTask(500, 1000)); err != nil {
+			return "", err
+		}
+		w.sleep(50 * time.Millisecond)
+	}
+	w.sleep(finishTime)
+	waiting := func() (ids []string, isFree bool) {
+		mu.Lock()
+		defer mu.Unlock()
+		for n := range jobs {
+			if !begun[jobID(n)] {
+				ids = append(ids, jobID(n))
+			}
+		}
+		return ids, used < workers*cpu/2
+	}
+	isFree := true
+	for until := time.Now().Add(idleTime); time.Now().Before(until); w.sleep(50 * time.Millisecond) {
+		_, isFreeNow := waiting()
+		isFree = isFree && isFreeNow
+	}
+	ids, _ := waiting()
+	if !isFree || len(ids) == 0 {
+		return "", nil
+	}
+	state := w.state(q, ids[0]).State
+	return fmt.Sprintf("LOST: %d of %d sound jobs have not begun, such as %s, which is %s; less than half of the capacity is in use", len(ids), jobs, ids[0], state), nil
+}
+
 // job returns the id of the job of an event.
 func (ev event) job() string {
 	id, _, _ := strings.Cut(ev.task, ".")
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -9,6 +9,7 @@
 // cases are the scripted cases by name. Each returns how the rule was broken, or an empty text if it held.
 var cases = map[string]func(*world) (string, error){
 	"backlog": backlog,
+	"gangs":   gangs,
 	"losses":  losses,
 	"pending": pending,
 	"reborn":  reborn,
--- a/review/stand2/world.go
+++ b/review/stand2/world.go
@@ -63,6 +63,8 @@
 	Mem      int     `json:"mem_mb,omitempty"`
 	Estimate float64 `json:"estimated_ms,omitempty"`
 	After    []int   `json:"after,omitempty"`
+	Gang     bool    `json:"gang,omitempty"`
+	SameRack bool    `json:"same_rack,omitempty"`
 }
 
 type job struct {
