--- a/review/stand2/cases.go
+++ b/review/stand2/cases.go
@@ -200,9 +200,9 @@
 	return broken, nil
 }
 
-// losses submits a sound job, and lets the worker that runs its task crash four times.
+// losses submits a sound job, and lets the worker that has just begun its task crash, twice.
 func losses(w *world) (string, error) {
-	const crashes, workFor, downFor = 4, 2 * time.Second, 1500 * time.Millisecond
+	const crashes, workFor, downFor = 2, 200 * time.Millisecond, 1500 * time.Millisecond
 	q := newRoute("batch")
 	if err := w.ready(8, 16000, q); err != nil {
 		return "", err
