review: disruptions stay inside single entries of the site file

Case 8 spread its gangs over 11 s, and poison lasts 3.0 s: two gangs now come within 3 s. Case 10 joined the share of one entry of srv_grey with the length of another: one worker of twelve now.

--- a/review/stand2/cases.go
+++ b/review/stand2/cases.go
@@ -200,9 +200,9 @@
 	return broken, nil
 }
 
-// pending fills nine of ten workers, lets the tenth reject starts, and asks for the number of pending jobs.
+// pending fills all workers but one, lets that one reject starts, and asks for the number of pending jobs.
 func pending(w *world) (string, error) {
-	const workers, cpu, jobs, greyFor = 10, 8000, 12, 6500 * time.Millisecond
+	const workers, cpu, jobs, greyFor = 12, 8000, 12, 6500 * time.Millisecond
 	q := newRoute("batch")
 	if err := w.ready(workers, cpu, q); err != nil {
 		return "", err
@@ -264,7 +264,11 @@
 
 // gangs submits gangs among sound jobs that need more room than there is.
 func gangs(w *world) (string, error) {
-	const workers, cpu, jobs, perGang = 66, 64000, 200, 20
+	const (
+		workers, cpu, jobs = 66, 64000, 200
+		// Two of the 52 jobs from the first to the last of these, which come within 3 s, are gangs.
+		first, last, perGang = 40, 90, 25
+	)
 	q := newRoute("batch")
 	if err := w.ready(workers, cpu, q); err != nil {
 		return "", err
@@ -287,7 +291,7 @@
 		Steps: []step{{Count: 20000, CPU: 500, Mem: 10, Estimate: 500, Gang: true, SameRack: true}},
 	}
 	for n := range jobs {
-		if w.trouble && n%perGang == perGang-1 {
+		if w.trouble && n >= first && n < last && n%perGang == perGang-1 {
 			if err := w.submit(q, jobID(1000+n), hopeless); err != nil {
 				return "", err
 			}
