hosted: the stand-in store of the hand-over test checks absent keys

Its store committed an election although the condition that there is no leader did not hold, so that the process under test was elected whenever it campaigned before the question, and then refused it. leaderStore now evaluates both kinds of conditions, as its reads show the keys. What the test asks and expects is unchanged.

The other stand-ins of stores evaluate their conditions, or commit only first elections (electStore), which nothing contests.

--- a/entryd/hosted/handover_test.go
+++ b/entryd/hosted/handover_test.go
@@ -17,19 +17,32 @@
 	"lovagefork.example/entryd/leader"
 )
 
-// leaderStore is a store that holds the entry of a leader with token 5.
+// leaderRevision is the revision of all entries of a [leaderStore], which is the token of its leader.
+const leaderRevision = 5
+
+// leaderStore is a store in which each key that is read exists at leaderRevision, that of the leader among them. It lists nothing.
 type leaderStore struct{ electStore }
 
 func (leaderStore) Range(_ context.Context, get store.Get) (store.RangeResult, error) {
-	return store.RangeResult{Revision: 9, Entries: []store.Entry{{Key: get.Key, ModRevision: 5}}}, nil
+	return store.RangeResult{Revision: 9, Entries: []store.Entry{{Key: get.Key, ModRevision: leaderRevision}}}, nil
 }
 
 func (leaderStore) Txn(_ context.Context, txn store.Txn) (store.TxnResult, error) {
+	isCommitted := true
+	var current []store.Entry
 	for _, c := range txn.If {
-		if c, ok := c.(store.KeyUnchanged); ok && c.ModRevision != 5 {
-			return store.TxnResult{}, nil
+		switch c := c.(type) {
+		case store.KeyAbsent:
+			isCommitted = false
+			current = append(current, store.Entry{Key: c.Key, ModRevision: leaderRevision})
+		case store.KeyUnchanged:
+			isCommitted = isCommitted && c.ModRevision == leaderRevision
+			current = append(current, store.Entry{Key: c.Key, ModRevision: leaderRevision})
 		}
 	}
+	if !isCommitted {
+		return store.TxnResult{Reads: [][]store.Entry{current}}, nil
+	}
 	return store.TxnResult{Committed: true, Revision: 9}, nil
 }
 
