leader: the logs tell what a refused batch holds and what placement examines

Two could not be told apart: `storing progress failed` did not say what was written, and `scheduler: load` not how many workers placement examined. Both lines do now, and scheduler.examined_workers.total counts the latter.

--- a/entryd/leader/load.go
+++ b/entryd/leader/load.go
@@ -54,8 +54,10 @@
 	traffic *stats.Traffic
 
 	linkGauges linkGauges
-	// link is the use of the link at the last report.
-	link flow.LinkUse
+	// link is the use of the link at the last report, and examined what [flow.Counts] had as Examined.
+	link          flow.LinkUse
+	examined      int64
+	examinedTotal metrics.Counter
 	// transferred is what the traffic was at the beginning of the measurement.
 	transferred map[string]stats.Transfer
 	since       time.Time
@@ -71,6 +73,7 @@
 func newLoadMeter(r metrics.Registry, traffic *stats.Traffic) *loadMeter {
 	l := &loadMeter{
 		waits: metrics.GetOrRegisterTimer("scheduler.event_wait_seconds", r), traffic: traffic, transferred: traffic.Totals(), linkGauges: newLinkGauges(r),
+		examinedTotal: metrics.GetOrRegisterCounter("scheduler.examined_workers.total", r),
 		since: time.Now(), cpu: processorTime(),
 	}
 	for a, name := range activityNames {
@@ -99,7 +102,7 @@
 }
 
 // report logs the load once in each loadInterval and begins a new measurement.
-func (l *loadMeter) report(log *slog.Logger, queued int, linkUse func() flow.LinkUse) {
+func (l *loadMeter) report(log *slog.Logger, queued int, m *flow.Machine) {
 	now := time.Now()
 	elapsed := now.Sub(l.since)
 	if elapsed < loadInterval {
@@ -110,7 +113,10 @@
 		"over_ms", elapsed.Milliseconds(), "processor_ms", (cpu - l.cpu).Milliseconds(), "queued", queued,
 		"longest_wait_ms", l.longestWait.Milliseconds(), "longest_transit_ms", l.longestTransit.Milliseconds(),
 	}
-	link := linkUse()
+	examined := m.Counts().Examined
+	attrs = append(attrs, "examined_workers", examined-l.examined)
+	l.examinedTotal.Inc(examined - l.examined)
+	link := m.LinkUse()
 	if link.Window > 0 {
 		attrs = append(attrs, slog.Group(
 			"link", "bytes", link.OnWay, "window_bytes", link.Window, "relays", link.Relays, "resting_relays", link.Resting, "held_back", link.HeldBack,
@@ -133,7 +139,10 @@
 	log.Info("scheduler: load", attrs...)
 	// The timer takes longer than most events, so that it is updated once for all of them.
 	l.waits.Update(l.longestWait)
-	*l = loadMeter{waits: l.waits, totals: l.totals, traffic: l.traffic, transferred: transferred, linkGauges: l.linkGauges, link: link, since: now, cpu: cpu}
+	*l = loadMeter{
+		waits: l.waits, totals: l.totals, traffic: l.traffic, transferred: transferred, linkGauges: l.linkGauges, link: link,
+		examined: examined, examinedTotal: l.examinedTotal, since: now, cpu: cpu,
+	}
 }
 
 // processorTime returns the processor time that this process has used, or 0 if it is not known.
--- a/entryd/leader/load_test.go
+++ b/entryd/leader/load_test.go
@@ -61,7 +61,7 @@
 	traffic.Add("start", 2400, 20)
 	waitFor(t, "line about the load", func() bool { return lines.find(t, "scheduler: load") != nil })
 	load := lines.find(t, "scheduler: load")
-	for _, field := range []string{"over_ms", "processor_ms", "queued", "longest_wait_ms", "longest_transit_ms"} {
+	for _, field := range []string{"over_ms", "processor_ms", "queued", "longest_wait_ms", "longest_transit_ms", "examined_workers"} {
 		_, found := load[field].(float64)
 		assert.Assert(t, found, field)
 	}
--- a/entryd/leader/save.go
+++ b/entryd/leader/save.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"math/rand/v2"
 
 	"github.com/fxamacker/cbor/v2"
@@ -49,7 +50,7 @@
 			l.leadership.end("another scheduler has stored progress")
 			return
 		}
-		l.log.Warn("scheduler: storing progress failed, will retry", "batch", s.Batch, "error", err)
+		l.log.Warn("scheduler: storing progress failed, will retry", "batch", s.Batch, "error", err, describeTxn(txn))
 		sleep(ctx, backoff.Next())
 	}
 }
@@ -93,6 +94,21 @@
 	return txn, nil
 }
 
+// describeTxn returns the size of a transaction, and the key of its largest value.
+func describeTxn(txn store.Txn) slog.Attr {
+	var largest store.Put
+	total := 0
+	for _, op := range txn.Then {
+		if put, isPut := op.(store.Put); isPut {
+			total += len(put.Value)
+			if len(put.Value) > len(largest.Value) {
+				largest = put
+			}
+		}
+	}
+	return slog.Group("txn", "entries", len(txn.If)+len(txn.Then), "bytes", total, "largest_key", largest.Key, "largest_bytes", len(largest.Value))
+}
+
 func (l *loop) sequenceCondition() store.Compare {
 	if l.sequenceRevision == 0 {
 		return store.KeyAbsent{Key: sequenceKey}
--- a/entryd/leader/scheduler.go
+++ b/entryd/leader/scheduler.go
@@ -325,7 +325,7 @@
 		l.otherLifeStarts.Update(counts.OtherLife)
 		l.missingEnds.Update(counts.MissingEnds)
 		l.unsavedJobs.Update(int64(l.machine.UnsavedJobs()))
-		l.meter.report(l.log, len(l.events), l.machine.LinkUse)
+		l.meter.report(l.log, len(l.events), l.machine)
 	}
 	l.longWaits.Update(0)
 	l.unsavedJobs.Update(0)
