flow: a job has started once a worker has shown it

Cause: `started` was set when a start was sent, and restored from any stored occurrence; a refused, unsent or unanswered start left it set. Now the answer of a worker to the start, a listing of the run or its end sets it.

--- a/coord/flow/answer.go
+++ b/coord/flow/answer.go
@@ -19,6 +19,9 @@
 	m.settle(startID{ev.Order.Task, ev.Order.Run}, ev.Err == nil || errors.As(ev.Err, &refused))
 	isRelayTrusted := m.isTrusted(ev.Via)
 	m.judgeRelay(ev.Via, ev.Err)
+	if ev.Err == nil {
+		m.noteStarted(ev.Order.Task.Job)
+	}
 	w := m.workers[ev.Worker]
 	if w == nil {
 		return
--- a/coord/flow/early_test.go
+++ b/coord/flow/early_test.go
@@ -152,10 +152,20 @@
 		assert.Assert(t, !isStart, "%v", e)
 	}
 	h.effects = append(renewals, h.effects...)
+	var starts []flow.Start
 	for range 8 {
 		h.answerRenewals(infra.Report{Running: []infra.ActiveRun{{Task: running, Run: 1}}})
 		h.advance(25 * time.Millisecond)
+		for _, e := range h.effects {
+			if s, isStart := e.(flow.Start); isStart {
+				starts = append(starts, s)
+			}
+		}
 	}
+	assert.Equal(t, len(starts), 1)
+	assert.Equal(t, starts[0].Order.Task.Job, fleet.JobID("k"))
+	h.answer(starts)
+	h.advance(startedTime)
 	states, _ := h.m.State("k")
 	assert.Equal(t, states, infra.StateRunning)
 }
--- a/coord/flow/job.go
+++ b/coord/flow/job.go
@@ -108,7 +108,8 @@
 	cancelled bool
 	failed    bool
 	// crashed is set once a worker has crashed under a recent run of the job, or a trial of one of its tasks has been recorded.
-	crashed     bool
+	crashed bool
+	// started is set once a worker has shown that a task of the job has started, see [Machine.noteStarted].
 	started     bool
 	occurrences map[int64]*occurrence
 	// createdOccurrences is the number of the first occurrence that is not created yet. Later ones are known if a worker has
@@ -331,11 +332,10 @@
 	}
 	j.completedOccurrences = max(0, unlisted)
 	j.createdOccurrences = j.completedOccurrences
-	j.started = j.started || j.createdOccurrences > 0
+	j.started = r.State == infra.StateRunning
 	for _, occurrenceRecord := range r.Occurrences {
 		o := j.occurrence(occurrenceRecord.Number)
 		o.restore(occurrenceRecord)
-		j.started = true
 	}
 	for j.occurrences[j.createdOccurrences] != nil {
 		j.createdOccurrences++
--- a/coord/flow/link_test.go
+++ b/coord/flow/link_test.go
@@ -62,10 +62,13 @@
 		starts := h.starts()
 		assert.Equal(t, len(starts), c.starts, "%d bit/s", c.bitsPerSecond)
 		state, _ := h.m.State("j")
-		assert.Equal(t, state, infra.StateRunning)
+		assert.Equal(t, state, infra.StateQueued, "no worker has answered")
 		h.answer(starts[:2])
 		h.advance(25 * time.Millisecond)
 		assert.Equal(t, len(h.starts()), 2, "%d bit/s: starts after two answers", c.bitsPerSecond)
+		h.advance(startedTime)
+		state, _ = h.m.State("j")
+		assert.Equal(t, state, infra.StateRunning)
 	}
 }
 
--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -122,6 +122,9 @@
 	// the contents of the batch in flight.
 	dirtyJobs    []*job
 	jobsToDelete []fleet.JobID
+	// startedJobs lists the jobs whose start is not durable yet, which are saved at startedSaveAt at the latest.
+	startedJobs   []*job
+	startedSaveAt time.Time
 	// jobsToReduce lists the finished jobs whose stored form is complete, in the order of their ends.
 	jobsToReduce []*job
 	batch        int64
--- a/coord/flow/place.go
+++ b/coord/flow/place.go
@@ -469,7 +469,6 @@
 		s.runsPerWorker[w.ID]++
 	}
 	s.setPhase(index, active)
-	r.occ.job.started = true
 	m.unansweredStarts++
 	w.unansweredStarts++
 	size := startBytes(r.occ.job, t)
--- a/coord/flow/reconcile.go
+++ b/coord/flow/reconcile.go
@@ -69,6 +69,7 @@
 // updateRun updates a run from its entry in a report.
 func (m *Machine) updateRun(r *run, row infra.ActiveRun, clock int64) {
 	r.lastReport = r.worker.reports
+	m.noteStarted(r.id.Job)
 	if r.state == fencing {
 		m.beganElsewhere(r, "a report of the present life lists the run")
 	}
@@ -134,7 +135,7 @@
 	if s.runsPerWorker != nil {
 		s.runsPerWorker[w.ID]++
 	}
-	o.job.started = true
+	m.noteStarted(row.Task.Job)
 	if !o.job.live() || t.phase != waiting {
 		m.stop(r, "task must not run")
 		return
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -214,6 +214,7 @@
 	r := w.runs[e.Task]
 	isCurrent := r != nil && r.number == e.Run
 	m.createReportedOccurrence(e.Task)
+	m.noteStarted(e.Task.Job)
 	s, t := m.lookupTask(e.Task)
 	reason := string(e.Outcome)
 	if t == nil {
@@ -278,7 +279,6 @@
 		return
 	}
 	m.markDirty(o.job)
-	o.job.started = true
 	if s.spec.Gang {
 		for i := range s.tasks {
 			m.completeTask(s, i)
@@ -331,7 +331,6 @@
 func (m *Machine) countFailure(o *occurrence, t *task, e infra.EndedRun) {
 	j := o.job
 	m.markDirty(j)
-	j.started = true
 	s := &o.steps[e.Task.Step]
 	// A copy can fail after another one was done, or the end can be reported again.
 	if s.spec.LongRunning || t.phase == done || slices.Contains(t.failedRuns, e.Run) {
--- a/coord/flow/save.go
+++ b/coord/flow/save.go
@@ -41,7 +41,7 @@
 // save starts a durable batch unless one is in flight or there is nothing to save.
 func (m *Machine) save() {
 	isRosterDue := m.rosterDirty && !m.now.Before(m.rosterDueAt)
-	if m.saveInFlight || (len(m.dirtyJobs) == 0 && len(m.jobsToDelete) == 0 && !isRosterDue && !m.interferenceDirty && !m.isReductionDue()) {
+	if m.saveInFlight || (len(m.dirtyJobs) == 0 && len(m.jobsToDelete) == 0 && !isRosterDue && !m.interferenceDirty && !m.isReductionDue() && !m.isStartedDue()) {
 		return
 	}
 	m.batch++
@@ -50,11 +50,13 @@
 	m.batchJobs, m.batchRoster = m.batchJobs[:0], m.batchRoster[:0]
 	for _, j := range m.dirtyJobs[:n] {
 		j.dirty = false
-		record := j.record()
-		s.Jobs = append(s.Jobs, JobRecord{Job: j.spec.ID, Record: record})
-		m.batchJobs = append(m.batchJobs, batchJob{job: j, state: record.State, seq: j.dirtySeq})
+		m.addToBatch(&s, j, j.dirtySeq)
 	}
 	m.dirtyJobs = append([]*job(nil), m.dirtyJobs[n:]...)
+	for _, j := range m.takeStarted(maxBatchJobs - n) {
+		m.addToBatch(&s, j, 0)
+	}
+	n = len(s.Jobs)
 	if n == 0 {
 		k := min(len(m.jobsToDelete), maxBatchJobs/deleteEntries)
 		s.Delete = append(s.Delete, m.jobsToDelete[:k]...)
@@ -83,6 +85,13 @@
 	m.emit(s)
 }
 
+// addToBatch adds the record of a job to a batch, which makes the changes up to a sequence number durable.
+func (m *Machine) addToBatch(s *Save, j *job, seq int64) {
+	record := j.record()
+	s.Jobs = append(s.Jobs, JobRecord{Job: j.spec.ID, Record: record})
+	m.batchJobs = append(m.batchJobs, batchJob{job: j, state: record.State, seq: seq})
+}
+
 // saved completes a batch: it publishes the saved job states, enables workers that are now in the stored roster, and
 // acknowledges the durable ends to their workers.
 func (m *Machine) saved(ev Saved) {
--- a/coord/flow/view.go
+++ b/coord/flow/view.go
@@ -13,7 +13,7 @@
 	"lovagefork.example/coord/infra"
 )
 
-// State returns the state of a job as reported to callers. A final state is durable.
+// State returns the state of a job as reported to callers. It is durable, so that a successor reports no earlier one.
 func (m *Machine) State(id fleet.JobID) (infra.State, bool) {
 	j := m.jobs[id]
 	switch {
@@ -21,12 +21,8 @@
 		return "", false
 	case j.cancelled:
 		return infra.StateCancelled, true
-	case j.durableState.Final():
-		return j.durableState, true
-	case j.started:
-		return infra.StateRunning, true
 	default:
-		return infra.StateQueued, true
+		return j.durableState, true
 	}
 }
 
