flow: a record holds no run numbers that a successor exceeds anyway

Each task of each created occurrence had an entry, because its run number was raised above those of predecessors before it had begun.

A successor raises all numbers to the first one of its own term, so that only numbers above that need an entry.

TestReturnOfUnreachableWorkerIsRecorded read the first task entry of a record; it takes a task without an entry for one without an open run now. The records move to a file of their own.

--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -317,7 +317,6 @@
 	if !m.rosterRestored {
 		m.restoreRoster(RosterRestored{Roster: ev.Roster, Takeovers: ev.Takeovers, Term: ev.Term})
 	}
-	base := infra.Run(m.term) * runsPerTerm
 	for _, s := range ev.Jobs {
 		if m.jobs[s.Job.ID] != nil {
 			continue
@@ -338,7 +337,7 @@
 		m.activate(j)
 		m.rememberOpenRuns(j)
 		for _, o := range j.occurrences {
-			o.raiseRunNumbers(base)
+			o.raiseRunNumbers(firstRun(m.term))
 		}
 	}
 	for _, id := range ev.Cancelled {
@@ -352,6 +351,10 @@
 	m.searchAgain()
 }
 
+// firstRun returns a number below those of all runs of a term, and, unless a task has runsPerTerm runs in one term, not below any of
+// earlier ones.
+func firstRun(term int64) infra.Run { return infra.Run(term) * runsPerTerm }
+
 // raiseRunNumbers raises the run numbers of open tasks above those of all predecessors.
 func (o *occurrence) raiseRunNumbers(base infra.Run) {
 	for i := range o.steps {
@@ -429,7 +432,7 @@
 	if mayHaveRun {
 		// A predecessor may have used run numbers for this job.
 		for _, o := range j.occurrences {
-			o.raiseRunNumbers(infra.Run(m.term) * runsPerTerm)
+			o.raiseRunNumbers(firstRun(m.term))
 		}
 	}
 	m.resolveUnknown(spec.ID)
--- a/coord/flow/open_run_test.go
+++ b/coord/flow/open_run_test.go
@@ -66,7 +66,13 @@
 // A worker that is reachable again has not crashed, and must not be taken for a crashed one by a successor.
 func TestReturnOfUnreachableWorkerIsRecorded(t *testing.T) {
 	h, record := silenceAfterStart(t, singleStepJob("j", smallStep(1)))
-	open := func() string { return string(record.Occurrences[0].Steps[0].Tasks[0].OpenRunOn) }
+	open := func() string {
+		tasks := record.Occurrences[0].Steps[0].Tasks
+		if len(tasks) == 0 {
+			return ""
+		}
+		return string(tasks[0].OpenRunOn)
+	}
 	assert.Equal(t, open(), "a")
 	h.report("a", infra.Report{StartedAt: 1, Running: []infra.ActiveRun{{Task: infra.TaskID{Job: "j"}, Run: 1, Progress: 10}}})
 	h.advance(100 * time.Millisecond)
--- /dev/null
+++ b/coord/flow/record.go
@@ -0,0 +1,185 @@
+package flow
+
+import (
+	"maps"
+	"slices"
+
+	"lovagefork.example/coord/fleet"
+	"lovagefork.example/coord/infra"
+)
+
+// Record is the durable progress of a job.
+type Record struct {
+	State       infra.State        `cbor:"state"`
+	Occurrences []OccurrenceRecord `cbor:"occurrences,omitempty"`
+	// Completed counts the complete occurrences. Those without an entry in Occurrences have the lowest numbers.
+	Completed int64 `cbor:"closed,omitempty"`
+}
+
+// OccurrenceRecord is the durable progress of an occurrence that is not complete.
+type OccurrenceRecord struct {
+	Number    int64        `cbor:"number"`
+	Completed bool         `cbor:"closed,omitempty"`
+	Steps     []StepRecord `cbor:"steps,omitempty"`
+}
+
+// StepRecord is the durable progress of a step; Done has a bit for each task.
+type StepRecord struct {
+	Done  []byte       `cbor:"done,omitempty"`
+	Tasks []TaskRecord `cbor:"tasks,omitempty"`
+}
+
+// TaskRecord is the durable progress of a task that is not done.
+type TaskRecord struct {
+	Index int       `cbor:"index"`
+	Run   infra.Run `cbor:"run,omitempty"`
+	// Failed lists the numbers of the failed runs.
+	Failed []infra.Run `cbor:"failed,omitempty"`
+	// Checkpoint was written by the run CheckpointRun.
+	Checkpoint    string    `cbor:"checkpoint,omitempty"`
+	CheckpointRun infra.Run `cbor:"checkpoint_run,omitempty"`
+	// Crashes counts the workers that crashed under recent runs of the task, CrashedOn is the last of them, and Confirmed
+	// counts those that are known to have started it just before. Losses counts the workers that crashed under any run.
+	Crashes   int            `cbor:"crashes,omitempty"`
+	Confirmed int            `cbor:"confirmed,omitempty"`
+	CrashedOn fleet.WorkerID `cbor:"crashed_on,omitempty"`
+	Losses    int            `cbor:"losses,omitempty"`
+	// OpenRunOn is the worker that may have crashed under a run of the task, and OpenRunWorkerStartedAt the start time of
+	// that incarnation. A later one shows the crash.
+	OpenRunOn              fleet.WorkerID `cbor:"open_run_on,omitempty"`
+	OpenRunWorkerStartedAt int64          `cbor:"open_run_worker_started_at,omitempty"`
+}
+
+// hasProgress reports whether a task that is not done has progress that a successor has to know. Run numbers up to maxRun are below
+// those of any successor.
+func (t *task) hasProgress(maxRun infra.Run) bool {
+	return t.lastRun > maxRun || len(t.failedRuns) > 0 || t.checkpoint != "" || t.crashes > 0 || t.confirmed > 0 || t.losses > 0 ||
+		t.openRun != openRun{}
+}
+
+// record returns the durable form of a job's progress. A job in a final state is represented by its state alone, and a task without
+// progress by nothing. Run numbers up to maxRun are those that any successor exceeds.
+func (j *job) record(maxRun infra.Run) Record {
+	r := Record{State: j.state(), Completed: j.completedOccurrences}
+	if r.State.Final() {
+		return r
+	}
+	for n := j.firstOpenOccurrence(); n < j.createdOccurrences; n++ {
+		if o := j.occurrences[n]; o != nil {
+			r.Occurrences = append(r.Occurrences, o.record(maxRun))
+		}
+	}
+	for _, n := range slices.Sorted(maps.Keys(j.occurrences)) {
+		if n >= j.createdOccurrences {
+			r.Occurrences = append(r.Occurrences, j.occurrences[n].record(maxRun))
+		}
+	}
+	return r
+}
+
+// firstOpenOccurrence returns the number of the first occurrence that is not complete, or not created. A successor does not
+// have the complete ones before it.
+func (j *job) firstOpenOccurrence() int64 {
+	n := int64(0)
+	for n < j.createdOccurrences && (j.occurrences[n] == nil || j.occurrences[n].complete()) {
+		n++
+	}
+	return n
+}
+
+func (o *occurrence) record(maxRun infra.Run) OccurrenceRecord {
+	if o.complete() {
+		return OccurrenceRecord{Number: o.number, Completed: true}
+	}
+	r := OccurrenceRecord{Number: o.number, Steps: make([]StepRecord, len(o.steps))}
+	for i := range o.steps {
+		r.Steps[i] = o.steps[i].record(maxRun)
+	}
+	return r
+}
+
+// record returns the durable form of a step. A run number up to maxRun need not be stored.
+func (s *step) record(maxRun infra.Run) StepRecord {
+	var r StepRecord
+	for i := range s.tasks {
+		t := &s.tasks[i]
+		switch {
+		case t.phase == done:
+			if r.Done == nil {
+				r.Done = make([]byte, (len(s.tasks)+7)/8)
+			}
+			r.Done[i/8] |= 1 << (i % 8)
+		case t.hasProgress(maxRun):
+			r.Tasks = append(r.Tasks, TaskRecord{
+				Index: i, Run: t.lastRun, Failed: slices.Clone(t.failedRuns), Checkpoint: t.checkpoint, CheckpointRun: t.checkpointRun,
+				Crashes: t.crashes, Confirmed: t.confirmed, CrashedOn: t.crashedOn, Losses: t.losses,
+				OpenRunOn: t.openRun.worker, OpenRunWorkerStartedAt: t.openRun.startedAt,
+			})
+		}
+	}
+	return r
+}
+
+// restore applies the durable progress of a job.
+func (j *job) restore(r *Record) {
+	j.cancelled = r.State == infra.StateCancelled
+	j.failed = r.State == infra.StateFailed
+	j.durableState = r.State
+	if r.State == infra.StateCompleted {
+		j.completedOccurrences = j.totalOccurrences()
+		return
+	}
+	unlisted := r.Completed
+	for _, occurrenceRecord := range r.Occurrences {
+		if occurrenceRecord.Completed {
+			unlisted--
+		}
+	}
+	j.completedOccurrences = max(0, unlisted)
+	j.createdOccurrences = j.completedOccurrences
+	j.started = r.State == infra.StateRunning
+	for _, occurrenceRecord := range r.Occurrences {
+		o := j.occurrence(occurrenceRecord.Number)
+		o.restore(occurrenceRecord)
+	}
+	for j.occurrences[j.createdOccurrences] != nil {
+		j.createdOccurrences++
+	}
+}
+
+func (o *occurrence) restore(r OccurrenceRecord) {
+	if r.Completed {
+		for i := range o.steps {
+			for t := range o.steps[i].tasks {
+				o.steps[i].setPhase(t, done)
+			}
+		}
+	}
+	for i := range min(len(r.Steps), len(o.steps)) {
+		o.steps[i].restore(r.Steps[i])
+	}
+	o.countOpenSteps()
+	if o.complete() {
+		o.job.completedOccurrences++
+	}
+}
+
+func (s *step) restore(r StepRecord) {
+	for i := range s.tasks {
+		if i/8 < len(r.Done) && r.Done[i/8]&(1<<(i%8)) != 0 {
+			s.setPhase(i, done)
+		}
+	}
+	for _, record := range r.Tasks {
+		if record.Index >= 0 && record.Index < len(s.tasks) {
+			t := &s.tasks[record.Index]
+			t.lastRun, t.failedRuns = record.Run, record.Failed
+			t.checkpoint, t.checkpointRun = record.Checkpoint, record.CheckpointRun
+			t.crashRecord = crashRecord{
+				crashes: record.Crashes, confirmed: record.Confirmed, crashedOn: record.CrashedOn, losses: record.Losses,
+				openRun: openRun{worker: record.OpenRunOn, startedAt: record.OpenRunWorkerStartedAt},
+			}
+			t.verdictDue = t.exceedsCrashes()
+		}
+	}
+}
--- a/coord/flow/save.go
+++ b/coord/flow/save.go
@@ -87,7 +87,7 @@
 
 // addToBatch adds the record of a job to a batch, which makes the changes up to a sequence number durable.
 func (m *Machine) addToBatch(s *Save, j *job, seq int64) {
-	record := j.record()
+	record := j.record(firstRun(m.term + 1))
 	s.Jobs = append(s.Jobs, JobRecord{Job: j.spec.ID, Record: record})
 	m.batchJobs = append(m.batchJobs, batchJob{job: j, state: record.State, seq: seq})
 }
--- a/coord/flow/schedule.go
+++ b/coord/flow/schedule.go
@@ -31,7 +31,7 @@
 		return
 	}
 	if m.untilDue(j, id.Occurrence) > maxClockLead {
-		j.occurrence(id.Occurrence).raiseRunNumbers(infra.Run(m.term) * runsPerTerm)
+		j.occurrence(id.Occurrence).raiseRunNumbers(firstRun(m.term))
 		m.markDirty(j)
 		return
 	}
@@ -48,7 +48,7 @@
 func (m *Machine) createNextOccurrence(j *job) {
 	o := j.occurrence(j.createdOccurrences)
 	o.due = m.now.Add(m.untilDue(j, o.number))
-	o.raiseRunNumbers(infra.Run(m.term) * runsPerTerm)
+	o.raiseRunNumbers(firstRun(m.term))
 	j.createdOccurrences++
 	m.markDirty(j)
 	m.updateReady(o)
