flow: due occurrences are created as earlier ones start

Complete ones are dropped with their last run; ranges of numbers are kept, and stored. A successor creates the others again, so that those without progress are not in the record.

--- a/coord/flow/job.go
+++ b/coord/flow/job.go
@@ -92,6 +92,8 @@
 	// estimate is the result of [Machine.estimateOf] at estimatedAt.
 	estimate    estimate
 	estimatedAt time.Time
+	// runs counts the runs of all tasks that may exist on workers.
+	runs int
 }
 
 // job is the state of a submitted job.
@@ -112,8 +114,12 @@
 	occurrences map[int64]*occurrence
 	// createdOccurrences is the number of the first occurrence that is not created yet. Later ones are known if a worker has
 	// reported a run of them.
-	createdOccurrences   int64
-	completedOccurrences int64
+	createdOccurrences int64
+	// completed holds the numbers of the complete occurrences. Those of a job with several ones are not in occurrences any more.
+	completed completedSet
+	// openOccurrences counts the incomplete occurrences before createdOccurrences, and readySteps their steps that wait for workers.
+	openOccurrences int64
+	readySteps      int
 	// durableState is the state reported to callers.
 	durableState infra.State
 	dirty        bool
@@ -128,7 +134,7 @@
 
 func (j *job) totalOccurrences() int64 { return max(1, j.spec.Schedule.Count) }
 
-func (j *job) complete() bool { return j.completedOccurrences == j.totalOccurrences() }
+func (j *job) complete() bool { return j.completed.len() == j.totalOccurrences() }
 
 // state returns the current state of the job, which may not be durable yet.
 func (j *job) state() infra.State {
--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -388,7 +388,7 @@
 		m.createDueOccurrences(j)
 	} else {
 		j.occurrence(0)
-		j.createdOccurrences = 1
+		j.createdOccurrences, j.openOccurrences = 1, 1
 	}
 	for _, o := range j.occurrences {
 		m.updateReady(o)
@@ -403,6 +403,7 @@
 			if m.readySteps[s] == nil {
 				r := &readyStep{occ: o, index: i, step: s, readySince: m.now}
 				m.readySteps[s] = r
+				o.job.readySteps++
 				m.unrankedSteps = append(m.unrankedSteps, r)
 			}
 			m.placementDue = true
@@ -416,6 +417,7 @@
 func (m *Machine) removeReady(s *step) {
 	if r := m.readySteps[s]; r != nil {
 		r.removed = true
+		r.occ.job.readySteps--
 		delete(m.readySteps, s)
 	}
 }
--- a/coord/flow/place.go
+++ b/coord/flow/place.go
@@ -464,6 +464,7 @@
 	w.noteReach(m.now.Add(m.startTransit(via)))
 	t.lastRun, t.located = number, true
 	t.runs = append(t.runs, newRun)
+	r.occ.runs++
 	w.add(m.now, newRun)
 	if s.runsPerWorker != nil {
 		s.runsPerWorker[w.ID]++
--- a/coord/flow/reconcile.go
+++ b/coord/flow/reconcile.go
@@ -132,6 +132,7 @@
 	// The run may have been started just now.
 	w.lastStart = m.now
 	t.runs = append(t.runs, r)
+	o.runs++
 	if s.runsPerWorker != nil {
 		s.runsPerWorker[w.ID]++
 	}
--- a/coord/flow/record.go
+++ b/coord/flow/record.go
@@ -16,11 +16,13 @@
 	Completed int64 `cbor:"closed,omitempty"`
 }
 
-// OccurrenceRecord is the durable progress of an occurrence that is not complete.
+// OccurrenceRecord is the durable progress of an occurrence that is not complete, or says that some are complete.
 type OccurrenceRecord struct {
-	Number    int64        `cbor:"number"`
-	Completed bool         `cbor:"closed,omitempty"`
-	Steps     []StepRecord `cbor:"steps,omitempty"`
+	Number    int64 `cbor:"number"`
+	Completed bool  `cbor:"closed,omitempty"`
+	// Count is the number of complete occurrences from Number on; 0 stands for 1.
+	Count int64        `cbor:"count,omitempty"`
+	Steps []StepRecord `cbor:"steps,omitempty"`
 }
 
 // StepRecord is the durable progress of a step; Done has a bit for each task.
@@ -60,37 +62,22 @@
 // record returns the durable form of a job's progress. A job in a final state is represented by its state alone, and a task without
 // progress by nothing. Run numbers up to maxRun are those that any successor exceeds.
 func (j *job) record(maxRun infra.Run) Record {
-	r := Record{State: j.state(), Completed: j.completedOccurrences}
+	r := Record{State: j.state(), Completed: j.completed.len()}
 	if r.State.Final() {
 		return r
 	}
-	for n := j.firstOpenOccurrence(); n < j.createdOccurrences; n++ {
-		if o := j.occurrences[n]; o != nil {
-			r.Occurrences = append(r.Occurrences, o.record(maxRun))
-		}
+	for _, c := range j.completed.later() {
+		r.Occurrences = append(r.Occurrences, OccurrenceRecord{Number: c.first, Completed: true, Count: c.count})
 	}
 	for _, n := range slices.Sorted(maps.Keys(j.occurrences)) {
-		if n >= j.createdOccurrences {
+		if !j.completed.contains(n) {
 			r.Occurrences = append(r.Occurrences, j.occurrences[n].record(maxRun))
 		}
 	}
 	return r
 }
 
-// firstOpenOccurrence returns the number of the first occurrence that is not complete, or not created. A successor does not
-// have the complete ones before it.
-func (j *job) firstOpenOccurrence() int64 {
-	n := int64(0)
-	for n < j.createdOccurrences && (j.occurrences[n] == nil || j.occurrences[n].complete()) {
-		n++
-	}
-	return n
-}
-
 func (o *occurrence) record(maxRun infra.Run) OccurrenceRecord {
-	if o.complete() {
-		return OccurrenceRecord{Number: o.number, Completed: true}
-	}
 	r := OccurrenceRecord{Number: o.number, Steps: make([]StepRecord, len(o.steps))}
 	for i := range o.steps {
 		r.Steps[i] = o.steps[i].record(maxRun)
@@ -126,42 +113,42 @@
 	j.failed = r.State == infra.StateFailed
 	j.durableState = r.State
 	if r.State == infra.StateCompleted {
-		j.completedOccurrences = j.totalOccurrences()
+		j.completed = completedSet{first: j.totalOccurrences()}
 		return
 	}
 	unlisted := r.Completed
-	for _, occurrenceRecord := range r.Occurrences {
-		if occurrenceRecord.Completed {
-			unlisted--
+	for _, o := range r.Occurrences {
+		if o.Completed {
+			unlisted -= max(1, o.Count)
 		}
 	}
-	j.completedOccurrences = max(0, unlisted)
-	j.createdOccurrences = j.completedOccurrences
+	j.completed = completedSet{first: max(0, unlisted)}
 	j.started = r.State == infra.StateRunning
-	for _, occurrenceRecord := range r.Occurrences {
-		o := j.occurrence(occurrenceRecord.Number)
-		o.restore(occurrenceRecord)
+	for _, o := range r.Occurrences {
+		if o.Completed {
+			for n := o.Number; n < o.Number+max(1, o.Count); n++ {
+				j.completed.add(n)
+			}
+			continue
+		}
+		restored := j.occurrence(o.Number)
+		restored.restore(o)
+		if restored.complete() {
+			j.completed.add(o.Number)
+		}
 	}
-	for j.occurrences[j.createdOccurrences] != nil {
+	j.createdOccurrences = j.completed.first
+	for j.occurrences[j.createdOccurrences] != nil && !j.completed.contains(j.createdOccurrences) {
+		j.openOccurrences++
 		j.createdOccurrences++
 	}
 }
 
 func (o *occurrence) restore(r OccurrenceRecord) {
-	if r.Completed {
-		for i := range o.steps {
-			for t := range o.steps[i].tasks {
-				o.steps[i].setPhase(t, done)
-			}
-		}
-	}
 	for i := range min(len(r.Steps), len(o.steps)) {
 		o.steps[i].restore(r.Steps[i])
 	}
 	o.countOpenSteps()
-	if o.complete() {
-		o.job.completedOccurrences++
-	}
 }
 
 func (s *step) restore(r StepRecord) {
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -317,10 +317,14 @@
 	if j.complete() {
 		return
 	}
-	j.completedOccurrences++
+	j.completed.add(o.number)
+	if o.number < j.createdOccurrences {
+		j.openOccurrences--
+	}
 	for i := range o.steps {
 		m.removeReady(&o.steps[i])
 	}
+	m.dropCompleted(o)
 	if j.complete() {
 		m.emit(Log{Text: "job completed", Job: j.spec.ID})
 		m.finish(j)
@@ -386,6 +390,8 @@
 	for i, other := range t.runs {
 		if other == r {
 			t.runs = append(append([]*run(nil), t.runs[:i]...), t.runs[i+1:]...)
+			r.occ.runs--
+			m.dropCompleted(r.occ)
 			break
 		}
 	}
--- a/coord/flow/view.go
+++ b/coord/flow/view.go
@@ -234,10 +234,10 @@
 		total, remaining := m.criticalPath(o)
 		v.Slack = (j.arrivedAt.Add(j.objective(total)).Sub(m.now) - remaining).Milliseconds()
 	}
-	for n := range j.createdOccurrences {
+	for _, n := range slices.Sorted(maps.Keys(j.occurrences)) {
 		o := j.occurrences[n]
-		if o == nil {
-			continue
+		if n >= j.createdOccurrences {
+			break
 		}
 		for i := range o.steps {
 			if s := &o.steps[i]; !s.complete() && j.live() {
@@ -353,6 +353,7 @@
 		m.emit(Log{Text: "tasks waiting", Reason: fmt.Sprintf("queue %s: %d tasks of %d steps; %s reserved; workers: %s",
 			queue, b.tasks, b.steps, m.reservedShares(b.first.queue.Service), formatCounts(m.placementObstacles(b.first)))})
 	}
+	m.logHeldBack()
 	var reserved, load int64
 	paused, fillers := 0, 0
 	for _, w := range m.workersByID {
@@ -376,6 +377,20 @@
 	}
 }
 
+// logHeldBack logs how many due occurrences wait until others of their jobs have started or ended.
+func (m *Machine) logHeldBack() {
+	jobs, occurrences := 0, int64(0)
+	for _, j := range m.scheduledJobs {
+		if held := m.heldBackOccurrences(j); held > 0 {
+			jobs++
+			occurrences += held
+		}
+	}
+	if jobs > 0 {
+		m.emit(Log{Text: "due occurrences are not created yet", Reason: fmt.Sprintf("%d of %d jobs", occurrences, jobs)})
+	}
+}
+
 // reservedShares formats the shares of a service's capacity that its tasks reserve. The processor time of fillers is not
 // reserved.
 func (m *Machine) reservedShares(service string) string {
