flow, leader: the progress of a large job is stored in parts

A job with more than 256 tasks is stored as a record with its state and its complete occurrences, and parts of 256 tasks beside it, below the key of the record. Only parts that change are written, in the order of the changes, on which the acknowledgement of ends depends; a batch ends before it exceeds 128 KiB. Parts of complete occurrences are deleted once the record that replaces them is durable; those of jobs that are gone by the next scheduler. Checkpoints of more than 1 KiB are not stored. A record of an earlier version is read, and its parts are written before it is replaced.

--- a/coord/flow/crash.go
+++ b/coord/flow/crash.go
@@ -69,7 +69,7 @@
 	}
 	if _, t := m.lookupTask(r.id); t != nil && t.losses > 0 && r.step.spec.LongRunning && clock-r.firstClock >= provenRunTime.Milliseconds() {
 		t.losses = 0
-		m.markDirty(r.occ.job)
+		m.markTaskDirty(r.id)
 	}
 }
 
@@ -93,7 +93,7 @@
 	}
 	m.emit(Log{Text: "no longer suspected of a crash", Task: r.id, Run: r.number, Worker: r.worker.ID})
 	t.crashRecord, t.verdictDue = crashRecord{losses: t.losses}, false
-	m.markDirty(r.occ.job)
+	m.markTaskDirty(r.id)
 }
 
 // workerCrashed handles the unplanned end of a worker's process. The runs that had not lasted long are suspected of
@@ -118,7 +118,7 @@
 	}
 	for _, r := range w.runsByTask {
 		if _, t := m.lookupTask(r.id); t != nil {
-			m.closeRun(r.id.Job, t, w.ID)
+			m.closeRun(r.id, t, w.ID)
 		}
 	}
 	steps := make(map[*step]struct{})
@@ -141,16 +141,16 @@
 	for _, r := range w.runsByTask {
 		_, t := m.lookupTask(r.id)
 		if t != nil && r.step != nil && r.existed() && r.occ.job.live() {
-			m.countLoss(r.occ.job, t)
+			m.countLoss(r.id, t)
 		}
 	}
 }
 
-func (m *Machine) countLoss(j *job, t *task) {
+func (m *Machine) countLoss(id infra.TaskID, t *task) {
 	t.losses++
 	t.verdictDue = t.verdictDue || t.exceedsCrashes()
-	j.crashed = true
-	m.markDirty(j)
+	m.jobs[id.Job].crashed = true
+	m.markTaskDirty(id)
 }
 
 // existed reports whether the run is known to have existed in the present life of its worker.
@@ -184,15 +184,13 @@
 
 // suspect counts a crash of a worker against a task.
 func (m *Machine) suspect(id infra.TaskID, number infra.Run, on fleet.WorkerID, confirmed, isolated, logged bool) {
-	j := m.jobs[id.Job]
 	_, t := m.lookupTask(id)
 	t.crashes++
 	if confirmed {
 		t.confirmed++
 	}
-	j.crashed = true
-	m.markDirty(j)
-	t.unsavedSeq, t.crashedAt = j.dirtySeq, m.now
+	m.jobs[id.Job].crashed = true
+	t.unsavedSeq, t.crashedAt = m.markTaskDirty(id), m.now
 	// Two crashes of one worker are no better evidence against the task than against the worker.
 	t.verdictDue = t.exceedsCrashes() || t.confirmed >= minConfirmedCrashes && confirmed && isolated && t.crashedOn != on
 	t.crashedOn = on
@@ -444,7 +442,7 @@
 	for _, r := range m.silenced[w.ID] {
 		// The record of a trial remains until the trial has begun.
 		if _, t := m.lookupTask(r.task); t != nil && t.crashes == 0 {
-			m.closeRun(r.task.Job, t, w.ID)
+			m.closeRun(r.task, t, w.ID)
 		}
 	}
 	delete(m.silenced, w.ID)
@@ -465,8 +463,8 @@
 		if t == nil || t.phase == done || !j.live() || slices.ContainsFunc(t.runs, func(r *run) bool { return r.sound }) {
 			continue
 		}
-		m.closeRun(r.task.Job, t, id)
-		m.countLoss(j, t)
+		m.closeRun(r.task, t, id)
+		m.countLoss(r.task, t)
 		if r.suspect {
 			m.suspect(r.task, r.number, id, false, false, i < maxLoggedSuspects)
 		}
--- a/coord/flow/event.go
+++ b/coord/flow/event.go
@@ -32,6 +32,8 @@
 	Term int64
 	// Interference holds the interference models that a predecessor stored.
 	Interference []InterferenceRecord
+	// OrphanedParts are the stored parts of jobs that do not exist.
+	OrphanedParts []PartKey
 }
 
 // StoredJob is a job as read from the store.
@@ -40,6 +42,8 @@
 	Cancelled bool
 	// Record is nil for a job without progress.
 	Record *Record
+	// Parts are the stored parts of the progress, in any order.
+	Parts []PartRecord
 }
 
 // RosterEntry is a worker that may run tasks, with the address of its agent. Only schedulers of terms before RenewedBefore
@@ -220,7 +224,10 @@
 type Save struct {
 	Batch  int64
 	Jobs   []JobRecord
+	Parts  []PartRecord
 	Delete []fleet.JobID
+	// DeleteParts lists the parts to delete.
+	DeleteParts []PartKey
 	// Finished replaces stored jobs by the form that [Finished] returns.
 	Finished []infra.Job
 	// Roster replaces the stored roster unless it is nil.
--- a/coord/flow/job.go
+++ b/coord/flow/job.go
@@ -94,6 +94,9 @@
 	estimatedAt time.Time
 	// runs counts the runs of all tasks that may exist on workers.
 	runs int
+	// parts are the groups of partTasks tasks whose progress is stored separately; nil unless the job is split.
+	parts     []part
+	partTasks int
 }
 
 // job is the state of a submitted job.
@@ -124,8 +127,12 @@
 	durableState infra.State
 	dirty        bool
 	// dirtySeq is the job's sequence number among the jobs to be saved.
-	dirtySeq   int64
-	finishedAt time.Time
+	dirtySeq int64
+	// isSplit is set if the progress of the tasks is stored in parts of partTasks tasks, and storedParts counts those in the store.
+	isSplit     bool
+	partTasks   int
+	storedParts int
+	finishedAt  time.Time
 	// reduceAt is when the stored form of a finished job may be reduced.
 	reduceAt time.Time
 }
@@ -164,6 +171,9 @@
 			o.steps[i].runsPerWorker = make(map[fleet.WorkerID]int)
 		}
 	}
+	if j.isSplit {
+		o.addParts(j.partTasks)
+	}
 	j.occurrences[n] = o
 	return o
 }
--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -31,6 +31,9 @@
 	// maxBatchJobs limits the jobs in one durable batch, without minReductions. A transaction of the platform's store has at most
 	// 32 entries.
 	maxBatchJobs = 24
+	// maxBatchBytes is the estimated size of the records in one batch above which the others wait for the next, so that one batch takes
+	// a slow link a fraction of a second.
+	maxBatchBytes = 128 << 10
 	// rosterSaveInterval is the minimum interval of batches with the roster while workers of predecessors are awaited. Each of
 	// their answers changes it, and that of a large fleet takes a slow link tens of milliseconds.
 	rosterSaveInterval = 100 * time.Millisecond
@@ -118,22 +121,23 @@
 	// scheduledJobs holds the jobs with occurrences that are not created yet.
 	scheduledJobs map[fleet.JobID]*job
 
-	// dirtyJobs lists the jobs to save, and jobsToDelete those to delete from the store. batchJobs and batchRoster are
-	// the contents of the batch in flight.
-	dirtyJobs    []*job
-	jobsToDelete []fleet.JobID
-	// startedJobs lists the jobs whose start is not durable yet, which are saved at startedSaveAt at the latest.
-	startedJobs   []*job
-	startedSaveAt time.Time
+	// dirtyUnits lists what is to be saved, and jobsToDelete and partsToDelete what is to be deleted from the store. batchUnits and
+	// batchRoster are the contents of the batch in flight.
+	dirtyUnits    []dirtyUnit
+	jobsToDelete  []fleet.JobID
+	partsToDelete []partDeletion
+	// startedJobs lists the jobs whose start is not durable yet. They and partsToDelete wait for batches with room until roomDueAt.
+	startedJobs []*job
+	roomDueAt   time.Time
 	// jobsToReduce lists the finished jobs whose stored form is complete, in the order of their ends.
 	jobsToReduce []*job
 	batch        int64
 	saveInFlight bool
-	batchJobs    []batchJob
+	batchUnits   []batchUnit
 	batchRoster  []RosterEntry
 	// batchHasRoster is set if the batch in flight replaces the stored roster, also by an empty one.
 	batchHasRoster bool
-	// dirtySeq is the sequence number of the last entry of dirtyJobs, and savedSeq that of the last entry that is durable.
+	// dirtySeq is the sequence number of the last entry of dirtyUnits, and savedSeq that of the last entry that is durable.
 	dirtySeq int64
 	savedSeq int64
 	// pendingByQueue holds the numbers of pending jobs as of pendingAt.
@@ -185,8 +189,15 @@
 	waitsCheckedAt time.Time
 }
 
-type batchJob struct {
-	job   *job
+// dirtyUnit is what is stored as one value: the record of a job, or a part unless that is nil.
+type dirtyUnit struct {
+	job  *job
+	part *part
+}
+
+// batchUnit is a unit in the batch in flight, which makes the changes up to seq durable. state is that in the record.
+type batchUnit struct {
+	dirtyUnit
 	state infra.State
 	seq   int64
 }
@@ -196,7 +207,7 @@
 	m := &Machine{
 		opts: options{
 			taskLease: 6 * time.Second, maxLease: 6 * time.Second, leadershipTimeout: 5 * time.Second, retention: 10 * time.Minute,
-			maxTargetMiss: 4 * time.Second,
+			maxTargetMiss: 4 * time.Second, partTasks: defaultPartTasks,
 		},
 		token:               token,
 		maxToken:            token,
@@ -324,11 +335,13 @@
 		j := m.newJob(s.Job)
 		if s.Record != nil {
 			j.restore(s.Record)
+			m.splitRecord(j)
 		}
 		j.cancelled = j.cancelled || s.Cancelled && !j.durableState.Final()
 		if j.cancelled {
 			j.durableState = infra.StateCancelled
 		}
+		m.restoreParts(j, s.Parts)
 		if s.Record != nil && s.Record.State.Final() && s.Record.State == j.state() {
 			// To store all finished jobs again would hold up the ends of the runs.
 			m.retain(j)
@@ -343,6 +356,9 @@
 	for _, id := range ev.Cancelled {
 		m.cancelEarly(id)
 	}
+	for _, key := range ev.OrphanedParts {
+		m.deletePart(partDeletion{key: key})
+	}
 	for _, r := range ev.Interference {
 		m.interferenceModels[r.Image] = m.restoreInterference(r)
 	}
@@ -366,7 +382,8 @@
 }
 
 func (m *Machine) newJob(spec infra.Job) *job {
-	j := &job{spec: spec, occurrences: make(map[int64]*occurrence), durableState: infra.StateQueued, arrivedAt: m.now}
+	j := &job{spec: spec, occurrences: make(map[int64]*occurrence), durableState: infra.StateQueued, arrivedAt: m.now, partTasks: m.opts.partTasks}
+	j.isSplit = m.isSplit(spec)
 	if spec.Submitted > 0 && !m.wall.IsZero() {
 		age := m.wall.Sub(time.UnixMilli(spec.Submitted))
 		j.arrivedAt = m.now.Add(-min(max(0, age), m.opts.retention))
@@ -463,6 +480,9 @@
 func (m *Machine) finish(j *job) {
 	delete(m.scheduledJobs, j.spec.ID)
 	m.markDirty(j)
+	for _, o := range j.occurrences {
+		m.deleteParts(o)
+	}
 	m.retain(j)
 }
 
@@ -478,6 +498,6 @@
 		j.dirty = true
 		m.dirtySeq++
 		j.dirtySeq = m.dirtySeq
-		m.dirtyJobs = append(m.dirtyJobs, j)
+		m.dirtyUnits = append(m.dirtyUnits, dirtyUnit{job: j})
 	}
 }
--- a/coord/flow/open_run.go
+++ b/coord/flow/open_run.go
@@ -19,16 +19,15 @@
 
 // recordTrial reports whether the record of a task has the open run that a trial on a worker needs, and otherwise enters it.
 // Until the record is durable no other trial begins on the worker.
-func (m *Machine) recordTrial(r *readyStep, t *task, w *worker) bool {
+func (m *Machine) recordTrial(r *readyStep, index int, w *worker) bool {
+	t := &r.step.tasks[index]
 	suspected := r.step.mostSuspected(t)
 	open := openRun{worker: w.ID, startedAt: w.StartedAt}
 	if suspected.crashes == 0 || t.openRun == open {
 		return true
 	}
-	j := r.occ.job
-	t.openRun, j.crashed = open, true
-	m.markDirty(j)
-	t.unsavedSeq = j.dirtySeq
+	t.openRun, r.occ.job.crashed = open, true
+	t.unsavedSeq = m.markTaskDirty(r.task(index))
 	if m.needsIsolation(r.step, t) {
 		w.reservedUntil, w.reservedFor = m.now.Add(soundRunTime), suspected
 	}
@@ -44,7 +43,7 @@
 	slices.SortFunc(chosen, func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) })
 	recorded := true
 	for i, w := range chosen {
-		recorded = m.recordTrial(r, &r.step.tasks[i], w) && recorded
+		recorded = m.recordTrial(r, i, w) && recorded
 	}
 	return recorded
 }
@@ -69,17 +68,17 @@
 }
 
 // closeRun removes the open run of a task on a worker from its record.
-func (m *Machine) closeRun(id fleet.JobID, t *task, on fleet.WorkerID) {
+func (m *Machine) closeRun(id infra.TaskID, t *task, on fleet.WorkerID) {
 	if t.openRun.worker == on {
 		t.openRun = openRun{}
-		m.markDirty(m.jobs[id])
+		m.markTaskDirty(id)
 	}
 }
 
 // closeReleasedRun does the same for a run that no longer exists, unless its worker is silent and may have crashed.
 func (m *Machine) closeReleasedRun(r *run, t *task) {
 	if _, silenced := m.silenced[r.worker.ID]; !silenced {
-		m.closeRun(r.id.Job, t, r.worker.ID)
+		m.closeRun(r.id, t, r.worker.ID)
 	}
 }
 
@@ -112,7 +111,7 @@
 	for _, r := range w.suspects() {
 		if _, t := m.lookupTask(r.id); t != nil && t.openRun.worker == "" {
 			t.openRun = openRun{worker: w.ID, startedAt: w.StartedAt}
-			m.markDirty(r.occ.job)
+			m.markTaskDirty(r.id)
 		}
 	}
 }
@@ -122,12 +121,12 @@
 func (m *Machine) workerReturned(w *worker) {
 	for _, r := range w.runsByTask {
 		if _, t := m.lookupTask(r.id); t != nil && r != w.trial {
-			m.closeRun(r.id.Job, t, w.ID)
+			m.closeRun(r.id, t, w.ID)
 		}
 	}
 	for _, r := range m.silenced[w.ID] {
 		if _, t := m.lookupTask(r.task); t != nil {
-			m.closeRun(r.task.Job, t, w.ID)
+			m.closeRun(r.task, t, w.ID)
 		}
 	}
 	delete(m.silenced, w.ID)
--- a/coord/flow/options.go
+++ b/coord/flow/options.go
@@ -10,6 +10,7 @@
 	retention         time.Duration
 	maxTargetMiss     time.Duration
 	linkBitsPerSecond int64
+	partTasks         int
 }
 
 // Option configures a [Machine] in [New].
@@ -34,3 +35,6 @@
 
 // WithMaxTargetMiss sets how long fillers may keep a serving task over its target without interruption.
 func WithMaxTargetMiss(d time.Duration) Option { return func(o *options) { o.maxTargetMiss = d } }
+
+// WithPartTasks sets how many tasks of a job are stored as one value, see [Part]. All schedulers of a store must agree.
+func WithPartTasks(n int) Option { return func(o *options) { o.partTasks = n } }
--- a/coord/flow/place.go
+++ b/coord/flow/place.go
@@ -192,7 +192,7 @@
 		if via == nil {
 			break
 		}
-		if !m.recordTrial(r, t, w) || m.awaitReport(r, t, w) {
+		if !m.recordTrial(r, i, w) || m.awaitReport(r, t, w) {
 			continue
 		}
 		m.start(r, i, w, t.lastRun+1, via)
--- a/coord/flow/record.go
+++ b/coord/flow/record.go
@@ -8,7 +8,7 @@
 	"lovagefork.example/coord/infra"
 )
 
-// Record is the durable progress of a job.
+// Record is the durable progress of a job. That of the tasks of a large job is in its [Part] values.
 type Record struct {
 	State       infra.State        `cbor:"state"`
 	Occurrences []OccurrenceRecord `cbor:"occurrences,omitempty"`
@@ -69,6 +69,9 @@
 	for _, c := range j.completed.later() {
 		r.Occurrences = append(r.Occurrences, OccurrenceRecord{Number: c.first, Completed: true, Count: c.count})
 	}
+	if j.isSplit {
+		return r
+	}
 	for _, n := range slices.Sorted(maps.Keys(j.occurrences)) {
 		if !j.completed.contains(n) {
 			r.Occurrences = append(r.Occurrences, j.occurrences[n].record(maxRun))
@@ -89,24 +92,36 @@
 func (s *step) record(maxRun infra.Run) StepRecord {
 	var r StepRecord
 	for i := range s.tasks {
-		t := &s.tasks[i]
-		switch {
-		case t.phase == done:
-			if r.Done == nil {
-				r.Done = make([]byte, (len(s.tasks)+7)/8)
-			}
-			r.Done[i/8] |= 1 << (i % 8)
-		case t.hasProgress(maxRun):
-			r.Tasks = append(r.Tasks, TaskRecord{
-				Index: i, Run: t.lastRun, Failed: slices.Clone(t.failedRuns), Checkpoint: t.checkpoint, CheckpointRun: t.checkpointRun,
-				Crashes: t.crashes, Confirmed: t.confirmed, CrashedOn: t.crashedOn, Losses: t.losses,
-				OpenRunOn: t.openRun.worker, OpenRunWorkerStartedAt: t.openRun.startedAt,
-			})
-		}
+		r.Done, r.Tasks = s.tasks[i].addTo(r.Done, r.Tasks, i, len(s.tasks), maxRun)
 	}
 	return r
 }
 
+// addTo adds the progress of the nth of a number of tasks to the durable form of these tasks.
+func (t *task) addTo(finished []byte, tasks []TaskRecord, n, count int, maxRun infra.Run) ([]byte, []TaskRecord) {
+	switch {
+	case t.phase == done:
+		if finished == nil {
+			finished = make([]byte, (count+7)/8)
+		}
+		finished[n/8] |= 1 << (n % 8)
+	case t.hasProgress(maxRun):
+		r := TaskRecord{
+			Index: n, Run: t.lastRun, Failed: slices.Clone(t.failedRuns),
+			Crashes: t.crashes, Confirmed: t.confirmed, CrashedOn: t.crashedOn, Losses: t.losses,
+			OpenRunOn: t.openRun.worker, OpenRunWorkerStartedAt: t.openRun.startedAt,
+		}
+		if len(t.checkpoint) <= maxStoredCheckpoint {
+			r.Checkpoint, r.CheckpointRun = t.checkpoint, t.checkpointRun
+		}
+		tasks = append(tasks, r)
+	}
+	return finished, tasks
+}
+
+// isSet reports whether the nth bit is set.
+func isSet(bits []byte, n int) bool { return n/8 < len(bits) && bits[n/8]&(1<<(n%8)) != 0 }
+
 // restore applies the durable progress of a job.
 func (j *job) restore(r *Record) {
 	j.cancelled = r.State == infra.StateCancelled
@@ -153,20 +168,54 @@
 
 func (s *step) restore(r StepRecord) {
 	for i := range s.tasks {
-		if i/8 < len(r.Done) && r.Done[i/8]&(1<<(i%8)) != 0 {
+		if isSet(r.Done, i) {
 			s.setPhase(i, done)
 		}
 	}
 	for _, record := range r.Tasks {
 		if record.Index >= 0 && record.Index < len(s.tasks) {
-			t := &s.tasks[record.Index]
-			t.lastRun, t.failedRuns = record.Run, record.Failed
-			t.checkpoint, t.checkpointRun = record.Checkpoint, record.CheckpointRun
-			t.crashRecord = crashRecord{
-				crashes: record.Crashes, confirmed: record.Confirmed, crashedOn: record.CrashedOn, losses: record.Losses,
-				openRun: openRun{worker: record.OpenRunOn, startedAt: record.OpenRunWorkerStartedAt},
-			}
-			t.verdictDue = t.exceedsCrashes()
+			s.tasks[record.Index].restore(record)
+		}
+	}
+}
+
+func (t *task) restore(r TaskRecord) {
+	t.lastRun, t.failedRuns = r.Run, r.Failed
+	t.checkpoint, t.checkpointRun = r.Checkpoint, r.CheckpointRun
+	t.crashRecord = crashRecord{
+		crashes: r.Crashes, confirmed: r.Confirmed, crashedOn: r.CrashedOn, losses: r.Losses,
+		openRun: openRun{worker: r.OpenRunOn, startedAt: r.OpenRunWorkerStartedAt},
+	}
+	t.verdictDue = t.exceedsCrashes()
+}
+
+// Estimated sizes of the durable forms in bytes, without their texts.
+const (
+	taskRecordBytes  = 96
+	runNumberBytes   = 9
+	occurrenceBytes  = 40
+	smallRecordBytes = 32
+)
+
+// size estimates the size of a record in the store in bytes.
+func (r *Record) size() int {
+	size := smallRecordBytes
+	for _, o := range r.Occurrences {
+		size += occurrenceBytes
+		for _, s := range o.Steps {
+			size += sizeOfTasks(s.Done, s.Tasks)
 		}
 	}
+	return size
+}
+
+// size estimates the size of a part in the store in bytes.
+func (r *Part) size() int { return sizeOfTasks(r.Done, r.Tasks) }
+
+func sizeOfTasks(finished []byte, tasks []TaskRecord) int {
+	size := smallRecordBytes + len(finished)
+	for _, t := range tasks {
+		size += taskRecordBytes + runNumberBytes*len(t.Failed) + len(t.Checkpoint) + len(t.CrashedOn) + len(t.OpenRunOn)
+	}
+	return size
 }
--- a/coord/flow/record_test.go
+++ b/coord/flow/record_test.go
@@ -4,7 +4,6 @@
 	"testing"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
 
 	"lovagefork.example/coord/flow"
@@ -27,9 +26,13 @@
 		{Number: 2, Task: starts[1].Order.Task, Run: starts[1].Order.Run, Outcome: infra.OutcomeFailed},
 	}})
 	h.advance(100 * time.Millisecond)
-	value, err := cbor.Marshal(h.savedRecord("j"))
-	assert.NilError(t, err)
-	assert.Assert(t, len(value) < infra.MaxTasks/4, "%d bytes", len(value))
+	size := 0
+	for _, e := range h.effects {
+		if s, isSave := e.(flow.Save); isSave {
+			size += encodedSize(t, s.Jobs) + encodedSize(t, s.Parts)
+		}
+	}
+	assert.Assert(t, size > 0 && size < infra.MaxTasks/4, "%d bytes", size)
 }
 
 // The run number of a task that was started very often in one term exceeds the first ones of the next, and must be stored
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -237,7 +237,7 @@
 	}
 	t.lastRun = max(t.lastRun, e.Run)
 	t.updateCheckpoint(e.Run, e.Checkpoint)
-	m.closeRun(e.Task.Job, t, w.ID)
+	m.closeRun(e.Task, t, w.ID)
 	o := m.jobs[e.Task.Job].occurrences[e.Task.Occurrence]
 	switch e.Outcome {
 	case infra.OutcomeDone:
@@ -278,7 +278,6 @@
 	if o.complete() {
 		return
 	}
-	m.markDirty(o.job)
 	if s.spec.Gang {
 		for i := range s.tasks {
 			m.completeTask(s, i)
@@ -286,17 +285,32 @@
 	} else {
 		m.completeTask(s, e.Task.Index)
 	}
-	if !s.complete() {
-		return
+	if s.complete() {
+		o.countOpenSteps()
 	}
-	o.countOpenSteps()
 	if o.complete() {
+		m.markDirty(o.job)
 		m.completeOccurrence(o)
 		return
 	}
+	m.markCompleted(o, s, e.Task)
+	if !s.complete() {
+		return
+	}
 	m.updateReady(o)
 }
 
+// markCompleted requests that the completion of a task is saved, or that of all tasks of its gang.
+func (m *Machine) markCompleted(o *occurrence, s *step, id infra.TaskID) {
+	if !s.spec.Gang || o.parts == nil {
+		m.markTaskDirty(id)
+		return
+	}
+	for id.Index = range s.tasks {
+		m.markTaskDirty(id)
+	}
+}
+
 func (m *Machine) completeTask(s *step, index int) {
 	t := &s.tasks[index]
 	if t.phase == done {
@@ -324,6 +338,7 @@
 	for i := range o.steps {
 		m.removeReady(&o.steps[i])
 	}
+	m.deleteParts(o)
 	m.dropCompleted(o)
 	if j.complete() {
 		m.emit(Log{Text: "job completed", Job: j.spec.ID})
@@ -334,7 +349,7 @@
 // countFailure records a failed run. The job fails once a task has used up its attempts.
 func (m *Machine) countFailure(o *occurrence, t *task, e infra.EndedRun) {
 	j := o.job
-	m.markDirty(j)
+	m.markTaskDirty(e.Task)
 	s := &o.steps[e.Task.Step]
 	// A copy can fail after another one was done, or the end can be reported again.
 	if s.spec.LongRunning || t.phase == done || slices.Contains(t.failedRuns, e.Run) {
--- a/coord/flow/save.go
+++ b/coord/flow/save.go
@@ -1,13 +1,17 @@
 package flow
 
-import "lovagefork.example/coord/infra"
+import (
+	"time"
+
+	"lovagefork.example/coord/infra"
+)
 
 // expire deletes finished jobs after the retention time. A job with unsaved changes or remaining runs is kept longer.
 func (m *Machine) expire() {
 	for len(m.finishedJobs) > 0 && m.now.Sub(m.finishedJobs[0].finishedAt) > m.opts.retention {
 		j := m.finishedJobs[0]
 		m.finishedJobs = m.finishedJobs[1:]
-		if j.dirty || len(m.runsOf(j)) > 0 {
+		if j.dirty || j.storedParts > 0 || len(m.runsOf(j)) > 0 {
 			j.finishedAt = m.now
 			m.finishedJobs = append(m.finishedJobs, j)
 			continue
@@ -29,11 +33,11 @@
 	return all
 }
 
-// UnsavedJobs returns the number of jobs whose progress is not durable yet.
+// UnsavedJobs returns the number of jobs whose progress is not durable yet. A large job counts for each of its parts.
 func (m *Machine) UnsavedJobs() int {
-	count := len(m.dirtyJobs)
+	count := len(m.dirtyUnits)
 	if m.saveInFlight {
-		count += len(m.batchJobs)
+		count += len(m.batchUnits)
 	}
 	return count
 }
@@ -41,22 +45,23 @@
 // save starts a durable batch unless one is in flight or there is nothing to save.
 func (m *Machine) save() {
 	isRosterDue := m.rosterDirty && !m.now.Before(m.rosterDueAt)
-	if m.saveInFlight || (len(m.dirtyJobs) == 0 && len(m.jobsToDelete) == 0 && !isRosterDue && !m.interferenceDirty && !m.isReductionDue() && !m.isStartedDue()) {
+	isDue := len(m.dirtyUnits) > 0 || len(m.jobsToDelete) > 0 || isRosterDue || m.interferenceDirty || m.isReductionDue() || m.isRoomDue()
+	if m.saveInFlight || !isDue {
 		return
 	}
 	m.batch++
 	s := Save{Batch: m.batch}
-	n := min(len(m.dirtyJobs), maxBatchJobs)
-	m.batchJobs, m.batchRoster = m.batchJobs[:0], m.batchRoster[:0]
-	for _, j := range m.dirtyJobs[:n] {
-		j.dirty = false
-		m.addToBatch(&s, j, j.dirtySeq)
+	m.batchUnits, m.batchRoster = m.batchUnits[:0], m.batchRoster[:0]
+	m.addDirtyUnits(&s)
+	for _, j := range m.takeStarted(maxBatchJobs - len(m.batchUnits)) {
+		m.addRecord(&s, j, j.record(firstRun(m.term+1)), 0)
 	}
-	m.dirtyJobs = append([]*job(nil), m.dirtyJobs[n:]...)
-	for _, j := range m.takeStarted(maxBatchJobs - n) {
-		m.addToBatch(&s, j, 0)
+	s.DeleteParts = m.takePartDeletions(maxBatchJobs - len(m.batchUnits))
+	m.roomDueAt = time.Time{}
+	if len(m.startedJobs)+len(m.partsToDelete) > 0 {
+		m.awaitRoom()
 	}
-	n = len(s.Jobs)
+	n := len(m.batchUnits) + len(s.DeleteParts)
 	if n == 0 {
 		k := min(len(m.jobsToDelete), maxBatchJobs/deleteEntries)
 		s.Delete = append(s.Delete, m.jobsToDelete[:k]...)
@@ -85,11 +90,40 @@
 	m.emit(s)
 }
 
-// addToBatch adds the record of a job to a batch, which makes the changes up to a sequence number durable.
-func (m *Machine) addToBatch(s *Save, j *job, seq int64) {
-	record := j.record(firstRun(m.term + 1))
-	s.Jobs = append(s.Jobs, JobRecord{Job: j.spec.ID, Record: record})
-	m.batchJobs = append(m.batchJobs, batchJob{job: j, state: record.State, seq: seq})
+// addDirtyUnits moves dirty units into a batch, the oldest first, as far as it has room for them.
+func (m *Machine) addDirtyUnits(s *Save) {
+	maxRun, size := firstRun(m.term+1), 0
+	taken := 0
+	for _, u := range m.dirtyUnits[:min(len(m.dirtyUnits), maxBatchJobs)] {
+		if u.part != nil {
+			r := u.part.record(maxRun)
+			if size += r.size(); size > maxBatchBytes && taken > 0 {
+				break
+			}
+			if u.part.dirty = false; !u.part.isStored {
+				u.part.isStored = true
+				u.job.storedParts++
+			}
+			u.part.batch = m.batch
+			s.Parts = append(s.Parts, PartRecord{Key: u.part.key(), Part: r})
+			m.batchUnits = append(m.batchUnits, batchUnit{dirtyUnit: u, seq: u.part.seq})
+		} else {
+			r := u.job.record(maxRun)
+			if size += r.size(); size > maxBatchBytes && taken > 0 {
+				break
+			}
+			u.job.dirty = false
+			m.addRecord(s, u.job, r, u.job.dirtySeq)
+		}
+		taken++
+	}
+	m.dirtyUnits = append([]dirtyUnit(nil), m.dirtyUnits[taken:]...)
+}
+
+// addRecord adds the record of a job to a batch, which makes the changes up to a sequence number durable.
+func (m *Machine) addRecord(s *Save, j *job, r Record, seq int64) {
+	s.Jobs = append(s.Jobs, JobRecord{Job: j.spec.ID, Record: r})
+	m.batchUnits = append(m.batchUnits, batchUnit{dirtyUnit: dirtyUnit{job: j}, state: r.State, seq: seq})
 }
 
 // saved completes a batch: it publishes the saved job states, enables workers that are now in the stored roster, and
@@ -100,8 +134,8 @@
 	}
 	m.maxToken = max(m.maxToken, infra.Token(ev.Revision))
 	m.saveInFlight = false
-	for _, b := range m.batchJobs {
-		if !b.job.durableState.Final() {
+	for _, b := range m.batchUnits {
+		if b.part == nil && !b.job.durableState.Final() {
 			b.job.durableState = b.state
 		}
 		m.savedSeq = max(m.savedSeq, b.seq)
--- a/coord/flow/schedule.go
+++ b/coord/flow/schedule.go
@@ -33,12 +33,8 @@
 
 // mayCreate reports whether another occurrence of a job may be created now.
 func (m *Machine) mayCreate(j *job) bool {
-	tasks := int64(0)
-	for _, s := range j.spec.Steps {
-		tasks += int64(s.Count)
-	}
 	return j.openOccurrences == 0 ||
-		j.readySteps < maxReadySteps && j.openOccurrences < maxOpenOccurrences && (j.openOccurrences+1)*tasks <= maxOpenTasks
+		j.readySteps < maxReadySteps && j.openOccurrences < maxOpenOccurrences && int64(j.openOccurrences+1)*j.spec.Tasks() <= maxOpenTasks
 }
 
 // maxClockLead is how far the wall clock of a predecessor may be ahead of that of this scheduler.
--- a/coord/flow/simulation_test.go
+++ b/coord/flow/simulation_test.go
@@ -1,8 +1,10 @@
 package flow_test
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -25,6 +27,7 @@
 	catalog   *infra.Catalog
 
 	records      map[fleet.JobID]flow.Record
+	parts        map[flow.PartKey]flow.Part
 	roster       []flow.RosterEntry
 	interference []flow.InterferenceRecord
 	term         int64
@@ -204,7 +207,7 @@
 func newSimulation(seed uint64, workers int) *simulation {
 	sim := &simulation{
 		rng: rand.New(rand.NewPCG(seed, 1)), inputRNG: rand.New(rand.NewPCG(seed, 2)), now: time.Unix(1000, 0), maxListedEnds: 4, taskLease: maxTaskLease,
-		workers: make(map[fleet.WorkerID]*fakeWorker), jobs: make(map[fleet.JobID]*simJob), records: make(map[fleet.JobID]flow.Record),
+		workers: make(map[fleet.WorkerID]*fakeWorker), jobs: make(map[fleet.JobID]*simJob), records: make(map[fleet.JobID]flow.Record), parts: make(map[flow.PartKey]flow.Part),
 		catalog: &infra.Catalog{
 			Version: 1,
 			Queues: []infra.Queue{
@@ -270,7 +273,7 @@
 	// The token is the revision of the election.
 	sim.revision += int64(1 + sim.rng.IntN(5))
 	sim.token = infra.Token(sim.revision)
-	sched := &simScheduler{incarnations: make(map[fleet.WorkerID]int64), token: sim.token, alive: true, electedAt: sim.now, confirmedAt: sim.now.Add(-3 * sim.storeDelay), m: flow.New(sim.token, flow.WithTaskLease(sim.taskLease), flow.WithLeadershipTimeout(leadershipTimeout), flow.WithLink(sim.linkBitsPerSecond))}
+	sched := &simScheduler{incarnations: make(map[fleet.WorkerID]int64), token: sim.token, alive: true, electedAt: sim.now, confirmedAt: sim.now.Add(-3 * sim.storeDelay), m: flow.New(sim.token, flow.WithTaskLease(sim.taskLease), flow.WithLeadershipTimeout(leadershipTimeout), flow.WithLink(sim.linkBitsPerSecond), flow.WithPartTasks(simPartTasks))}
 	sim.leader = sched
 	sim.schedulers = append(sim.schedulers, sched)
 	hasPredecessor := sim.term > 0
@@ -315,6 +318,11 @@
 		if r, found := sim.records[id]; found {
 			stored.Record = &r
 		}
+		for _, key := range slices.SortedFunc(maps.Keys(sim.parts), comparePartKeys) {
+			if key.Job == id {
+				stored.Parts = append(stored.Parts, flow.PartRecord{Key: key, Part: sim.parts[key]})
+			}
+		}
 		j.known = true
 		restored.Jobs = append(restored.Jobs, stored)
 	}
@@ -499,6 +507,13 @@
 	})
 }
 
+// simPartTasks is the number of tasks in a part of the progress of a job, so that most jobs are stored in parts.
+const simPartTasks = 2
+
+func comparePartKeys(a, b flow.PartKey) int {
+	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Occurrence, b.Occurrence), cmp.Compare(a.Index, b.Index))
+}
+
 // save makes a batch durable if its scheduler is still the newest one.
 func (sim *simulation) save(sched *simScheduler, s flow.Save) {
 	sim.after(sim.delay()+sim.storeDelay, func() {
@@ -517,6 +532,12 @@
 		for _, r := range s.Jobs {
 			sim.records[r.Job] = r.Record
 		}
+		for _, p := range s.Parts {
+			sim.parts[p.Key] = p.Part
+		}
+		for _, key := range s.DeleteParts {
+			delete(sim.parts, key)
+		}
 		for _, j := range s.Finished {
 			if !sim.records[j.ID].State.Final() {
 				sim.violation("job %s is stored without steps and has no final state", j.ID)
--- a/coord/flow/view.go
+++ b/coord/flow/view.go
@@ -76,7 +76,7 @@
 func (m *Machine) Overview() Overview {
 	o := Overview{
 		Token: m.token, Term: m.term, Jobs: make(map[infra.State]int), Ready: len(m.readySteps), Workers: len(m.workers), LongWaits: m.longWaits,
-		Unsettled: len(m.unreconciledWorkers), Unanswered: m.unansweredStarts, Unsaved: len(m.dirtyJobs), Counts: m.counts, Link: m.LinkUse(),
+		Unsettled: len(m.unreconciledWorkers), Unanswered: m.unansweredStarts, Unsaved: len(m.dirtyUnits), Counts: m.counts, Link: m.LinkUse(),
 	}
 	if m.catalog != nil {
 		o.Catalog = m.catalog.Version
--- a/coord/infra/job.go
+++ b/coord/infra/job.go
@@ -89,6 +89,15 @@
 	MaxTasks = 20000
 )
 
+// Tasks returns the number of tasks of one occurrence.
+func (j Job) Tasks() int64 {
+	tasks := int64(0)
+	for _, s := range j.Steps {
+		tasks += int64(s.Count)
+	}
+	return tasks
+}
+
 // Validate returns an [*InvalidJobError] if the job is malformed or too large.
 func (j Job) Validate() error {
 	if len(j.Steps) == 0 {
--- a/entryd/leader/load.go
+++ b/entryd/leader/load.go
@@ -74,7 +74,7 @@
 	l := &loadMeter{
 		waits: metrics.GetOrRegisterTimer("scheduler.event_wait_seconds", r), traffic: traffic, transferred: traffic.Totals(), linkGauges: newLinkGauges(r),
 		examinedTotal: metrics.GetOrRegisterCounter("scheduler.examined_workers.total", r),
-		since: time.Now(), cpu: processorTime(),
+		since:         time.Now(), cpu: processorTime(),
 	}
 	for a, name := range activityNames {
 		l.totals[a] = metrics.GetOrRegisterCounter("scheduler.loop_"+name+"_ms.total", r)
--- a/entryd/leader/save.go
+++ b/entryd/leader/save.go
@@ -70,6 +70,15 @@
 		}
 		txn.Then = append(txn.Then, store.Put{Key: RecordKey(j.Job), Value: value})
 	}
+	for _, p := range s.Parts {
+		if value, err = cbor.Marshal(p.Part); err != nil {
+			return txn, err
+		}
+		txn.Then = append(txn.Then, store.Put{Key: PartKey(p.Key), Value: value})
+	}
+	for _, key := range s.DeleteParts {
+		txn.Then = append(txn.Then, store.Delete{Key: PartKey(key)})
+	}
 	for _, job := range s.Delete {
 		txn.Then = append(txn.Then, store.Delete{Key: JobKey(job)}, store.Delete{Key: CancelKey(job)}, store.Delete{Key: RecordKey(job)})
 	}
--- a/entryd/leader/state.go
+++ b/entryd/leader/state.go
@@ -94,7 +94,13 @@
 		return
 	}
 	l.inputs = newDelivery(inputsRevision, inputs)
-	restored.Jobs, restored.Cancelled = l.decodeJobs(inputs, l.decodeRecords(records))
+	progress, parts := l.decodeRecords(records)
+	restored.Jobs, restored.Cancelled = l.decodeJobs(inputs, progress, parts)
+	for _, orphaned := range parts {
+		for _, p := range orphaned {
+			restored.OrphanedParts = append(restored.OrphanedParts, p.Key)
+		}
+	}
 	finished := 0
 	for _, j := range restored.Jobs {
 		if j.Cancelled || j.Record != nil && j.Record.State.Final() {
@@ -106,10 +112,18 @@
 	out <- restored
 }
 
-// decodeRecords returns the progress of each job.
-func (l *loop) decodeRecords(entries []store.Entry) map[fleet.JobID]*flow.Record {
-	records := make(map[fleet.JobID]*flow.Record, len(entries))
+// decodeRecords returns the progress of each job, and its parts.
+func (l *loop) decodeRecords(entries []store.Entry) (map[fleet.JobID]*flow.Record, map[fleet.JobID][]flow.PartRecord) {
+	records, parts := make(map[fleet.JobID]*flow.Record, len(entries)), make(map[fleet.JobID][]flow.PartRecord)
 	for _, e := range entries {
+		if key, isPart := parsePart(e.Key); isPart {
+			p := flow.PartRecord{Key: key}
+			if err := cbor.Unmarshal(e.Value, &p.Part); err != nil {
+				l.log.Error("scheduler: cannot decode a part of a record", "key", e.Key, "error", err)
+			}
+			parts[key.Job] = append(parts[key.Job], p)
+			continue
+		}
 		var record flow.Record
 		if err := cbor.Unmarshal(e.Value, &record); err != nil {
 			l.log.Error("scheduler: cannot decode record", "key", e.Key, "error", err)
@@ -117,11 +131,13 @@
 		}
 		records[fleet.JobID(e.Key[len(recordPrefix):])] = &record
 	}
-	return records
+	return records, parts
 }
 
-// decodeJobs returns the stored jobs with their progress, and the cancellations without a job.
-func (l *loop) decodeJobs(inputs []store.Entry, records map[fleet.JobID]*flow.Record) ([]flow.StoredJob, []fleet.JobID) {
+// decodeJobs returns the stored jobs with their progress, and the cancellations without a job. It removes the parts of the jobs.
+func (l *loop) decodeJobs(
+	inputs []store.Entry, records map[fleet.JobID]*flow.Record, parts map[fleet.JobID][]flow.PartRecord,
+) ([]flow.StoredJob, []fleet.JobID) {
 	cancelled := make(map[fleet.JobID]bool)
 	for _, e := range inputs {
 		if id, isCancel := parseInput(e.Key); isCancel {
@@ -141,7 +157,8 @@
 			l.log.Error("scheduler: cannot decode job", "key", e.Key, "error", err)
 			continue
 		}
-		jobs = append(jobs, flow.StoredJob{Job: job, Cancelled: isCancelled, Record: records[id]})
+		jobs = append(jobs, flow.StoredJob{Job: job, Cancelled: isCancelled, Record: records[id], Parts: parts[id]})
+		delete(parts, id)
 	}
 	return jobs, slices.Sorted(maps.Keys(cancelled))
 }
