flow, leader: a batch that the store never accepts is not repeated

Status 400 cannot change by waiting.

An answer that rejects what a batch contains (400, 403, 413, 422, or a value above 1 MiB, which is not sent) ends it, if the store accepts an empty batch in its place; a store that rejects whatever is written is asked again. The values of the batch are then stored one by one, the roster first. A job whose value is rejected by itself fails, with key and size in the log: its ends could not be acknowledged, or would be forgotten by a successor. A rejected roster is tried again after 1 s, beside the progress of jobs. The record of a maintenance wave is given up alike.

--- a/coord/flow/event.go
+++ b/coord/flow/event.go
@@ -135,6 +135,12 @@
 // this scheduler leads, so that the token of any successor is higher; 0 if it is not known.
 type Saved struct{ Batch, Revision int64 }
 
+// SaveRejected reports that the store will never accept the batch of a [Save], and why.
+type SaveRejected struct {
+	Batch  int64
+	Reason string
+}
+
 // JobsLookedUp is the end of a [LookUpJobs]. The jobs that exist were submitted before it.
 type JobsLookedUp struct{ Jobs []fleet.JobID }
 
@@ -176,6 +182,7 @@
 func (StopAnswered) event()          {}
 func (ThrottleAnswered) event()      {}
 func (Saved) event()                 {}
+func (SaveRejected) event()          {}
 func (ApprovalAnswered) event()      {}
 func (JobsLookedUp) event()          {}
 func (PredecessorStopped) event()    {}
--- a/coord/flow/flow_test.go
+++ b/coord/flow/flow_test.go
@@ -25,6 +25,8 @@
 	acked map[fleet.WorkerID]int64
 
 	isStoreDown bool
+	// answeredBatch is the last batch that [harness.saveExcept] has answered.
+	answeredBatch int64
 	// revision is that of the last batch, above the token of the scheduler.
 	revision int64
 }
--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -133,8 +133,14 @@
 	jobsToReduce []*job
 	batch        int64
 	saveInFlight bool
-	batchUnits   []batchUnit
-	batchRoster  []RosterEntry
+	// inFlight is the batch in flight, and singleBatches the number of batches to come that hold one value each, see
+	// [Machine.saveRejected].
+	inFlight      Save
+	singleBatches int
+	batchUnits    []batchUnit
+	// batchSeq is the sequence number up to which the batch makes changes durable.
+	batchSeq    int64
+	batchRoster []RosterEntry
 	// batchHasRoster is set if the batch in flight replaces the stored roster, also by an empty one.
 	batchHasRoster bool
 	// dirtySeq is the sequence number of the last entry of dirtyUnits, and savedSeq that of the last entry that is durable.
@@ -189,17 +195,18 @@
 	waitsCheckedAt time.Time
 }
 
-// dirtyUnit is what is stored as one value: the record of a job, or a part unless that is nil.
+// dirtyUnit is what is stored as one value: the record of a job, or a part unless that is nil. Its save makes the changes up to seq
+// durable.
 type dirtyUnit struct {
 	job  *job
 	part *part
+	seq  int64
 }
 
-// batchUnit is a unit in the batch in flight, which makes the changes up to seq durable. state is that in the record.
+// batchUnit is a unit in the batch in flight. state is that in the record.
 type batchUnit struct {
 	dirtyUnit
 	state infra.State
-	seq   int64
 }
 
 // New returns a scheduler that issues its orders under a fencing token.
@@ -274,6 +281,8 @@
 		m.uncordon(ev.Worker)
 	case Saved:
 		m.saved(ev)
+	case SaveRejected:
+		m.saveRejected(ev)
 	case JobsLookedUp:
 		m.jobsLookedUp(ev.Jobs)
 	case ApprovalAnswered:
@@ -498,6 +507,6 @@
 		j.dirty = true
 		m.dirtySeq++
 		j.dirtySeq = m.dirtySeq
-		m.dirtyUnits = append(m.dirtyUnits, dirtyUnit{job: j})
+		m.dirtyUnits = append(m.dirtyUnits, dirtyUnit{job: j, seq: j.dirtySeq})
 	}
 }
--- a/coord/flow/part.go
+++ b/coord/flow/part.go
@@ -182,7 +182,7 @@
 	}
 	m.dirtySeq++
 	p.dirty, p.seq = true, m.dirtySeq
-	m.dirtyUnits = append(m.dirtyUnits, dirtyUnit{job: p.occ.job, part: p})
+	m.dirtyUnits = append(m.dirtyUnits, dirtyUnit{job: p.occ.job, part: p, seq: p.seq})
 }
 
 // deleteParts requests that the stored parts of an occurrence are deleted that no successor needs.
--- a/coord/flow/save.go
+++ b/coord/flow/save.go
@@ -51,79 +51,141 @@
 	}
 	m.batch++
 	s := Save{Batch: m.batch}
-	m.batchUnits, m.batchRoster = m.batchUnits[:0], m.batchRoster[:0]
-	m.addDirtyUnits(&s)
-	for _, j := range m.takeStarted(maxBatchJobs - len(m.batchUnits)) {
-		m.addRecord(&s, j, j.record(firstRun(m.term+1)), 0)
+	m.batchUnits, m.batchRoster, m.batchSeq, m.batchHasRoster = m.batchUnits[:0], m.batchRoster[:0], 0, false
+	m.fillBatch(&s, isRosterDue)
+	if s.values() == 0 {
+		m.savedSeq = max(m.savedSeq, m.batchSeq)
+		return
+	}
+	m.saveInFlight, m.inFlight = true, s
+	m.emit(s)
+}
+
+// fillBatch moves what is to be stored into a batch. While the values of a rejected batch are stored one by one, it takes one.
+func (m *Machine) fillBatch(s *Save, isRosterDue bool) {
+	isSingle, room := m.singleBatches > 0, maxBatchJobs
+	if isSingle {
+		m.singleBatches--
+		room = 1
+		if isRosterDue {
+			m.addStoredRoster(s)
+			return
+		}
+	}
+	isFull := func() bool { return isSingle && s.values() > 0 }
+	m.addDirtyUnits(s, room)
+	if isFull() {
+		return
+	}
+	for _, j := range m.takeStarted(room - len(m.batchUnits)) {
+		m.addRecord(s, j, j.record(firstRun(m.term+1)), 0)
+	}
+	if isFull() {
+		return
 	}
-	s.DeleteParts = m.takePartDeletions(maxBatchJobs - len(m.batchUnits))
+	s.DeleteParts = m.takePartDeletions(room - len(m.batchUnits))
 	m.roomDueAt = time.Time{}
 	if len(m.startedJobs)+len(m.partsToDelete) > 0 {
 		m.awaitRoom()
 	}
+	if isFull() {
+		return
+	}
 	n := len(m.batchUnits) + len(s.DeleteParts)
 	if n == 0 {
-		k := min(len(m.jobsToDelete), maxBatchJobs/deleteEntries)
+		k := min(len(m.jobsToDelete), max(1, room/deleteEntries))
 		s.Delete = append(s.Delete, m.jobsToDelete[:k]...)
 		m.jobsToDelete = m.jobsToDelete[k:]
 	}
-	s.Finished = m.reduceFinished(max(minReductions, maxBatchJobs-n-deleteEntries*len(s.Delete)))
-	m.batchHasRoster = isRosterDue
+	if isFull() {
+		return
+	}
+	minReduced := minReductions
+	if isSingle {
+		minReduced = 1
+	}
+	s.Finished = m.reduceFinished(max(minReduced, room-n-deleteEntries*len(s.Delete)))
+	if isFull() {
+		return
+	}
 	if isRosterDue {
-		m.rosterDirty = false
-		if len(m.unreconciledWorkers) > 0 {
-			m.rosterDueAt = m.now.Add(rosterSaveInterval)
-		}
-		s.Roster = make([]RosterEntry, 0, len(m.roster))
-		for _, w := range m.workersByID {
-			if e, found := m.roster[w.ID]; found {
-				s.Roster = append(s.Roster, e)
-			}
-		}
-		m.batchRoster = append(m.batchRoster, s.Roster...)
+		m.addStoredRoster(s)
 	}
 	if m.interferenceDirty {
 		m.interferenceDirty, m.interferenceSavedAt = false, m.now
 		s.Interference = m.interferenceRecords()
 	}
-	m.saveInFlight = true
-	m.emit(s)
 }
 
-// addDirtyUnits moves dirty units into a batch, the oldest first, as far as it has room for them.
-func (m *Machine) addDirtyUnits(s *Save) {
-	maxRun, size := firstRun(m.term+1), 0
-	taken := 0
-	for _, u := range m.dirtyUnits[:min(len(m.dirtyUnits), maxBatchJobs)] {
-		if u.part != nil {
-			r := u.part.record(maxRun)
-			if size += r.size(); size > maxBatchBytes && taken > 0 {
-				break
-			}
-			if u.part.dirty = false; !u.part.isStored {
-				u.part.isStored = true
-				u.job.storedParts++
-			}
-			u.part.batch = m.batch
-			s.Parts = append(s.Parts, PartRecord{Key: u.part.key(), Part: r})
-			m.batchUnits = append(m.batchUnits, batchUnit{dirtyUnit: u, seq: u.part.seq})
-		} else {
-			r := u.job.record(maxRun)
-			if size += r.size(); size > maxBatchBytes && taken > 0 {
-				break
-			}
-			u.job.dirty = false
-			m.addRecord(s, u.job, r, u.job.dirtySeq)
+// addStoredRoster adds the roster to a batch.
+func (m *Machine) addStoredRoster(s *Save) {
+	m.rosterDirty, m.batchHasRoster = false, true
+	if len(m.unreconciledWorkers) > 0 {
+		m.rosterDueAt = m.now.Add(rosterSaveInterval)
+	}
+	s.Roster = make([]RosterEntry, 0, len(m.roster))
+	for _, w := range m.workersByID {
+		if e, found := m.roster[w.ID]; found {
+			s.Roster = append(s.Roster, e)
+		}
+	}
+	m.batchRoster = append(m.batchRoster, s.Roster...)
+}
+
+// addDirtyUnits moves up to n dirty units into a batch, the oldest first, as far as their size allows.
+func (m *Machine) addDirtyUnits(s *Save, n int) {
+	maxRun, size, taken := firstRun(m.term+1), 0, 0
+	for _, u := range m.dirtyUnits {
+		if len(m.batchUnits) == n {
+			break
+		}
+		var added bool
+		if added, size = m.addUnit(s, u, maxRun, size); !added {
+			break
 		}
+		m.batchSeq = max(m.batchSeq, u.seq)
 		taken++
 	}
 	m.dirtyUnits = append([]dirtyUnit(nil), m.dirtyUnits[taken:]...)
 }
 
+// addUnit adds a dirty unit to a batch of a size, and returns false if it would exceed maxBatchBytes, and the new size. One that is not
+// dirty any more has been stored since it was listed.
+func (m *Machine) addUnit(s *Save, u dirtyUnit, maxRun infra.Run, size int) (bool, int) {
+	exceeds := func(more int) bool { return len(m.batchUnits) > 0 && size+more > maxBatchBytes }
+	if p := u.part; p != nil {
+		if !p.dirty {
+			return true, size
+		}
+		r := p.record(maxRun)
+		if exceeds(r.size()) {
+			return false, size
+		}
+		if p.dirty = false; !p.isStored {
+			p.isStored = true
+			u.job.storedParts++
+		}
+		p.batch = m.batch
+		s.Parts = append(s.Parts, PartRecord{Key: p.key(), Part: r})
+		m.batchUnits = append(m.batchUnits, batchUnit{dirtyUnit: u})
+		return true, size + r.size()
+	}
+	if !u.job.dirty {
+		return true, size
+	}
+	r := u.job.record(maxRun)
+	if exceeds(r.size()) {
+		return false, size
+	}
+	u.job.dirty = false
+	m.addRecord(s, u.job, r, u.seq)
+	return true, size + r.size()
+}
+
 // addRecord adds the record of a job to a batch, which makes the changes up to a sequence number durable.
 func (m *Machine) addRecord(s *Save, j *job, r Record, seq int64) {
 	s.Jobs = append(s.Jobs, JobRecord{Job: j.spec.ID, Record: r})
-	m.batchUnits = append(m.batchUnits, batchUnit{dirtyUnit: dirtyUnit{job: j}, state: r.State, seq: seq})
+	m.batchUnits = append(m.batchUnits, batchUnit{dirtyUnit: dirtyUnit{job: j, seq: seq}, state: r.State})
 }
 
 // saved completes a batch: it publishes the saved job states, enables workers that are now in the stored roster, and
@@ -134,11 +196,11 @@
 	}
 	m.maxToken = max(m.maxToken, infra.Token(ev.Revision))
 	m.saveInFlight = false
+	m.savedSeq = max(m.savedSeq, m.batchSeq)
 	for _, b := range m.batchUnits {
 		if b.part == nil && !b.job.durableState.Final() {
 			b.job.durableState = b.state
 		}
-		m.savedSeq = max(m.savedSeq, b.seq)
 		if b.job.crashed {
 			m.searchAgain()
 		}
--- a/coord/store/store.go
+++ b/coord/store/store.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"net/http"
 	"time"
 )
 
@@ -159,3 +161,18 @@
 func (e *RejectedError) Error() string {
 	return fmt.Sprintf("store %s: rejected with status %d: %s", e.Op, e.Status, e.Reason)
 }
+
+// IsPermanent reports whether a call was rejected for what it contains, so that the same call is never accepted. A value that is too large
+// is rejected as a bad request.
+func IsPermanent(err error) bool {
+	var rejected *RejectedError
+	if !errors.As(err, &rejected) {
+		return false
+	}
+	switch rejected.Status {
+	case http.StatusBadRequest, http.StatusForbidden, http.StatusRequestEntityTooLarge, http.StatusUnprocessableEntity:
+		return true
+	default:
+		return false
+	}
+}
--- a/entryd/leader/save.go
+++ b/entryd/leader/save.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"net/http"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -20,7 +22,7 @@
 }
 
 // save makes a batch durable. A write without an answer may still take effect later, so save repeats it until the
-// outcome is known or the leadership has ended; the next batch waits for it. The condition on sequenceKey lets each batch take
+// outcome is known or the leadership has ended; the next batch waits for it. A batch that the store never accepts is not repeated. The condition on sequenceKey lets each batch take
 // effect at most once and in order, and that on leaderKey prevents writes of a leader that was replaced.
 func (l *loop) save(ctx context.Context, s flow.Save) {
 	select {
@@ -37,8 +39,12 @@
 	}
 	backoff := retry.NewBackoff(retryMinDelay, retryMaxDelay, rand.New(rand.NewPCG(uint64(id.Token), uint64(id.Batch))))
 	for ctx.Err() == nil {
-		result, err := l.store.Txn(ctx, txn)
+		result, err := l.txn(ctx, txn)
 		switch {
+		case store.IsPermanent(err) && l.saveNothing(ctx, id):
+			l.log.Error("scheduler: storing progress failed for good", "batch", s.Batch, "error", err, describeTxn(txn))
+			l.post(flow.SaveRejected{Batch: s.Batch, Reason: err.Error()})
+			return
 		case err == nil && result.Committed:
 			l.sequenceRevision = result.Revision
 			l.post(flow.Saved{Batch: s.Batch, Revision: int64(l.sequenceRevision)})
@@ -49,6 +55,8 @@
 		case err == nil:
 			l.leadership.end("another scheduler has stored progress")
 			return
+		case ctx.Err() != nil:
+			return
 		}
 		l.log.Warn("scheduler: storing progress failed, will retry", "batch", s.Batch, "error", err, describeTxn(txn))
 		sleep(ctx, backoff.Next())
@@ -103,6 +111,47 @@
 	return txn, nil
 }
 
+// saveNothing stores an empty batch in place of a rejected one, and reports whether the store accepts it. If it does not, it rejects
+// whatever is written, and nothing is wrong with the contents of the batch.
+func (l *loop) saveNothing(ctx context.Context, rejected batchID) bool {
+	id := batchID{Token: rejected.Token, Batch: -rejected.Batch}
+	txn, err := l.encodeBatch(flow.Save{}, id)
+	if err != nil {
+		l.log.Error("scheduler: cannot encode an empty batch", "error", err)
+		return false
+	}
+	backoff := retry.NewBackoff(retryMinDelay, retryMaxDelay, rand.New(rand.NewPCG(uint64(id.Token), uint64(id.Batch))))
+	for ctx.Err() == nil {
+		result, err := l.store.Txn(ctx, txn)
+		switch {
+		case err == nil && result.Committed:
+			l.sequenceRevision = result.Revision
+			return true
+		case err == nil && l.alreadySaved(result, id):
+			return true
+		case err == nil:
+			l.leadership.end("another scheduler has stored progress")
+			return false
+		case store.IsPermanent(err):
+			return false
+		}
+		l.log.Warn("scheduler: storing an empty batch failed, will retry", "batch", rejected.Batch, "error", err)
+		sleep(ctx, backoff.Next())
+	}
+	return false
+}
+
+// txn makes a transaction unless the store would reject it for the size of a value.
+func (l *loop) txn(ctx context.Context, txn store.Txn) (store.TxnResult, error) {
+	for _, op := range txn.Then {
+		if put, isPut := op.(store.Put); isPut && len(put.Value) > store.MaxValueBytes {
+			reason := fmt.Sprintf("%s has %d bytes, at most %d are allowed", put.Key, len(put.Value), store.MaxValueBytes)
+			return store.TxnResult{}, &store.RejectedError{Op: "txn", Status: http.StatusRequestEntityTooLarge, Reason: reason}
+		}
+	}
+	return l.store.Txn(ctx, txn)
+}
+
 // describeTxn returns the size of a transaction, and the key of its largest value.
 func describeTxn(txn store.Txn) slog.Attr {
 	var largest store.Put
--- a/entryd/leader/save_test.go
+++ b/entryd/leader/save_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"gotest.tools/v3/assert"
 
 	"lovagefork.example/coord/fleet"
 	"lovagefork.example/coord/infra"
@@ -82,3 +83,54 @@
 		return m.entries["lovagefork/sequence"].ModRevision > 0
 	})
 }
+
+// rejectingClient is a store that never accepts values of a key, or any at all.
+type rejectingClient struct {
+	client
+	key        string
+	rejectsAll bool
+}
+
+// Txn implements [store.Client].
+func (c *rejectingClient) Txn(ctx context.Context, txn store.Txn) (store.TxnResult, error) {
+	for _, op := range txn.Then {
+		put, isPut := op.(store.Put)
+		if isPut && (put.Key == c.key || c.rejectsAll && strings.HasSuffix(put.Key, "/sequence")) {
+			return store.TxnResult{}, &store.RejectedError{Op: "txn", Status: 400, Reason: "Bad Request"}
+		}
+	}
+	return c.client.Txn(ctx, txn)
+}
+
+// Guards against a value that the store never accepts and which is stored again and again, so that no progress of any job is durable
+// and a successor starts nothing (LOST).
+func TestRejectedBatchIsNotRepeated(t *testing.T) {
+	for _, rejectsAll := range []bool{false, true} {
+		m := newMemStore()
+		put(t, m, "workers/a", []byte("a:1"))
+		lines := &logBuffer{}
+		log := slog.New(slog.NewJSONHandler(lines, nil))
+		c := &rejectingClient{client: client{m, "a"}, key: "lovagefork/roster", rejectsAll: rejectsAll}
+		s := leader.NewScheduler(leader.Deps{
+			Store: c, Agents: idleAgents{}, Format: strictFormat{}, Bounds: infra.Bounds{MaxLease: 6 * time.Second}, Log: log, Decisions: log,
+			Metrics:   metrics.NewRegistry(),
+			Supersede: func(context.Context, fleet.EntryHostID, infra.Token) (time.Duration, bool) { return 0, true },
+		})
+		runGroup(t, leader.NewGroup("a", "a:1", c, log, s.Run, func(fleet.EntryHostID, string) {}, func(leader.Leader) {}))
+		message := "scheduler: storing progress failed for good"
+		if rejectsAll {
+			// Nothing is wrong with the values then.
+			message = "scheduler: storing progress failed, will retry"
+		}
+		waitFor(t, message, func() bool { return lines.find(t, message) != nil })
+		if rejectsAll {
+			time.Sleep(300 * time.Millisecond)
+			assert.Assert(t, lines.find(t, "scheduler: storing progress failed for good") == nil)
+			continue
+		}
+		waitFor(t, "rejected roster", func() bool { return lines.find(t, "scheduler: roster rejected") != nil })
+		m.mu.Lock()
+		assert.Assert(t, m.entries["lovagefork/sequence"].ModRevision > 0, "an empty batch is stored in its place")
+		m.mu.Unlock()
+	}
+}
--- a/entryd/leader/waves.go
+++ b/entryd/leader/waves.go
@@ -193,6 +193,9 @@
 		result, err := l.store.Txn(callCtx, txn)
 		cancel()
 		switch {
+		case store.IsPermanent(err):
+			l.log.Error("upkeep: storing the record failed for good", "wave", s.Wave, "error", err, "bytes", len(value))
+			return
 		case err != nil:
 			l.log.Warn("upkeep: storing the record failed, will retry", "wave", s.Wave, "error", err)
 			sleep(ctx, backoff.Next())
