hosted: a job that the store never accepts is invalid

A job of 20,000 steps passes validation and takes 2 MB, and the store answers its write with 400. Callers were told that it was not run and to come back after 2 s, each time again. A value above 1 MiB is not sent any more, and a write that the store rejects for what it contains makes the job invalid (status 400 for callers), also when a peer has written it.

TestJobTooLargeForStoreIsInvalid fails without the change.

--- a/coord/wire/hosted.go
+++ b/coord/wire/hosted.go
@@ -61,6 +61,8 @@
 	ResponseNoJob ResponseStatus = "none"
 	// ResponseCancelled means that a submitted job was cancelled before.
 	ResponseCancelled ResponseStatus = "cancelled"
+	// ResponseInvalid means that a job can never be accepted.
+	ResponseInvalid ResponseStatus = "invalid"
 	// ResponseNotRun means that the request had no effect and will have none.
 	ResponseNotRun ResponseStatus = "not_run"
 	// ResponseOutcomeUnknown means that the request may have taken effect.
--- a/entryd/hosted/intake.go
+++ b/entryd/hosted/intake.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"slices"
 	"sync"
@@ -129,6 +130,9 @@
 	if err != nil {
 		return &infra.InvalidJobError{Job: j.ID, Reason: err.Error()}
 	}
+	if len(data) > store.MaxValueBytes {
+		return &infra.InvalidJobError{Job: j.ID, Reason: fmt.Sprintf("takes %d bytes, at most %d are allowed", len(data), store.MaxValueBytes)}
+	}
 	req := wire.HostedRequest{Kind: wire.RequestStoreJob, Job: j.ID, Queue: q.Name, Data: data}
 	stored, via, err := i.persist(ctx, req)
 	i.submits.UpdateSince(start)
@@ -217,8 +221,11 @@
 func (i *Intake) writeJob(ctx context.Context, req wire.HostedRequest) (store.Entry, error) {
 	jobKey, cancelKey := leader.JobKey(req.Job), leader.CancelKey(req.Job)
 	result, err := i.put(ctx, jobKey, req.Data, store.KeyAbsent{Key: jobKey}, store.KeyAbsent{Key: cancelKey})
+	if store.IsPermanent(err) {
+		return store.Entry{}, &infra.InvalidJobError{Job: req.Job, Reason: err.Error()}
+	}
 	if err != nil {
-		return store.Entry{}, err
+		return store.Entry{}, toJobsError(err)
 	}
 	if result.Committed {
 		return store.Entry{Key: jobKey, Value: req.Data, ModRevision: result.Revision}, nil
@@ -245,14 +252,14 @@
 	if len(found.Entries) == 0 {
 		result, err := i.put(ctx, cancelKey, cancelValue, store.KeyAbsent{Key: jobKey}, store.KeyAbsent{Key: cancelKey})
 		if err != nil {
-			return err
+			return toJobsError(err)
 		}
 		if _, found := findRead(result, jobKey); !found {
 			return &infra.JobNotFoundError{Job: id}
 		}
 	}
 	_, err = i.put(ctx, cancelKey, cancelValue, store.KeyAbsent{Key: cancelKey})
-	return err
+	return toJobsError(err)
 }
 
 // cancelValue is the value of a cancellation's key. Only the key matters, but the store rejects an empty value.
@@ -262,7 +269,7 @@
 func (i *Intake) put(ctx context.Context, key string, value []byte, conditions ...store.Compare) (store.TxnResult, error) {
 	result, err := i.store.Txn(ctx, store.Txn{If: conditions, Then: []store.Op{store.Put{Key: key, Value: value}}})
 	i.health.record(err)
-	return result, toJobsError(err)
+	return result, err
 }
 
 // findRead returns the entry with a key that a transaction whose conditions were false has found, and false if there is none.
--- a/entryd/hosted/intake_test.go
+++ b/entryd/hosted/intake_test.go
@@ -68,6 +68,23 @@
 	assert.Assert(t, noAnswer.calls > 1, "a write with an unknown outcome must be retried until the deadline")
 }
 
+// Guards against a job that callers send again and again although the store never accepts it: the answer named a time to come back.
+func TestJobTooLargeForStoreIsInvalid(t *testing.T) {
+	var invalid *infra.InvalidJobError
+	f := &fakeStore{err: &store.RejectedError{Status: 400}}
+	assert.Assert(t, errors.As(submit(t, f), &invalid))
+	assert.Equal(t, f.calls, 1)
+	large := job()
+	large.Steps = make([]infra.Step, infra.MaxTasks)
+	for i := range large.Steps {
+		large.Steps[i] = infra.Step{Count: 1}
+	}
+	f = &fakeStore{}
+	err := hosted.NewIntake("a", f, slog.New(slog.DiscardHandler)).Submit(t.Context(), infra.Queue{Name: "q"}, large)
+	assert.Assert(t, errors.As(err, &invalid), "%v", err)
+	assert.Equal(t, f.calls, 0)
+}
+
 // Guards against a cancellation without a value, which the store rejects, and against a failed store call that is
 // reported as an unknown job.
 func TestCancel(t *testing.T) {
--- a/entryd/hosted/peers.go
+++ b/entryd/hosted/peers.go
@@ -39,6 +39,8 @@
 			return &infra.JobNotFoundError{Job: req.Job}
 		case wire.ResponseCancelled:
 			return &infra.JobCancelledError{Job: req.Job}
+		case wire.ResponseInvalid:
+			return &infra.InvalidJobError{Job: req.Job, Reason: resp.Reason}
 		case wire.ResponseOutcomeUnknown:
 			return &infra.OutcomeUnknownError{Reason: resp.Reason}
 		case wire.ResponseNotRun:
@@ -111,6 +113,7 @@
 	stored, err := i.write(ctx, req)
 	var notFound *infra.JobNotFoundError
 	var cancelled *infra.JobCancelledError
+	var invalid *infra.InvalidJobError
 	switch {
 	case err == nil:
 		i.notifyScheduler(notification(req, stored))
@@ -119,6 +122,8 @@
 		return wire.HostedResponse{Status: wire.ResponseNoJob}
 	case errors.As(err, &cancelled):
 		return wire.HostedResponse{Status: wire.ResponseCancelled}
+	case errors.As(err, &invalid):
+		return wire.HostedResponse{Status: wire.ResponseInvalid, Reason: invalid.Reason}
 	case isNotRun(err):
 		return wire.HostedResponse{Status: wire.ResponseNotRun, Reason: err.Error()}
 	default:
