flow: the cost of placing gangs and of a round of placement is bounded

Each round searched the best of all workers for each task, in each rack, in the loop that renews leases.

The free room is counted before workers are chosen, first in sum, then by worker and rack in one pass; workers are chosen by a heap. A search in vain is repeated after a change only. A round examines 20,000 workers at most, and steps that it leaves out have their turn in the next. The most suspected member of a gang is known by its index.

--- a/coord/flow/crash.go
+++ b/coord/flow/crash.go
@@ -93,6 +93,7 @@
 	}
 	m.emit(Log{Text: "no longer suspected of a crash", Task: r.id, Run: r.number, Worker: r.worker.ID})
 	t.crashRecord, t.verdictDue = crashRecord{losses: t.losses}, false
+	s.crashesChanged(r.id.Index)
 	m.markTaskDirty(r.id)
 }
 
@@ -184,8 +185,9 @@
 
 // suspect counts a crash of a worker against a task.
 func (m *Machine) suspect(id infra.TaskID, number infra.Run, on fleet.WorkerID, confirmed, isolated, logged bool) {
-	_, t := m.lookupTask(id)
+	s, t := m.lookupTask(id)
 	t.crashes++
+	s.crashesChanged(id.Index)
 	if confirmed {
 		t.confirmed++
 	}
@@ -260,13 +262,22 @@
 	if !s.spec.Gang {
 		return t
 	}
-	t = &s.tasks[0]
-	for i := range s.tasks {
-		if s.tasks[i].crashes > t.crashes {
-			t = &s.tasks[i]
+	return &s.tasks[s.suspect]
+}
+
+// crashesChanged updates the most suspected member of a gang after a change of the crashes of a task.
+func (s *step) crashesChanged(index int) {
+	switch {
+	case !s.spec.Gang:
+	case s.tasks[index].crashes > s.tasks[s.suspect].crashes:
+		s.suspect = index
+	case index == s.suspect:
+		for i := range s.tasks {
+			if s.tasks[i].crashes > s.tasks[s.suspect].crashes {
+				s.suspect = i
+			}
 		}
 	}
-	return t
 }
 
 // needsIsolation reports whether a task must be placed on a worker without recent runs, so that a crash can have no other
--- a/coord/flow/job.go
+++ b/coord/flow/job.go
@@ -80,6 +80,8 @@
 	approval *approval
 	// crashes counts the workers that crashed under recent runs of the step since one of its runs was sound.
 	crashes int
+	// suspect is the index of the member of a gang with the most crashes.
+	suspect int
 }
 
 // occurrence is one repetition of a job's steps. openSteps counts the steps that are not complete.
--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -157,10 +157,13 @@
 	placementDue   bool
 	// round counts the rounds of placement and searchEpoch the [search] epochs. searchedAt is when the present epoch began,
 	// and searchDue is set if the next round must begin another one.
-	round             int64
-	searchEpoch       int64
-	searchedAt        time.Time
-	searchDue         bool
+	round       int64
+	searchEpoch int64
+	searchedAt  time.Time
+	searchDue   bool
+	// roundCost is the cost of the present round, and resumeAt the step at which the next one goes on; nil if none was left out.
+	roundCost         int
+	resumeAt          *readyStep
 	unplaceableShapes []unplaceableShape
 	// interferenceDirty is set when the interference models have to be stored; interferenceSavedAt is when they were
 	// last stored.
--- a/coord/flow/open_run.go
+++ b/coord/flow/open_run.go
@@ -48,18 +48,9 @@
 	return recorded
 }
 
-// hasOpenRunOn reports whether the record of a task, or of any member of a gang, has an open run on a worker.
-func (s *step) hasOpenRunOn(t *task, w *worker) bool {
-	open := openRun{worker: w.ID, startedAt: w.StartedAt}
-	if !s.spec.Gang {
-		return t.openRun == open
-	}
-	for i := range s.tasks {
-		if s.tasks[i].openRun == open {
-			return true
-		}
-	}
-	return false
+// hasOpenRunOn reports whether the record of a task has an open run on a worker.
+func (t *task) hasOpenRunOn(w *worker) bool {
+	return t.openRun == openRun{worker: w.ID, startedAt: w.StartedAt}
 }
 
 // isReservedForOther reports whether a worker is kept for the trial of another task, which is being recorded.
--- a/coord/flow/part.go
+++ b/coord/flow/part.go
@@ -112,6 +112,8 @@
 		}
 		if t, found := tasks[n]; found {
 			s.tasks[index].restore(t)
+			s.crashesChanged(index)
+			p.occ.job.crashed = p.occ.job.crashed || t.hasCrashed()
 		}
 	})
 }
--- a/coord/flow/place.go
+++ b/coord/flow/place.go
@@ -33,19 +33,61 @@
 	for _, l := range m.relays {
 		l.expire(m.now)
 	}
-	for _, r := range m.rankedSteps {
-		switch {
-		case m.tooManyUnanswered() || m.linkFull:
+	m.placeRanked()
+}
+
+// maxRoundCost limits the cost of a round of placement, in workers examined. Leases are renewed, and answers applied, between rounds.
+const maxRoundCost = 20_000
+
+// placeRanked starts waiting tasks in rank order as far as maxRoundCost allows. The first half is spent from the highest rank on, the
+// second half from where the last round has ended, so that each step has its turn.
+func (m *Machine) placeRanked() {
+	m.roundCost = 0
+	next := 0
+	for ; next < len(m.rankedSteps) && m.roundCost < maxRoundCost/2; next++ {
+		if !m.placeReady(m.rankedSteps[next]) {
+			return
+		}
+	}
+	if next == len(m.rankedSteps) {
+		m.resumeAt = nil
+		return
+	}
+	// The rest is due at once.
+	m.placementDue = true
+	next = max(next, slices.Index(m.rankedSteps, m.resumeAt))
+	m.resumeAt = nil
+	for ; next < len(m.rankedSteps); next++ {
+		if m.roundCost >= maxRoundCost {
+			m.resumeAt = m.rankedSteps[next]
+			return
+		}
+		if !m.placeReady(m.rankedSteps[next]) {
 			return
-		case r.removed:
-		case r.step.spec.Gang:
-			m.placeGang(r)
-		default:
-			m.placeStep(r)
 		}
 	}
 }
 
+// placeReady starts waiting tasks of a step, and returns false if no more starts may be sent in this round.
+func (m *Machine) placeReady(r *readyStep) bool {
+	switch {
+	case m.tooManyUnanswered() || m.linkFull:
+		return false
+	case r.removed:
+	case r.step.spec.Gang:
+		m.placeGang(r)
+	default:
+		m.placeStep(r)
+	}
+	return true
+}
+
+// examine counts the consideration of a worker for a task.
+func (m *Machine) examine() {
+	m.counts.Examined++
+	m.roundCost++
+}
+
 // mayHaveRun reports whether a predecessor may have started a job. It goes by when the job was stored, because a watch that
 // lags delivers it any time later.
 func (m *Machine) mayHaveRun(j *job) bool {
@@ -77,6 +119,10 @@
 	workers  []*worker
 	maxFree  fleet.Resources
 	maxSpare int64
+	// totalFree is an upper bound of the free resources of all workers together.
+	totalFree fleet.Resources
+	// changedBefore is the round of placement before which any of the workers last changed in a way that can make room.
+	changedBefore int64
 }
 
 // candidatesOf returns the workers of a service that accept new tasks in this round of placement.
@@ -89,6 +135,8 @@
 		if w.Service == service && w.usable(m.now) {
 			found.workers = append(found.workers, w)
 			found.maxFree = found.maxFree.Max(w.free())
+			found.totalFree = found.totalFree.Add(w.free().Max(fleet.Resources{}))
+			found.changedBefore = max(found.changedBefore, w.changedBefore)
 			found.maxSpare = max(found.maxSpare, w.spareMilliCPU())
 		}
 	}
@@ -206,98 +254,6 @@
 	}
 }
 
-// placeGang starts all tasks of a gang with the same run number, or none of them.
-func (m *Machine) placeGang(r *readyStep) {
-	s := r.step
-	if s.waiting < len(s.tasks) {
-		return
-	}
-	number := infra.Run(0)
-	for i := range s.tasks {
-		if t := &s.tasks[i]; m.mayRunUnseen(r.occ.job, t) || m.giveUpOnCrashes(r, t, i) || !m.mayStart(s, t) {
-			return
-		}
-		number = max(number, s.tasks[i].lastRun)
-	}
-	number++
-	checkpoint := ""
-	for i := range s.tasks {
-		if s.tasks[i].checkpoint != "" {
-			checkpoint = s.tasks[i].checkpoint
-		}
-	}
-	racks := []string{""}
-	if s.spec.SameRack {
-		racks = append(m.racks(), "")
-	}
-	for _, rack := range racks {
-		chosen := m.pickGang(r, rack)
-		if chosen == nil {
-			continue
-		}
-		all := make([]*task, len(s.tasks))
-		for i := range s.tasks {
-			all[i] = &s.tasks[i]
-		}
-		via := m.chooseLane(r.occ.job, all...)
-		if via == nil {
-			return
-		}
-		if !m.recordGangTrial(r, chosen) {
-			return
-		}
-		for i, w := range chosen {
-			s.tasks[i].checkpoint = checkpoint
-			m.start(r, i, w, number, via)
-		}
-		m.removeReady(s)
-		return
-	}
-	m.reserve(r, nil)
-	if r.queue.ApprovalCost != nil {
-		m.requestApproval(r)
-	}
-}
-
-func (m *Machine) racks() []string {
-	var racks []string
-	for _, w := range m.workersByID {
-		if rack := w.rack(); rack != "" && !slices.Contains(racks, rack) {
-			racks = append(racks, rack)
-		}
-	}
-	return racks
-}
-
-// pickGang returns a worker for each task of a gang, or nil if they do not all fit. A rack that is not empty limits
-// the choice to its workers.
-func (m *Machine) pickGang(r *readyStep, rack string) []*worker {
-	s := r.step
-	chosen := make([]*worker, 0, len(s.tasks))
-	size := s.spec.Reserved()
-	for range s.tasks {
-		w := m.bestWorker(r, nil, rack)
-		if w == nil {
-			break
-		}
-		chosen = append(chosen, w)
-		w.used = w.used.Add(size)
-		if s.runsPerWorker != nil {
-			s.runsPerWorker[w.ID]++
-		}
-	}
-	for _, w := range chosen {
-		w.used = w.used.Sub(size)
-		if s.runsPerWorker != nil {
-			s.runsPerWorker[w.ID]--
-		}
-	}
-	if len(chosen) < len(s.tasks) {
-		return nil
-	}
-	return chosen
-}
-
 // pickWorker returns the best worker for a task, or nil. Tasks with data in a rack wait for a worker there for some
 // time.
 func (m *Machine) pickWorker(r *readyStep, t *task) *worker {
@@ -324,23 +280,22 @@
 		return nil
 	}
 	isolated, ignoresTrials := m.needsIsolation(r.step, t), m.ignoresTrials(r.step, t)
-	suspected := r.step.mostSuspected(t)
 	for _, w := range candidates.workers {
-		m.counts.Examined++
+		m.examine()
 		if !m.fits(r, w, rack) || !w.accepts(m.now, isolated, ignoresTrials) {
 			continue
 		}
-		if isolated && w.isReservedForOther(m.now, suspected) {
+		if isolated && w.isReservedForOther(m.now, t) {
 			continue
 		}
 		score := m.score(r, w)
 		if isolated {
-			score += m.trialScore(suspected, w)
+			score += m.trialScore(t, w)
 		}
-		if suspected != nil && suspected.crashes > 0 && r.step.hasOpenRunOn(t, w) {
+		if t.crashes > 0 && t.hasOpenRunOn(w) {
 			score += openRunBonus
 		}
-		if t != nil && t.avoidWorker == w.ID {
+		if t.avoidWorker == w.ID {
 			score -= avoidPenalty
 		}
 		if w.isQuarantined(m.now) {
--- a/coord/flow/ranking.go
+++ b/coord/flow/ranking.go
@@ -58,6 +58,10 @@
 	return k.workers[0].worker
 }
 
+// skippedPerCost is the number of workers without a change, or of tasks that are looked at, which cost as much as one worker that is
+// examined.
+const skippedPerCost = 16
+
 func (k *ranking) build(m *Machine, r *readyStep) {
 	k.built = true
 	candidates := m.candidatesOf(r.queue.Service)
@@ -65,6 +69,7 @@
 		r.searched = m.currentSearch()
 		return
 	}
+	m.roundCost += len(candidates.workers) / skippedPerCost
 	for i, w := range candidates.workers {
 		if m.lacksRoom(r, w) {
 			continue
@@ -89,7 +94,7 @@
 
 // scoreOrdinary rates a worker for an ordinary task, and reports whether it can take one.
 func (m *Machine) scoreOrdinary(r *readyStep, w *worker) (float64, bool) {
-	m.counts.Examined++
+	m.examine()
 	if !m.fits(r, w, "") || !w.accepts(m.now, false, false) {
 		return 0, false
 	}
--- a/coord/flow/reconcile.go
+++ b/coord/flow/reconcile.go
@@ -69,7 +69,9 @@
 // updateRun updates a run from its entry in a report.
 func (m *Machine) updateRun(r *run, row infra.ActiveRun, clock int64) {
 	r.lastReport = r.worker.reports
-	m.noteStarted(r.id.Job)
+	if r.occ != nil && !r.occ.job.started {
+		m.noteStarted(r.id.Job)
+	}
 	if r.state == fencing {
 		m.beganElsewhere(r, "a report of the present life lists the run")
 	}
--- a/coord/flow/record.go
+++ b/coord/flow/record.go
@@ -162,6 +162,7 @@
 func (o *occurrence) restore(r OccurrenceRecord) {
 	for i := range min(len(r.Steps), len(o.steps)) {
 		o.steps[i].restore(r.Steps[i])
+		o.job.crashed = o.job.crashed || slices.ContainsFunc(r.Steps[i].Tasks, func(t TaskRecord) bool { return t.hasCrashed() })
 	}
 	o.countOpenSteps()
 }
@@ -175,10 +176,14 @@
 	for _, record := range r.Tasks {
 		if record.Index >= 0 && record.Index < len(s.tasks) {
 			s.tasks[record.Index].restore(record)
+			s.crashesChanged(record.Index)
 		}
 	}
 }
 
+// hasCrashed reports whether a worker has crashed under a task.
+func (r *TaskRecord) hasCrashed() bool { return r.Crashes > 0 || r.Losses > 0 }
+
 func (t *task) restore(r TaskRecord) {
 	t.lastRun, t.failedRuns = r.Run, r.Failed
 	t.checkpoint, t.checkpointRun = r.Checkpoint, r.CheckpointRun
