--- a/coord/flow/schedule.go
+++ b/coord/flow/schedule.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"math"
 	"time"
 
 	"lovagefork.example/coord/infra"
@@ -58,9 +59,13 @@
 	}
 }
 
-// untilDue returns the time until an occurrence of a scheduled job is due.
+// untilDue returns the time until an occurrence of a scheduled job is due, which is limited to that of a [time.Duration].
 func (m *Machine) untilDue(j *job, n int64) time.Duration {
-	return time.UnixMilli(j.spec.Schedule.Start).Add(time.Duration(n) * j.spec.Schedule.Interval).Sub(m.wallNow())
+	interval := j.spec.Schedule.Interval
+	if interval > 0 && n > int64(math.MaxInt64/interval) {
+		return math.MaxInt64
+	}
+	return time.UnixMilli(j.spec.Schedule.Start).Add(time.Duration(n) * interval).Sub(m.wallNow())
 }
 
 func (m *Machine) createNextOccurrence(j *job) {
--- a/coord/infra/job.go
+++ b/coord/infra/job.go
@@ -108,7 +108,7 @@
 	}
 	tasks := 0
 	for i, s := range j.Steps {
-		if s.Count <= 0 || s.Size.MilliCPU < 0 || s.Size.MemoryBytes < 0 || s.Size.Accelerators < 0 {
+		if s.Count <= 0 || s.Count > MaxTasks || s.Size.MilliCPU < 0 || s.Size.MemoryBytes < 0 || s.Size.Accelerators < 0 {
 			return &InvalidJobError{Job: j.ID, Reason: fmt.Sprintf("step %d: bad count or size", i)}
 		}
 		for _, a := range s.After {
