flow: the view of a job is bounded

The view of a job for operators listed each run of each open step, with the reasons of all workers for each, in the scheduler's loop: 20,000 runs and, for a schedule, a loop over all occurrences that were ever due. It lists 32 steps and 256 runs of each, and counts the others.

TestViewOfLargeJobIsBounded fails to build before, where the counts are missing.

--- a/coord/flow/backlog_test.go
+++ b/coord/flow/backlog_test.go
@@ -152,7 +152,7 @@
 	open := func() int {
 		v, found := p.m.Job("j")
 		assert.Assert(t, found)
-		return len(v.Steps)
+		return len(v.Steps) + v.OmittedSteps
 	}
 	assert.Assert(t, open() <= 200, "%d", open())
 	p.run(ids, 500*time.Millisecond)
--- a/coord/flow/view.go
+++ b/coord/flow/view.go
@@ -180,7 +180,7 @@
 }
 
 // JobView describes a job for operators. Slack is the time left in milliseconds until the objective of its first
-// occurrence can no longer be met.
+// open occurrence can no longer be met.
 type JobView struct {
 	Job   fleet.JobID `json:"job"`
 	Queue string      `json:"queue"`
@@ -190,6 +190,8 @@
 	Age          int64       `json:"age_ms"`
 	Slack        int64       `json:"slack_ms"`
 	Steps        []StepView  `json:"steps"`
+	// OmittedSteps counts the incomplete steps after those in Steps.
+	OmittedSteps int `json:"omitted_steps,omitempty"`
 }
 
 // StepView describes a step of an occurrence that is not complete.
@@ -205,6 +207,8 @@
 	BlockedReason   string         `json:"blocked,omitempty"`
 	WorkersByReason map[string]int `json:"workers,omitempty"`
 	Runs            []RunView      `json:"runs,omitempty"`
+	// OmittedRuns counts the runs after those in Runs.
+	OmittedRuns int `json:"omitted_runs,omitempty"`
 }
 
 // RunView describes a run of a task. Age is in milliseconds.
@@ -230,17 +234,22 @@
 	v := JobView{
 		Job: id, Queue: j.spec.Queue, State: j.state(), DurableState: durable, Age: m.now.Sub(j.arrivedAt).Milliseconds(),
 	}
-	if o := j.occurrences[0]; o != nil {
-		total, remaining := m.criticalPath(o)
-		v.Slack = (j.arrivedAt.Add(j.objective(total)).Sub(m.now) - remaining).Milliseconds()
-	}
-	for _, n := range slices.Sorted(maps.Keys(j.occurrences)) {
+	for k, n := range slices.Sorted(maps.Keys(j.occurrences)) {
 		o := j.occurrences[n]
+		if k == 0 {
+			total, remaining := m.criticalPath(o)
+			v.Slack = (j.arrivedAt.Add(j.objective(total)).Sub(m.now) - remaining).Milliseconds()
+		}
 		if n >= j.createdOccurrences {
 			break
 		}
 		for i := range o.steps {
-			if s := &o.steps[i]; !s.complete() && j.live() {
+			s := &o.steps[i]
+			switch {
+			case s.complete() || !j.live():
+			case len(v.Steps) == maxViewSteps:
+				v.OmittedSteps++
+			default:
 				v.Steps = append(v.Steps, m.viewStep(o, i, s))
 			}
 		}
@@ -248,6 +257,13 @@
 	return v, true
 }
 
+// maxViewSteps and maxViewRuns limit the steps in the view of a job, and the runs in that of a step, which are computed between two events
+// of the scheduler.
+const (
+	maxViewSteps = 32
+	maxViewRuns  = 256
+)
+
 func (m *Machine) viewStep(o *occurrence, index int, s *step) StepView {
 	v := StepView{
 		Occurrence: o.number, Step: index, Waiting: s.waiting, Done: s.done, Active: len(s.tasks) - s.waiting - s.done,
@@ -255,6 +271,10 @@
 	for i := range s.tasks {
 		v.Failed += len(s.tasks[i].failedRuns)
 		for _, r := range s.tasks[i].runs {
+			if len(v.Runs) == maxViewRuns {
+				v.OmittedRuns++
+				continue
+			}
 			v.Runs = append(v.Runs, RunView{
 				Index: i, Run: r.number, Worker: r.worker.ID, State: runStateNames[r.state], Percent: r.percent,
 				Age: m.now.Sub(r.startedAt).Milliseconds(),
--- a/coord/flow/view_test.go
+++ b/coord/flow/view_test.go
@@ -77,3 +77,28 @@
 	assert.Equal(t, views[0].ReportAge, int64(-1))
 	assert.Equal(t, views[1].ReportAge, int64(100))
 }
+
+// Guards against a view that takes the scheduler long, or a message that no peer accepts, because a job is large.
+func TestViewOfLargeJobIsBounded(t *testing.T) {
+	w := newPoolWorker("a")
+	w.Capacity = fleet.Resources{MilliCPU: 1000 * 500, MemoryBytes: 1 << 40}
+	h := newHarness(t, flow.Restored{}, w)
+	h.report("a", infra.Report{})
+	j := singleStepJob("j", smallStep(400))
+	for range 100 {
+		s := smallStep(1)
+		s.After = []int{0}
+		j.Steps = append(j.Steps, s)
+	}
+	h.step(flow.Submitted{Job: j})
+	for range 20 {
+		h.advance(25 * time.Millisecond)
+		h.answer(h.starts())
+	}
+	v, found := h.m.Job("j")
+	assert.Assert(t, found)
+	assert.Equal(t, len(v.Steps)+v.OmittedSteps, 101)
+	assert.Assert(t, len(v.Steps) <= 50)
+	assert.Equal(t, len(v.Steps[0].Runs)+v.Steps[0].OmittedRuns, 400)
+	assert.Assert(t, len(v.Steps[0].Runs) <= 300)
+}
