flow: expired jobs take turns

They came last in a fixed order, the least work for its credit first, so that the same ones waited as long as any other could start. They earn nothing, so that nothing is lost by another order: of these steps the one of which nothing has run for longest goes first.

--- a/coord/flow/job.go
+++ b/coord/flow/job.go
@@ -94,8 +94,9 @@
 	// estimate is the result of [Machine.estimateOf] at estimatedAt.
 	estimate    estimate
 	estimatedAt time.Time
-	// runs counts the runs of all tasks that may exist on workers.
-	runs int
+	// runs counts the runs of all tasks that may exist on workers, and idleSince is when the last of them was released.
+	runs      int
+	idleSince time.Time
 	// parts are the groups of partTasks tasks whose progress is stored separately; nil unless the job is split.
 	parts     []part
 	partTasks int
--- a/coord/flow/rank.go
+++ b/coord/flow/rank.go
@@ -67,6 +67,9 @@
 type rank struct {
 	priority   int
 	timeliness timeliness
+	// idle is how long nothing of the occurrence of an expired step has run; 0 while something does, and for other steps. Expired steps
+	// earn nothing, so that the longest idle one has its turn.
+	idle time.Duration
 	// workPerCredit is the remaining work of the occurrence divided by its credit. slack orders long-running steps,
 	// and steps with equal workPerCredit.
 	workPerCredit float64
@@ -78,6 +81,7 @@
 		cmp.Compare(a.rank.timeliness.group(), b.rank.timeliness.group()),
 		cmp.Compare(a.rank.priority, b.rank.priority),
 		cmp.Compare(a.rank.timeliness, b.rank.timeliness),
+		cmp.Compare(b.rank.idle, a.rank.idle),
 		cmp.Compare(a.rank.workPerCredit, b.rank.workPerCredit),
 		cmp.Compare(a.rank.slack, b.rank.slack),
 		cmp.Compare(a.occ.job.spec.ID, b.occ.job.spec.ID),
@@ -137,7 +141,10 @@
 	out.workPerCredit = e.workPerCredit
 	switch {
 	case out.slack < -(expiryFactor-1)*objective:
-		out.timeliness = expired
+		out.timeliness, out.workPerCredit = expired, 0
+		if r.occ.runs == 0 {
+			out.idle = m.now.Sub(later(due, r.occ.idleSince))
+		}
 	case out.slack < 0:
 		out.timeliness = late
 	}
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -405,7 +405,9 @@
 	for i, other := range t.runs {
 		if other == r {
 			t.runs = append(append([]*run(nil), t.runs[:i]...), t.runs[i+1:]...)
-			r.occ.runs--
+			if r.occ.runs--; r.occ.runs == 0 {
+				r.occ.idleSince = m.now
+			}
 			m.dropCompleted(r.occ)
 			break
 		}
