flow: a stored part shows that its job has started

A job whose first task had ended was `queued` for a successor that found the part of its progress and not yet its record, which follows within 0.5 s. TestUnneededPartsAreDeleted fails without it; it also shows that parts of jobs that are gone, have ended or are cancelled are deleted. TestRecordOfEarlierVersionIsSplit guards the update from an earlier version. Found by reading what a takeover between two batches finds.

--- a/coord/flow/part.go
+++ b/coord/flow/part.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"slices"
 	"time"
 
 	"lovagefork.example/coord/fleet"
@@ -136,6 +137,10 @@
 		p.isStored = true
 		j.storedParts++
 		p.restore(r.Part)
+		if r.Part.hasStarted() {
+			// The record that says so may not be stored yet.
+			m.noteStarted(j.spec.ID)
+		}
 		o.countOpenSteps()
 		if o.complete() {
 			complete = append(complete, o)
@@ -150,6 +155,11 @@
 	}
 }
 
+// hasStarted reports whether the progress shows that a task has started.
+func (r *Part) hasStarted() bool {
+	return len(r.Done) > 0 || slices.ContainsFunc(r.Tasks, func(t TaskRecord) bool { return len(t.Failed) > 0 || t.Checkpoint != "" || t.Losses > 0 })
+}
+
 // splitRecord marks the parts of a job dirty whose record, written by an earlier version, holds the progress of all tasks.
 func (m *Machine) splitRecord(j *job) {
 	if !j.isSplit || !j.live() {
