flow: the end of the last run of a complete occurrence does not end the scheduler

Since complete occurrences of a schedule are dropped with their last run, the end of a run that was left over (another run of its task was done first) used an occurrence that was just dropped, and the process ended by a nil pointer. The occurrence is looked up before the run is released, in applyEnd and adopt.

Its model took the steps of occurrence 0 for those of all, which is mended. TestEndOfLastRunOfCompleteOccurrence panics without the change.

--- a/coord/flow/reconcile.go
+++ b/coord/flow/reconcile.go
@@ -97,6 +97,7 @@
 func (m *Machine) adopt(w *worker, row infra.ActiveRun, clock int64) {
 	m.createReportedOccurrence(row.Task)
 	s, t := m.lookupTask(row.Task)
+	o := m.lookupOccurrence(row.Task)
 	r := &run{
 		lastReport: w.reports,
 		id:         row.Task, number: row.Run, worker: w, state: running, startedAt: m.now, measuredPercent: row.Progress, measuredAt: m.now,
@@ -122,7 +123,6 @@
 		m.stop(r, "unknown task")
 		return
 	}
-	o := m.jobs[row.Task.Job].occurrences[row.Task.Occurrence]
 	r.step, r.occ, r.size = s, o, s.spec.Reserved()
 	if s.spec.Filler {
 		r.fillerCPU, r.fillerImage = s.spec.Size.MilliCPU, m.fillerImages.of(s.spec.Image)
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -216,6 +216,7 @@
 	m.createReportedOccurrence(e.Task)
 	m.noteStarted(e.Task.Job)
 	s, t := m.lookupTask(e.Task)
+	o := m.lookupOccurrence(e.Task)
 	reason := string(e.Outcome)
 	if t == nil {
 		reason += ", unknown task"
@@ -238,7 +239,6 @@
 	t.lastRun = max(t.lastRun, e.Run)
 	t.updateCheckpoint(e.Run, e.Checkpoint)
 	m.closeRun(e.Task, t, w.ID)
-	o := m.jobs[e.Task.Job].occurrences[e.Task.Occurrence]
 	switch e.Outcome {
 	case infra.OutcomeDone:
 		m.counts.Done++
@@ -255,13 +255,18 @@
 	}
 }
 
+// lookupOccurrence returns the occurrence of a task, or nil if there is none. That of a schedule is dropped with its last run, so that
+// it has to be looked up before a run is released.
+func (m *Machine) lookupOccurrence(id infra.TaskID) *occurrence {
+	if j := m.jobs[id.Job]; j != nil {
+		return j.occurrences[id.Occurrence]
+	}
+	return nil
+}
+
 // lookupTask returns the step and the task with an ID, or nil if there is no such task.
 func (m *Machine) lookupTask(id infra.TaskID) (*step, *task) {
-	j := m.jobs[id.Job]
-	if j == nil {
-		return nil, nil
-	}
-	o := j.occurrences[id.Occurrence]
+	o := m.lookupOccurrence(id)
 	if o == nil || id.Step < 0 || id.Step >= len(o.steps) {
 		return nil, nil
 	}
--- a/coord/flow/schedule_test.go
+++ b/coord/flow/schedule_test.go
@@ -120,3 +120,27 @@
 	assert.Equal(t, state, infra.StateCompleted)
 	assert.Equal(t, n, int64(6))
 }
+
+// Guards against a scheduler that ends itself: a run of a task of a complete occurrence is left on a worker, and its end is reported last.
+func TestEndOfLastRunOfCompleteOccurrence(t *testing.T) {
+	for _, outcome := range []infra.Outcome{infra.OutcomeDone, infra.OutcomeFailed, infra.OutcomeStopped} {
+		j := singleStepJob("j", smallStep(1))
+		j.Schedule = infra.Schedule{Count: 2, Start: time.Unix(999, 0).UnixMilli(), Interval: time.Hour}
+		h := newHarness(t, flow.Restored{
+			Jobs: []flow.StoredJob{{Job: j}}, Term: 1,
+			Roster: []flow.RosterEntry{{Worker: "a", Address: "a:1"}, {Worker: "b", Address: "b:1"}},
+		}, newPoolWorker("a"), newPoolWorker("b"))
+		task := infra.TaskID{Job: "j"}
+		h.report("a", infra.Report{Running: []infra.ActiveRun{{Task: task, Run: 2}}})
+		h.report("b", infra.Report{Ended: []infra.EndedRun{{Number: 1, Task: task, Run: 1, Outcome: infra.OutcomeDone}}})
+		h.advance(100 * time.Millisecond)
+		h.report("a", infra.Report{Ended: []infra.EndedRun{{Number: 1, Task: task, Run: 2, Outcome: outcome}}})
+		h.advance(100 * time.Millisecond)
+		// A third run is reported although the occurrence is forgotten.
+		h.report("b", infra.Report{Running: []infra.ActiveRun{{Task: task, Run: 3}}})
+		h.advance(100 * time.Millisecond)
+		assert.Assert(t, len(h.stops()) > 0)
+		state, _ := h.m.State("j")
+		assert.Equal(t, state, infra.StateRunning)
+	}
+}
--- a/coord/flow/simulation_test.go
+++ b/coord/flow/simulation_test.go
@@ -790,7 +790,7 @@
 	}
 	for _, before := range spec.After {
 		for i := range j.spec.Steps[before].Count {
-			if !j.done[infra.TaskID{Job: s.Task.Job, Step: before, Index: i}] {
+			if !j.done[infra.TaskID{Job: s.Task.Job, Occurrence: s.Task.Occurrence, Step: before, Index: i}] {
 				violation("%v started before step %d was done", s.Task, before)
 			}
 		}
