flow: the contents of a batch are chosen step by step

fillBatch listed what a batch holds with the exceptions for single values between the steps; each step is a function of its own now, and batches of one value have a list of them. Read-through of the diff: names of the task list and of parts. No change of behaviour.

--- a/coord/flow/job.go
+++ b/coord/flow/job.go
@@ -97,9 +97,8 @@
 	// runs counts the runs of all tasks that may exist on workers, and idleSince is when the last of them was released.
 	runs      int
 	idleSince time.Time
-	// parts are the groups of partTasks tasks whose progress is stored separately; nil unless the job is split.
-	parts     []part
-	partTasks int
+	// parts are the groups of tasks whose progress is stored separately; nil unless the job is split.
+	parts []part
 }
 
 // job is the state of a submitted job.
@@ -175,7 +174,7 @@
 		}
 	}
 	if j.isSplit {
-		o.addParts(j.partTasks)
+		o.addParts()
 	}
 	j.occurrences[n] = o
 	return o
--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -379,8 +379,8 @@
 	m.searchAgain()
 }
 
-// firstRun returns a number below those of all runs of a term, and, unless a task has runsPerTerm runs in one term, not below any of
-// earlier ones.
+// firstRun returns the number that all runs of a term exceed. Those of earlier terms do not exceed it, unless a task had runsPerTerm runs
+// in one term.
 func firstRun(term int64) infra.Run { return infra.Run(term) * runsPerTerm }
 
 // raiseRunNumbers raises the run numbers of open tasks above those of all predecessors.
--- a/coord/flow/part.go
+++ b/coord/flow/part.go
@@ -65,9 +65,9 @@
 }
 
 // addParts prepares the parts of an occurrence of a split job.
-func (o *occurrence) addParts(partTasks int) {
-	tasks := int(o.job.spec.Tasks())
-	o.partTasks, o.parts = partTasks, make([]part, (tasks+partTasks-1)/partTasks)
+func (o *occurrence) addParts() {
+	tasks, size := int(o.job.spec.Tasks()), o.job.partTasks
+	o.parts = make([]part, (tasks+size-1)/size)
 	for i := range o.parts {
 		o.parts[i] = part{occ: o, index: i}
 	}
@@ -78,15 +78,16 @@
 	for i := range step {
 		index += o.steps[i].tasks.len()
 	}
-	return &o.parts[index/o.partTasks]
+	return &o.parts[index/o.job.partTasks]
 }
 
 // eachTask calls f for each task of a part, with the index of the task in the part.
 func (p *part) eachTask(f func(n int, s *step, index int)) {
-	first, n := p.index*p.occ.partTasks, 0
+	size := p.occ.job.partTasks
+	first, n := p.index*size, 0
 	for i := range p.occ.steps {
 		s := &p.occ.steps[i]
-		for index := min(first, s.tasks.len()); index < s.tasks.len() && n < p.occ.partTasks; index++ {
+		for index := min(first, s.tasks.len()); index < s.tasks.len() && n < size; index++ {
 			f(n, s, index)
 			n++
 		}
@@ -97,7 +98,7 @@
 func (p *part) record(maxRun infra.Run) Part {
 	var r Part
 	p.eachTask(func(n int, s *step, index int) {
-		r.Done, r.Tasks = s.tasks.peek(index).addTo(r.Done, r.Tasks, n, p.occ.partTasks, maxRun)
+		r.Done, r.Tasks = s.tasks.peek(index).addTo(r.Done, r.Tasks, n, p.occ.job.partTasks, maxRun)
 	})
 	return r
 }
--- a/coord/flow/place.go
+++ b/coord/flow/place.go
@@ -110,7 +110,7 @@
 			return false
 		}
 	}
-	return r.step.tasks.isComplete() || m.mayRunUnseen(r.occ.job, r.step.tasks.blank)
+	return r.step.tasks.allAllocated() || m.mayRunUnseen(r.occ.job, r.step.tasks.blank)
 }
 
 // candidateSet holds the workers of a service that accept new tasks in this round of placement. maxFree and maxSpare are
--- a/coord/flow/save.go
+++ b/coord/flow/save.go
@@ -63,60 +63,78 @@
 
 // fillBatch moves what is to be stored into a batch. While the values of a rejected batch are stored one by one, it takes one.
 func (m *Machine) fillBatch(s *Save, isRosterDue bool) {
-	isSingle, room := m.singleBatches > 0, maxBatchJobs
-	if isSingle {
+	if m.singleBatches > 0 {
 		m.singleBatches--
-		room = 1
-		if isRosterDue {
-			m.addStoredRoster(s)
-			return
-		}
-	}
-	isFull := func() bool { return isSingle && s.values() > 0 }
-	m.addDirtyUnits(s, room)
-	if isFull() {
-		return
-	}
-	for _, j := range m.takeStarted(room - len(m.batchUnits)) {
-		m.addRecord(s, j, j.record(firstRun(m.term+1)), 0)
-	}
-	if isFull() {
+		m.fillSingle(s, isRosterDue)
 		return
 	}
-	s.DeleteParts = m.takePartDeletions(room - len(m.batchUnits))
-	m.roomDueAt = time.Time{}
-	if len(m.startedJobs)+len(m.partsToDelete) > 0 {
-		m.awaitRoom()
+	m.addDirtyUnits(s, maxBatchJobs)
+	m.addStarted(s, maxBatchJobs)
+	m.addPartDeletions(s, maxBatchJobs)
+	if s.values() == 0 {
+		m.addJobDeletions(s, maxBatchJobs/deleteEntries)
 	}
-	if isFull() {
-		return
+	room := maxBatchJobs - len(m.batchUnits) - len(s.DeleteParts) - deleteEntries*len(s.Delete)
+	s.Finished = m.reduceFinished(max(minReductions, room))
+	if isRosterDue {
+		m.addStoredRoster(s)
 	}
-	n := len(m.batchUnits) + len(s.DeleteParts)
-	if n == 0 {
-		k := min(len(m.jobsToDelete), max(1, room/deleteEntries))
-		s.Delete = append(s.Delete, m.jobsToDelete[:k]...)
-		m.jobsToDelete = m.jobsToDelete[k:]
+	if m.interferenceDirty {
+		m.addInterference(s)
 	}
-	if isFull() {
+}
+
+// fillSingle moves the first of what is to be stored into a batch, the roster before all others.
+func (m *Machine) fillSingle(s *Save, isRosterDue bool) {
+	if isRosterDue {
+		m.addStoredRoster(s)
 		return
 	}
-	minReduced := minReductions
-	if isSingle {
-		minReduced = 1
+	for _, add := range []func(){
+		func() { m.addDirtyUnits(s, 1) },
+		func() { m.addStarted(s, 1) },
+		func() { m.addPartDeletions(s, 1) },
+		func() { m.addJobDeletions(s, 1) },
+		func() { s.Finished = m.reduceFinished(1) },
+	} {
+		if add(); s.values() > 0 {
+			return
+		}
 	}
-	s.Finished = m.reduceFinished(max(minReduced, room-n-deleteEntries*len(s.Delete)))
-	if isFull() {
-		return
+	if m.interferenceDirty {
+		m.addInterference(s)
 	}
-	if isRosterDue {
-		m.addStoredRoster(s)
+}
+
+// addStarted adds the records of started jobs to a batch, up to a number of units in all.
+func (m *Machine) addStarted(s *Save, n int) {
+	for _, j := range m.takeStarted(n - len(m.batchUnits)) {
+		m.addRecord(s, j, j.record(firstRun(m.term+1)), 0)
 	}
-	if m.interferenceDirty {
-		m.interferenceDirty, m.interferenceSavedAt = false, m.now
-		s.Interference = m.interferenceRecords()
+}
+
+// addPartDeletions adds deletions of parts to a batch, up to a number of units and deletions in all.
+func (m *Machine) addPartDeletions(s *Save, n int) {
+	s.DeleteParts = m.takePartDeletions(n - len(m.batchUnits))
+	m.roomDueAt = time.Time{}
+	if len(m.startedJobs)+len(m.partsToDelete) > 0 {
+		m.awaitRoom()
 	}
 }
 
+// addJobDeletions adds up to n deletions of jobs to a batch.
+func (m *Machine) addJobDeletions(s *Save, n int) {
+	k := min(len(m.jobsToDelete), n)
+	s.Delete = append(s.Delete, m.jobsToDelete[:k]...)
+	m.jobsToDelete = m.jobsToDelete[k:]
+}
+
+// addInterference adds the interference models to a batch.
+func (m *Machine) addInterference(s *Save) {
+	m.interferenceDirty, m.interferenceSavedAt = false, m.now
+	s.Interference = m.interferenceRecords()
+}
+
 // addStoredRoster adds the roster to a batch.
 func (m *Machine) addStoredRoster(s *Save) {
 	m.rosterDirty, m.batchHasRoster = false, true
--- a/coord/flow/tasks.go
+++ b/coord/flow/tasks.go
@@ -57,8 +57,8 @@
 	}
 }
 
-// isComplete reports whether the state of all tasks is allocated.
-func (l *taskList) isComplete() bool {
+// allAllocated reports whether the state of all tasks is allocated.
+func (l *taskList) allAllocated() bool {
 	for _, chunk := range l.chunks {
 		if chunk == nil {
 			return false
