flow: fewer starts of one worker wait for an answer on a thin link

Traced then: the first 27 starts after a takeover go to the first worker that answers, and wait for its two connections and, on 10 Mbit/s, for the link. Such a host without relays now has 16 starts of a worker without an answer at most, in place of 32; 16 at 10 ms each are still more than the link carries.

TestStartsOfOneWorkerOnThinLinkAreLimited fails without the change (27 starts). A limit of 16 everywhere would take room from relays (TestRelayedStartsHaveALimitOfTheirOwn).

--- a/coord/flow/answer.go
+++ b/coord/flow/answer.go
@@ -83,7 +83,7 @@
 
 // startSettled notes that one start of a worker less is without an answer. The worker may be listed anew since the start was sent.
 func (m *Machine) startSettled(w *worker) {
-	if w.unansweredStarts == maxUnansweredOfWorker {
+	if w.unansweredStarts == m.maxUnansweredOf() {
 		m.markChanged(w)
 		m.placementDue = true
 	}
--- a/coord/flow/link.go
+++ b/coord/flow/link.go
@@ -21,6 +21,8 @@
 	// maxUnansweredOfWorker limits the starts of one worker without an answer. They share a few connections, where each waits for
 	// the answers to those before it.
 	maxUnansweredOfWorker = 32
+	// maxUnansweredOnThinLink replaces it where each start also waits for the link, so that the last one is answered in time.
+	maxUnansweredOnThinLink = 16
 	// startOverhead is the size of the names, headers and packets of a start, in bytes.
 	startOverhead = 1200
 	// directShare divides the window for the starts that this host sends itself while there are relays. Relayed ones take a ninth of
@@ -177,6 +179,14 @@
 	return nil
 }
 
+// maxUnansweredOf returns the limit of the starts of one worker without an answer. Relays have connections of their own to the worker.
+func (m *Machine) maxUnansweredOf() int {
+	if LimitsStarts(m.opts.linkBitsPerSecond) && len(m.relays) == 0 {
+		return maxUnansweredOnThinLink
+	}
+	return maxUnansweredOfWorker
+}
+
 // tooManyUnanswered reports whether no start may be sent before another one is answered.
 func (m *Machine) tooManyUnanswered() bool {
 	return m.unansweredStarts-m.unansweredRelayed >= maxUnansweredStarts &&
--- a/coord/flow/link_test.go
+++ b/coord/flow/link_test.go
@@ -197,3 +197,15 @@
 	assert.Equal(t, state, infra.StateRunning)
 	assert.Equal(t, h.m.Counts().Starts, int64(100))
 }
+
+// Guards against starts that time out on a thin link because the first worker that answers gets all that the link carries (LOST): they
+// wait for its few connections and for the link.
+func TestStartsOfOneWorkerOnThinLinkAreLimited(t *testing.T) {
+	w := newPoolWorker("w0")
+	w.Capacity = fleet.Resources{MilliCPU: 1000_000, MemoryBytes: 2000 << 30}
+	h := newHarnessOf(t, flow.New(7, flow.WithLink(10_000_000)), flow.Restored{}, w)
+	h.report(w.ID, infra.Report{})
+	h.step(flow.Submitted{Job: specJob("j", smallStep(100))})
+	h.advance(75 * time.Millisecond)
+	assert.Equal(t, len(h.starts()), 16)
+}
--- a/coord/flow/place.go
+++ b/coord/flow/place.go
@@ -309,7 +309,7 @@
 }
 
 func (m *Machine) fits(r *readyStep, w *worker, rack string) bool {
-	if rack != "" && !w.hasLabel(rack) || w.unansweredStarts >= maxUnansweredOfWorker {
+	if rack != "" && !w.hasLabel(rack) || w.unansweredStarts >= m.maxUnansweredOf() {
 		return false
 	}
 	if r.queue.ApprovalCost != nil {
