flow: one loss of a worker is one crash, also if its address refuses connections twice

The other two places that count a crash look whether the present loss has been counted; this one now does.

TestRefusedConnectionsAgainAreNoOtherCrash fails without the change (2 crashes).

--- a/coord/flow/crash_test.go
+++ b/coord/flow/crash_test.go
@@ -766,3 +766,28 @@
 	}
 	assert.Equal(t, len(h.starts()), 0)
 }
+
+// Guards against a sound job that is shown as failed (LOST): the loss of a worker whose address refused connections, was silent and
+// refused them again before any answer counted as two crashes under the same run.
+func TestRefusedConnectionsAgainAreNoOtherCrash(t *testing.T) {
+	h := newHarness(t, flow.Restored{}, newPoolWorker("a"), newPoolWorker("b"))
+	h.report("a", infra.Report{StartedAt: 1})
+	h.step(flow.Submitted{Job: singleStepJob("j", smallStep(1))})
+	h.advance(50 * time.Millisecond)
+	assert.Equal(t, len(h.answerStarts()), 1)
+	h.report("a", infra.Report{StartedAt: 1, Running: []infra.ActiveRun{{Task: infra.TaskID{Job: "j"}, Run: 1, Progress: 1}}})
+	refused := func(times int) {
+		for range times {
+			h.step(flow.RenewFailed{Worker: "a", Sequence: h.seq["a"], Err: &infra.NotSentError{Worker: "a", ConnRefused: true}})
+			h.advance(300 * time.Millisecond)
+		}
+	}
+	refused(2)
+	assert.Equal(t, h.m.Counts().Crashes, int64(1))
+	assert.Equal(t, h.savedCrashes("j"), 1)
+	h.renewalFails("a")
+	h.advance(300 * time.Millisecond)
+	refused(3)
+	assert.Equal(t, h.m.Counts().Crashes, int64(1))
+	assert.Equal(t, h.savedCrashes("j"), 1)
+}
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -86,7 +86,7 @@
 	w.connRefusals++
 	if w.connRefusals == crashConnRefusals {
 		m.expectLateStarts(w)
-		if w.Address == w.answeredAt {
+		if w.Address == w.answeredAt && !w.crashCounted {
 			m.workerCrashed(w, "connections to the worker's address are refused")
 			w.crashCounted = true
 		}
