--- a/review/stand3/cases.go
+++ b/review/stand3/cases.go
@@ -5,9 +5,12 @@
 	"time"
 )
 
-var errNotAccepted = errors.New("the job is not accepted")
+var (
+	errNotAccepted = errors.New("the job is not accepted")
+	errNoStart     = errors.New("no worker got a start")
+)
 
-var cases = map[string]func(c *checker, trouble bool) error{"crashes": crashes, "lasting-done": lastingDone}
+var cases = map[string]func(c *checker, trouble bool) error{"crashes": crashes, "lasting-done": lastingDone, "late-start": lateStart}
 
 func noLabels(int) []string { return []string{"a", "r1"} }
 
@@ -119,3 +122,63 @@
 		}
 	}
 }
+
+// lateStart leaves a start without an answer. The worker that got it crashes 4 s later, and is back under its ID when it carries the start
+// out, less than 12 s after it was sent.
+func lateStart(c *checker, trouble bool) error {
+	const (
+		workers = 8
+		down    = 4500 * time.Millisecond
+	)
+	s, err := newSet(c, nil, 3, workers, noLabels)
+	if s != nil {
+		defer s.close()
+	}
+	if err != nil {
+		return err
+	}
+	if trouble {
+		s.fleet.mu.Lock()
+		for _, w := range s.fleet.workers {
+			w.losesStart = true
+		}
+		s.fleet.mu.Unlock()
+	}
+	j := &job{
+		ID: jobID(1), Steps: []step{{Count: 1, CPU: 4000, Mem: 2000, Estimate: 20000}}, works: []stepWork{{WorkMS: 20000}},
+	}
+	sent := time.Now()
+	if !s.submit(j) {
+		return errNotAccepted
+	}
+	time.Sleep(200 * time.Millisecond)
+	var w *worker
+	s.fleet.mu.Lock()
+	for _, candidate := range s.fleet.workers {
+		candidate.losesStart = false
+		if candidate.lost != nil {
+			w = candidate
+		}
+	}
+	s.fleet.mu.Unlock()
+	if trouble && w == nil {
+		return errNoStart
+	}
+	if trouble {
+		time.Sleep(4 * time.Second)
+		s.fleet.mu.Lock()
+		c.trouble("worker %s crashes for %v", w.id, down)
+		s.fleet.mu.Unlock()
+		w.crash()
+		time.Sleep(down)
+		if err := w.start(); err != nil {
+			return err
+		}
+		w.carryOutLate()
+		c.log("%v since the job was sent", time.Since(sent).Round(time.Millisecond))
+	}
+	time.Sleep(30 * time.Second)
+	state, _ := s.state(j.ID)
+	c.log("the job is shown as %q", state)
+	return nil
+}
--- a/review/stand3/fleet.go
+++ b/review/stand3/fleet.go
@@ -103,6 +103,9 @@
 	ends     int64
 	sequence int64
 	server   *http.Server
+	// losesStart is set while the next start gets no answer and is kept in lost, to be carried out late.
+	losesStart bool
+	lost       *order
 }
 
 // fleet is the workers' side of the platform. One lock covers all of its state.
@@ -233,6 +236,12 @@
 		out.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if w.losesStart && r.URL.Path == "/-/run-start" {
+		w.losesStart, w.lost = false, &o
+		f.check.trouble("start of %s run %d on %s gets no answer", o.Task, o.Run, w.id)
+		f.mu.Unlock()
+		panic(http.ErrAbortHandler)
+	}
 	status, body := w.carryOut(r.URL.Path, o)
 	if status == http.StatusOK && r.URL.Path == "/-/hold" {
 		limit := time.Now().Add(min(time.Duration(o.WaitMS)*time.Millisecond, 2*time.Second))
@@ -483,3 +492,15 @@
 		other.end(m, "done")
 	}
 }
+
+// carryOutLate carries out the start that got no answer, in the present life of the worker.
+func (w *worker) carryOutLate() {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	if w.lost == nil {
+		return
+	}
+	status, body := w.carryOut("/-/run-start", *w.lost)
+	w.fleet.check.log("late start of %s run %d on %s: %d %v", w.lost.Task, w.lost.Run, w.id, status, body["reason"])
+	w.lost = nil
+}
