--- a/review/stand3/cases.go
+++ b/review/stand3/cases.go
@@ -2,127 +2,22 @@
 
 import (
 	"errors"
+	"net"
+	"net/http"
+	"syscall"
 	"time"
 )
 
 var (
 	errNotAccepted = errors.New("the job is not accepted")
 	errNoStart     = errors.New("no worker got a start")
+	errNoScheduler = errors.New("there is no scheduler")
 )
 
-var cases = map[string]func(c *checker, trouble bool) error{"crashes": crashes, "lasting-done": lastingDone, "late-start": lateStart}
+var cases = map[string]func(c *checker, trouble bool) error{"dropped-route": droppedRoute, "late-start": lateStart}
 
 func noLabels(int) []string { return []string{"a", "r1"} }
 
-// crashes lets the worker crash on which the only task of a job has worked for 2 s, four times in all. One worker of eight is down at
-// a time.
-func crashes(c *checker, trouble bool) error {
-	const (
-		workers = 8
-		times   = 4
-		lasted  = 2 * time.Second
-		down    = 4500 * time.Millisecond
-	)
-	s, err := newSet(c, nil, 3, workers, noLabels)
-	if s != nil {
-		defer s.close()
-	}
-	if err != nil {
-		return err
-	}
-	j := &job{
-		ID: jobID(1), Steps: []step{{Count: 1, CPU: 4000, Mem: 2000, Estimate: 6000, Saves: true}},
-		works: []stepWork{{WorkMS: 6000, Saves: true}},
-	}
-	if !s.submit(j) {
-		return errNotAccepted
-	}
-	state := ""
-	for limit := time.Now().Add(80 * time.Second); time.Now().Before(limit) && state != "completed" && state != "failed"; {
-		time.Sleep(200 * time.Millisecond)
-		if w := s.workerOfRun(lasted); trouble && w != nil && j.lost < times {
-			s.fleet.mu.Lock()
-			c.trouble("worker %s crashes for %v", w.id, down)
-			s.fleet.mu.Unlock()
-			w.crash()
-			time.Sleep(down)
-			if err := w.start(); err != nil {
-				return err
-			}
-		}
-		state, _ = s.state(j.ID)
-	}
-	s.fleet.mu.Lock()
-	failed, lost := j.failedEnds, j.lost
-	s.fleet.mu.Unlock()
-	c.log("the job is shown as %q; %d runs have ended failed, %d were lost with their workers", state, failed, lost)
-	if state == "failed" && failed == 0 {
-		c.violate("LOST", "the job is shown as failed, and no run of it has ended failed")
-	}
-	return nil
-}
-
-// workerOfRun returns a worker with a run that has lasted for some time, or nil.
-func (s *set) workerOfRun(lasted time.Duration) *worker {
-	s.fleet.mu.Lock()
-	defer s.fleet.mu.Unlock()
-	for _, w := range s.fleet.workers {
-		for _, r := range w.runs {
-			if time.Since(r.began) > lasted {
-				return w
-			}
-		}
-	}
-	return nil
-}
-
-// lastingDone lets each run of a job of lasting tasks end as done.
-func lastingDone(c *checker, trouble bool) error {
-	const (
-		tasks = 3
-		// allowed is the time without a run that the rule allows, and a margin.
-		allowed = 15 * time.Second
-	)
-	s, err := newSet(c, nil, 3, 6, noLabels)
-	if s != nil {
-		defer s.close()
-	}
-	if err != nil {
-		return err
-	}
-	j := &job{ID: jobID(1), Steps: []step{{Count: tasks, CPU: 1000, Mem: 500, Lasts: true}}, works: []stepWork{{}}}
-	if !s.submit(j) {
-		return errNotAccepted
-	}
-	time.Sleep(8 * time.Second)
-	if trouble {
-		s.endRuns("done")
-	}
-	time.Sleep(allowed)
-	s.fleet.mu.Lock()
-	for i := range tasks {
-		if len(c.task(taskID{j.ID, 0, 0, i}).active) == 0 {
-			c.violate("LOST", "task %d lasts and has had no run for %v", i, allowed)
-		}
-	}
-	s.fleet.mu.Unlock()
-	state, _ := s.state(j.ID)
-	c.log("the job is shown as %q", state)
-	return nil
-}
-
-// endRuns ends all runs.
-func (s *set) endRuns(how string) {
-	s.fleet.mu.Lock()
-	defer s.fleet.mu.Unlock()
-	for _, w := range s.fleet.workers {
-		for _, r := range w.runs {
-			s.check.trouble("%s run %d ends by itself", r.id, r.number)
-			w.end(r, how)
-		}
-	}
-}
-
 // lateStart leaves a start without an answer. The worker that got it crashes 4 s later, and is back under its ID when it carries the start
 // out, less than 12 s after it was sent.
 func lateStart(c *checker, trouble bool) error {
@@ -130,7 +25,7 @@
 		workers = 8
 		down    = 4500 * time.Millisecond
 	)
-	s, err := newSet(c, nil, 3, workers, noLabels)
+	s, err := newSet(c, "", 3, workers, noLabels)
 	if s != nil {
 		defer s.close()
 	}
@@ -182,3 +77,94 @@
 	c.log("the job is shown as %q", state)
 	return nil
 }
+
+// droppedRoute removes the route of a job that is open, and then stops the scheduler's process, as planned work does.
+func droppedRoute(c *checker, trouble bool) error {
+	const (
+		workers = 8
+		// first and second are the work of the tasks of the two steps.
+		first, second = 15 * time.Second, 2 * time.Second
+		// allowed is the time without a run that the rule allows, and a margin.
+		allowed = 25 * time.Second
+	)
+	var s *set
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	policy := &http.Server{Handler: http.HandlerFunc(func(out http.ResponseWriter, r *http.Request) { s.fleet.advise(out, r) })}
+	go func() { _ = policy.Serve(listener) }()
+	defer func() { _ = policy.Close() }()
+	extra := "advice=" + listener.Addr().String() + "\npolicies=base,drain,config,cost,recover,sched,platform,advice\n"
+	s, err = newSet(c, extra, 3, workers, noLabels)
+	if s != nil {
+		defer s.close()
+	}
+	if err != nil {
+		return err
+	}
+	s.fleet.mu.Lock()
+	s.fleet.tickets = make(map[string]ticket)
+	s.fleet.mu.Unlock()
+	advised := func(route map[string]any) {
+		route["advice"] = map[string]any{"decision_ms": 30, "per_worker_ms": 3, "valid_ms": ticketTime.Milliseconds()}
+	}
+	s.configure(5, advised)
+	time.Sleep(3 * time.Second)
+	j := &job{
+		ID: jobID(1),
+		Steps: []step{
+			{Count: 2, CPU: 2000, Mem: 1000, Estimate: first.Milliseconds()},
+			{Count: 2, CPU: 2000, Mem: 1000, Estimate: second.Milliseconds(), After: []int{0}},
+		},
+		works: []stepWork{{WorkMS: first.Milliseconds()}, {WorkMS: second.Milliseconds()}},
+	}
+	if !s.submit(j) {
+		return errNotAccepted
+	}
+	time.Sleep(3 * time.Second)
+	if trouble {
+		c.log("trouble: version 9 drops the route and adds another one")
+		s.configure(9, func(route map[string]any) {
+			advised(route)
+			route["name"], route["prefix"] = "r-2", "/other/"
+		})
+		time.Sleep(3 * time.Second)
+		h := s.leader()
+		if h == nil {
+			return errNoScheduler
+		}
+		c.log("trouble: SIGTERM to %s, the scheduler; it starts again when it has ended", h.Name)
+		h.signal(syscall.SIGTERM)
+	}
+	for idle := time.Now(); ; time.Sleep(50 * time.Millisecond) {
+		ended, running := s.progress(j)
+		switch {
+		case ended == 4:
+			c.log("all tasks have ended as done")
+			return nil
+		case running > 0:
+			idle = time.Now()
+		case time.Since(idle) > allowed:
+			c.violate("LOST", "the job has had nothing running for %v: %d of 4 tasks have ended, %d starts were rejected for want of a ticket",
+				allowed, ended, c.rejections())
+			return nil
+		}
+	}
+}
+
+// progress returns how many tasks of a job without repetitions have ended as done, and how many are running.
+func (s *set) progress(j *job) (ended, running int) {
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	for i, st := range j.Steps {
+		for n := range st.Count {
+			t := s.check.task(taskID{j.ID, 0, i, n})
+			running += len(t.active)
+			if t.done {
+				ended++
+			}
+		}
+	}
+	return ended, running
+}
--- a/review/stand3/check.go
+++ b/review/stand3/check.go
@@ -242,3 +242,21 @@
 		j.lost++
 	}
 }
+
+// rejected notes a start without a valid ticket.
+func (c *checker) rejected(w *worker, o order) {
+	c.mu.Lock()
+	c.counts["without ticket"]++
+	n := c.counts["without ticket"]
+	c.mu.Unlock()
+	if n <= 20 || n%50 == 0 {
+		c.log("start %s run %d on %s is rejected: ticket %q (rejection %d)", o.Task, o.Run, w.id, o.Ticket, n)
+	}
+}
+
+// rejections returns the number of starts without a valid ticket.
+func (c *checker) rejections() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.counts["without ticket"]
+}
--- a/review/stand3/fleet.go
+++ b/review/stand3/fleet.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -77,6 +78,12 @@
 	working bool
 }
 
+// ticket permits one life of a worker to run a step until a time.
+type ticket struct {
+	step, worker string
+	born, until  time.Time
+}
+
 type end struct {
 	number int64
 	run    *run
@@ -117,6 +124,8 @@
 	gangs   map[string]*gang
 	changed chan struct{}
 	service string
+	// tickets holds those of the policy service by their value; nil if the queue has no policy.
+	tickets map[string]ticket
 }
 
 func newFleet(store *kvfake.Store, c *checker, service string) *fleet {
@@ -172,6 +181,20 @@
 	_ = server.Close()
 }
 
+// entry returns the value of the worker's entry in the store.
+func (w *worker) entry() []byte {
+	w.sequence++
+	data, err := json.Marshal(map[string]any{
+		"service": w.fleet.service, "address": w.address, "zone": "z0", "version": "v1", "slots": 8, "state": "ready",
+		"cold_remaining_ms": 0, "sequence": w.sequence, "born": w.born.UnixMilli(), "labels": w.labels,
+		"capacity": map[string]int64{"cpu": w.cpu, "mem_mb": w.mem, "gpu": 0}, "clock_ms": w.clock(),
+	})
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
 // beat registers the worker while this life lasts.
 func (w *worker) beat(born time.Time) {
 	for {
@@ -180,16 +203,8 @@
 			w.fleet.mu.Unlock()
 			return
 		}
-		w.sequence++
-		data, err := json.Marshal(map[string]any{
-			"service": w.fleet.service, "address": w.address, "zone": "z0", "version": "v1", "slots": 8, "state": "ready",
-			"cold_remaining_ms": 0, "sequence": w.sequence, "born": w.born.UnixMilli(), "labels": w.labels,
-			"capacity": map[string]int64{"cpu": w.cpu, "mem_mb": w.mem, "gpu": 0}, "clock_ms": w.clock(),
-		})
+		data := w.entry()
 		w.fleet.mu.Unlock()
-		if err != nil {
-			panic(err)
-		}
 		w.fleet.store.Put("servers/"+w.id, data)
 		time.Sleep(beatInterval)
 	}
@@ -209,6 +224,7 @@
 	Run        int64  `json:"run"`
 	Spec       string `json:"spec"`
 	Checkpoint string `json:"checkpoint"`
+	Ticket     string `json:"ticket"`
 	Deadline   int64  `json:"deadline_at_ms"`
 	Token      int64  `json:"fencing_token"`
 	LastSeen   int64  `json:"last_seen"`
@@ -333,6 +349,10 @@
 		return http.StatusConflict, map[string]any{"reason": "late"}
 	}
 	w.extend(o.Deadline)
+	if w.fleet.tickets != nil && !w.isAdvised(o) {
+		w.fleet.check.rejected(w, o)
+		return http.StatusConflict, map[string]any{"reason": "ticket"}
+	}
 	var works []stepWork
 	if err := json.Unmarshal([]byte(o.Spec[strings.Index(o.Spec, "["):]), &works); err != nil || id.step >= len(works) {
 		return http.StatusBadRequest, map[string]any{}
@@ -504,3 +524,38 @@
 	w.fleet.check.log("late start of %s run %d on %s: %d %v", w.lost.Task, w.lost.Run, w.id, status, body["reason"])
 	w.lost = nil
 }
+
+// ticketTime is how long a ticket is valid.
+const ticketTime = 3 * time.Second
+
+func (w *worker) isAdvised(o order) bool {
+	t, found := w.fleet.tickets[o.Ticket]
+	step := o.Task[:strings.LastIndex(o.Task, ".")]
+	return found && t.step == step && t.worker == w.id && t.born.Equal(w.born) && time.Now().Before(t.until)
+}
+
+// advise is the policy service. It approves of all workers, 30 ms and 3 ms for each worker after the call.
+func (f *fleet) advise(out http.ResponseWriter, r *http.Request) {
+	var o struct {
+		Step    string   `json:"step"`
+		Workers []string `json:"workers"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		out.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	time.Sleep(time.Duration(30+3*len(o.Workers)) * time.Millisecond)
+	f.mu.Lock()
+	rows := [][]any{}
+	for _, w := range f.workers {
+		if w.up && slices.Contains(o.Workers, w.id) {
+			value := fmt.Sprintf("ticket-%d", len(f.tickets))
+			f.tickets[value] = ticket{step: o.Step, worker: w.id, born: w.born, until: time.Now().Add(ticketTime)}
+			rows = append(rows, []any{w.id, value})
+		}
+	}
+	f.check.log("advise %s: %d of %d workers", o.Step, len(rows), len(o.Workers))
+	f.mu.Unlock()
+	out.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(out).Encode(map[string]any{"approved": rows, "valid_ms": ticketTime.Milliseconds()})
+}
--- a/review/stand3/hosts.go
+++ b/review/stand3/hosts.go
@@ -67,7 +67,7 @@
 	return "", fmt.Errorf("no free loopback addresses")
 }
 
-func newSet(c *checker, extra func(h *host) string, entries, workers int, label func(i int) []string) (*set, error) {
+func newSet(c *checker, extra string, entries, workers int, label func(i int) []string) (*set, error) {
 	dir, err := os.MkdirTemp("", "review3")
 	if err != nil {
 		return nil, err
@@ -102,7 +102,7 @@
 	return s, nil
 }
 
-func (s *set) addHost(i int, extra func(h *host) string) error {
+func (s *set) addHost(i int, extra string) error {
 	h := &host{dir: s.dir, restart: time.Second}
 	listener, err := net.Listen("tcp", s.address(200)+fmt.Sprintf(":%d", 7000+i))
 	if err != nil {
@@ -114,11 +114,7 @@
 	}
 	server := &http.Server{Handler: s.store.Handler(h.Name)}
 	go func() { _ = server.Serve(listener) }()
-	text := conf.Settings(h.Host)
-	if extra != nil {
-		text += extra(h)
-	}
-	if err := os.WriteFile(h.settings(), []byte(text), 0o600); err != nil {
+	if err := os.WriteFile(h.settings(), []byte(conf.Settings(h.Host)+extra), 0o600); err != nil {
 		return err
 	}
 	s.hosts = append(s.hosts, h)
