--- a/review/stand3/cases.go
+++ b/review/stand3/cases.go
@@ -18,12 +18,14 @@
 
 func noLabels(int) []string { return []string{"a", "r1"} }
 
-// lateStart leaves a start without an answer. The worker that got it crashes 4 s later, and is back under its ID when it carries the start
+// lateStart leaves one of 26 starts without an answer. The worker that got it crashes 4 s later, and is back under its ID when it carries the start
 // out, less than 12 s after it was sent.
 func lateStart(c *checker, trouble bool) error {
 	const (
 		workers = 8
 		down    = 4500 * time.Millisecond
+		// others is the number of further jobs of one task, whose starts are answered.
+		others = 25
 	)
 	s, err := newSet(c, "", 3, workers, noLabels)
 	if s != nil {
@@ -59,8 +61,17 @@
 	if trouble && w == nil {
 		return errNoStart
 	}
+	for n := range others {
+		other := &job{
+			ID: jobID(2 + n), Steps: []step{{Count: 1, CPU: 1000, Mem: 500, Estimate: 300}}, works: []stepWork{{WorkMS: 300}},
+		}
+		if !s.submit(other) {
+			return errNotAccepted
+		}
+		time.Sleep(80 * time.Millisecond)
+	}
 	if trouble {
-		time.Sleep(4 * time.Second)
+		time.Sleep(time.Until(sent.Add(4 * time.Second)))
 		s.fleet.mu.Lock()
 		c.trouble("worker %s crashes for %v", w.id, down)
 		s.fleet.mu.Unlock()
@@ -72,7 +83,7 @@
 		w.carryOutLate()
 		c.log("%v since the job was sent", time.Since(sent).Round(time.Millisecond))
 	}
-	time.Sleep(30 * time.Second)
+	time.Sleep(14 * time.Second)
 	state, _ := s.state(j.ID)
 	c.log("the job is shown as %q", state)
 	return nil
