flow: a worker that is out of contact has not crashed until another life answers

Cause: two refused connections counted as a crash, with a loss for each task on the worker, and nothing was taken back when the worker answered in the same life; four cuts under one task failed its job. The count of suspects, the isolation of steps, the excuse of simultaneous crashes and a successor that found the record of a trial drew the same conclusion.

Now silence and refusals make lost runs, which are durable with worker, life and address. An answer of the same life takes them back, one of another life or of another worker at the address makes them crashes, for tasks, steps and trials alike, and for successors. A task that would be given up if all its lost runs were crashes waits for an answer, 30 s at most, so that a task whose crashed workers do not return is not started without bound. This works because only the end of a life is evidence, and each place now asks for it.

Tests: TestCutsThatRefuseConnectionsFailNoJob, TestCutsBesideTakeoversFailNoJob, TestTaskWaitsForLostWorkers and TestWaitForGoneWorkersEnds fail before the change. Nine older tests asserted or provoked a crash by refusals alone. Each now also lets another worker take the address or another life answer, with the same assertions, and several assert that the refusals alone count as nothing. In TestReturnOfUnreachableWorkerIsRecorded only the field of the record has changed.

--- a/coord/flow/answer.go
+++ b/coord/flow/answer.go
@@ -57,7 +57,7 @@
 		m.notStarted(r, "worker unreachable", w.ID)
 		if w.reachable && unsent.ConnRefused {
 			w.reachable, w.unreachableSince = false, m.now
-			m.recordSuspects(w)
+			m.loseRuns(w, w.suspects())
 		}
 	default:
 		// The start may have been carried out or may still be. A report shows the former, and a stop prevents the
--- a/coord/flow/copy.go
+++ b/coord/flow/copy.go
@@ -10,7 +10,7 @@
 	if t == nil || !s.spec.Speculative || s.spec.Gang || t.phase != active || !r.occ.job.live() {
 		return false
 	}
-	if t.crashes > 0 {
+	if t.isSuspect() {
 		return false
 	}
 	if len(t.runs) >= maxParallelRuns {
--- a/coord/flow/crash.go
+++ b/coord/flow/crash.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"slices"
 	"time"
 
@@ -29,9 +28,12 @@
 	maxReservedShare = 0.25
 	// maxCrashes is the number of crashes after which a task is given up. One less is enough if the last one happened in
 	// an isolated trial on another worker. At least minConfirmedCrashes must be confirmed. A task is also given up after
-	// the loss of more than maxCrashes workers, however long it had run on them.
+	// more than maxCrashes workers have crashed under it, however long it had run on them.
 	maxCrashes          = 3
 	minConfirmedCrashes = 2
+	// minLostSuspects is the number of workers that may have crashed under recent runs of a task after which it is a suspect. The
+	// worker of a single one is more likely cut off, and a trial takes time.
+	minLostSuspects = 2
 	// freshReport is the maximum age of a worker's report when a trial is started on it.
 	freshReport = 50 * time.Millisecond
 	// correlationWindow is the maximum distance between the crashes that a failure of a rack or of the power supply causes.
@@ -48,6 +50,23 @@
 	losses    int
 	crashedOn fleet.WorkerID
 	openRun   openRun
+	// lost are the runs on workers of which it is not known whether they have crashed.
+	lost []lostRun
+}
+
+// isSuspect reports whether a worker has crashed under a recent run of the task. Several that may have count like one.
+func (c *crashRecord) isSuspect() bool { return c.crashes > 0 || c.lostSuspects() >= minLostSuspects }
+
+func (c *crashRecord) suspicions() int { return c.crashes + c.lostSuspects() }
+
+// sound returns the record of a task that has run soundly. The workers that were lost under it count on, because it may crash them
+// later.
+func (c *crashRecord) sound() crashRecord {
+	lost := slices.DeleteFunc(slices.Clone(c.lost), func(l lostRun) bool { return !l.existed })
+	for i := range lost {
+		lost[i].suspect = false
+	}
+	return crashRecord{losses: c.losses, lost: lost}
 }
 
 // exceedsCrashes reports whether the task has to be given up however the last crash happened.
@@ -67,8 +86,8 @@
 	if !r.sound && clock-r.firstClock >= soundRunTime.Milliseconds() {
 		m.markSound(r)
 	}
-	if _, t := m.lookupTask(r.id); t != nil && t.losses > 0 && r.step.spec.LongRunning && clock-r.firstClock >= provenRunTime.Milliseconds() {
-		t.losses = 0
+	if _, t := m.lookupTask(r.id); t != nil && (t.losses > 0 || len(t.lost) > 0) && r.step.spec.LongRunning && clock-r.firstClock >= provenRunTime.Milliseconds() {
+		t.losses, t.lost = 0, nil
 		m.markTaskDirty(r.id)
 	}
 }
@@ -84,72 +103,24 @@
 	if t == nil || r.step == nil {
 		return
 	}
-	if s.crashes > 0 {
+	if s.crashes > 0 || len(s.lostWorkers) > 0 {
 		s.crashes = 0
+		clear(s.lostWorkers)
 		m.searchAgain()
 	}
-	if t.crashes == 0 {
+	if t.suspicions() == 0 {
 		return
 	}
 	m.emit(Log{Text: "no longer suspected of a crash", Task: r.id, Run: r.number, Worker: r.worker.ID})
-	t.crashRecord, t.verdictDue = crashRecord{losses: t.losses}, false
+	t.crashRecord, t.verdictDue = t.sound(), false
 	s.crashesChanged(r.id.Index)
 	m.markTaskDirty(r.id)
 }
 
-// workerCrashed handles the unplanned end of a worker's process. The runs that had not lasted long are suspected of
-// having caused it; in an isolated trial only the run on trial is.
-func (m *Machine) workerCrashed(w *worker, reason string) {
-	if w.Draining || w.cordoned {
-		return
-	}
-	if !w.hasAnswered {
-		m.blameSilencedRuns(w.ID, math.MaxInt64)
-	}
-	if len(w.runs) == 0 {
-		return
-	}
-	m.counts.Crashes++
-	suspects := w.suspects()
-	if w.trial != nil && w.trial.excludesOthers() && slices.Contains(suspects, w.trial) {
-		suspects = []*run{w.trial}
-	} else {
-		m.recentCrashes = slices.DeleteFunc(m.recentCrashes, func(c time.Time) bool { return m.now.Sub(c) > 4*correlationWindow })
-		m.recentCrashes = append(m.recentCrashes, m.now)
-	}
-	for _, r := range w.runsByTask {
-		if _, t := m.lookupTask(r.id); t != nil {
-			m.closeRun(r.id, t, w.ID)
-		}
-	}
-	steps := make(map[*step]struct{})
-	for _, r := range suspects {
-		steps[r.step] = struct{}{}
-	}
-	for s := range steps {
-		s.crashes++
-	}
-	m.emit(Log{Text: "worker crashed", Worker: w.ID, Reason: fmt.Sprintf("%s; %d suspects of %d runs", reason, len(suspects), len(w.runs))})
-	m.countLosses(w)
-	for i, r := range suspects {
-		m.suspect(r.id, r.number, w.ID, w.crashedSoonAfter(r, m.now), r.isolated, i < maxLoggedSuspects)
-	}
-}
-
-// countLosses counts the crash of a worker for all tasks on it. It bounds the crashes by a task that is not found as a
-// suspect, because it crashes its workers late.
-func (m *Machine) countLosses(w *worker) {
-	for _, r := range w.runsByTask {
-		_, t := m.lookupTask(r.id)
-		if t != nil && r.step != nil && r.existed() && r.occ.job.live() {
-			m.countLoss(r.id, t)
-		}
-	}
-}
-
+// countLoss counts the crash of a worker for a task, whatever the age of its run. It bounds the crashes by a task that is not found
+// as a suspect, because it crashes its workers late.
 func (m *Machine) countLoss(id infra.TaskID, t *task) {
 	t.losses++
-	t.verdictDue = t.verdictDue || t.exceedsCrashes()
 	m.jobs[id.Job].crashed = true
 	m.markTaskDirty(id)
 }
@@ -157,13 +128,9 @@
 // existed reports whether the run is known to have existed in the present life of its worker.
 func (r *run) existed() bool { return r.firstClock > 0 && !r.fromPreviousIncarnation }
 
-// crashedSoonAfter reports whether the worker had confirmed the start and became unreachable soon after it. The run of a
+// startedSoonBefore reports whether the worker had confirmed the start and became unreachable soon after it, at a time. The run of a
 // worker that crashed without notice may have ended before.
-func (w *worker) crashedSoonAfter(r *run, now time.Time) bool {
-	noticed := now
-	if !w.reachable {
-		noticed = w.unreachableSince
-	}
+func (r *run) startedSoonBefore(noticed time.Time) bool {
 	isAdopted := r.deadline == 0
 	return r.firstClock > 0 && !isAdopted && noticed.Sub(r.startedAt) < maxNoticeTime
 }
@@ -172,7 +139,8 @@
 // them until the run started.
 func (r *run) excludesOthers() bool { return r.isolated && (r.firstClock > 0 || r.fresh) }
 
-// suspects returns the runs that may have crashed the worker.
+// suspects returns the runs that may have crashed the worker: those that had not lasted long, or in an isolated trial only the one on
+// trial.
 func (w *worker) suspects() []*run {
 	var suspects []*run
 	for _, r := range w.runsByTask {
@@ -180,26 +148,29 @@
 			suspects = append(suspects, r)
 		}
 	}
+	if w.trial != nil && w.trial.excludesOthers() && slices.Contains(suspects, w.trial) {
+		return []*run{w.trial}
+	}
 	return suspects
 }
 
-// suspect counts a crash of a worker against a task.
-func (m *Machine) suspect(id infra.TaskID, number infra.Run, on fleet.WorkerID, confirmed, isolated, logged bool) {
+// suspect counts a crash of the worker of a recent run against its task. The worker became unreachable at a time.
+func (m *Machine) suspect(id infra.TaskID, l lostRun, at time.Time, logged bool) {
 	s, t := m.lookupTask(id)
 	t.crashes++
 	s.crashesChanged(id.Index)
-	if confirmed {
+	if l.confirmed {
 		t.confirmed++
 	}
 	m.jobs[id.Job].crashed = true
-	t.unsavedSeq, t.crashedAt = m.markTaskDirty(id), m.now
+	t.unsavedSeq, t.crashedAt = m.markTaskDirty(id), at
 	// Two crashes of one worker are no better evidence against the task than against the worker.
-	t.verdictDue = t.exceedsCrashes() || t.confirmed >= minConfirmedCrashes && confirmed && isolated && t.crashedOn != on
-	t.crashedOn = on
+	t.verdictDue = t.confirmed >= minConfirmedCrashes && l.confirmed && l.isolated && t.crashedOn != l.worker
+	t.crashedOn = l.worker
 	if logged {
 		m.emit(Log{
-			Text: "run suspected of a crash", Task: id, Run: number, Worker: on,
-			Reason: fmt.Sprintf("crash %d, %d confirmed, isolated %t", t.crashes, t.confirmed, isolated),
+			Text: "run suspected of a crash", Task: id, Run: l.number, Worker: l.worker,
+			Reason: fmt.Sprintf("crash %d, %d confirmed, isolated %t", t.crashes, t.confirmed, l.isolated),
 		})
 	}
 }
@@ -207,7 +178,8 @@
 // giveUpOnCrashes fails the job of a task that crashes its workers, and reports whether it did. The verdict on a task
 // with fewer than maxCrashes crashes waits until other crashes at the same time would have been noticed.
 func (m *Machine) giveUpOnCrashes(r *readyStep, t *task, index int) bool {
-	if !t.verdictDue {
+	m.judgeGoneWorkers(r.task(index), r.step, t)
+	if !t.verdictDue && !t.exceedsCrashes() {
 		return false
 	}
 	if !t.exceedsCrashes() {
@@ -220,15 +192,18 @@
 		}
 	}
 	m.counts.GivenUp++
-	m.failJob(r.occ.job, t, r.task(index), fmt.Sprintf("task crashes its workers: %d crashes", t.crashes))
+	m.failJob(r.occ.job, t, r.task(index), fmt.Sprintf(
+		"task crashes its workers: %d crashes, %d confirmed; %d workers crashed under it", t.crashes, t.confirmed, t.losses,
+	))
 	return true
 }
 
-// isCorrelated reports whether several workers crashed at about the given time.
+// isCorrelated reports whether several workers were lost at about the given time, and have crashed or not answered since.
 func (m *Machine) isCorrelated(at time.Time) bool {
-	count := 0
-	for _, c := range m.recentCrashes {
-		if c.Sub(at).Abs() <= correlationWindow {
+	isNear := func(t time.Time) bool { return t.Sub(at).Abs() <= correlationWindow }
+	count := countFunc(m.recentCrashes, isNear)
+	for _, l := range m.lostLives {
+		if isNear(l.since) {
 			count++
 		}
 	}
@@ -237,12 +212,12 @@
 
 // mayStart reports whether a task may be started now as far as crashes are concerned. A crash and the open run of a trial must
 // be durable first, so that a successor counts on from them. The tasks of a step behave alike: while several workers crashed
-// under it, they start one at a time.
+// under it, or may have, they start one at a time.
 func (m *Machine) mayStart(s *step, t *task) bool {
-	if t.unsavedSeq > m.savedSeq || t.verdictDue || m.now.Before(t.trialRetryAt) {
+	if t.unsavedSeq > m.savedSeq || t.verdictDue || t.exceedsCrashes() || t.awaitsLostWorkers() || m.now.Before(t.trialRetryAt) {
 		return false
 	}
-	return s.crashes < 2 || s.spec.Gang || !s.hasRecentRun()
+	return s.crashes+len(s.lostWorkers) < 2 || s.spec.Gang || !s.hasRecentRun()
 }
 
 // hasRecentRun reports whether a run of the step on a worker that answers may still turn out to be a crash.
@@ -257,7 +232,7 @@
 	return false
 }
 
-// mostSuspected returns the task itself, or for a gang, which is suspected as a whole, the member with the most crashes.
+// mostSuspected returns the task itself, or for a gang, which is suspected as a whole, the most suspected member.
 func (s *step) mostSuspected(t *task) *task {
 	if !s.spec.Gang {
 		return t
@@ -265,15 +240,15 @@
 	return s.tasks.peek(s.suspect)
 }
 
-// crashesChanged updates the most suspected member of a gang after a change of the crashes of a task.
+// crashesChanged updates the most suspected member of a gang after a change of the crash record of a task.
 func (s *step) crashesChanged(index int) {
 	switch {
 	case !s.spec.Gang:
-	case s.tasks.peek(index).crashes > s.tasks.peek(s.suspect).crashes:
+	case s.tasks.peek(index).suspicions() > s.tasks.peek(s.suspect).suspicions():
 		s.suspect = index
 	case index == s.suspect:
 		for i, t := range s.tasks.allocated() {
-			if t.crashes > s.tasks.peek(s.suspect).crashes {
+			if t.suspicions() > s.tasks.peek(s.suspect).suspicions() {
 				s.suspect = i
 			}
 		}
@@ -284,7 +259,7 @@
 // cause; t may be nil for a gang.
 func (m *Machine) needsIsolation(s *step, t *task) bool {
 	t = s.mostSuspected(t)
-	if t == nil || t.crashes == 0 {
+	if t == nil || !t.isSuspect() {
 		return false
 	}
 	return t.trialSince.IsZero() || m.now.Sub(t.trialSince) < maxTrialWait
@@ -294,7 +269,7 @@
 // does: a task with an end can wait, and would be blamed for the crashes of others.
 func (m *Machine) ignoresTrials(s *step, t *task) bool {
 	t = s.mostSuspected(t)
-	return s.spec.LongRunning && t != nil && t.crashes > 0 && !m.needsIsolation(s, t)
+	return s.spec.LongRunning && t != nil && t.isSuspect() && !m.needsIsolation(s, t)
 }
 
 // accepts reports whether a worker takes a task, as far as trials are concerned. isolated and ignoresTrials are the results
@@ -370,7 +345,7 @@
 	w := r.worker
 	r.fresh = w.hasFreshReport(m.now)
 	t.trialSince = time.Time{}
-	if r.step.mostSuspected(t).crashes > 0 {
+	if r.step.mostSuspected(t).isSuspect() {
 		r.isolated = w.trial == nil && m.now.Sub(w.lastStart) >= soundRunTime
 		if w.trial != nil {
 			w.trial.isolated = false
@@ -421,63 +396,3 @@
 func (w *worker) lossOnCrash() float64 {
 	return float64(len(w.runs) + longRunningLoss*w.longRunning)
 }
-
-// silencedRun is a run on a worker whose leases expired while it could not be reached, or an open run in the record of a
-// predecessor. startedAt is the start time of the worker, and suspect is set if the run was recent.
-type silencedRun struct {
-	task      infra.TaskID
-	number    infra.Run
-	startedAt int64
-	suspect   bool
-}
-
-// rememberRuns keeps runs of an unreachable worker. Only its return shows whether it had crashed.
-func (m *Machine) rememberRuns(w *worker, runs []*run) {
-	if w.Draining || w.cordoned || w.StartedAt == 0 {
-		return
-	}
-	suspects := w.suspects()
-	for _, r := range runs {
-		suspect := slices.Contains(suspects, r)
-		if !suspect && !r.existed() {
-			continue
-		}
-		known := slices.DeleteFunc(m.silenced[w.ID], func(s silencedRun) bool { return s.task == r.id })
-		m.silenced[w.ID] = append(known, silencedRun{r.id, r.number, w.StartedAt, suspect})
-	}
-}
-
-// workerAnswered resolves the silenced runs of a worker with its first answer. An incarnation that answers has not crashed.
-func (m *Machine) workerAnswered(w *worker) {
-	m.blameSilencedRuns(w.ID, w.StartedAt)
-	for _, r := range m.silenced[w.ID] {
-		// The record of a trial remains until the trial has begun.
-		if _, t := m.lookupTask(r.task); t != nil && t.crashes == 0 {
-			m.closeRun(r.task, t, w.ID)
-		}
-	}
-	delete(m.silenced, w.ID)
-}
-
-// blameSilencedRuns counts the crash of a worker that returns as a new incarnation, started at the given time. A task that
-// has run soundly elsewhere since is not blamed.
-func (m *Machine) blameSilencedRuns(id fleet.WorkerID, startedAt int64) {
-	runs := slices.DeleteFunc(slices.Clone(m.silenced[id]), func(r silencedRun) bool { return r.startedAt >= startedAt })
-	if len(runs) == 0 {
-		return
-	}
-	delete(m.silenced, id)
-	m.counts.Crashes++
-	for i, r := range runs {
-		j := m.jobs[r.task.Job]
-		_, t := m.lookupTask(r.task)
-		if t == nil || t.phase == done || !j.live() || slices.ContainsFunc(t.runs, func(r *run) bool { return r.sound }) {
-			continue
-		}
-		m.closeRun(r.task, t, id)
-		m.countLoss(r.task, t)
-		if r.suspect {
-			m.suspect(r.task, r.number, id, false, false, i < maxLoggedSuspects)
-		}
-	}
-}
--- a/coord/flow/gang.go
+++ b/coord/flow/gang.go
@@ -81,7 +81,7 @@
 	t := s.mostSuspected(nil)
 	isolated, ignoresTrials := m.needsIsolation(s, t), m.ignoresTrials(s, t)
 	var openRuns map[openRun]struct{}
-	if t.crashes > 0 {
+	if t.isSuspect() {
 		openRuns = s.openRuns()
 	}
 	racks := make(map[string]int)
--- a/coord/flow/job.go
+++ b/coord/flow/job.go
@@ -46,8 +46,10 @@
 	trialSince    time.Time
 	trialRetryAt  time.Time
 	reservedUntil time.Time
-	// verdictDue is set when the next placement has to decide whether the task is given up.
-	verdictDue bool
+	// verdictDue is set when the next placement has to decide whether the task is given up. awaitLogged is set once the log says
+	// that the task waits for lost workers.
+	verdictDue  bool
+	awaitLogged bool
 }
 
 // updateCheckpoint records a reported checkpoint. That of an earlier run, whose end is reported late or again, is older.
@@ -78,8 +80,10 @@
 	timedRuns    int
 	// approval holds the decisions of the policy service; nil before the first call about the step.
 	approval *approval
-	// crashes counts the workers that crashed under recent runs of the step since one of its runs was sound.
-	crashes int
+	// crashes counts the workers that crashed under recent runs of the step since one of its runs was sound, and lostWorkers are
+	// those that may have.
+	crashes     int
+	lostWorkers map[fleet.WorkerID]struct{}
 	// suspect is the index of the member of a gang with the most crashes.
 	suspect int
 }
--- a/coord/flow/life.go
+++ b/coord/flow/life.go
@@ -116,8 +116,6 @@
 		"worker unreachable; last report %d ms ago; %d of %d runs were listed, %d have ended; restart announced %t",
 		w.reportAge(m.now), w.listedRuns(), len(w.runs), len(lapsed), w.unconfirmed != nil,
 	)})
-	if !w.crashCounted {
-		m.rememberRuns(w, lapsed)
-	}
+	m.loseRuns(w, lapsed)
 	m.clearRuns(w, lapsed, "lease expired")
 }
--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -185,9 +185,11 @@
 	// followed, in the order of their arrival.
 	earlyCancels     map[fleet.JobID]struct{}
 	earlyCancelQueue []earlyCancel
-	// recentCrashes are the crashes without a suspect that was suspected before.
+	// recentCrashes are the times at which workers that have crashed since became unreachable, without those in isolated trials.
 	recentCrashes []time.Time
-	silenced      map[fleet.WorkerID][]silencedRun
+	// lostLives holds the lives of workers that may have ended in a crash under a run; at most one entry for a worker.
+	lostLives         map[fleet.WorkerID]*lostLife
+	lostLivesPrunedAt time.Time
 	// unknownJobs are the jobs of reported runs that were not received. lookupInFlight is set while the store is asked for
 	// some of them.
 	unknownJobs    map[fleet.JobID]*unknownJob
@@ -236,7 +238,7 @@
 		lateStarts:         make(map[fleet.WorkerID][]lateStart),
 		cordons:            make(map[fleet.WorkerID]struct{}),
 		earlyCancels:       make(map[fleet.JobID]struct{}),
-		silenced:           make(map[fleet.WorkerID][]silencedRun),
+		lostLives:          make(map[fleet.WorkerID]*lostLife),
 		unknownJobs:        make(map[fleet.JobID]*unknownJob),
 	}
 	for _, opt := range opts {
@@ -360,7 +362,7 @@
 			continue
 		}
 		m.activate(j)
-		m.rememberOpenRuns(j)
+		m.rememberLostRuns(j)
 		for _, o := range j.occurrences {
 			o.raiseRunNumbers(firstRun(m.term))
 		}
--- a/coord/flow/place.go
+++ b/coord/flow/place.go
@@ -225,7 +225,7 @@
 			if r.queue.ApprovalCost != nil {
 				m.requestApproval(r)
 			}
-			if t.crashes > 0 {
+			if t.isSuspect() {
 				m.reserve(r, t)
 				continue
 			}
@@ -292,7 +292,7 @@
 		if isolated {
 			score += m.trialScore(t, w)
 		}
-		if t.crashes > 0 && t.hasOpenRunOn(w) {
+		if t.isSuspect() && t.hasOpenRunOn(w) {
 			score += openRunBonus
 		}
 		if t.avoidWorker == w.ID {
--- a/coord/flow/ranking.go
+++ b/coord/flow/ranking.go
@@ -37,7 +37,7 @@
 }
 
 // isOrdinary reports whether nothing but its step decides which workers are good for a task.
-func (t *task) isOrdinary() bool { return t.crashes == 0 && t.avoidWorker == "" }
+func (t *task) isOrdinary() bool { return !t.isSuspect() && t.avoidWorker == "" }
 
 // reset discards the order.
 func (k *ranking) reset() { *k = ranking{workers: k.workers[:0]} }
--- a/coord/flow/record.go
+++ b/coord/flow/record.go
@@ -50,13 +50,35 @@
 	// that incarnation. A later one shows the crash.
 	OpenRunOn              fleet.WorkerID `cbor:"open_run_on,omitempty"`
 	OpenRunWorkerStartedAt int64          `cbor:"open_run_worker_started_at,omitempty"`
+	// Lost are the runs on workers that have not answered since.
+	Lost []LostRunRecord `cbor:"lost,omitempty"`
+}
+
+// LostRunRecord is a run that may have ended in a crash of its worker. The worker had started at a time in Unix milliseconds, and
+// answered at an address.
+type LostRunRecord struct {
+	Worker    fleet.WorkerID `cbor:"worker"`
+	StartedAt int64          `cbor:"started_at,omitempty"`
+	Address   string         `cbor:"address,omitempty"`
+	Run       infra.Run      `cbor:"run,omitempty"`
+	// Existed is set if the run is known to have existed, and Suspect if it was recent. Confirmed and Isolated say what a crash would
+	// be: one soon after a confirmed start, and one in a trial.
+	Existed   bool `cbor:"existed,omitempty"`
+	Suspect   bool `cbor:"suspect,omitempty"`
+	Confirmed bool `cbor:"confirmed,omitempty"`
+	Isolated  bool `cbor:"isolated,omitempty"`
+}
+
+// existedOnLostWorker reports whether a run of the task has existed on a worker that was lost.
+func (r *TaskRecord) existedOnLostWorker() bool {
+	return slices.ContainsFunc(r.Lost, func(l LostRunRecord) bool { return l.Existed })
 }
 
 // hasProgress reports whether a task that is not done has progress that a successor has to know. Run numbers up to maxRun are below
 // those of any successor.
 func (t *task) hasProgress(maxRun infra.Run) bool {
 	return t.lastRun > maxRun || len(t.failedRuns) > 0 || t.checkpoint != "" || t.crashes > 0 || t.confirmed > 0 || t.losses > 0 ||
-		t.openRun != openRun{}
+		t.openRun != openRun{} || len(t.lost) > 0
 }
 
 // record returns the durable form of a job's progress. A job in a final state is represented by its state alone, and a task without
@@ -111,6 +133,12 @@
 			Crashes: t.crashes, Confirmed: t.confirmed, CrashedOn: t.crashedOn, Losses: t.losses,
 			OpenRunOn: t.openRun.worker, OpenRunWorkerStartedAt: t.openRun.startedAt,
 		}
+		for _, l := range t.lost {
+			r.Lost = append(r.Lost, LostRunRecord{
+				Worker: l.worker, StartedAt: l.startedAt, Address: l.address, Run: l.number,
+				Existed: l.existed, Suspect: l.suspect, Confirmed: l.confirmed, Isolated: l.isolated,
+			})
+		}
 		if len(t.checkpoint) <= maxStoredCheckpoint {
 			r.Checkpoint, r.CheckpointRun = t.checkpoint, t.checkpointRun
 		}
@@ -181,8 +209,8 @@
 	}
 }
 
-// hasCrashed reports whether a worker has crashed under a task.
-func (r *TaskRecord) hasCrashed() bool { return r.Crashes > 0 || r.Losses > 0 }
+// hasCrashed reports whether a worker has crashed under a task, or may have.
+func (r *TaskRecord) hasCrashed() bool { return r.Crashes > 0 || r.Losses > 0 || len(r.Lost) > 0 }
 
 func (t *task) restore(r TaskRecord) {
 	t.lastRun, t.failedRuns = r.Run, r.Failed
@@ -191,7 +219,12 @@
 		crashes: r.Crashes, confirmed: r.Confirmed, crashedOn: r.CrashedOn, losses: r.Losses,
 		openRun: openRun{worker: r.OpenRunOn, startedAt: r.OpenRunWorkerStartedAt},
 	}
-	t.verdictDue = t.exceedsCrashes()
+	for _, l := range r.Lost {
+		t.lost = append(t.lost, lostRun{
+			openRun: openRun{worker: l.Worker, startedAt: l.StartedAt}, address: l.Address, number: l.Run,
+			existed: l.Existed, suspect: l.Suspect, confirmed: l.Confirmed, isolated: l.Isolated,
+		})
+	}
 }
 
 // Estimated sizes of the durable forms in bytes, without their texts.
@@ -200,6 +233,7 @@
 	runNumberBytes   = 9
 	occurrenceBytes  = 40
 	smallRecordBytes = 32
+	lostRunBytes     = 96
 )
 
 // size estimates the size of a record in the store in bytes.
@@ -221,6 +255,9 @@
 	size := smallRecordBytes + len(finished)
 	for _, t := range tasks {
 		size += taskRecordBytes + runNumberBytes*len(t.Failed) + len(t.Checkpoint) + len(t.CrashedOn) + len(t.OpenRunOn)
+		for _, l := range t.Lost {
+			size += lostRunBytes + len(l.Worker) + len(l.Address)
+		}
 	}
 	return size
 }
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -73,23 +73,20 @@
 	if w.reachable {
 		w.unreachableSince = m.now
 		m.emit(Log{Text: "worker unreachable", Worker: w.ID, Reason: ev.Err.Error()})
-		m.recordSuspects(w)
+		m.loseRuns(w, w.suspects())
 		// If the connection ended with a life of the worker, the next one is up, and late calls reach it until it is fenced.
 		w.nextRenewal = m.now
 	}
 	w.reachable = false
-	// What a crash means is in the records of the jobs.
 	if !errors.As(ev.Err, &unsent) || !unsent.ConnRefused || !m.restored {
 		w.connRefusals = 0
 		return
 	}
 	w.connRefusals++
-	if w.connRefusals == crashConnRefusals {
+	if w.connRefusals == restartConnRefusals {
 		m.expectLateStarts(w)
-		if w.Address == w.answeredAt && !w.crashCounted {
-			m.workerCrashed(w, "connections to the worker's address are refused")
-			w.crashCounted = true
-		}
+		m.loseRuns(w, w.runsByTask)
+		m.emit(Log{Text: "connections to the worker's address are refused", Worker: w.ID, Reason: fmt.Sprintf("%d runs may have ended", len(w.runs))})
 	}
 }
 
@@ -102,9 +99,8 @@
 	if w.Address != w.answeredAt {
 		return
 	}
-	if !w.crashCounted {
-		m.workerCrashed(w, "address belongs to another worker")
-	}
+	m.loseRuns(w, w.runsByTask)
+	m.countCrash(w.ID, func(int64) bool { return true }, "address belongs to another worker")
 	m.clearRuns(w, w.sortedRuns(), "address belongs to another worker")
 	delete(m.unreconciledWorkers, w.ID)
 }
@@ -131,12 +127,13 @@
 		// The start time is earlier if the clock of the worker's host was set back.
 		announced := w.unconfirmed
 		m.workerRestarted(w, ev.Report.StartedAt)
+		m.countRestart(w)
 		if announced != nil && announced.StartedAt == ev.Report.StartedAt {
 			m.workerListed(*announced)
 		}
 		return
 	}
-	w.unconfirmed, w.sawOtherClock, w.answeredAt, w.crashCounted = nil, false, w.Address, false
+	w.unconfirmed, w.sawOtherClock, w.answeredAt = nil, false, w.Address
 	w.acceptedToken, w.ackedEnd = max(w.acceptedToken, w.renewalToken), max(w.ackedEnd, w.renewalAckedEnd)
 	if m.roster[w.ID].Restarted {
 		m.addToRoster(w)
@@ -150,7 +147,7 @@
 	}
 	if !w.reachable {
 		m.emit(Log{Text: "worker reachable", Worker: w.ID})
-		m.workerReturned(w)
+		m.takeBackLosses(w, false)
 		w.reachable = true
 		m.searchAgain()
 	}
@@ -406,7 +403,7 @@
 		// A run whose task was unknown when it was reported is not counted for its step.
 		return
 	}
-	m.closeReleasedRun(r, t)
+	m.closeRun(r.id, t, r.worker.ID)
 	for i, other := range t.runs {
 		if other == r {
 			t.runs = append(append([]*run(nil), t.runs[:i]...), t.runs[i+1:]...)
--- a/coord/flow/sweep.go
+++ b/coord/flow/sweep.go
@@ -51,6 +51,7 @@
 		m.tickWorker(w)
 	}
 	m.sweepLateStarts()
+	m.pruneLostLives()
 	m.lookUpJobs()
 	m.expire()
 	m.expireEarlyCancels()
--- a/coord/flow/view.go
+++ b/coord/flow/view.go
@@ -446,5 +446,5 @@
 // has dropped before it reported them, because a call for another life acknowledged them. Examined counts how often a worker was considered for a task, which is most of the work of placement, and
 // Estimates how often the critical path and the work of an occurrence were computed.
 type Counts struct {
-	Starts, Refused, Lost, Done, Failed, Stopped, Vanished, Stalled, Paced, Copied, Crashes, Trials, GivenUp, Relayed, RelayFailures, OtherLife, MissingEnds, Examined, Estimates int64
+	Starts, Refused, Lost, Done, Failed, Stopped, Vanished, Stalled, Paced, Copied, Crashes, TakenBack, Trials, GivenUp, Relayed, RelayFailures, OtherLife, MissingEnds, Examined, Estimates int64
 }
--- a/coord/flow/worker.go
+++ b/coord/flow/worker.go
@@ -151,8 +151,6 @@
 	connRefusals     int
 	// failedRenewals counts the renewals that failed since the worker was added or has answered.
 	failedRenewals int
-	// crashCounted is set once the present loss of contact has been counted as a crash.
-	crashCounted bool
 	// clock is the last known worker clock in milliseconds, and clockAt the local time at which it was read.
 	clockAt time.Time
 	clock   int64
--- a/coord/flow/worker_lifecycle.go
+++ b/coord/flow/worker_lifecycle.go
@@ -9,9 +9,9 @@
 	"lovagefork.example/coord/infra"
 )
 
-// crashConnRefusals is the number of consecutive refused connections after which a worker is assumed to have crashed. The
-// crash is counted at once, so that a successor knows of it, but its runs are kept: a cut can refuse connections too.
-const crashConnRefusals = 2
+// restartConnRefusals is the number of consecutive refused connections after which a worker may have restarted. Its runs are
+// recorded as lost, so that a successor knows of them, but they are kept: a cut can refuse connections too.
+const restartConnRefusals = 2
 
 func (m *Machine) addWorker(info infra.Worker) *worker {
 	w := &worker{
@@ -116,7 +116,6 @@
 	w := m.workers[info.ID]
 	if w == nil {
 		w = m.addWorker(info)
-		m.blameSilencedRuns(info.ID, info.StartedAt)
 		m.emit(Log{Text: "worker listed", Worker: info.ID, Reason: info.Service})
 	}
 	if w.StartedAt != 0 && info.StartedAt != 0 && info.StartedAt < w.StartedAt {
@@ -144,6 +143,7 @@
 	w.unconfirmed = nil
 	if info.Draining && !w.Draining {
 		m.emit(Log{Text: "worker is draining", Worker: info.ID})
+		m.takeBackLosses(w, false)
 	}
 	if !w.listed {
 		w.nextRenewal = m.now
@@ -188,10 +188,7 @@
 		"started at %d, before at %d; last report %d ms ago; %d of %d runs were listed", startedAt, w.StartedAt, w.reportAge(m.now), w.listedRuns(), len(w.runs),
 	)})
 	m.noteRestart(w)
-	m.blameSilencedRuns(w.ID, startedAt)
-	if !w.crashCounted {
-		m.workerCrashed(w, "worker restarted")
-	}
+	m.loseRuns(w, w.runsByTask)
 	for _, r := range w.sortedRuns() {
 		if r.listedClock > 0 {
 			m.counts.Vanished++
@@ -207,7 +204,7 @@
 	w.bestClock, w.bestClockAt = 0, time.Time{}
 	w.ackedEnd, w.renewalAckedEnd = 0, 0
 	w.clock, w.leaseEnd, w.seenEnd, w.durableEnd, w.unsavedEnds = 0, 0, 0, 0, nil
-	w.heldEnds, w.hasMoreEnds, w.crashCounted = 0, false, false
+	w.heldEnds, w.hasMoreEnds = 0, false
 	w.life++
 	w.endWeight, w.speed = 0, 1
 	clear(w.failures)
--- a/coord/infra/worker.go
+++ b/coord/infra/worker.go
@@ -171,8 +171,8 @@
 	return fmt.Sprintf("worker %s: order refused: %s", e.Worker, e.Reason)
 }
 
-// NotSentError reports an order that was not sent. ConnRefused is set if nothing listens at the worker's address,
-// which means that none of its runs are in progress.
+// NotSentError reports an order that was not sent. ConnRefused is set if connections to the worker's address are refused: the worker
+// has ended, or is cut off and runs on.
 type NotSentError struct {
 	Worker      fleet.WorkerID
 	ConnRefused bool
