flow: a job of a removed queue with a policy goes on to get tickets

Cause: a stored job held the service and the attempts of its queue, not that it has a policy, and a rejection that waiting cannot change was answered by the same start.

A job stores now whether its queue has a policy, and a rejected ticket shows that there is one, so that the scheduler requests tickets also for jobs that were stored before.

--- a/coord/flow/answer.go
+++ b/coord/flow/answer.go
@@ -132,7 +132,7 @@
 	case infra.ReasonInvalid:
 		w.quarantinedUntil = m.now.Add(unhealthyPause)
 	case infra.ReasonTicket:
-		m.dropTicket(r)
+		m.ticketRejected(r)
 	case infra.ReasonSuperseded, infra.ReasonExpired:
 	}
 	if r.confirmedClock > 0 {
--- a/coord/flow/approval.go
+++ b/coord/flow/approval.go
@@ -118,9 +118,17 @@
 	m.emit(Log{Text: "policy decision received", Job: ev.Step.Job, Reason: "workers approved"})
 }
 
-// dropTicket deletes a ticket that a worker has rejected.
-func (m *Machine) dropTicket(r *run) {
-	if r.step != nil && r.step.approval != nil {
+// ticketRejected handles a start that a worker has rejected because of its ticket. If the queue has no policy as far as is known, it had
+// one before it was removed from the configuration, or has it in a configuration that is on its way.
+func (m *Machine) ticketRejected(r *run) {
+	if r.step == nil {
+		return
+	}
+	if r.step.approval != nil {
 		delete(r.step.approval.tickets, r.worker.ID)
 	}
+	if q := &r.occ.job.queue; q.ApprovalCost == nil {
+		q.ApprovalCost = &infra.ApprovalCost{}
+		m.emit(Log{Text: "queue has a policy", Task: r.id, Run: r.number, Worker: r.worker.ID, Reason: q.Name})
+	}
 }
--- a/coord/flow/flow_test.go
+++ b/coord/flow/flow_test.go
@@ -474,3 +474,38 @@
 	h.advance(6 * time.Minute)
 	assert.DeepEqual(t, deleted(), map[fleet.JobID]int{"first": 1, "second": 1, "followed": 1})
 }
+
+// Guards against a job that never goes on after its queue was removed from the configuration (LOST): the next scheduler requested no
+// tickets for it, and the workers rejected each start.
+func TestJobOfRemovedQueueWithPolicyGetsTickets(t *testing.T) {
+	for _, isKnown := range []bool{false, true} {
+		j := singleStepJob("j", smallStep(1))
+		j.Service, j.HasPolicy = "pool", isKnown
+		h := newHarness(t, flow.Restored{Jobs: []flow.StoredJob{{Job: j}}, Term: 1})
+		h.step(flow.Configured{Catalog: &infra.Catalog{Version: 2, Services: []infra.Service{{Name: "pool"}}}})
+		h.step(flow.WorkerListed{Worker: newPoolWorker("a")})
+		h.report("a", infra.Report{})
+		h.advance(50 * time.Millisecond)
+		rejected := 0
+		for range 20 {
+			h.report("a", infra.Report{})
+			h.advance(25 * time.Millisecond)
+			for _, e := range h.effects {
+				switch e := e.(type) {
+				case flow.Start:
+					if e.Order.Ticket != "" {
+						assert.Equal(t, rejected == 0, isKnown)
+						return
+					}
+					rejected++
+					h.step(flow.StartAnswered{Worker: "a", Order: e.Order, Err: &infra.RefusedError{Worker: "a", Reason: infra.ReasonTicket}})
+				case flow.RequestApproval:
+					tickets := infra.Approval{Tickets: map[fleet.WorkerID]string{"a": "t1"}, TicketTTL: time.Second}
+					h.step(flow.ApprovalAnswered{Step: e.Step, Workers: e.Workers, Sent: h.now, Approval: tickets})
+				}
+			}
+			h.effects = nil
+		}
+		t.Fatalf("no start carries a ticket, %d were rejected", rejected)
+	}
+}
--- a/coord/flow/machine.go
+++ b/coord/flow/machine.go
@@ -335,6 +335,9 @@
 		j.queue = q
 	case j.queue.Service == "":
 		j.queue = infra.Queue{Name: j.spec.Queue, Service: j.spec.Service, MaxAttempts: j.spec.MaxAttempts}
+		if j.spec.HasPolicy {
+			j.queue.ApprovalCost = &infra.ApprovalCost{}
+		}
 	}
 }
 
--- a/coord/infra/job.go
+++ b/coord/infra/job.go
@@ -64,10 +64,11 @@
 	Spec     string      `cbor:"spec"`
 	Steps    []Step      `cbor:"steps"`
 	Schedule Schedule    `cbor:"schedule"`
-	// MaxAttempts and Service are copied from the queue when the job is accepted. They apply if the queue is later
-	// removed from the configuration.
+	// MaxAttempts and Service are copied from the queue when the job is accepted, and HasPolicy is set if the queue has an approval
+	// policy then. They apply if the queue is later removed from the configuration.
 	MaxAttempts int    `cbor:"max_attempts,omitempty"`
 	Service     string `cbor:"service,omitempty"`
+	HasPolicy   bool   `cbor:"has_policy,omitempty"`
 	// Submitted is the time at which an entry process accepted the job, in Unix milliseconds.
 	Submitted int64 `cbor:"submitted"`
 }
--- a/entryd/hosted/intake.go
+++ b/entryd/hosted/intake.go
@@ -125,7 +125,7 @@
 // Submit implements [infra.Jobs].
 func (i *Intake) Submit(ctx context.Context, q infra.Queue, j infra.Job) error {
 	start := time.Now()
-	j.Submitted, j.MaxAttempts, j.Service = time.Now().UnixMilli(), q.MaxAttempts, q.Service
+	j.Submitted, j.MaxAttempts, j.Service, j.HasPolicy = time.Now().UnixMilli(), q.MaxAttempts, q.Service, q.ApprovalCost != nil
 	data, err := leader.EncodeJob(j)
 	if err != nil {
 		return &infra.InvalidJobError{Job: j.ID, Reason: err.Error()}
