flow: lost runs keep what is known of them, and workers at an address are found in one pass

By reading the change: a second look at a lost run could take back that it had existed, if its worker had restarted since, and a crash would then have been no loss (BUDGET).

go test ./coord/flow passes.

--- a/coord/flow/lost_run.go
+++ b/coord/flow/lost_run.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"maps"
 	"slices"
 	"time"
 
@@ -100,7 +99,7 @@
 		if at := t.lostRunOn(on); at >= 0 {
 			// The answer to the start may have arrived since.
 			if l := &t.lost[at]; r.existed() && !l.existed || confirmed && !l.confirmed {
-				l.existed, l.confirmed = r.existed(), confirmed
+				l.existed, l.confirmed = l.existed || r.existed(), l.confirmed || confirmed
 				m.markTaskDirty(r.id)
 			}
 			continue
@@ -161,10 +160,15 @@
 func (m *Machine) workerAnswered(w *worker) {
 	m.countRestart(w)
 	m.takeBackLosses(w, true)
-	replaced := slices.DeleteFunc(slices.Sorted(maps.Keys(m.lostLives)), func(id fleet.WorkerID) bool {
+	var replaced []fleet.WorkerID
+	for id, l := range m.lostLives {
+		// A worker that still has runs is asked itself, and they end with its answer.
 		other := m.workers[id]
-		return id == w.ID || m.lostLives[id].address != w.Address || other != nil && len(other.runs) > 0
-	})
+		if id != w.ID && l.address == w.Address && (other == nil || len(other.runs) == 0) {
+			replaced = append(replaced, id)
+		}
+	}
+	slices.Sort(replaced)
 	for _, id := range replaced {
 		m.countCrash(id, func(int64) bool { return true }, "address belongs to another worker")
 	}
