flow: a start that was not sent is no lost run

Callers would see a sound job as failed (LOST). Several workers crash at once; a waiting task is sent to one after another, each start fails because nothing listens, and the worker was found unreachable in between, so that the start was recorded as a lost run. When the workers returned, three of them counted as crashes under a task that had never started there.

A run that is known not to have started is dropped from the record. TestStartThatWasNotSentIsNoLostRun fails before.

--- a/coord/flow/answer.go
+++ b/coord/flow/answer.go
@@ -145,6 +145,7 @@
 // any.
 func (m *Machine) notStarted(r *run, reason string, avoid fleet.WorkerID) {
 	m.emit(Log{Text: "task not started", Task: r.id, Run: r.number, Worker: r.worker.ID, Reason: reason})
+	m.dropLostRun(r)
 	m.releaseRun(r)
 	m.requeue(r, avoid)
 	m.searchAgain()
--- a/coord/flow/cut_test.go
+++ b/coord/flow/cut_test.go
@@ -193,6 +193,27 @@
 	}
 }
 
+// Guards against a sound job that is shown as failed (LOST): starts that were not sent, because their workers had just crashed, counted as
+// runs under which these workers had crashed.
+func TestStartThatWasNotSentIsNoLostRun(t *testing.T) {
+	a := newPoolWorker("a")
+	a.StartedAt = 1
+	h := newHarness(t, flow.Restored{Term: 1}, a)
+	h.report("a", infra.Report{StartedAt: 1})
+	h.step(flow.Submitted{Job: singleStepJob("j", smallStep(1))})
+	h.advance(50 * time.Millisecond)
+	starts := h.starts()
+	assert.Equal(t, len(starts), 1)
+	refused := &infra.NotSentError{Worker: "a", ConnRefused: true}
+	h.step(flow.RenewFailed{Worker: "a", Sequence: h.seq["a"], Err: refused})
+	h.step(flow.StartAnswered{Worker: "a", Order: starts[0].Order, Err: refused})
+	h.advance(50 * time.Millisecond)
+	h.reportTwice("a", infra.Report{StartedAt: 2})
+	h.advance(50 * time.Millisecond)
+	assert.Equal(t, h.m.Counts().Crashes, int64(0))
+	assert.Equal(t, h.savedCrashes("j"), 0)
+}
+
 // Guards against both sides at once: workers that are cut off with refused connections fail no job (LOST), and hide no task that
 // crashes its workers (BUDGET).
 func TestCrashingTasksBesideCuts(t *testing.T) {
--- a/coord/flow/lost_run.go
+++ b/coord/flow/lost_run.go
@@ -120,6 +120,21 @@
 	}
 }
 
+// dropLostRun forgets that a run was lost, because it has never started.
+func (m *Machine) dropLostRun(r *run) {
+	s, t := m.lookupTask(r.id)
+	if t == nil {
+		return
+	}
+	at := slices.IndexFunc(t.lost, func(l lostRun) bool { return l.worker == r.worker.ID && l.number == r.number })
+	if at < 0 {
+		return
+	}
+	t.lost = slices.Delete(t.lost, at, at+1)
+	s.crashesChanged(r.id.Index)
+	m.markTaskDirty(r.id)
+}
+
 // suspectLoss notes that a worker may have crashed under a recent run of the step.
 func (s *step) suspectLoss(id fleet.WorkerID, index int) {
 	if s.lostWorkers == nil {
