--- a/coord/flow/lost_run.go
+++ b/coord/flow/lost_run.go
@@ -9,12 +9,8 @@
 	"lovagefork.example/coord/infra"
 )
 
-const (
-	// goneAfter is how long a lost worker does not answer until it is taken for gone, so that no task waits for it any longer.
-	goneAfter = 30 * time.Second
-	// lostLifePrunePause is the pause between two searches for lost lives under which no run is recorded any more.
-	lostLifePrunePause = 10 * time.Second
-)
+// lostLifePrunePause is the pause between two searches for lost lives under which no run is recorded any more.
+const lostLifePrunePause = 10 * time.Second
 
 // lostRun is a run that may have ended in a crash of its worker, which has become unreachable. Neither silence nor refused
 // connections show a crash: a worker that is only cut off runs on. Another life of the worker, or another worker at its address,
@@ -185,10 +181,13 @@
 	}
 	slices.Sort(replaced)
 	for _, id := range replaced {
-		m.countCrash(id, func(int64) bool { return true }, "address belongs to another worker")
+		m.countCrash(id, anyLife, "address belongs to another worker")
 	}
 }
 
+// anyLife selects all lives of a worker, see [Machine.countCrash].
+func anyLife(int64) bool { return true }
+
 // countRestart counts the crash of the lives of a worker other than the one that answers.
 func (m *Machine) countRestart(w *worker) {
 	m.countCrash(w.ID, func(startedAt int64) bool { return startedAt != 0 && w.StartedAt != 0 && startedAt != w.StartedAt }, "worker restarted")
@@ -242,8 +241,8 @@
 	lostRun
 }
 
-// countCrash counts the crash of a worker against the tasks whose runs were lost with lives that have ended. A task that has run
-// soundly elsewhere since is not blamed.
+// countCrash counts the crash of a worker against the tasks whose runs were lost with lives that have ended, which hasEnded selects by
+// their start times. A task that has run soundly elsewhere since is not blamed.
 func (m *Machine) countCrash(id fleet.WorkerID, hasEnded func(startedAt int64) bool, reason string) {
 	life := m.lostLives[id]
 	if life == nil {
@@ -323,47 +322,6 @@
 	return lostRun{}, false
 }
 
-// awaitsLostWorkers reports whether a task would be given up if all workers that were lost under it had crashed, or has used the
-// starts that a task may have after that. It starts again once enough of them have answered.
-func (c *crashRecord) awaitsLostWorkers() bool {
-	return len(c.lost) > 0 && (c.crashes+c.lostSuspects() > maxCrashes || c.losses+c.lostLosses() > maxCrashes+1)
-}
-
-// judgeGoneWorkers ends the wait of a task for workers that are gone. Those that have not answered since a recent run of the task
-// count as crashed. A worker that was lost later is no evidence, so that the task may start once more.
-func (m *Machine) judgeGoneWorkers(id infra.TaskID, s *step, t *task) {
-	if !t.awaitsLostWorkers() {
-		t.awaitLogged = false
-		return
-	}
-	if !t.awaitLogged {
-		t.awaitLogged = true
-		m.emit(Log{Text: "task waits for lost workers", Task: id, Run: t.lastRun, Reason: fmt.Sprintf(
-			"%d workers have not answered since they were lost under it, %d crashed", len(t.lost), max(t.crashes, t.losses),
-		)})
-	}
-	isAwaited := func(l lostRun) bool {
-		life := m.lostLives[l.worker]
-		return life != nil && m.now.Sub(life.since) < goneAfter
-	}
-	if slices.ContainsFunc(t.lost, isAwaited) {
-		return
-	}
-	gone := slices.DeleteFunc(slices.Clone(t.lost), func(l lostRun) bool { return !l.suspect })
-	if len(gone) == 0 {
-		gone = t.lost[:1:1]
-	}
-	for _, l := range gone {
-		t.lost = slices.DeleteFunc(slices.Clone(t.lost), func(o lostRun) bool { return o.openRun == l.openRun })
-		delete(s.lostWorkers, l.worker)
-		s.crashesChanged(id.Index)
-		m.markTaskDirty(id)
-		if l.suspect {
-			m.countLostRun(id, l, m.now, true)
-		}
-	}
-}
-
 // pruneLostLives forgets the lost lives under which no task has a recorded run any more.
 func (m *Machine) pruneLostLives() {
 	if m.now.Sub(m.lostLivesPrunedAt) < lostLifePrunePause {
--- a/coord/flow/report.go
+++ b/coord/flow/report.go
@@ -100,7 +100,7 @@
 		return
 	}
 	m.loseRuns(w, w.runsByTask)
-	m.countCrash(w.ID, func(int64) bool { return true }, "address belongs to another worker")
+	m.countCrash(w.ID, anyLife, "address belongs to another worker")
 	m.clearRuns(w, w.sortedRuns(), "address belongs to another worker")
 	delete(m.unreconciledWorkers, w.ID)
 }
